Lay out the workspace, the schema and the core's interfaces

Cause: nothing existed. Every later part needs one agreed set of messages, settings and events before it can be written side by side with the others.

Ownership is per service and not per server: one queue, one retry budget and one limit for all replicas of a shard, and a hedge is decided where both replicas are seen.

Conclusion: the parts can start.

--- /dev/null
+++ b/crates/core/src/control/event.rs
@@ -0,0 +1,68 @@
+//! What the control machine is told and what it asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::{publication, wire};
+
+use crate::count::Count;
+use crate::view::View;
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A frame of a peer, already checked for fleet and protocol; its traffic parts are ignored.
+    Frame(Box<wire::Frame>),
+    /// The platform answered the watch.
+    Page(publication::Page),
+    /// The platform did not answer the watch, or with an error.
+    WatchFailed,
+    /// The link to the peer of this name broke.
+    LinkDown(Arc<str>),
+    /// A server said that it leaves: seen by the leaf in a load report or refusal.
+    ServerLeaving {
+        /// Name of the server.
+        server: Arc<str>,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// The process was suspended for about this long.
+    Paused(Duration),
+    /// The instance starts its graceful stop: tell the peers.
+    Drain,
+    /// The time asked for by `Machine::next_wake` has come.
+    Tick,
+}
+
+/// What the machine asks for.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send the control parts of a frame to a peer; the link fills in the sender.
+    Send {
+        /// IP number and port of the peer.
+        to: Arc<str>,
+        /// The frame.
+        frame: Box<wire::Frame>,
+    },
+    /// Start a read of the platform, answered by exactly one [`Event::Page`] or
+    /// [`Event::WatchFailed`].
+    Watch {
+        /// Only records above this revision.
+        after: u64,
+        /// How long the platform may wait for news; zero: it answers at once.
+        wait: Duration,
+    },
+    /// Publish a new view to the traffic threads.
+    View(Arc<View>),
+    /// A record was refused; operators see it until a newer one of the same key is in force.
+    Refused {
+        /// Kind and name of the record.
+        record: String,
+        /// Its revision.
+        revision: u64,
+        /// What is wrong with it.
+        detail: String,
+    },
+    /// Step a counter.
+    Count(Count),
+}
--- /dev/null
+++ b/crates/core/src/leaf/event.rs
@@ -0,0 +1,126 @@
+//! What the leaf machine is told and what it asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::{target, wire};
+use slotmap::new_key_type;
+
+use crate::count::Count;
+use crate::view::{Peer, View};
+
+new_key_type! {
+    /// A connection to a server. It carries one request at a time.
+    pub struct LaneKey;
+
+    /// One sending of one portion to one server.
+    pub struct AttemptKey;
+}
+
+/// How a call at a target ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The target answered.
+    Answer(target::Answer),
+    /// The target refused: proof that the request did not run.
+    Refusal(target::Refusal),
+    /// The target answered with an error or something that is no answer: it may have run.
+    Error,
+    /// The connection broke after the request may have been written: it may have run.
+    Lost,
+    /// Nothing of the request was written: it did not run.
+    Unsent,
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Work from an entry, which may be of this instance.
+    Work {
+        /// The entry's instance.
+        from: Peer,
+        /// Incarnation of the entry's instance.
+        incarnation: u64,
+        /// The work.
+        work: wire::Work,
+    },
+    /// An entry gives a query up.
+    Cancel(wire::Cancel),
+    /// A lane asked for by [`Action::Open`] is connected and idle.
+    Opened(LaneKey),
+    /// A lane failed or was closed by the target while idle, or could not be opened.
+    Closed(LaneKey),
+    /// A call ended. After anything but an answer or a refusal the shell has closed the lane, and
+    /// no further event names it.
+    Ended {
+        /// The call.
+        attempt: AttemptKey,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// A server's load report, or `None` when it did not answer the question.
+    Load {
+        /// Name of the server.
+        server: Arc<str>,
+        /// The report.
+        load: Option<target::Load>,
+    },
+    /// A new view is in force.
+    View(Arc<View>),
+    /// The process was suspended for about this long.
+    Paused(Duration),
+    /// Refuse new work; finish what is open.
+    Drain,
+    /// The time asked for by `Machine::next_wake` has come.
+    Tick,
+}
+
+/// What the machine asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Open a connection.
+    Open {
+        /// Its key in later events.
+        lane: LaneKey,
+        /// IP number and port of the server.
+        address: Arc<str>,
+    },
+    /// Close a connection; no further event names it.
+    Close(LaneKey),
+    /// Send a request on an idle lane. It must end with [`Event::Ended`], whatever happens.
+    Send {
+        /// The lane, busy until the call ends.
+        lane: LaneKey,
+        /// The call.
+        attempt: AttemptKey,
+        /// The request.
+        request: target::Request,
+        /// When to give the call up as lost, counted from now.
+        timeout: Duration,
+    },
+    /// Ask a server on an idle lane to cancel a call. The lane stays busy until [`Event::Opened`]
+    /// (done) or [`Event::Closed`] names it.
+    Cancel {
+        /// An idle lane to the server.
+        lane: LaneKey,
+        /// The target request's identifier.
+        id: String,
+    },
+    /// Ask a server for its load report on an idle lane, answered by [`Event::Load`]; the lane stays
+    /// busy until [`Event::Opened`] or [`Event::Closed`] names it.
+    Probe {
+        /// An idle lane to the server.
+        lane: LaneKey,
+        /// Name of the server.
+        server: Arc<str>,
+    },
+    /// Reply to an entry, which may be of this instance.
+    Reply {
+        /// The entry's instance.
+        to: Peer,
+        /// The reply.
+        reply: wire::Reply,
+    },
+    /// Step a counter.
+    Count(Count),
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,54 @@
+//! Points in time as the core sees them.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Microseconds since an origin that the shell chooses once per process.
+///
+/// The shell reads a clock that goes on while the process or the machine is suspended, so that a
+/// suspension shows as a gap.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// A point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// A point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time since `earlier`, zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(micros(span)))
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(span)))
+    }
+}
+
+/// Whole microseconds of `span`.
+pub fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,131 @@
+//! What one instance holds true at one moment: catalogue, indexes, servers, owners.
+//!
+//! The control machine builds a [`View`] whenever something changes and publishes it as one
+//! immutable value. The traffic machines never see half a change.
+
+use std::sync::Arc;
+
+use ladder_schema::catalogue;
+use ladder_schema::publication;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::collections::Map;
+
+new_key_type! {
+    /// A service in one view; keys of different views do not mix.
+    pub struct ServiceKey;
+}
+
+/// An instance as a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// IP number and port of its peer socket.
+    pub address: Arc<str>,
+}
+
+/// An instance that may work on a service, in order of preference.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The instance.
+    pub peer: Peer,
+    /// Held alive and not leaving by the membership of this instance.
+    pub live: bool,
+    /// It is this very instance.
+    pub local: bool,
+}
+
+/// A target of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// IP number and port.
+    pub address: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Grows with every start of the target.
+    pub incarnation: u64,
+    /// Some source says that it leaves; it must receive no new work.
+    pub leaving: bool,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Connections this instance may hold to it.
+    ///
+    /// Invariant: over all instances that compute it from publications that differ by no more than
+    /// the reserve, the shares sum to at most the server's published limit.
+    pub share: u32,
+    /// Index versions it serves, as published.
+    pub holdings: Vec<publication::Holding>,
+}
+
+/// A search service with its catalogue entry.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// The entry in force.
+    pub entry: Arc<catalogue::Entry>,
+    /// Its targets, in order of name.
+    pub servers: Vec<Server>,
+    /// Instances that may work on it; the first live one is the owner.
+    pub candidates: Vec<Candidate>,
+}
+
+impl Service {
+    /// The instance that owns the service in this view.
+    pub fn owner(&self) -> Option<&Candidate> {
+        self.candidates.iter().find(|candidate| candidate.live)
+    }
+
+    /// Whether this instance may work on the service at all.
+    pub fn is_candidate(&self) -> bool {
+        self.candidates.iter().any(|candidate| candidate.local)
+    }
+
+    /// The operation of this name in the entry.
+    pub fn operation(&self, name: &str) -> Option<&catalogue::Operation> {
+        self.entry
+            .operations
+            .iter()
+            .find(|operation| operation.name == name)
+    }
+}
+
+/// What one instance holds true at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Grows with every view of this instance.
+    pub generation: u64,
+    /// Highest catalogue revision in force.
+    pub revision: u64,
+    /// Enough is known to serve callers.
+    pub ready: bool,
+    /// Services that have a catalogue entry.
+    pub services: SlotMap<ServiceKey, Service>,
+    /// Keys of the services by name.
+    ///
+    /// Invariant: holds exactly the keys of `services`.
+    pub service_keys: Map<Arc<str>, ServiceKey>,
+    /// Published versions of each index, newest first.
+    pub indexes: Map<Arc<str>, Vec<Arc<publication::Index>>>,
+}
+
+impl View {
+    /// Adds a service; one of the same name is replaced.
+    pub fn insert(&mut self, service: Service) -> ServiceKey {
+        let name = Arc::clone(&service.name);
+        if let Some(old) = self.service_keys.remove(&name) {
+            self.services.remove(old);
+        }
+        let key = self.services.insert(service);
+        self.service_keys.insert(name, key);
+        key
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(*self.service_keys.get(name)?)
+    }
+}
