Add status messages and the estimate of a frame's age

Cause: a process that was suspended finds old frames in its socket, and their relative budgets look fresh; synchronised clocks are not given, so an absolute deadline was ruled out.

The schema also gets what an instance shows to operators.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 /// Schema files, relative to the schema folder.
-pub const FILES: [&str; 8] = [
+pub const FILES: [&str; 9] = [
     "ladder/outcome.proto",
     "ladder/catalogue.proto",
     "ladder/publication.proto",
@@ -16,6 +16,7 @@
     "ladder/wire.proto",
     "ladder/settings.proto",
     "ladder/standin.proto",
+    "ladder/status.proto",
 ];
 
 /// Why generation failed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`gather`] takes callers' requests, plans them over shards and gathers the answers;
 //! - [`leaf`] owns services: their servers' slots and connections, queue, hedges and retries.
 
+pub mod age;
 pub mod collections;
 pub mod control;
 pub mod count;
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -49,5 +49,9 @@
     /// Settings and control messages of the stand-ins.
     standin, "ladder.standin.rs", "ladder.standin.serde.rs"
 );
+package!(
+    /// What an instance shows to operators.
+    status, "ladder.status.rs", "ladder.status.serde.rs"
+);
 
 pub mod bounds;
