--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -1,5 +1,32 @@
 //! Owns services: slots and connections of their servers, queue, hedges and retries.
 
+mod attempt;
+mod budget;
+mod dispatch;
+mod ending;
+mod estimate;
 pub mod event;
+mod health;
+mod hedge;
+mod intake;
+mod lane;
+mod lanes;
+mod machine;
+mod portion;
+mod queue;
+mod random;
+mod recent;
+mod record;
+mod refresh;
+mod reply;
+mod server;
+mod service;
+mod settings;
+pub mod status;
+mod timer;
+mod verdict;
 
 pub use event::{Action, Event};
+pub use machine::Machine;
+pub use service::Rank;
+pub use settings::{Builder, Settings};
--- /dev/null
+++ b/crates/core/src/leaf/budget.rs
@@ -0,0 +1,43 @@
+//! Extra calls (retries and hedges) that a service may spend.
+
+/// Thousandths of an extra call.
+const CALL: u32 = 1000;
+/// Most extra calls that can be saved up, so that a quiet hour does not pay for a burst.
+const BURST: u32 = 10 * CALL;
+
+/// Tokens earned by first calls and spent by extra calls.
+///
+/// In overload every call is slow and would be copied or repeated; the extra calls would then make
+/// the overload worse. Tokens bound them to a share of the first calls.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Budget {
+    /// Thousandths of an extra call, at most [`BURST`].
+    tokens: u32,
+}
+
+impl Budget {
+    /// Earns what one first call allows.
+    pub(super) fn earn(&mut self, extra_percent: u32) {
+        let earned = extra_percent * (CALL / 100);
+        self.tokens = (self.tokens + earned).min(BURST);
+    }
+
+    /// Whether an extra call can be paid.
+    pub(super) fn affords(&self) -> bool {
+        self.tokens >= CALL
+    }
+
+    /// Pays for an extra call; `false` when the tokens do not suffice.
+    pub(super) fn spend(&mut self) -> bool {
+        let paid = self.affords();
+        if paid {
+            self.tokens -= CALL;
+        }
+        paid
+    }
+
+    /// Whole extra calls saved up.
+    pub(super) fn calls(&self) -> u32 {
+        self.tokens / CALL
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/dispatch.rs
@@ -0,0 +1,330 @@
+//! Dispatch: which queued portion goes to which server now.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::outcome::Reason;
+use ladder_schema::settings::Selection;
+use ladder_schema::{target, wire};
+
+use super::attempt::Attempt;
+use super::event::{Action, LaneKey};
+use super::lane;
+use super::machine::Machine;
+use super::portion::PortionKey;
+use super::reply::Refused;
+use super::server::{Server, ServerKey};
+use super::service::ServiceId;
+use super::timer::Timer;
+use crate::time::Instant;
+
+/// Queued portions looked at when the first ones find no server.
+const SCAN: usize = 8;
+/// Failed openings in a row after which a server without a connection counts as unreachable.
+const UNREACHABLE: u32 = 3;
+/// How much a failing server is avoided: a failure rate of one weighs like this many call times.
+const FAILURE_COST: f64 = 4.0;
+
+impl Machine {
+    /// Dispatches for all services that changed in the event at hand.
+    pub(super) fn pump_marked(&mut self, out: &mut Vec<Action>) {
+        while let Some(id) = self.marked.pop() {
+            if self.services.contains_key(id) {
+                self.pump(id, out);
+            }
+        }
+    }
+
+    fn pump(&mut self, id: ServiceId, out: &mut Vec<Action>) {
+        self.hedge_overdue(id, out);
+        while self.dispatch_one(id, out) {}
+        if !self.services[id].queue.is_empty() {
+            self.maintain(id, out);
+        }
+    }
+
+    /// Sends or refuses one queued portion; `false` when nothing can be done now.
+    fn dispatch_one(&mut self, id: ServiceId, out: &mut Vec<Action>) -> bool {
+        let service = &self.services[id];
+        if service.queue.is_empty() || !self.has_room(id) {
+            return false;
+        }
+        let head: Vec<PortionKey> = service.queue.order().take(SCAN).collect();
+        for key in head {
+            if self.too_late(key) {
+                let refused = Refused::with(self.standing(key), Reason::WouldMissDeadline);
+                self.finish(key, refused, out);
+                return true;
+            }
+            if let Some(server) = self.choose(id, key) {
+                self.dispatch(key, server, out);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether the service may have one more call in flight and some server can take it.
+    pub(super) fn has_room(&self, id: ServiceId) -> bool {
+        let service = &self.services[id];
+        let limit = service.limits().in_flight;
+        if limit > 0 && service.in_flight >= limit {
+            return false;
+        }
+        service.servers.iter().any(|server| self.can_send(*server))
+    }
+
+    /// Whether the server has a free slot and an idle connection.
+    pub(super) fn can_send(&self, key: ServerKey) -> bool {
+        let server = &self.servers[key];
+        let free = !self.settings.queueing || server.in_flight < server.capacity(self.now);
+        free && server.accepts() && self.idle_lane(key).is_some()
+    }
+
+    pub(super) fn idle_lane(&self, key: ServerKey) -> Option<LaneKey> {
+        let mut lanes = self.servers[key].lanes.iter().copied();
+        lanes.find(|lane| self.lanes[*lane].state == lane::State::Idle)
+    }
+
+    /// Whether a portion cannot be done in time even if it is sent now.
+    fn too_late(&self, key: PortionKey) -> bool {
+        let portion = &self.portions[key];
+        let usual = match self.settings.queueing {
+            true => self.services[portion.service].times.quantile(0.25),
+            false => None,
+        };
+        self.now + usual.unwrap_or(Duration::ZERO) >= portion.deadline
+    }
+
+    /// The server for a portion's next call.
+    fn choose(&mut self, id: ServiceId, key: PortionKey) -> Option<ServerKey> {
+        match self.settings.selection {
+            Selection::RoundRobin => self.choose_in_turn(id, key),
+            _ => self.choose_by_outcome(id, key),
+        }
+    }
+
+    fn choose_in_turn(&mut self, id: ServiceId, key: PortionKey) -> Option<ServerKey> {
+        let work = &self.portions[key].job.work;
+        let service = &self.services[id];
+        let count = service.servers.len();
+        let turn = (0..count).map(|step| (service.cursor + step) % count);
+        let found = turn
+            .map(|place| (place, service.servers[place]))
+            .find(|(_, server)| self.can_send(*server) && self.holds(*server, work));
+        let (place, server) = found?;
+        self.services[id].cursor = place + 1;
+        Some(server)
+    }
+
+    /// The server with the shortest expected call time, failures counted as delay.
+    ///
+    /// A server held suspect gets one call at a time after each of its pauses, so that its recovery
+    /// shows. Unrepeatable work is not used for such trials.
+    fn choose_by_outcome(&mut self, id: ServiceId, key: PortionKey) -> Option<ServerKey> {
+        let portion = &self.portions[key];
+        let service = &self.services[id];
+        let suspects = self.suspects(id);
+        let mut best: Option<(f64, ServerKey)> = None;
+        let count = service.servers.len();
+        for step in 0..count {
+            let candidate = service.servers[(service.cursor + step) % count];
+            if !self.may_send(candidate, &portion.job.work) {
+                continue;
+            }
+            let server = &self.servers[candidate];
+            if suspects.contains(&candidate) {
+                let tries = !portion.unrepeatable && !portion.tried.contains(&candidate);
+                if tries && self.ready_for_trial(server) {
+                    return Some(candidate);
+                }
+                continue;
+            }
+            let cost = self.cost(id, server, portion.tried.contains(&candidate));
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, candidate));
+            }
+        }
+        self.services[id].cursor = (self.services[id].cursor + 1) % count.max(1);
+        best.map(|(_, server)| server)
+    }
+
+    /// A free slot, an idle connection, the version, and no pause after shedding.
+    fn may_send(&self, key: ServerKey, work: &wire::Work) -> bool {
+        let server = &self.servers[key];
+        let shedding = self.now < server.health.shed_until();
+        !shedding && self.can_send(key) && self.holds(key, work)
+    }
+
+    fn holds(&self, key: ServerKey, work: &wire::Work) -> bool {
+        self.servers[key].holds(self.now, &work.index, work.version)
+    }
+
+    fn ready_for_trial(&self, server: &Server) -> bool {
+        self.now >= server.health.paused_until() && server.in_flight == 0
+    }
+
+    /// Expected call time in microseconds, made longer by load, failures and an earlier failed try.
+    fn cost(&self, id: ServiceId, server: &Server, tried: bool) -> f64 {
+        let seen = server.health.mean().max(Duration::from_micros(1));
+        let usual = self.services[id].mean().unwrap_or(seen);
+        let expected = seen.max(usual / 2).as_secs_f64();
+        let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
+        let failures = FAILURE_COST * server.health.failure_rate();
+        let again = if tried { 4.0 } else { 1.0 };
+        expected * (1.0 + load) * (1.0 + failures) * again
+    }
+
+    /// Servers that are held back because of their outcomes: the worst half at most.
+    ///
+    /// When most servers look as if they fail, the fault is likely on the watcher's side, such as
+    /// its network. Without the floor it would stop sending altogether.
+    pub(super) fn suspects(&self, id: ServiceId) -> Vec<ServerKey> {
+        let accepting = |key: &&ServerKey| self.servers[**key].accepts();
+        let servers: Vec<ServerKey> = self.services[id]
+            .servers
+            .iter()
+            .filter(accepting)
+            .copied()
+            .collect();
+        let rate = |key: &ServerKey| self.servers[*key].health.failure_rate();
+        let suspect = |key: &ServerKey| self.servers[*key].health.suspect();
+        let mut suspects: Vec<ServerKey> = servers.iter().copied().filter(suspect).collect();
+        suspects.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        suspects.truncate(servers.len() / 2);
+        suspects
+    }
+
+    /// Slots of the servers that may get work.
+    pub(super) fn usable_slots(&self, id: ServiceId) -> u32 {
+        let service = &self.services[id];
+        let servers = service.servers.iter().map(|key| &self.servers[*key]);
+        let accepting = servers.filter(|server| server.accepts());
+        let slots: u32 = accepting.map(|server| server.capacity(self.now)).sum();
+        match service.limits().in_flight {
+            0 => slots,
+            limit => slots.min(limit),
+        }
+    }
+
+    /// Whether any server can be expected to take such work before the deadline.
+    pub(super) fn outlook(
+        &self,
+        id: ServiceId,
+        work: &wire::Work,
+        deadline: Instant,
+    ) -> Result<(), Refused> {
+        let servers = self.services[id].servers.iter().copied();
+        let accepting: Vec<ServerKey> =
+            servers.filter(|key| self.servers[*key].accepts()).collect();
+        if accepting.is_empty() {
+            return Err(Refused::because(Reason::NoServer));
+        }
+        let holders: Vec<&Server> = accepting
+            .iter()
+            .filter(|key| self.holds(**key, work))
+            .map(|key| &self.servers[*key])
+            .collect();
+        if holders.is_empty() {
+            return Err(Refused::because(Reason::VersionRetired));
+        }
+        let unreachable =
+            |server: &&Server| server.in_flight == 0 && server.open_failures >= UNREACHABLE;
+        if holders.iter().all(unreachable) {
+            return Err(Refused::because(Reason::ConnectFailed));
+        }
+        let rest = holders
+            .iter()
+            .map(|server| server.health.shed_until())
+            .min();
+        match rest {
+            Some(until) if until >= deadline && self.selects_by_outcome() => {
+                let wait = until.since(self.now);
+                Err(Refused::because(Reason::TargetShed).come_back(wait))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn selects_by_outcome(&self) -> bool {
+        self.settings.selection != Selection::RoundRobin
+    }
+
+    /// Sends a queued portion.
+    fn dispatch(&mut self, key: PortionKey, server: ServerKey, out: &mut Vec<Action>) {
+        let portion = &mut self.portions[key];
+        let first = portion.calls == 0;
+        let id = portion.service;
+        let place = portion.place.take();
+        let service = &mut self.services[id];
+        if let Some(place) = place {
+            service.queue.dispatch(place);
+        }
+        if first {
+            let percent = service.limits().extra_percent;
+            service.budget.earn(percent);
+        }
+        self.send(key, server, out);
+        self.plan_hedge(key);
+    }
+
+    /// Sends one call of a portion on an idle connection of the server.
+    pub(super) fn send(&mut self, key: PortionKey, to: ServerKey, out: &mut Vec<Action>) {
+        let Some(lane) = self.idle_lane(to) else {
+            return;
+        };
+        self.sequence += 1;
+        let id = format!(
+            "{}.{}.{}",
+            self.settings.name, self.settings.incarnation, self.sequence
+        );
+        let portion = &mut self.portions[key];
+        let timeout = portion.deadline.since(self.now);
+        let attempt = self.attempts.insert(Attempt {
+            portion: Some(key),
+            service: portion.service,
+            server: to,
+            lane,
+            id: id.clone(),
+            job: Arc::clone(&portion.job),
+            shards: Arc::clone(&portion.shards),
+            sent: self.now,
+            timeout,
+            record: portion.unrepeatable.then(|| portion.record()),
+            given_up: false,
+        });
+        portion.attempts.push(attempt);
+        portion.tried.push(to);
+        portion.calls += 1;
+        self.services[portion.service].in_flight += 1;
+        self.servers[to].in_flight += 1;
+        self.lanes[lane].state = lane::State::Busy(attempt);
+        out.push(Action::Send {
+            lane,
+            attempt,
+            request: request(&portion.job.work, &portion.shards, id, timeout),
+            timeout,
+        });
+    }
+
+    /// Asks for a look at the service's queue when a pause of one of its servers ends.
+    pub(super) fn pump_at(&mut self, id: ServiceId, at: Instant) {
+        if at > self.now {
+            self.timers.push(at, Timer::Pump(id));
+        }
+    }
+}
+
+fn request(work: &wire::Work, shards: &[String], id: String, timeout: Duration) -> target::Request {
+    let millis = timeout.as_millis().max(1);
+    target::Request {
+        id,
+        key: work.key.clone(),
+        index: work.index.clone(),
+        version: work.version,
+        shards: shards.to_vec(),
+        operation: work.operation.clone(),
+        deadline_ms: u32::try_from(millis).unwrap_or(u32::MAX),
+        payload: work.payload.clone(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/ending.rs
@@ -0,0 +1,228 @@
+//! The end of a call: what is learned, what is retried, what is replied.
+
+use std::time::Duration;
+
+use ladder_schema::outcome::{Reason, Verdict};
+
+use super::attempt::{Attempt, Mismatch};
+use super::event::{Action, AttemptKey, Outcome};
+use super::lane;
+use super::machine::Machine;
+use super::portion::PortionKey;
+use super::record;
+use super::reply::Refused;
+use super::verdict;
+use crate::count;
+
+/// Calls of one portion that may end without an answer.
+const FAILURES: u32 = 6;
+/// Extra calls of one query, over all layers, after which no further one is made.
+pub(super) const QUERY_EXTRA: u32 = 8;
+
+impl Machine {
+    pub(super) fn ended(&mut self, key: AttemptKey, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        let (outcome, mismatched) = Self::checked(&attempt, outcome, out);
+        self.release(&attempt, &outcome, mismatched, out);
+        self.learn(&attempt, &outcome, out);
+        match attempt.portion {
+            Some(portion) => self.conclude(portion, key, &attempt, outcome, out),
+            None => self.settle(&attempt, &outcome, out),
+        }
+        self.mark(attempt.service);
+    }
+
+    /// Treats an answer to something else as an error.
+    fn checked(attempt: &Attempt, outcome: Outcome, out: &mut Vec<Action>) -> (Outcome, bool) {
+        let Outcome::Answer(answer) = &outcome else {
+            return (outcome, false);
+        };
+        let reason = match attempt.check(answer) {
+            Ok(()) => return (outcome, false),
+            Err(Mismatch::Version) => Reason::WrongVersion,
+            Err(Mismatch::Request) => Reason::WrongAnswer,
+        };
+        Self::count(count::Event::Drop, reason, out);
+        (Outcome::Error, true)
+    }
+
+    /// Frees the call's slot and its connection. A connection whose call did not end properly is
+    /// not used again: an answer still on its way would be taken for the next request's.
+    fn release(
+        &mut self,
+        attempt: &Attempt,
+        outcome: &Outcome,
+        mismatched: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.services[attempt.service].in_flight -= 1;
+        let server = &mut self.servers[attempt.server];
+        server.in_flight -= 1;
+        match outcome {
+            Outcome::Answer(_) | Outcome::Refusal(_) => {
+                self.lanes[attempt.lane].state = lane::State::Idle;
+                self.idle(attempt.lane, out);
+            }
+            _ => {
+                self.remove_lane(attempt.lane);
+                if mismatched {
+                    out.push(Action::Close(attempt.lane));
+                }
+                self.maintain_server(attempt.server, out);
+            }
+        }
+    }
+
+    /// Takes what the call's end says of the server.
+    fn learn(&mut self, attempt: &Attempt, outcome: &Outcome, out: &mut Vec<Action>) {
+        let elapsed = self.now.since(attempt.sent);
+        let server = &mut self.servers[attempt.server];
+        match outcome {
+            Outcome::Answer(_) => {
+                server.health.answered(elapsed);
+                if !attempt.given_up {
+                    self.services[attempt.service].times.add(elapsed);
+                }
+            }
+            Outcome::Refusal(refusal) => {
+                let reason = verdict::reason(outcome, false);
+                let advice = Duration::from_millis(refusal.retry_after_ms.into());
+                self.learn_refusal(attempt, reason, advice, out);
+            }
+            Outcome::Error | Outcome::Lost if !attempt.given_up => {
+                server.health.failed(self.now, &mut self.random);
+                let until = server.health.paused_until();
+                self.pump_at(attempt.service, until);
+            }
+            Outcome::Error | Outcome::Lost | Outcome::Unsent => {}
+        }
+    }
+
+    fn learn_refusal(
+        &mut self,
+        attempt: &Attempt,
+        reason: Reason,
+        advice: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let server = &mut self.servers[attempt.server];
+        match reason {
+            Reason::TargetLeaving => {
+                let incarnation = server.incarnation;
+                server.leave(incarnation);
+                self.maintain_server(attempt.server, out);
+                self.recheck(attempt.service, out);
+            }
+            Reason::VersionRetired => {
+                let work = &attempt.job.work;
+                server.retire(self.now, &work.index, work.version);
+                self.recheck(attempt.service, out);
+            }
+            Reason::TargetShed => {
+                let until = server.health.shed(self.now, advice, &mut self.random);
+                self.pump_at(attempt.service, until);
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides what becomes of a portion one of whose calls has ended.
+    fn conclude(
+        &mut self,
+        key: PortionKey,
+        ended: AttemptKey,
+        attempt: &Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let verdict = verdict::of(&outcome);
+        let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
+        let reason = verdict::reason(&outcome, timed_out);
+        let portion = &mut self.portions[key];
+        portion.attempts.retain(|other| *other != ended);
+        let service = &mut self.services[attempt.service];
+        service.overdue.remove(&(attempt.sent, key));
+        if let Outcome::Answer(answer) = outcome {
+            self.answer(key, answer.parts, out);
+            return;
+        }
+        portion.failures += 1;
+        portion.may_have_run |= verdict == Verdict::MayHaveRun;
+        if !portion.attempts.is_empty() {
+            return;
+        }
+        match self.retry(key, verdict, reason) {
+            Ok(()) => self.again(key, reason, out),
+            Err(refused) => self.finish(key, refused, out),
+        }
+    }
+
+    /// Whether a portion without an open call may be sent again.
+    ///
+    /// A call that did not run costs its target nothing and is paced by the server's pauses. A call
+    /// that may have run is repeated at the expense of the service's budget, and never when the
+    /// portion is unrepeatable.
+    fn retry(&mut self, key: PortionKey, verdict: Verdict, reason: Reason) -> Result<(), Refused> {
+        let portion = &self.portions[key];
+        let standing = portion.verdict();
+        let work = &portion.job.work;
+        if portion.unrepeatable && portion.may_have_run {
+            return Err(Refused::with(standing, reason));
+        }
+        if portion.failures >= FAILURES || self.now >= portion.deadline {
+            return Err(Refused::with(standing, reason));
+        }
+        let outlook = self.outlook(portion.service, work, portion.deadline);
+        outlook.map_err(|refused| Refused {
+            verdict: standing,
+            ..refused
+        })?;
+        if verdict == Verdict::NotRun {
+            return Ok(());
+        }
+        let spent = work.extra_calls + portion.calls;
+        let budget = &mut self.services[portion.service].budget;
+        match spent <= QUERY_EXTRA && budget.spend() {
+            true => Ok(()),
+            false => Err(Refused::with(standing, Reason::RetryBudget)),
+        }
+    }
+
+    fn again(&mut self, key: PortionKey, reason: Reason, out: &mut Vec<Action>) {
+        Self::count(count::Event::Retry, reason, out);
+        self.queue(key);
+    }
+
+    /// Records what became of an unrepeatable call whose portion was replied to before.
+    fn settle(&mut self, attempt: &Attempt, outcome: &Outcome, out: &mut Vec<Action>) {
+        if matches!(outcome, Outcome::Answer(_)) {
+            Self::count(count::Event::Drop, Reason::StaleAnswer, out);
+        }
+        let Some(name) = &attempt.record else {
+            return;
+        };
+        let state = match verdict::of(outcome) {
+            Verdict::Ran => record::State::Ran,
+            // The entry was told that it may have run; it does not send it anywhere again.
+            Verdict::NotRun => record::State::Withdrawn,
+            _ => record::State::MayHaveRun,
+        };
+        self.records.settle(self.now, name, state);
+    }
+
+    /// Refuses queued portions that no server can take any more.
+    pub(super) fn recheck(&mut self, id: super::service::ServiceId, out: &mut Vec<Action>) {
+        let waiting: Vec<PortionKey> = self.services[id].queue.order().collect();
+        for key in waiting {
+            let portion = &self.portions[key];
+            let outlook = self.outlook(id, &portion.job.work, portion.deadline);
+            let Err(refused) = outlook else {
+                continue;
+            };
+            let verdict = portion.verdict();
+            self.finish(key, Refused { verdict, ..refused }, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/health.rs
@@ -0,0 +1,109 @@
+//! What the outcomes of calls say about one server.
+
+use std::time::Duration;
+
+use super::random::Random;
+use crate::time::{Instant, micros};
+
+/// Weight of one outcome in the failure rate.
+const WEIGHT: f64 = 0.1;
+/// Weight of one call time in the mean.
+const TIME_WEIGHT: f64 = 0.1;
+/// Failures in a row that make a server suspect.
+const ROW: u32 = 3;
+/// Failure rate that makes a server suspect.
+const RATE: f64 = 0.5;
+/// First and longest pause of a suspect server.
+const PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Pauses after a server sheds: the shortest when it gives no advice, and the longest.
+const SHED_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_SHED_PAUSE: Duration = Duration::from_secs(2);
+
+/// Failure rate, call times and pauses of one server, from outcomes only.
+///
+/// A server that answers errors at once looks idle and fast. It would attract all work if call
+/// times of failures counted; they do not, and failures raise the rate.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Health {
+    failure_rate: f64,
+    /// Failures since the last answer.
+    row: u32,
+    /// Mean call time of answers in microseconds, zero before the first.
+    mean_us: f64,
+    /// Pauses since the last answer.
+    pauses: u32,
+    /// End of the pause of a suspect server; after it one call at a time tries the server.
+    paused_until: Instant,
+    /// End of the pause that the server asked for by shedding.
+    shed_until: Instant,
+}
+
+impl Health {
+    pub(super) fn answered(&mut self, span: Duration) {
+        self.failure_rate -= WEIGHT * self.failure_rate;
+        if self.row >= ROW {
+            self.failure_rate = self.failure_rate.min(RATE / 2.0);
+        }
+        self.row = 0;
+        self.pauses = 0;
+        self.sample(span);
+    }
+
+    /// Takes in that a call took at least this long without an answer.
+    pub(super) fn slow(&mut self, span: Duration) {
+        if micros(span) as f64 > self.mean_us {
+            self.sample(span);
+        }
+    }
+
+    pub(super) fn failed(&mut self, now: Instant, random: &mut Random) {
+        self.failure_rate += WEIGHT * (1.0 - self.failure_rate);
+        self.row += 1;
+        let paused = now < self.paused_until;
+        if !self.suspect() || paused {
+            return;
+        }
+        let pause = PAUSE
+            .saturating_mul(1 << self.pauses.min(6))
+            .min(LONGEST_PAUSE);
+        self.pauses += 1;
+        self.paused_until = now + random.jitter(pause);
+    }
+
+    pub(super) fn shed(&mut self, now: Instant, advice: Duration, random: &mut Random) -> Instant {
+        let pause = advice.clamp(SHED_PAUSE, LONGEST_SHED_PAUSE);
+        let until = now + pause + random.jitter(pause / 4);
+        self.shed_until = self.shed_until.max(until);
+        self.shed_until
+    }
+
+    /// Held failing by its outcomes.
+    pub(super) fn suspect(&self) -> bool {
+        self.row >= ROW || self.failure_rate > RATE
+    }
+
+    pub(super) fn paused_until(&self) -> Instant {
+        self.paused_until
+    }
+
+    pub(super) fn shed_until(&self) -> Instant {
+        self.shed_until
+    }
+
+    pub(super) fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    pub(super) fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean_us as u64)
+    }
+
+    fn sample(&mut self, span: Duration) {
+        let us = micros(span) as f64;
+        if self.mean_us == 0.0 {
+            self.mean_us = us;
+        }
+        self.mean_us += TIME_WEIGHT * (us - self.mean_us);
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/hedge.rs
@@ -0,0 +1,104 @@
+//! Second copies of slow repeatable calls.
+
+use super::ending::QUERY_EXTRA;
+use super::event::Action;
+use super::machine::Machine;
+use super::portion::PortionKey;
+use super::server::ServerKey;
+use super::service::ServiceId;
+use super::timer::Timer;
+use crate::count;
+use ladder_schema::outcome::Reason;
+
+/// Overdue portions looked at when the first ones find no server.
+const SCAN: usize = 8;
+
+impl Machine {
+    /// Sets the time at which a portion's call counts as slow.
+    pub(super) fn plan_hedge(&mut self, key: PortionKey) {
+        let portion = &self.portions[key];
+        if !self.settings.hedging || portion.unrepeatable || portion.hedged {
+            return;
+        }
+        let Some(delay) = self.services[portion.service].hedge_delay() else {
+            return;
+        };
+        let at = self.now + delay;
+        if at < portion.deadline {
+            self.timers.push(at, Timer::Hedge(key));
+        }
+    }
+
+    /// A portion's call is slow: it gets a second copy as soon as a slot and a token are free.
+    pub(super) fn hedge_due(&mut self, key: PortionKey) {
+        let Some(portion) = self.portions.get(key) else {
+            return;
+        };
+        let [attempt] = portion.attempts[..] else {
+            return;
+        };
+        if portion.hedged {
+            return;
+        }
+        let id = portion.service;
+        let sent = self.attempts[attempt].sent;
+        self.services[id].overdue.insert((sent, key));
+        self.mark(id);
+    }
+
+    /// Sends second copies, the longest-waiting portion first, while slots and tokens last.
+    pub(super) fn hedge_overdue(&mut self, id: ServiceId, out: &mut Vec<Action>) {
+        let service = &self.services[id];
+        if service.overdue.is_empty() {
+            return;
+        }
+        let overdue: Vec<_> = service.overdue.iter().take(SCAN).copied().collect();
+        for (sent, key) in overdue {
+            if !self.services[id].budget.affords() || !self.has_room(id) {
+                return;
+            }
+            if !self.worth_copying(key) {
+                self.services[id].overdue.remove(&(sent, key));
+                continue;
+            }
+            let Some(server) = self.choose_second(id, key) else {
+                continue;
+            };
+            self.services[id].overdue.remove(&(sent, key));
+            self.services[id].budget.spend();
+            self.portions[key].hedged = true;
+            Self::count(count::Event::Hedge, Reason::Hedge, out);
+            self.send(key, server, out);
+        }
+    }
+
+    /// Whether a second copy may still help and the query has not spent its extra calls.
+    fn worth_copying(&self, key: PortionKey) -> bool {
+        let portion = &self.portions[key];
+        let mean = self.services[portion.service].mean().unwrap_or_default();
+        let in_time = self.now + mean / 2 < portion.deadline;
+        in_time && portion.job.work.extra_calls + portion.calls <= QUERY_EXTRA
+    }
+
+    /// The server for a second copy: one that was not tried, with a free slot and no sign of
+    /// trouble. A copy sent to a server that sheds, leaves, warms up or fails adds to its trouble
+    /// and does not help.
+    fn choose_second(&self, id: ServiceId, key: PortionKey) -> Option<ServerKey> {
+        let portion = &self.portions[key];
+        let work = &portion.job.work;
+        let fits = |candidate: &ServerKey| {
+            let server = &self.servers[*candidate];
+            let calm = self.now >= server.health.shed_until() && !server.health.suspect();
+            let free = server.in_flight < server.capacity(self.now);
+            calm && free
+                && !server.cold(self.now)
+                && !portion.tried.contains(candidate)
+                && self.can_send(*candidate)
+                && server.holds(self.now, &work.index, work.version)
+        };
+        let candidates = self.services[id].servers.iter().copied();
+        candidates
+            .filter(fits)
+            .min_by_key(|candidate| self.servers[*candidate].in_flight)
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/intake.rs
@@ -0,0 +1,269 @@
+//! Arrival of work: what is refused at once and what is queued.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::outcome::{Reason, Verdict};
+use ladder_schema::wire;
+
+use super::event::Action;
+use super::machine::{Delivery, Machine, Query};
+use super::portion::{Job, Portion, PortionKey};
+use super::queue::Class;
+use super::record::{self, Finding};
+use super::reply::Refused;
+use super::service::{Rank, Service, ServiceId};
+use super::timer::Timer;
+use crate::count;
+use crate::time::Instant;
+use crate::view::Peer;
+
+/// Longest time kept back so that the reply is at the entry before the entry's deadline.
+const MARGIN: Duration = Duration::from_millis(5);
+/// Work that arrives this soon after a suspension may have waited in a socket buffer throughout.
+const AFTER_GAP: Duration = Duration::from_millis(100);
+/// Call time assumed before one is learned.
+const UNLEARNED: Duration = Duration::from_millis(10);
+
+impl Machine {
+    pub(super) fn work(
+        &mut self,
+        from: Peer,
+        incarnation: u64,
+        mut work: wire::Work,
+        out: &mut Vec<Action>,
+    ) {
+        let portions = std::mem::take(&mut work.portions);
+        let job = Arc::new(Job {
+            from,
+            incarnation,
+            key: work.key.as_str().into(),
+            work,
+        });
+        for portion in portions {
+            self.arrive(&job, portion, out);
+        }
+    }
+
+    fn arrive(&mut self, job: &Arc<Job>, portion: wire::Portion, out: &mut Vec<Action>) {
+        let delivery = Delivery {
+            from: Arc::clone(&job.from.name),
+            incarnation: job.incarnation,
+            query: job.work.query,
+            round: job.work.round,
+            service: portion.service.clone(),
+        };
+        if !self.deliveries.insert(self.now, delivery) {
+            Self::count(count::Event::Drop, Reason::RepeatedKey, out);
+            return;
+        }
+        let admitted = self.admit(job, &portion);
+        match admitted {
+            Ok((service, deadline)) => self.enqueue(job, portion, service, deadline),
+            Err(refused) => Self::refuse(job, portion.service, refused, out),
+        }
+    }
+
+    /// Decides whether a portion is queued, and until when it must have been replied to.
+    fn admit(&self, job: &Job, portion: &wire::Portion) -> Result<(ServiceId, Instant), Refused> {
+        let id = self.service_ids.get(portion.service.as_str()).copied();
+        let finding = id.and_then(|id| self.finding(job, id));
+        if finding == Some(Finding::Repeated) {
+            return Err(Refused::repeated());
+        }
+        let query = Query {
+            incarnation: job.incarnation,
+            number: job.work.query,
+        };
+        if self.cancelled.contains(&query) {
+            return Err(Refused::because(Reason::Cancelled));
+        }
+        if self.draining {
+            return Err(Refused::because(Reason::Draining));
+        }
+        let id = id.filter(|id| self.services[*id].rank != Rank::None);
+        let id = id.ok_or_else(|| Refused::because(self.unknown()))?;
+        if finding == Some(Finding::Unproven) {
+            return Err(Refused::repeated());
+        }
+        let deadline = self.deadline_of(job)?;
+        self.outlook(id, &job.work, deadline)?;
+        self.room(id, job, deadline)?;
+        Ok((id, deadline))
+    }
+
+    /// What the records say of an unrepeatable portion; `None` for a repeatable one.
+    fn finding(&self, job: &Job, id: ServiceId) -> Option<Finding> {
+        if !unrepeatable(&self.services[id], &job.work) {
+            return None;
+        }
+        let name = record::Name {
+            service: id,
+            key: Arc::clone(&job.key),
+        };
+        Some(self.records.find(&name, job.work.attempt))
+    }
+
+    fn unknown(&self) -> Reason {
+        match self.view.ready {
+            true => Reason::NotOwner,
+            false => Reason::NotReady,
+        }
+    }
+
+    /// When a portion that arrives now must have been replied to.
+    ///
+    /// Work that waited in a socket buffer while the process was suspended arrives with the budget
+    /// it was sent with. It would run long after its entry has given it up; the length of the
+    /// suspension is therefore taken off.
+    fn deadline_of(&self, job: &Job) -> Result<Instant, Refused> {
+        let budget = Duration::from_micros(job.work.budget_us);
+        let margin = MARGIN.min(budget / 20);
+        let gap = self.gap.filter(|gap| self.now.since(gap.ended) < AFTER_GAP);
+        let lost = gap.map_or(Duration::ZERO, |gap| gap.length);
+        if budget.is_zero() {
+            return Err(Refused::because(Reason::Expired));
+        }
+        if lost >= budget - margin {
+            return Err(Refused::because(Reason::Paused));
+        }
+        Ok(self.now + (budget - margin - lost))
+    }
+
+    /// Whether the queue has room for one more and it can be done in time.
+    fn room(&self, id: ServiceId, job: &Job, deadline: Instant) -> Result<(), Refused> {
+        let service = &self.services[id];
+        let limit = service.limits().queue as usize;
+        let length = service.queue.len();
+        if limit > 0 && length >= limit {
+            let wait = self.wait(id, length);
+            return Err(Refused::because(Reason::QueueFull).come_back(wait));
+        }
+        if !self.settings.queueing {
+            return Ok(());
+        }
+        let Some(mean) = service.mean() else {
+            return Ok(());
+        };
+        let ahead = service.queue.ahead(class(service, &job.work));
+        let wait = self.wait(id, ahead);
+        let done = self.now + wait + mean;
+        match done > deadline {
+            true => {
+                let excess = done.since(deadline);
+                Err(Refused::because(Reason::WouldMissDeadline).come_back(excess))
+            }
+            false => Ok(()),
+        }
+    }
+
+    /// How long a portion waits behind `ahead` others.
+    pub(super) fn wait(&self, id: ServiceId, ahead: usize) -> Duration {
+        let service = &self.services[id];
+        let slots = self.usable_slots(id).max(1);
+        let mean = service.mean().unwrap_or(UNLEARNED);
+        if ahead == 0 && service.in_flight < slots {
+            return Duration::ZERO;
+        }
+        mean.mul_f64((ahead as f64 + 1.0) / f64::from(slots))
+    }
+
+    fn enqueue(
+        &mut self,
+        job: &Arc<Job>,
+        portion: wire::Portion,
+        id: ServiceId,
+        deadline: Instant,
+    ) {
+        let service = &mut self.services[id];
+        service.last_work = self.now;
+        let portion = Portion {
+            job: Arc::clone(job),
+            service: id,
+            shards: portion.shards.into(),
+            deadline,
+            place: None,
+            unrepeatable: unrepeatable(service, &job.work),
+            class: class(service, &job.work),
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            calls: 0,
+            failures: 0,
+            may_have_run: false,
+            hedged: false,
+        };
+        if portion.unrepeatable {
+            self.records
+                .start(self.now, portion.record(), job.work.attempt);
+        }
+        let key = self.portions.insert(portion);
+        self.queue(key);
+        let query = Query {
+            incarnation: job.incarnation,
+            number: job.work.query,
+        };
+        self.queries.entry(query).or_default().push(key);
+        self.timers.push(deadline, Timer::Deadline(key));
+    }
+
+    /// Puts a portion without an open call into its service's queue.
+    pub(super) fn queue(&mut self, key: PortionKey) {
+        let portion = &mut self.portions[key];
+        let service = &mut self.services[portion.service];
+        portion.place = Some(service.queue.push(portion.class, portion.deadline, key));
+        let id = portion.service;
+        self.mark(id);
+    }
+
+    /// An entry gives a query up. Queued portions are proved not to run.
+    pub(super) fn cancel(&mut self, cancel: &wire::Cancel, out: &mut Vec<Action>) {
+        let query = Query {
+            incarnation: cancel.incarnation,
+            number: cancel.query,
+        };
+        self.cancelled.insert(self.now, query);
+        let keys = self.queries.remove(&query).unwrap_or_default();
+        for key in keys {
+            let verdict = self.standing(key);
+            self.finish(key, Refused::with(verdict, Reason::Cancelled), out);
+        }
+    }
+
+    /// Verdict of a portion if it were given up now.
+    pub(super) fn standing(&self, key: PortionKey) -> Verdict {
+        let portion = &self.portions[key];
+        match portion.attempts.is_empty() {
+            true => portion.verdict(),
+            false => Verdict::MayHaveRun,
+        }
+    }
+
+    /// The time for a portion is up.
+    pub(super) fn deadline(&mut self, key: PortionKey, out: &mut Vec<Action>) {
+        if !self.portions.contains_key(key) {
+            return;
+        }
+        let verdict = self.standing(key);
+        self.finish(key, Refused::with(verdict, Reason::Deadline), out);
+    }
+}
+
+fn unrepeatable(service: &Service, work: &wire::Work) -> bool {
+    let listed = service.entry.operations.iter();
+    work.unrepeatable
+        || listed
+            .filter(|operation| operation.name == work.operation)
+            .any(|operation| operation.unrepeatable)
+}
+
+/// The operation's urgency, else the entry's.
+fn class(service: &Service, work: &wire::Work) -> Class {
+    use ladder_schema::catalogue::Urgency;
+
+    let mut operations = service.entry.operations.iter();
+    let operation = operations.find(|operation| operation.name == work.operation);
+    match operation.map(ladder_schema::catalogue::Operation::urgency) {
+        None | Some(Urgency::Unspecified) => service.entry.urgency().into(),
+        Some(urgency) => urgency.into(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/queue.rs
@@ -0,0 +1,123 @@
+//! Waiting portions of one service: urgency classes, earliest deadline first within a class.
+
+use std::collections::BTreeMap;
+
+use ladder_schema::catalogue::Urgency;
+
+use super::portion::PortionKey;
+use crate::time::Instant;
+
+/// Urgency classes.
+const CLASSES: usize = 3;
+
+/// Dispatches in a row that may pass over a waiting lower class.
+///
+/// Without this bound a steady stream of urgent work would leave ordinary work waiting until its
+/// deadline. With it a lower class that waits gets at least every eighth dispatch.
+const PASSES: u32 = 7;
+
+/// An urgency class; zero goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Class(usize);
+
+impl From<Urgency> for Class {
+    fn from(urgency: Urgency) -> Self {
+        match urgency {
+            Urgency::Urgent => Self(0),
+            Urgency::Elevated => Self(1),
+            Urgency::Ordinary | Urgency::Unspecified => Self(2),
+        }
+    }
+}
+
+/// Place of a portion in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    class: Class,
+    deadline: Instant,
+    sequence: u64,
+}
+
+/// Waiting portions of one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Queue {
+    /// Earliest deadline first, then order of arrival.
+    classes: [BTreeMap<(Instant, u64), PortionKey>; CLASSES],
+    /// Grows with every portion.
+    sequence: u64,
+    /// Dispatches in a row that passed over a waiting lower class.
+    passes: u32,
+    /// The lower class whose turn it was last.
+    turn: usize,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.classes.iter().map(BTreeMap::len).sum()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.classes.iter().all(BTreeMap::is_empty)
+    }
+
+    /// Portions that go before a new one of this class.
+    pub(super) fn ahead(&self, class: Class) -> usize {
+        self.classes[..=class.0].iter().map(BTreeMap::len).sum()
+    }
+
+    pub(super) fn push(&mut self, class: Class, deadline: Instant, key: PortionKey) -> Place {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.classes[class.0].insert((deadline, sequence), key);
+        Place {
+            class,
+            deadline,
+            sequence,
+        }
+    }
+
+    pub(super) fn remove(&mut self, place: Place) {
+        self.classes[place.class.0].remove(&(place.deadline, place.sequence));
+    }
+
+    /// Portions in the order in which they would be dispatched now.
+    pub(super) fn order(&self) -> impl Iterator<Item = PortionKey> + '_ {
+        let first = self.first_class();
+        let rest = (0..CLASSES).filter(move |class| *class != first);
+        std::iter::once(first)
+            .chain(rest)
+            .flat_map(|class| self.classes[class].values().copied())
+    }
+
+    /// Removes a portion that is dispatched and keeps account of the classes passed over.
+    pub(super) fn dispatch(&mut self, place: Place) {
+        let class = place.class.0;
+        let highest = self.waiting(0).unwrap_or(class);
+        let lower_waits = self.waiting(class + 1).is_some();
+        self.remove(place);
+        if class > highest {
+            self.turn = class;
+            self.passes = 0;
+        } else if lower_waits {
+            self.passes += 1;
+        } else {
+            self.passes = 0;
+        }
+    }
+
+    /// The class whose head goes next.
+    fn first_class(&self) -> usize {
+        let highest = self.waiting(0).unwrap_or(0);
+        if self.passes < PASSES {
+            return highest;
+        }
+        let after_turn = self.waiting(self.turn.max(highest) + 1);
+        let lower = after_turn.or_else(|| self.waiting(highest + 1));
+        lower.unwrap_or(highest)
+    }
+
+    /// The first class from `from` on that has waiting portions.
+    fn waiting(&self, from: usize) -> Option<usize> {
+        (from..CLASSES).find(|class| !self.classes[*class].is_empty())
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/refresh.rs
@@ -0,0 +1,188 @@
+//! Changes of what the machine is told: views, load reports, suspensions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::outcome::Reason;
+use ladder_schema::target;
+
+use super::event::Action;
+use super::machine::{Gap, Machine, UPKEEP};
+use super::portion::PortionKey;
+use super::reply::Refused;
+use super::server::{Server, ServerKey};
+use super::service::{Rank, Service, ServiceId};
+use super::timer::Timer;
+use crate::view::{self, View};
+
+impl Machine {
+    /// Takes a new view in.
+    pub(super) fn refresh(&mut self, view: &Arc<View>, out: &mut Vec<Action>) {
+        self.view = Arc::clone(view);
+        for listed in view.services.values() {
+            if listed.is_candidate() || self.service_ids.contains_key(&listed.name) {
+                self.list(listed);
+            }
+        }
+        let ids: Vec<ServiceId> = self.services.keys().collect();
+        for id in ids {
+            if view.service(&self.services[id].name).is_none() {
+                self.withdraw(id);
+            }
+            if self.services[id].rank == Rank::None {
+                self.refuse_queued(id, out);
+            }
+            self.recheck(id, out);
+            self.maintain(id, out);
+            self.mark(id);
+        }
+    }
+
+    /// Takes one service of a view in.
+    fn list(&mut self, listed: &view::Service) {
+        let id = match self.service_ids.get(&listed.name) {
+            Some(id) => *id,
+            None => self.insert_service(listed),
+        };
+        let service = &mut self.services[id];
+        service.rank = Rank::of(listed);
+        service.entry = Arc::clone(&listed.entry);
+        let servers = service.servers.clone();
+        for key in servers {
+            self.servers[key].listed = false;
+        }
+        for server in &listed.servers {
+            self.list_server(id, server);
+        }
+        let rank = self.services[id].rank;
+        if rank == Rank::None {
+            self.withdraw(id);
+        }
+    }
+
+    fn insert_service(&mut self, listed: &view::Service) -> ServiceId {
+        let id = self.services.insert(Service::new(listed));
+        self.service_ids.insert(Arc::clone(&listed.name), id);
+        let first = self.now + self.random.jitter(UPKEEP);
+        self.timers.push(first, Timer::Upkeep(id));
+        id
+    }
+
+    /// Takes a server of a view in. One with another address is another server.
+    fn list_server(&mut self, id: ServiceId, listed: &view::Server) {
+        let known = self.server_keys.get(&listed.name).copied();
+        let same = known.filter(|key| {
+            let server = &self.servers[*key];
+            server.service == id && server.address == listed.address
+        });
+        if let Some(key) = same {
+            self.servers[key].list(listed);
+            return;
+        }
+        if let Some(key) = known {
+            self.servers[key].listed = false;
+        }
+        let key = self.servers.insert(Server::new(id, listed));
+        self.server_keys.insert(Arc::clone(&listed.name), key);
+        self.services[id].servers.push(key);
+    }
+
+    /// The service is in the view no more, or this instance is no candidate any more.
+    fn withdraw(&mut self, id: ServiceId) {
+        let service = &mut self.services[id];
+        service.rank = Rank::None;
+        let servers = service.servers.clone();
+        for key in servers {
+            self.servers[key].listed = false;
+        }
+    }
+
+    /// The entries send what is queued to the new owner.
+    fn refuse_queued(&mut self, id: ServiceId, out: &mut Vec<Action>) {
+        let waiting: Vec<PortionKey> = self.services[id].queue.order().collect();
+        for key in waiting {
+            let refused = Refused::with(self.standing(key), Reason::NotOwner);
+            self.finish(key, refused, out);
+        }
+    }
+
+    /// Drops servers that are unlisted and have no call, and the service when it has neither
+    /// rank nor servers nor portions. `true` when the service is gone.
+    pub(super) fn forget(&mut self, id: ServiceId) -> bool {
+        let unused = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            !server.listed && server.in_flight == 0 && server.lanes.is_empty()
+        };
+        let keys = self.services[id].servers.iter().copied();
+        let gone: Vec<ServerKey> = keys.filter(unused).collect();
+        for key in gone {
+            self.forget_server(id, key);
+        }
+        let service = &self.services[id];
+        let used = service.rank != Rank::None || service.in_flight > 0;
+        if used || !service.servers.is_empty() || !service.queue.is_empty() {
+            return false;
+        }
+        let service = self.services.remove(id);
+        if let Some(service) = service {
+            self.service_ids.remove(&service.name);
+        }
+        true
+    }
+
+    fn forget_server(&mut self, id: ServiceId, key: ServerKey) {
+        self.services[id].servers.retain(|other| *other != key);
+        let Some(server) = self.servers.remove(key) else {
+            return;
+        };
+        if self.server_keys.get(&server.name) == Some(&key) {
+            self.server_keys.remove(&server.name);
+        }
+    }
+
+    /// Takes a server's load report in.
+    pub(super) fn load(
+        &mut self,
+        name: &Arc<str>,
+        load: Option<target::Load>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.server_keys.get(name).copied() else {
+            return;
+        };
+        let Some(load) = load else {
+            return;
+        };
+        let server = &mut self.servers[key];
+        server.report(self.now, load);
+        let id = server.service;
+        if server.leaving() {
+            self.maintain_server(key, out);
+            self.recheck(id, out);
+        }
+        self.mark(id);
+    }
+
+    /// The process was suspended.
+    ///
+    /// Portions that waited through the suspension are late, and the view is as old as the
+    /// suspension: another instance may own the services since. Nothing unrepeatable is sent on
+    /// such knowledge, and nothing whose time is up.
+    pub(super) fn resumed(&mut self, length: Duration, out: &mut Vec<Action>) {
+        self.gap = Some(Gap {
+            ended: self.now,
+            length,
+        });
+        let ids: Vec<ServiceId> = self.services.keys().collect();
+        for id in ids {
+            let waiting: Vec<PortionKey> = self.services[id].queue.order().collect();
+            for key in waiting {
+                let portion = &self.portions[key];
+                if portion.unrepeatable || portion.deadline <= self.now {
+                    let refused = Refused::with(portion.verdict(), Reason::Paused);
+                    self.finish(key, refused, out);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/reply.rs
@@ -0,0 +1,183 @@
+//! Replies to entries.
+
+use std::time::Duration;
+
+use ladder_schema::call;
+use ladder_schema::outcome::{Reason, Verdict};
+use ladder_schema::wire;
+
+use super::event::{Action, AttemptKey};
+use super::machine::{Machine, Query};
+use super::portion::{Job, Portion, PortionKey};
+use super::record::State;
+use crate::count;
+
+/// Why a portion is not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refused {
+    pub(super) verdict: Verdict,
+    pub(super) reason: Reason,
+    /// When to come back; zero: no advice.
+    pub(super) retry_after: Duration,
+}
+
+impl Refused {
+    /// Refused without having run.
+    pub(super) fn because(reason: Reason) -> Self {
+        Self::with(Verdict::NotRun, reason)
+    }
+
+    pub(super) fn with(verdict: Verdict, reason: Reason) -> Self {
+        Self {
+            verdict,
+            reason,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    /// An earlier delivery of the request may have run.
+    pub(super) fn repeated() -> Self {
+        Self::with(Verdict::MayHaveRun, Reason::RepeatedKey)
+    }
+
+    /// Adds when to come back.
+    pub(super) fn come_back(mut self, after: Duration) -> Self {
+        self.retry_after = after.max(Duration::from_millis(1));
+        self
+    }
+}
+
+impl Machine {
+    /// Replies to a portion that was never queued.
+    pub(super) fn refuse(job: &Job, service: String, refused: Refused, out: &mut Vec<Action>) {
+        Self::count(count::Event::Refusal, refused.reason, out);
+        let reply = reply(job, service, refused, 0, Vec::new());
+        out.push(Action::Reply {
+            to: job.from.clone(),
+            reply,
+        });
+    }
+
+    /// Replies to a portion that is given up.
+    pub(super) fn finish(&mut self, key: PortionKey, refused: Refused, out: &mut Vec<Action>) {
+        Self::count(count::Event::Refusal, refused.reason, out);
+        let abandoned = refused.reason == Reason::Deadline;
+        self.close(key, refused, Vec::new(), abandoned, out);
+    }
+
+    /// Replies to a portion with a target's answer.
+    pub(super) fn answer(
+        &mut self,
+        key: PortionKey,
+        parts: Vec<call::Part>,
+        out: &mut Vec<Action>,
+    ) {
+        let ran = Refused::with(Verdict::Ran, Reason::Unspecified);
+        self.close(key, ran, parts, true, out);
+    }
+
+    /// Takes a portion out of all places and replies. Calls still open are cancelled where that is
+    /// allowed; `slow` when the open calls are to blame for it.
+    fn close(
+        &mut self,
+        key: PortionKey,
+        refused: Refused,
+        parts: Vec<call::Part>,
+        slow: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(portion) = self.portions.remove(key) else {
+            return;
+        };
+        self.unlink(key, &portion);
+        for attempt in &portion.attempts {
+            self.orphan(*attempt, slow, out);
+        }
+        if portion.unrepeatable {
+            let state = state(refused);
+            self.records.settle(self.now, &portion.record(), state);
+        }
+        let service = self.services[portion.service].name.to_string();
+        self.mark(portion.service);
+        out.push(Action::Reply {
+            to: portion.job.from.clone(),
+            reply: reply(&portion.job, service, refused, portion.calls, parts),
+        });
+    }
+
+    fn unlink(&mut self, key: PortionKey, portion: &Portion) {
+        let service = &mut self.services[portion.service];
+        if let Some(place) = portion.place {
+            service.queue.remove(place);
+        }
+        for attempt in &portion.attempts {
+            let sent = self.attempts[*attempt].sent;
+            service.overdue.remove(&(sent, key));
+        }
+        let query = Query {
+            incarnation: portion.job.incarnation,
+            number: portion.job.work.query,
+        };
+        let Some(keys) = self.queries.get_mut(&query) else {
+            return;
+        };
+        keys.retain(|other| *other != key);
+        if keys.is_empty() {
+            self.queries.remove(&query);
+        }
+    }
+
+    /// A call's portion has been replied to. The call keeps its slot and lane until it ends.
+    fn orphan(&mut self, key: AttemptKey, slow: bool, out: &mut Vec<Action>) {
+        let attempt = &mut self.attempts[key];
+        attempt.portion = None;
+        if attempt.record.is_some() {
+            return;
+        }
+        attempt.given_up = true;
+        let elapsed = self.now.since(attempt.sent);
+        let (service, server) = (attempt.service, attempt.server);
+        let service = &mut self.services[service];
+        let usual = service.hedge_delay();
+        if slow && usual.is_some_and(|usual| elapsed >= usual) {
+            service.times.add(elapsed);
+            let health = &mut self.servers[server].health;
+            health.slow(elapsed);
+            health.failed(self.now, &mut self.random);
+        }
+        self.servers[server].cancels.push_back(key);
+        self.send_cancels(server, out);
+    }
+}
+
+/// What a reply says of later deliveries of the same key.
+fn state(refused: Refused) -> State {
+    match (refused.verdict, refused.reason) {
+        (Verdict::Ran, _) => State::Ran,
+        (Verdict::NotRun, Reason::Cancelled) => State::Withdrawn,
+        (Verdict::NotRun, _) => State::NotRun,
+        _ => State::MayHaveRun,
+    }
+}
+
+fn reply(
+    job: &Job,
+    service: String,
+    refused: Refused,
+    calls: u32,
+    parts: Vec<call::Part>,
+) -> wire::Reply {
+    let millis = refused.retry_after.as_millis();
+    wire::Reply {
+        query: job.work.query,
+        round: job.work.round,
+        incarnation: job.incarnation,
+        service,
+        verdict: refused.verdict.into(),
+        reason: refused.reason.into(),
+        version: job.work.version,
+        parts,
+        retry_after_ms: u32::try_from(millis).unwrap_or(u32::MAX),
+        calls,
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/service.rs
@@ -0,0 +1,115 @@
+//! Services for which this instance is a candidate.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::catalogue;
+use slotmap::new_key_type;
+
+use super::budget::Budget;
+use super::estimate::Estimate;
+use super::portion::PortionKey;
+use super::queue::Queue;
+use super::server::ServerKey;
+use crate::time::Instant;
+use crate::view;
+
+new_key_type! {
+    /// A service held by the machine, the same in all views.
+    pub(super) struct ServiceId;
+}
+
+/// Samples before the learned call times are used.
+pub(super) const LEARNED: u64 = 50;
+
+/// What this instance is to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rank {
+    /// The first live candidate.
+    Owner,
+    /// The live candidate after the owner.
+    Next,
+    /// Another candidate.
+    Spare,
+    /// No candidate any more; calls in flight still end.
+    None,
+}
+
+impl Rank {
+    /// The rank of this instance in the view's service.
+    pub(super) fn of(service: &view::Service) -> Self {
+        if !service.is_candidate() {
+            return Self::None;
+        }
+        let live = service.candidates.iter().filter(|candidate| candidate.live);
+        match live.take(2).position(|candidate| candidate.local) {
+            Some(0) => Self::Owner,
+            Some(_) => Self::Next,
+            None => Self::Spare,
+        }
+    }
+}
+
+/// A service for which this instance is or was a candidate.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    pub(super) name: Arc<str>,
+    pub(super) entry: Arc<catalogue::Entry>,
+    pub(super) rank: Rank,
+    /// Its servers, also unlisted ones with calls in flight.
+    pub(super) servers: Vec<ServerKey>,
+    pub(super) queue: Queue,
+    /// Open calls, also those whose portion was replied to.
+    pub(super) in_flight: u32,
+    /// Call times over all servers.
+    pub(super) times: Estimate,
+    pub(super) budget: Budget,
+    /// Portions whose hedge is due but has found no slot or no token yet, by time of sending.
+    pub(super) overdue: BTreeSet<(Instant, PortionKey)>,
+    /// Next server in turn.
+    pub(super) cursor: usize,
+    pub(super) last_work: Instant,
+}
+
+impl Service {
+    pub(super) fn new(listed: &view::Service) -> Self {
+        Self {
+            name: Arc::clone(&listed.name),
+            entry: Arc::clone(&listed.entry),
+            rank: Rank::of(listed),
+            servers: Vec::new(),
+            queue: Queue::default(),
+            in_flight: 0,
+            times: Estimate::default(),
+            budget: Budget::default(),
+            overdue: BTreeSet::new(),
+            cursor: 0,
+            last_work: Instant::default(),
+        }
+    }
+
+    pub(super) fn limits(&self) -> catalogue::Limits {
+        self.entry.limits.unwrap_or_default()
+    }
+
+    /// Mean call time once it is learned.
+    pub(super) fn mean(&self) -> Option<Duration> {
+        self.times
+            .mean()
+            .filter(|_| self.times.samples() >= LEARNED)
+    }
+
+    /// The call time after which a second copy is due, once it is learned.
+    ///
+    /// The share of calls that are slower is a little less than the share of extra calls that the
+    /// budget pays, so that the tokens are there when a straggler shows.
+    pub(super) fn hedge_delay(&self) -> Option<Duration> {
+        if self.times.samples() < LEARNED {
+            return None;
+        }
+        let extra = f64::from(self.limits().extra_percent) / 100.0;
+        let quantile = (1.0 - 0.8 * extra).clamp(0.9, 0.99);
+        self.times.quantile(quantile)
+    }
+}
--- /dev/null
+++ b/crates/core/src/leaf/settings.rs
@@ -0,0 +1,78 @@
+//! Settings of the machine, by a builder.
+
+use std::sync::Arc;
+
+use ladder_schema::settings::Selection;
+
+/// What the machine is given once.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this instance; part of every target request's identifier.
+    pub(super) name: Arc<str>,
+    /// Incarnation of this instance; part of every target request's identifier.
+    pub(super) incarnation: u64,
+    /// How a server is chosen. Never `Unspecified`.
+    pub(super) selection: Selection,
+    /// Second copies to another replica.
+    pub(super) hedging: bool,
+    /// Hold work beyond the servers' slots in a queue.
+    pub(super) queueing: bool,
+    /// Seed of the jitter of pauses.
+    pub(super) seed: u64,
+}
+
+impl Settings {
+    /// Starts a builder with the chosen policy for the instance of this name and incarnation.
+    pub fn builder(name: &str, incarnation: u64) -> Builder {
+        Builder(Self {
+            name: name.into(),
+            incarnation,
+            selection: Selection::Outcome,
+            hedging: true,
+            queueing: true,
+            seed: 0,
+        })
+    }
+}
+
+/// Builds [`Settings`].
+#[derive(Clone, Debug)]
+pub struct Builder(Settings);
+
+impl Builder {
+    /// How a server is chosen; `Unspecified` means by outcome.
+    #[must_use]
+    pub fn selection(mut self, selection: Selection) -> Self {
+        self.0.selection = match selection {
+            Selection::Unspecified => Selection::Outcome,
+            other => other,
+        };
+        self
+    }
+
+    /// Whether slow repeatable calls get a second copy.
+    #[must_use]
+    pub fn hedging(mut self, on: bool) -> Self {
+        self.0.hedging = on;
+        self
+    }
+
+    /// Whether work beyond the servers' slots waits here.
+    #[must_use]
+    pub fn queueing(mut self, on: bool) -> Self {
+        self.0.queueing = on;
+        self
+    }
+
+    /// Seed of the jitter of pauses.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.0.seed = seed;
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> Settings {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/core/tests/leaf/bed.rs
@@ -0,0 +1,294 @@
+//! A machine with one view, a clock and a log of its actions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::count::{self, Count};
+use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
+use ladder_core::leaf::{Action, Event, Machine, Settings};
+use ladder_core::schema::catalogue::{Entry, Limits, Operation, Urgency};
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::publication::Holding;
+use ladder_core::schema::{call, target, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::{Candidate, Peer, Server, Service, View};
+
+pub(crate) const SERVICE: &str = "docks";
+pub(crate) const INDEX: &str = "stations";
+
+/// A call that the machine asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) lane: LaneKey,
+    pub(crate) attempt: AttemptKey,
+    pub(crate) request: target::Request,
+    pub(crate) address: Arc<str>,
+}
+
+impl Sent {
+    /// The answer that fits the request.
+    pub(crate) fn answer(&self) -> Outcome {
+        let part = |shard: &String| call::Part {
+            shard: shard.clone(),
+            body: format!("{shard}: 3 free"),
+        };
+        Outcome::Answer(target::Answer {
+            id: self.request.id.clone(),
+            index: self.request.index.clone(),
+            version: self.request.version,
+            parts: self.request.shards.iter().map(part).collect(),
+        })
+    }
+
+    /// A refusal of the request.
+    pub(crate) fn refusal(&self, reason: Reason, retry_after_ms: u32) -> Outcome {
+        Outcome::Refusal(target::Refusal {
+            id: self.request.id.clone(),
+            reason: reason.into(),
+            retry_after_ms,
+        })
+    }
+}
+
+/// The machine under test.
+pub(crate) struct Bed {
+    pub(crate) machine: Machine,
+    pub(crate) now: Instant,
+    pub(crate) log: Vec<Action>,
+    pub(crate) opened: Vec<(LaneKey, Arc<str>)>,
+    query: u64,
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings::builder("porto-1", 7).seed(1).build()
+}
+
+pub(crate) fn peer(name: &str) -> Peer {
+    Peer {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+    }
+}
+
+/// A server with two slots that holds version 1.
+pub(crate) fn server(number: u8) -> Server {
+    Server {
+        name: format!("docks-{number}").into(),
+        address: format!("10.0.0.{number}:80").into(),
+        zone: "trindade".into(),
+        incarnation: 1,
+        leaving: false,
+        slots: 2,
+        share: 6,
+        holdings: vec![holding(1)],
+    }
+}
+
+pub(crate) fn holding(version: u64) -> Holding {
+    Holding {
+        index: INDEX.into(),
+        version,
+    }
+}
+
+pub(crate) fn entry() -> Entry {
+    let operation = |name: &str, unrepeatable, urgency: Urgency| Operation {
+        name: name.into(),
+        unrepeatable,
+        urgency: urgency.into(),
+        ..Operation::default()
+    };
+    Entry {
+        service: SERVICE.into(),
+        urgency: Urgency::Elevated.into(),
+        limits: Some(Limits {
+            queue: 100,
+            extra_percent: 5,
+            ..Limits::default()
+        }),
+        operations: vec![
+            operation("sweep", false, Urgency::Unspecified),
+            operation("check", false, Urgency::Urgent),
+            operation("rounds", false, Urgency::Ordinary),
+            operation("book", true, Urgency::Unspecified),
+        ],
+        ..Entry::default()
+    }
+}
+
+/// A service that this instance owns.
+pub(crate) fn service(servers: Vec<Server>) -> Service {
+    let candidate = |name: &str, local| Candidate {
+        peer: peer(name),
+        live: true,
+        local,
+    };
+    Service {
+        name: SERVICE.into(),
+        entry: Arc::new(entry()),
+        servers,
+        candidates: vec![candidate("porto-1", true), candidate("porto-2", false)],
+    }
+}
+
+pub(crate) fn view(service: Service) -> Event {
+    let mut view = View {
+        ready: true,
+        ..View::default()
+    };
+    view.insert(service);
+    Event::View(Arc::new(view))
+}
+
+/// Work of one portion with a budget of 500 ms.
+pub(crate) fn work(query: u64, operation: &str) -> wire::Work {
+    wire::Work {
+        query,
+        round: 1,
+        key: format!("key-{query}"),
+        attempt: 1,
+        index: INDEX.into(),
+        version: 1,
+        operation: operation.into(),
+        budget_us: 500_000,
+        unrepeatable: operation == "book",
+        portions: vec![wire::Portion {
+            service: SERVICE.into(),
+            shards: vec!["s1".into(), "s2".into()],
+        }],
+        ..wire::Work::default()
+    }
+}
+
+impl Bed {
+    /// A machine that owns the service, without connections yet.
+    pub(crate) fn cold(settings: Settings, service: Service) -> Self {
+        let mut bed = Self {
+            machine: Machine::new(settings),
+            now: Instant::from_millis(1000),
+            log: Vec::new(),
+            opened: Vec::new(),
+            query: 1_000_000,
+        };
+        bed.handle(view(service));
+        bed
+    }
+
+    /// A machine that owns a service of two servers, with all its connections open.
+    pub(crate) fn new() -> Self {
+        Self::with(settings(), service(vec![server(1), server(2)]))
+    }
+
+    pub(crate) fn with(settings: Settings, service: Service) -> Self {
+        let mut bed = Self::cold(settings, service);
+        bed.connect();
+        bed
+    }
+
+    pub(crate) fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.machine.handle(self.now, event, &mut out);
+        for action in &out {
+            match action {
+                Action::Open { lane, address } => self.opened.push((*lane, Arc::clone(address))),
+                Action::Close(lane) => self.opened.retain(|(open, _)| open != lane),
+                _ => {}
+            }
+        }
+        self.log.append(&mut out);
+    }
+
+    /// Connects whatever was asked for.
+    pub(crate) fn connect(&mut self) {
+        let log = std::mem::take(&mut self.log);
+        for action in log {
+            match action {
+                Action::Open { lane, .. } => self.handle(Event::Opened(lane)),
+                other => self.log.push(other),
+            }
+        }
+    }
+
+    /// Lets time pass, with ticks at the times the machine asked for.
+    pub(crate) fn advance(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while let Some(at) = self.machine.next_wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.handle(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    pub(crate) fn work(&mut self, work: wire::Work) {
+        self.handle(Event::Work {
+            from: peer("porto-2"),
+            incarnation: 9,
+            work,
+        });
+    }
+
+    pub(crate) fn end(&mut self, attempt: AttemptKey, outcome: Outcome) {
+        if !matches!(outcome, Outcome::Answer(_) | Outcome::Refusal(_)) {
+            let lane = self.lane_of(attempt);
+            self.opened.retain(|(open, _)| Some(*open) != lane);
+        }
+        self.handle(Event::Ended { attempt, outcome });
+    }
+
+    fn lane_of(&self, wanted: AttemptKey) -> Option<LaneKey> {
+        self.log.iter().find_map(|action| match action {
+            Action::Send { lane, attempt, .. } if *attempt == wanted => Some(*lane),
+            _ => None,
+        })
+    }
+
+    /// Calls asked for since the log was last cleared.
+    pub(crate) fn sent(&self) -> Vec<Sent> {
+        let address = |wanted: &LaneKey| {
+            let found = self.opened.iter().find(|(lane, _)| lane == wanted);
+            found.map_or_else(|| "closed".into(), |(_, address)| Arc::clone(address))
+        };
+        let sent = |action: &Action| match action {
+            Action::Send {
+                lane,
+                attempt,
+                request,
+                ..
+            } => Some(Sent {
+                lane: *lane,
+                attempt: *attempt,
+                request: request.clone(),
+                address: address(lane),
+            }),
+            _ => None,
+        };
+        self.log.iter().filter_map(sent).collect()
+    }
+
+    /// Replies since the log was last cleared, as verdict and reason.
+    pub(crate) fn replies(&self) -> Vec<(Verdict, Reason)> {
+        let replies = self.log.iter().filter_map(|action| match action {
+            Action::Reply { reply, .. } => Some((reply.verdict(), reply.reason())),
+            _ => None,
+        });
+        replies.collect()
+    }
+
+    pub(crate) fn counted(&self, event: count::Event, reason: Reason) -> usize {
+        let wanted = Action::Count(Count { event, reason });
+        self.log.iter().filter(|action| **action == wanted).count()
+    }
+
+    /// Answers `count` sweeps, `millis` each, one at a time, and clears the log.
+    pub(crate) fn teach(&mut self, count: usize, millis: u64) {
+        for _ in 0..count {
+            self.log.clear();
+            self.query += 1;
+            self.work(work(self.query, "sweep"));
+            let sent = self.sent();
+            self.advance(millis);
+            self.end(sent[0].attempt, sent[0].answer());
+        }
+        self.log.clear();
+    }
+}
--- /dev/null
+++ b/crates/core/tests/leaf/dispatch.rs
@@ -0,0 +1,125 @@
+//! Work, dispatch, replies and retries.
+
+use ladder_core::count;
+use ladder_core::leaf::event::Outcome;
+use ladder_core::schema::outcome::{Reason, Verdict};
+
+use crate::bed::{Bed, Sent, work};
+
+#[test]
+fn answer_is_replied_with_its_parts() {
+    let mut bed = Bed::new();
+    bed.work(work(1, "sweep"));
+    let sent = bed.sent();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].request.shards, ["s1", "s2"]);
+    bed.end(sent[0].attempt, sent[0].answer());
+    assert_eq!(bed.replies(), [(Verdict::Ran, Reason::Unspecified)]);
+    assert_eq!(bed.machine.open(), 0);
+}
+
+/// How a first call ends and what follows.
+struct Case {
+    name: &'static str,
+    operation: &'static str,
+    outcome: fn(&Sent) -> Outcome,
+    calls: usize,
+    reply: Option<(Verdict, Reason)>,
+}
+
+/// A call at a target fails. A repeatable portion is sent again, here without saved-up tokens only
+/// when it did not run. An unrepeatable one is sent again only on proof that it did not run; a dock
+/// booked by a call whose answer was lost would otherwise be booked twice.
+#[test]
+fn first_call_without_answer() {
+    let shed = |sent: &Sent| sent.refusal(Reason::TargetShed, 5);
+    let leaving = |sent: &Sent| sent.refusal(Reason::TargetLeaving, 0);
+    let may = |reason| Some((Verdict::MayHaveRun, reason));
+    let case = |name, operation, outcome, calls, reply| Case {
+        name,
+        operation,
+        outcome,
+        calls,
+        reply,
+    };
+    let cases = [
+        case("shed sweep", "sweep", shed, 2, None),
+        case("unsent sweep", "sweep", |_| Outcome::Unsent, 2, None),
+        case(
+            "lost sweep",
+            "sweep",
+            |_| Outcome::Lost,
+            1,
+            may(Reason::RetryBudget),
+        ),
+        case(
+            "failed sweep",
+            "sweep",
+            |_| Outcome::Error,
+            1,
+            may(Reason::RetryBudget),
+        ),
+        case("shed booking", "book", shed, 2, None),
+        case("refused booking", "book", leaving, 2, None),
+        case("unsent booking", "book", |_| Outcome::Unsent, 2, None),
+        case(
+            "lost booking",
+            "book",
+            |_| Outcome::Lost,
+            1,
+            may(Reason::TargetLost),
+        ),
+        case(
+            "failed booking",
+            "book",
+            |_| Outcome::Error,
+            1,
+            may(Reason::TargetError),
+        ),
+    ];
+    for case in cases {
+        let mut bed = Bed::new();
+        bed.work(work(1, case.operation));
+        let first = bed.sent()[0].clone();
+        bed.end(first.attempt, (case.outcome)(&first));
+        let sent = bed.sent();
+        assert_eq!(sent.len(), case.calls, "{}", case.name);
+        assert_eq!(bed.replies().first().copied(), case.reply, "{}", case.name);
+        if let Some(second) = sent.get(1) {
+            assert_ne!(second.address, first.address, "{}", case.name);
+            assert_ne!(second.request.id, first.request.id, "{}", case.name);
+        }
+    }
+}
+
+/// A target takes the call and never answers. The entry must hear of it while its own caller still
+/// waits, and what the call left behind must not be counted as idle.
+#[test]
+fn deadline_is_replied_before_the_budget_ends() {
+    let mut bed = Bed::new();
+    bed.work(work(1, "book"));
+    let start = bed.now;
+    bed.advance(490);
+    assert!(bed.replies().is_empty());
+    bed.advance(9);
+    assert_eq!(bed.replies(), [(Verdict::MayHaveRun, Reason::Deadline)]);
+    assert!(bed.now.since(start).as_millis() < 500);
+    let sent = bed.sent();
+    bed.end(sent[0].attempt, Outcome::Lost);
+    assert_eq!(bed.replies().len(), 1);
+    assert_eq!(bed.counted(count::Event::Refusal, Reason::Deadline), 1);
+}
+
+#[test]
+fn queue_holds_what_exceeds_the_slots() {
+    let mut bed = Bed::new();
+    for query in 1..=6 {
+        bed.work(work(query, "sweep"));
+    }
+    let sent = bed.sent();
+    assert_eq!(sent.len(), 4);
+    bed.end(sent[0].attempt, sent[0].answer());
+    let sent = bed.sent();
+    assert_eq!(sent.len(), 5);
+    assert_eq!(sent[4].request.key, "key-5");
+}
--- /dev/null
+++ b/crates/core/tests/leaf/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the leaf machine.
+
+mod bed;
+mod dispatch;
+mod hedge;
