Gather answers over shards in the decision core

Cause: callers need one whole answer drawn from one index version while owners and versions change; nothing took their requests yet.

Change: gather::Machine checks a request against the bounds, pins the newest version held for every asked shard, sends one work message per owner, takes only replies that match query, round, sender, version and shards of an open sending, moves repeatable work away from lost or silent owners, starts again when a version is retired, and answers before the deadline with every missing shard named with its reason and verdict. Ruled out: one round number for all first sendings (a reply could then be matched by service alone) and reusing the query number after a restart (late replies of the old version could enter).

--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -1,5 +1,33 @@
 //! Takes callers' requests, plans them over shards, gathers the answers.
+//!
+//! One query goes through these steps: [`check`] refuses what breaks a bound, [`snapshot`] pins one
+//! index version, [`plan`] groups its shards by service, [`machine`] sends each service's portion
+//! to the service's owner and takes the replies that [`reply`] finds valid, [`answer`] builds the
+//! answer. [`peers`] learns how fast each peer replies and notices one that fell silent, [`keys`]
+//! remembers the keys of unrepeatable requests, [`history`] keeps what operators ask about.
+
+mod answer;
+mod check;
+mod failover;
+mod finish;
+mod history;
+mod keys;
+mod machine;
+mod peers;
+mod plan;
+mod quantile;
+mod query;
+mod reply;
+mod send;
+mod settings;
+mod snapshot;
+mod take;
+mod timers;
 
 pub mod event;
 
+pub use answer::status;
 pub use event::{Action, Event};
+pub use history::{Explanation, Stamp, Step};
+pub use machine::Machine;
+pub use settings::{Builder, Settings};
--- /dev/null
+++ b/crates/core/src/gather/answer.rs
@@ -0,0 +1,184 @@
+//! Builds answers.
+
+use ladder_schema::call::{Answer, Missing, Part};
+use ladder_schema::outcome::{Reason, Verdict};
+
+use super::check::Refusal;
+use super::query::{Portion, Progress, Query, State};
+use crate::collections::Map;
+
+/// The HTTP status of an answer.
+///
+/// - 200 it covers all asked shards, 206 some of them; else, by reason:
+/// - 400 the request breaks a rule, 413 a bound on sizes;
+/// - 404 the index, operation or shard is unknown;
+/// - 409 an earlier attempt at an unrepeatable request may have run;
+/// - 429 a limit of the fleet is reached: come back after `retry_after_ms`;
+/// - 502 owners or servers failed;
+/// - 503 the instance or the fleet cannot serve it now;
+/// - 504 the deadline passed.
+pub fn status(answer: &Answer) -> u16 {
+    if !answer.covered.is_empty() || answer.reason() == Reason::Unspecified {
+        return if answer.missing.is_empty() { 200 } else { 206 };
+    }
+    match answer.reason() {
+        Reason::Malformed => 400,
+        Reason::UnknownIndex | Reason::UnknownOperation | Reason::UnknownShard => 404,
+        Reason::RepeatedKey => 409,
+        Reason::TooLarge => 413,
+        Reason::ServiceLimit
+        | Reason::QueueFull
+        | Reason::WouldMissDeadline
+        | Reason::TargetShed
+        | Reason::RetryBudget => 429,
+        Reason::OwnerLost | Reason::TargetError | Reason::TargetLost => 502,
+        Reason::Deadline | Reason::Expired | Reason::Paused | Reason::TargetTimeout => 504,
+        _ => 503,
+    }
+}
+
+/// Answers a request that was refused whole.
+pub(crate) fn refusal(key: &str, index: &str, refusal: Refusal, verdict: Verdict) -> Answer {
+    Answer {
+        key: key.to_owned(),
+        verdict: verdict.into(),
+        index: index.to_owned(),
+        reason: refusal.reason.into(),
+        detail: refusal.detail,
+        ..Answer::default()
+    }
+}
+
+/// Answers a query with what it has; portions without a reply are missing for `reason`.
+pub(crate) fn answer(query: &mut Query, reason: Reason) -> Answer {
+    let mut answer = Answer {
+        key: query.request.key.clone(),
+        verdict: verdict(query).into(),
+        index: query.index.name.clone(),
+        version: query.index.version,
+        retry_after_ms: query.retry_after_ms,
+        ..Answer::default()
+    };
+    let mut parts: Vec<(u32, Part)> = Vec::with_capacity(query.covered);
+    let mut missing: Vec<(u32, Missing)> = Vec::new();
+    for position in 0..query.portions.len() {
+        match std::mem::replace(&mut query.portions[position].state, State::Open) {
+            State::Covered(covered) => place(query, position, covered, &mut parts),
+            state => lack(query, position, &state, reason, &mut missing),
+        }
+    }
+    parts.sort_unstable_by_key(|&(position, _)| position);
+    missing.sort_unstable_by_key(|&(position, _)| position);
+    answer.covered = parts.iter().map(|(_, part)| part.shard.clone()).collect();
+    answer.parts = parts.into_iter().map(|(_, part)| part).collect();
+    answer.missing = missing.into_iter().map(|(_, missing)| missing).collect();
+    let unplanned = query.missing.drain(..);
+    answer.missing.extend(unplanned.map(|mut missing| {
+        missing.verdict = former(query.exposed, Verdict::NotRun).into();
+        missing
+    }));
+    if answer.covered.is_empty() {
+        answer.reason = commonest(&answer.missing).into();
+    }
+    answer
+}
+
+/// Pairs parts with the positions of their shards.
+fn place(query: &Query, position: usize, covered: Vec<Part>, parts: &mut Vec<(u32, Part)>) {
+    let shards = &query.portions[position].share.shards;
+    let mut by_name: Map<&str, u32> = Map::default();
+    for &shard in shards {
+        by_name.insert(&query.index.shards[shard as usize].name, shard);
+    }
+    for part in covered {
+        if let Some(&shard) = by_name.get(part.shard.as_str()) {
+            parts.push((shard, part));
+        }
+    }
+}
+
+/// Lists the shards of a portion that is not covered.
+fn lack(
+    query: &Query,
+    position: usize,
+    state: &State,
+    reason: Reason,
+    missing: &mut Vec<(u32, Missing)>,
+) {
+    let portion = &query.portions[position];
+    let reason = match state {
+        State::Refused(reason) => *reason,
+        _ if is_lost(portion) => Reason::OwnerLost,
+        _ => reason,
+    };
+    let verdict = former(query.exposed, portion.verdict());
+    for &shard in &portion.share.shards {
+        let entry = Missing {
+            shard: query.index.shards[shard as usize].name.clone(),
+            reason: reason.into(),
+            verdict: verdict.into(),
+        };
+        missing.push((shard, entry));
+    }
+}
+
+/// Every sending that was not answered went to an owner that fell silent or lost its link.
+fn is_lost(portion: &Portion) -> bool {
+    let mut unanswered = portion
+        .sendings
+        .iter()
+        .filter(|sending| sending.progress != Progress::Ended)
+        .peekable();
+    unanswered.peek().is_some() && unanswered.all(|sending| sending.progress != Progress::Open)
+}
+
+/// The verdict of something that may also have run under an earlier version.
+fn former(exposed: bool, verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::NotRun if exposed => Verdict::MayHaveRun,
+        verdict => verdict,
+    }
+}
+
+/// The verdict of the whole.
+///
+/// An unrepeatable request ran only if all of it ran. A repeatable one ran if any of it did: what
+/// is missing can be asked for again. `NotRun` always means all of it.
+pub(crate) fn verdict(query: &Query) -> Verdict {
+    let mut verdicts = query.portions.iter().map(Portion::verdict);
+    if query
+        .portions
+        .iter()
+        .all(|p| p.verdict() == Verdict::NotRun)
+    {
+        return former(query.exposed, Verdict::NotRun);
+    }
+    let ran = if query.terms.unrepeatable {
+        query.missing.is_empty() && verdicts.all(|verdict| verdict == Verdict::Ran)
+    } else {
+        verdicts.any(|verdict| verdict == Verdict::Ran)
+    };
+    if ran {
+        Verdict::Ran
+    } else {
+        Verdict::MayHaveRun
+    }
+}
+
+/// The reason that most missing shards have, the first of equals.
+fn commonest(missing: &[Missing]) -> Reason {
+    let mut counts: Vec<(Reason, usize)> = Vec::new();
+    for reason in missing.iter().map(Missing::reason) {
+        match counts.iter_mut().find(|(known, _)| *known == reason) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((reason, 1)),
+        }
+    }
+    let mut best = (Reason::Unspecified, 0);
+    for (reason, count) in counts {
+        if count > best.1 {
+            best = (reason, count);
+        }
+    }
+    best.0
+}
--- /dev/null
+++ b/crates/core/src/gather/failover.rs
@@ -0,0 +1,200 @@
+//! Moves work away from owners that are lost or silent.
+
+use std::sync::Arc;
+
+use ladder_schema::outcome::Reason;
+
+use super::event::Action;
+use super::history::Step;
+use super::machine::{Machine, count};
+use super::peers::PeerKey;
+use super::query::{Portion, Progress, QueryKey};
+use super::take::may_send_again;
+use crate::collections::Map;
+use crate::count;
+use crate::time::Instant;
+use crate::view::{Peer, View};
+
+/// A silence timer served later than this after its time says nothing of the peer: this process
+/// itself did not run, and replies may wait unread.
+const LATE: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// How sure it is that an owner is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// It is silent or leaving; it may still answer.
+    Suspected,
+    /// Its link broke.
+    Certain,
+}
+
+impl Machine {
+    /// The link to a peer broke.
+    pub(crate) fn link_down(&mut self, now: Instant, name: &str, out: &mut Vec<Action>) {
+        let Some(peer) = self.peers.find(name) else {
+            return;
+        };
+        self.peers.silence(peer, now);
+        self.leave(now, peer, Loss::Certain, out);
+    }
+
+    /// A new view is in force.
+    pub(crate) fn adopt(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
+        self.view = view;
+        let view = Arc::clone(&self.view);
+        let mut live: Map<&str, bool> = Map::default();
+        let candidates = view
+            .services
+            .values()
+            .flat_map(|service| &service.candidates);
+        for candidate in candidates {
+            *live.entry(&candidate.peer.name).or_default() |= candidate.live;
+        }
+        let mut gone: Vec<&str> = live
+            .iter()
+            .filter(|&(_, &live)| !live)
+            .map(|(&name, _)| name)
+            .collect();
+        gone.sort_unstable();
+        for name in gone {
+            if let Some(peer) = self.peers.find(name) {
+                self.leave(now, peer, Loss::Suspected, out);
+            }
+        }
+        self.peers.prune(|name| live.contains_key(name));
+    }
+
+    /// A peer may have been silent for too long.
+    pub(crate) fn peer_due(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        key: PeerKey,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(state) = self.peers.get_mut(key) else {
+            return;
+        };
+        state.timer = None;
+        let Some(overdue) = state.overdue_at() else {
+            return;
+        };
+        if overdue <= now {
+            if now.since(at) > LATE || self.peers.is_flood(now) {
+                self.peers.restart_clock(key, now);
+            } else {
+                self.peers.silence(key, now);
+                self.leave(now, key, Loss::Suspected, out);
+                self.peers.restart_clock(key, now);
+            }
+        }
+        self.watch(key);
+    }
+
+    /// Moves what is open at a peer to the next candidates, where it may be moved.
+    fn leave(&mut self, now: Instant, peer: PeerKey, loss: Loss, out: &mut Vec<Action>) {
+        let keys: Vec<QueryKey> = self.queries.keys().collect();
+        for key in keys {
+            let portions = self.held_by(key, peer, loss);
+            if portions.is_empty() {
+                continue;
+            }
+            self.leave_query(now, key, peer, &portions, loss, out);
+            self.finish_if_settled(now, key, out);
+        }
+    }
+
+    /// Portions of a query whose reply from `peer` can no longer be relied on.
+    fn held_by(&self, key: QueryKey, peer: PeerKey, loss: Loss) -> Vec<usize> {
+        let query = &self.queries[key];
+        if query.terms.unrepeatable && loss == Loss::Suspected {
+            // It may not go elsewhere, and an owner that is leaving finishes what it holds.
+            return Vec::new();
+        }
+        let relies = |portion: &Portion| {
+            portion.sendings.iter().any(|sending| {
+                let relied = match loss {
+                    Loss::Suspected => sending.progress == Progress::Open,
+                    Loss::Certain => sending.progress <= Progress::Overdue,
+                };
+                sending.peer == peer && relied
+            })
+        };
+        let portions = query.portions.iter().enumerate();
+        portions
+            .filter(|(_, portion)| portion.is_open() && relies(portion))
+            .map(|(position, _)| position)
+            .collect()
+    }
+
+    fn leave_query(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        peer: PeerKey,
+        portions: &[usize],
+        loss: Loss,
+        out: &mut Vec<Action>,
+    ) {
+        self.note_loss(now, key, peer, portions);
+        let mut targets = Vec::new();
+        for &position in portions {
+            let next = self.next_after_loss(now, key, position);
+            if next.is_some() || loss == Loss::Certain {
+                self.give_up(key, position, peer, loss);
+            }
+            if self.queries[key].portions[position].is_relied_on() {
+                continue;
+            }
+            match (next, loss) {
+                (Some(next), _) => targets.push((position, next)),
+                (None, Loss::Certain) if !self.queries[key].portions[position].is_awaited() => {
+                    self.settle(key, position, Reason::OwnerLost, out);
+                }
+                (None, _) => {}
+            }
+        }
+        for _ in &targets {
+            count(out, count::Event::Retry, Reason::OwnerLost);
+        }
+        self.send(now, key, targets, Some(Reason::OwnerLost), out);
+    }
+
+    fn note_loss(&mut self, now: Instant, key: QueryKey, peer: PeerKey, portions: &[usize]) {
+        let Some(state) = self.peers.get(peer) else {
+            return;
+        };
+        let step = Step::Lost {
+            owner: state.peer.name.clone(),
+            portions: portions.len() as u32,
+        };
+        self.history.add(self.queries[key].account, now, step);
+    }
+
+    /// Where a portion goes after its owner is lost; `None` if it may not go or has nowhere to.
+    fn next_after_loss(&self, now: Instant, key: QueryKey, position: usize) -> Option<Peer> {
+        let query = &self.queries[key];
+        let portion = &query.portions[position];
+        if now >= query.answer_at || !may_send_again(query.terms.unrepeatable, portion) {
+            return None;
+        }
+        let next = self.choose(now, &portion.share.service, &portion.sendings)?;
+        Some(next.peer.clone())
+    }
+
+    /// Stops relying on the sendings of a portion to `peer`.
+    fn give_up(&mut self, key: QueryKey, position: usize, peer: PeerKey, loss: Loss) {
+        let portion = &mut self.queries[key].portions[position];
+        let sendings = portion.sendings.iter_mut();
+        for sending in sendings.filter(|sending| sending.peer == peer) {
+            if sending.progress == Progress::Open {
+                self.peers.ended(peer);
+            }
+            sending.progress = match (sending.progress, loss) {
+                (Progress::Open, Loss::Suspected) => Progress::Overdue,
+                (Progress::Open | Progress::Overdue, Loss::Certain) => Progress::Lost,
+                (progress, _) => progress,
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gather/finish.rs
@@ -0,0 +1,129 @@
+//! Ends queries: when all is settled, when the time has come, when enough is there.
+
+use ladder_schema::outcome::Reason;
+use ladder_schema::wire;
+
+use super::answer;
+use super::event::Action;
+use super::machine::{Machine, count};
+use super::query::{Progress, Query, QueryKey, State};
+use super::timers::Timer;
+use crate::count;
+use crate::time::Instant;
+
+impl Machine {
+    /// Answers every query whose deadline has passed.
+    pub(crate) fn expire(&mut self, now: Instant, reason: Reason, out: &mut Vec<Action>) {
+        if self.timers.next().is_none_or(|next| next > now) {
+            return;
+        }
+        let expired: Vec<QueryKey> = self
+            .queries
+            .iter()
+            .filter(|(_, query)| query.deadline <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.finish(now, key, reason, out);
+        }
+    }
+
+    /// Serves the timers that are due.
+    pub(crate) fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some((at, timer)) = self.timers.due(now) {
+            match timer {
+                Timer::Query(key) => self.query_due(now, key, out),
+                Timer::Peer(key) => self.peer_due(now, at, key, out),
+            }
+        }
+    }
+
+    fn query_due(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        if now >= query.answer_at || query.is_enough(now) {
+            self.finish(now, key, Reason::Deadline, out);
+            return;
+        }
+        query.timer = query.answer_at;
+        self.timers.add(query.timer, Timer::Query(key));
+    }
+
+    /// Answers a query that waits for nothing more, or has enough for its time.
+    pub(crate) fn finish_if_settled(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) {
+        let Some(query) = self.queries.get(key) else {
+            return;
+        };
+        if query.open == 0 {
+            // An unrepeatable query waits until no portion can run any more before it starts again.
+            let retired = State::Refused(Reason::VersionRetired);
+            let is_retired = query
+                .portions
+                .iter()
+                .any(|portion| portion.state == retired);
+            if query.terms.unrepeatable && is_retired && self.restart(now, key, out) {
+                // Nothing may have been sent; each restart gives up a version, so that this ends.
+                self.finish_if_settled(now, key, out);
+                return;
+            }
+            self.finish(now, key, Reason::Unspecified, out);
+        } else if query.is_enough(now) {
+            self.finish(now, key, Reason::Deadline, out);
+        }
+    }
+
+    /// Answers a query with what it has; `reason` explains the portions that are still open.
+    fn finish(&mut self, now: Instant, key: QueryKey, reason: Reason, out: &mut Vec<Action>) {
+        self.cancel(key, out);
+        let Some(mut query) = self.remove(key) else {
+            return;
+        };
+        for _ in 0..query.open {
+            count(out, count::Event::Refusal, reason);
+        }
+        if query.terms.unrepeatable {
+            let verdict = answer::verdict(&query);
+            self.keys.end(&query.request.key, verdict);
+        }
+        let answer = answer::answer(&mut query, reason);
+        self.answer(now, query.caller, query.account, answer, out);
+    }
+
+    /// Tells the owners that may hold something of a query that it is given up.
+    pub(crate) fn cancel(&mut self, key: QueryKey, out: &mut Vec<Action>) {
+        let Some(query) = self.queries.get(key) else {
+            return;
+        };
+        for holder in query.holders() {
+            let Some(state) = self.peers.get(holder) else {
+                continue;
+            };
+            let cancel = wire::Cancel {
+                query: query.number,
+                incarnation: self.settings.incarnation,
+            };
+            out.push(Action::Cancel {
+                to: state.peer.clone(),
+                cancel,
+            });
+        }
+        let portions = query.portions.iter();
+        for sending in portions.flat_map(|portion| &portion.sendings) {
+            if sending.progress == Progress::Open {
+                self.peers.ended(sending.peer);
+            }
+        }
+    }
+
+    /// Takes a query whose owners have been told out of all tables.
+    pub(crate) fn remove(&mut self, key: QueryKey) -> Option<Query> {
+        let query = self.queries.remove(key)?;
+        self.numbers.remove(&query.number);
+        if self.callers.get(&query.caller) == Some(&key) {
+            self.callers.remove(&query.caller);
+        }
+        self.timers.remove(query.timer, Timer::Query(key));
+        Some(query)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gather/machine.rs
@@ -0,0 +1,214 @@
+//! The gathering machine.
+
+use std::sync::Arc;
+
+use ladder_schema::call;
+use ladder_schema::outcome::{Reason, Verdict};
+use slotmap::SlotMap;
+
+use super::check::{self, Refusal};
+use super::event::{Action, Caller, Event};
+use super::history::{Explanation, History, Step};
+use super::keys::Keys;
+use super::peers::Peers;
+use super::plan::{self, Plan};
+use super::query::{Query, QueryKey};
+use super::timers::{Timer, Timers};
+use super::{answer, settings::Settings};
+use crate::collections::Map;
+use crate::count::{self, Count};
+use crate::time::Instant;
+use crate::view::View;
+
+/// Takes callers' requests, plans them over shards, gathers the answers.
+///
+/// Every [`Event::Call`] is answered by exactly one [`Action::Answer`] before the caller's
+/// deadline, if the machine is woken when it asks for it.
+#[derive(Debug)]
+pub struct Machine {
+    pub(crate) settings: Settings,
+    pub(crate) view: Arc<View>,
+    draining: bool,
+    pub(crate) queries: SlotMap<QueryKey, Query>,
+    /// Invariant: holds exactly the present numbers of `queries`.
+    pub(crate) numbers: Map<u64, QueryKey>,
+    /// Invariant: holds exactly the callers of `queries`.
+    pub(crate) callers: Map<Caller, QueryKey>,
+    /// The last query number given out.
+    last_number: u64,
+    pub(crate) keys: Keys,
+    pub(crate) peers: Peers,
+    pub(crate) timers: Timers,
+    pub(crate) history: History,
+}
+
+impl Machine {
+    /// A machine that refuses everything as not ready until its first view.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            history: History::new(settings.history),
+            settings,
+            view: Arc::default(),
+            draining: false,
+            queries: SlotMap::default(),
+            numbers: Map::default(),
+            callers: Map::default(),
+            last_number: 0,
+            keys: Keys::default(),
+            peers: Peers::default(),
+            timers: Timers::default(),
+        }
+    }
+
+    /// Takes an event and appends what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        // Whatever the event would make the machine send, nothing is sent for a query whose
+        // deadline passed while nobody woke the machine.
+        let paused = matches!(event, Event::Paused(_));
+        self.expire(
+            now,
+            if paused {
+                Reason::Paused
+            } else {
+                Reason::Deadline
+            },
+            out,
+        );
+        match event {
+            Event::Call { caller, request } => self.call(now, caller, request, out),
+            Event::Gone(caller) => self.gone(now, caller, out),
+            Event::Replies { from, replies } => self.replies(now, &from, &replies, out),
+            Event::LinkDown(name) => self.link_down(now, &name, out),
+            Event::View(view) => self.adopt(now, view, out),
+            Event::Paused(_) => self.peers.restart_clocks(now),
+            Event::Drain => self.draining = true,
+            Event::Tick => {}
+        }
+        self.wake(now, out);
+    }
+
+    /// When the machine wants an [`Event::Tick`].
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Number of open queries.
+    pub fn open(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// What happened to the last query with this request key, if it is among the last few hundred.
+    pub fn explain(&self, key: &str) -> Option<&Explanation> {
+        self.history.find(key)
+    }
+
+    /// Takes a new query number.
+    pub(crate) fn number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    fn call(
+        &mut self,
+        now: Instant,
+        caller: Caller,
+        request: call::Request,
+        out: &mut Vec<Action>,
+    ) {
+        let number = self.number();
+        let account = self.history.begin(&request.key, number);
+        let attempt = request.attempt.max(1);
+        self.history.add(account, now, Step::Arrived { attempt });
+        match self.admit(&request) {
+            Ok(plan) => self.start(now, caller, request, (number, account), plan, out),
+            Err((refusal, verdict)) => {
+                count(out, count::Event::Refusal, refusal.reason);
+                let answer = answer::refusal(&request.key, &request.index, refusal, verdict);
+                self.answer(now, caller, account, answer, out);
+            }
+        }
+    }
+
+    /// Plans a request, or says why it is refused and whether an earlier one with its key ran.
+    fn admit(&self, request: &call::Request) -> Result<Plan, (Refusal, Verdict)> {
+        let refuse = |refusal| (refusal, Verdict::NotRun);
+        check::check(request).map_err(refuse)?;
+        if self.draining {
+            let refusal = Refusal::new(Reason::Draining, "the instance is shutting down");
+            return Err(refuse(refusal));
+        }
+        if !self.view.ready {
+            let refusal = Refusal::new(Reason::NotReady, "the instance has no catalogue yet");
+            return Err(refuse(refusal));
+        }
+        let plan = plan::plan(&self.view, request, &[]).map_err(refuse)?;
+        if plan.terms.unrepeatable
+            && let Some(verdict) = self.keys.get(&request.key)
+        {
+            let detail = format!("key: {}; a request with it was taken here", request.key);
+            return Err((Refusal::new(Reason::RepeatedKey, detail), verdict));
+        }
+        Ok(plan)
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        caller: Caller,
+        request: call::Request,
+        (number, account): (u64, u64),
+        plan: Plan,
+        out: &mut Vec<Action>,
+    ) {
+        if plan.terms.unrepeatable {
+            self.keys.start(&request.key);
+        }
+        let query = Query::new(now, caller, request, (number, account), plan);
+        let timer = query.timer;
+        let key = self.queries.insert(query);
+        self.numbers.insert(number, key);
+        self.callers.insert(caller, key);
+        self.timers.add(timer, Timer::Query(key));
+        self.send_all(now, key, None, out);
+        self.finish_if_settled(now, key, out);
+    }
+
+    fn gone(&mut self, now: Instant, caller: Caller, out: &mut Vec<Action>) {
+        let Some(&key) = self.callers.get(&caller) else {
+            return;
+        };
+        self.cancel(key, out);
+        let Some(query) = self.remove(key) else {
+            return;
+        };
+        self.history.add(query.account, now, Step::Gone);
+        if query.terms.unrepeatable {
+            self.keys.end(&query.request.key, answer::verdict(&query));
+        }
+    }
+
+    /// Answers a caller and closes the account.
+    pub(crate) fn answer(
+        &mut self,
+        now: Instant,
+        caller: Caller,
+        account: u64,
+        mut answer: call::Answer,
+        out: &mut Vec<Action>,
+    ) {
+        answer.instance = self.settings.name.to_string();
+        let step = Step::Answered {
+            verdict: answer.verdict(),
+            reason: answer.reason(),
+            covered: answer.covered.len() as u32,
+            missing: answer.missing.len() as u32,
+        };
+        self.history.add(account, now, step);
+        out.push(Action::Answer { caller, answer });
+    }
+}
+
+/// Asks for a step of a counter.
+pub(crate) fn count(out: &mut Vec<Action>, event: count::Event, reason: Reason) {
+    out.push(Action::Count(Count { event, reason }));
+}
--- /dev/null
+++ b/crates/core/src/gather/query.rs
@@ -0,0 +1,262 @@
+//! The state of one query.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::call;
+use ladder_schema::outcome::{Reason, Verdict};
+use ladder_schema::publication::Index;
+use slotmap::new_key_type;
+
+use super::event::Caller;
+use super::peers::PeerKey;
+use super::plan::{Plan, Share, Terms};
+use crate::time::{Instant, micros};
+
+new_key_type! {
+    /// An open query.
+    pub(crate) struct QueryKey;
+}
+
+/// How far a sending of a portion has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Progress {
+    /// The owner owes a reply.
+    Open,
+    /// The owner is silent; the portion may have gone elsewhere too, but its reply is awaited.
+    Overdue,
+    /// The link broke: a reply is still taken, but none is awaited.
+    Lost,
+    /// A reply was taken.
+    Ended,
+}
+
+/// One sending of a portion.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sending {
+    /// Number of the work message in the query; the reply repeats it.
+    pub(crate) round: u32,
+    /// The owner.
+    pub(crate) peer: PeerKey,
+    /// When it was sent.
+    pub(crate) at: Instant,
+    /// How far it has come.
+    pub(crate) progress: Progress,
+}
+
+/// What became of a portion.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum State {
+    /// A reply is awaited.
+    Open,
+    /// Exactly one part for each of its shards, all from one reply.
+    Covered(Vec<call::Part>),
+    /// No reply is awaited.
+    Refused(Reason),
+}
+
+/// The part of a query that one service answers.
+#[derive(Clone, Debug)]
+pub(crate) struct Portion {
+    /// The service and its shards.
+    pub(crate) share: Share,
+    /// What became of it.
+    pub(crate) state: State,
+    /// All sendings, oldest first.
+    ///
+    /// Invariant: of an unrepeatable query all but the last ended with proof that they did not run.
+    pub(crate) sendings: Vec<Sending>,
+    /// Some sending ended without proof that it did not run.
+    pub(crate) exposed: bool,
+    /// An owner said that it ran without giving the parts.
+    pub(crate) ran: bool,
+}
+
+impl Portion {
+    fn new(share: Share) -> Self {
+        Self {
+            share,
+            state: State::Open,
+            sendings: Vec::new(),
+            exposed: false,
+            ran: false,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.state == State::Open
+    }
+
+    /// Some owner that is neither silent nor lost owes a reply.
+    pub(crate) fn is_relied_on(&self) -> bool {
+        let mut sendings = self.sendings.iter();
+        sendings.any(|sending| sending.progress == Progress::Open)
+    }
+
+    /// Some sending may still bring a reply that is worth waiting for.
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.sendings
+            .iter()
+            .any(|sending| matches!(sending.progress, Progress::Open | Progress::Overdue))
+    }
+
+    /// Whether the portion ran, as far as is proved.
+    pub(crate) fn verdict(&self) -> Verdict {
+        if self.ran || matches!(self.state, State::Covered(_)) {
+            return Verdict::Ran;
+        }
+        let unsettled = |sending: &Sending| sending.progress != Progress::Ended;
+        if self.exposed || self.sendings.iter().any(unsettled) {
+            return Verdict::MayHaveRun;
+        }
+        Verdict::NotRun
+    }
+}
+
+/// An open query.
+#[derive(Debug)]
+pub(crate) struct Query {
+    /// Whom to answer.
+    pub(crate) caller: Caller,
+    /// What was asked.
+    pub(crate) request: call::Request,
+    /// Number of the query in messages to owners; a restart on another version takes a new one.
+    pub(crate) number: u64,
+    /// Number of its account.
+    pub(crate) account: u64,
+    /// The pinned version. Every part is drawn from it.
+    pub(crate) index: Arc<Index>,
+    /// The terms.
+    pub(crate) terms: Terms,
+    /// One portion per service, in order of the services' names.
+    ///
+    /// Invariant: the shards of the portions and those of `missing` are the asked set, each once.
+    pub(crate) portions: Vec<Portion>,
+    /// Asked shards that no portion covers.
+    pub(crate) missing: Vec<call::Missing>,
+    /// From then on a timely query answers with nearly everything.
+    pub(crate) timely_at: Instant,
+    /// When it answers with what it has; before the caller's deadline.
+    pub(crate) answer_at: Instant,
+    /// The caller's deadline.
+    pub(crate) deadline: Instant,
+    /// Its timer in the machine's set.
+    pub(crate) timer: Instant,
+    /// Work messages sent under `number`.
+    pub(crate) rounds: u32,
+    /// Work messages sent beyond the first plan's, over all versions.
+    pub(crate) extra_calls: u32,
+    /// Portions that are open.
+    ///
+    /// Invariant: the number of `portions` with `is_open`.
+    pub(crate) open: usize,
+    /// Shards covered.
+    pub(crate) covered: usize,
+    /// Longest time to come back that a refusal advised, in milliseconds.
+    pub(crate) retry_after_ms: u32,
+    /// Versions given up because a server no longer serves them.
+    pub(crate) retired: Vec<u64>,
+    /// Something of it may have run under a version that was given up.
+    pub(crate) exposed: bool,
+}
+
+/// Time kept for the answer itself and for a late wake.
+const MARGIN: Duration = Duration::from_millis(2);
+/// A timely query may answer with nearly everything after this share of its deadline.
+const TIMELY_PERCENT: u64 = 60;
+/// What counts as nearly everything, in percent of the asked shards.
+const NEARLY_PERCENT: usize = 95;
+
+impl Query {
+    /// A query that has sent nothing yet; `number` and `account` name it in messages and history.
+    pub(crate) fn new(
+        now: Instant,
+        caller: Caller,
+        request: call::Request,
+        (number, account): (u64, u64),
+        plan: Plan,
+    ) -> Self {
+        let terms = plan.terms;
+        let deadline = now + terms.deadline;
+        let answer_at = deadline - MARGIN.min(terms.deadline / 4);
+        let share = micros(terms.deadline) * TIMELY_PERCENT / 100;
+        let timely_at = now + Duration::from_micros(share);
+        let early = !terms.complete && !terms.unrepeatable;
+        let mut query = Self {
+            caller,
+            request,
+            number,
+            account,
+            index: Arc::clone(&plan.index),
+            terms,
+            portions: Vec::new(),
+            missing: Vec::new(),
+            timely_at: if early { timely_at } else { answer_at },
+            answer_at,
+            deadline,
+            timer: if early { timely_at } else { answer_at },
+            rounds: 0,
+            extra_calls: 0,
+            open: 0,
+            covered: 0,
+            retry_after_ms: 0,
+            retired: Vec::new(),
+            exposed: false,
+        };
+        query.adopt(plan);
+        query
+    }
+
+    /// It prefers to answer now with what it has.
+    ///
+    /// Until `timely_at` every query waits for all its shards, so that an answer is not needlessly
+    /// partial. From then on a query whose caller values time more answers once it has nearly
+    /// everything: what is still out by then is a straggler that mostly misses the deadline too.
+    pub(crate) fn is_enough(&self, now: Instant) -> bool {
+        let early = !self.terms.complete && !self.terms.unrepeatable;
+        early && now >= self.timely_at && self.covered * 100 >= self.asked() * NEARLY_PERCENT
+    }
+
+    /// Takes the portions of a plan in place of its present ones.
+    pub(crate) fn adopt(&mut self, plan: Plan) {
+        self.index = plan.index;
+        self.missing = plan.missing;
+        self.terms.unrepeatable |= plan.terms.unrepeatable;
+        self.terms.complete |= plan.terms.complete;
+        self.portions = plan.shares.into_iter().map(Portion::new).collect();
+        self.open = self.portions.len();
+        self.covered = 0;
+        self.rounds = 0;
+    }
+
+    /// Position of the portion of a service.
+    pub(crate) fn portion(&self, service: &str) -> Option<usize> {
+        self.portions
+            .binary_search_by(|portion| (*portion.share.service).cmp(service))
+            .ok()
+    }
+
+    /// Number of asked shards.
+    pub(crate) fn asked(&self) -> usize {
+        let portions = self.portions.iter();
+        self.missing.len() + portions.map(|p| p.share.shards.len()).sum::<usize>()
+    }
+
+    /// Nothing of it can have run so far.
+    pub(crate) fn is_untouched(&self) -> bool {
+        let untouched = |portion: &Portion| portion.verdict() == Verdict::NotRun;
+        !self.exposed && self.portions.iter().all(untouched)
+    }
+
+    /// Owners that may still hold something of it, each once, in order of sending.
+    pub(crate) fn holders(&self) -> Vec<PeerKey> {
+        let mut holders = Vec::new();
+        let sendings = self.portions.iter().flat_map(|portion| &portion.sendings);
+        for sending in sendings.filter(|sending| sending.progress != Progress::Ended) {
+            if !holders.contains(&sending.peer) {
+                holders.push(sending.peer);
+            }
+        }
+        holders
+    }
+}
--- /dev/null
+++ b/crates/core/src/gather/send.rs
@@ -0,0 +1,230 @@
+//! Sends portions to owners.
+
+use ladder_schema::outcome::Reason;
+use ladder_schema::wire;
+
+use super::event::Action;
+use super::history::Step;
+use super::machine::{Machine, count};
+use super::peers::PeerKey;
+use super::query::{Portion, Progress, Query, QueryKey, Sending};
+use super::timers::Timer;
+use crate::count;
+use crate::time::{Instant, micros};
+use crate::view::{Candidate, Peer};
+
+/// Sendings of one portion at most.
+pub(crate) const SENDINGS: usize = 3;
+/// Time that a reply takes to come back from an owner, in microseconds: kept from the owner's
+/// budget so that its refusal or answer arrives before this instance has to answer.
+const RETURN_US: u64 = 2_000;
+
+impl Machine {
+    /// The instance that a portion of `service` goes to next: the first live candidate that it was
+    /// not sent to yet, one that is not silent before one that is.
+    pub(crate) fn choose(
+        &self,
+        now: Instant,
+        service: &str,
+        sendings: &[Sending],
+    ) -> Option<&Candidate> {
+        let service = self.view.service(service)?;
+        let tried = |candidate: &Candidate| {
+            let key = self.peers.find(&candidate.peer.name);
+            sendings.iter().any(|sending| Some(sending.peer) == key)
+        };
+        let mut live = service
+            .candidates
+            .iter()
+            .filter(|candidate| candidate.live && !tried(candidate));
+        let first = live.clone().next();
+        live.find(|candidate| candidate.local || !self.peers.is_silent(&candidate.peer.name, now))
+            .or(first)
+    }
+
+    /// Sends all portions of a query for the first time under its present number.
+    pub(crate) fn send_all(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        again: Option<Reason>,
+        out: &mut Vec<Action>,
+    ) {
+        let query = &self.queries[key];
+        let step = Step::Pinned {
+            version: query.index.version,
+            portions: query.portions.len() as u32,
+            missing: query.missing.len() as u32,
+        };
+        self.history.add(query.account, now, step);
+        let owners: Vec<Option<Peer>> = query
+            .portions
+            .iter()
+            .map(|portion| self.choose(now, &portion.share.service, &[]))
+            .map(|candidate| candidate.map(|candidate| candidate.peer.clone()))
+            .collect();
+        let lacking = !query.missing.is_empty() || owners.iter().any(Option::is_none);
+        if query.terms.unrepeatable && lacking {
+            self.withhold(key, &owners, out);
+            return;
+        }
+        let probes = self.probes(now, key, &owners);
+        let mut targets = Vec::new();
+        for (portion, owner) in owners.into_iter().enumerate() {
+            match owner {
+                Some(owner) => targets.push((portion, owner)),
+                None => self.settle(key, portion, Reason::NoOwner, out),
+            }
+        }
+        self.send(now, key, targets, again, out);
+        if !probes.is_empty() {
+            count(out, count::Event::Hedge, Reason::OwnerLost);
+            self.send(now, key, probes, Some(Reason::OwnerLost), out);
+        }
+    }
+
+    /// Refuses an unrepeatable query of which a part cannot be had, before anything is sent: half a
+    /// booking helps nobody, and the caller may come back because nothing ran.
+    fn withhold(&mut self, key: QueryKey, owners: &[Option<Peer>], out: &mut Vec<Action>) {
+        for (portion, owner) in owners.iter().enumerate() {
+            let reason = match owner {
+                Some(_) => Reason::Cancelled,
+                None => Reason::NoOwner,
+            };
+            self.settle(key, portion, reason, out);
+        }
+    }
+
+    /// At most one portion that also goes to its silent owner, to see whether that is back.
+    fn probes(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        owners: &[Option<Peer>],
+    ) -> Vec<(usize, Peer)> {
+        let query = &self.queries[key];
+        if query.terms.unrepeatable {
+            return Vec::new();
+        }
+        for (position, owner) in owners.iter().enumerate() {
+            let service = self.view.service(&query.portions[position].share.service);
+            let Some(first) = service.and_then(|service| service.owner()) else {
+                continue;
+            };
+            let passed_over = owner.as_ref().is_some_and(|owner| *owner != first.peer);
+            if passed_over && self.peers.take_probe(&first.peer.name, now) {
+                return vec![(position, first.peer.clone())];
+            }
+        }
+        Vec::new()
+    }
+
+    /// Sends portions, one work message for each owner. Each portion goes to one owner.
+    pub(crate) fn send(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        targets: Vec<(usize, Peer)>,
+        again: Option<Reason>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut batches: Vec<(Peer, Vec<usize>)> = Vec::new();
+        let mut places = crate::collections::Map::default();
+        for (portion, peer) in targets {
+            let place = *places.entry(peer.name.clone()).or_insert(batches.len());
+            if place == batches.len() {
+                batches.push((peer, Vec::new()));
+            }
+            batches[place].1.push(portion);
+        }
+        for (peer, portions) in batches {
+            self.send_batch(now, key, &peer, &portions, again, out);
+        }
+    }
+
+    fn send_batch(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        peer: &Peer,
+        portions: &[usize],
+        again: Option<Reason>,
+        out: &mut Vec<Action>,
+    ) {
+        let peer_key = self.peers.key(peer);
+        let query = &mut self.queries[key];
+        query.rounds += 1;
+        query.extra_calls += u32::from(again.is_some());
+        let round = query.rounds;
+        for &portion in portions {
+            query.portions[portion].sendings.push(Sending {
+                round,
+                peer: peer_key,
+                at: now,
+                progress: Progress::Open,
+            });
+        }
+        let step = Step::Sent {
+            to: peer.name.clone(),
+            round,
+            portions: portions.len() as u32,
+            again,
+        };
+        self.history.add(query.account, now, step);
+        out.push(Action::Send {
+            to: peer.clone(),
+            work: work(now, query, portions),
+        });
+        self.peers.sent(peer_key, now, portions.len() as u32);
+        self.watch(peer_key);
+    }
+
+    /// Sees to it that the silence of a peer that owes something is noticed.
+    pub(crate) fn watch(&mut self, key: PeerKey) {
+        if !self.settings.hedging {
+            return;
+        }
+        let Some(state) = self.peers.get_mut(key) else {
+            return;
+        };
+        // The local leaf lives and dies with this machine; its silence is that of its servers.
+        if state.timer.is_some() || *state.peer.name == *self.settings.name {
+            return;
+        }
+        if let Some(at) = state.overdue_at() {
+            state.timer = Some(at);
+            self.timers.add(at, Timer::Peer(key));
+        }
+    }
+}
+
+/// The work message for some portions of a query.
+fn work(now: Instant, query: &Query, portions: &[usize]) -> wire::Work {
+    let left = micros(query.answer_at.since(now));
+    wire::Work {
+        query: query.number,
+        round: query.rounds,
+        key: query.request.key.clone(),
+        attempt: query.request.attempt.max(1),
+        index: query.index.name.clone(),
+        version: query.index.version,
+        operation: query.request.operation.clone(),
+        payload: query.request.payload.clone(),
+        budget_us: left - RETURN_US.min(left / 4),
+        unrepeatable: query.terms.unrepeatable,
+        portions: portions
+            .iter()
+            .map(|&portion| wire_portion(query, &query.portions[portion]))
+            .collect(),
+        extra_calls: query.extra_calls,
+    }
+}
+
+fn wire_portion(query: &Query, portion: &Portion) -> wire::Portion {
+    let shards = &query.index.shards;
+    let name = |&position: &u32| shards[position as usize].name.clone();
+    wire::Portion {
+        service: portion.share.service.to_string(),
+        shards: portion.share.shards.iter().map(name).collect(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/gather/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of the gathering machine.
+
+use std::sync::Arc;
+
+/// Settings of the gathering machine.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub(crate) name: Arc<str>,
+    pub(crate) incarnation: u64,
+    pub(crate) hedging: bool,
+    pub(crate) history: usize,
+}
+
+impl Settings {
+    /// Starts from the defaults for the instance `name` in its `incarnation`.
+    pub fn builder(name: &str, incarnation: u64) -> Builder {
+        Builder {
+            settings: Self {
+                name: name.into(),
+                incarnation,
+                hedging: true,
+                history: 512,
+            },
+        }
+    }
+}
+
+/// Builds [`Settings`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    settings: Settings,
+}
+
+impl Builder {
+    /// Whether repeatable work at a silent owner also goes to the next candidate. Default: true.
+    #[must_use]
+    pub fn hedging(mut self, hedging: bool) -> Self {
+        self.settings.hedging = hedging;
+        self
+    }
+
+    /// Number of queries that `Machine::explain` remembers. Default: 512.
+    #[must_use]
+    pub fn history(mut self, queries: usize) -> Self {
+        self.settings.history = queries;
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> Settings {
+        self.settings
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gather/session.rs
@@ -0,0 +1,274 @@
+//! Drives the machine and writes down what it is told and what it asks for.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::gather::event::Caller;
+use ladder_core::gather::{Action, Event, Machine, Settings, status};
+use ladder_core::schema::call::{Answer, Missing, Part, Request};
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::wire::{Reply, Work};
+use ladder_core::time::Instant;
+
+use crate::fleet::{Fleet, INDEX, SELF};
+
+/// Incarnation of the instance under test.
+pub(crate) const INCARNATION: u64 = 42;
+
+/// A machine with the record of its session.
+pub(crate) struct Session {
+    pub(crate) machine: Machine,
+    pub(crate) now: Instant,
+    /// One line for each event and action.
+    pub(crate) log: String,
+    callers: u64,
+}
+
+impl Session {
+    /// A machine that has taken the view of `fleet`.
+    pub(crate) fn new(fleet: &Fleet) -> Self {
+        Self::with(Settings::builder(SELF, INCARNATION).build(), fleet)
+    }
+
+    pub(crate) fn with(settings: Settings, fleet: &Fleet) -> Self {
+        let mut session = Self {
+            machine: Machine::new(settings),
+            now: Instant::from_millis(1000),
+            log: String::new(),
+            callers: 0,
+        };
+        session.give(Event::View(fleet.view()));
+        session
+    }
+
+    /// Hands in an event now.
+    pub(crate) fn give(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.line('>', &event_line(&event));
+        self.machine.handle(self.now, event, &mut out);
+        for action in &out {
+            self.line('<', &action_line(action));
+        }
+        out
+    }
+
+    /// Lets time pass, waking the machine whenever it asks for it.
+    pub(crate) fn pass(&mut self, millis: u64) -> Vec<Action> {
+        let end = self.now + Duration::from_millis(millis);
+        let mut out = Vec::new();
+        while let Some(at) = self.machine.next_wake().filter(|&at| at <= end) {
+            self.now = at.max(self.now);
+            out.extend(self.give(Event::Tick));
+        }
+        self.now = end;
+        out
+    }
+
+    /// Calls with a new caller.
+    pub(crate) fn call(&mut self, request: Request) -> Vec<Action> {
+        self.callers += 1;
+        let caller = Caller(self.callers);
+        self.give(Event::Call { caller, request })
+    }
+
+    /// A peer replies.
+    pub(crate) fn reply(&mut self, from: &str, reply: Reply) -> Vec<Action> {
+        self.give(Event::Replies {
+            from: from.into(),
+            replies: vec![reply],
+        })
+    }
+
+    pub(crate) fn link_down(&mut self, name: &str) -> Vec<Action> {
+        self.give(Event::LinkDown(name.into()))
+    }
+
+    fn line(&mut self, side: char, text: &str) {
+        let millis = self.now.as_micros() as f64 / 1000.0 - 1000.0;
+        writeln!(self.log, "{millis:>9.3} {side} {text}").expect("a string takes any text");
+    }
+}
+
+pub(crate) fn request(key: &str, operation: &str, shards: &[&str]) -> Request {
+    Request {
+        key: key.to_owned(),
+        index: INDEX.to_owned(),
+        operation: operation.to_owned(),
+        shards: shards.iter().map(|&shard| shard.to_owned()).collect(),
+        ..Request::default()
+    }
+}
+
+/// The work messages with their receivers.
+pub(crate) fn works(actions: &[Action]) -> Vec<(Arc<str>, Work)> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send { to, work } => Some((to.name.clone(), work.clone())),
+        _ => None,
+    });
+    sends.collect()
+}
+
+/// The only answer.
+pub(crate) fn answer(actions: &[Action]) -> Answer {
+    let mut answers = answers(actions);
+    assert_eq!(answers.len(), 1, "one answer in {actions:?}");
+    answers.remove(0)
+}
+
+pub(crate) fn answers(actions: &[Action]) -> Vec<Answer> {
+    let answers = actions.iter().filter_map(|action| match action {
+        Action::Answer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// The reply that covers the portion of `service` in `work`.
+pub(crate) fn covered(work: &Work, service: &str) -> Reply {
+    let portion = work
+        .portions
+        .iter()
+        .find(|portion| portion.service == service)
+        .expect("the work has a portion of the service");
+    let parts = portion.shards.iter().map(|shard| Part {
+        shard: shard.clone(),
+        body: format!("{shard}@{}", work.version),
+    });
+    Reply {
+        verdict: Verdict::Ran.into(),
+        parts: parts.collect(),
+        calls: 1,
+        ..refused(work, service, Reason::Unspecified)
+    }
+}
+
+/// The reply that refuses it with proof that it did not run.
+pub(crate) fn refused(work: &Work, service: &str, reason: Reason) -> Reply {
+    Reply {
+        query: work.query,
+        round: work.round,
+        incarnation: INCARNATION,
+        service: service.to_owned(),
+        verdict: Verdict::NotRun.into(),
+        reason: reason.into(),
+        version: work.version,
+        ..Reply::default()
+    }
+}
+
+/// Shards with reasons, as `a:QUEUE_FULL`.
+pub(crate) fn missing(answer: &Answer) -> String {
+    let missing = answer.missing.iter().map(missing_text);
+    missing.collect::<Vec<_>>().join(" ")
+}
+
+fn missing_text(missing: &Missing) -> String {
+    let (reason, verdict) = (missing.reason(), missing.verdict());
+    format!(
+        "{}:{}/{}",
+        missing.shard,
+        short(reason),
+        verdict_text(verdict)
+    )
+}
+
+fn short(reason: Reason) -> &'static str {
+    reason.as_str_name().trim_start_matches("REASON_")
+}
+
+fn verdict_text(verdict: Verdict) -> &'static str {
+    verdict.as_str_name().trim_start_matches("VERDICT_")
+}
+
+fn event_line(event: &Event) -> String {
+    match event {
+        Event::Call { caller, request } => format!(
+            "call #{} {} attempt={} {}/{} shards={:?} deadline={}",
+            caller.0,
+            request.key,
+            request.attempt,
+            request.index,
+            request.operation,
+            request.shards,
+            request.deadline_ms
+        ),
+        Event::Gone(caller) => format!("gone #{}", caller.0),
+        Event::Replies { from, replies } => {
+            let replies = replies.iter().map(reply_text);
+            format!("from {from}: {}", replies.collect::<Vec<_>>().join("; "))
+        }
+        Event::LinkDown(name) => format!("link down {name}"),
+        Event::View(view) => format!("view, {} services", view.services.len()),
+        Event::Paused(gap) => format!("paused {gap:?}"),
+        Event::Drain => "drain".to_owned(),
+        Event::Tick => "tick".to_owned(),
+    }
+}
+
+fn reply_text(reply: &Reply) -> String {
+    let parts = reply.parts.iter().map(part_text);
+    format!(
+        "q{} r{} {} {} {} v{} [{}]",
+        reply.query,
+        reply.round,
+        reply.service,
+        verdict_text(reply.verdict()),
+        short(reply.reason()),
+        reply.version,
+        parts.collect::<Vec<_>>().join(" ")
+    )
+}
+
+fn part_text(part: &Part) -> String {
+    format!("{}={}", part.shard, part.body)
+}
+
+fn action_line(action: &Action) -> String {
+    match action {
+        Action::Answer { caller, answer } => {
+            format!("answer #{} {}", caller.0, answer_text(answer))
+        }
+        Action::Send { to, work } => format!("send {} {}", to.name, work_text(work)),
+        Action::Cancel { to, cancel } => format!("cancel {} q{}", to.name, cancel.query),
+        Action::Count(count) => format!("count {:?} {}", count.event, short(count.reason)),
+    }
+}
+
+fn work_text(work: &Work) -> String {
+    let portions = work
+        .portions
+        .iter()
+        .map(|portion| format!("{}[{}]", portion.service, portion.shards.join(" ")));
+    format!(
+        "q{} r{} {} attempt={} {}/{} v{} {} budget={}us extra={}{}",
+        work.query,
+        work.round,
+        work.key,
+        work.attempt,
+        work.index,
+        work.operation,
+        work.version,
+        portions.collect::<Vec<_>>().join(" "),
+        work.budget_us,
+        work.extra_calls,
+        if work.unrepeatable { " once" } else { "" }
+    )
+}
+
+fn answer_text(answer: &Answer) -> String {
+    let parts = answer.parts.iter().map(part_text);
+    format!(
+        "{} {} {} {} v{} covered=[{}] missing=[{}] parts=[{}] retry={} {}",
+        status(answer),
+        answer.key,
+        verdict_text(answer.verdict()),
+        short(answer.reason()),
+        answer.version,
+        answer.covered.join(" "),
+        missing(answer),
+        parts.collect::<Vec<_>>().join(" "),
+        answer.retry_after_ms,
+        answer.instance
+    )
+}
