Add ladder-load's run: open-loop schedule, checks and audit

Cause: nothing measured the tier or compared what callers are told with what targets execute.

Change: ladder-load run draws Poisson arrivals of each class from a seed before anything is sent, sends them on time through all instances in turn, counts latency from the scheduled time, checks key, index, version, coverage and verdict of each answer, and audits answers against the targets' ledgers for doubled and untrue "not run". Rates follow the capacity of the services that list an operation. Faults can be put on the schedule. No figures yet: it has not been run against an instance.

--- /dev/null
+++ b/crates/load/src/admin.rs
@@ -0,0 +1,93 @@
+//! The operators' interfaces of the stand-ins: ledgers, faults, publications.
+
+use std::time::Duration;
+
+use awc::Client;
+use ladder_schema::{publication, standin};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::layout::Layout;
+
+/// Bytes of the largest ledger that is read.
+const LEDGER_BYTES: usize = 1 << 30;
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client for the operators' interfaces.
+#[derive(Clone)]
+pub struct Admin {
+    client: Client,
+}
+
+impl Default for Admin {
+    fn default() -> Self {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        Self { client }
+    }
+}
+
+impl Admin {
+    /// Reads the ledgers of all processes; one that answers nothing fails the read.
+    pub async fn ledgers(&self, layout: &Layout) -> Result<Vec<standin::Ledger>, Error> {
+        let mut ledgers = Vec::new();
+        for process in &layout.processes {
+            ledgers.push(self.get(&process.admin, "/admin/ledger").await?);
+        }
+        Ok(ledgers)
+    }
+
+    /// Replaces the faults in force at a server.
+    pub async fn set_fault(
+        &self,
+        process: &str,
+        server: &str,
+        fault: &standin::Fault,
+    ) -> Result<(), Error> {
+        let path = format!("/admin/fault?server={server}");
+        self.post(process, &path, fault).await
+    }
+
+    /// Publishes records through the platform; one without a revision gets the next one.
+    pub async fn publish(
+        &self,
+        platform: &str,
+        records: Vec<publication::Record>,
+    ) -> Result<(), Error> {
+        let page = publication::Page { head: 0, records };
+        self.post(platform, "/admin/publish", &page).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, Error> {
+        let url = format!("http://{address}{path}");
+        let failed = |cause: String| Error::Admin(url.clone(), cause);
+        let mut response = self
+            .client
+            .get(&url)
+            .send()
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        if !response.status().is_success() {
+            return Err(failed(response.status().to_string()));
+        }
+        let body = response.body().limit(LEDGER_BYTES).await;
+        let body = body.map_err(|error| failed(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| failed(error.to_string()))
+    }
+
+    async fn post<T: Serialize>(&self, address: &str, path: &str, body: &T) -> Result<(), Error> {
+        let url = format!("http://{address}{path}");
+        let failed = |cause: String| Error::Admin(url.clone(), cause);
+        let response = self
+            .client
+            .post(&url)
+            .send_json(body)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        if response.status().is_success() {
+            Ok(())
+        } else {
+            Err(failed(response.status().to_string()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/error.rs
@@ -0,0 +1,38 @@
+//! Why a run or a comparison could not be done.
+
+use std::path::PathBuf;
+
+use displaydoc::Display;
+
+/// Why a run or a comparison could not be done.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot read {0}: {1}
+    Read(PathBuf, String),
+    /// cannot write {0}: {1}
+    Write(PathBuf, String),
+    /// {0}: {1}
+    Decode(PathBuf, String),
+    /// the layout in {0} has no {1}
+    Layout(PathBuf, &'static str),
+    /// no index of the layout has shards of a service with operation {0}
+    Operation(String),
+    /// the mix has no class with a positive rate
+    EmptyMix,
+    /// fault "{0}" is not AT_S:KIND:NAME with a known kind
+    Fault(String),
+    /// no server or index "{0}" in the layout
+    Unknown(String),
+    /// {0} does not answer: {1}
+    Admin(String, String),
+    /// the ledgers already hold keys of seed {0}: choose another seed or restart the targets
+    Seed(u64),
+    /// a sending thread failed
+    Thread,
+    /// no result of label "{0}" among the files
+    Label(String),
+    /// cannot draw: {0}
+    Plot(String),
+}
+
+impl std::error::Error for Error {}
