Add the control machine of an instance

Cause: an instance has to learn from a lagging list, a read-only platform and its peers who is alive, what is published and which services it owns, without writing shared state anywhere.

Change: control::Machine with a publication store (highest revision of each key wins, tombstones kept), membership by probes of three ring successors and rumours, placement by rendezvous hashing over the published list, readers by rule, spread by fan-out and digests, and the projection into views. Records are validated by ladder_schema::check.

--- /dev/null
+++ b/crates/core/src/control/membership.rs
@@ -0,0 +1,400 @@
+//! Who is in the fleet and alive, as this instance sees it.
+//!
+//! Members come from the published list and from what instances tell each other. An instance
+//! probes only its [`NEIGHBOURS`] successors on a ring, so the cost does not grow with the fleet;
+//! what it finds travels as rumours on frames that are sent anyway.
+
+mod member;
+mod queue;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ladder_schema::publication::{Instance, State};
+use ladder_schema::wire::{Frame, Liveness, Rumour};
+
+pub use member::{Member, Why};
+
+use super::hash;
+use super::settings::{Settings, Timing};
+use crate::time::Instant;
+
+/// Ring successors that an instance probes.
+pub const NEIGHBOURS: usize = 3;
+/// How long a dead or leaving member that is not published is remembered, in dead periods, so that
+/// rumours still on their way do not bring it back.
+const FORGET: u32 = 20;
+
+/// What a frame says about its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Nothing new.
+    Known,
+    /// A member or incarnation that was not known.
+    Joined,
+    /// It was suspected or held dead: tell it, so that it refutes.
+    Doubted(Rumour),
+    /// Not from a member: this instance itself, or an earlier incarnation.
+    Ignored,
+}
+
+/// Who is in the fleet and alive.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    /// This instance.
+    own: Member,
+    /// Invariant: does not hold this instance.
+    members: BTreeMap<Arc<str>, Member>,
+    rumours: queue::Queue,
+    watch: watch::Watch,
+    timing: Timing,
+    /// Something that a view depends on changed since it was last asked.
+    changed: bool,
+    /// A member came, went, died or returned since the ring was computed.
+    ring_stale: bool,
+}
+
+impl Membership {
+    /// Knows only this instance.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let mut own = Member::new(&settings.name, now, Why::Own);
+        own.address = Arc::clone(&settings.address);
+        own.zone = Arc::clone(&settings.zone);
+        own.incarnation = settings.incarnation;
+        let mut rumours = queue::Queue::default();
+        rumours.push(&own.name);
+        Self {
+            own,
+            members: BTreeMap::new(),
+            rumours,
+            watch: watch::Watch::new(now),
+            timing: settings.timing,
+            changed: true,
+            ring_stale: true,
+        }
+    }
+
+    /// This instance as a member.
+    pub const fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// All other members in order of name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// The member of this name, which may be this instance.
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        if *self.own.name == *name {
+            return Some(&self.own);
+        }
+        self.members.get(name)
+    }
+
+    /// Other members that may be sent to: neither dead nor leaving.
+    pub fn reachable(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.is_reachable())
+    }
+
+    /// Published members held dead. They are asked now and then, as after a partition each side
+    /// holds the other dead and neither would ever speak first.
+    pub fn lost(&self) -> impl Iterator<Item = &Member> {
+        let lost = |member: &&Member| member.liveness == Liveness::Dead;
+        self.members
+            .values()
+            .filter(lost)
+            .filter(|member| member.published.is_some())
+    }
+
+    /// Whether something that a view depends on changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Takes over the published list.
+    pub fn publish<'a>(&mut self, now: Instant, list: impl Iterator<Item = &'a Instance>) {
+        for member in self.members.values_mut() {
+            member.published = None;
+        }
+        self.own.published = None;
+        for instance in list {
+            self.publish_one(now, instance);
+        }
+        self.note_change();
+    }
+
+    fn publish_one(&mut self, now: Instant, instance: &Instance) {
+        let state = instance.state();
+        if instance.name == *self.own.name {
+            self.own.published = Some(state);
+            return;
+        }
+        let name: Arc<str> = instance.name.as_str().into();
+        let listed = || Member::new(&name, now, Why::Published);
+        let member = self.members.entry(Arc::clone(&name)).or_insert_with(listed);
+        member.published = Some(state);
+        if member.incarnation == 0 || member.address.is_empty() {
+            member.address = instance.peer_address.as_str().into();
+        }
+        member.zone = instance.zone.as_str().into();
+    }
+
+    fn note_change(&mut self) {
+        self.changed = true;
+        self.ring_stale = true;
+    }
+
+    /// Takes in that a frame came; any frame is a sign of life.
+    pub fn heard(&mut self, now: Instant, frame: &Frame) -> Life {
+        if frame.from.is_empty() || frame.from == *self.own.name || frame.address.is_empty() {
+            return Life::Ignored;
+        }
+        self.watch.answered();
+        let known = self.members.get_mut(frame.from.as_str());
+        let Some(member) = known.filter(|member| frame.incarnation <= member.incarnation) else {
+            self.join(now, frame);
+            return Life::Joined;
+        };
+        if frame.incarnation < member.incarnation {
+            return Life::Ignored;
+        }
+        member.heard = Some(now);
+        self.returned(now, &frame.from)
+    }
+
+    fn join(&mut self, now: Instant, frame: &Frame) {
+        let name: Arc<str> = frame.from.as_str().into();
+        let old = self.members.get(&name);
+        let mut member = Member::new(&name, now, Why::Heard);
+        member.address = frame.address.as_str().into();
+        member.zone = frame.zone.as_str().into();
+        member.incarnation = frame.incarnation;
+        member.heard = Some(now);
+        member.published = old.and_then(|old| old.published);
+        let is_news = old.is_none_or(|old| old.incarnation > 0 || !old.is_reachable());
+        if is_news {
+            self.rumours.push(&name);
+        }
+        self.members.insert(name, member);
+        self.note_change();
+    }
+
+    /// A suspect that speaks is alive. A member held dead must also refute: its frame may have
+    /// been sent before it died, and by then nobody would be left to notice the death again.
+    fn returned(&mut self, now: Instant, name: &str) -> Life {
+        let Some(member) = self.members.get_mut(name) else {
+            return Life::Ignored;
+        };
+        let doubt = member.as_rumour();
+        match member.liveness {
+            Liveness::Suspect if member.why != Why::Returned => {
+                member.turn(now, Liveness::Alive, Why::Heard);
+            }
+            Liveness::Dead => member.turn(now, Liveness::Suspect, Why::Returned),
+            _ => return Life::Known,
+        }
+        self.note_change();
+        Life::Doubted(doubt)
+    }
+
+    /// Takes in what a peer holds true of a member.
+    pub fn rumour(&mut self, now: Instant, rumour: &Rumour) {
+        if rumour.name == *self.own.name {
+            self.refute(rumour);
+            return;
+        }
+        let Some(member) = self.members.get_mut(rumour.name.as_str()) else {
+            self.introduce(now, rumour);
+            return;
+        };
+        if !member.is_beaten_by(rumour) {
+            return;
+        }
+        let was = (member.liveness, member.incarnation);
+        member.accept(now, rumour);
+        let is_news = was.0 != member.liveness || was.1 > 0;
+        if was != (member.liveness, member.incarnation) {
+            self.note_change();
+        }
+        if is_news {
+            self.rumours.push(&rumour.name.as_str().into());
+        }
+    }
+
+    fn introduce(&mut self, now: Instant, rumour: &Rumour) {
+        if rumour.liveness() != Liveness::Alive || rumour.address.is_empty() {
+            return;
+        }
+        let name: Arc<str> = rumour.name.as_str().into();
+        let mut member = Member::new(&name, now, Why::Rumour);
+        member.accept(now, rumour);
+        self.members.insert(Arc::clone(&name), member);
+        self.rumours.push(&name);
+        self.note_change();
+    }
+
+    /// A member that hears itself suspected or held dead says with a raised refutation that it is
+    /// not, which beats every rumour of the suspicion.
+    fn refute(&mut self, rumour: &Rumour) {
+        let doubted = matches!(rumour.liveness(), Liveness::Suspect | Liveness::Dead);
+        if !doubted || rumour.incarnation > self.own.incarnation {
+            return;
+        }
+        let same = rumour.incarnation == self.own.incarnation;
+        if same && rumour.refutation >= self.own.refutation {
+            self.own.refutation = rumour.refutation.saturating_add(1);
+        }
+        self.rumours.push(&self.own.name);
+    }
+
+    /// Takes in that the link to a member broke.
+    pub fn link_down(&mut self, now: Instant, name: &str) {
+        let alive = self.reachable().count();
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        if member.liveness != Liveness::Alive || !self.watch.trusts_link(now, alive, self.timing) {
+            return;
+        }
+        member.turn(now, Liveness::Suspect, Why::LinkDown);
+        self.rumours.push(&Arc::clone(&member.name));
+        self.note_change();
+    }
+
+    /// After a suspension every silence may be this instance's own: start to count anew.
+    pub fn resumed(&mut self, now: Instant) {
+        self.watch.resumed(now);
+        for member in self.members.values_mut() {
+            if member.liveness == Liveness::Suspect {
+                member.since = now;
+            }
+        }
+    }
+
+    /// This instance leaves; final for its incarnation.
+    pub fn leave(&mut self, now: Instant) {
+        self.own.turn(now, Liveness::Leaving, Why::Own);
+        self.rumours.push(&self.own.name);
+        self.note_change();
+    }
+
+    /// Lets time pass: suspicions, deaths, what may be forgotten.
+    pub fn tick(&mut self, now: Instant) {
+        if self.watch.overslept(now, self.timing) {
+            self.resumed(now);
+        }
+        self.refresh_ring(now);
+        for name in self.watch.suspects(now, &self.members, self.timing) {
+            self.turn(now, &name, Liveness::Suspect, Why::Silent);
+        }
+        if self.watch.is_held(now, self.timing) {
+            return;
+        }
+        let dead = self.timing.dead;
+        let expired = |member: &&Member| {
+            member.liveness == Liveness::Suspect && now.since(member.since) >= dead
+        };
+        let gone: Vec<_> = self
+            .members
+            .values()
+            .filter(expired)
+            .map(Member::key)
+            .collect();
+        for name in gone {
+            self.turn(now, &name, Liveness::Dead, Why::Unrefuted);
+        }
+        self.forget(now);
+        self.refresh_ring(now);
+    }
+
+    fn turn(&mut self, now: Instant, name: &Arc<str>, liveness: Liveness, why: Why) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.turn(now, liveness, why);
+            self.rumours.push(name);
+            self.note_change();
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let span = self.timing.dead * FORGET;
+        let before = self.members.len();
+        self.members.retain(|_, member| {
+            let gone = matches!(member.liveness, Liveness::Dead | Liveness::Leaving);
+            !gone || member.published.is_some() || now.since(member.since) < span
+        });
+        if self.members.len() != before {
+            self.note_change();
+        }
+    }
+
+    fn refresh_ring(&mut self, now: Instant) {
+        if std::mem::take(&mut self.ring_stale) {
+            let names = self.reachable().map(|member| &member.name);
+            let successors = successors(&self.own.name, names);
+            self.watch.set_neighbours(now, successors);
+        }
+    }
+
+    /// The members to probe now.
+    pub fn neighbours(&self) -> impl Iterator<Item = &Member> {
+        let names = self.watch.neighbours();
+        names.filter_map(|name| self.members.get(name))
+    }
+
+    /// Rumours for one frame, counted as told.
+    pub fn take_rumours(&mut self) -> Vec<Rumour> {
+        let names = self.rumours.take(self.members.len() + 1);
+        let mut rumours: Vec<Rumour> = Vec::with_capacity(names.len() + 1);
+        let leaving = self.own.liveness == Liveness::Leaving;
+        if leaving && !names.contains(&self.own.name) {
+            rumours.push(self.own.as_rumour());
+        }
+        rumours.extend(
+            names
+                .iter()
+                .filter_map(|name| Some(self.get(name)?.as_rumour())),
+        );
+        rumours
+    }
+
+    /// Some rumour has not been told often enough.
+    pub fn has_rumours(&self) -> bool {
+        !self.rumours.is_empty()
+    }
+
+    /// What a newcomer cannot know: members that are not alive.
+    pub fn doubts(&self) -> Vec<Rumour> {
+        let doubted = |member: &&Member| member.liveness != Liveness::Alive;
+        let members = self.members.values().filter(doubted);
+        members
+            .take(queue::PER_FRAME)
+            .map(Member::as_rumour)
+            .collect()
+    }
+
+    /// Whether work may be given to the instance of this name. Its published state says leaving
+    /// before or after its own rumour does; either counts.
+    pub fn standing(&self, name: &str) -> Liveness {
+        let Some(member) = self.get(name) else {
+            return Liveness::Dead;
+        };
+        if member.published == Some(State::Leaving) {
+            return Liveness::Leaving;
+        }
+        member.liveness
+    }
+}
+
+/// The next [`NEIGHBOURS`] names after `own` on the ring of hashes.
+fn successors<'a>(own: &str, names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
+    let place = |name: &str| hash::of(&[b"ring", name.as_bytes()]);
+    let start = place(own);
+    let mut ring: Vec<_> = names
+        .map(|name| (place(name).wrapping_sub(start), name))
+        .collect();
+    ring.sort_unstable();
+    let first = ring.into_iter().take(NEIGHBOURS);
+    first.map(|(_, name)| Arc::clone(name)).collect()
+}
--- /dev/null
+++ b/crates/core/src/control/membership/member.rs
@@ -0,0 +1,138 @@
+//! One member of the fleet.
+
+use std::sync::Arc;
+
+use ladder_schema::publication::State;
+use ladder_schema::wire::{Liveness, Rumour};
+
+use crate::time::Instant;
+
+/// What a member's liveness rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It is this instance.
+    Own,
+    /// The platform lists it; nothing was heard of it.
+    Published,
+    /// A frame of it came.
+    Heard,
+    /// A peer said so.
+    Rumour,
+    /// It did not answer probes.
+    Silent,
+    /// The link to it broke.
+    LinkDown,
+    /// Nothing refuted the suspicion in time.
+    Unrefuted,
+    /// It was held dead and spoke again; it has yet to refute.
+    Returned,
+}
+
+/// One member of the fleet.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// IP number and port of its peer socket.
+    pub address: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Grows with every start; 0 while nothing was heard of it.
+    ///
+    /// Invariant: never shrinks.
+    pub incarnation: u64,
+    /// Raised by the member itself to refute a suspicion.
+    ///
+    /// Invariant: never shrinks within an incarnation.
+    pub refutation: u32,
+    /// Whether it is held alive.
+    ///
+    /// Invariant: leaving is final for an incarnation.
+    pub liveness: Liveness,
+    /// When the liveness last changed.
+    pub since: Instant,
+    /// What the liveness rests on.
+    pub why: Why,
+    /// When the last frame of it came.
+    pub heard: Option<Instant>,
+    /// Its state in the published list, if it is in there.
+    pub published: Option<State>,
+}
+
+impl Member {
+    /// A member held alive.
+    pub(super) fn new(name: &Arc<str>, now: Instant, why: Why) -> Self {
+        Self {
+            name: Arc::clone(name),
+            address: "".into(),
+            zone: "".into(),
+            incarnation: 0,
+            refutation: 0,
+            liveness: Liveness::Alive,
+            since: now,
+            why,
+            heard: None,
+            published: None,
+        }
+    }
+
+    /// Its name, for use as a key.
+    pub(super) fn key(&self) -> Arc<str> {
+        Arc::clone(&self.name)
+    }
+
+    /// Neither dead nor leaving.
+    pub(super) fn is_reachable(&self) -> bool {
+        matches!(self.liveness, Liveness::Alive | Liveness::Suspect)
+    }
+
+    /// Changes the liveness.
+    pub(super) fn turn(&mut self, now: Instant, liveness: Liveness, why: Why) {
+        self.liveness = liveness;
+        self.since = now;
+        self.why = why;
+    }
+
+    /// What this instance holds true of it.
+    pub fn as_rumour(&self) -> Rumour {
+        Rumour {
+            name: self.name.to_string(),
+            incarnation: self.incarnation,
+            refutation: self.refutation,
+            liveness: self.liveness as i32,
+            address: self.address.to_string(),
+            zone: self.zone.to_string(),
+        }
+    }
+
+    /// Whether a rumour says something newer: a higher incarnation, then leaving, then a higher
+    /// refutation, then the worse liveness.
+    pub(super) fn is_beaten_by(&self, rumour: &Rumour) -> bool {
+        let heard = (
+            rumour.incarnation,
+            rumour.liveness() == Liveness::Leaving,
+            rumour.refutation,
+            rumour.liveness(),
+        );
+        let held = (
+            self.incarnation,
+            self.liveness == Liveness::Leaving,
+            self.refutation,
+            self.liveness,
+        );
+        rumour.liveness() != Liveness::Unspecified && heard > held
+    }
+
+    /// Takes a rumour over.
+    pub(super) fn accept(&mut self, now: Instant, rumour: &Rumour) {
+        self.incarnation = rumour.incarnation;
+        self.refutation = rumour.refutation;
+        if !rumour.address.is_empty() {
+            self.address = rumour.address.as_str().into();
+            self.zone = rumour.zone.as_str().into();
+        }
+        if self.liveness != rumour.liveness() {
+            self.turn(now, rumour.liveness(), Why::Rumour);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/reader.rs
@@ -0,0 +1,191 @@
+//! Which instances watch the platform, and when this one does.
+//!
+//! The platform answers about two thousand reads per second in all and counts a waiting watch as
+//! one, so only a few instances of each zone watch and pass on what they read.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use super::hash::{self, Random};
+use crate::time::{Instant, micros};
+
+/// Live instances of a zone that watch the platform.
+pub const READERS_PER_ZONE: usize = 2;
+/// First and longest wait after a failed read.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(15));
+/// Least time after an answer without news, in case the platform does not hold watches.
+const PACE: Duration = Duration::from_millis(250);
+/// Digest periods without any digest after which an instance that is no reader reads itself.
+const SILENT_DIGESTS: u32 = 5;
+
+/// Whether the instance is among the readers of its zone; `live` are the names of the zone's other
+/// live instances.
+pub fn chosen<'a>(name: &str, live: impl Iterator<Item = &'a str>) -> bool {
+    let own = rank(name);
+    live.filter(|other| rank(other) < own).count() < READERS_PER_ZONE
+}
+
+fn rank(name: &str) -> (Reverse<u64>, &str) {
+    (Reverse(hash::of(&[b"reader", name.as_bytes()])), name)
+}
+
+/// A read to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Only records above this revision.
+    pub after: u64,
+    /// How long the platform may wait for news.
+    pub wait: Duration,
+}
+
+/// Reads of the platform by one instance.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    /// A read is open.
+    ///
+    /// Invariant: at most one read is open at any time.
+    open: bool,
+    /// Highest revision that the platform itself has delivered. Revisions learnt from peers do not
+    /// count: a lower one could still be missing, and would never be read.
+    cursor: u64,
+    /// Failed reads since the last answer.
+    failures: u32,
+    /// No read starts before.
+    not_before: Instant,
+    /// The platform has answered or failed at least once.
+    tried: bool,
+    /// The next read must not wait: the last answer was cut short, or nothing is known.
+    urgent: bool,
+    /// The rule chose this instance when last asked.
+    chosen: bool,
+    /// Last digest of any peer.
+    digest_seen: Instant,
+    /// Further silence after which this instance reads although it is no reader, so that the
+    /// instances of a partition do not all ask at once.
+    spread: Duration,
+}
+
+impl Reader {
+    /// A reader that reads at once.
+    pub fn new(now: Instant, digest: Duration, random: &mut Random) -> Self {
+        Self {
+            open: false,
+            cursor: 0,
+            failures: 0,
+            not_before: now,
+            tried: false,
+            urgent: true,
+            chosen: false,
+            digest_seen: now,
+            spread: jitter(digest * SILENT_DIGESTS, random),
+        }
+    }
+
+    /// The platform has answered or failed at least once.
+    pub const fn tried(&self) -> bool {
+        self.tried
+    }
+
+    /// Takes in an answer; `last` is the highest revision in it, if any, and `head` what the
+    /// platform knows.
+    pub fn answered(&mut self, now: Instant, last: Option<u64>, head: u64) {
+        self.open = false;
+        self.tried = true;
+        self.failures = 0;
+        self.not_before = if last.is_some() { now } else { now + PACE };
+        self.cursor = self.cursor.max(last.unwrap_or(0));
+        self.urgent = last.is_some_and(|last| last < head);
+    }
+
+    /// Takes in a failure: the next read waits twice as long, with jitter, so that the instances
+    /// do not all come back at once when the platform does.
+    pub fn failed(&mut self, now: Instant, random: &mut Random) {
+        self.open = false;
+        self.tried = true;
+        let longest = BACKOFF.0 * 2_u32.saturating_pow(self.failures.min(10));
+        self.failures = self.failures.saturating_add(1);
+        let half = longest.min(BACKOFF.1) / 2;
+        self.not_before = now + half + jitter(half, random);
+    }
+
+    /// Takes in that a peer's digest came.
+    pub fn heard_digest(&mut self, now: Instant) {
+        self.digest_seen = now;
+    }
+
+    /// Forgets silences that a suspension of the process explains.
+    pub fn resumed(&mut self, now: Instant) {
+        self.digest_seen = now;
+    }
+
+    /// When no digest came for long: this instance may be cut from all readers.
+    fn is_cut_off(&self, now: Instant, digest: Duration) -> bool {
+        now >= self.cut_off_at(digest)
+    }
+
+    fn cut_off_at(&self, digest: Duration) -> Instant {
+        self.digest_seen + digest * SILENT_DIGESTS + self.spread
+    }
+
+    /// The read to start now, if any; `reader` says whether the rule chose this instance.
+    pub fn poll(
+        &mut self,
+        now: Instant,
+        reader: bool,
+        timing: Timing,
+        random: &mut Random,
+    ) -> Option<Read> {
+        self.elect(now, reader, random);
+        let wants = reader || !self.tried || self.is_cut_off(now, timing.digest);
+        if self.open || !wants || now < self.not_before {
+            return None;
+        }
+        self.open = true;
+        let wait = if self.urgent || !reader {
+            Duration::ZERO
+        } else {
+            timing.watch
+        };
+        if !reader {
+            self.digest_seen = now;
+        }
+        Some(Read {
+            after: self.cursor,
+            wait,
+        })
+    }
+
+    /// Waits a little when the rule first chooses this instance: after the loss of many readers,
+    /// their successors do not all ask at once.
+    fn elect(&mut self, now: Instant, reader: bool, random: &mut Random) {
+        let elected = reader && !self.chosen;
+        self.chosen = reader;
+        if elected && self.tried {
+            self.not_before = self.not_before.max(now + jitter(BACKOFF.0, random));
+        }
+    }
+
+    /// When [`Reader::poll`] may next start a read.
+    pub fn next_wake(&self, reader: bool, timing: Timing) -> Option<Instant> {
+        if self.open {
+            return None;
+        }
+        if reader || !self.tried {
+            return Some(self.not_before);
+        }
+        Some(self.cut_off_at(timing.digest).max(self.not_before))
+    }
+}
+
+/// Time spans that the reader needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between digests of a peer.
+    pub digest: Duration,
+    /// How long a watch may wait.
+    pub watch: Duration,
+}
+
+fn jitter(longest: Duration, random: &mut Random) -> Duration {
+    Duration::from_micros(random.below(micros(longest) + 1))
+}
--- /dev/null
+++ b/crates/core/src/control/settings.rs
@@ -0,0 +1,141 @@
+//! Settings of the control machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How services are shared out over instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// Each service has one owner with one queue.
+    #[default]
+    Owner,
+    /// Each instance asks the servers itself with a share of the connections.
+    Direct,
+}
+
+/// Time spans that steer membership, spread and reads of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Between probes of a neighbour.
+    pub probe: Duration,
+    /// Silence before a neighbour is suspected.
+    pub suspect: Duration,
+    /// Suspicion before a member is held dead.
+    pub dead: Duration,
+    /// Between digests to a random peer.
+    pub digest: Duration,
+    /// How long a watch of the platform may wait.
+    pub watch: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            probe: Duration::from_millis(250),
+            suspect: Duration::from_millis(1000),
+            dead: Duration::from_millis(1000),
+            digest: Duration::from_millis(1000),
+            watch: Duration::from_millis(5000),
+        }
+    }
+}
+
+/// Settings of the control machine.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub(super) fleet: Arc<str>,
+    pub(super) name: Arc<str>,
+    pub(super) incarnation: u64,
+    pub(super) zone: Arc<str>,
+    pub(super) address: Arc<str>,
+    pub(super) seeds: Vec<Arc<str>>,
+    pub(super) placement: Placement,
+    pub(super) timing: Timing,
+    pub(super) seed: u64,
+}
+
+impl Settings {
+    /// Starts from the instance's unique name and its peer address (IP number and port).
+    pub fn builder(name: &str, address: &str) -> Builder {
+        Builder {
+            settings: Self {
+                fleet: "".into(),
+                name: name.into(),
+                incarnation: 1,
+                zone: "".into(),
+                address: address.into(),
+                seeds: Vec::new(),
+                placement: Placement::default(),
+                timing: Timing::default(),
+                seed: 0,
+            },
+        }
+    }
+
+    /// The instance's name.
+    pub const fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+/// Builds [`Settings`].
+#[derive(Clone, Debug)]
+pub struct Builder {
+    settings: Settings,
+}
+
+impl Builder {
+    /// Fleet name, written into every frame.
+    #[must_use]
+    pub fn fleet(mut self, fleet: &str) -> Self {
+        self.settings.fleet = fleet.into();
+        self
+    }
+
+    /// Grows with every start of the instance; at least 1, as 0 means unknown.
+    #[must_use]
+    pub fn incarnation(mut self, incarnation: u64) -> Self {
+        self.settings.incarnation = incarnation.max(1);
+        self
+    }
+
+    /// Availability zone.
+    #[must_use]
+    pub fn zone(mut self, zone: &str) -> Self {
+        self.settings.zone = zone.into();
+        self
+    }
+
+    /// Peer addresses asked at start, when the platform may be silent.
+    #[must_use]
+    pub fn seeds<'a>(mut self, seeds: impl IntoIterator<Item = &'a str>) -> Self {
+        self.settings.seeds = seeds.into_iter().map(Into::into).collect();
+        self
+    }
+
+    /// How services are shared out.
+    #[must_use]
+    pub const fn placement(mut self, placement: Placement) -> Self {
+        self.settings.placement = placement;
+        self
+    }
+
+    /// Time spans.
+    #[must_use]
+    pub const fn timing(mut self, timing: Timing) -> Self {
+        self.settings.timing = timing;
+        self
+    }
+
+    /// Seed of all random choices.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.settings.seed = seed;
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> Settings {
+        self.settings
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -55,3 +55,4 @@
 );
 
 pub mod bounds;
+pub mod check;
