Add the daemon's shell and the operators' command line

Cause: the core's machines decide but nothing turned sockets and timers into their events.

Change: `ladder-entry` runs the three machines on a thread each, callers' and operators' HTTP on actix-http, lanes to servers on awc (one client with one connection for each lane), the link on nng push and pull sockets; a driver that finds suspensions by wake-ups that come too late; metrics, logs, checked settings, graceful stop. `ladderctl` checks records, shows status, owners and the account of one request, drains and cuts. One process for each instance instead of an entry and a leaf process: local work needs no message at all and an instance fails as one.

Conclusion: compiles against the core; settings tests pass over valid and invalid files.

--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -9,6 +9,7 @@
 
 /// What a member's liveness rests on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Why {
     /// It is this instance.
     Own,
--- /dev/null
+++ b/src/bin/ladderctl.rs
@@ -0,0 +1,9 @@
+//! `ladderctl`: the operators' command line.
+
+use std::process::ExitCode;
+
+use sycamoreladder::ctl;
+
+fn main() -> ExitCode {
+    ctl::run(ctl::arguments::arguments().run())
+}
--- /dev/null
+++ b/src/ctl.rs
@@ -0,0 +1,32 @@
+//! The operators' command line, `ladderctl`.
+
+pub mod arguments;
+pub mod check;
+pub mod client;
+pub mod print;
+
+use std::process::ExitCode;
+
+use arguments::Command;
+
+/// Exit code when an instance does not answer or the check finds mistakes.
+const FAILED: u8 = 1;
+
+/// Runs one command.
+pub fn run(command: Command) -> ExitCode {
+    let done = match command {
+        Command::Check { file } => check::run(&file),
+        Command::Status { instances } => client::status(&instances),
+        Command::Owners { service, instances } => client::owners(service.as_deref(), &instances),
+        Command::Explain { key, instances } => client::explain(&key, &instances),
+        Command::Drain { instance } => client::drain(&instance),
+        Command::Cut { instance, peers } => client::cut(&instance, peers),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ladderctl: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,213 @@
+//! The daemon of one instance: three machines of the core, each on a thread of its own, joined by
+//! the link to the other instances.
+//!
+//! - `control` thread: the control machine, the watch of the platform, operators' HTTP;
+//! - `gather` thread: the gathering machine, callers' HTTP;
+//! - `leaf` thread: the leaf machine, connections to servers;
+//! - `peer` thread: decodes frames of peers and hands their parts to the three.
+
+pub mod admin;
+pub mod callers;
+pub mod control;
+pub mod gather;
+pub mod lanes;
+pub mod leaf;
+pub mod peer;
+pub mod status;
+pub mod stop;
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use ladder_core::view::Peer;
+use slog::{Logger, info};
+
+use crate::clock::{self, Clock};
+use crate::driver::{self, Handle};
+use crate::link::{Cut, Identity, Inbound, Outbound};
+use crate::log;
+use crate::metrics::Metrics;
+use crate::options::Options;
+
+/// Why the daemon could not start or go on.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// cannot listen on {address}: {error}
+    Listen {
+        /// The address of the settings.
+        address: String,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// cannot listen for peers on {address}: {error}
+    Peer {
+        /// The address of the settings.
+        address: String,
+        /// What the library says.
+        error: nng::Error,
+    },
+    /// metrics cannot be set up: {0}
+    Metrics(String),
+    /// a thread cannot be started: {0}
+    Thread(io::Error),
+    /// the signal handler cannot be installed: {0}
+    Signal(io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// What the threads share.
+#[derive(Clone)]
+pub struct Shared {
+    /// What the daemon runs with.
+    pub options: Arc<Options>,
+    /// This instance as a peer.
+    pub me: Peer,
+    /// Incarnation of this process.
+    pub incarnation: u64,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Log of this instance.
+    pub log: Logger,
+    /// Instruments of this instance.
+    pub metrics: Metrics,
+    /// The sending half of the link.
+    pub outbound: Outbound,
+    /// Peers cut off by a test.
+    pub cut: Cut,
+    /// Whether the balancer should send callers here.
+    pub ready: Ready,
+    /// To the control machine.
+    pub control: Handle<ladder_core::control::Machine>,
+    /// To the gathering machine.
+    pub gather: Handle<ladder_core::gather::Machine>,
+    /// To the leaf machine.
+    pub leaf: Handle<ladder_core::leaf::Machine>,
+}
+
+/// Whether the balancer should send callers here: enough is known and no stop has begun.
+#[derive(Clone, Debug, Default)]
+pub struct Ready {
+    known: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
+}
+
+impl Ready {
+    /// Says whether enough is known to serve.
+    pub fn set_known(&self, known: bool) {
+        self.known.store(known, Ordering::Relaxed);
+    }
+
+    /// Says that a stop has begun.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether callers should come.
+    pub fn is_ready(&self) -> bool {
+        self.known.load(Ordering::Relaxed) && !self.is_draining()
+    }
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// [`Error`] when it cannot start.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let settings = &options.instance;
+    let callers = listen(&settings.caller_address)?;
+    let operators = listen(&settings.admin_address)?;
+    let socket = Inbound::listen(&settings.peer_address).map_err(|error| Error::Peer {
+        address: settings.peer_address.clone(),
+        error,
+    })?;
+    let (control, control_inbox) = driver::channel();
+    let (gather, gather_inbox) = driver::channel();
+    let (leaf, leaf_inbox) = driver::channel();
+    let metrics = Metrics::new().map_err(|error| Error::Metrics(error.to_string()))?;
+    let cut = Cut::default();
+    let clock = Clock::new();
+    let incarnation = clock::incarnation();
+    let names = peer::Names::default();
+    let outbound = Outbound::new(
+        identity(options, incarnation),
+        clock,
+        metrics.clone(),
+        cut.clone(),
+        peer::on_down(names.clone(), control.clone(), gather.clone()),
+    );
+    let shared = Shared {
+        options: Arc::new(options.clone()),
+        me: Peer {
+            name: Arc::from(settings.name.as_str()),
+            address: Arc::from(settings.peer_address.as_str()),
+        },
+        incarnation,
+        clock,
+        log: log::logger(&settings.log.unwrap_or_default(), &settings.name),
+        metrics,
+        outbound,
+        cut,
+        ready: Ready::default(),
+        control,
+        gather,
+        leaf,
+    };
+    info!(shared.log, "starts"; "incarnation" => incarnation, "zone" => &settings.zone);
+    spawn("leaf", &shared, move |shared| leaf::run(shared, leaf_inbox))?;
+    spawn("gather", &shared, move |shared| {
+        gather::run(shared, gather_inbox, callers)
+    })?;
+    spawn("control", &shared, move |shared| {
+        control::run(shared, control_inbox, operators)
+    })?;
+    spawn("peer", &shared, move |shared| {
+        peer::run(shared, &names, &socket)
+    })?;
+    stop::wait(&shared)
+}
+
+/// Who this process is to its peers.
+fn identity(options: &Options, incarnation: u64) -> Identity {
+    let settings = &options.instance;
+    Identity {
+        fleet: settings.fleet.clone(),
+        name: settings.name.clone(),
+        incarnation,
+        address: settings.peer_address.clone(),
+        zone: settings.zone.clone(),
+    }
+}
+
+/// A listener for a thread's own runtime.
+fn listen(address: &str) -> Result<TcpListener, Error> {
+    let fail = |error| Error::Listen {
+        address: address.to_owned(),
+        error,
+    };
+    let listener = TcpListener::bind(address).map_err(fail)?;
+    listener.set_nonblocking(true).map_err(fail)?;
+    Ok(listener)
+}
+
+/// Starts a named thread.
+fn spawn<F>(name: &str, shared: &Shared, body: F) -> Result<(), Error>
+where
+    F: FnOnce(Shared) + Send + 'static,
+{
+    let shared = shared.clone();
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || body(shared))
+        .map(drop)
+        .map_err(Error::Thread)
+}
--- /dev/null
+++ b/src/entry/control.rs
@@ -0,0 +1,168 @@
+//! The control thread: the control machine, the watch of the platform, operators' HTTP.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use awc::Client;
+use ladder_core::control::settings::{Placement, Settings, Timing};
+use ladder_core::control::{Action, Event, Machine};
+use ladder_core::time::Instant;
+use ladder_core::view::View;
+use ladder_core::{gather, leaf};
+use ladder_schema::publication::Page;
+use ladder_schema::settings;
+use slog::{error, info, warn};
+
+use super::{Shared, admin};
+use crate::driver::{self, Driver, Inbox, Performer};
+use crate::http;
+
+/// Added to a watch's wait before the platform counts as silent.
+const GRACE: Duration = Duration::from_millis(2000);
+/// Bytes of one page.
+const PAGE_BYTES: usize = 64 * 1024 * 1024;
+
+impl driver::Machine for Machine {
+    type Event = Event;
+    type Action = Action;
+
+    fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        Machine::handle(self, now, event, out);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        Some(Machine::next_wake(self))
+    }
+
+    fn tick() -> Event {
+        Event::Tick
+    }
+
+    fn paused(gap: Duration) -> Event {
+        Event::Paused(gap)
+    }
+}
+
+/// Carries out the control machine's actions.
+struct Performing {
+    shared: Shared,
+    client: Client,
+}
+
+impl Performing {
+    /// Starts a read of the platform.
+    fn watch(&self, after: u64, wait: Duration) {
+        let platform = &self.shared.options.instance.platform_address;
+        let wait_ms = wait.as_millis();
+        let url = format!("http://{platform}/v1/records?after={after}&wait_ms={wait_ms}");
+        let request = self.client.get(url).timeout(wait + GRACE).send();
+        let control = self.shared.control.clone();
+        self.shared.metrics.platform_call();
+        actix_rt::spawn(async move {
+            control.tell(match page(request).await {
+                Some(page) => Event::Page(page),
+                None => Event::WatchFailed,
+            });
+        });
+    }
+
+    /// Publishes a view to the traffic threads.
+    fn publish(&self, view: Arc<View>) {
+        if view.ready {
+            self.shared.ready.set_known(true);
+        }
+        self.shared
+            .gather
+            .tell(gather::Event::View(Arc::clone(&view)));
+        self.shared.leaf.tell(leaf::Event::View(view));
+    }
+}
+
+/// The page of a response, if it is one.
+async fn page(request: awc::SendClientRequest) -> Option<Page> {
+    let mut response = request.await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    response.json().limit(PAGE_BYTES).await.ok()
+}
+
+impl Performer<Machine> for Performing {
+    fn perform(&mut self, _now: Instant, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
+                Action::Watch { after, wait } => self.watch(after, wait),
+                Action::View(view) => {
+                    info!(self.shared.log, "view in force"; "generation" => view.generation,
+                        "revision" => view.revision, "ready" => view.ready);
+                    self.publish(view);
+                }
+                Action::Refused {
+                    record,
+                    revision,
+                    detail,
+                } => {
+                    warn!(self.shared.log, "published record refused"; "record" => record,
+                        "revision" => revision, "detail" => detail);
+                }
+                Action::Count(count) => self.shared.metrics.count(count),
+            }
+        }
+    }
+}
+
+/// Runs the thread until the process ends.
+pub fn run(shared: Shared, inbox: Inbox<Machine>, listener: TcpListener) {
+    let log = shared.log.clone();
+    actix_rt::System::new().block_on(async move {
+        let listener = match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                error!(log, "operators cannot be served"; "error" => %error);
+                return;
+            }
+        };
+        let operators = admin::Door::new(shared.clone());
+        actix_rt::spawn(http::serve(listener, move |request| {
+            operators.clone().handle(request)
+        }));
+        let driver = Driver {
+            machine: Machine::new(self::settings(&shared), shared.clock.now()),
+            clock: shared.clock,
+            pause: shared.options.times.pause,
+            performer: Performing {
+                shared,
+                client: Client::default(),
+            },
+        };
+        driver.run(inbox).await;
+    });
+}
+
+/// Settings of the control machine.
+fn settings(shared: &Shared) -> Settings {
+    let instance = &shared.options.instance;
+    let times = &shared.options.times;
+    let placement = match shared.options.strategy.placement {
+        settings::Placement::Direct => Placement::Direct,
+        _ => Placement::Owner,
+    };
+    let timing = Timing {
+        probe: times.probe,
+        suspect: times.suspect,
+        dead: times.dead,
+        digest: times.digest,
+        watch: times.watch,
+    };
+    Settings::builder(&instance.name, &instance.peer_address)
+        .fleet(&instance.fleet)
+        .incarnation(shared.incarnation)
+        .zone(&instance.zone)
+        .seeds(instance.seeds.iter().map(String::as_str))
+        .placement(placement)
+        .timing(timing)
+        .seed(shared.incarnation)
+        .build()
+}
--- /dev/null
+++ b/src/entry/leaf.rs
@@ -0,0 +1,125 @@
+//! The leaf thread: the leaf machine and its connections to servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::collections::Map;
+use ladder_core::gather;
+use ladder_core::leaf::{Action, Event, Machine, Settings};
+use ladder_core::time::Instant;
+use ladder_core::view::Peer;
+use ladder_schema::wire::{Frame, Reply};
+
+use super::Shared;
+use super::lanes::Lanes;
+use crate::driver::{self, Driver, Inbox, Performer};
+
+impl driver::Machine for Machine {
+    type Event = Event;
+    type Action = Action;
+
+    fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        Machine::handle(self, now, event, out);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        Machine::next_wake(self)
+    }
+
+    fn tick() -> Event {
+        Event::Tick
+    }
+
+    fn paused(gap: Duration) -> Event {
+        Event::Paused(gap)
+    }
+}
+
+/// Carries out the leaf machine's actions.
+struct Performing {
+    shared: Shared,
+    lanes: Lanes,
+    /// Replies of one batch to the local gathering machine; empty between batches.
+    local: Vec<Reply>,
+    /// Frames of one batch by peer address; empty between batches.
+    frames: Map<Arc<str>, Frame>,
+}
+
+impl Performing {
+    /// Keeps a reply for the end of the batch.
+    fn reply(&mut self, to: &Peer, reply: Reply) {
+        if to.address == self.shared.me.address {
+            self.local.push(reply);
+        } else {
+            self.frames
+                .entry(Arc::clone(&to.address))
+                .or_default()
+                .replies
+                .push(reply);
+        }
+    }
+
+    /// Sends what the batch has gathered.
+    fn flush(&mut self) {
+        if !self.local.is_empty() {
+            let from = Arc::clone(&self.shared.me.name);
+            let replies = std::mem::take(&mut self.local);
+            self.shared
+                .gather
+                .tell(gather::Event::Replies { from, replies });
+        }
+        for (address, frame) in self.frames.drain() {
+            self.shared.outbound.send(&address, frame);
+        }
+    }
+}
+
+impl Performer<Machine> for Performing {
+    fn perform(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Open { lane, address } => self.lanes.open(lane, &address),
+                Action::Close(lane) => self.lanes.close(lane),
+                Action::Send {
+                    lane,
+                    attempt,
+                    request,
+                    timeout,
+                } => {
+                    self.lanes.send(lane, attempt, request, now + timeout);
+                }
+                Action::Cancel { lane, id } => self.lanes.cancel(lane, &id),
+                Action::Probe { lane, server } => self.lanes.probe(lane, server),
+                Action::Reply { to, reply } => self.reply(&to, reply),
+                Action::Count(count) => self.shared.metrics.count(count),
+            }
+        }
+        self.flush();
+    }
+}
+
+/// Runs the thread until the process ends.
+pub fn run(shared: Shared, inbox: Inbox<Machine>) {
+    actix_rt::System::new().block_on(async move {
+        let strategy = shared.options.strategy;
+        let settings = Settings::builder(&shared.me.name, shared.incarnation)
+            .selection(strategy.selection)
+            .hedging(strategy.hedging)
+            .queueing(strategy.queueing)
+            .seed(shared.incarnation)
+            .build();
+        let lanes = Lanes::new(shared.leaf.clone(), shared.control.clone(), shared.clock);
+        let driver = Driver {
+            machine: Machine::new(settings),
+            clock: shared.clock,
+            pause: shared.options.times.pause,
+            performer: Performing {
+                shared,
+                lanes,
+                local: Vec::new(),
+                frames: Map::default(),
+            },
+        };
+        driver.run(inbox).await;
+    });
+}
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,190 @@
+//! What operators see of the machines.
+
+use ladder_core::control::membership::Member;
+use ladder_core::control::store::{Key, Refusal};
+use ladder_core::view::{Service, View};
+use ladder_core::{control, gather, leaf};
+use ladder_schema::publication::Kind;
+use ladder_schema::status;
+
+use super::Shared;
+
+/// What one instance holds true.
+///
+/// Each machine is asked by itself: the parts may be some milliseconds apart.
+pub async fn instance(shared: &Shared) -> status::Instance {
+    let known = shared.control.ask(known).await.unwrap_or_default();
+    let now = shared.clock.now();
+    let queues = shared
+        .leaf
+        .ask(move |machine| machine.status(now))
+        .await
+        .unwrap_or_default();
+    let mut services = known.services;
+    for service in &mut services {
+        if let Some(queue) = queues.iter().find(|queue| *queue.name == *service.name) {
+            service.queued = u32::try_from(queue.queued).unwrap_or(u32::MAX);
+            service.running = queue.in_flight;
+        }
+    }
+    let settings = &shared.options.instance;
+    status::Instance {
+        name: settings.name.clone(),
+        incarnation: shared.incarnation,
+        zone: settings.zone.clone(),
+        ready: shared.ready.is_ready(),
+        draining: shared.ready.is_draining(),
+        services,
+        open_queries: count(shared.gather.ask(gather::Machine::open).await),
+        open_portions: count(shared.leaf.ask(leaf::Machine::open).await),
+        ..known
+    }
+}
+
+/// What happened to the requests of `key`.
+pub async fn explanation(shared: &Shared, key: String) -> status::Explanation {
+    let found = shared
+        .gather
+        .ask(move |machine| machine.explain(&key).map(query))
+        .await;
+    status::Explanation {
+        queries: found.flatten().into_iter().collect(),
+    }
+}
+
+/// A machine's count as a message field.
+fn count(open: Option<usize>) -> u64 {
+    open.unwrap_or(0) as u64
+}
+
+/// The control machine's part.
+fn known(machine: &control::Machine) -> status::Instance {
+    let view = machine.view();
+    status::Instance {
+        revision: view.revision,
+        reader: machine.is_reader(),
+        members: machine.members().map(member).collect(),
+        services: services(machine, view),
+        refused: machine.refused().map(refused).collect(),
+        ..status::Instance::default()
+    }
+}
+
+/// One member.
+fn member(member: &Member) -> status::Member {
+    status::Member {
+        name: member.name.to_string(),
+        zone: member.zone.to_string(),
+        address: member.address.to_string(),
+        incarnation: member.incarnation,
+        liveness: member.liveness.into(),
+        why: member.why.to_string(),
+    }
+}
+
+/// All services in order of name.
+fn services(machine: &control::Machine, view: &View) -> Vec<status::Service> {
+    let mut services: Vec<_> = view
+        .services
+        .values()
+        .map(|found| service(machine, found))
+        .collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    services
+}
+
+/// One service with the revision of its entry.
+fn service(machine: &control::Machine, service: &Service) -> status::Service {
+    let key = Key::new(Kind::Entry, &service.name);
+    let revision = machine.records().find(|(found, _)| **found == key);
+    status::Service {
+        name: service.name.to_string(),
+        revision: revision.map_or(0, |(_, record)| record.revision),
+        owner: service
+            .owner()
+            .map_or_else(String::new, |owner| owner.peer.name.to_string()),
+        candidates: service
+            .candidates
+            .iter()
+            .map(|c| c.peer.name.to_string())
+            .collect(),
+        queued: 0,
+        running: 0,
+    }
+}
+
+/// One refused record.
+fn refused(refusal: &Refusal) -> status::Refused {
+    status::Refused {
+        kind: refusal.key.kind.into(),
+        name: refusal.key.name.to_string(),
+        revision: refusal.revision,
+        detail: refusal.detail.clone(),
+    }
+}
+
+/// The account of one query.
+fn query(explanation: &gather::Explanation) -> status::Query {
+    let arrived = explanation
+        .steps
+        .first()
+        .map_or_else(Default::default, |first| first.at);
+    let steps = explanation.steps.iter().map(|stamp| {
+        let mut step = step(&stamp.step);
+        step.at_us = stamp.at.as_micros().saturating_sub(arrived.as_micros());
+        step
+    });
+    status::Query {
+        key: explanation.key.clone(),
+        query: explanation.query,
+        steps: steps.collect(),
+    }
+}
+
+/// One step in words, with its reason and verdict.
+fn step(step: &gather::Step) -> status::Step {
+    use gather::Step;
+    let mut shown = status::Step::default();
+    shown.what = match step {
+        Step::Arrived { attempt } => format!("arrived, attempt {attempt}"),
+        Step::Pinned {
+            version,
+            portions,
+            missing,
+        } => {
+            format!("pinned version {version}: {portions} portions, {missing} shards missing")
+        }
+        Step::Sent {
+            to,
+            round,
+            portions,
+            again,
+        } => {
+            shown.reason = again.unwrap_or_default().into();
+            format!("sent {portions} portions to {to}, round {round}")
+        }
+        Step::Replied {
+            from,
+            service,
+            verdict,
+            reason,
+        } => {
+            shown.verdict = (*verdict).into();
+            shown.reason = (*reason).into();
+            format!("{from} replied for {service}")
+        }
+        Step::Lost { owner, portions } => format!("gave up {portions} portions at {owner}"),
+        Step::Gone => "the caller left".to_owned(),
+        Step::Answered {
+            verdict,
+            reason,
+            covered,
+            missing,
+        } => {
+            shown.verdict = (*verdict).into();
+            shown.reason = (*reason).into();
+            format!("answered: {covered} shards covered, {missing} missing")
+        }
+    };
+    shown
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,111 @@
+//! A small HTTP server on the calling thread, and JSON bodies.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::error::PayloadError;
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::net::TcpListener;
+
+/// How long an idle connection is kept; above the usual balancer's 60 s.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Why a request's body could not be read.
+#[derive(Debug, displaydoc::Display)]
+pub enum BodyError {
+    /// body exceeds {0} bytes
+    TooLarge(usize),
+    /// body cannot be read: {0}
+    Broken(PayloadError),
+}
+
+impl std::error::Error for BodyError {}
+
+/// Serves every connection of `listener` with `handler` on the calling thread, for ever.
+///
+/// A handler's future is dropped when its caller closes the connection.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
+        .finish(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, actix_http::Error>(answer.await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let service = Rc::clone(&service);
+                actix_rt::spawn(async move {
+                    // An error here is the caller's broken connection; there is no one to tell.
+                    let _ = service.call(stream).await;
+                });
+            }
+            // Out of file descriptors, most likely: give the open connections time to end.
+            Err(_) => actix_rt::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`BodyError`] when it is longer or cannot be read.
+pub async fn body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+    let mut payload = request.take_payload();
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(BodyError::Broken)?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
+
+/// A JSON response.
+pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<BoxBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::build(status)
+            .insert_header((
+                header::CONTENT_TYPE,
+                HeaderValue::from_static("application/json"),
+            ))
+            .body(body)
+            .map_into_boxed_body(),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// A plain text response.
+pub fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
+    Response::build(status)
+        .body(body.into())
+        .map_into_boxed_body()
+}
+
+/// The value of `name` in a query string, as it stands.
+pub fn parameter<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request
+        .uri()
+        .query()?
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Counters and histograms of one instance, scraped by operators.
+
+use std::time::Duration;
+
+use ladder_core::count::{Count, Event};
+use ladder_schema::call::Answer;
+use ladder_schema::outcome::{Reason, Verdict};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of one process; clones share them.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Held because instruments stop when their provider is dropped.
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    hedges: Counter<u64>,
+    drops: Counter<u64>,
+    answers: Counter<u64>,
+    latency: Histogram<f64>,
+    control_bytes: Counter<u64>,
+    platform_calls: Counter<u64>,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter cannot be registered.
+    pub fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter: Meter = provider.meter("ladder");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Ok(Self {
+            refusals: counter("ladder_refusals", "Requests or portions refused, by reason"),
+            retries: counter("ladder_retries", "Requests sent again, by reason"),
+            hedges: counter("ladder_hedges", "Second copies sent, by reason"),
+            drops: counter("ladder_drops", "Messages dropped, by reason"),
+            answers: counter(
+                "ladder_answers",
+                "Answers to callers, by verdict and coverage",
+            ),
+            latency: meter
+                .f64_histogram("ladder_answer_seconds")
+                .with_description("Time from a caller's request to its answer")
+                .build(),
+            control_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
+            platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Steps the counter of a core event.
+    pub fn count(&self, count: Count) {
+        let counter = match count.event {
+            Event::Refusal => &self.refusals,
+            Event::Retry => &self.retries,
+            Event::Hedge => &self.hedges,
+            Event::Drop => &self.drops,
+        };
+        counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
+    }
+
+    /// Counts a dropped message that never reached the core.
+    pub fn dropped(&self, reason: Reason) {
+        self.count(Count {
+            event: Event::Drop,
+            reason,
+        });
+    }
+
+    /// Counts an answer to a caller, given after `elapsed`.
+    pub fn answered(&self, answer: &Answer, elapsed: Duration) {
+        let coverage = match (answer.covered.is_empty(), answer.missing.is_empty()) {
+            (true, _) => "none",
+            (false, true) => "full",
+            (false, false) => "partial",
+        };
+        let verdict = Verdict::try_from(answer.verdict).unwrap_or_default();
+        self.answers.add(
+            1,
+            &[
+                KeyValue::new("verdict", verdict.as_str_name()),
+                KeyValue::new("coverage", coverage),
+            ],
+        );
+        self.latency.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Counts bytes handed to the link; `part` is `control` or `traffic`.
+    pub fn sent(&self, part: &'static str, bytes: usize) {
+        self.control_bytes
+            .add(bytes as u64, &[KeyValue::new("part", part)]);
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_call(&self) {
+        self.platform_calls.add(1, &[]);
+    }
+
+    /// All instruments in the text format of scrapers.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        // Writing to a buffer in memory fails only on invalid names, which are constants here.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,130 @@
+//! Options of the daemon: command-line arguments and the settings file, joined into what runs.
+//!
+//! [`arguments`] is what the operator typed, [`file`] what the settings file says once checked, and
+//! [`Options`] what the daemon runs with: the only type that the rest of the program sees.
+
+pub mod arguments;
+pub mod file;
+
+use std::time::Duration;
+
+use ladder_schema::settings::{Instance, Placement, Selection, Switch, Timing};
+
+use arguments::Arguments;
+
+/// Default of `timing.probe_ms`.
+pub const PROBE_MS: u32 = 250;
+/// Default of `timing.suspect_ms`.
+pub const SUSPECT_MS: u32 = 1000;
+/// Default of `timing.dead_ms`.
+pub const DEAD_MS: u32 = 1000;
+/// Default of `timing.digest_ms`.
+pub const DIGEST_MS: u32 = 1000;
+/// Default of `timing.pause_ms`.
+pub const PAUSE_MS: u32 = 1000;
+/// Default of `timing.drain_ms`.
+pub const DRAIN_MS: u32 = 20_000;
+/// Default of `timing.watch_ms`.
+pub const WATCH_MS: u32 = 5000;
+
+/// What the daemon runs with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The checked settings, as written.
+    pub instance: Instance,
+    /// How work reaches servers, defaults filled in.
+    pub strategy: Strategy,
+    /// Times, defaults filled in.
+    pub times: Times,
+}
+
+/// How work reaches servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Strategy {
+    /// One owner per service, or every instance by itself.
+    pub placement: Placement,
+    /// How a server is chosen.
+    pub selection: Selection,
+    /// Second copies to another replica.
+    pub hedging: bool,
+    /// Hold work beyond the servers' slots in a queue.
+    pub queueing: bool,
+}
+
+/// Times of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// Between probes of a neighbour.
+    pub probe: Duration,
+    /// Silence before a neighbour is suspected.
+    pub suspect: Duration,
+    /// Suspicion before a member is held dead.
+    pub dead: Duration,
+    /// Between digests to a random peer.
+    pub digest: Duration,
+    /// A gap that counts as a suspension of the process.
+    pub pause: Duration,
+    /// How long a stop waits for work in flight.
+    pub drain: Duration,
+    /// How long a watch of the platform may wait.
+    pub watch: Duration,
+}
+
+impl Options {
+    /// Loads and checks the settings file that `arguments` name.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong with the file, each with field, value and allowed range.
+    pub fn load(arguments: &Arguments) -> Result<Self, file::Error> {
+        let mut instance = file::load(&arguments.settings)?;
+        if let Some(level) = arguments.log_level {
+            instance.log.get_or_insert_default().set_level(level);
+        }
+        Ok(Self::new(instance))
+    }
+
+    /// Fills in the defaults of checked settings.
+    pub fn new(instance: Instance) -> Self {
+        let strategy = instance.strategy.unwrap_or_default();
+        let strategy = Strategy {
+            placement: match strategy.placement() {
+                Placement::Unspecified => Placement::Owner,
+                chosen => chosen,
+            },
+            selection: match strategy.selection() {
+                Selection::Unspecified => Selection::Outcome,
+                chosen => chosen,
+            },
+            hedging: strategy.hedging() != Switch::Off,
+            queueing: strategy.queueing() != Switch::Off,
+        };
+        let times = Times::new(&instance.timing.unwrap_or_default());
+        Self {
+            instance,
+            strategy,
+            times,
+        }
+    }
+}
+
+impl Times {
+    /// Fills in the defaults.
+    fn new(timing: &Timing) -> Self {
+        Self {
+            probe: millis(timing.probe_ms, PROBE_MS),
+            suspect: millis(timing.suspect_ms, SUSPECT_MS),
+            dead: millis(timing.dead_ms, DEAD_MS),
+            digest: millis(timing.digest_ms, DIGEST_MS),
+            pause: millis(timing.pause_ms, PAUSE_MS),
+            drain: millis(timing.drain_ms, DRAIN_MS),
+            watch: millis(timing.watch_ms, WATCH_MS),
+        }
+    }
+}
+
+/// `value` in milliseconds, `default` when it is 0.
+fn millis(value: u32, default: u32) -> Duration {
+    let value = if value == 0 { default } else { value };
+    Duration::from_millis(u64::from(value))
+}
--- /dev/null
+++ b/src/options/file.rs
@@ -0,0 +1,166 @@
+//! Reads and checks a settings file.
+
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use ladder_schema::bounds;
+use ladder_schema::settings::{Instance, Timing};
+
+/// Why settings are not usable.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// settings file {path:?} cannot be read: {error}
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// settings are not valid JSON for this program: {0}
+    Malformed(serde_json::Error),
+    /// settings are not usable: {0}
+    Invalid(Mistakes),
+}
+
+impl std::error::Error for Error {}
+
+/// {field}: {value:?} is not allowed, only {allowed}
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct Mistake {
+    /// Path of the field.
+    pub field: String,
+    /// Its value.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// Everything that is wrong with one file, a line each.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistakes(pub Vec<Mistake>);
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|mistake| write!(f, "\n  {mistake}"))
+    }
+}
+
+/// Allowed range of a time in milliseconds.
+struct Range {
+    field: &'static str,
+    value: u32,
+    least: u32,
+    most: u32,
+}
+
+/// Reads and checks the file at `path`.
+///
+/// # Errors
+///
+/// [`Error`]; [`Error::Invalid`] names every mistake at once.
+pub fn load(path: &Path) -> Result<Instance, Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::Unreadable {
+        path: path.to_owned(),
+        error,
+    })?;
+    parse(&text)
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+///
+/// As [`load`].
+pub fn parse(text: &str) -> Result<Instance, Error> {
+    let instance: Instance = serde_json::from_str(text).map_err(Error::Malformed)?;
+    let mistakes = check(&instance);
+    if mistakes.is_empty() {
+        Ok(instance)
+    } else {
+        Err(Error::Invalid(Mistakes(mistakes)))
+    }
+}
+
+/// Every mistake in `instance`.
+fn check(instance: &Instance) -> Vec<Mistake> {
+    let mut mistakes = Vec::new();
+    for (field, value) in [
+        ("fleet", &instance.fleet),
+        ("name", &instance.name),
+        ("zone", &instance.zone),
+    ] {
+        check_name(field, value, &mut mistakes);
+    }
+    for (field, value) in [
+        ("callerAddress", &instance.caller_address),
+        ("peerAddress", &instance.peer_address),
+        ("adminAddress", &instance.admin_address),
+        ("platformAddress", &instance.platform_address),
+    ] {
+        check_address(field, value, &mut mistakes);
+    }
+    for (index, seed) in instance.seeds.iter().enumerate() {
+        check_address(&format!("seeds[{index}]"), seed, &mut mistakes);
+    }
+    check_timing(&instance.timing.unwrap_or_default(), &mut mistakes);
+    mistakes
+}
+
+/// Names are not empty, bounded and printable.
+fn check_name(field: &str, value: &str, mistakes: &mut Vec<Mistake>) {
+    let printable = value.chars().all(|c| !c.is_control() && !c.is_whitespace());
+    if value.is_empty() || value.len() > bounds::NAME_BYTES || !printable {
+        mistakes.push(Mistake {
+            field: field.to_owned(),
+            value: value.to_owned(),
+            allowed: format!("1 to {} bytes without blanks", bounds::NAME_BYTES),
+        });
+    }
+}
+
+/// Addresses are an IP number and a port.
+fn check_address(field: &str, value: &str, mistakes: &mut Vec<Mistake>) {
+    if value.parse::<SocketAddr>().is_err() {
+        mistakes.push(Mistake {
+            field: field.to_owned(),
+            value: value.to_owned(),
+            allowed: "an IP number and a port, as in 127.0.0.1:8080".to_owned(),
+        });
+    }
+}
+
+/// Times are 0 for the default or within their range.
+fn check_timing(timing: &Timing, mistakes: &mut Vec<Mistake>) {
+    let range = |field, value, least, most| Range {
+        field,
+        value,
+        least,
+        most,
+    };
+    for Range {
+        field,
+        value,
+        least,
+        most,
+    } in [
+        range("timing.probeMs", timing.probe_ms, 50, 10_000),
+        range("timing.suspectMs", timing.suspect_ms, 100, 60_000),
+        range("timing.deadMs", timing.dead_ms, 100, 60_000),
+        range("timing.digestMs", timing.digest_ms, 50, 60_000),
+        range("timing.pauseMs", timing.pause_ms, 200, 60_000),
+        range("timing.drainMs", timing.drain_ms, 100, 600_000),
+        range("timing.watchMs", timing.watch_ms, 100, 60_000),
+    ] {
+        if value != 0 && !(least..=most).contains(&value) {
+            mistakes.push(Mistake {
+                field: field.to_owned(),
+                value: value.to_string(),
+                allowed: format!("{least} to {most} ms, or 0 for the default"),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the processes and of what joins them.
+
+mod settings;
