Test the stand-ins; a dead target serves nothing any more

Ruled out: a fault not yet set, as it is set before the operator is answered.

Change: the fault is looked at first.

--- a/crates/standin/src/target/api.rs
+++ b/crates/standin/src/target/api.rs
@@ -50,6 +50,9 @@
         let _ = http.call((stream, None)).await;
     };
     tokio::select! {
+        // Death first: a request that arrives after the fault was set must not be served any more
+        // because both became ready before this task ran.
+        biased;
         () = server.died() => {}
         () = served => {}
     }
--- /dev/null
+++ b/crates/standin/tests/standin/layout.rs
@@ -0,0 +1,233 @@
+//! The layout has the sizes of the brief, and its files load.
+
+use std::path::Path;
+
+use ladder_core::collections::Set;
+use ladder_schema::catalogue::Entry;
+use ladder_schema::publication::record::Body;
+use ladder_schema::publication::{Index, Server};
+use ladder_schema::settings::{Instance, Switch};
+use ladder_schema::standin::{Platform, Run, Targets};
+use ladder_standin::layout::user::User;
+use ladder_standin::layout::{Layout, Plan};
+use ladder_standin::settings;
+
+/// A row of the brief's "Sizes of today".
+struct Size {
+    group: &'static str,
+    services: usize,
+    servers: usize,
+    slots: u32,
+    connections: u32,
+    connect_ms: u32,
+}
+
+impl Size {
+    const fn wide(group: &'static str, services: usize) -> Self {
+        Self {
+            group,
+            services,
+            servers: 2,
+            slots: 2,
+            connections: 25,
+            connect_ms: 6,
+        }
+    }
+
+    const fn narrow(group: &'static str, servers: usize, slots: u32, connections: u32) -> Self {
+        Self {
+            group,
+            services: 1,
+            servers,
+            slots,
+            connections,
+            connect_ms: 1,
+        }
+    }
+}
+
+struct Brief {
+    user: User,
+    zones: usize,
+    sizes: [Size; 4],
+}
+
+const BRIEF: [Brief; 2] = [
+    Brief {
+        user: User::Porto,
+        zones: 3,
+        sizes: [
+            Size::wide("gate-finder", 20),
+            Size::wide("patrol-rounds", 30),
+            Size::narrow("subscriber-desk", 3, 6, 100),
+            Size::narrow("tariff-board", 3, 6, 100),
+        ],
+    },
+    Brief {
+        user: User::Bagmati,
+        zones: 4,
+        sizes: [
+            Size::wide("counter-desk", 20),
+            Size::wide("ledger-sync", 30),
+            Size::narrow("member-portal", 5, 2, 35),
+            Size::narrow("report-desk", 4, 2, 35),
+        ],
+    },
+];
+
+fn published<T>(plan: &Plan, of: impl Fn(&Body) -> Option<&T>) -> Vec<&T> {
+    let bodies = plan.platform.records.iter().flat_map(|record| &record.body);
+    bodies.filter_map(of).collect()
+}
+
+fn servers(plan: &Plan) -> Vec<&Server> {
+    published(plan, |body| match body {
+        Body::Server(server) => Some(server),
+        _ => None,
+    })
+}
+
+fn indexes(plan: &Plan) -> Vec<&Index> {
+    published(plan, |body| match body {
+        Body::Index(index) => Some(index),
+        _ => None,
+    })
+}
+
+fn entries(plan: &Plan) -> Vec<&Entry> {
+    published(plan, |body| match body {
+        Body::Entry(entry) => Some(entry),
+        _ => None,
+    })
+}
+
+fn check_size(plan: &Plan, size: &Size) {
+    let indexes = indexes(plan);
+    let index = indexes.iter().find(|index| index.name == size.group);
+    let index = index.expect("an index for each group");
+    assert_eq!(index.shards.len(), size.services, "{}", size.group);
+    for shard in &index.shards {
+        let servers = servers(plan);
+        let replicas = servers
+            .iter()
+            .filter(|server| server.service == shard.service);
+        let replicas: Vec<_> = replicas.collect();
+        assert_eq!(replicas.len(), size.servers, "{}", shard.name);
+        let zones: Set<&str> = replicas.iter().map(|server| server.zone.as_str()).collect();
+        assert!(
+            zones.len() >= size.servers.min(3),
+            "{} in one zone",
+            shard.name
+        );
+        for server in replicas {
+            assert_eq!(server.slots, size.slots, "{}", server.name);
+            assert_eq!(server.connections, size.connections, "{}", server.name);
+            assert_eq!(server.holdings.len(), 1);
+            assert_eq!(server.holdings[0].index, size.group);
+            assert_eq!(server.holdings[0].version, index.version);
+            check_target(plan, server, size);
+        }
+        let entries = entries(plan);
+        let mut entries = entries
+            .iter()
+            .filter(|entry| entry.service == shard.service);
+        assert!(!entries.next().expect("an entry").operations.is_empty());
+        assert!(entries.next().is_none(), "two entries of {}", shard.service);
+    }
+}
+
+/// A server is served by exactly one process, as it is published.
+fn check_target(plan: &Plan, server: &Server, size: &Size) {
+    let targets = plan.targets.iter().flat_map(|targets| &targets.targets);
+    let mut targets = targets.filter(|target| target.server.as_ref() == Some(server));
+    let target = targets.next().expect("a target for each server");
+    assert_eq!(target.connect_ms, size.connect_ms, "{}", server.name);
+    assert!(targets.next().is_none(), "{} is served twice", server.name);
+}
+
+#[test]
+fn sizes_are_those_of_the_brief() {
+    for brief in &BRIEF {
+        let plan = Layout::new(brief.user).instances(9).plan().expect("a plan");
+        for size in &brief.sizes {
+            check_size(&plan, size);
+        }
+        let sizes = brief.sizes.iter();
+        let all: usize = sizes.map(|size| size.services * size.servers).sum();
+        assert_eq!(servers(&plan).len(), all);
+        assert_eq!(indexes(&plan).len(), brief.sizes.len());
+        let zones: Set<&str> = servers(&plan)
+            .iter()
+            .map(|server| server.zone.as_str())
+            .collect();
+        assert_eq!(zones.len(), brief.zones);
+        let zones: Set<&str> = plan.instances.iter().map(|one| one.zone.as_str()).collect();
+        assert_eq!(zones.len(), brief.zones);
+    }
+}
+
+#[test]
+fn revisions_grow_and_no_address_is_given_twice() {
+    let plan = Layout::new(User::Porto)
+        .instances(9)
+        .plan()
+        .expect("a plan");
+    let records = plan.platform.records.iter();
+    let revisions: Vec<u64> = records.map(|record| record.revision).collect();
+    assert!(revisions.is_sorted_by(|a, b| a < b));
+    let mut addresses: Vec<&str> = vec![&plan.platform.address];
+    addresses.extend(servers(&plan).iter().map(|server| server.address.as_str()));
+    addresses.extend(plan.targets.iter().map(|one| one.admin_address.as_str()));
+    for instance in &plan.instances {
+        let own = [
+            &instance.caller_address,
+            &instance.peer_address,
+            &instance.admin_address,
+        ];
+        addresses.extend(own.map(String::as_str));
+        assert_eq!(instance.seeds.len(), 3);
+        assert!(!instance.seeds.contains(&instance.peer_address));
+    }
+    let distinct: Set<&str> = addresses.iter().copied().collect();
+    assert_eq!(distinct.len(), addresses.len());
+}
+
+#[test]
+fn the_unrepeatable_operations_are_marked() {
+    let mut unrepeatable = Vec::new();
+    for user in [User::Porto, User::Bagmati] {
+        let plan = Layout::new(user).scale(0.01).plan().expect("a plan");
+        let entries = entries(&plan);
+        let operations = entries.iter().flat_map(|entry| &entry.operations);
+        let marked = operations.filter(|operation| operation.unrepeatable);
+        unrepeatable.extend(marked.map(|operation| operation.name.clone()));
+    }
+    assert_eq!(unrepeatable, ["dock-booking", "payment", "payout-lookup"]);
+}
+
+#[test]
+fn the_files_of_a_run_load() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("layout");
+    let strategy = ladder_schema::settings::Strategy {
+        hedging: Switch::Off.into(),
+        ..Default::default()
+    };
+    let layout = Layout::new(User::Bagmati).scale(0.1).processes(2);
+    let written = layout.strategy(strategy).write(&folder).expect("written");
+    let run: Run = settings::load(&folder.join("run.json")).expect("loads");
+    assert_eq!(run, written);
+    let platform: Platform = settings::load(&folder.join(&run.platform_file)).expect("loads");
+    assert_eq!(platform.address, run.platform_address);
+    assert_eq!((run.targets.len(), run.instances.len()), (2, 3));
+    for process in &run.targets {
+        let targets: Targets = settings::load(&folder.join(&process.file)).expect("loads");
+        assert_eq!(targets.admin_address, process.admin_address);
+        assert_eq!(targets.targets.len(), process.servers.len());
+    }
+    for member in &run.instances {
+        let instance: Instance = settings::load(&folder.join(&member.file)).expect("loads");
+        assert_eq!(instance.caller_address, member.caller_address);
+        assert_eq!(instance.strategy, Some(strategy));
+        assert!(instance.fault_injection);
+    }
+}
