Name the platform in the instances' settings of a layout

Cause: the layout left `platformAddress` empty; every instance refused its settings and said so. Change: the layout fills it in once the platform's port is known.

--- a/crates/standin/src/layout.rs
+++ b/crates/standin/src/layout.rs
@@ -170,12 +170,15 @@
         let mut ports = Ports::new(self.address);
         let sizes = self.user.sizes(self.scale);
         let servers = servers(&sizes, &mut ports)?;
-        let instances = self.members(&sizes, &mut ports)?;
+        let mut instances = self.members(&sizes, &mut ports)?;
         let targets = self.targets(&sizes, &servers, &mut ports)?;
         let platform = Platform {
             address: ports.next()?,
             records: records::all(&sizes, &servers, &instances),
         };
+        for instance in &mut instances {
+            instance.platform_address.clone_from(&platform.address);
+        }
         let run = self.run(&platform, &targets, &instances);
         Ok(Plan {
             platform,
