--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -144,7 +144,8 @@
     pub(crate) timer: Instant,
     /// Work messages sent under `number`.
     pub(crate) rounds: u32,
-    /// Work messages sent beyond the first plan's, over all versions.
+    /// How often portions were sent again or twice, over all versions; portions that go out
+    /// together count once.
     pub(crate) extra_calls: u32,
     /// Portions that are open.
     ///
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -128,6 +128,7 @@
         again: Option<Reason>,
         out: &mut Vec<Action>,
     ) {
+        self.queries[key].extra_calls += u32::from(again.is_some() && !targets.is_empty());
         let mut batches: Vec<(Peer, Vec<usize>)> = Vec::new();
         let mut places = crate::collections::Map::default();
         for (portion, peer) in targets {
@@ -154,7 +155,6 @@
         let peer_key = self.peers.key(peer);
         let query = &mut self.queries[key];
         query.rounds += 1;
-        query.extra_calls += u32::from(again.is_some());
         let round = query.rounds;
         for &portion in portions {
             query.portions[portion].sendings.push(Sending {
--- a/crates/core/tests/gather/sweep.rs
+++ b/crates/core/tests/gather/sweep.rs
@@ -1,9 +1,10 @@
 //! The whole path of ordinary queries.
 
+use ladder_core::gather::{Event, Step};
 use ladder_core::schema::outcome::{Reason, Verdict};
 
-use crate::fleet::Fleet;
-use crate::session::{Session, answer, covered, missing, refused, request, works};
+use crate::fleet::{Fleet, site};
+use crate::session::{Session, answer, answers, covered, missing, refused, request, works};
 
 /// A caller sweeps all shards: the request goes in, one work message goes to each owner, the
 /// replies come back out of order, the caller gets all six shards of one version.
@@ -57,3 +58,81 @@
     assert_eq!(answer.retry_after_ms, 30);
     assert_eq!(ladder_core::gather::status(&answer), 429);
 }
+
+/// One of twenty services is slow. After 60 of 100 ms a sweep that values time answers with the
+/// other nineteen; one that values coverage waits for its whole deadline, and so does a sweep that
+/// lacks two.
+#[test]
+fn preference_decides_how_long_stragglers_are_waited_for() {
+    const SERVICES: [&str; 20] = [
+        "s01", "s02", "s03", "s04", "s05", "s06", "s07", "s08", "s09", "s10", "s11", "s12", "s13",
+        "s14", "s15", "s16", "s17", "s18", "s19", "s20",
+    ];
+    let mut fleet = Fleet::default();
+    fleet.sites = SERVICES.map(|name| site(name, ["e2", "e3", "e1"])).to_vec();
+    fleet.versions = vec![(7, SERVICES.map(|name| (name, name)).to_vec())];
+    for (operation, lacking, answered_ms) in [("sweep", 1, 60), ("sweep", 2, 98), ("check", 1, 98)]
+    {
+        let mut session = Session::new(&fleet);
+        let mut asked = request("k1", operation, &[]);
+        asked.deadline_ms = 100;
+        let work = works(&session.call(asked)).remove(0).1;
+        for service in &SERVICES[lacking..] {
+            session.reply("e2", covered(&work, service));
+        }
+        assert!(
+            answers(&session.pass(answered_ms - 1)).is_empty(),
+            "{operation} {lacking}"
+        );
+        let answer = answer(&session.pass(1));
+        assert_eq!(answer.covered.len(), 20 - lacking, "{operation} {lacking}");
+    }
+}
+
+/// An operator asks what happened to one query: the owner refused it, the next one answered.
+#[test]
+fn history_explains_a_query() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let again = works(&session.reply("e2", refused(&sent[0].1, "s2", Reason::NotOwner)));
+    session.reply("e3", covered(&again[0].1, "s2"));
+    let account = session.machine.explain("k1").expect("it is remembered");
+    let steps: Vec<Step> = account
+        .steps
+        .iter()
+        .map(|stamp| stamp.step.clone())
+        .collect();
+    insta::assert_debug_snapshot!(steps);
+    for number in 0..512 {
+        session.call(request(&format!("other{number}"), "check", &["c"]));
+    }
+    assert!(
+        session.machine.explain("k1").is_none(),
+        "the ring is bounded"
+    );
+}
+
+/// A stopping instance refuses what is new and finishes what is open.
+#[test]
+fn drain_refuses_new_and_finishes_open() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "check", &["c"])));
+    session.give(Event::Drain);
+    let refusal = answer(&session.call(request("k2", "check", &["c"])));
+    assert_eq!(refusal.reason(), Reason::Draining);
+    assert_eq!(refusal.verdict(), Verdict::NotRun);
+    let answer = answer(&session.reply("e2", covered(&sent[0].1, "s2")));
+    assert_eq!(answer.covered, ["c"]);
+}
+
+/// An instance without a catalogue refuses everything.
+#[test]
+fn nothing_is_taken_before_the_view_is_ready() {
+    let fleet = Fleet {
+        ready: false,
+        ..Fleet::default()
+    };
+    let mut session = Session::new(&fleet);
+    let refusal = answer(&session.call(request("k1", "check", &["c"])));
+    assert_eq!(refusal.reason(), Reason::NotReady);
+}
