--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -5,7 +5,6 @@
 
 use super::check::Refusal;
 use super::query::{Portion, Progress, Query, State};
-use crate::collections::Map;
 
 /// The HTTP status of an answer.
 ///
@@ -63,7 +62,10 @@
     let mut missing: Vec<(u32, Missing)> = Vec::new();
     for position in 0..query.portions.len() {
         match std::mem::replace(&mut query.portions[position].state, State::Open) {
-            State::Covered(covered) => place(query, position, covered, &mut parts),
+            State::Covered(covered) => {
+                let shards = query.portions[position].share.shards.iter();
+                parts.extend(shards.copied().zip(covered));
+            }
             state => lack(query, position, &state, reason, &mut missing),
         }
     }
@@ -83,20 +85,6 @@
     answer
 }
 
-/// Pairs parts with the positions of their shards.
-fn place(query: &Query, position: usize, covered: Vec<Part>, parts: &mut Vec<(u32, Part)>) {
-    let shards = &query.portions[position].share.shards;
-    let mut by_name: Map<&str, u32> = Map::default();
-    for &shard in shards {
-        by_name.insert(&query.index.shards[shard as usize].name, shard);
-    }
-    for part in covered {
-        if let Some(&shard) = by_name.get(part.shard.as_str()) {
-            parts.push((shard, part));
-        }
-    }
-}
-
 /// Lists the shards of a portion that is not covered.
 fn lack(
     query: &Query,
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -42,6 +42,7 @@
     /// A new view is in force.
     pub(crate) fn adopt(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
         self.view = view;
+        self.planner.forget();
         let view = Arc::clone(&self.view);
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -11,7 +11,7 @@
 use super::history::{Explanation, History, Step};
 use super::keys::Keys;
 use super::peers::Peers;
-use super::plan::{self, Plan};
+use super::plan::{Plan, Planner};
 use super::query::{Query, QueryKey};
 use super::timers::{Timer, Timers};
 use super::{answer, settings::Settings};
@@ -29,6 +29,7 @@
     pub(crate) settings: Settings,
     pub(crate) view: Arc<View>,
     draining: bool,
+    pub(crate) planner: Planner,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     /// Invariant: holds exactly the present numbers of `queries`.
     pub(crate) numbers: Map<u64, QueryKey>,
@@ -50,6 +51,7 @@
             settings,
             view: Arc::default(),
             draining: false,
+            planner: Planner::default(),
             queries: SlotMap::default(),
             numbers: Map::default(),
             callers: Map::default(),
@@ -74,7 +76,7 @@
         self.expire(now, reason, out);
         match event {
             Event::Call { caller, request } => self.call(now, caller, request, out),
-            Event::Replies { from, replies } => self.replies(now, &from, &replies, out),
+            Event::Replies { from, replies } => self.replies(now, &from, replies, out),
             Event::LinkDown(name) => self.link_down(now, &name, out),
             Event::View(view) => self.adopt(now, view, out),
             Event::Paused(_) => self.peers.restart_clocks(now),
@@ -127,7 +129,7 @@
     }
 
     /// Plans a request, or says why it is refused and whether an earlier one with its key ran.
-    fn admit(&self, request: &call::Request) -> Result<Plan, (Refusal, Verdict)> {
+    fn admit(&mut self, request: &call::Request) -> Result<Plan, (Refusal, Verdict)> {
         let refuse = |refusal| (refusal, Verdict::NotRun);
         check::check(request).map_err(refuse)?;
         if self.draining {
@@ -138,7 +140,7 @@
             let refusal = Refusal::new(Reason::NotReady, "the instance has no catalogue yet");
             return Err(refuse(refusal));
         }
-        let plan = plan::plan(&self.view, request, &[]).map_err(refuse)?;
+        let plan = self.planner.first(&self.view, request).map_err(refuse)?;
         if plan.terms.unrepeatable
             && let Some(verdict) = self.keys.get(&request.key)
         {
--- a/crates/core/src/gather/peers.rs
+++ b/crates/core/src/gather/peers.rs
@@ -159,6 +159,11 @@
             .is_some_and(|key| self.states[key].is_silent(now))
     }
 
+    /// Whether any peer gets no work but probes.
+    pub(crate) fn any_silent(&self, now: Instant) -> bool {
+        self.states.values().any(|state| state.is_silent(now))
+    }
+
     /// Whether a silent peer may be probed now; if so the next probe is put off.
     pub(crate) fn take_probe(&mut self, name: &str, now: Instant) -> bool {
         let Some(&key) = self.keys.get(name) else {
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -24,6 +24,18 @@
     pub(crate) deadline: Duration,
 }
 
+impl Terms {
+    /// These terms with what the request says: it can only make them stricter, but chooses its
+    /// deadline.
+    fn asked_by(mut self, request: &call::Request) -> Self {
+        self.unrepeatable |= request.unrepeatable;
+        if request.deadline_ms != 0 {
+            self.deadline = Duration::from_millis(request.deadline_ms.into());
+        }
+        self
+    }
+}
+
 /// The asked shards of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Share {
@@ -39,13 +51,51 @@
     /// The pinned version.
     pub(crate) index: Arc<Index>,
     /// One share per service, in order of the services' names.
-    pub(crate) shares: Vec<Share>,
+    pub(crate) shares: Arc<[Arc<Share>]>,
     /// Asked shards that cannot be had.
     pub(crate) missing: Vec<call::Missing>,
     /// The terms.
     pub(crate) terms: Terms,
 }
 
+/// Plans requests and keeps the plans of whole indexes while the view stays.
+#[derive(Debug, Default)]
+pub(crate) struct Planner {
+    /// Plans by index and operation, for requests that name no shards and no deadline and leave
+    /// the operation as repeatable as it is.
+    plans: Map<(String, String), Plan>,
+}
+
+impl Planner {
+    /// The first plan of a checked request.
+    pub(crate) fn first(&mut self, view: &View, request: &call::Request) -> Result<Plan, Refusal> {
+        if !request.shards.is_empty() {
+            return plan(view, request, &[]);
+        }
+        let key = (request.index.clone(), request.operation.clone());
+        let mut planned = match self.plans.get(&key) {
+            Some(known) => known.clone(),
+            None => {
+                let plain = call::Request {
+                    index: request.index.clone(),
+                    operation: request.operation.clone(),
+                    ..call::Request::default()
+                };
+                let fresh = plan(view, &plain, &[])?;
+                self.plans.insert(key, fresh.clone());
+                fresh
+            }
+        };
+        planned.terms = planned.terms.asked_by(request);
+        Ok(planned)
+    }
+
+    /// Forgets all plans; a new view is in force.
+    pub(crate) fn forget(&mut self) {
+        self.plans.clear();
+    }
+}
+
 /// Plans a checked request on the newest usable version that is not in `retired`.
 pub(crate) fn plan(view: &View, request: &call::Request, retired: &[u64]) -> Result<Plan, Refusal> {
     let versions = view.indexes.get(request.index.as_str());
@@ -88,7 +138,7 @@
     }
 }
 
-fn shares(view: &View, pin: &Pin) -> Vec<Share> {
+fn shares(view: &View, pin: &Pin) -> Arc<[Arc<Share>]> {
     let mut places: Map<&str, usize> = Map::default();
     let mut shares: Vec<Share> = Vec::new();
     for &position in &pin.held {
@@ -106,12 +156,12 @@
         shares[place].shards.push(position);
     }
     shares.sort_by(|a, b| a.service.cmp(&b.service));
-    shares
+    shares.into_iter().map(Arc::new).collect()
 }
 
-fn terms(view: &View, request: &call::Request, shares: &[Share]) -> Result<Terms, Refusal> {
+fn terms(view: &View, request: &call::Request, shares: &[Arc<Share>]) -> Result<Terms, Refusal> {
     let mut terms = Terms {
-        unrepeatable: request.unrepeatable,
+        unrepeatable: false,
         complete: false,
         deadline: Duration::ZERO,
     };
@@ -131,10 +181,6 @@
         terms.complete |= operation.preference() == Preference::Complete;
         default_ms = default_ms.min(operation.deadline_ms.max(1));
     }
-    let deadline_ms = match request.deadline_ms {
-        0 => default_ms,
-        asked => asked,
-    };
-    terms.deadline = Duration::from_millis(deadline_ms.into());
-    Ok(terms)
+    terms.deadline = Duration::from_millis(default_ms.into());
+    Ok(terms.asked_by(request))
 }
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -49,7 +49,7 @@
 pub(crate) enum State {
     /// A reply is awaited.
     Open,
-    /// Exactly one part for each of its shards, all from one reply.
+    /// Exactly one part for each of its shards, in their order, all from one reply.
     Covered(Vec<call::Part>),
     /// No reply is awaited.
     Refused(Reason),
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Portion {
     /// The service and its shards.
-    pub(crate) share: Share,
+    pub(crate) share: Arc<Share>,
     /// What became of it.
     pub(crate) state: State,
     /// All sendings, oldest first.
@@ -73,7 +73,7 @@
 }
 
 impl Portion {
-    fn new(share: Share) -> Self {
+    fn new(share: Arc<Share>) -> Self {
         Self {
             share,
             state: State::Open,
@@ -151,6 +151,8 @@
     ///
     /// Invariant: the number of `portions` with `is_open`.
     pub(crate) open: usize,
+    /// Asked shards.
+    pub(crate) asked: usize,
     /// Shards of the portions that are open.
     pub(crate) awaited: usize,
     /// Shards covered.
@@ -201,6 +203,7 @@
             rounds: 0,
             extra_calls: 0,
             open: 0,
+            asked: 0,
             awaited: 0,
             covered: 0,
             retry_after_ms: 0,
@@ -218,7 +221,7 @@
     /// are settled: what is still out by then is a straggler that mostly misses the deadline too.
     pub(crate) fn is_enough(&self, now: Instant) -> bool {
         let early = !self.terms.complete && !self.terms.unrepeatable;
-        let few = self.awaited * 100 <= self.asked() * LATE_PERCENT;
+        let few = self.awaited * 100 <= self.asked * LATE_PERCENT;
         early && now >= self.timely_at && few && self.covered > 0
     }
 
@@ -228,9 +231,11 @@
         self.missing = plan.missing;
         self.terms.unrepeatable |= plan.terms.unrepeatable;
         self.terms.complete |= plan.terms.complete;
-        self.portions = plan.shares.into_iter().map(Portion::new).collect();
+        self.portions = plan.shares.iter().cloned().map(Portion::new).collect();
         self.open = self.portions.len();
-        self.awaited = self.asked() - self.missing.len();
+        let portions = self.portions.iter();
+        self.awaited = portions.map(|portion| portion.share.shards.len()).sum();
+        self.asked = self.awaited + self.missing.len();
         self.covered = 0;
         self.rounds = 0;
     }
@@ -256,12 +261,6 @@
             .ok()
     }
 
-    /// Number of asked shards.
-    pub(crate) fn asked(&self) -> usize {
-        let portions = self.portions.iter();
-        self.missing.len() + portions.map(|p| p.share.shards.len()).sum::<usize>()
-    }
-
     /// Nothing of it can have run so far.
     pub(crate) fn is_untouched(&self) -> bool {
         let untouched = |portion: &Portion| portion.verdict() == Verdict::NotRun;
--- a/crates/core/src/gather/reply.rs
+++ b/crates/core/src/gather/reply.rs
@@ -6,11 +6,13 @@
 //! service, the round, the sender, the version and the exact set of shards all match one sending
 //! that has not been answered.
 
+use ladder_schema::call::Part;
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::wire;
 
 use super::peers::PeerKey;
 use super::query::{Portion, Progress, Query};
+use crate::collections::Map;
 
 /// Where a reply belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,11 +60,32 @@
 
 /// The parts are those of the portion's shards, each once.
 fn covers(query: &Query, portion: &Portion, reply: &wire::Reply) -> bool {
+    if is_in_order(query, portion, &reply.parts) {
+        return true;
+    }
     let mut given: Vec<&str> = reply.parts.iter().map(|part| part.shard.as_str()).collect();
-    let shards = &portion.share.shards;
-    let name = |&position: &u32| query.index.shards[position as usize].name.as_str();
-    let mut asked: Vec<&str> = shards.iter().map(name).collect();
+    let mut asked: Vec<&str> = names(query, portion).collect();
     given.sort_unstable();
     asked.sort_unstable();
     given == asked
 }
+
+/// Puts parts that cover a portion into the order of its shards.
+pub(crate) fn in_order(query: &Query, portion: usize, mut parts: Vec<Part>) -> Vec<Part> {
+    let portion = &query.portions[portion];
+    if !is_in_order(query, portion, &parts) {
+        let places: Map<&str, usize> = names(query, portion).zip(0..).collect();
+        parts.sort_unstable_by_key(|part| places.get(part.shard.as_str()).copied());
+    }
+    parts
+}
+
+/// The parts are those of the portion's shards in the same order, as owners mostly send them.
+fn is_in_order(query: &Query, portion: &Portion, parts: &[Part]) -> bool {
+    names(query, portion).eq(parts.iter().map(|part| part.shard.as_str()))
+}
+
+fn names<'a>(query: &'a Query, portion: &'a Portion) -> impl Iterator<Item = &'a str> {
+    let shards = portion.share.shards.iter();
+    shards.map(|&position| query.index.shards[position as usize].name.as_str())
+}
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -56,7 +56,7 @@
         &mut self,
         now: Instant,
         from: &str,
-        replies: &[wire::Reply],
+        replies: Vec<wire::Reply>,
         out: &mut Vec<Action>,
     ) {
         let Some(peer) = self.peers.find(from) else {
@@ -78,25 +78,26 @@
         &mut self,
         now: Instant,
         from: PeerKey,
-        reply: &wire::Reply,
+        reply: wire::Reply,
         out: &mut Vec<Action>,
     ) -> Result<(), Reason> {
         if reply.incarnation != self.settings.incarnation {
             return Err(Reason::StaleAnswer);
         }
         let key = *self.numbers.get(&reply.query).ok_or(Reason::StaleAnswer)?;
-        let place = reply::place(&self.queries[key], from, reply)?;
-        self.close(now, key, place, reply);
+        let place = reply::place(&self.queries[key], from, &reply)?;
+        self.close(now, key, place, &reply);
         let portion = &self.queries[key].portions[place.portion];
         if matches!(portion.state, State::Covered(_)) {
             // The other copy of a portion that was sent twice.
             return Err(Reason::StaleAnswer);
         }
         if reply.verdict() == Verdict::Ran && reply.reason() == Reason::Unspecified {
-            let state = State::Covered(reply.parts.clone());
-            self.queries[key].close(place.portion, state);
+            let query = &mut self.queries[key];
+            let parts = reply::in_order(query, place.portion, reply.parts);
+            query.close(place.portion, State::Covered(parts));
         } else {
-            self.refused(now, key, place.portion, reply, out);
+            self.refused(now, key, place.portion, &reply, out);
         }
         self.finish_if_settled(now, key, out);
         Ok(())
--- a/crates/core/tests/gather/sweep.rs
+++ b/crates/core/tests/gather/sweep.rs
@@ -68,9 +68,11 @@
         "s01", "s02", "s03", "s04", "s05", "s06", "s07", "s08", "s09", "s10", "s11", "s12", "s13",
         "s14", "s15", "s16", "s17", "s18", "s19", "s20",
     ];
-    let mut fleet = Fleet::default();
-    fleet.sites = SERVICES.map(|name| site(name, ["e2", "e3", "e1"])).to_vec();
-    fleet.versions = vec![(7, SERVICES.map(|name| (name, name)).to_vec())];
+    let fleet = Fleet {
+        ready: true,
+        sites: SERVICES.map(|name| site(name, ["e2", "e3", "e1"])).to_vec(),
+        versions: vec![(7, SERVICES.map(|name| (name, name)).to_vec())],
+    };
     for (operation, lacking, answered_ms) in [("sweep", 1, 60), ("sweep", 2, 98), ("check", 1, 98)]
     {
         let mut session = Session::new(&fleet);
