Add ladder-load's compare, and count a broken connection as lost

Cause: results of several runs could not be set against each other. A test also showed that a connection that ends after the request was written was taken for a refused one and the query sent again: awc reports it as the connect error Disconnected. Ruled out: a fault of the test's entry, whose response head was never sent, as intended. Any other use of awc that takes every connect error for "never written" has the same fault and can run an unrepeatable request twice.

Disconnected counts as broken.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -188,10 +188,7 @@
         let url = format!("http://{address}/query");
         let mut response = match self.client.post(url).send_json(request).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(ConnectError::Io(error))) => {
-                return Attempt::Refused(format!("{address}: {error}"));
-            }
-            Err(SendRequestError::Connect(error)) => {
+            Err(error) if is_unsent(&error) => {
                 return Attempt::Refused(format!("{address}: {error}"));
             }
             Err(error) => return Attempt::Broken(format!("{address}: {error}")),
@@ -204,6 +201,19 @@
     }
 }
 
+/// Whether the request was never written.
+///
+/// The client library reports a connection that ends before the response as the connect error
+/// `Disconnected`, although the request was written. Taken for a refused connection it would be
+/// sent again, and an unrepeatable request would run twice.
+fn is_unsent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) => true,
+        _ => false,
+    }
+}
+
 fn request(plan: &Plan, arrival: &Arrival, key: &str) -> call::Request {
     let named = |shard: &usize| plan.shards[*shard].name.clone();
     call::Request {
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -4,19 +4,37 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser};
-use serde::Serialize;
 
+use crate::compare::{self, Summary};
 use crate::error::Error;
 use crate::fault::Fault;
 use crate::layout;
 use crate::mix::{self, Mix};
+use crate::report;
+use crate::result::Run;
 use crate::run::{self, Amount};
+use crate::table::Table;
+
+/// Shortest measured part in seconds.
+const SHORTEST_S: f64 = 0.1;
 
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Sends one schedule of queries and writes the figures to a file.
     Run(Arguments),
+    /// Compares result files.
+    Compare(Comparison),
+}
+
+/// Arguments of `compare`.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    baseline: String,
+    chosen: String,
+    load: f64,
+    out: PathBuf,
+    files: Vec<PathBuf>,
 }
 
 /// Arguments of `run`.
@@ -29,6 +47,7 @@
     seed: u64,
     mix: Option<String>,
     label: String,
+    scenario: String,
     dropped: Vec<String>,
     faults: Vec<Fault>,
     retries: bool,
@@ -42,7 +61,13 @@
         .to_options()
         .descr("Sends one schedule of queries and writes the figures to a file")
         .command("run");
-    run.to_options()
+    let compare = comparison()
+        .map(Command::Compare)
+        .to_options()
+        .descr("Compares result files by label and writes a report with plots")
+        .command("compare");
+    bpaf::construct!([run, compare])
+        .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
 }
@@ -67,11 +92,8 @@
         .help("porto, bagmati or a JSON file; default: the mix of the layout's user")
         .argument("MIX")
         .optional();
-    let label = bpaf::long("label")
-        .help("Label of the result, for comparisons")
-        .argument("NAME")
-        .fallback("run".to_owned())
-        .display_fallback();
+    let label = name("label", "Label of the result, for comparisons", "run");
+    let scenario = name("scenario", "Name of the schedule of faults", run::STEADY);
     let dropped = bpaf::long("drop-instances")
         .help("Instance that the balancer leaves out; may be repeated")
         .argument("NAME")
@@ -89,6 +111,7 @@
         seed,
         mix,
         label,
+        scenario,
         dropped,
         faults,
         retries,
@@ -96,6 +119,27 @@
     })
 }
 
+fn comparison() -> impl Parser<Comparison> {
+    let baseline = name("baseline", "Label of the baseline", "baseline");
+    let chosen = name("chosen", "Label of the chosen policy", "owner");
+    let load = bpaf::long("load")
+        .help("Load that the last line is about; of the loads at hand, the nearest")
+        .argument("SHARE")
+        .fallback(0.7)
+        .display_fallback();
+    let out = out();
+    let files = bpaf::positional("FILE")
+        .help("Result files of runs")
+        .some("no result file");
+    bpaf::construct!(Comparison {
+        baseline,
+        chosen,
+        load,
+        out,
+        files,
+    })
+}
+
 fn number(name: &'static str, help: &'static str, fallback: f64) -> impl Parser<f64> {
     bpaf::long(name)
         .help(help)
@@ -108,6 +152,14 @@
         )
 }
 
+fn name(name: &'static str, help: &'static str, fallback: &'static str) -> impl Parser<String> {
+    bpaf::long(name)
+        .help(help)
+        .argument("NAME")
+        .fallback(fallback.to_owned())
+        .display_fallback()
+}
+
 fn faults() -> impl Parser<Vec<Fault>> {
     bpaf::long("fault")
         .help(
@@ -141,13 +193,16 @@
 pub fn execute(command: Command) -> Result<String, Error> {
     match command {
         Command::Run(arguments) => run(arguments),
+        Command::Compare(comparison) => compare(&comparison),
     }
 }
 
 fn run(arguments: Arguments) -> Result<String, Error> {
     let out = arguments.out.clone();
     let result = run::execute(options(arguments)?)?;
-    write(&out, &result)?;
+    let text = serde_json::to_string_pretty(&result)
+        .map_err(|error| Error::Write(out.clone(), error.to_string()))?;
+    write(&out, &text)?;
     let head = result.headline();
     Ok(format!(
         "label={} load={:.2} class={} p50={:.1} p99={:.1} p999={:.1} complete={:.4} \
@@ -169,18 +224,18 @@
 }
 
 fn options(arguments: Arguments) -> Result<run::Options, Error> {
-    Ok(run::Options {
-        run: arguments.run,
-        mix: arguments.mix.as_deref().map(named_mix).transpose()?,
-        amount: arguments.amount,
-        length: Duration::from_secs_f64(arguments.seconds.max(0.1)),
-        warmup: Duration::from_secs_f64(arguments.warmup.max(0.0)),
-        seed: arguments.seed,
-        label: arguments.label,
-        dropped: arguments.dropped,
-        faults: arguments.faults,
-        retries: arguments.retries,
-    })
+    let mix = arguments.mix.as_deref().map(named_mix).transpose()?;
+    let options = run::Options::new(arguments.run, arguments.amount)
+        .mix(mix)
+        .length(Duration::from_secs_f64(arguments.seconds.max(SHORTEST_S)))
+        .warmup(Duration::from_secs_f64(arguments.warmup))
+        .seed(arguments.seed)
+        .label(arguments.label)
+        .scenario(arguments.scenario)
+        .dropped(arguments.dropped)
+        .faults(arguments.faults)
+        .retries(arguments.retries);
+    Ok(options)
 }
 
 fn named_mix(name: &str) -> Result<Mix, Error> {
@@ -191,8 +246,23 @@
     }
 }
 
-fn write(path: &Path, result: &impl Serialize) -> Result<(), Error> {
-    let failed = |cause: String| Error::Write(path.to_path_buf(), cause);
-    let text = serde_json::to_string_pretty(result).map_err(|error| failed(error.to_string()))?;
-    std::fs::write(path, text).map_err(|error| failed(error.to_string()))
+fn compare(arguments: &Comparison) -> Result<String, Error> {
+    let runs = arguments.files.iter().map(|file| layout::decode(file));
+    let runs: Vec<Run> = runs.collect::<Result<_, _>>()?;
+    let rows = compare::group(&runs);
+    let tables = report::tables(&rows);
+    let summary = Summary::of(
+        &rows,
+        &arguments.baseline,
+        &arguments.chosen,
+        arguments.load,
+    )?;
+    let page = report::page(&tables, &report::plots(&rows, arguments.load)?, &summary);
+    write(&arguments.out, &page)?;
+    let texts: Vec<String> = tables.iter().map(Table::to_text).collect();
+    Ok(format!("{}\n{summary}", texts.join("\n")))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    std::fs::write(path, text).map_err(|error| Error::Write(path.to_path_buf(), error.to_string()))
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -14,14 +14,16 @@
 pub mod capacity;
 pub mod check;
 pub mod command;
-
+pub mod compare;
 pub mod error;
 pub mod fault;
 pub mod layout;
 pub mod mix;
 pub mod plan;
-
+pub mod plot;
+pub mod report;
 pub mod result;
 pub mod run;
 pub mod schedule;
+pub mod table;
 pub mod tally;
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Shares of the answered at which a result gives the latency.
+pub const SHARES: [f64; 10] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995];
+
 /// Figures of one class of queries, or of all.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Class {
@@ -25,6 +28,8 @@
     pub p99_ms: f64,
     /// 99.9th percentile of the answered, in milliseconds.
     pub p999_ms: f64,
+    /// Latency at each of [`SHARES`], in milliseconds.
+    pub quantiles_ms: Vec<f64>,
     /// Share of the answered that are complete.
     pub complete_share: f64,
     /// Shards covered by answers, of those asked by all queries sent.
@@ -63,6 +68,8 @@
     pub label: String,
     /// Name of the mix.
     pub mix: String,
+    /// Name of the schedule of faults.
+    pub scenario: String,
     /// Share of the capacity.
     pub load: f64,
     /// Queries scheduled each second.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -20,6 +20,8 @@
 use crate::schedule::{self, Arrival};
 use crate::tally::{self, Tally};
 
+/// Scenario of a run without faults.
+pub const STEADY: &str = "steady";
 /// Threads that send and receive.
 const THREADS: usize = 4;
 /// Between the drawing of the schedule and its first query.
@@ -37,29 +39,102 @@
     Rate(f64),
 }
 
-/// Settings of one run.
+/// Settings of one run; the defaults are ten seconds after two of warm-up, without faults.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// `run.json` of the layout.
-    pub run: PathBuf,
+    run: PathBuf,
+    amount: Amount,
+    mix: Option<Mix>,
+    length: Duration,
+    warmup: Duration,
+    seed: u64,
+    label: String,
+    scenario: String,
+    dropped: Vec<String>,
+    faults: Vec<Fault>,
+    retries: bool,
+}
+
+impl Options {
+    /// Sends `amount` to the layout of a `run.json`.
+    pub fn new(run: PathBuf, amount: Amount) -> Self {
+        Self {
+            run,
+            amount,
+            mix: None,
+            length: Duration::from_secs(10),
+            warmup: Duration::from_secs(2),
+            seed: 1,
+            label: "run".to_owned(),
+            scenario: STEADY.to_owned(),
+            dropped: Vec::new(),
+            faults: Vec::new(),
+            retries: false,
+        }
+    }
+
     /// What is called; by default the mix of the layout's user.
-    pub mix: Option<Mix>,
-    /// How much.
-    pub amount: Amount,
+    #[must_use]
+    pub fn mix(mut self, mix: Option<Mix>) -> Self {
+        self.mix = mix;
+        self
+    }
+
     /// Length of the measured part.
-    pub length: Duration,
-    /// Length of the part before it.
-    pub warmup: Duration,
+    #[must_use]
+    pub fn length(mut self, length: Duration) -> Self {
+        self.length = length;
+        self
+    }
+
+    /// Length of the part before it, which is checked but not measured.
+    #[must_use]
+    pub fn warmup(mut self, warmup: Duration) -> Self {
+        self.warmup = warmup;
+        self
+    }
+
     /// Seed of the schedule.
-    pub seed: u64,
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Label of the result.
-    pub label: String,
+    #[must_use]
+    pub fn label(mut self, label: String) -> Self {
+        self.label = label;
+        self
+    }
+
+    /// Name of the schedule of faults.
+    #[must_use]
+    pub fn scenario(mut self, scenario: String) -> Self {
+        self.scenario = scenario;
+        self
+    }
+
     /// Instances that the balancer leaves out.
-    pub dropped: Vec<String>,
+    #[must_use]
+    pub fn dropped(mut self, dropped: Vec<String>) -> Self {
+        self.dropped = dropped;
+        self
+    }
+
     /// Faults, with times after the start of the warm-up.
-    pub faults: Vec<Fault>,
-    /// Callers ask once more when a query is lost.
-    pub retries: bool,
+    #[must_use]
+    pub fn faults(mut self, faults: Vec<Fault>) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    /// Whether callers ask once more when a query is lost.
+    #[must_use]
+    pub fn retries(mut self, retries: bool) -> Self {
+        self.retries = retries;
+        self
+    }
 }
 
 /// What a run needs at its end.
@@ -148,6 +223,7 @@
         let run = Run {
             label: self.options.label.clone(),
             mix: self.mix.name.clone(),
+            scenario: self.options.scenario.clone(),
             load: self.load,
             rate: self.plans.iter().map(|plan| plan.rate * self.load).sum(),
             seed: self.options.seed,
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -10,7 +10,7 @@
 use crate::caller::{Outcome, Record};
 use crate::check;
 use crate::plan::Plan;
-use crate::result::Class;
+use crate::result::{self, Class};
 
 /// Longest latency that the histogram tells apart, in microseconds.
 const LONGEST_US: u64 = 120_000_000;
@@ -109,6 +109,7 @@
             p50_ms: quantile(0.5),
             p99_ms: quantile(0.99),
             p999_ms: quantile(0.999),
+            quantiles_ms: result::SHARES.map(quantile).to_vec(),
             complete_share: ratio(self.class.complete, self.class.answered),
             coverage: ratio(self.covered_shards, self.asked_shards),
             goodput: self.goodput as f64 / seconds,
