--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -8,8 +8,7 @@
 use crate::time::Instant;
 
 /// What a member's liveness rests on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Why {
     /// It is this instance.
     Own,
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -6,6 +6,7 @@
 use bpaf::{OptionParser, Parser};
 
 use crate::compare::{self, Summary};
+use crate::demo;
 use crate::error::Error;
 use crate::fault::Fault;
 use crate::layout;
@@ -25,6 +26,8 @@
     Run(Arguments),
     /// Compares result files.
     Compare(Comparison),
+    /// Shows each outcome while processes are killed.
+    Demo(demo::Options),
 }
 
 /// Arguments of `compare`.
@@ -66,12 +69,34 @@
         .to_options()
         .descr("Compares result files by label and writes a report with plots")
         .command("compare");
-    bpaf::construct!([run, compare])
+    let demo = demonstration()
+        .map(Command::Demo)
+        .to_options()
+        .descr("Shows each outcome while an instance and a target process are killed")
+        .command("demo");
+    bpaf::construct!([run, compare, demo])
         .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+fn demonstration() -> impl Parser<demo::Options> {
+    let run = bpaf::long("run")
+        .help("run.json of the layout")
+        .argument("FILE");
+    let instance = bpaf::long("kill-instance")
+        .help("Process to kill of an instance")
+        .argument("PID");
+    let target = bpaf::long("kill-target")
+        .help("Process to kill of the layout's last target process")
+        .argument("PID");
+    bpaf::construct!(demo::Options {
+        run,
+        instance,
+        target
+    })
+}
+
 fn arguments() -> impl Parser<Arguments> {
     let run = bpaf::long("run")
         .help("run.json of the layout")
@@ -194,6 +219,17 @@
     match command {
         Command::Run(arguments) => run(arguments),
         Command::Compare(comparison) => compare(&comparison),
+        Command::Demo(options) => demonstrate(&options),
+    }
+}
+
+fn demonstrate(options: &demo::Options) -> Result<String, Error> {
+    let totals = demo::execute(options)?;
+    if totals.is_sound() {
+        Ok(totals.to_string())
+    } else {
+        println!("{totals}");
+        Err(Error::Unsound)
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod check;
 pub mod command;
 pub mod compare;
+pub mod demo;
 pub mod error;
 pub mod fault;
 pub mod layout;
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -1,5 +1,6 @@
 //! Asks instances over their operators' HTTP.
 
+use std::io::{self, Write};
 use std::time::Duration;
 
 use awc::Client;
@@ -50,9 +51,7 @@
 ///
 /// The first instance that does not answer; the others are printed all the same.
 pub fn status(instances: &[String]) -> Result<(), Error> {
-    each(instances, "status", |instance, answer| {
-        print::status(instance, answer)
-    })
+    each(instances, "status", print::status)
 }
 
 /// Prints the owners of all services, or of one.
@@ -83,7 +82,7 @@
 pub fn drain(instance: &str) -> Result<(), Error> {
     actix_rt::System::new().block_on(async {
         post(instance, "drain", &status::Cut::default()).await?;
-        println!("{instance}: draining");
+        say(&format!("{instance}: draining"));
         Ok(())
     })
 }
@@ -97,7 +96,7 @@
     actix_rt::System::new().block_on(async {
         let count = peers.len();
         post(instance, "cut", &status::Cut { addresses: peers }).await?;
-        println!("{instance}: cut off from {count} peers");
+        say(&format!("{instance}: cut off from {count} peers"));
         Ok(())
     })
 }
@@ -106,15 +105,15 @@
 fn each<T, F>(instances: &[String], path: &str, mut print: F) -> Result<(), Error>
 where
     T: DeserializeOwned,
-    F: FnMut(&str, &T),
+    F: FnMut(&str, &T) -> String,
 {
     actix_rt::System::new().block_on(async {
         let mut first = Ok(());
         for instance in instances {
             match get::<T>(instance, path).await {
-                Ok(answer) => print(instance, &answer),
+                Ok(answer) => say(&print(instance, &answer)),
                 Err(error) => {
-                    println!("{error}");
+                    say(&error.to_string());
                     first = first.and(Err(error));
                 }
             }
@@ -123,6 +122,11 @@
     })
 }
 
+/// Writes a line to standard output; a reader that has seen enough is no failure.
+fn say(line: &str) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
 /// One GET with a JSON answer.
 ///
 /// # Errors
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -1,45 +1,38 @@
-//! Prints what instances answer, for people.
+//! What instances answer, as text for people.
 
 use ladder_schema::outcome::{Reason, Verdict};
-use ladder_schema::status::{Explanation, Instance, Member, Query, Step};
+use ladder_schema::status::{Explanation, Instance, Member, Refused, Service, Step};
 
-/// Prints the status of one instance.
-pub fn status(address: &str, status: &Instance) {
-    println!(
-        "{} ({address}, {}): revision {}, {}{}{}",
-        status.name,
-        status.zone,
-        status.revision,
-        if status.ready { "ready" } else { "not ready" },
-        if status.draining { ", draining" } else { "" },
-        if status.reader {
-            ", reads the platform"
-        } else {
-            ""
-        },
-    );
-    println!(
-        "  open: {} queries, {} portions",
-        status.open_queries, status.open_portions
-    );
-    for member in &status.members {
-        println!("  member {}", describe(member));
-    }
-    for refused in &status.refused {
-        println!(
-            "  refused {} {} at revision {}: {}",
-            refused.kind().as_str_name(),
-            refused.name,
-            refused.revision,
-            refused.detail
-        );
-    }
+/// The status of one instance.
+pub fn status(address: &str, status: &Instance) -> String {
+    let mut lines = vec![
+        format!(
+            "{} ({address}, {}): revision {}, {}{}{}",
+            status.name,
+            status.zone,
+            status.revision,
+            if status.ready { "ready" } else { "not ready" },
+            if status.draining { ", draining" } else { "" },
+            if status.reader {
+                ", reads the platform"
+            } else {
+                ""
+            },
+        ),
+        format!(
+            "  open: {} queries, {} portions",
+            status.open_queries, status.open_portions
+        ),
+    ];
+    lines.extend(status.members.iter().map(member));
+    lines.extend(status.refused.iter().map(refused));
+    lines.join("\n")
 }
 
 /// One line on a member.
-fn describe(member: &Member) -> String {
+fn member(member: &Member) -> String {
     format!(
-        "{} ({}, {}, incarnation {}): {} ({})",
+        "  member {} ({}, {}, incarnation {}): {} ({})",
         member.name,
         member.address,
         member.zone,
@@ -49,47 +42,61 @@
     )
 }
 
-/// Prints the owners in the view of one instance.
-pub fn owners(address: &str, only: Option<&str>, status: &Instance) {
-    println!("{} ({address}):", status.name);
-    let wanted = |name: &str| only.is_none_or(|only| only == name);
-    for service in status
-        .services
-        .iter()
-        .filter(|service| wanted(&service.name))
-    {
-        let owner = if service.owner.is_empty() {
-            "nobody"
-        } else {
-            &service.owner
-        };
-        println!(
-            "  {} (revision {}): {owner}, in order {}; {} queued and {} running here",
-            service.name,
-            service.revision,
-            service.candidates.join(" "),
-            service.queued,
-            service.running
-        );
-    }
+/// One line on a refused record.
+fn refused(refused: &Refused) -> String {
+    format!(
+        "  refused {} {} at revision {}: {}",
+        refused.kind().as_str_name(),
+        refused.name,
+        refused.revision,
+        refused.detail
+    )
+}
+
+/// The owners in the view of one instance.
+pub fn owners(address: &str, only: Option<&str>, status: &Instance) -> String {
+    let wanted = |service: &&Service| only.is_none_or(|only| only == service.name);
+    let mut lines = vec![format!("{} ({address}):", status.name)];
+    lines.extend(status.services.iter().filter(wanted).map(service));
+    lines.join("\n")
+}
+
+/// One line on a service.
+fn service(service: &Service) -> String {
+    let owner = if service.owner.is_empty() {
+        "nobody"
+    } else {
+        &service.owner
+    };
+    format!(
+        "  {} (revision {}): {owner}, in order {}; {} queued and {} running here",
+        service.name,
+        service.revision,
+        service.candidates.join(" "),
+        service.queued,
+        service.running
+    )
 }
 
-/// Prints what happened to the requests of a key at one instance.
-pub fn explanation(address: &str, explanation: &Explanation) {
+/// What happened to the requests of a key at one instance.
+pub fn explanation(address: &str, explanation: &Explanation) -> String {
     if explanation.queries.is_empty() {
-        println!("{address}: no record of this key");
+        return format!("{address}: no record of this key");
     }
+    let mut lines = Vec::new();
     for query in &explanation.queries {
-        println!("{address}: key {} query {}", query.key, query.query);
-        steps(query);
+        lines.push(format!(
+            "{address}: key {} query {}",
+            query.key, query.query
+        ));
+        lines.extend(query.steps.iter().map(step));
     }
+    lines.join("\n")
 }
 
-/// Prints the steps of a query.
-fn steps(query: &Query) {
-    for step in &query.steps {
-        println!("  {:>9} us  {}{}", step.at_us, step.what, because(step));
-    }
+/// One line on a step.
+fn step(step: &Step) -> String {
+    format!("  {:>9} us  {}{}", step.at_us, step.what, because(step))
 }
 
 /// Reason and verdict of a step, where it has them.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -165,13 +165,13 @@
     info!(shared.log, "starts"; "incarnation" => incarnation, "zone" => &settings.zone);
     spawn("leaf", &shared, move |shared| leaf::run(shared, leaf_inbox))?;
     spawn("gather", &shared, move |shared| {
-        gather::run(shared, gather_inbox, callers)
+        gather::run(shared, gather_inbox, callers);
     })?;
     spawn("control", &shared, move |shared| {
-        control::run(shared, control_inbox, operators)
+        control::run(shared, control_inbox, operators);
     })?;
     spawn("peer", &shared, move |shared| {
-        peer::run(shared, &names, &socket)
+        peer::run(&shared, &names, &socket);
     })?;
     stop::wait(&shared)
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -155,6 +155,7 @@
         dead: times.dead,
         digest: times.digest,
         watch: times.watch,
+        ..Timing::default()
     };
     Settings::builder(&instance.name, &instance.peer_address)
         .fleet(&instance.fleet)
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -47,7 +47,7 @@
 }
 
 /// Receives frames until the socket is closed.
-pub fn run(shared: Shared, names: &Names, socket: &Socket) {
+pub fn run(shared: &Shared, names: &Names, socket: &Socket) {
     let inbound = Inbound {
         fleet: shared.options.instance.fleet.clone(),
         clock: shared.clock,
@@ -57,7 +57,7 @@
     };
     inbound.run(socket, |frame| {
         names.learn(&frame.address, &frame.from);
-        deliver(&shared, frame);
+        deliver(shared, frame);
     });
 }
 
