Answer what a stop cuts at its bound, with its verdict

Cause: a stop that came to its bound ended the process with callers' connections open; they could not tell a request that ran from one that did not. Change: `gather::Event::Cut` answers everything open with what it covers and what may have run. Conclusion: no request ends without a verdict while the process can still speak.

--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -39,6 +39,8 @@
     Paused(Duration),
     /// Stop taking new requests; finish the open ones.
     Drain,
+    /// The bound of the graceful stop has come: answer the open requests with what is there.
+    Cut,
     /// The time asked for by `Machine::next_wake` has come.
     Tick,
 }
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Answers every open query with what it has and says which of the rest may have run.
+    ///
+    /// Without it a caller of an instance that stops at its bound would see a broken connection and
+    /// could not tell a request that ran from one that did not.
+    pub(crate) fn cut(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let open: Vec<QueryKey> = self.queries.keys().collect();
+        for key in open {
+            self.finish(now, key, Reason::Draining, out);
+        }
+    }
+
     /// Serves the timers that are due.
     pub(crate) fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((at, timer)) = self.timers.due(now) {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -81,6 +81,10 @@
             Event::View(view) => self.adopt(now, view, out),
             Event::Paused(_) => self.peers.restart_clocks(now),
             Event::Drain => self.draining = true,
+            Event::Cut => {
+                self.draining = true;
+                self.cut(now, out);
+            }
             Event::Gone(_) | Event::Tick => {}
         }
         self.wake(now, out);
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -7,5 +7,6 @@
 mod plans;
 mod refusals;
 mod session;
+mod stop;
 mod sweep;
 mod versions;
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -203,6 +203,7 @@
         Event::Paused(gap) => format!("paused {gap:?}"),
         Event::Drain => "drain".to_owned(),
         Event::Tick => "tick".to_owned(),
+        Event::Cut => "cut".to_owned(),
     }
 }
 
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -66,6 +66,7 @@
         }
         if Instant::now() >= bound {
             warn!(shared.log, "stop ends at its bound"; "open" => open);
+            shared.gather.tell(gather::Event::Cut);
             break;
         }
         sleep(LOOK).await;
