--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -8,12 +8,21 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
-use crate::layout::Layout;
+use crate::layout::{self, Layout};
 
 /// Bytes of the largest ledger that is read.
 const LEDGER_BYTES: usize = 1 << 30;
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Connections of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Peak {
+    /// Most that were open at once.
+    pub connections: u32,
+    /// Its limit.
+    pub limit: u32,
+}
+
 /// A client for the operators' interfaces.
 #[derive(Clone)]
 pub struct Admin {
@@ -37,6 +46,23 @@
         Ok(ledgers)
     }
 
+    /// The most connections that each server had open at once, without its executions.
+    pub async fn peaks(&self, layout: &Layout) -> Result<Vec<Peak>, Error> {
+        let mut peaks = Vec::new();
+        for process in &layout.processes {
+            for target in &process.targets {
+                let server = layout::server(target);
+                let path = format!("/admin/ledger?server={}&least={}", server.name, u32::MAX);
+                let ledger: standin::Ledger = self.get(&process.admin, &path).await?;
+                peaks.push(Peak {
+                    connections: ledger.peak_connections,
+                    limit: server.connections,
+                });
+            }
+        }
+        Ok(peaks)
+    }
+
     /// Replaces the faults in force at a server.
     pub async fn set_fault(
         &self,
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -11,6 +11,7 @@
 use crate::fault::Fault;
 use crate::layout;
 use crate::mix::{self, Mix};
+use crate::ready;
 use crate::report;
 use crate::result::Run;
 use crate::run::{self, Amount};
@@ -28,6 +29,15 @@
     Compare(Comparison),
     /// Shows each outcome while processes are killed.
     Demo(demo::Options),
+    /// Waits until every process of a layout serves.
+    Ready(Readiness),
+}
+
+/// Arguments of `ready`.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    run: PathBuf,
+    timeout: f64,
 }
 
 /// Arguments of `compare`.
@@ -74,16 +84,19 @@
         .to_options()
         .descr("Shows each outcome while an instance and a target process are killed")
         .command("demo");
-    bpaf::construct!([run, compare, demo])
+    let ready = readiness()
+        .map(Command::Ready)
+        .to_options()
+        .descr("Waits until every process of a layout serves")
+        .command("ready");
+    bpaf::construct!([run, compare, demo, ready])
         .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
 fn demonstration() -> impl Parser<demo::Options> {
-    let run = bpaf::long("run")
-        .help("run.json of the layout")
-        .argument("FILE");
+    let run = layout_file();
     let instance = bpaf::long("kill-instance")
         .help("Process to kill of an instance")
         .argument("PID");
@@ -98,9 +111,7 @@
 }
 
 fn arguments() -> impl Parser<Arguments> {
-    let run = bpaf::long("run")
-        .help("run.json of the layout")
-        .argument("FILE");
+    let run = layout_file();
     let amount = amount();
     let seconds = number("seconds", "Length of the measured part", 10.0);
     let warmup = number(
@@ -144,6 +155,18 @@
     })
 }
 
+fn readiness() -> impl Parser<Readiness> {
+    let run = layout_file();
+    let timeout = number("timeout", "How long to wait", 20.0);
+    bpaf::construct!(Readiness { run, timeout })
+}
+
+fn layout_file() -> impl Parser<PathBuf> {
+    bpaf::long("run")
+        .help("run.json of the layout")
+        .argument("FILE")
+}
+
 fn comparison() -> impl Parser<Comparison> {
     let baseline = name("baseline", "Label of the baseline", "baseline");
     let chosen = name("chosen", "Label of the chosen policy", "owner");
@@ -220,6 +243,7 @@
         Command::Run(arguments) => run(arguments),
         Command::Compare(comparison) => compare(&comparison),
         Command::Demo(options) => demonstrate(&options),
+        Command::Ready(readiness) => ready(&readiness),
     }
 }
 
@@ -282,6 +306,12 @@
     }
 }
 
+fn ready(arguments: &Readiness) -> Result<String, Error> {
+    let limit = Duration::from_secs_f64(arguments.timeout);
+    let instances = ready::wait(&arguments.run, limit)?;
+    Ok(format!("ready={instances}"))
+}
+
 fn compare(arguments: &Comparison) -> Result<String, Error> {
     let runs = arguments.files.iter().map(|file| layout::decode(file));
     let runs: Vec<Run> = runs.collect::<Result<_, _>>()?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod mix;
 pub mod plan;
 pub mod plot;
+pub mod ready;
 pub mod report;
 pub mod result;
 pub mod run;
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -94,9 +94,9 @@
     pub busy_ratio: f64,
     /// Calls begun at the targets for each needed one.
     pub extra_load: f64,
-    /// Highest number of connections at one server.
+    /// Most connections open at once at the server that came nearest to its limit.
     pub peak_connections: u32,
-    /// Lowest limit of connections among the servers.
+    /// The limit of that server.
     pub connection_limit: u32,
     /// Connections that the servers refused.
     pub refused_connections: u64,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,7 +7,7 @@
 
 use ladder_schema::standin;
 
-use crate::admin::Admin;
+use crate::admin::{Admin, Peak};
 use crate::audit::{self, Finding};
 use crate::caller::{self, Outcome, Record};
 use crate::capacity;
@@ -147,6 +147,26 @@
     before: Vec<standin::Ledger>,
 }
 
+/// What the targets know after a run.
+struct Aftermath {
+    ledgers: Vec<standin::Ledger>,
+    /// Connections of the server that came nearest to its limit.
+    nearest: Peak,
+}
+
+impl Aftermath {
+    async fn read(layout: &Layout) -> Result<Self, Error> {
+        let admin = Admin::default();
+        let share = |peak: &Peak| f64::from(peak.connections) / f64::from(peak.limit.max(1));
+        let peaks = admin.peaks(layout).await?.into_iter();
+        let nearest = peaks.max_by(|a, b| share(a).total_cmp(&share(b)));
+        Ok(Self {
+            ledgers: admin.ledgers(layout).await?,
+            nearest: nearest.unwrap_or_default(),
+        })
+    }
+}
+
 /// Runs to the end and gives the figures; must be called outside any actix system.
 pub fn execute(options: Options) -> Result<Run, Error> {
     let layout = Layout::read(&options.run)?;
@@ -170,7 +190,7 @@
         before,
     };
     let records = session.send(&system)?;
-    let after = system.block_on(Admin::default().ledgers(&session.layout))?;
+    let after = system.block_on(Aftermath::read(&session.layout))?;
     Ok(session.figures(&records, &after))
 }
 
@@ -210,8 +230,8 @@
         kept.map(|instance| instance.address.clone()).collect()
     }
 
-    fn figures(&self, records: &[Record], after: &[standin::Ledger]) -> Run {
-        let findings = audit::audit(&self.plans, records, after);
+    fn figures(&self, records: &[Record], after: &Aftermath) -> Run {
+        let findings = audit::audit(&self.plans, records, &after.ledgers);
         let seconds = self.options.length.as_secs_f64();
         let mut overall = Tally::new("all", false);
         let mut classes: Vec<Tally> = self.plans.iter().map(tally_of).collect();
@@ -251,25 +271,20 @@
         run: Run,
         records: &[Record],
         findings: &[Finding],
-        after: &[standin::Ledger],
+        after: &Aftermath,
     ) -> Run {
         let sum = |of: fn(&standin::Ledger) -> u64| {
             let total = |ledgers: &[standin::Ledger]| ledgers.iter().map(of).sum::<u64>();
-            total(after).saturating_sub(total(&self.before))
+            total(&after.ledgers).saturating_sub(total(&self.before))
         };
         let calls = sum(|ledger| ledger.calls);
-        let peaks = after.iter().map(|ledger| ledger.peak_connections);
-        let limits = self
-            .layout
-            .targets()
-            .map(|target| layout::server(target).connections);
         let expected = self.expected_us(records, findings).max(1.0);
         Run {
             calls,
             extra_load: tally::ratio(calls, run.overall.needed),
             busy_ratio: sum(|ledger| ledger.busy_us) as f64 / expected,
-            peak_connections: peaks.max().unwrap_or(0),
-            connection_limit: limits.min().unwrap_or(0),
+            peak_connections: after.nearest.connections,
+            connection_limit: after.nearest.limit,
             refused_connections: sum(|ledger| u64::from(ledger.refused_connections)),
             ..run
         }
