--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -242,6 +242,7 @@
     match command {
         Command::Run(arguments) => run(arguments),
         Command::Compare(comparison) => compare(&comparison),
+        Command::Ready(readiness) => ready(&readiness),
         Command::Demo(options) => demonstrate(&options),
         Command::Ready(readiness) => ready(&readiness),
     }
