Let the demo wait by the same code as the experiments

Cause: the wait for ready instances stood twice after the two commands came together. Change: `demo` calls `ready::wait`; the second arm for `ready` is gone.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -244,7 +244,6 @@
         Command::Compare(comparison) => compare(&comparison),
         Command::Ready(readiness) => ready(&readiness),
         Command::Demo(options) => demonstrate(&options),
-        Command::Ready(readiness) => ready(&readiness),
     }
 }
 
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -16,6 +16,7 @@
 use crate::layout::Layout;
 use crate::mix::Mix;
 use crate::plan::{self, Plan};
+use crate::ready;
 use crate::schedule;
 
 /// Length of the run.
@@ -103,10 +104,10 @@
 ///
 /// [`Error`] when the layout cannot be read or the stand-ins do not answer.
 pub fn execute(options: &Options) -> Result<Totals, Error> {
+    ready::wait(&options.run, PATIENCE)?;
     let layout = Layout::read(&options.run)?;
     let plans = plan::resolve(&Mix::of(&layout.user), &layout)?;
     let system = actix_rt::System::new();
-    system.block_on(ready(&layout))?;
     println!(
         "{} instances are ready; {RATE} queries a second follow",
         layout.instances.len()
@@ -202,26 +203,6 @@
     totals
 }
 
-/// Waits until every instance is ready.
-async fn ready(layout: &Layout) -> Result<(), Error> {
-    let client = awc::Client::default();
-    let end = Instant::now() + PATIENCE;
-    for instance in &layout.instances {
-        loop {
-            let url = format!("http://{}/ready", instance.address);
-            let answer = client.get(&url).send().await;
-            if answer.is_ok_and(|response| response.status().is_success()) {
-                break;
-            }
-            if Instant::now() > end {
-                return Err(Error::NotReady(instance.name.clone()));
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-    Ok(())
-}
-
 /// Kills the instance and the target at their times. Returns the ledgers of the killed target as
 /// they stood right before: they die with it.
 async fn faults(
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -27,8 +27,6 @@
     Admin(String, String),
     /// the ledgers already hold keys of seed {0}: choose another seed or restart the targets
     Seed(u64),
-    /// instance {0} does not get ready
-    NotReady(String),
     /// an answer was wrong, doubled or lost, or there was none
     Unsound,
     /// a sending thread failed
