--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -55,8 +55,7 @@
     pub(super) fn refresh(&mut self, source: &Source<'_>, ready: bool) -> Option<Arc<View>> {
         self.ranks.refresh(source.store.instances());
         self.cache.refresh(source.store);
-        self.grants
-            .retain(|server| source.store.server(server).is_some());
+        self.grants.begin();
         let mut view = View {
             generation: self.view.generation + 1,
             revision: source.store.revision(),
--- a/crates/core/src/control/project/grants.rs
+++ b/crates/core/src/control/project/grants.rs
@@ -36,10 +36,19 @@
 /// Connections granted per server.
 #[derive(Debug, Default)]
 pub(super) struct Grants {
+    /// Invariant: each has been settled since the last [`Grants::begin`]. A growth that nobody
+    /// settles any more would stay due for ever, and the machine would wake without end.
     granted: Map<Arc<str>, Grant>,
+    /// Grants before the last [`Grants::begin`].
+    old: Map<Arc<str>, Grant>,
 }
 
 impl Grants {
+    /// Starts a new round: a server that is not settled in it has no grant any more.
+    pub(super) fn begin(&mut self) {
+        self.old = std::mem::take(&mut self.granted);
+    }
+
     /// The connections granted when the share by the newest list is `share`.
     pub(super) fn settle(
         &mut self,
@@ -49,11 +58,11 @@
         grace: Duration,
     ) -> u32 {
         if share == 0 {
-            self.granted.remove(server);
             return 0;
         }
-        let grant = self.granted.entry(Arc::clone(server)).or_default();
+        let mut grant = self.old.remove(server).unwrap_or_default();
         grant.settle(now, share, grace);
+        self.granted.insert(Arc::clone(server), grant);
         grant.connections
     }
 
@@ -62,11 +71,6 @@
         let growths = self.granted.values().filter_map(|grant| grant.growth);
         growths.map(|growth| growth.since + grace).min()
     }
-
-    /// Forgets servers that are not published any more.
-    pub(super) fn retain(&mut self, published: impl Fn(&str) -> bool) {
-        self.granted.retain(|server, _| published(server));
-    }
 }
 
 impl Grant {
