--- /dev/null
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -0,0 +1,423 @@
+//! One run: a machine, its servers and a queue of events on a virtual clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
+use ladder_core::leaf::{Action, Event, Machine, Settings};
+use ladder_core::schema::catalogue::{Entry, Limits};
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::publication::Holding;
+use ladder_core::schema::{call, target, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::{Candidate, Peer, Server, Service, View};
+
+use crate::fleet::{self, Arrival, Random, SLOTS, Times};
+
+const SERVICES: usize = 20;
+const SERVERS: usize = 2;
+const HOP_US: u64 = 500;
+const CONNECT_US: u64 = 6000;
+const BUDGET_US: u64 = 1_000_000;
+/// Sweeps that only teach.
+const WARM_UP: u64 = 1000;
+
+/// What to run.
+pub(crate) struct Plan {
+    pub(crate) times: Times,
+    pub(crate) load: f64,
+    pub(crate) sweeps: u64,
+}
+
+/// What came out; latencies in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Figures {
+    pub(crate) p50: f64,
+    pub(crate) p99: f64,
+    pub(crate) p999: f64,
+    pub(crate) extra: f64,
+    pub(crate) complete: f64,
+    pub(crate) core_rate: f64,
+}
+
+impl Figures {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.p50 += other.p50;
+        self.p99 += other.p99;
+        self.p999 += other.p999;
+        self.extra += other.extra;
+        self.complete += other.complete;
+        self.core_rate += other.core_rate;
+    }
+}
+
+/// What happens in the simulation, ordered by time and number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Sweep,
+    Tick,
+    Ready(LaneKey),
+    Reach(u64),
+    Done(u64),
+    Cancel(u64),
+    Shed(u64),
+    Withdrawn(u64),
+    Answer(u64),
+}
+
+struct Call {
+    attempt: AttemptKey,
+    server: usize,
+    request: target::Request,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Sweep {
+    started: u64,
+    left: usize,
+    missing: usize,
+}
+
+struct Run<'a> {
+    plan: &'a Plan,
+    machine: Machine,
+    random: Random,
+    now: u64,
+    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    sequence: u64,
+    servers: Vec<fleet::Server>,
+    places: BTreeMap<Arc<str>, usize>,
+    lanes: BTreeMap<LaneKey, usize>,
+    calls: BTreeMap<u64, Call>,
+    numbers: BTreeMap<String, u64>,
+    sweeps: BTreeMap<u64, Sweep>,
+    started: u64,
+    latencies: Vec<f64>,
+    complete: u64,
+    portions: u64,
+    sends: u64,
+    core: Duration,
+}
+
+pub(crate) fn run(plan: &Plan, settings: Settings, seed: u64) -> Figures {
+    let mut run = Run {
+        plan,
+        machine: Machine::new(settings),
+        random: Random(seed),
+        now: 1_000_000,
+        steps: BinaryHeap::new(),
+        sequence: 0,
+        servers: (0..SERVICES * SERVERS)
+            .map(|_| fleet::Server::default())
+            .collect(),
+        places: BTreeMap::new(),
+        lanes: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        numbers: BTreeMap::new(),
+        sweeps: BTreeMap::new(),
+        started: 0,
+        latencies: Vec::new(),
+        complete: 0,
+        portions: 0,
+        sends: 0,
+        core: Duration::ZERO,
+    };
+    run.publish();
+    run.at(20_000, Step::Sweep);
+    run.go();
+    run.figures()
+}
+
+impl Run<'_> {
+    fn publish(&mut self) {
+        let mut view = View {
+            ready: true,
+            ..View::default()
+        };
+        for number in 0..SERVICES {
+            let service = service(number);
+            for (place, server) in service.servers.iter().enumerate() {
+                self.places
+                    .insert(Arc::clone(&server.address), number * SERVERS + place);
+            }
+            view.insert(service);
+        }
+        self.handle(Event::View(Arc::new(view)));
+    }
+
+    fn at(&mut self, delay: u64, step: Step) {
+        self.sequence += 1;
+        self.steps
+            .push(Reverse((self.now + delay, self.sequence, step)));
+    }
+
+    fn go(&mut self) {
+        while let Some(Reverse((at, _, step))) = self.steps.pop() {
+            self.now = at;
+            let finished = self.started > self.plan.sweeps && self.sweeps.is_empty();
+            if finished {
+                break;
+            }
+            self.step(step);
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Sweep => self.sweep(),
+            Step::Tick => self.handle(Event::Tick),
+            Step::Ready(lane) if self.lanes.contains_key(&lane) => self.handle(Event::Opened(lane)),
+            Step::Ready(_) => {}
+            Step::Reach(call) => self.reach(call),
+            Step::Done(call) => self.done(call, Step::Answer(call)),
+            Step::Cancel(call) => self.done(call, Step::Withdrawn(call)),
+            Step::Answer(call) => self.end(call, answer),
+            Step::Shed(call) => self.end(call, |call| refusal(call, Reason::TargetShed)),
+            Step::Withdrawn(call) => self.end(call, |call| refusal(call, Reason::Cancelled)),
+        }
+    }
+
+    /// Starts a sweep over all services and plans the next one.
+    fn sweep(&mut self) {
+        if self.started > self.plan.sweeps {
+            return;
+        }
+        self.started += 1;
+        let query = self.started;
+        let sweep = Sweep {
+            started: self.now,
+            left: SERVICES,
+            missing: 0,
+        };
+        self.sweeps.insert(query, sweep);
+        self.portions += SERVICES as u64;
+        let event = Event::Work {
+            from: peer("entry"),
+            incarnation: 1,
+            work: work(query),
+        };
+        self.handle(event);
+        let rate = self.plan.load * (SERVERS * SLOTS) as f64 / Times::mean();
+        let gap = self.random.exponential(1.0 / rate);
+        self.at(gap as u64, Step::Sweep);
+    }
+
+    fn reach(&mut self, number: u64) {
+        let server = self.calls[&number].server;
+        match self.servers[server].arrive(number) {
+            Arrival::Started => self.start(number),
+            Arrival::Waits => {}
+            Arrival::Shed => self.at(HOP_US, Step::Shed(number)),
+        }
+    }
+
+    fn start(&mut self, number: u64) {
+        let time = self.plan.times.draw(&mut self.random);
+        self.at(time, Step::Done(number));
+    }
+
+    /// A call leaves its server; the next one starts.
+    fn done(&mut self, number: u64, then: Step) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let Some(next) = self.servers[call.server].end(number) else {
+            return;
+        };
+        self.at(HOP_US, then);
+        if let Some(next) = next {
+            self.start(next);
+        }
+    }
+
+    fn end(&mut self, number: u64, outcome: fn(&Call) -> Outcome) {
+        let Some(call) = self.calls.remove(&number) else {
+            return;
+        };
+        self.numbers.remove(&call.request.id);
+        let event = Event::Ended {
+            attempt: call.attempt,
+            outcome: outcome(&call),
+        };
+        self.handle(event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        let before = std::time::Instant::now();
+        self.machine
+            .handle(Instant::from_micros(self.now), event, &mut out);
+        self.core += before.elapsed();
+        for action in out {
+            self.act(action);
+        }
+        if let Some(at) = self.machine.next_wake() {
+            let delay = at.as_micros().saturating_sub(self.now);
+            let known = self
+                .steps
+                .peek()
+                .is_some_and(|Reverse((next, ..))| *next <= self.now + delay);
+            if !known {
+                self.at(delay, Step::Tick);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Open { lane, address } => {
+                self.lanes.insert(lane, self.places[&address]);
+                self.at(CONNECT_US, Step::Ready(lane));
+            }
+            Action::Close(lane) => {
+                self.lanes.remove(&lane);
+            }
+            Action::Send {
+                lane,
+                attempt,
+                request,
+                ..
+            } => self.send(lane, attempt, request),
+            Action::Cancel { lane, id } => {
+                self.at(2 * HOP_US, Step::Ready(lane));
+                if let Some(number) = self.numbers.get(&id).copied() {
+                    self.at(HOP_US, Step::Cancel(number));
+                }
+            }
+            Action::Probe { lane, .. } => self.at(2 * HOP_US, Step::Ready(lane)),
+            Action::Reply { reply, .. } => self.reply(&reply),
+            Action::Count(_) => {}
+        }
+    }
+
+    fn send(&mut self, lane: LaneKey, attempt: AttemptKey, request: target::Request) {
+        self.sends += 1;
+        self.sequence += 1;
+        let number = self.sequence;
+        let server = self.lanes[&lane];
+        self.numbers.insert(request.id.clone(), number);
+        let call = Call {
+            attempt,
+            server,
+            request,
+        };
+        self.calls.insert(number, call);
+        self.at(HOP_US, Step::Reach(number));
+    }
+
+    fn reply(&mut self, reply: &wire::Reply) {
+        let Some(sweep) = self.sweeps.get_mut(&reply.query) else {
+            return;
+        };
+        sweep.left -= 1;
+        sweep.missing += usize::from(reply.verdict() != Verdict::Ran);
+        if sweep.left > 0 {
+            return;
+        }
+        let sweep = *sweep;
+        self.sweeps.remove(&reply.query);
+        if reply.query <= WARM_UP {
+            return;
+        }
+        self.latencies
+            .push((self.now - sweep.started) as f64 / 1000.0);
+        self.complete += u64::from(sweep.missing == 0);
+    }
+
+    fn figures(mut self) -> Figures {
+        self.latencies.sort_by(f64::total_cmp);
+        let count = self.latencies.len();
+        let quantile = |share: f64| self.latencies[((count - 1) as f64 * share) as usize];
+        Figures {
+            p50: quantile(0.5),
+            p99: quantile(0.99),
+            p999: quantile(0.999),
+            extra: self.sends as f64 / self.portions as f64,
+            complete: self.complete as f64 / count as f64,
+            core_rate: self.portions as f64 / self.core.as_secs_f64(),
+        }
+    }
+}
+
+fn answer(call: &Call) -> Outcome {
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: String::new(),
+    };
+    Outcome::Answer(target::Answer {
+        id: call.request.id.clone(),
+        index: call.request.index.clone(),
+        version: call.request.version,
+        parts: call.request.shards.iter().map(part).collect(),
+    })
+}
+
+fn refusal(call: &Call, reason: Reason) -> Outcome {
+    Outcome::Refusal(target::Refusal {
+        id: call.request.id.clone(),
+        reason: reason.into(),
+        retry_after_ms: 0,
+    })
+}
+
+fn peer(name: &str) -> Peer {
+    Peer {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+    }
+}
+
+fn work(query: u64) -> wire::Work {
+    let portion = |number| wire::Portion {
+        service: format!("service-{number}"),
+        shards: vec!["shard".into()],
+    };
+    wire::Work {
+        query,
+        round: 1,
+        key: format!("key-{query}"),
+        attempt: 1,
+        index: "index".into(),
+        version: 1,
+        operation: "sweep".into(),
+        budget_us: BUDGET_US,
+        portions: (0..SERVICES).map(portion).collect(),
+        ..wire::Work::default()
+    }
+}
+
+fn service(number: usize) -> Service {
+    let server = |place| Server {
+        name: format!("server-{number}-{place}").into(),
+        address: format!("10.0.{number}.{place}:80").into(),
+        zone: "zone".into(),
+        incarnation: 1,
+        leaving: false,
+        slots: SLOTS as u32,
+        share: 12,
+        holdings: vec![Holding {
+            index: "index".into(),
+            version: 1,
+        }],
+    };
+    let limits = Limits {
+        queue: 1000,
+        extra_percent: 5,
+        ..Limits::default()
+    };
+    Service {
+        name: format!("service-{number}").into(),
+        entry: Arc::new(Entry {
+            limits: Some(limits),
+            ..Entry::default()
+        }),
+        servers: (0..SERVERS).map(server).collect(),
+        candidates: vec![Candidate {
+            peer: peer("trial"),
+            live: true,
+            local: true,
+        }],
+    }
+}
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -1,5 +1,6 @@
 //! Owns services: slots and connections of their servers, queue, hedges and retries.
 
+mod admission;
 mod attempt;
 mod budget;
 mod dispatch;
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -6,6 +6,7 @@
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::wire;
 
+use super::admission;
 use super::event::Action;
 use super::machine::{Delivery, Machine, Query};
 use super::portion::{Job, Portion, PortionKey};
@@ -22,6 +23,9 @@
 const MARGIN: Duration = Duration::from_millis(5);
 /// Work that arrives this soon after a suspension may have waited in a socket buffer throughout.
 const AFTER_GAP: Duration = Duration::from_millis(100);
+/// Waiting longer than this share of the budget, or than this many call times, is overload.
+const BUDGET_SHARE: f64 = 0.25;
+const LONG_WAIT: u32 = 16;
 /// Call time assumed before one is learned.
 const UNLEARNED: Duration = Duration::from_millis(10);
 
@@ -65,7 +69,11 @@
     }
 
     /// Decides whether a portion is queued, and until when it must have been replied to.
-    fn admit(&self, job: &Job, portion: &wire::Portion) -> Result<(ServiceId, Instant), Refused> {
+    fn admit(
+        &mut self,
+        job: &Job,
+        portion: &wire::Portion,
+    ) -> Result<(ServiceId, Instant), Refused> {
         let id = self.service_ids.get(portion.service.as_str()).copied();
         let finding = id.and_then(|id| self.finding(job, id));
         if finding == Some(Finding::Repeated) {
@@ -131,7 +139,7 @@
     }
 
     /// Whether the queue has room for one more and it can be done in time.
-    fn room(&self, id: ServiceId, job: &Job, deadline: Instant) -> Result<(), Refused> {
+    fn room(&mut self, id: ServiceId, job: &Job, deadline: Instant) -> Result<(), Refused> {
         let service = &self.services[id];
         let limit = service.limits().queue as usize;
         let length = service.queue.len();
@@ -145,18 +153,33 @@
         let Some(mean) = service.mean() else {
             return Ok(());
         };
-        let ahead = service.queue.ahead(class(service, &job.work));
-        let wait = self.wait(id, ahead);
+        let class = class(service, &job.work);
+        let wait = self.wait(id, service.queue.ahead(class));
         let done = self.now + wait + mean;
-        match done > deadline {
-            true => {
-                let excess = done.since(deadline);
-                Err(Refused::because(Reason::WouldMissDeadline).come_back(excess))
-            }
-            false => Ok(()),
+        if done > deadline {
+            let excess = done.since(deadline);
+            return Err(Refused::because(Reason::WouldMissDeadline).come_back(excess));
+        }
+        let budget = deadline.since(self.now);
+        let limit = budget.mul_f64(BUDGET_SHARE).min(mean * LONG_WAIT);
+        let wait = wait.max(self.waited(id, class));
+        let admission = &mut self.services[id].admission;
+        admission.adjust(self.now, class, wait, limit);
+        let number = admission::number(job.incarnation, job.work.query);
+        match admission.admits(class, number) {
+            true => Ok(()),
+            false => Err(Refused::because(Reason::WouldMissDeadline).come_back(wait)),
         }
     }
 
+    /// How long the first waiting portion of a class has waited.
+    fn waited(&self, id: ServiceId, class: Class) -> Duration {
+        let head = self.services[id].queue.head(class);
+        head.map_or(Duration::ZERO, |key| {
+            self.now.since(self.portions[key].arrived)
+        })
+    }
+
     /// How long a portion waits behind `ahead` others.
     pub(super) fn wait(&self, id: ServiceId, ahead: usize) -> Duration {
         let service = &self.services[id];
@@ -181,6 +204,7 @@
             job: Arc::clone(job),
             service: id,
             shards: portion.shards.into(),
+            arrived: self.now,
             deadline,
             place: None,
             unrepeatable: unrepeatable(service, &job.work),
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -41,6 +41,8 @@
     pub(super) service: ServiceId,
     /// The shards asked for.
     pub(super) shards: Arc<[String]>,
+    /// When it arrived.
+    pub(super) arrived: Instant,
     /// When it must have been replied to.
     pub(super) deadline: Instant,
     /// Its place in the queue.
--- a/crates/core/src/leaf/queue.rs
+++ b/crates/core/src/leaf/queue.rs
@@ -8,7 +8,7 @@
 use crate::time::Instant;
 
 /// Urgency classes.
-const CLASSES: usize = 3;
+pub(super) const CLASSES: usize = 3;
 
 /// Dispatches in a row that may pass over a waiting lower class.
 ///
@@ -20,6 +20,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Class(usize);
 
+impl Class {
+    /// Its place in an array over all classes.
+    pub(super) fn place(self) -> usize {
+        self.0
+    }
+}
+
 impl From<Urgency> for Class {
     fn from(urgency: Urgency) -> Self {
         match urgency {
@@ -80,6 +87,11 @@
         self.classes[place.class.0].remove(&(place.deadline, place.sequence));
     }
 
+    /// The waiting portion of a class that goes first.
+    pub(super) fn head(&self, class: Class) -> Option<PortionKey> {
+        self.classes[class.0].values().next().copied()
+    }
+
     /// Portions in the order in which they would be dispatched now.
     pub(super) fn order(&self) -> impl Iterator<Item = PortionKey> + '_ {
         let first = self.first_class();
--- a/crates/core/src/leaf/random.rs
+++ b/crates/core/src/leaf/random.rs
@@ -12,11 +12,8 @@
     }
 
     fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        mixed ^ (mixed >> 31)
+        self.0 = self.0.wrapping_add(1);
+        mix(self.0)
     }
 
     /// A duration between half of `span` and `span`.
@@ -25,3 +22,11 @@
         Duration::from_micros(half + self.next() % (half + 1))
     }
 }
+
+/// A number that looks random for each `number`.
+pub(super) fn mix(number: u64) -> u64 {
+    let mut mixed = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -7,6 +7,7 @@
 use ladder_schema::catalogue;
 use slotmap::new_key_type;
 
+use super::admission::Admission;
 use super::budget::Budget;
 use super::estimate::Estimate;
 use super::portion::PortionKey;
@@ -65,6 +66,7 @@
     /// Call times over all servers.
     pub(super) times: Estimate,
     pub(super) budget: Budget,
+    pub(super) admission: Admission,
     /// Portions whose hedge is due but has found no slot or no token yet, by time of sending.
     pub(super) overdue: BTreeSet<(Instant, PortionKey)>,
     /// Next server in turn.
@@ -83,6 +85,7 @@
             in_flight: 0,
             times: Estimate::default(),
             budget: Budget::default(),
+            admission: Admission::default(),
             overdue: BTreeSet::new(),
             cursor: 0,
             last_work: Instant::default(),
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -3,3 +3,5 @@
 mod bed;
 mod dispatch;
 mod hedge;
+mod property;
+mod world;
--- /dev/null
+++ b/crates/core/tests/leaf/property.rs
@@ -0,0 +1,302 @@
+//! Any order of events keeps the promises.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
+use ladder_core::leaf::{Event, Machine, Settings};
+use ladder_core::schema::outcome::Reason;
+use ladder_core::schema::{call, target, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::Server;
+
+use crate::bed;
+use crate::world::{Call, Lane, World, name};
+
+/// How a call ends.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum End {
+    Answer,
+    OtherRequest,
+    OtherVersion,
+    Shed,
+    Cancelled,
+    Retired,
+    Error,
+    Lost,
+    Unsent,
+}
+
+/// One step. Numbers choose among what there is.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    Work {
+        query: u8,
+        round: u8,
+        operation: u8,
+        attempt: u8,
+        budget: u8,
+    },
+    Cancel {
+        query: u8,
+    },
+    Connect(u8),
+    Drop(u8),
+    End(u8, End),
+    Load {
+        server: u8,
+        cold: bool,
+    },
+    Share(u8, u8),
+    Slots(u8, u8),
+    Leave(u8),
+    Pause(u8),
+    Wait(u8),
+    Drain,
+}
+
+struct Run {
+    machine: Machine,
+    world: World,
+}
+
+impl Run {
+    fn new() -> Self {
+        let settings = Settings::builder("porto-1", 7).seed(3).build();
+        let servers = vec![bed::server(1), bed::server(2), bed::server(3)];
+        let world = World::new(Instant::from_millis(1000), servers);
+        let mut run = Self {
+            machine: Machine::new(settings),
+            world,
+        };
+        run.publish();
+        run.teach();
+        run
+    }
+
+    /// Answers enough sweeps of 5 ms that call times are learned and second copies are paid for.
+    fn teach(&mut self) {
+        for number in 0..100 {
+            self.step(Step::Connect(number));
+            self.deliver(100 + u64::from(number), 0, "sweep", 1, 200);
+            self.wait(Duration::from_millis(5));
+            self.step(Step::End(0, End::Answer));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.machine.handle(self.world.now, event, &mut out);
+        self.world.check(&out);
+    }
+
+    fn publish(&mut self) {
+        let servers = self.world.servers.clone();
+        self.handle(bed::view(bed::service(servers)));
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Work {
+                query,
+                round,
+                operation,
+                attempt,
+                budget,
+            } => self.work(query, round, operation, attempt, budget),
+            Step::Cancel { query } => self.handle(Event::Cancel(wire::Cancel {
+                query: u64::from(query % 16),
+                incarnation: 9,
+            })),
+            Step::Connect(which) => self.connect(which),
+            Step::Drop(which) => self.drop_lane(which),
+            Step::End(which, end) => self.end(which, end),
+            Step::Load { server, cold } => self.load(server, cold),
+            Step::Share(which, share) => self.change(which, |server| {
+                server.share = u32::from(share % 8);
+            }),
+            Step::Slots(which, slots) => self.change(which, |server| {
+                server.slots = 1 + u32::from(slots % 3);
+            }),
+            Step::Leave(which) => self.change(which, |server| server.leaving = true),
+            Step::Pause(steps) => self.pause(steps),
+            Step::Wait(steps) => self.wait(Duration::from_millis(u64::from(steps))),
+            Step::Drain => self.handle(Event::Drain),
+        }
+    }
+
+    fn work(&mut self, query: u8, round: u8, operation: u8, attempt: u8, budget: u8) {
+        let operation = ["sweep", "check", "rounds", "book"][usize::from(operation % 4)];
+        let (query, round) = (u64::from(query % 16), u32::from(round % 3));
+        self.deliver(query, round, operation, attempt % 3, budget);
+    }
+
+    fn deliver(&mut self, query: u64, round: u32, operation: &str, attempt: u8, budget: u8) {
+        let work = wire::Work {
+            round,
+            key: format!("key-{}", query % 8),
+            attempt: attempt.into(),
+            budget_us: u64::from(budget) * 2000,
+            payload: name(query, round),
+            ..bed::work(query, operation)
+        };
+        self.world.deliver(&work);
+        self.handle(Event::Work {
+            from: bed::peer("porto-2"),
+            incarnation: 9,
+            work,
+        });
+    }
+
+    fn connect(&mut self, which: u8) {
+        let waits = |state: &Lane| matches!(state, Lane::Opening | Lane::Control);
+        if let Some(lane) = self.lane(which, waits) {
+            self.world.set(lane, Lane::Idle);
+            self.handle(Event::Opened(lane));
+        }
+    }
+
+    fn drop_lane(&mut self, which: u8) {
+        if let Some(lane) = self.lane(which, |state| *state != Lane::Busy) {
+            self.world.lanes.remove(&lane);
+            self.handle(Event::Closed(lane));
+        }
+    }
+
+    fn lane(&self, which: u8, fits: impl Fn(&Lane) -> bool) -> Option<LaneKey> {
+        let lanes = self
+            .world
+            .lanes
+            .iter()
+            .filter(|(_, (_, state))| fits(state));
+        let lanes: Vec<LaneKey> = lanes.map(|(lane, _)| *lane).collect();
+        lanes.get(usize::from(which) % lanes.len().max(1)).copied()
+    }
+
+    fn end(&mut self, which: u8, end: End) {
+        let calls: Vec<AttemptKey> = self.world.calls.keys().copied().collect();
+        let Some(attempt) = calls.get(usize::from(which) % calls.len().max(1)).copied() else {
+            return;
+        };
+        let outcome = outcome(&self.world.calls[&attempt], end);
+        let call = self.world.end(attempt, &outcome);
+        self.handle(Event::Ended { attempt, outcome });
+        assert!(
+            !self
+                .world
+                .calls
+                .values()
+                .any(|other| other.request.id == call.request.id)
+        );
+    }
+
+    fn load(&mut self, which: u8, cold: bool) {
+        let server = &self.world.servers[usize::from(which % 3)];
+        let load = target::Load {
+            cold,
+            incarnation: server.incarnation,
+            ..target::Load::default()
+        };
+        let server = Arc::clone(&server.name);
+        self.handle(Event::Load {
+            server,
+            load: Some(load),
+        });
+    }
+
+    fn change(&mut self, which: u8, change: impl Fn(&mut Server)) {
+        change(&mut self.world.servers[usize::from(which % 3)]);
+        self.publish();
+    }
+
+    fn pause(&mut self, steps: u8) {
+        let gap = Duration::from_millis(u64::from(steps) * 4);
+        self.world.suspend(gap);
+        self.handle(Event::Paused(gap));
+    }
+
+    fn wait(&mut self, span: Duration) {
+        let end = self.world.now + span;
+        while let Some(at) = self.machine.next_wake().filter(|at| *at <= end) {
+            self.world.now = self.world.now.max(at);
+            self.handle(Event::Tick);
+        }
+        self.world.now = end;
+    }
+}
+
+fn outcome(call: &Call, end: End) -> Outcome {
+    let request = &call.request;
+    let refusal = |reason: Reason| {
+        Outcome::Refusal(target::Refusal {
+            id: request.id.clone(),
+            reason: reason.into(),
+            retry_after_ms: 3,
+        })
+    };
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: request.payload.clone(),
+    };
+    let answer = target::Answer {
+        id: request.id.clone(),
+        index: request.index.clone(),
+        version: request.version,
+        parts: request.shards.iter().map(part).collect(),
+    };
+    match end {
+        End::Answer => Outcome::Answer(answer),
+        End::OtherRequest => Outcome::Answer(target::Answer {
+            id: "porto-1.6.1".into(),
+            parts: Vec::new(),
+            ..answer
+        }),
+        End::OtherVersion => Outcome::Answer(target::Answer {
+            version: 2,
+            ..answer
+        }),
+        End::Shed => refusal(Reason::TargetShed),
+        End::Cancelled => refusal(Reason::Cancelled),
+        End::Retired => refusal(Reason::VersionRetired),
+        End::Error => Outcome::Error,
+        End::Lost => Outcome::Lost,
+        End::Unsent => Outcome::Unsent,
+    }
+}
+
+#[test]
+fn any_order_of_events_keeps_the_promises() {
+    bolero::check!()
+        .with_iterations(500)
+        .with_max_len(4096)
+        .with_generator(bolero::produce::<Vec<Step>>().with().len(0_usize..=400))
+        .for_each(|steps| {
+            let mut run = Run::new();
+            for step in steps {
+                run.step(*step);
+            }
+            run.wait(Duration::from_secs(61));
+            assert_eq!(run.machine.open(), 0);
+            run.world.check_all_replied();
+        });
+}
+
+/// The property above says nothing when its sessions never get as far as a call.
+#[test]
+fn long_sessions_reach_answers() {
+    let mut run = Run::new();
+    for number in 0..200_u8 {
+        run.step(Step::Connect(number));
+        run.step(Step::Work {
+            query: number,
+            round: number / 16,
+            operation: number,
+            attempt: 1,
+            budget: 200,
+        });
+        run.step(Step::End(number, End::Answer));
+    }
+    run.wait(Duration::from_secs(1));
+    assert!(run.world.replies > 30, "{} replies", run.world.replies);
+}
