Test late, crossed and damaged replies one by one

Change: a table of replies that must be dropped with their reasons, and a test for each of the others.

--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -6,6 +6,7 @@
 mod owners;
 mod plans;
 mod refusals;
+mod replies;
 mod session;
 mod stop;
 mod sweep;
--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -8,13 +8,21 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::fleet::Fleet;
-use crate::session::{Session, answer, answers, covered, missing, request, works};
+use crate::session::{Session, answer, answers, covered, missing, refused, request, works};
 
 fn receivers(actions: &[Action]) -> Vec<String> {
     let works = works(actions).into_iter();
     works.map(|(to, _)| to.to_string()).collect()
 }
 
+fn cancelled(actions: &[Action]) -> Vec<String> {
+    let cancels = actions.iter().filter_map(|action| match action {
+        Action::Cancel { to, .. } => Some(to.name.to_string()),
+        _ => None,
+    });
+    cancels.collect()
+}
+
 fn dropped(reason: Reason) -> Action {
     let event = count::Event::Drop;
     Action::Count(Count { event, reason })
@@ -32,6 +40,29 @@
     assert_eq!(again[0].1.extra_calls, 1);
     let answer = answer(&session.reply("e3", covered(&again[0].1, "s2")));
     assert_eq!(answer.covered, ["c", "d"]);
+    let next = session.call(request("k2", "sweep", &["c"]));
+    assert_eq!(
+        receivers(&next),
+        ["e3"],
+        "until the owner is heard of again"
+    );
+}
+
+/// The link breaks, or the owner refuses, in the two milliseconds before the deadline that are kept
+/// for the answer: nothing is sent any more.
+#[test]
+fn nothing_is_sent_when_it_is_time_to_answer() {
+    for broken in [true, false] {
+        let mut session = Session::new(&Fleet::default());
+        let sent = works(&session.call(request("k1", "sweep", &["c"])));
+        session.now = session.now + Duration::from_millis(99);
+        let out = match broken {
+            true => session.link_down("e2"),
+            false => session.reply("e2", refused(&sent[0].1, "s2", Reason::NotOwner)),
+        };
+        assert!(works(&out).is_empty());
+        assert_eq!(answer(&out).covered.len(), 0);
+    }
 }
 
 /// A booking is at its owner when the link breaks. Nobody can tell whether it ran: it is not sent
@@ -79,6 +110,25 @@
     }
 }
 
+/// The silent owner's portion went to the next candidate, which refuses: the silent one may still
+/// answer and is waited for. If the next one answers, the silent one is told to give up.
+#[test]
+fn silent_owner_is_waited_for_when_the_next_one_refuses() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let again = works(&session.pass(200));
+    let refusal = refused(&again[0].1, "s2", Reason::QueueFull);
+    assert!(session.reply("e3", refusal).is_empty());
+    let answer = answer(&session.reply("e2", covered(&sent[0].1, "s2")));
+    assert_eq!(answer.covered, ["c"]);
+
+    let mut session = Session::new(&Fleet::default());
+    session.call(request("k1", "check", &["c"]));
+    let again = works(&session.pass(200));
+    let out = session.reply("e3", covered(&again[0].1, "s2"));
+    assert_eq!(cancelled(&out), ["e2"]);
+}
+
 /// The same, with a booking: it stays where it is, and its caller hears at the end of its deadline
 /// that it may have run.
 #[test]
@@ -110,6 +160,8 @@
         "passed over"
     );
     session.pass(250);
+    let booking = session.call(request("b", "book", &["d"]));
+    assert_eq!(receivers(&booking), ["e3"], "a booking never probes");
     let probing = serve(&mut session, 0, Some("d"));
     assert_eq!(receivers(&probing), ["e3", "e2"], "probed");
     assert_eq!(
@@ -192,8 +244,7 @@
     let mut session = Session::new(&Fleet::default());
     let sent = works(&session.call(request("k1", "check", &["c", "e"])));
     let out = session.give(Event::Gone(Caller(1)));
-    let cancels = |action: &Action| matches!(action, Action::Cancel { .. });
-    assert_eq!(out.iter().filter(|action| cancels(action)).count(), 2);
+    assert_eq!(cancelled(&out), ["e2", "e3"]);
     let late = session.reply("e2", covered(&sent[0].1, "s2"));
     assert_eq!(late, [dropped(Reason::StaleAnswer)]);
     assert!(answers(&session.pass(500)).is_empty());
