Measure what a fleet costs and how owners are replaced

Cause: the control's cost, the spread of changes and the takeover of a dead owner's services were not measured; docs/CAPACITY.md needs their slopes.

--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -84,7 +84,20 @@
         self.post(platform, "/admin/publish", &page).await
     }
 
-    async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, Error> {
+    /// Reads a JSON answer.
+    pub async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, Error> {
+        let body = self.body(address, path).await?;
+        let failed = |cause: String| Error::Admin(format!("http://{address}{path}"), cause);
+        serde_json::from_slice(&body).map_err(|error| failed(error.to_string()))
+    }
+
+    /// Reads an answer as text.
+    pub async fn text(&self, address: &str, path: &str) -> Result<String, Error> {
+        let body = self.body(address, path).await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    async fn body(&self, address: &str, path: &str) -> Result<Vec<u8>, Error> {
         let url = format!("http://{address}{path}");
         let failed = |cause: String| Error::Admin(url.clone(), cause);
         let mut response = self
@@ -98,7 +111,7 @@
         }
         let body = response.body().limit(LEDGER_BYTES).await;
         let body = body.map_err(|error| failed(error.to_string()))?;
-        serde_json::from_slice(&body).map_err(|error| failed(error.to_string()))
+        Ok(body.to_vec())
     }
 
     async fn post<T: Serialize>(&self, address: &str, path: &str, body: &T) -> Result<(), Error> {
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -16,6 +16,7 @@
 use crate::result::Run;
 use crate::run::{self, Amount};
 use crate::table::Table;
+use crate::upkeep;
 
 /// Shortest measured part in seconds.
 const SHORTEST_S: f64 = 0.1;
@@ -29,6 +30,8 @@
     Compare(Comparison),
     /// Shows each outcome while processes are killed.
     Demo(demo::Options),
+    /// Measures the control cost of a fleet.
+    Upkeep(upkeep::Options),
     /// Waits until every process of a layout serves.
     Ready(Readiness),
 }
@@ -89,12 +92,37 @@
         .to_options()
         .descr("Waits until every process of a layout serves")
         .command("ready");
-    bpaf::construct!([run, compare, demo, ready])
+    let upkeep = upkeep_options()
+        .map(Command::Upkeep)
+        .to_options()
+        .descr("Measures what a fleet costs, how fast changes spread, how an owner is replaced")
+        .command("upkeep");
+    bpaf::construct!([run, compare, demo, ready, upkeep])
         .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+fn upkeep_options() -> impl Parser<upkeep::Options> {
+    let run = layout_file();
+    let seconds = number("seconds", "Length of each measured part", 20.0);
+    let changes = bpaf::long("changes")
+        .help("Changes a second in the second part")
+        .argument("N")
+        .fallback(1.0)
+        .display_fallback()
+        .guard(|rate| (0.01..=100.0).contains(rate), "must be 0.01 to 100");
+    let processes = bpaf::positional("PID")
+        .help("Processes of the instances, in the layout's order")
+        .some("name the process of each instance");
+    bpaf::construct!(upkeep::Options {
+        run,
+        seconds,
+        changes,
+        processes,
+    })
+}
+
 fn demonstration() -> impl Parser<demo::Options> {
     let run = layout_file();
     let instance = bpaf::long("kill-instance")
@@ -243,10 +271,17 @@
         Command::Run(arguments) => run(arguments),
         Command::Compare(comparison) => compare(&comparison),
         Command::Ready(readiness) => ready(&readiness),
+        Command::Upkeep(options) => measure_upkeep(&options),
         Command::Demo(options) => demonstrate(&options),
     }
 }
 
+fn measure_upkeep(options: &upkeep::Options) -> Result<String, Error> {
+    let report = upkeep::execute(options)?;
+    serde_json::to_string(&report)
+        .map_err(|error| Error::Write("standard output".into(), error.to_string()))
+}
+
 fn demonstrate(options: &demo::Options) -> Result<String, Error> {
     let totals = demo::execute(options)?;
     if totals.is_sound() {
--- a/crates/load/src/layout.rs
+++ b/crates/load/src/layout.rs
@@ -14,6 +14,8 @@
     pub name: String,
     /// IP number and port of its callers' HTTP.
     pub address: String,
+    /// IP number and port of its operators' HTTP.
+    pub admin: String,
 }
 
 impl From<standin::Member> for Instance {
@@ -21,6 +23,7 @@
         Self {
             name: member.name,
             address: member.caller_address,
+            admin: member.admin_address,
         }
     }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod schedule;
 pub mod table;
 pub mod tally;
+pub mod upkeep;
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -9,7 +9,8 @@
 use crate::http;
 
 /// What the operators' interface offers.
-const PATHS: &str = "GET /metrics, GET /status, GET /explain?key=KEY, POST /drain, POST /cut\n";
+const PATHS: &str =
+    "GET /metrics, GET /status, GET /revision, GET /explain?key=KEY, POST /drain, POST /cut\n";
 
 /// Takes operators' requests.
 #[derive(Clone)]
@@ -27,6 +28,14 @@
     pub async fn handle(self, mut request: Request) -> Response<BoxBody> {
         match (request.method(), request.path()) {
             (&Method::GET, "/metrics") => http::text(StatusCode::OK, self.shared.metrics.text()),
+            (&Method::GET, "/revision") => {
+                let revision = self
+                    .shared
+                    .control
+                    .ask(|machine| machine.view().revision)
+                    .await;
+                http::text(StatusCode::OK, revision.unwrap_or_default().to_string())
+            }
             (&Method::GET, "/status") => {
                 http::json(StatusCode::OK, &status::instance(&self.shared).await)
             }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -23,7 +23,8 @@
     drops: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
-    control_bytes: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    peer_frames: Counter<u64>,
     platform_calls: Counter<u64>,
 }
 
@@ -56,7 +57,8 @@
                 .f64_histogram("ladder_answer_seconds")
                 .with_description("Time from a caller's request to its answer")
                 .build(),
-            control_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
+            peer_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
+            peer_frames: counter("ladder_peer_frames", "Frames sent to peers, by part"),
             platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
             registry,
             _provider: provider,
@@ -100,10 +102,11 @@
         self.latency.record(elapsed.as_secs_f64(), &[]);
     }
 
-    /// Counts bytes handed to the link; `part` is `control` or `traffic`.
+    /// Counts a frame handed to the link; `part` is `control` or `traffic`.
     pub fn sent(&self, part: &'static str, bytes: usize) {
-        self.control_bytes
-            .add(bytes as u64, &[KeyValue::new("part", part)]);
+        let part = [KeyValue::new("part", part)];
+        self.peer_bytes.add(bytes as u64, &part);
+        self.peer_frames.add(1, &part);
     }
 
     /// Counts a call to the platform.
