Prefer owners that hold their connections already; test any order of failures

Cause: when the list of instances changed, a new best candidate owned its services for a grace period with the connections of a spare, and an owner demoted to spare kept them with as few (seen in the golden file of a replacement and by a check on every view of a rolling replacement).

Change: candidates that are primary by every list of the last period go first, then the order of the oldest list. Small differences of digests right after a change are left alone for up to three digests, as the change is most likely under way. A golden file shows a replacement; a property runs a small fleet through cuts, kills, restarts, platform loss and changes in any order.

Conclusion: with each new instance ready before the old one drains, no view of the run names an owner with less than a primary's connections.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -35,6 +35,13 @@
 /// How long a start waits for a peer's answer once the platform has answered or failed.
 const START_WAIT: Duration = Duration::from_secs(1);
 
+/// Age up to which a change of the store may still be on its way to others.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+/// Buckets that may differ because of changes under way.
+const FEW_BUCKETS: usize = 8;
+/// Digests in a row that are left unanswered because of changes under way.
+const DEFERRALS: u32 = 3;
+
 /// What one instance knows of the fleet and the publication.
 ///
 /// # Start
@@ -63,6 +70,10 @@
     peer_answered: bool,
     /// The store has changed since the last view.
     store_changed: bool,
+    /// When the store last changed.
+    store_changed_at: Instant,
+    /// Digests left unanswered in a row.
+    deferred: u32,
     /// This instance is one of those that watch the platform.
     is_reader: bool,
     /// When the view must be built anew because time has passed.
@@ -87,6 +98,8 @@
             asked: Set::default(),
             peer_answered: false,
             store_changed: true,
+            store_changed_at: now,
+            deferred: 0,
             is_reader: false,
             next_view: None,
             random,
@@ -220,7 +233,8 @@
         }
         let growth = self.projection.next_growth(&self.settings);
         let settled = self.membership.next_settled(now);
-        self.next_view = growth.into_iter().chain(settled).min();
+        let order = self.projection.next_order(&self.settings);
+        self.next_view = [growth, order, settled].into_iter().flatten().min();
     }
 
     fn may_serve(&self, now: Instant) -> bool {
@@ -267,7 +281,10 @@
                 }
             }
         }
-        self.store_changed |= !news.records.is_empty();
+        if !news.records.is_empty() {
+            self.store_changed = true;
+            self.store_changed_at = now;
+        }
         if instances_changed {
             self.membership.publish(now, self.store.instances());
         }
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -5,7 +5,7 @@
 use ladder_schema::publication::Record;
 use ladder_schema::wire::{Digest, Frame, Probe, Rumour};
 
-use super::{FANOUT, GOSSIP, Machine, START_PEERS};
+use super::{DEFERRALS, FANOUT, FEW_BUCKETS, GOSSIP, Machine, START_PEERS, UNDER_WAY};
 use crate::control::Action;
 use crate::control::membership::Life;
 use crate::control::spread::{self, News};
@@ -13,7 +13,7 @@
 
 impl Machine {
     pub(super) fn frame(&mut self, now: Instant, frame: Frame, out: &mut Vec<Action>) {
-        let mut reply = self.blank();
+        let mut reply = Frame::default();
         match self.membership.heard(now, &frame) {
             Life::Ignored if frame.from == *self.settings.name => return,
             Life::Ignored | Life::Known => {}
@@ -29,7 +29,7 @@
         self.tell(&news, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.heard_digest(now);
-            self.compare(&frame.address, digest, &mut reply, out);
+            self.compare(now, &frame.address, digest, &mut reply, out);
         }
         self.supply(&frame.address, &frame.wanted, out);
         reply.acknowledgements = frame.probes;
@@ -48,8 +48,18 @@
 
     /// Sends a peer our records of the buckets in which its digest differs, and asks for its own
     /// unless it has none.
-    fn compare(&mut self, to: &str, digest: &Digest, reply: &mut Frame, out: &mut Vec<Action>) {
+    fn compare(
+        &mut self,
+        now: Instant,
+        to: &str,
+        digest: &Digest,
+        reply: &mut Frame,
+        out: &mut Vec<Action>,
+    ) {
         let differing = self.store.differing(digest);
+        if self.is_under_way(now, differing.len()) {
+            return;
+        }
         self.supply(to, &differing, out);
         let holds = |at: &u32| {
             digest
@@ -60,6 +70,19 @@
         reply.wanted = differing.into_iter().filter(holds).collect();
     }
 
+    /// Whether a small difference is most likely a change that is just being passed on. Sending
+    /// whole buckets for it would cost far more than the change; a few digests later it is not.
+    fn is_under_way(&mut self, now: Instant, differing: usize) -> bool {
+        let recent = now.since(self.store_changed_at) < UNDER_WAY;
+        let few = (1..=FEW_BUCKETS).contains(&differing);
+        if recent && few && self.deferred < DEFERRALS {
+            self.deferred += 1;
+            return true;
+        }
+        self.deferred = 0;
+        false
+    }
+
     fn supply(&self, to: &str, buckets: &[u32], out: &mut Vec<Action>) {
         if buckets.is_empty() {
             return;
@@ -82,6 +105,7 @@
             || !reply.wanted.is_empty();
         if worth && !to.is_empty() {
             reply.rumours.extend(self.membership.take_rumours());
+            let reply = spread::signed(&self.settings, reply);
             send(&to.into(), reply, out);
         }
     }
@@ -179,7 +203,7 @@
     }
 
     pub(super) fn blank(&self) -> Frame {
-        spread::blank(&self.settings)
+        spread::signed(&self.settings, Frame::default())
     }
 }
 
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::catalogue;
 use ladder_schema::publication;
@@ -46,15 +47,22 @@
         &self.view
     }
 
-    /// When the view changes because a share grows.
+    /// When a share grows.
     pub(super) fn next_growth(&self, settings: &Settings) -> Option<Instant> {
         self.grants.next_growth(settings.timing.grace)
     }
 
+    /// When the order of some candidates changes.
+    pub(super) fn next_order(&self, settings: &Settings) -> Option<Instant> {
+        self.ranks.next_change(period(settings))
+    }
+
     /// Builds the view anew and returns it if it differs from the last one.
     pub(super) fn refresh(&mut self, source: &Source<'_>, ready: bool) -> Option<Arc<View>> {
         self.ranks.refresh(source.store.instances());
         self.cache.refresh(source.store);
+        let cache = &self.cache;
+        self.ranks.retain(|service| cache.has_entry(service));
         self.grants.begin();
         let mut view = View {
             generation: self.view.generation + 1,
@@ -94,16 +102,18 @@
         targets: &[&publication::Server],
     ) -> Service {
         let name: Arc<str> = entry.service.as_str().into();
-        let ranked = self.ranks.of(&name);
+        let lists = self.ranks.of(source.now, &name, period(source.settings));
+        let newest = lists.newest();
         let limits = entry.limits.unwrap_or_default();
         let mut servers = Vec::with_capacity(targets.len());
         for target in targets {
-            let share = self.share(source, &ranked, limit(target, &limits));
+            let limit = limit(target, &limits);
+            let share = newest.map_or(0, |ranked| self.share(source, ranked, limit));
             servers.push(self.server(source, target, share));
         }
         let widest = targets.iter().map(|target| limit(target, &limits)).max();
         Service {
-            candidates: self.candidates(source, &ranked, widest),
+            candidates: self.candidates(source, &lists, widest),
             name,
             entry,
             servers,
@@ -145,23 +155,22 @@
     fn candidates(
         &self,
         source: &Source<'_>,
-        ranked: &ranks::Ranked,
+        lists: &ranks::Lists,
         widest: Option<u32>,
     ) -> Vec<Candidate> {
         if source.settings.placement == Placement::Direct {
             return self.own_candidate(source);
         }
+        let primaries = lists.newest().map_or(0, |ranked| ranked.primaries);
         let divided = widest.map(placement::divide);
-        let usable =
-            |position: usize| divided.is_none_or(|share| share.at(ranked.primaries, position) > 0);
-        let instances = ranked.instances.iter().enumerate();
-        let usable = instances.filter(|&(position, _)| usable(position));
-        let standings: Vec<_> = usable
-            .map(|(_, listed)| {
-                let name = &listed.peer.name;
-                (listed, source.membership.standing(source.now, name))
-            })
-            .collect();
+        let has_share =
+            |position: usize| divided.is_none_or(|share| share.at(primaries, position) > 0);
+        let usable = lists.ordered(has_share);
+        let standings = usable.iter().map(|listed| {
+            let name = &listed.peer.name;
+            (listed, source.membership.standing(source.now, name))
+        });
+        let standings: Vec<_> = standings.collect();
         let best = standings.iter().map(|&(_, standing)| standing).max();
         let candidate = |&(listed, standing): &(&Arc<ranks::Listed>, Standing)| Candidate {
             peer: listed.peer.clone(),
@@ -187,6 +196,12 @@
     }
 }
 
+/// How long a new list does not decide alone who is preferred: shares must have grown, and others
+/// must have learnt of it.
+fn period(settings: &Settings) -> Duration {
+    settings.timing.grace + settings.timing.probe
+}
+
 /// Connections to the server that the fleet may hold together.
 fn limit(server: &publication::Server, limits: &catalogue::Limits) -> u32 {
     match limits.connections {
--- a/crates/core/src/control/project/cache.rs
+++ b/crates/core/src/control/project/cache.rs
@@ -43,6 +43,11 @@
         self.entries.values()
     }
 
+    /// Whether a service has an entry in force.
+    pub(super) fn has_entry(&self, service: &str) -> bool {
+        self.entries.contains_key(service)
+    }
+
     /// Versions of each index, newest first.
     pub(super) fn index_lists(&self) -> Lists {
         let mut lists = Lists::default();
--- a/crates/core/src/control/project/ranks.rs
+++ b/crates/core/src/control/project/ranks.rs
@@ -6,11 +6,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::publication::Instance;
 
 use crate::collections::{Map, Set};
 use crate::control::placement::{self, CANDIDATES, REACH};
+use crate::time::Instant;
 use crate::view::Peer;
 
 /// A published instance.
@@ -23,7 +25,7 @@
 }
 
 /// The candidates of one service, best first.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Ranked {
     /// The candidates.
     pub(super) instances: Vec<Arc<Listed>>,
@@ -36,8 +38,23 @@
 pub(super) struct Ranks {
     /// Published instances by name.
     fleet: BTreeMap<Arc<str>, Arc<Listed>>,
-    /// Invariant: each equals the ranking of its service over `fleet`.
-    ranked: Map<Arc<str>, Arc<Ranked>>,
+    ranked: Map<Arc<str>, History>,
+}
+
+/// Rankings of one service, the newest last.
+///
+/// An instance that a new list makes the best candidate has its larger share only after the grace
+/// period. Until then the order of the older lists goes before, so that no owner starts with the
+/// connections of a spare.
+#[derive(Debug, Default)]
+struct History {
+    /// Each with the time since which it holds.
+    ///
+    /// Invariant: unless `stale`, the last equals the ranking over the published list. All but the
+    /// first began within the last period.
+    lists: Vec<(Instant, Arc<Ranked>)>,
+    /// The published list has changed in a way that may affect the service.
+    stale: bool,
 }
 
 impl Ranks {
@@ -65,8 +82,12 @@
         if added.is_empty() && removed.is_empty() {
             return;
         }
-        self.ranked
-            .retain(|service, ranked| !ranked.is_affected(service, &added, &removed));
+        for (service, history) in &mut self.ranked {
+            let newest = history.lists.last();
+            let affected =
+                |(_, ranked): &(_, Arc<Ranked>)| ranked.is_affected(service, &added, &removed);
+            history.stale |= newest.is_none_or(affected);
+        }
     }
 
     /// Number of published instances.
@@ -79,27 +100,116 @@
         self.fleet.contains_key(name)
     }
 
-    /// The candidates of a service.
-    pub(super) fn of(&mut self, service: &Arc<str>) -> Arc<Ranked> {
-        if let Some(known) = self.ranked.get(service) {
-            return Arc::clone(known);
+    /// Forgets all services but these.
+    pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.ranked.retain(|service, _| is_known(service));
+    }
+
+    /// The candidates of a service by the newest list, and those of lists that are younger than
+    /// `period` or were replaced within it, oldest first.
+    pub(super) fn of(&mut self, now: Instant, service: &Arc<str>, period: Duration) -> Lists {
+        let known = self.ranked.get(service);
+        let fresh = known
+            .is_none_or(|history| history.stale)
+            .then(|| self.rank(service));
+        let history = self.ranked.entry(Arc::clone(service)).or_default();
+        if let Some(fresh) = fresh {
+            history.push(now, fresh);
         }
+        history.forget(now, period);
+        let lists = history.lists.iter();
+        Lists {
+            lists: lists.map(|(_, ranked)| Arc::clone(ranked)).collect(),
+        }
+    }
+
+    /// When an older list is forgotten next.
+    pub(super) fn next_change(&self, period: Duration) -> Option<Instant> {
+        let histories = self.ranked.values();
+        let second = histories.filter_map(|history| history.lists.get(1));
+        second.map(|&(since, _)| since + period).min()
+    }
+
+    fn rank(&self, service: &str) -> Ranked {
         let fleet: Vec<_> = self.fleet.values().collect();
         let instances = fleet.iter().map(|listed| placement::Instance {
             name: &listed.peer.name,
             zone: &listed.zone,
         });
         let ranking = placement::rank(service, &instances.collect::<Vec<_>>());
-        let ranked = Arc::new(Ranked {
+        Ranked {
             instances: ranking
                 .order
                 .iter()
                 .map(|&at| Arc::clone(fleet[at]))
                 .collect(),
             primaries: ranking.primaries,
-        });
-        self.ranked.insert(Arc::clone(service), Arc::clone(&ranked));
-        ranked
+        }
+    }
+}
+
+impl History {
+    fn push(&mut self, now: Instant, ranked: Ranked) {
+        self.stale = false;
+        let newest = self.lists.last();
+        if newest.is_none_or(|(_, newest)| **newest != ranked) {
+            self.lists.push((now, Arc::new(ranked)));
+        }
+    }
+
+    /// A list is needed until its successor is a whole period old.
+    fn forget(&mut self, now: Instant, period: Duration) {
+        while let Some(&(since, _)) = self.lists.get(1)
+            && now.since(since) >= period
+        {
+            self.lists.remove(0);
+        }
+    }
+}
+
+/// Rankings of one service by lists of different age.
+pub(super) struct Lists {
+    /// Oldest first.
+    ///
+    /// Invariant: not empty.
+    lists: Vec<Arc<Ranked>>,
+}
+
+impl Lists {
+    /// The ranking by the newest list.
+    pub(super) fn newest(&self) -> Option<&Ranked> {
+        self.lists.last().map(|ranked| &**ranked)
+    }
+
+    /// The instances of the newest list that satisfy a condition on their position in it.
+    ///
+    /// Those that are primary by all lists go first, as only they have a primary's connections now:
+    /// a share grows late and shrinks at once. Besides, the order is that of the oldest list.
+    pub(super) fn ordered(&self, usable: impl Fn(usize) -> bool) -> Vec<Arc<Listed>> {
+        let Some(newest) = self.newest() else {
+            return Vec::new();
+        };
+        let mut left: Vec<_> = newest.instances.iter().enumerate().collect();
+        left.retain(|&(position, _)| usable(position));
+        let mut ordered = Vec::with_capacity(left.len());
+        for old in self.lists.iter().flat_map(|ranked| &ranked.instances) {
+            let found = left
+                .iter()
+                .position(|(_, new)| new.peer.name == old.peer.name);
+            if let Some(found) = found {
+                ordered.push(Arc::clone(left.remove(found).1));
+            }
+        }
+        ordered.sort_by_key(|listed| !self.is_steady(listed));
+        ordered
+    }
+
+    fn is_steady(&self, listed: &Listed) -> bool {
+        let is_primary = |ranked: &Arc<Ranked>| {
+            let mut primaries = ranked.instances[..ranked.primaries].iter();
+            primaries.any(|primary| primary.peer.name == listed.peer.name)
+        };
+        self.lists.iter().all(is_primary)
     }
 }
 
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// A frame that names its sender and holds nothing.
-pub(super) fn blank(settings: &Settings) -> Frame {
+/// The frame with its sender named.
+pub(super) fn signed(settings: &Settings, frame: Frame) -> Frame {
     Frame {
         protocol: PROTOCOL,
         fleet: settings.fleet.to_string(),
@@ -76,6 +76,6 @@
         incarnation: settings.incarnation,
         address: settings.address.to_string(),
         zone: settings.zone.to_string(),
-        ..Frame::default()
+        ..frame
     }
 }
--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -6,6 +6,7 @@
 use ladder_core::control::Event;
 use ladder_core::schema::publication::{Kind, Page, Record, State, record::Body};
 use ladder_core::schema::wire::Liveness;
+use ladder_core::view::Service;
 
 use crate::harness::{Fleet, Node};
 use crate::publish;
@@ -13,6 +14,8 @@
 const ZONES: [&str; 3] = ["campanha", "sao-bento", "trindade"];
 const BOUND: Duration = Duration::from_secs(60);
 const LIMIT: u32 = 25;
+/// Connections of a primary candidate to a server with this limit.
+const PRIMARY: u32 = 4;
 
 pub(crate) fn name(number: usize) -> String {
     format!("entry-{number}")
@@ -196,10 +199,9 @@
     assert_caps(&fleet);
 }
 
-/// All instances are replaced one after the other by new ones with new names. The list lags, old
-/// and new are connected together, and no server may see more connections than it takes.
-#[test]
-fn rolling_replacement_holds_the_caps() {
+/// Replaces all instances one after the other by new ones with new names; each new one runs for
+/// `ahead` before the old one drains. Returns the fleet when it agrees again.
+fn replace_all(ahead: Duration) -> Fleet {
     let mut fleet = fleet(9, 20);
     let mut revision = 1000;
     let mut publish = |fleet: &mut Fleet, body: Body| {
@@ -210,7 +212,7 @@
         let (old, new) = (name(at), name(100 + at));
         fleet.start(&new, zone(at));
         publish(&mut fleet, publish::instance(&new, zone(at), State::Live));
-        fleet.run(Duration::from_millis(700));
+        fleet.run(ahead);
         publish(
             &mut fleet,
             publish::instance(&old, zone(at), State::Leaving),
@@ -223,11 +225,48 @@
         publish(&mut fleet, publish::tombstone(Kind::Instance, &old));
         fleet.run(Duration::from_millis(300));
     }
-    assert_caps(&fleet);
     fleet.until("agreed", BOUND, |fleet| agreed(fleet) && all_ready(fleet));
+    fleet.run(Duration::from_secs(5));
     let served = fleet.nodes.values().map(|node| node.machine.view());
     let mut services = served.flat_map(|view| view.services.values());
     assert!(services.all(|service| service.candidates.len() == 8));
+    fleet
+}
+
+/// A rolling replacement faster than lists spread by rule. Old and new instances are connected
+/// together, and no server may see more connections than it takes.
+#[test]
+fn rolling_replacement_holds_the_caps() {
+    let fleet = replace_all(Duration::from_millis(700));
+    assert_caps(&fleet);
+}
+
+/// A rolling replacement that waits until each new instance is ready. No service may be owned by
+/// an instance that has not got its connections yet.
+#[test]
+fn rolling_replacement_keeps_owners_connected() {
+    let fleet = replace_all(Duration::from_millis(2500));
+    assert_caps(&fleet);
+    assert_owners_have_shares(&fleet);
+}
+
+/// A new instance becomes the best candidate of a service. It must not own it with the few
+/// connections of a spare, or with none, as long as another has more.
+fn assert_owners_have_shares(fleet: &Fleet) {
+    for (own, node) in &fleet.nodes {
+        let ready = node.views.iter().filter(|(_, view)| view.ready);
+        for (at, view) in ready {
+            let owned = |service: &&Service| service.owner().is_some_and(|owner| owner.local);
+            for service in view.services.values().filter(owned) {
+                let share = service.servers[0].share;
+                assert!(
+                    share >= PRIMARY,
+                    "{own} owns {} with {share} at {at:?}",
+                    service.name
+                );
+            }
+        }
+    }
 }
 
 /// A fifth of the fleet is replaced at once while the platform reaches half of the instances only
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -10,7 +10,7 @@
 use ladder_core::time::Instant;
 use ladder_core::view::View;
 
-use crate::publish;
+use crate::{publish, session};
 
 const HOP: Duration = Duration::from_millis(1);
 
@@ -51,6 +51,8 @@
     pub seeds: Vec<String>,
     pub incarnation: u64,
     idle_steps: usize,
+    /// What the machines asked for, but for frames without news.
+    pub log: Vec<String>,
     /// Connections that the running instances may hold together, by server, at most so far.
     pub most_shares: BTreeMap<Arc<str>, u32>,
 }
@@ -183,6 +185,9 @@
 
     fn act(&mut self, name: &str, action: Action) {
         let now = self.now;
+        let line = session::line(&action);
+        self.log
+            .extend(line.map(|line| format!("{:>6} {name} {line}", now.as_micros() / 1000)));
         match action {
             Action::Send { to, frame } => self.send(name, &to, frame),
             Action::Watch { after, wait } => {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the control machine: alone, and many of them in concert.
 
 mod concert;
+mod disorder;
 mod harness;
 mod membership;
 mod placement;
 mod publish;
 mod reader;
+mod session;
 mod store;
