Refuse late work in time, bound probes, follow strong overload faster

Work that waited behind second copies was refused only at its deadline; a timer now refuses it when a quick call could not do it any more. A server that does not answer the question for its load report got one connection after the other occupied; one question at a time is open now. The share of queries taken on shrank by 1.5% a step whatever the queue; in a test at 2.5 times the capacity it took seconds to follow. It now shrinks with the length of the wait.

Tests: tables for the records of unrepeatable keys and for the queue.

--- a/crates/core/src/leaf/admission.rs
+++ b/crates/core/src/leaf/admission.rs
@@ -7,8 +7,10 @@
 
 /// Between two adjustments.
 const STEP: Duration = Duration::from_millis(50);
-/// Factor of the share while the queue is too long.
-const LESS: f64 = 0.985;
+/// Part of the share given up while the queue is as long as it may be; more while it is longer, up
+/// to [`MUCH`] times.
+const LESS: f64 = 0.015;
+const MUCH: f64 = 6.0;
 /// Added to the share while the queue is short, and while it is empty.
 const MORE: f64 = 0.005;
 const MUCH_MORE: f64 = 0.05;
@@ -47,7 +49,8 @@
         self.adjusted[place] = now;
         let share = &mut self.shares[place];
         if wait > limit {
-            *share *= LESS;
+            let excess = wait.as_secs_f64() / limit.as_secs_f64().max(1e-6);
+            *share *= 1.0 - LESS * excess.min(MUCH);
         } else if wait.is_zero() {
             *share += MUCH_MORE;
         } else if wait < limit / 2 {
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -29,7 +29,8 @@
     /// Dispatches for all services that changed in the event at hand.
     pub(super) fn pump_marked(&mut self, out: &mut Vec<Action>) {
         while let Some(id) = self.marked.pop() {
-            if self.services.contains_key(id) {
+            if let Some(service) = self.services.get_mut(id) {
+                service.marked = false;
                 self.pump(id, out);
             }
         }
@@ -89,11 +90,11 @@
     /// Whether a portion cannot be done in time even if it is sent now.
     fn too_late(&self, key: PortionKey) -> bool {
         let portion = &self.portions[key];
-        let usual = match self.settings.queueing {
-            true => self.services[portion.service].times.quantile(0.25),
-            false => None,
+        let fast = match self.settings.queueing {
+            true => self.services[portion.service].fast(),
+            false => Duration::ZERO,
         };
-        self.now + usual.unwrap_or(Duration::ZERO) >= portion.deadline
+        self.now + fast >= portion.deadline
     }
 
     /// The server for a portion's next call.
@@ -180,6 +181,10 @@
     /// When most servers look as if they fail, the fault is likely on the watcher's side, such as
     /// its network. Without the floor it would stop sending altogether.
     pub(super) fn suspects(&self, id: ServiceId) -> Vec<ServerKey> {
+        let mut all = self.services[id].servers.iter();
+        if !all.any(|key| self.servers[*key].health.suspect()) {
+            return Vec::new();
+        }
         let accepting = |key: &&ServerKey| self.servers[**key].accepts();
         let servers: Vec<ServerKey> = self.services[id]
             .servers
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -83,7 +83,7 @@
             Outcome::Answer(_) => {
                 server.health.answered(elapsed);
                 if !attempt.given_up {
-                    self.services[attempt.service].times.add(elapsed);
+                    self.services[attempt.service].learn(elapsed);
                 }
             }
             Outcome::Refusal(refusal) => {
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -220,6 +220,7 @@
             self.records
                 .start(self.now, portion.record(), job.work.attempt);
         }
+        let fast = service.fast();
         let key = self.portions.insert(portion);
         self.queue(key);
         let query = Query {
@@ -228,6 +229,23 @@
         };
         self.queries.entry(query).or_default().push(key);
         self.timers.push(deadline, Timer::Deadline(key));
+        if self.settings.queueing && !fast.is_zero() {
+            self.timers.push(deadline - fast, Timer::Late(key));
+        }
+    }
+
+    /// Whether a portion is in the queue.
+    pub(super) fn waits(&self, key: PortionKey) -> bool {
+        let portion = self.portions.get(key);
+        portion.is_some_and(|portion| portion.place.is_some())
+    }
+
+    /// A portion that waits now cannot be done any more; its entry may use the time that is left.
+    pub(super) fn late(&mut self, key: PortionKey, out: &mut Vec<Action>) {
+        if self.waits(key) {
+            let verdict = self.standing(key);
+            self.finish(key, Refused::with(verdict, Reason::WouldMissDeadline), out);
+        }
     }
 
     /// Puts a portion without an open call into its service's queue.
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -201,12 +201,15 @@
         }
     }
 
-    /// Asks servers for their load reports, each at most once a second.
+    /// Asks servers for their load reports, each at most once a second and one question at a time.
+    /// A server that does not answer would otherwise occupy one connection after the other.
     fn probe(&mut self, id: ServiceId, out: &mut Vec<Action>) {
         for index in 0..self.services[id].servers.len() {
             let key = self.services[id].servers[index];
             let server = &self.servers[key];
-            if !server.accepts() || self.now < server.probe_at {
+            let lane = server.probe_lane.and_then(|lane| self.lanes.get(lane));
+            let open = lane.is_some_and(|lane| lane.state == State::Control);
+            if open || !server.accepts() || self.now < server.probe_at {
                 continue;
             }
             let name = Arc::clone(&server.name);
@@ -214,6 +217,7 @@
                 continue;
             };
             self.servers[key].probe_at = self.now + UPKEEP;
+            self.servers[key].probe_lane = Some(lane);
             self.lanes[lane].state = State::Control;
             out.push(Action::Probe { lane, server: name });
         }
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -83,6 +83,8 @@
     pub(super) draining: bool,
     pub(super) gap: Option<Gap>,
     /// Services whose queue or servers changed in the event at hand.
+    ///
+    /// Invariant: holds exactly those whose `marked` is set, and some that are gone.
     pub(super) marked: Vec<ServiceId>,
 }
 
@@ -164,6 +166,7 @@
             self.timers.pop();
             match timer {
                 Timer::Deadline(portion) => self.deadline(portion, out),
+                Timer::Late(portion) => self.late(portion, out),
                 Timer::Hedge(portion) => self.hedge_due(portion),
                 Timer::Pump(service) => self.resume(service, out),
                 Timer::Upkeep(service) => self.upkeep(service, out),
@@ -175,9 +178,9 @@
     fn drop_stale_timers(&mut self) {
         while let Some((_, timer)) = self.timers.peek() {
             let stale = match timer {
-                Timer::Deadline(portion) | Timer::Hedge(portion) => {
-                    !self.portions.contains_key(portion)
-                }
+                Timer::Deadline(portion) => !self.portions.contains_key(portion),
+                Timer::Late(portion) => !self.waits(portion),
+                Timer::Hedge(portion) => !self.portions.contains_key(portion),
                 Timer::Pump(service) | Timer::Upkeep(service) => {
                     !self.services.contains_key(service)
                 }
@@ -191,7 +194,11 @@
 
     /// Notes that a service's queue or servers changed.
     pub(super) fn mark(&mut self, service: ServiceId) {
-        if !self.marked.contains(&service) {
+        let Some(found) = self.services.get_mut(service) else {
+            return;
+        };
+        if !found.marked {
+            found.marked = true;
             self.marked.push(service);
         }
     }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -140,7 +140,7 @@
         let service = &mut self.services[service];
         let usual = service.hedge_delay();
         if slow && usual.is_some_and(|usual| elapsed >= usual) {
-            service.times.add(elapsed);
+            service.learn(elapsed);
             let health = &mut self.servers[server].health;
             health.slow(elapsed);
             health.failed(self.now, &mut self.random);
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -56,6 +56,8 @@
     pub(super) reopen_at: Instant,
     /// The next question for a load report.
     pub(super) probe_at: Instant,
+    /// The connection of the last question for a load report.
+    pub(super) probe_lane: Option<LaneKey>,
     /// Calls to cancel as soon as a lane is idle.
     pub(super) cancels: VecDeque<AttemptKey>,
 }
@@ -80,6 +82,7 @@
             open_failures: 0,
             reopen_at: Instant::default(),
             probe_at: Instant::default(),
+            probe_lane: None,
             cancels: VecDeque::new(),
         };
         server.list(listed);
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -23,6 +23,8 @@
 
 /// Samples before the learned call times are used.
 pub(super) const LEARNED: u64 = 50;
+/// Samples between two computations of the quantiles.
+const REFRESH: u64 = 25;
 
 /// What this instance is to a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,6 +67,12 @@
     pub(super) in_flight: u32,
     /// Call times over all servers.
     pub(super) times: Estimate,
+    /// Call time that few calls exceed, `None` until it is learned.
+    slow: Option<Duration>,
+    /// Call time that most calls exceed, `None` until it is learned.
+    fast: Option<Duration>,
+    /// Its queue or servers changed in the event at hand.
+    pub(super) marked: bool,
     pub(super) budget: Budget,
     pub(super) admission: Admission,
     /// Portions whose hedge is due but has found no slot or no token yet, by time of sending.
@@ -84,6 +92,9 @@
             queue: Queue::default(),
             in_flight: 0,
             times: Estimate::default(),
+            slow: None,
+            fast: None,
+            marked: false,
             budget: Budget::default(),
             admission: Admission::default(),
             overdue: BTreeSet::new(),
@@ -103,16 +114,31 @@
             .filter(|_| self.times.samples() >= LEARNED)
     }
 
-    /// The call time after which a second copy is due, once it is learned.
-    ///
-    /// The share of calls that are slower is a little less than the share of extra calls that the
-    /// budget pays, so that the tokens are there when a straggler shows.
-    pub(super) fn hedge_delay(&self) -> Option<Duration> {
-        if self.times.samples() < LEARNED {
-            return None;
+    /// Takes a call time in.
+    pub(super) fn learn(&mut self, span: Duration) {
+        self.times.add(span);
+        let samples = self.times.samples();
+        if samples >= LEARNED && samples.is_multiple_of(REFRESH) {
+            self.refresh_quantiles();
         }
+    }
+
+    /// The share of calls that are slower than the hedge delay is a little less than the share of
+    /// extra calls that the budget pays, so that the tokens are there when a straggler shows.
+    fn refresh_quantiles(&mut self) {
         let extra = f64::from(self.limits().extra_percent) / 100.0;
-        let quantile = (1.0 - 0.8 * extra).clamp(0.9, 0.99);
-        self.times.quantile(quantile)
+        let slow = (1.0 - 0.8 * extra).clamp(0.9, 0.99);
+        self.slow = self.times.quantile(slow);
+        self.fast = self.times.quantile(0.25);
+    }
+
+    /// The call time after which a second copy is due, once it is learned.
+    pub(super) fn hedge_delay(&self) -> Option<Duration> {
+        self.slow
+    }
+
+    /// The call time below which work is not worth starting; zero until it is learned.
+    pub(super) fn fast(&self) -> Duration {
+        self.fast.unwrap_or_default()
     }
 }
--- a/crates/core/src/leaf/timer.rs
+++ b/crates/core/src/leaf/timer.rs
@@ -12,6 +12,8 @@
 pub(super) enum Timer {
     /// A portion must be replied to.
     Deadline(PortionKey),
+    /// A portion that still waits cannot be done any more.
+    Late(PortionKey),
     /// A portion's first call has taken longer than the service's usual calls.
     Hedge(PortionKey),
     /// A back-off of one of the service's servers ends.
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -292,3 +292,41 @@
         self.log.clear();
     }
 }
+
+impl Bed {
+    /// When to come back, by the last reply, in milliseconds.
+    pub(crate) fn retry_after(&self) -> u32 {
+        let last = self.log.iter().rev().find_map(|action| match action {
+            Action::Reply { reply, .. } => Some(reply.retry_after_ms),
+            _ => None,
+        });
+        last.expect("a reply")
+    }
+
+    /// Sends 4000 sweeps, one a millisecond, to servers that take `slow` milliseconds a call, and
+    /// returns those that were taken on.
+    pub(crate) fn overload(&mut self, slow: u64) -> Vec<u64> {
+        let mut running: Vec<(Instant, Sent)> = Vec::new();
+        let mut taken = Vec::new();
+        for query in 0..4000 {
+            self.log.clear();
+            self.work(work(query, "sweep"));
+            if self.replies().is_empty() {
+                taken.push(query);
+            }
+            let due = self.now + Duration::from_millis(slow);
+            running.extend(self.sent().into_iter().map(|sent| (due, sent)));
+            self.advance(1);
+            let (done, rest) = running.into_iter().partition(|(due, _)| *due <= self.now);
+            running = rest;
+            let done: Vec<(Instant, Sent)> = done;
+            for (_, sent) in done {
+                self.log.clear();
+                self.end(sent.attempt, sent.answer());
+                let due = self.now + Duration::from_millis(slow);
+                running.extend(self.sent().into_iter().map(|sent| (due, sent)));
+            }
+        }
+        taken
+    }
+}
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -3,5 +3,7 @@
 mod bed;
 mod dispatch;
 mod hedge;
+mod once;
 mod property;
+mod queue;
 mod world;
--- /dev/null
+++ b/crates/core/tests/leaf/once.rs
@@ -0,0 +1,205 @@
+//! Unrepeatable requests: records of request keys, verdicts, cancellations.
+
+use ladder_core::leaf::Event;
+use ladder_core::leaf::event::Outcome;
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::wire;
+
+use crate::bed::{Bed, Sent, server, service, settings, work};
+
+/// What becomes of the first delivery before the second arrives.
+#[derive(Clone, Copy, Debug)]
+enum First {
+    None,
+    Open,
+    Answered,
+    Lost,
+    LateAnswer,
+    Cancelled,
+    RefusedLate,
+}
+
+struct Case {
+    first: First,
+    /// Attempt number of the second delivery; the first has 1.
+    attempt: u32,
+    runs: bool,
+}
+
+fn booking(query: u64, attempt: u32) -> wire::Work {
+    wire::Work {
+        key: "booking".into(),
+        attempt,
+        ..work(query, "book")
+    }
+}
+
+fn cancel(query: u64) -> Event {
+    Event::Cancel(wire::Cancel {
+        query,
+        incarnation: 9,
+    })
+}
+
+/// Fills all slots, so that what comes next waits.
+fn fill(bed: &mut Bed) -> Vec<Sent> {
+    for query in 100..104 {
+        bed.work(work(query, "sweep"));
+    }
+    bed.sent()
+}
+
+fn first_delivery(bed: &mut Bed, first: First) {
+    if let First::Cancelled = first {
+        let filling = fill(bed);
+        bed.work(booking(1, 1));
+        bed.handle(cancel(1));
+        for sent in filling {
+            bed.end(sent.attempt, sent.answer());
+        }
+        return;
+    }
+    if !matches!(first, First::None) {
+        bed.work(booking(1, 1));
+    }
+    let sent = bed.sent().pop();
+    let Some(sent) = sent else {
+        return;
+    };
+    match first {
+        First::Answered => bed.end(sent.attempt, sent.answer()),
+        First::Lost => bed.end(sent.attempt, Outcome::Lost),
+        First::LateAnswer => {
+            bed.handle(cancel(1));
+            bed.end(sent.attempt, sent.answer());
+        }
+        First::RefusedLate => {
+            bed.handle(cancel(1));
+            bed.end(sent.attempt, sent.refusal(Reason::TargetShed, 0));
+            bed.advance(50);
+        }
+        _ => {}
+    }
+}
+
+/// A caller books a dock and hears nothing. It asks again through another entry, with the same key
+/// and a higher attempt number. The booking runs a second time unless the owner refuses what it
+/// cannot prove not to have run.
+#[test]
+fn second_delivery_of_a_key() {
+    let case = |first, attempt, runs| Case {
+        first,
+        attempt,
+        runs,
+    };
+    let cases = [
+        case(First::None, 0, true),
+        case(First::None, 1, true),
+        case(First::None, 2, false),
+        case(First::Open, 1, false),
+        case(First::Open, 2, false),
+        case(First::Answered, 1, false),
+        case(First::Answered, 2, false),
+        case(First::Lost, 1, false),
+        case(First::Lost, 2, false),
+        case(First::LateAnswer, 2, false),
+        case(First::Cancelled, 1, true),
+        case(First::Cancelled, 2, true),
+        case(First::Cancelled, 3, false),
+        case(First::RefusedLate, 2, true),
+    ];
+    for case in cases {
+        let mut bed = Bed::new();
+        first_delivery(&mut bed, case.first);
+        bed.log.clear();
+        bed.work(booking(2, case.attempt));
+        let name = format!("{:?}, then attempt {}", case.first, case.attempt);
+        assert_eq!(bed.sent().len(), usize::from(case.runs), "{name}");
+        let refused = [(Verdict::MayHaveRun, Reason::RepeatedKey)];
+        let expected = if case.runs { &[][..] } else { &refused[..] };
+        assert_eq!(bed.replies(), expected, "{name}");
+    }
+}
+
+/// The owner refuses a booking "not run"; the entry sends it to the next candidate, where it runs.
+/// The answer is lost and the caller asks again with attempt 2. The first owner's record must not
+/// be taken as proof that attempt 1 ran nowhere.
+#[test]
+fn refused_here_is_no_proof_for_the_next_attempt() {
+    let mut bed = Bed::new();
+    fill(&mut bed);
+    bed.work(booking(1, 1));
+    bed.advance(499);
+    assert!(bed.replies().contains(&(Verdict::NotRun, Reason::Deadline)));
+    let open = bed.sent();
+    for sent in open {
+        bed.end(sent.attempt, sent.answer());
+    }
+    bed.log.clear();
+    bed.work(booking(2, 2));
+    assert_eq!(bed.replies(), [(Verdict::MayHaveRun, Reason::RepeatedKey)]);
+    bed.log.clear();
+    bed.work(booking(3, 1));
+    assert_eq!(bed.sent().len(), 1);
+}
+
+/// A cancellation overtakes its work. The entry has told its caller that the request was given up;
+/// the copy that arrives later must not run.
+#[test]
+fn cancellation_that_overtakes_its_work() {
+    for operation in ["sweep", "book"] {
+        let mut bed = Bed::new();
+        bed.handle(cancel(1));
+        bed.work(work(1, operation));
+        assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::Cancelled)]);
+        assert!(bed.sent().is_empty());
+    }
+}
+
+/// The network delivers a frame twice. The second copy would run a second time and be replied to a
+/// second time.
+#[test]
+fn duplicated_delivery_is_ignored() {
+    for operation in ["sweep", "book"] {
+        let mut bed = Bed::new();
+        bed.work(work(1, operation));
+        bed.work(work(1, operation));
+        assert_eq!(bed.sent().len(), 1);
+        let sent = bed.sent();
+        bed.end(sent[0].attempt, sent[0].answer());
+        bed.work(work(1, operation));
+        assert_eq!(bed.sent().len(), 1);
+        assert_eq!(bed.replies().len(), 1);
+    }
+}
+
+/// A client library may leave the flag out. The catalogue says that bookings are unrepeatable, and
+/// the owner must hold to it.
+#[test]
+fn catalogue_makes_an_operation_unrepeatable() {
+    let mut bed = Bed::new();
+    bed.work(wire::Work {
+        unrepeatable: false,
+        ..work(1, "book")
+    });
+    let sent = bed.sent();
+    bed.end(sent[0].attempt, Outcome::Lost);
+    assert_eq!(bed.sent().len(), 1);
+    assert_eq!(bed.replies(), [(Verdict::MayHaveRun, Reason::TargetLost)]);
+}
+
+/// Records are bounded in age: after ten minutes a first attempt may run, a later one still not.
+#[test]
+fn records_expire() {
+    for (attempt, runs) in [(1, true), (2, false)] {
+        let mut bed = Bed::with(settings(), service(vec![server(1), server(2)]));
+        bed.work(booking(1, 1));
+        let sent = bed.sent();
+        bed.end(sent[0].attempt, sent[0].answer());
+        bed.advance(601_000);
+        bed.connect();
+        bed.log.clear();
+        bed.work(booking(2, attempt));
+        assert_eq!(bed.sent().len(), usize::from(runs), "attempt {attempt}");
+    }
+}
