Let avoided servers back in; tables for servers, lanes, stops; golden session

A server with one failure was avoided while another was idle, showed no further outcomes, and stayed avoided. Its failure rate and call time now fade within seconds. Ruled out: trials by time alone, which send work to a server known to fail while a good one is idle.

Tests: which source says that a server leaves, retired versions, shedding, fast errors, the floor of suspects, cold servers, connections, drain, suspension, wrong answers, and one whole session as a golden file.

--- a/crates/core/examples/sweep_trial.rs
+++ b/crates/core/examples/sweep_trial.rs
@@ -5,6 +5,8 @@
 
 #[path = "sweep_trial/fleet.rs"]
 mod fleet;
+#[path = "sweep_trial/messages.rs"]
+mod messages;
 #[path = "sweep_trial/run.rs"]
 mod run;
 
--- /dev/null
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -0,0 +1,97 @@
+//! Messages and records of the simulation.
+
+use std::sync::Arc;
+
+use ladder_core::leaf::event::Outcome;
+use ladder_core::schema::catalogue::{Entry, Limits};
+use ladder_core::schema::outcome::Reason;
+use ladder_core::schema::publication::Holding;
+use ladder_core::schema::{call, target, wire};
+use ladder_core::view::{Candidate, Peer, Server, Service};
+
+use crate::fleet::SLOTS;
+
+pub(crate) const SERVICES: usize = 20;
+pub(crate) const SERVERS: usize = 2;
+const BUDGET_US: u64 = 1_000_000;
+
+pub(crate) fn answer(request: &target::Request) -> Outcome {
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: String::new(),
+    };
+    Outcome::Answer(target::Answer {
+        id: request.id.clone(),
+        index: request.index.clone(),
+        version: request.version,
+        parts: request.shards.iter().map(part).collect(),
+    })
+}
+
+pub(crate) fn refusal(request: &target::Request, reason: Reason) -> Outcome {
+    Outcome::Refusal(target::Refusal {
+        id: request.id.clone(),
+        reason: reason.into(),
+        retry_after_ms: 0,
+    })
+}
+
+pub(crate) fn peer(name: &str) -> Peer {
+    Peer {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+    }
+}
+
+pub(crate) fn work(query: u64) -> wire::Work {
+    let portion = |number| wire::Portion {
+        service: format!("service-{number}"),
+        shards: vec!["shard".into()],
+    };
+    wire::Work {
+        query,
+        round: 1,
+        key: format!("key-{query}"),
+        attempt: 1,
+        index: "index".into(),
+        version: 1,
+        operation: "sweep".into(),
+        budget_us: BUDGET_US,
+        portions: (0..SERVICES).map(portion).collect(),
+        ..wire::Work::default()
+    }
+}
+
+pub(crate) fn service(number: usize) -> Service {
+    let server = |place| Server {
+        name: format!("server-{number}-{place}").into(),
+        address: format!("10.0.{number}.{place}:80").into(),
+        zone: "zone".into(),
+        incarnation: 1,
+        leaving: false,
+        slots: SLOTS as u32,
+        share: 12,
+        holdings: vec![Holding {
+            index: "index".into(),
+            version: 1,
+        }],
+    };
+    let limits = Limits {
+        queue: 1000,
+        extra_percent: 5,
+        ..Limits::default()
+    };
+    Service {
+        name: format!("service-{number}").into(),
+        entry: Arc::new(Entry {
+            limits: Some(limits),
+            ..Entry::default()
+        }),
+        servers: (0..SERVERS).map(server).collect(),
+        candidates: vec![Candidate {
+            peer: peer("trial"),
+            live: true,
+            local: true,
+        }],
+    }
+}
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -7,20 +7,16 @@
 
 use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
 use ladder_core::leaf::{Action, Event, Machine, Settings};
-use ladder_core::schema::catalogue::{Entry, Limits};
 use ladder_core::schema::outcome::{Reason, Verdict};
-use ladder_core::schema::publication::Holding;
-use ladder_core::schema::{call, target, wire};
+use ladder_core::schema::{target, wire};
 use ladder_core::time::Instant;
-use ladder_core::view::{Candidate, Peer, Server, Service, View};
+use ladder_core::view::View;
 
 use crate::fleet::{self, Arrival, Random, SLOTS, Times};
+use crate::messages::{SERVERS, SERVICES, answer, peer, refusal, service, work};
 
-const SERVICES: usize = 20;
-const SERVERS: usize = 2;
 const HOP_US: u64 = 500;
 const CONNECT_US: u64 = 6000;
-const BUDGET_US: u64 = 1_000_000;
 /// Sweeps that only teach.
 const WARM_UP: u64 = 1000;
 
@@ -174,8 +170,8 @@
             Step::Done(call) => self.done(call, Step::Answer(call)),
             Step::Cancel(call) => self.done(call, Step::Withdrawn(call)),
             Step::Answer(call) => self.end(call, answer),
-            Step::Shed(call) => self.end(call, |call| refusal(call, Reason::TargetShed)),
-            Step::Withdrawn(call) => self.end(call, |call| refusal(call, Reason::Cancelled)),
+            Step::Shed(call) => self.end(call, |request| refusal(request, Reason::TargetShed)),
+            Step::Withdrawn(call) => self.end(call, |request| refusal(request, Reason::Cancelled)),
         }
     }
 
@@ -232,14 +228,14 @@
         }
     }
 
-    fn end(&mut self, number: u64, outcome: fn(&Call) -> Outcome) {
+    fn end(&mut self, number: u64, outcome: fn(&target::Request) -> Outcome) {
         let Some(call) = self.calls.remove(&number) else {
             return;
         };
         self.numbers.remove(&call.request.id);
         let event = Event::Ended {
             attempt: call.attempt,
-            outcome: outcome(&call),
+            outcome: outcome(&call.request),
         };
         self.handle(event);
     }
@@ -340,84 +336,3 @@
         }
     }
 }
-
-fn answer(call: &Call) -> Outcome {
-    let part = |shard: &String| call::Part {
-        shard: shard.clone(),
-        body: String::new(),
-    };
-    Outcome::Answer(target::Answer {
-        id: call.request.id.clone(),
-        index: call.request.index.clone(),
-        version: call.request.version,
-        parts: call.request.shards.iter().map(part).collect(),
-    })
-}
-
-fn refusal(call: &Call, reason: Reason) -> Outcome {
-    Outcome::Refusal(target::Refusal {
-        id: call.request.id.clone(),
-        reason: reason.into(),
-        retry_after_ms: 0,
-    })
-}
-
-fn peer(name: &str) -> Peer {
-    Peer {
-        name: name.into(),
-        address: "127.0.0.1:1".into(),
-    }
-}
-
-fn work(query: u64) -> wire::Work {
-    let portion = |number| wire::Portion {
-        service: format!("service-{number}"),
-        shards: vec!["shard".into()],
-    };
-    wire::Work {
-        query,
-        round: 1,
-        key: format!("key-{query}"),
-        attempt: 1,
-        index: "index".into(),
-        version: 1,
-        operation: "sweep".into(),
-        budget_us: BUDGET_US,
-        portions: (0..SERVICES).map(portion).collect(),
-        ..wire::Work::default()
-    }
-}
-
-fn service(number: usize) -> Service {
-    let server = |place| Server {
-        name: format!("server-{number}-{place}").into(),
-        address: format!("10.0.{number}.{place}:80").into(),
-        zone: "zone".into(),
-        incarnation: 1,
-        leaving: false,
-        slots: SLOTS as u32,
-        share: 12,
-        holdings: vec![Holding {
-            index: "index".into(),
-            version: 1,
-        }],
-    };
-    let limits = Limits {
-        queue: 1000,
-        extra_percent: 5,
-        ..Limits::default()
-    };
-    Service {
-        name: format!("service-{number}").into(),
-        entry: Arc::new(Entry {
-            limits: Some(limits),
-            ..Entry::default()
-        }),
-        servers: (0..SERVERS).map(server).collect(),
-        candidates: vec![Candidate {
-            peer: peer("trial"),
-            live: true,
-            local: true,
-        }],
-    }
-}
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::Attempt;
 use super::event::{Action, LaneKey};
+use super::intake::UNLEARNED;
 use super::lane;
 use super::machine::Machine;
 use super::portion::PortionKey;
@@ -167,11 +168,11 @@
 
     /// Expected call time in microseconds, made longer by load, failures and an earlier failed try.
     fn cost(&self, id: ServiceId, server: &Server, tried: bool) -> f64 {
-        let seen = server.health.mean().max(Duration::from_micros(1));
-        let usual = self.services[id].mean().unwrap_or(seen);
+        let usual = self.services[id].times.mean().unwrap_or(UNLEARNED);
+        let seen = server.health.mean(self.now).unwrap_or(usual);
         let expected = seen.max(usual / 2).as_secs_f64();
         let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
-        let failures = FAILURE_COST * server.health.failure_rate();
+        let failures = FAILURE_COST * server.health.failure_rate(self.now);
         let again = if tried { 4.0 } else { 1.0 };
         expected * (1.0 + load) * (1.0 + failures) * again
     }
@@ -192,7 +193,7 @@
             .filter(accepting)
             .copied()
             .collect();
-        let rate = |key: &ServerKey| self.servers[*key].health.failure_rate();
+        let rate = |key: &ServerKey| self.servers[*key].health.failure_rate(self.now);
         let suspect = |key: &ServerKey| self.servers[*key].health.suspect();
         let mut suspects: Vec<ServerKey> = servers.iter().copied().filter(suspect).collect();
         suspects.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -81,7 +81,7 @@
         let server = &mut self.servers[attempt.server];
         match outcome {
             Outcome::Answer(_) => {
-                server.health.answered(elapsed);
+                server.health.answered(self.now, elapsed);
                 if !attempt.given_up {
                     self.services[attempt.service].learn(elapsed);
                 }
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -9,6 +9,8 @@
 const WEIGHT: f64 = 0.1;
 /// Weight of one call time in the mean.
 const TIME_WEIGHT: f64 = 0.1;
+/// Time in which what was seen loses half its weight.
+const FADE: Duration = Duration::from_secs(2);
 /// Failures in a row that make a server suspect.
 const ROW: u32 = 3;
 /// Failure rate that makes a server suspect.
@@ -26,7 +28,10 @@
 /// times of failures counted; they do not, and failures raise the rate.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Health {
+    /// Failure rate at the time of the last outcome.
     failure_rate: f64,
+    /// Time of the last outcome.
+    seen: Instant,
     /// Failures since the last answer.
     row: u32,
     /// Mean call time of answers in microseconds, zero before the first.
@@ -40,8 +45,9 @@
 }
 
 impl Health {
-    pub(super) fn answered(&mut self, span: Duration) {
-        self.failure_rate -= WEIGHT * self.failure_rate;
+    pub(super) fn answered(&mut self, now: Instant, span: Duration) {
+        self.failure_rate = self.failure_rate(now) * (1.0 - WEIGHT);
+        self.seen = now;
         if self.row >= ROW {
             self.failure_rate = self.failure_rate.min(RATE / 2.0);
         }
@@ -58,7 +64,9 @@
     }
 
     pub(super) fn failed(&mut self, now: Instant, random: &mut Random) {
-        self.failure_rate += WEIGHT * (1.0 - self.failure_rate);
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + WEIGHT * (1.0 - rate);
+        self.seen = now;
         self.row += 1;
         let paused = now < self.paused_until;
         if !self.suspect() || paused {
@@ -91,12 +99,18 @@
         self.shed_until
     }
 
-    pub(super) fn failure_rate(&self) -> f64 {
-        self.failure_rate
+    /// Failure rate, halved for every [`FADE`] without an outcome.
+    ///
+    /// A server that is avoided shows no outcomes. Without fading it would be avoided for ever.
+    pub(super) fn failure_rate(&self, now: Instant) -> f64 {
+        let idle = now.since(self.seen).as_secs_f64() / FADE.as_secs_f64();
+        self.failure_rate * (-idle).exp2()
     }
 
-    pub(super) fn mean(&self) -> Duration {
-        Duration::from_micros(self.mean_us as u64)
+    /// Mean call time of answers; `None` before the first and when the last is too long ago.
+    pub(super) fn mean(&self, now: Instant) -> Option<Duration> {
+        let known = self.mean_us > 0.0 && now.since(self.seen) < FADE;
+        known.then(|| Duration::from_micros(self.mean_us as u64))
     }
 
     fn sample(&mut self, span: Duration) {
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -27,7 +27,7 @@
 const BUDGET_SHARE: f64 = 0.25;
 const LONG_WAIT: u32 = 16;
 /// Call time assumed before one is learned.
-const UNLEARNED: Duration = Duration::from_millis(10);
+pub(super) const UNLEARNED: Duration = Duration::from_millis(10);
 
 impl Machine {
     pub(super) fn work(
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -69,8 +69,8 @@
     pub share: u32,
     /// Failure rate of recent calls.
     pub failure_rate: f64,
-    /// Mean call time of recent answers.
-    pub mean: Duration,
+    /// Mean call time of recent answers, `None` without any.
+    pub mean: Option<Duration>,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
 }
@@ -116,8 +116,8 @@
         slots: server.slots,
         connections: server.lanes.len(),
         share: server.share,
-        failure_rate: server.health.failure_rate(),
-        mean: server.health.mean(),
+        failure_rate: server.health.failure_rate(now),
+        mean: server.health.mean(now),
         report_age: server.report_age(now),
     }
 }
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -294,6 +294,15 @@
 }
 
 impl Bed {
+    /// Lanes of questions for load reports since the log was last cleared.
+    pub(crate) fn probed(&self) -> Vec<LaneKey> {
+        let probed = self.log.iter().filter_map(|action| match action {
+            Action::Probe { lane, .. } => Some(*lane),
+            _ => None,
+        });
+        probed.collect()
+    }
+
     /// When to come back, by the last reply, in milliseconds.
     pub(crate) fn retry_after(&self) -> u32 {
         let last = self.log.iter().rev().find_map(|action| match action {
--- /dev/null
+++ b/crates/core/tests/leaf/lanes.rs
@@ -0,0 +1,145 @@
+//! Connections: how many, when opened, when closed.
+
+use ladder_core::leaf::event::Outcome;
+use ladder_core::leaf::{Action, Event};
+use ladder_core::view::{Server, Service};
+
+use crate::bed::{Bed, server, service, settings, view, work};
+
+fn shared(share: u32) -> Server {
+    let mut server = server(1);
+    server.share = share;
+    server
+}
+
+/// The service with this instance as the candidate of the given place, the earlier ones live or not.
+fn ranked(place: usize, live: bool) -> Service {
+    let mut service = service(vec![server(1)]);
+    let own = service.candidates[0].clone();
+    let mut other = service.candidates[1].clone();
+    other.live = live;
+    service.candidates = vec![other; place];
+    service.candidates.push(own);
+    service
+}
+
+/// Connections that are opened ahead, before any work.
+#[test]
+fn connections_opened_ahead() {
+    struct Case {
+        name: &'static str,
+        service: Service,
+        connections: usize,
+    }
+    let case = |name, service, connections| Case {
+        name,
+        service,
+        connections,
+    };
+    let cases = [
+        case("owner", service(vec![shared(6)]), 4),
+        case("owner with a small share", service(vec![shared(3)]), 3),
+        case("owner without a share", service(vec![shared(0)]), 0),
+        case("next", ranked(1, true), 1),
+        case("spare", ranked(2, true), 0),
+        case("owner since the first is dead", ranked(1, false), 4),
+    ];
+    for case in cases {
+        let bed = Bed::with(settings(), case.service);
+        assert_eq!(bed.opened.len(), case.connections, "{}", case.name);
+    }
+}
+
+/// The owner is cut off and entries turn to the next candidate, whose membership still calls the
+/// owner live. It must work with its own share at once, and give the connections back later.
+#[test]
+fn next_candidate_opens_connections_for_work_and_closes_them_later() {
+    let mut bed = Bed::with(settings(), ranked(1, true));
+    for query in 0..3 {
+        bed.work(work(query, "sweep"));
+    }
+    bed.connect();
+    assert_eq!(bed.opened.len(), 4);
+    for sent in bed.sent() {
+        bed.end(sent.attempt, sent.answer());
+    }
+    for sent in bed.sent().into_iter().skip(2) {
+        bed.end(sent.attempt, sent.answer());
+    }
+    assert_eq!(bed.machine.open(), 0);
+    for _ in 0..100 {
+        bed.advance(100);
+        for lane in bed.probed() {
+            bed.handle(Event::Opened(lane));
+        }
+    }
+    assert_eq!(bed.opened.len(), 1);
+}
+
+/// The platform publishes more instances and every share shrinks. Connections above it must go,
+/// but not by cutting a call.
+#[test]
+fn smaller_share_closes_idle_connections_only() {
+    let mut bed = Bed::with(settings(), service(vec![shared(6)]));
+    bed.work(work(1, "sweep"));
+    bed.work(work(2, "sweep"));
+    bed.handle(view(service(vec![shared(1)])));
+    assert_eq!(bed.opened.len(), 2);
+    let sent = bed.sent();
+    bed.end(sent[0].attempt, sent[0].answer());
+    assert_eq!(bed.opened.len(), 1);
+    bed.end(sent[1].attempt, sent[1].answer());
+    assert_eq!(bed.opened.len(), 1);
+}
+
+/// A call timed out. Its answer may still arrive on the connection and would be taken for the next
+/// request's; the connection is replaced.
+#[test]
+fn connection_of_a_lost_call_is_replaced() {
+    for outcome in [Outcome::Lost, Outcome::Error, Outcome::Unsent] {
+        let mut bed = Bed::with(settings(), service(vec![server(1)]));
+        bed.work(work(1, "book"));
+        let sent = bed.sent();
+        bed.log.clear();
+        bed.end(sent[0].attempt, outcome);
+        let opens = bed
+            .log
+            .iter()
+            .filter(|action| matches!(action, Action::Open { .. }));
+        assert_eq!(opens.count(), 1);
+        bed.connect();
+        bed.work(work(2, "sweep"));
+        let next = bed.sent().pop().expect("a call");
+        assert_ne!(next.lane, sent[0].lane);
+    }
+}
+
+/// A server is down. Opening all connections again and again would flood it when it comes back.
+#[test]
+fn reopening_backs_off() {
+    let mut bed = Bed::cold(settings(), service(vec![server(1)]));
+    let mut opens = 0;
+    for _ in 0..1000 {
+        let opening: Vec<_> = bed.opened.drain(..).collect();
+        opens += opening.len();
+        for (lane, _) in opening {
+            bed.handle(Event::Closed(lane));
+        }
+        bed.advance(20);
+    }
+    assert!((8..=24).contains(&opens), "{opens} connections in 20 s");
+}
+
+#[test]
+fn another_address_is_another_server() {
+    let mut bed = Bed::with(settings(), service(vec![server(1)]));
+    let mut moved = server(1);
+    moved.address = "10.0.0.9:80".into();
+    bed.handle(view(service(vec![moved])));
+    assert!(
+        bed.opened
+            .iter()
+            .all(|(_, address)| &**address == "10.0.0.9:80")
+    );
+    assert_eq!(bed.opened.len(), 4);
+}
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -3,7 +3,11 @@
 mod bed;
 mod dispatch;
 mod hedge;
+mod lanes;
 mod once;
 mod property;
 mod queue;
+mod servers;
+mod session;
+mod stop;
 mod world;
--- /dev/null
+++ b/crates/core/tests/leaf/session.rs
@@ -0,0 +1,154 @@
+//! Golden file of a whole session.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use ladder_core::leaf::event::{LaneKey, Outcome};
+use ladder_core::leaf::{Action, Event};
+use ladder_core::schema::outcome::Reason;
+
+use crate::bed::{Bed, Sent, server, service, settings, work};
+
+/// Writes down what the machine does, lanes as numbers in order of opening.
+struct Tape {
+    bed: Bed,
+    text: String,
+    lanes: Vec<LaneKey>,
+}
+
+impl Tape {
+    fn note(&mut self, what: &str) {
+        let _ = writeln!(self.text, "{:>7} {what}", self.bed.now.as_micros() / 1000);
+        let actions: Vec<Action> = self.bed.log.drain(..).collect();
+        for action in &actions {
+            let line = self.line(action);
+            let _ = writeln!(self.text, "          {line}");
+        }
+        self.bed.log = actions;
+    }
+
+    fn line(&mut self, action: &Action) -> String {
+        match action {
+            Action::Open { lane, address } => {
+                self.lanes.push(*lane);
+                format!("open lane {} to {address}", self.number(*lane))
+            }
+            Action::Close(lane) => format!("close lane {}", self.number(*lane)),
+            Action::Send {
+                lane,
+                request,
+                timeout,
+                ..
+            } => format!(
+                "send {} on lane {}: {} {}@{} {:?} for {}, timeout {} us",
+                request.id,
+                self.number(*lane),
+                request.operation,
+                request.index,
+                request.version,
+                request.shards,
+                request.key,
+                timeout.as_micros(),
+            ),
+            Action::Cancel { lane, id } => format!("cancel {id} on lane {}", self.number(*lane)),
+            Action::Probe { lane, server } => {
+                format!("ask {server} for its load on lane {}", self.number(*lane))
+            }
+            Action::Reply { to, reply } => format!(
+                "reply to {}: query {} round {} {:?} {:?}, {} parts, {} calls, come back {} ms",
+                to.name,
+                reply.query,
+                reply.round,
+                reply.verdict(),
+                reply.reason(),
+                reply.parts.len(),
+                reply.calls,
+                reply.retry_after_ms,
+            ),
+            Action::Count(count) => format!("count {:?} {:?}", count.event, count.reason),
+        }
+    }
+
+    fn number(&self, lane: LaneKey) -> usize {
+        let place = self.lanes.iter().position(|other| *other == lane);
+        place.map_or(0, |place| place + 1)
+    }
+
+    /// Lets time pass and hands an event over; the last calls sent are returned.
+    fn step(&mut self, millis: u64, what: &str, event: Event) -> Vec<Sent> {
+        self.bed.log.clear();
+        self.bed.advance(millis);
+        if !self.bed.log.is_empty() {
+            self.note("time passes");
+        }
+        self.bed.log.clear();
+        self.bed.handle(event);
+        self.note(what);
+        self.bed.sent()
+    }
+
+    fn end(&mut self, millis: u64, what: &str, sent: &Sent, outcome: Outcome) -> Vec<Sent> {
+        let attempt = sent.attempt;
+        self.step(millis, what, Event::Ended { attempt, outcome })
+    }
+
+    fn work(&mut self, query: u64, operation: &str) -> Vec<Sent> {
+        let event = Event::Work {
+            from: crate::bed::peer("porto-2"),
+            incarnation: 9,
+            work: work(query, operation),
+        };
+        self.step(1, &format!("work {query}: {operation}"), event)
+    }
+}
+
+/// A sweep waits for a straggler, gets a second copy and a reply; the first call is cancelled. Then
+/// a booking is refused by a shedding server, runs on the other and is lost; the caller's second
+/// attempt is not run. A drain lets the last sweep finish.
+#[test]
+fn straggler_then_lost_booking_then_drain() {
+    let mut tape = Tape {
+        bed: Bed::cold(settings(), service(vec![server(1), server(2)])),
+        text: String::new(),
+        lanes: Vec::new(),
+    };
+    tape.note("view");
+    tape.bed.connect();
+    tape.bed.teach(100, 10);
+    tape.bed.now = tape.bed.now + Duration::from_millis(1);
+    straggler(&mut tape);
+    booking(&mut tape);
+    let last = tape.work(3, "sweep");
+    tape.step(1, "drain", Event::Drain);
+    tape.work(4, "sweep");
+    tape.end(9, "answer", &last[0], last[0].answer());
+    assert_eq!(tape.bed.machine.open(), 0);
+    insta::assert_snapshot!(tape.text);
+}
+
+fn straggler(tape: &mut Tape) {
+    let first = tape.work(1, "sweep");
+    tape.bed.log.clear();
+    tape.bed.advance(12);
+    tape.note("the call is slow");
+    let copy = tape.bed.sent();
+    tape.end(8, "the copy is answered", &copy[0], copy[0].answer());
+    let refused = first[0].refusal(Reason::Cancelled, 0);
+    tape.end(1, "the first call is cancelled", &first[0], refused);
+}
+
+fn booking(tape: &mut Tape) {
+    let first = tape.work(2, "book");
+    let shed = first[0].refusal(Reason::TargetShed, 50);
+    let second = tape.end(1, "the server sheds", &first[0], shed);
+    tape.end(5, "the connection breaks", &second[0], Outcome::Lost);
+    let mut again = work(20, "book");
+    again.key = "key-2".into();
+    again.attempt = 2;
+    let event = Event::Work {
+        from: crate::bed::peer("porto-3"),
+        incarnation: 4,
+        work: again,
+    };
+    tape.step(5, "the caller asks again through another entry", event);
+}
