Give slow operations time before their owner counts as silent

Cause: before reply times are learned, an operation that takes seconds was sent to the next candidate after 200 ms, again and again: extra load with nothing lost. Portions open at a lost owner were also counted for the deadline while the answer named the owner.

Change: silence moves only what has been out for a sixteenth of its query's deadline; counters and answers share the reason of an open portion; tests for a refusal that comes twice, a booking that ran in part, and a reply without a verdict. Ruled out: a larger assumed reply time, which would leave quick lookups waiting for a lost owner until their deadline.

--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -96,8 +96,7 @@
     let portion = &query.portions[position];
     let reason = match state {
         State::Refused(reason) => *reason,
-        _ if is_lost(portion) => Reason::OwnerLost,
-        _ => reason,
+        _ => open_reason(portion, reason),
     };
     let verdict = former(query.exposed, portion.verdict());
     for &shard in &portion.share.shards {
@@ -110,14 +109,13 @@
     }
 }
 
-/// Every sending that was not answered went to an owner that fell silent or lost its link.
-fn is_lost(portion: &Portion) -> bool {
-    let mut unanswered = portion
-        .sendings
-        .iter()
-        .filter(|sending| sending.progress != Progress::Ended)
-        .peekable();
-    unanswered.peek().is_some() && unanswered.all(|sending| sending.progress != Progress::Open)
+/// Why a portion that is still open is not covered when its query ends for `reason`: its owner is
+/// lost if every sending that was not answered went to one that fell silent or lost its link.
+pub(crate) fn open_reason(portion: &Portion, reason: Reason) -> Reason {
+    let mut progress = portion.sendings.iter().map(|sending| sending.progress);
+    let lost = progress.clone().any(|progress| progress != Progress::Ended)
+        && progress.all(|progress| progress != Progress::Open);
+    if lost { Reason::OwnerLost } else { reason }
 }
 
 /// The verdict of something that may also have run under an earlier version.
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -1,6 +1,7 @@
 //! Moves work away from owners that are lost or silent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::outcome::Reason;
 
@@ -8,7 +9,7 @@
 use super::history::Step;
 use super::machine::{Machine, count};
 use super::peers::PeerKey;
-use super::query::{Portion, Progress, QueryKey};
+use super::query::{Portion, Progress, Query, QueryKey, Sending};
 use super::take::may_send_again;
 use super::timers::Timer;
 use crate::collections::Map;
@@ -18,13 +19,19 @@
 
 /// A silence timer served later than this after its time says nothing of the peer: this process
 /// itself did not run, and replies may wait unread.
-const LATE: std::time::Duration = std::time::Duration::from_millis(10);
+const LATE: Duration = Duration::from_millis(10);
+/// Work that has been out for less than this share of its query's deadline is not moved because of
+/// silence: before reply times are learned, an operation that takes seconds would else be sent to
+/// every candidate within its first fractions of a second.
+const PATIENCE: u32 = 16;
 
 /// How sure it is that an owner is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Loss {
-    /// It is silent or leaving; it may still answer.
-    Suspected,
+    /// Nothing arrived from it for too long; it may still answer.
+    Silent,
+    /// The membership does not hold it live: it is dead, or leaves and finishes what it has.
+    Unlisted,
     /// Its link broke.
     Certain,
 }
@@ -60,7 +67,7 @@
         gone.sort_unstable();
         for name in gone {
             if let Some(peer) = self.peers.find(name) {
-                self.leave(now, peer, Loss::Suspected, out);
+                self.leave(now, peer, Loss::Unlisted, out);
             }
         }
         self.peers.prune(|name| live.contains_key(name));
@@ -83,18 +90,27 @@
         };
         if now.since(at) > LATE {
             self.peers.restart_clocks(now);
-        } else if overdue <= now && self.peers.is_flood(now) {
+        } else if overdue <= now && (self.peers.is_flood(now) || !self.is_impatient(now, key)) {
             self.look_again(now, key);
             return;
         } else if overdue <= now {
             self.peers.silence(key, now);
-            self.leave(now, key, Loss::Suspected, out);
+            self.leave(now, key, Loss::Silent, out);
             self.peers.restart_clock(key, now);
         }
         self.watch(now, key);
     }
 
-    /// Puts a decision off while many peers are silent; their silence goes on counting.
+    /// Something has been out at a peer for long, by its own deadline.
+    fn is_impatient(&self, now: Instant, peer: PeerKey) -> bool {
+        self.queries.values().any(|query| {
+            let portions = query.portions.iter();
+            let mut sendings = portions.flat_map(|portion| &portion.sendings);
+            sendings.any(|sending| relies(now, query, sending, peer, Loss::Silent))
+        })
+    }
+
+    /// Puts a decision off; the silence goes on counting.
     fn look_again(&mut self, now: Instant, key: PeerKey) {
         if let Some(state) = self.peers.get_mut(key) {
             let at = now + state.limit() / 2;
@@ -107,7 +123,7 @@
     fn leave(&mut self, now: Instant, peer: PeerKey, loss: Loss, out: &mut Vec<Action>) {
         let keys: Vec<QueryKey> = self.queries.keys().collect();
         for key in keys {
-            let portions = self.held_by(key, peer, loss);
+            let portions = self.held_by(now, key, peer, loss);
             if portions.is_empty() {
                 continue;
             }
@@ -117,24 +133,19 @@
     }
 
     /// Portions of a query whose reply from `peer` can no longer be relied on.
-    fn held_by(&self, key: QueryKey, peer: PeerKey, loss: Loss) -> Vec<usize> {
+    fn held_by(&self, now: Instant, key: QueryKey, peer: PeerKey, loss: Loss) -> Vec<usize> {
         let query = &self.queries[key];
-        if query.terms.unrepeatable && loss == Loss::Suspected {
+        if query.terms.unrepeatable && loss != Loss::Certain {
             // It may not go elsewhere, and an owner that is leaving finishes what it holds.
             return Vec::new();
         }
-        let relies = |portion: &Portion| {
-            portion.sendings.iter().any(|sending| {
-                let relied = match loss {
-                    Loss::Suspected => sending.progress == Progress::Open,
-                    Loss::Certain => sending.progress <= Progress::Overdue,
-                };
-                sending.peer == peer && relied
-            })
+        let held = |portion: &Portion| {
+            let mut sendings = portion.sendings.iter();
+            portion.is_open() && sendings.any(|sending| relies(now, query, sending, peer, loss))
         };
         let portions = query.portions.iter().enumerate();
         portions
-            .filter(|(_, portion)| portion.is_open() && relies(portion))
+            .filter(|(_, portion)| held(portion))
             .map(|(position, _)| position)
             .collect()
     }
@@ -203,10 +214,23 @@
                 self.peers.ended(peer);
             }
             sending.progress = match (sending.progress, loss) {
-                (Progress::Open, Loss::Suspected) => Progress::Overdue,
                 (Progress::Open | Progress::Overdue, Loss::Certain) => Progress::Lost,
+                (Progress::Open, _) => Progress::Overdue,
                 (progress, _) => progress,
             };
         }
     }
 }
+
+/// The query relies on a sending to `peer` that this loss makes unreliable.
+fn relies(now: Instant, query: &Query, sending: &Sending, peer: PeerKey, loss: Loss) -> bool {
+    let lost = match loss {
+        Loss::Silent => {
+            let out_for = now.since(sending.at);
+            sending.progress == Progress::Open && out_for >= query.terms.deadline / PATIENCE
+        }
+        Loss::Unlisted => sending.progress == Progress::Open,
+        Loss::Certain => sending.progress <= Progress::Overdue,
+    };
+    sending.peer == peer && lost
+}
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -90,7 +90,8 @@
         let Some(mut query) = self.remove(key) else {
             return;
         };
-        for _ in 0..query.open {
+        for portion in query.portions.iter().filter(|portion| portion.is_open()) {
+            let reason = answer::open_reason(portion, reason);
             count(out, count::Event::Refusal, reason);
         }
         if query.terms.unrepeatable {
--- a/crates/core/src/gather/keys.rs
+++ b/crates/core/src/gather/keys.rs
@@ -15,6 +15,11 @@
 /// It prevents one failure: a caller that repeats a booking at the same entry, because its
 /// connection broke or it lost patience, while the first one is still under way. The second would
 /// reach another owner if the first owner was lost in between, and run there again.
+///
+/// Through another entry the attempt number protects the caller: it is 1 plus the number of earlier
+/// sendings whose outcome the caller does not know to be "not run". The owner runs a first attempt
+/// that it has no record of, and answers "may have run" to a later one that no record proves not to
+/// have run.
 #[derive(Debug, Default)]
 pub(crate) struct Keys {
     verdicts: Map<String, Verdict>,
--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -5,6 +5,7 @@
 use ladder_core::count::{self, Count};
 use ladder_core::gather::event::Caller;
 use ladder_core::gather::{Action, Event};
+use ladder_core::schema::call::Request;
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::fleet::Fleet;
@@ -199,6 +200,20 @@
     assert!(works(&session.pass(390)).is_empty());
 }
 
+/// An operation takes seconds, more than the assumed limit of 200 ms: it is not sent to the next
+/// candidate before a sixteenth of its deadline, 1250 of 20000 ms, has passed.
+#[test]
+fn slow_operation_is_given_time() {
+    let mut session = Session::new(&Fleet::default());
+    let asked = Request {
+        deadline_ms: 20_000,
+        ..request("k1", "check", &["c"])
+    };
+    session.call(asked);
+    assert!(works(&session.pass(1249)).is_empty());
+    assert_eq!(receivers(&session.pass(101)), ["e3"]);
+}
+
 /// The process did not run while the silence grew: its replies may wait unread. Nothing is sent a
 /// second time before it has run for as long again.
 #[test]
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -6,7 +6,7 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::fleet::Fleet;
-use crate::session::{Session, answer, answers, refused, request, works};
+use crate::session::{Session, answer, answers, covered, refused, request, works};
 
 /// What follows.
 #[derive(Debug, PartialEq)]
@@ -123,6 +123,19 @@
     }
 }
 
+/// One half of a booking over two services ran, the other was refused: the caller must not take it
+/// for done, nor for not run.
+#[test]
+fn booking_of_which_a_part_ran_may_have_run() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "book", &["a", "c"])));
+    session.reply("e1", covered(&sent[0].1, "s1"));
+    let refusal = refused(&sent[1].1, "s2", Reason::QueueFull);
+    let answer = answer(&session.reply("e2", refusal));
+    assert_eq!(answer.verdict(), MAY);
+    assert_eq!(answer.covered, ["a"]);
+}
+
 /// A booking over two services, one of which has no live candidate: nothing is sent, so that the
 /// caller may come back.
 #[test]
--- a/crates/core/tests/gather/replies.rs
+++ b/crates/core/tests/gather/replies.rs
@@ -6,7 +6,7 @@
 use ladder_core::schema::wire::Reply;
 
 use crate::fleet::Fleet;
-use crate::session::{Session, answer, covered, request, works};
+use crate::session::{Session, answer, covered, refused, request, works};
 
 struct Case {
     name: &'static str,
@@ -85,7 +85,10 @@
     Case {
         name: "without a verdict",
         from: "e2",
-        change: |reply| reply.verdict = Verdict::Unspecified.into(),
+        change: |reply| {
+            reply.verdict = Verdict::Unspecified.into();
+            reply.parts.clear();
+        },
         dropped: Reason::WrongAnswer,
     },
     Case {
@@ -121,6 +124,17 @@
     }
 }
 
+/// An owner's refusal arrives twice: the portion goes to the next candidate once.
+#[test]
+fn refusal_that_comes_twice_moves_work_once() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let refusal = refused(&sent[0].1, "s2", Reason::NotOwner);
+    assert_eq!(works(&session.reply("e2", refusal.clone())).len(), 1);
+    let out = session.reply("e2", refusal);
+    assert_eq!(out, [dropped(Reason::StaleAnswer)]);
+}
+
 /// Two callers ask for the same shard at once and their replies come back crossed: each gets the
 /// parts that name its own query.
 #[test]
