--- a/crates/load/src/upkeep/takeover.rs
+++ b/crates/load/src/upkeep/takeover.rs
@@ -95,19 +95,14 @@
 }
 
 /// Milliseconds from `start` until the instance at `admin` names nobody's owner `gone`.
-async fn renamed(client: &Admin, admin: &str, gone: &str, start: Instant) -> Result<f64, Error> {
-    let mut since = Instant::now();
-    while !owned(client, admin, gone).await?.is_empty() {
+async fn renamed(client: Admin, admin: String, gone: String, start: Instant) -> Result<f64, Error> {
+    while !owned(&client, &admin, &gone).await?.is_empty() {
         if start.elapsed() > PATIENCE {
-            return Err(Error::Admin(
-                admin.to_owned(),
-                format!("still names {gone}"),
-            ));
+            return Err(Error::Admin(admin, format!("still names {gone}")));
         }
         tokio::time::sleep(PAUSE).await;
-        since = Instant::now();
     }
-    Ok(since.duration_since(start).as_secs_f64() * 1000.0)
+    Ok(start.elapsed().as_secs_f64() * 1000.0)
 }
 
 /// Index, a repeatable operation and shard of each service.
