Keep the session of a lost owner as a golden file

Cause: nothing showed that an answer at the deadline names the lost owner rather than the time, and counts it so; giving the plain reason by hand turned no test red.

Change: a golden session in which the owner falls silent, the next candidate refuses, and the caller is told at its deadline.

Conclusion: the same break now turns this test red.

--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -200,6 +200,22 @@
     assert!(works(&session.pass(390)).is_empty());
 }
 
+/// The silent owner never comes back, and the next candidate's queue is full: the caller hears at
+/// the end of its deadline that the owner is lost, not merely that time ran out.
+#[test]
+fn lost_owner_is_named_at_the_deadline() {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", "check", &["a", "c"])));
+    session.pass(1);
+    session.reply("e1", covered(&sent[0].1, "s1"));
+    let again = works(&session.pass(199));
+    session.pass(1);
+    session.reply("e3", refused(&again[0].1, "s2", Reason::QueueFull));
+    let out = session.pass(199);
+    assert_eq!(missing(&answer(&out)), "c:OWNER_LOST/MAY_HAVE_RUN");
+    insta::assert_snapshot!(session.log);
+}
+
 /// An operation takes seconds, more than the assumed limit of 200 ms: it is not sent to the next
 /// candidate before a sixteenth of its deadline, 1250 of 20000 ms, has passed.
 #[test]
