Check followed rankings against new ones, and one list change under cuts

Cause: rankings are recomputed only for services that a change of the list can affect, and the caps were tested under cuts with one list only.

Change: a property compares the candidates of a machine that followed any changes with a ranking of the whole list; the property of any failures also withdraws and returns an instance.

--- a/crates/core/tests/fleet/disorder.rs
+++ b/crates/core/tests/fleet/disorder.rs
@@ -18,6 +18,8 @@
     revision: u64,
     /// Queue limit of the newest published change of the first entry.
     queue: u32,
+    /// The last instance is withdrawn from the list.
+    withdrawn: bool,
 }
 
 impl Session {
@@ -30,6 +32,7 @@
             fleet,
             revision: 1000,
             queue: 100,
+            withdrawn: false,
         }
     }
 
@@ -45,7 +48,7 @@
             5 => self.restart(&own, which),
             6 => self.kill(&own, which),
             7 => self.leave(which),
-            _ => {}
+            _ => self.toggle(),
         }
         self.fleet
             .run(Duration::from_millis(200 * (which as u64 % 8)));
@@ -58,6 +61,19 @@
         self.fleet.publish([publish::record(self.revision, entry)]);
     }
 
+    /// Lists that differ by one instance hold the caps together however long they differ.
+    fn toggle(&mut self) {
+        let last = INSTANCES - 1;
+        let body = if self.withdrawn {
+            publish::instance(&name(last), zone(last), State::Live)
+        } else {
+            publish::tombstone(Kind::Instance, &name(last))
+        };
+        self.withdrawn = !self.withdrawn;
+        self.revision += 1;
+        self.fleet.publish([publish::record(self.revision, body)]);
+    }
+
     fn restart(&mut self, own: &str, which: usize) {
         self.kill(own, which);
         self.fleet.incarnation += 1;
@@ -133,7 +149,7 @@
 }
 
 /// Links are cut and healed, instances killed and restarted, the platform is silenced, catalogue
-/// changes and leaving servers come in between, in any order. The shares of a server never exceed
+/// changes, leaving servers and a withdrawn instance come in between, in any order. The shares of a server never exceed
 /// its limit, and when the failures end every instance soon holds the newest of everything.
 #[test]
 fn any_failures_hold_caps_and_converge() {
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -1,8 +1,13 @@
 //! Who may work on a service, and with how many connections.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ladder_core::control::placement::{CANDIDATES, Instance, REACH, direct_share, divide, rank};
+use ladder_core::control::{Event, Machine, Settings};
+use ladder_core::schema::publication::{Kind, Page, State, record::Body};
+use ladder_core::time::Instant;
+
+use crate::publish;
 
 /// Names and zones of published instances.
 type Fleet = BTreeMap<String, String>;
@@ -212,3 +217,66 @@
         );
     }
 }
+
+fn machine() -> Machine {
+    let own = Settings::builder("entry-0", &publish::address("entry-0")).zone("zone-0");
+    Machine::new(own.build(), Instant::from_millis(0))
+}
+
+/// What a machine that followed all changes of the list one by one holds for the candidates.
+fn followed(machine: &Machine, service: &str) -> BTreeSet<String> {
+    let view = machine.view();
+    let service = view.service(service).expect("published");
+    let candidates = service.candidates.iter();
+    candidates
+        .map(|candidate| candidate.peer.name.to_string())
+        .collect()
+}
+
+/// A machine recomputes only the rankings that a change of the list can affect. After any changes
+/// its candidates are those of a machine that ranks the whole list anew.
+#[test]
+fn followed_rankings_equal_new_ones() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .with_iterations(300)
+        .for_each(|changes| {
+            let mut machine = machine();
+            let mut fleet = Fleet::new();
+            let services: Vec<String> = (0..5).map(|at| format!("gate-{at}")).collect();
+            let entries = services.iter().map(|service| publish::entry(service, 10));
+            give(&mut machine, 1, entries.collect());
+            for (at, &(instance, zone)) in changes.iter().enumerate() {
+                let name = format!("entry-{}", instance % 40);
+                let zone = format!("zone-{}", zone % 7);
+                let body = if fleet.remove(&name).is_some() {
+                    publish::tombstone(Kind::Instance, &name)
+                } else {
+                    fleet.insert(name.clone(), zone.clone());
+                    publish::instance(&name, &zone, State::Live)
+                };
+                give(&mut machine, 100 + at as u64, vec![body]);
+            }
+            for service in &services {
+                let list = instances(&fleet);
+                let order = rank(service, &list).order;
+                let anew: BTreeSet<String> = order.iter().map(|&at| list[at].name.into()).collect();
+                assert_eq!(followed(&machine, service), anew);
+            }
+        });
+}
+
+fn give(machine: &mut Machine, revision: u64, bodies: Vec<Body>) {
+    let records = bodies.into_iter().zip(revision..);
+    let page = Page {
+        head: revision,
+        records: records
+            .map(|(body, revision)| publish::record(revision, body))
+            .collect(),
+    };
+    machine.handle(
+        Instant::from_millis(revision),
+        Event::Page(page),
+        &mut Vec::new(),
+    );
+}
