Bound what an instance holds, and say when to come back

Cause: an entry took any number of open queries, kept a socket to every peer it ever sent to, and refused without advice when it was not ready or stopping (found by reading, not by a failure). Change: 10,000 open queries, then QUEUE_FULL; refusals of the instance itself name a time to come back; connections to peers close after 60 s without a frame, which isn't taken for a loss. The test of the bound was seen red with the bound doubled: "one answer in [Send …]". Conclusion: memory and sockets no longer grow with what others do.

--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -6,6 +6,11 @@
 use super::check::Refusal;
 use super::query::{Portion, Progress, Query, State};
 
+/// Advice of an instance that stops.
+const ELSEWHERE_MS: u32 = 10;
+/// Advice of an instance that knows too little or holds too much.
+const LATER_MS: u32 = 500;
+
 /// The HTTP status of an answer.
 ///
 /// - 200 it covers all asked shards, 206 some of them; else, by reason:
@@ -42,12 +47,23 @@
         key: key.to_owned(),
         verdict: verdict.into(),
         index: index.to_owned(),
+        retry_after_ms: retry_after_ms(refusal.reason),
         reason: refusal.reason.into(),
         detail: refusal.detail,
         ..Answer::default()
     }
 }
 
+/// When to come back after the instance itself refused; 0 where asking again cannot help.
+const fn retry_after_ms(reason: Reason) -> u32 {
+    match reason {
+        // The balancer sends the next attempt to another instance.
+        Reason::Draining => ELSEWHERE_MS,
+        Reason::NotReady | Reason::QueueFull => LATER_MS,
+        _ => 0,
+    }
+}
+
 /// Answers a query with what it has; portions without a reply are missing for `reason`.
 pub(crate) fn answer(query: &mut Query, reason: Reason) -> Answer {
     let mut answer = Answer {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -20,6 +20,12 @@
 use crate::time::Instant;
 use crate::view::View;
 
+/// Queries open at once; more are refused.
+///
+/// Callers that wait for a stuck service would otherwise fill the memory of every instance and take
+/// the other services with it.
+const OPEN_QUERIES: usize = 10_000;
+
 /// Takes callers' requests, plans them over shards, gathers the answers.
 ///
 /// Every [`Event::Call`] is answered by exactly one [`Action::Answer`] before the caller's
@@ -144,6 +150,10 @@
             let refusal = Refusal::new(Reason::NotReady, "the instance has no catalogue yet");
             return Err(refuse(refusal));
         }
+        if self.queries.len() >= OPEN_QUERIES {
+            let detail = format!("{OPEN_QUERIES} requests are open here");
+            return Err(refuse(Refusal::new(Reason::QueueFull, detail)));
+        }
         let plan = self.planner.first(&self.view, request).map_err(refuse)?;
         if plan.terms.unrepeatable
             && let Some(verdict) = self.keys.get(&request.key)
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -2,6 +2,7 @@
 
 mod any_order;
 mod fleet;
+mod full;
 mod oracle;
 mod owners;
 mod plans;
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -1,9 +1,11 @@
 //! Sends frames to peers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ladder_core::collections::Map;
+use ladder_core::time::Instant;
 use ladder_schema::bounds;
 use ladder_schema::outcome::Reason;
 use ladder_schema::wire::Frame;
@@ -17,6 +19,8 @@
 
 /// Frames that may wait for one peer's connection.
 const SEND_BUFFER: i32 = 512;
+/// A connection without a frame for this long is closed when the next one is opened.
+const IDLE: Duration = Duration::from_secs(60);
 /// First and longest wait before a broken connection is opened again.
 const RECONNECT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(1000));
 
@@ -31,8 +35,17 @@
     metrics: Metrics,
     cut: Cut,
     on_down: OnDown,
-    /// Invariant: at most one socket per address.
-    sockets: Arc<Mutex<Map<Arc<str>, Socket>>>,
+    /// Invariant: at most one line per address.
+    lines: Arc<Mutex<Map<Arc<str>, Line>>>,
+}
+
+/// The connection to one peer.
+struct Line {
+    socket: Socket,
+    /// When a frame was last handed to it.
+    used: Instant,
+    /// Set before this side closes the socket, so that the closing is not taken for a loss.
+    closing: Arc<AtomicBool>,
 }
 
 impl Outbound {
@@ -50,7 +63,7 @@
             metrics,
             cut,
             on_down,
-            sockets: Arc::default(),
+            lines: Arc::default(),
         }
     }
 
@@ -73,14 +86,6 @@
         }
     }
 
-    /// Closes connections to addresses that `keep` refuses.
-    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
-        self.sockets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .retain(|address, _| keep(address));
-    }
-
     /// Fills in who sends the frame and when.
     fn sign(&self, frame: &mut Frame) {
         frame.protocol = bounds::PROTOCOL;
@@ -94,29 +99,54 @@
 
     /// The socket to `address`, opened when there is none.
     fn socket(&self, address: &str) -> Option<Socket> {
-        let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(socket) = sockets.get(address) {
-            return Some(socket.clone());
+        let now = self.clock.now();
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(line) = lines.get_mut(address) {
+            line.used = now;
+            return Some(line.socket.clone());
         }
-        let socket = self.open(address).ok()?;
-        sockets.insert(Arc::from(address), socket.clone());
+        close_idle(&mut lines, now);
+        let line = self.open(address, now).ok()?;
+        let socket = line.socket.clone();
+        lines.insert(Arc::from(address), line);
         Some(socket)
     }
 
     /// Opens a socket that connects in the background and again after each break.
-    fn open(&self, address: &str) -> nng::Result<Socket> {
+    fn open(&self, address: &str, now: Instant) -> nng::Result<Line> {
         let socket = Socket::new(Protocol::Push0)?;
         socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
         socket.set_opt::<ReconnectMinTime>(Some(RECONNECT.0))?;
         socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT.1))?;
+        let closing = Arc::new(AtomicBool::new(false));
+        let closes = Arc::clone(&closing);
         let on_down = Arc::clone(&self.on_down);
         let peer: Arc<str> = Arc::from(address);
         socket.pipe_notify(move |_, event| {
-            if matches!(event, PipeEvent::RemovePost) {
+            if matches!(event, PipeEvent::RemovePost) && !closes.load(Ordering::Acquire) {
                 on_down(&peer);
             }
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(socket)
+        Ok(Line {
+            socket,
+            used: now,
+            closing,
+        })
     }
 }
+
+/// Closes connections that carried nothing for a while.
+///
+/// Digests go to random peers: without it an instance of a large fleet would in time hold a
+/// connection to every other one, and to those that were replaced.
+fn close_idle(lines: &mut Map<Arc<str>, Line>, now: Instant) {
+    lines.retain(|_, line| {
+        let keep = now.since(line.used) < IDLE;
+        if !keep {
+            line.closing.store(true, Ordering::Release);
+            line.socket.close();
+        }
+        keep
+    });
+}
