Hold the racing operators' and the platform address's checks to account

Cause: breaking the platform's check of revisions by one left the tests green, since the refused page was refused for another record; and no test looked at the platform address of an instance, which a layout once left empty.

Change: a page of the racing revision alone must be refused as well, and the address in each instance's settings must be the platform's. An attribute against a lint that is not on is gone.

--- a/crates/standin/src/layout/user.rs
+++ b/crates/standin/src/layout/user.rs
@@ -150,7 +150,6 @@
         }
     }
 
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn scaled(mut self, scale: f64) -> Self {
         if self.numbered {
             let services = f64::from(self.services) * scale;
--- a/crates/standin/tests/standin/layout.rs
+++ b/crates/standin/tests/standin/layout.rs
@@ -227,6 +227,7 @@
     for member in &run.instances {
         let instance: Instance = settings::load(&folder.join(&member.file)).expect("loads");
         assert_eq!(instance.caller_address, member.caller_address);
+        assert_eq!(instance.platform_address, run.platform_address);
         assert_eq!(instance.strategy, Some(strategy));
         assert!(instance.fault_injection);
     }
--- a/crates/standin/tests/standin/platform.rs
+++ b/crates/standin/tests/standin/platform.rs
@@ -130,10 +130,10 @@
         let service = Service::start();
         let first = service.publish(vec![instance(3, "first")]).await;
         assert_eq!((first.status, first.json::<Page>().head), (200, 3));
-        let second = service
-            .publish(vec![instance(0, "c"), instance(3, "second")])
-            .await;
+        let second = service.publish(vec![instance(3, "second")]).await;
         assert_eq!(second.status, 409);
+        let half_new = vec![instance(0, "c"), instance(3, "second")];
+        assert_eq!(service.publish(half_new).await.status, 409);
         assert_eq!(revisions(&service.read(0).await), [1, 2, 3]);
         assert_eq!(service.publish(vec![Record::default()]).await.status, 400);
         assert_eq!(service.read(0).await.head, 3);
