Hold caps with direct placement when lists differ by one instance

Cause: with one or two instances each had 20 or 10 of 25 connections, so a newcomer in the list of one of them only broke the limit; and with as many instances as connections nothing was left for one more.

Change: a direct share is at most the reserve, and nobody has one when the instances are as many as the connections. The property test covers lists one instance apart.

--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -174,12 +174,14 @@
 /// Connections that each of `instances` may hold to a server with this limit when every instance
 /// asks the servers itself.
 ///
-/// Invariant: `instances * direct_share(limit, instances) <= limit`.
+/// Invariant: for lists of `n` and of `n + 1` instances, `n + 1` times the larger of the two shares
+/// fits into the limit, so that two lists one instance apart hold it together.
 pub fn direct_share(limit: u32, instances: usize) -> u32 {
     let instances = u32::try_from(instances).unwrap_or(u32::MAX);
-    if instances == 0 || instances > limit {
+    if instances == 0 || instances >= limit {
         return 0;
     }
-    let budget = limit - (limit / DIRECT_RESERVE).max(1);
-    (budget / instances).max(1)
+    let reserve = (limit / DIRECT_RESERVE).max(1);
+    let part = (limit - reserve) / instances;
+    part.min(reserve).max(1)
 }
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -64,6 +64,8 @@
             assert!(shares.values().sum::<u32>() < limit);
             let direct = direct_share(limit, fleet.len());
             assert!(direct * fleet.len() as u32 <= limit);
+            let larger = direct.max(direct_share(limit, fleet.len() + 1));
+            assert!(larger * (fleet.len() as u32 + 1) <= limit);
         });
 }
 
