Look up the standing of instances once for each view

Change: standings are gathered once per view; a service whose list has not changed lately skips the ordering by older lists.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -225,6 +225,7 @@
         let source = Source {
             store: &self.store,
             membership: &self.membership,
+            standings: self.membership.standings(now),
             settings: &self.settings,
             now,
         };
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -20,6 +20,7 @@
 
 use super::hash;
 use super::settings::{Settings, Timing};
+use crate::collections::Map;
 use crate::time::Instant;
 
 /// Ring successors that an instance probes.
@@ -304,6 +305,13 @@
         }
     }
 
+    /// The standing of every member, this instance included.
+    pub fn standings(&self, now: Instant) -> Map<Arc<str>, Standing> {
+        let all = self.members.values().chain([&self.own]);
+        let standing = |member: &Member| (member.key(), self.standing(now, &member.name));
+        all.map(standing).collect()
+    }
+
     /// When a member may be preferred as an owner: it must have seen itself in the list, waited for
     /// its shares to grow, and been heard of. Those that this instance learnt of at its own start
     /// count as older than itself.
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -15,6 +15,7 @@
 use super::placement;
 use super::settings::{Placement, Settings};
 use super::store::Store;
+use crate::collections::Map;
 use crate::time::Instant;
 use crate::view::{Candidate, Peer, Server, Service, View};
 
@@ -33,12 +34,20 @@
     pub(super) store: &'a Store,
     /// Who is alive.
     pub(super) membership: &'a Membership,
+    /// Whether work may be given to an instance; one that is missing is gone.
+    pub(super) standings: Map<Arc<str>, Standing>,
     /// The instance's settings.
     pub(super) settings: &'a Settings,
     /// The present.
     pub(super) now: Instant,
 }
 
+impl Source<'_> {
+    fn standing(&self, name: &str) -> Standing {
+        self.standings.get(name).copied().unwrap_or(Standing::Gone)
+    }
+}
+
 type Targets<'a> = BTreeMap<&'a str, Vec<&'a publication::Server>>;
 
 impl Projection {
@@ -166,10 +175,9 @@
         let has_share =
             |position: usize| divided.is_none_or(|share| share.at(primaries, position) > 0);
         let usable = lists.ordered(has_share);
-        let standings = usable.iter().map(|listed| {
-            let name = &listed.peer.name;
-            (listed, source.membership.standing(source.now, name))
-        });
+        let standings = usable
+            .iter()
+            .map(|listed| (listed, source.standing(&listed.peer.name)));
         let standings: Vec<_> = standings.collect();
         let best = standings.iter().map(|&(_, standing)| standing).max();
         let candidate = |&(listed, standing): &(&Arc<ranks::Listed>, Standing)| Candidate {
@@ -182,7 +190,7 @@
 
     fn own_candidate(&self, source: &Source<'_>) -> Vec<Candidate> {
         let own = source.membership.own();
-        let standing = source.membership.standing(source.now, &own.name);
+        let standing = source.standing(&own.name);
         let candidate = Candidate {
             peer: Peer {
                 name: Arc::clone(&own.name),
--- a/crates/core/src/control/project/ranks.rs
+++ b/crates/core/src/control/project/ranks.rs
@@ -189,8 +189,16 @@
         let Some(newest) = self.newest() else {
             return Vec::new();
         };
-        let mut left: Vec<_> = newest.instances.iter().enumerate().collect();
-        left.retain(|&(position, _)| usable(position));
+        let instances = newest.instances.iter().enumerate();
+        let mut left: Vec<_> = instances
+            .filter(|&(position, _)| usable(position))
+            .collect();
+        if self.lists.len() == 1 {
+            return left
+                .into_iter()
+                .map(|(_, listed)| Arc::clone(listed))
+                .collect();
+        }
         let mut ordered = Vec::with_capacity(left.len());
         for old in self.lists.iter().flat_map(|ranked| &ranked.instances) {
             let found = left
