Write the reference of settings and records from the schema

Cause: a page of settings written by hand would drift from the schema. Change: `ladder-codegen` writes docs/REFERENCE.md from the schema's comments; a test compares the committed page with a fresh one. Conclusion: one source for types, checks and the page.

--- a/crates/schema/tests/generated.rs
+++ b/crates/schema/tests/generated.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use ladder_codegen::{generate, generated_dir, schema_dir};
+use ladder_codegen::{generate, generated_dir, reference_path, schema_dir, write_reference};
 
 #[test]
 fn committed_code_matches_schema() {
@@ -23,3 +23,15 @@
     }
     assert_eq!(files, 2 * ladder_codegen::FILES.len());
 }
+
+#[test]
+fn committed_reference_matches_schema() {
+    let scratch = Path::new(env!("CARGO_TARGET_TMPDIR")).join("REFERENCE.md");
+    write_reference(&schema_dir(), &scratch).expect("the schema compiles");
+    let committed = fs::read_to_string(reference_path()).expect("the page is committed");
+    let fresh = fs::read_to_string(scratch).expect("written again");
+    assert!(
+        committed == fresh,
+        "docs/REFERENCE.md is not what the schema gives"
+    );
+}
