Keep derives of other crates on lines of their own

Cause: the formatter merged adjacent derives, against the house style. Conclusion: no change of behaviour.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -24,7 +24,8 @@
 ];
 
 /// Why generation failed.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// schema does not compile: {0}
     Schema(protox::Error),
--- a/crates/codegen/src/reference.rs
+++ b/crates/codegen/src/reference.rs
@@ -25,7 +25,7 @@
 }
 
 /// The page, in Markdown.
-pub fn page(descriptors: &FileDescriptorSet) -> String {
+pub(crate) fn page(descriptors: &FileDescriptorSet) -> String {
     let mut page = String::from(
         "# Reference of settings and records\n\n\
          Generated from `schema/ladder` by `cargo run -p ladder-codegen`. Names are those of the JSON \
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -8,7 +8,8 @@
 use crate::time::Instant;
 
 /// What a member's liveness rests on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub enum Why {
     /// It is this instance.
     Own,
--- a/crates/core/tests/leaf/property.rs
+++ b/crates/core/tests/leaf/property.rs
@@ -15,7 +15,8 @@
 use crate::world::{Call, Lane, World, name};
 
 /// How a call ends.
-#[derive(Clone, Copy, Debug, TypeGenerator)]
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
 enum End {
     Answer,
     OtherRequest,
@@ -29,7 +30,8 @@
 }
 
 /// One step. Numbers choose among what there is.
-#[derive(Clone, Copy, Debug, TypeGenerator)]
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
 enum Step {
     Work {
         query: u8,
--- a/crates/schema/src/check.rs
+++ b/crates/schema/src/check.rs
@@ -10,7 +10,8 @@
 pub use record::record;
 
 /// Why a record is refused.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Error {
     /// {field}: is missing
     Missing {
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -27,7 +27,8 @@
 }
 
 /// Why a publication is refused.
-#[derive(Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub(super) enum Refusal {
     /// record {0} has no body
     NoBody(usize),
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -7,7 +7,8 @@
 use serde::de::DeserializeOwned;
 
 /// Why a stand-in does not start.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// {path}: cannot be read: {cause}
     Read {
--- a/src/ctl/check.rs
+++ b/src/ctl/check.rs
@@ -9,7 +9,8 @@
 use super::client;
 
 /// Why a file of records is not fit to be published.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// {path:?} cannot be read: {error}
     Unreadable {
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -16,7 +16,8 @@
 const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Why a command failed.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// {instance} does not answer: {error}
     Silent {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,7 +33,8 @@
 use crate::options::Options;
 
 /// Why the daemon could not start or go on.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// cannot listen on {address}: {error}
     Listen {
--- a/src/http.rs
+++ b/src/http.rs
@@ -17,7 +17,8 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
 /// Why a request's body could not be read.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum BodyError {
     /// body exceeds {0} bytes
     TooLarge(usize),
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -9,7 +9,8 @@
 use ladder_schema::settings::{Instance, Timing};
 
 /// Why settings are not usable.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum Error {
     /// settings file {path:?} cannot be read: {error}
     Unreadable {
@@ -27,7 +28,8 @@
 impl std::error::Error for Error {}
 
 /// {field}: {value:?} is not allowed, only {allowed}
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Mistake {
     /// Path of the field.
     pub field: String,
