Take a connection that ends after the write for lost, and stop without cutting callers

The HTTP client reports a connection that ends after the request was written as a failed connect (`Disconnected`), and `lanes` took every failed connect for unsent. Ruled out: the leaf's retry rule (it asked the verdict and got "not run"), key records. A rolling replacement lost one request for each instance: a request written to a kept connection when the process ended.

Change: only errors that come before there is a connection prove that nothing was written. While an instance stops, its answers close their connections and new callers are refused for one more second.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -15,6 +15,7 @@
 
 use crate::check::{self, Asked, Mistake};
 use crate::plan::Plan;
+use crate::rotation::Rotation;
 use crate::schedule::Arrival;
 
 /// How long after its deadline an answer may still arrive.
@@ -85,7 +86,9 @@
 
 /// Sends `arrivals` and returns a record of each; runs inside an actix system.
 pub async fn send(plans: Rc<[Plan]>, arrivals: Vec<Arrival>, options: Options) -> Vec<Record> {
-    let caller = Rc::new(Caller::new(plans, options));
+    let rotation = Rotation::new(&options.instances);
+    let checks = actix_rt::spawn(rotation.clone().check());
+    let caller = Rc::new(Caller::new(plans, options, rotation));
     let mut open = Vec::with_capacity(arrivals.len());
     for arrival in arrivals {
         let due = caller.options.start + arrival.at;
@@ -97,6 +100,7 @@
     for task in open {
         records.extend(task.await);
     }
+    checks.abort();
     records
 }
 
@@ -104,6 +108,7 @@
     client: Client,
     plans: Rc<[Plan]>,
     options: Options,
+    rotation: Rotation,
 }
 
 /// What one attempt at one instance gave.
@@ -114,7 +119,7 @@
 }
 
 impl Caller {
-    fn new(plans: Rc<[Plan]>, options: Options) -> Self {
+    fn new(plans: Rc<[Plan]>, options: Options, rotation: Rotation) -> Self {
         let connector = Connector::new()
             .limit(0)
             .timeout(CONNECT_TIMEOUT)
@@ -127,6 +132,7 @@
             client,
             plans,
             options,
+            rotation,
         }
     }
 
@@ -157,7 +163,8 @@
         }
     }
 
-    /// Asks the instance whose turn it is; one that accepts no connection is passed over.
+    /// Asks the instance whose turn it is; one that fails its health check or accepts no connection
+    /// is passed over.
     async fn attempt(
         &self,
         request: &call::Request,
@@ -167,8 +174,8 @@
     ) -> Attempt {
         let limit = Duration::from_millis(u64::from(request.deadline_ms)) + GRACE;
         let mut last = Attempt::Refused("no instance".to_owned());
-        for _ in 0..self.options.instances.len() {
-            let address = &self.options.instances[*turn % self.options.instances.len()];
+        for _ in 0..self.rotation.len() {
+            let address = self.rotation.next(turn);
             let exchange = self.exchange(address, request);
             let end = (since + limit).into();
             last = match tokio::time::timeout_at(end, exchange).await {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ready;
 pub mod report;
 pub mod result;
+pub mod rotation;
 pub mod run;
 pub mod schedule;
 pub mod table;
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use ladder_core::collections::Map;
 use ladder_core::gather::event::Caller;
@@ -131,7 +131,15 @@
     fn respond(&self, answer: &call::Answer) -> Response<BoxBody> {
         let status = StatusCode::from_u16(gather::status(answer))
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        http::json(status, answer)
+        let mut response = http::json(status, answer);
+        if self.shared.ready.is_draining() {
+            // A request written to a kept connection right when the process ends would be cut and
+            // leave its caller without a verdict: connections are given up beforehand.
+            response
+                .head_mut()
+                .set_connection_type(ConnectionType::Close);
+        }
+        response
     }
 }
 
--- a/src/entry/lanes.rs
+++ b/src/entry/lanes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::error::{JsonPayloadError, SendRequestError};
+use awc::error::{ConnectError, JsonPayloadError, SendRequestError};
 use awc::http::{StatusCode, Version};
 use awc::{Client, Connector};
 use ladder_core::collections::Map;
@@ -185,8 +185,8 @@
     let end = tokio::time::Instant::now() + left;
     let mut response = match timeout_at(end, lane.client.post(url).send_json(request)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(SendRequestError::Connect(_))) => return Outcome::Unsent,
-        Ok(Err(_)) | Err(_) => return Outcome::Lost,
+        Ok(Err(error)) => return broken(&error),
+        Err(_) => return Outcome::Lost,
     };
     let status = response.status();
     let body = match timeout_at(end, response.body().limit(bounds::ANSWER_BYTES)).await {
@@ -196,6 +196,25 @@
     outcome(status, &body, &request.id)
 }
 
+/// What an exchange without a whole response means.
+///
+/// The client names a connection that ended after the request was written a failed connect too
+/// (`Disconnected`). Taken for unsent, a booking would be sent again to the other replica and run
+/// twice. Only errors that come before there is a connection prove that nothing was written.
+pub fn broken(error: &SendRequestError) -> Outcome {
+    let SendRequestError::Connect(error) = error else {
+        return Outcome::Lost;
+    };
+    match error {
+        ConnectError::Resolver(_)
+        | ConnectError::NoRecords
+        | ConnectError::Unresolved
+        | ConnectError::Timeout
+        | ConnectError::Io(_) => Outcome::Unsent,
+        _ => Outcome::Lost,
+    }
+}
+
 /// What a target's whole response to the request `id` means.
 ///
 /// A refusal counts as proof only when it names the request: anything else may come from a party
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -13,8 +13,9 @@
 const NOTICE: Duration = Duration::from_millis(1500);
 /// Between looks at what is still open.
 const LOOK: Duration = Duration::from_millis(20);
-/// Lets the last answers leave the sockets.
-const FLUSH: Duration = Duration::from_millis(200);
+/// How long new callers are still refused as not run before the process ends: a broken connection
+/// would leave them without a verdict.
+const LINGER: Duration = Duration::from_millis(1000);
 
 /// Waits for SIGTERM, SIGINT or an operator's drain, then stops gracefully.
 ///
@@ -71,7 +72,7 @@
         }
         sleep(LOOK).await;
     }
-    sleep(FLUSH).await;
+    sleep(LINGER).await;
 }
 
 /// Requests and portions still open.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the processes and of what joins them.
 
+mod lanes;
 mod settings;
