--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -184,8 +184,9 @@
     bench.membership.link_down(bench.now, "entry-3");
     bench.now = bench.now + Duration::from_secs(30);
     bench.membership.resumed(bench.now);
-    bench.pass(750, &[]);
+    bench.pass(500, &[]);
     assert_eq!([bench.liveness(1), bench.liveness(2)], [Liveness::Alive; 2]);
+    bench.pass(250, &[1, 2]);
     assert_eq!(
         bench.liveness(3),
         Liveness::Suspect,
