Test that one flapping peer is not taken for a flood

Cause: broken links are counted by name so that one bad peer does not put the blame on this instance; no test showed it.

Change: a member whose link breaks six times in a window is suspected each time.

Conclusion: the membership tests pass.

--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -175,6 +175,18 @@
     }
 }
 
+/// One peer crashes again and again, and its link breaks with it each time. That is one bad peer
+/// and not a flood: it must be suspected every time.
+#[test]
+fn one_flapping_peer_is_not_a_flood() {
+    let mut bench = Bench::new(4);
+    for crash in 0..6 {
+        bench.membership.link_down(bench.now, "entry-2");
+        assert_eq!(bench.liveness(2), Liveness::Suspect, "crash {crash}");
+        bench.hear(2, 1);
+    }
+}
+
 /// The process is stopped for half a minute. When it wakes, its last words from the others are
 /// half a minute old; none of them may be declared dead for it.
 #[test]
