Mix the name into the seed of an instance's random choices

Cause: the shell takes the seed from the start time, so instances that start in the same millisecond drew the same backoff, spread and peers, which is what the jitter is there to prevent.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -11,7 +11,7 @@
 
 use exchange::send;
 
-use super::hash::Random;
+use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source};
 use super::reader::{self, Reader};
@@ -83,7 +83,9 @@
 impl Machine {
     /// A machine that knows nothing but its settings.
     pub fn new(settings: Settings, now: Instant) -> Self {
-        let mut random = Random::new(settings.seed);
+        // Instances that start together may have the same seed, and their waits must still differ.
+        let name = hash::of(&[settings.name.as_bytes()]);
+        let mut random = Random::new(settings.seed ^ name);
         let offset =
             |span, random: &mut Random| now + Duration::from_micros(random.below(micros(span)));
         Self {
