Ask for the eager spread of a change, and move replacements to a file

Change: the change must be everywhere within half a digest period; the tests of replacements stand in their own file, unchanged.

Conclusion: without the eager spread the test now fails at its bound.

--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -4,18 +4,15 @@
 use std::time::Duration;
 
 use ladder_core::control::Event;
-use ladder_core::schema::publication::{Kind, Page, Record, State, record::Body};
+use ladder_core::schema::publication::{Kind, Page, Record, State};
 use ladder_core::schema::wire::Liveness;
-use ladder_core::view::Service;
 
 use crate::harness::{Fleet, Node};
 use crate::publish;
 
 const ZONES: [&str; 3] = ["campanha", "sao-bento", "trindade"];
-const BOUND: Duration = Duration::from_secs(60);
+pub(crate) const BOUND: Duration = Duration::from_secs(60);
 const LIMIT: u32 = 25;
-/// Connections of a primary candidate to a server with this limit.
-const PRIMARY: u32 = 4;
 
 pub(crate) fn name(number: usize) -> String {
     format!("entry-{number}")
@@ -46,7 +43,7 @@
 }
 
 /// The same with all instances running and ready.
-fn fleet(count: usize, services: usize) -> Fleet {
+pub(crate) fn fleet(count: usize, services: usize) -> Fleet {
     let mut fleet = platform(count, services);
     for at in 0..count {
         fleet.start(&name(at), zone(at));
@@ -73,7 +70,7 @@
 }
 
 /// No instance holds `name` for the owner of any service, and each service has an owner.
-fn nobody_uses(fleet: &Fleet, name: &str) -> bool {
+pub(crate) fn nobody_uses(fleet: &Fleet, name: &str) -> bool {
     let others = fleet.nodes.iter().filter(|(other, _)| *other != name);
     others.map(|(_, node)| node.machine.view()).all(|view| {
         let services = view.services.values();
@@ -83,7 +80,7 @@
 }
 
 /// All instances name the same live owner for each service.
-fn agreed(fleet: &Fleet) -> bool {
+pub(crate) fn agreed(fleet: &Fleet) -> bool {
     let names = |node: &Node| -> Vec<_> {
         let view = node.machine.view();
         let mut services: Vec<_> = view.services.values().collect();
@@ -98,7 +95,7 @@
     first.iter().all(Option::is_some) && all.all(|other| other == first)
 }
 
-fn assert_caps(fleet: &Fleet) {
+pub(crate) fn assert_caps(fleet: &Fleet) {
     for (server, &most) in &fleet.most_shares {
         assert!(most <= LIMIT, "{server}: {most} connections");
     }
@@ -116,14 +113,14 @@
 }
 
 /// A catalogue change that reached one instance before the platform went down is in force on all
-/// 24 instances soon after, as each passes on what is news to it.
+/// 24 instances before half a digest period has passed, as each passes on what is news to it.
 #[test]
 fn change_spreads_without_the_platform() {
     let mut fleet = fleet(24, 20);
     fleet.silence_platform();
     fleet.run(Duration::from_secs(1));
     fleet.give(&name(5), Event::Page(page(change(1000, 7))));
-    fleet.until("change everywhere", Duration::from_secs(7), |fleet| {
+    fleet.until("change everywhere", Duration::from_millis(500), |fleet| {
         fleet.nodes.values().all(|node| queue(node, "gate-3") == 7)
     });
 }
@@ -199,109 +196,6 @@
     assert_caps(&fleet);
 }
 
-/// Replaces all instances one after the other by new ones with new names; each new one runs for
-/// `ahead` before the old one drains. Returns the fleet when it agrees again.
-fn replace_all(ahead: Duration) -> Fleet {
-    let mut fleet = fleet(9, 20);
-    let mut revision = 1000;
-    let mut publish = |fleet: &mut Fleet, body: Body| {
-        revision += 1;
-        fleet.publish([publish::record(revision, body)]);
-    };
-    for at in 0..9 {
-        let (old, new) = (name(at), name(100 + at));
-        fleet.start(&new, zone(at));
-        publish(&mut fleet, publish::instance(&new, zone(at), State::Live));
-        fleet.run(ahead);
-        publish(
-            &mut fleet,
-            publish::instance(&old, zone(at), State::Leaving),
-        );
-        fleet.give(&old, Event::Drain);
-        fleet.until("left", Duration::from_secs(3), |fleet| {
-            nobody_uses(fleet, &old)
-        });
-        fleet.kill(&old, true);
-        publish(&mut fleet, publish::tombstone(Kind::Instance, &old));
-        fleet.run(Duration::from_millis(300));
-    }
-    fleet.until("agreed", BOUND, |fleet| agreed(fleet) && all_ready(fleet));
-    fleet.run(Duration::from_secs(5));
-    let served = fleet.nodes.values().map(|node| node.machine.view());
-    let mut services = served.flat_map(|view| view.services.values());
-    assert!(services.all(|service| service.candidates.len() == 8));
-    fleet
-}
-
-/// A rolling replacement faster than lists spread by rule. Old and new instances are connected
-/// together, and no server may see more connections than it takes.
-#[test]
-fn rolling_replacement_holds_the_caps() {
-    let fleet = replace_all(Duration::from_millis(700));
-    assert_caps(&fleet);
-}
-
-/// A rolling replacement that waits until each new instance is ready. No service may be owned by
-/// an instance that has not got its connections yet.
-#[test]
-fn rolling_replacement_keeps_owners_connected() {
-    let fleet = replace_all(Duration::from_millis(2500));
-    assert_caps(&fleet);
-    assert_owners_have_shares(&fleet);
-}
-
-/// A new instance becomes the best candidate of a service. It must not own it with the few
-/// connections of a spare, or with none, as long as another has more.
-fn assert_owners_have_shares(fleet: &Fleet) {
-    for (own, node) in &fleet.nodes {
-        let ready = node.views.iter().filter(|(_, view)| view.ready);
-        for (at, view) in ready {
-            let owned = |service: &&Service| service.owner().is_some_and(|owner| owner.local);
-            for service in view.services.values().filter(owned) {
-                let share = service.servers[0].share;
-                assert!(
-                    share >= PRIMARY,
-                    "{own} owns {} with {share} at {at:?}",
-                    service.name
-                );
-            }
-        }
-    }
-}
-
-/// Half of the fleet is replaced at once, and half of the instances learn of the new list only
-/// a second later. Meanwhile the others must not take the connections that those still hold.
-#[test]
-fn sudden_replacement_holds_the_caps() {
-    let mut fleet = fleet(24, 20);
-    let replaced = 0..12;
-    fleet.island = (0..24).filter(|at| at % 2 == 0).map(name).collect();
-    fleet.unreached = fleet.island.clone();
-    let records = replaced.clone().flat_map(|at| {
-        let revision = 1000 + 2 * at as u64;
-        let new = publish::instance(&name(100 + at), zone(at), State::Live);
-        let gone = publish::tombstone(Kind::Instance, &name(at));
-        [
-            publish::record(revision, new),
-            publish::record(revision + 1, gone),
-        ]
-    });
-    fleet.publish(records);
-    for at in replaced.clone() {
-        fleet.start(&name(100 + at), zone(at));
-    }
-    fleet.run(Duration::from_millis(1000));
-    fleet.island.clear();
-    fleet.unreached.clear();
-    fleet.run(Duration::from_millis(1500));
-    for at in replaced {
-        fleet.kill(&name(at), false);
-    }
-    fleet.until("agreed", BOUND, agreed);
-    fleet.run(Duration::from_secs(5));
-    assert_caps(&fleet);
-}
-
 /// An instance drains. Everyone stops to give it work long before the platform lists it.
 #[test]
 fn draining_instance_gets_no_new_work() {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -7,5 +7,6 @@
 mod placement;
 mod publish;
 mod reader;
+mod replacement;
 mod session;
 mod store;
--- /dev/null
+++ b/crates/core/tests/fleet/replacement.rs
@@ -0,0 +1,117 @@
+//! Instances are replaced while all serve.
+
+use std::time::Duration;
+
+use ladder_core::control::Event;
+use ladder_core::schema::publication::{Kind, State, record::Body};
+use ladder_core::view::Service;
+
+use crate::concert::{BOUND, agreed, all_ready, assert_caps, fleet, name, nobody_uses, zone};
+use crate::harness::Fleet;
+use crate::publish;
+
+/// Connections of a primary candidate to a server with the limit of the tests.
+const PRIMARY: u32 = 4;
+
+/// Replaces all instances one after the other by new ones with new names; each new one runs for
+/// `ahead` before the old one drains. Returns the fleet when it agrees again.
+fn replace_all(ahead: Duration) -> Fleet {
+    let mut fleet = fleet(9, 20);
+    let mut revision = 1000;
+    let mut publish = |fleet: &mut Fleet, body: Body| {
+        revision += 1;
+        fleet.publish([publish::record(revision, body)]);
+    };
+    for at in 0..9 {
+        let (old, new) = (name(at), name(100 + at));
+        fleet.start(&new, zone(at));
+        publish(&mut fleet, publish::instance(&new, zone(at), State::Live));
+        fleet.run(ahead);
+        publish(
+            &mut fleet,
+            publish::instance(&old, zone(at), State::Leaving),
+        );
+        fleet.give(&old, Event::Drain);
+        fleet.until("left", Duration::from_secs(3), |fleet| {
+            nobody_uses(fleet, &old)
+        });
+        fleet.kill(&old, true);
+        publish(&mut fleet, publish::tombstone(Kind::Instance, &old));
+        fleet.run(Duration::from_millis(300));
+    }
+    fleet.until("agreed", BOUND, |fleet| agreed(fleet) && all_ready(fleet));
+    fleet.run(Duration::from_secs(5));
+    let served = fleet.nodes.values().map(|node| node.machine.view());
+    let mut services = served.flat_map(|view| view.services.values());
+    assert!(services.all(|service| service.candidates.len() == 8));
+    fleet
+}
+
+/// A rolling replacement faster than lists spread by rule. Old and new instances are connected
+/// together, and no server may see more connections than it takes.
+#[test]
+fn rolling_replacement_holds_the_caps() {
+    let fleet = replace_all(Duration::from_millis(700));
+    assert_caps(&fleet);
+}
+
+/// A rolling replacement that waits until each new instance is ready. No service may be owned by
+/// an instance that has not got its connections yet.
+#[test]
+fn rolling_replacement_keeps_owners_connected() {
+    let fleet = replace_all(Duration::from_millis(2500));
+    assert_caps(&fleet);
+    assert_owners_have_shares(&fleet);
+}
+
+/// A new instance becomes the best candidate of a service. It must not own it with the few
+/// connections of a spare, or with none, as long as another has more.
+fn assert_owners_have_shares(fleet: &Fleet) {
+    for (own, node) in &fleet.nodes {
+        let ready = node.views.iter().filter(|(_, view)| view.ready);
+        for (at, view) in ready {
+            let owned = |service: &&Service| service.owner().is_some_and(|owner| owner.local);
+            for service in view.services.values().filter(owned) {
+                let share = service.servers[0].share;
+                assert!(
+                    share >= PRIMARY,
+                    "{own} owns {} with {share} at {at:?}",
+                    service.name
+                );
+            }
+        }
+    }
+}
+
+/// Half of the fleet is replaced at once, and half of the instances learn of the new list only
+/// a second later. Meanwhile the others must not take the connections that those still hold.
+#[test]
+fn sudden_replacement_holds_the_caps() {
+    let mut fleet = fleet(24, 20);
+    let replaced = 0..12;
+    fleet.island = (0..24).filter(|at| at % 2 == 0).map(name).collect();
+    fleet.unreached = fleet.island.clone();
+    let records = replaced.clone().flat_map(|at| {
+        let revision = 1000 + 2 * at as u64;
+        let new = publish::instance(&name(100 + at), zone(at), State::Live);
+        let gone = publish::tombstone(Kind::Instance, &name(at));
+        [
+            publish::record(revision, new),
+            publish::record(revision + 1, gone),
+        ]
+    });
+    fleet.publish(records);
+    for at in replaced.clone() {
+        fleet.start(&name(100 + at), zone(at));
+    }
+    fleet.run(Duration::from_millis(1000));
+    fleet.island.clear();
+    fleet.unreached.clear();
+    fleet.run(Duration::from_millis(1500));
+    for at in replaced {
+        fleet.kill(&name(at), false);
+    }
+    fleet.until("agreed", BOUND, agreed);
+    fleet.run(Duration::from_secs(5));
+    assert_caps(&fleet);
+}
