Measure what a daemon's decisions cost as the fleet grows

There was no figure of the control machine beyond 72 processes and none of a query over thousands of services.

--- /dev/null
+++ b/crates/core/examples/scale/gather.rs
@@ -0,0 +1,222 @@
+//! Cost of the gathering machine for a query over the view of the fleet of two years.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::gather::event::Caller;
+use ladder_core::gather::{Action, Event, Machine, Settings};
+use ladder_core::schema::outcome::Verdict;
+use ladder_core::schema::publication::{Index, Shard, record::Body};
+use ladder_core::schema::{call, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::{Candidate, Peer, Server, Service, View};
+use prost::Message;
+
+use crate::fleet::{
+    self, SHARDS, SIZES, Size, entry, index_name, instance_address, instance_name, service_name,
+};
+use crate::random::median;
+use crate::table::{Metric, Part, Row};
+
+/// Owners that a wide query reaches: 2,000 servers by 17 of an instance.
+const OWNERS: usize = 120;
+const QUERIES: usize = 400;
+const CANDIDATES: usize = 8;
+/// Bytes of a shard's answer.
+const BODY: usize = 16;
+
+pub(crate) fn measure() -> Vec<Row> {
+    let size = SIZES[SIZES.len() - 1];
+    [20, SHARDS]
+        .iter()
+        .flat_map(|&shards| one(size, shards))
+        .collect()
+}
+
+fn one(size: Size, shards: usize) -> Vec<Row> {
+    let view = Arc::new(view(&size, shards));
+    let mut bench = Bench {
+        machine: Machine::new(Settings::builder("instance-00000", 1).build()),
+        now: Instant::from_millis(1000),
+        callers: 0,
+        codec: Duration::ZERO,
+        bytes: 0,
+    };
+    let mut first = Vec::new();
+    for _ in 0..10 {
+        bench.handle(Event::View(Arc::clone(&view)));
+        first.push(micros(bench.query()));
+    }
+    bench.codec = Duration::ZERO;
+    bench.bytes = 0;
+    let times: Vec<f64> = (0..QUERIES).map(|_| micros(bench.query())).collect();
+    let queries = QUERIES as f64;
+    let row = |metric, value| Row::new(Part::Gather, size, metric, value).shards(shards);
+    vec![
+        row(Metric::FirstQueryTime, median(first)),
+        row(Metric::QueryTime, median(times)),
+        row(Metric::CodecTime, micros(bench.codec) / queries),
+        row(Metric::WorkBytes, bench.bytes as f64 / queries / 1000.0),
+    ]
+}
+
+fn micros(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e6
+}
+
+struct Bench {
+    machine: Machine,
+    now: Instant,
+    callers: u64,
+    /// Time to encode work and decode replies, and their bytes.
+    codec: Duration,
+    bytes: usize,
+}
+
+impl Bench {
+    fn handle(&mut self, event: Event) -> (Vec<Action>, Duration) {
+        let mut out = Vec::new();
+        let before = std::time::Instant::now();
+        self.machine.handle(self.now, event, &mut out);
+        (out, before.elapsed())
+    }
+
+    /// One query of all shards, answered by every owner; returns the machine's time.
+    fn query(&mut self) -> Duration {
+        self.callers += 1;
+        self.now = self.now + Duration::from_millis(1);
+        let call = Event::Call {
+            caller: Caller(self.callers),
+            request: call::Request {
+                key: format!("key-{}", self.callers),
+                index: index_name(0),
+                operation: "sweep".to_owned(),
+                ..call::Request::default()
+            },
+        };
+        let (out, mut time) = self.handle(call);
+        self.now = self.now + Duration::from_millis(10);
+        let mut answered = false;
+        for action in out {
+            let Action::Send { to, work } = action else {
+                continue;
+            };
+            let replies = self.transfer(&work);
+            let from = to.name;
+            let (out, spent) = self.handle(Event::Replies { from, replies });
+            time += spent;
+            answered |= out.iter().any(is_whole);
+        }
+        assert!(answered, "the query is answered whole");
+        time
+    }
+
+    /// Encodes the work, answers it, decodes the replies.
+    fn transfer(&mut self, work: &wire::Work) -> Vec<wire::Reply> {
+        let before = std::time::Instant::now();
+        self.bytes += work.encode_to_vec().len();
+        self.codec += before.elapsed();
+        let replies = work.portions.iter().map(|portion| reply(work, portion));
+        let frame = wire::Frame {
+            replies: replies.collect(),
+            ..wire::Frame::default()
+        };
+        let bytes = frame.encode_to_vec();
+        self.bytes += bytes.len();
+        let before = std::time::Instant::now();
+        let frame = wire::Frame::decode(&bytes[..]).expect("just encoded");
+        self.codec += before.elapsed();
+        frame.replies
+    }
+}
+
+fn is_whole(action: &Action) -> bool {
+    matches!(action, Action::Answer { answer, .. } if answer.missing.is_empty())
+}
+
+fn reply(work: &wire::Work, portion: &wire::Portion) -> wire::Reply {
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: "x".repeat(BODY),
+    };
+    wire::Reply {
+        query: work.query,
+        round: work.round,
+        incarnation: 1,
+        service: portion.service.clone(),
+        verdict: Verdict::Ran as i32,
+        version: work.version,
+        parts: portion.shards.iter().map(part).collect(),
+        calls: 1,
+        ..wire::Reply::default()
+    }
+}
+
+/// A view of the whole fleet in which the index has so many shards, one for each of its services,
+/// held by [`OWNERS`] owners.
+fn view(size: &Size, shards: usize) -> View {
+    let mut view = View {
+        generation: 1,
+        revision: 1,
+        ready: true,
+        ..View::default()
+    };
+    for number in 0..size.services() {
+        view.insert(service(size, number));
+    }
+    let shard = |number| Shard {
+        name: format!("shard-{number:05}"),
+        service: service_name(number),
+    };
+    let index = Index {
+        name: index_name(0),
+        version: 1,
+        shards: (0..shards).map(shard).collect(),
+    };
+    let name = index_name(0).as_str().into();
+    view.indexes.insert(name, vec![Arc::new(index)]);
+    view
+}
+
+fn service(size: &Size, number: usize) -> Service {
+    let Body::Entry(entry) = entry(number, 1000) else {
+        unreachable!("it is an entry");
+    };
+    let block = number / SHARDS * OWNERS;
+    let candidate = |place: usize| {
+        let at = 1 + (block + (number + place) % OWNERS) % (size.instances - 1);
+        Candidate {
+            peer: Peer {
+                name: instance_name(at).as_str().into(),
+                address: instance_address(at).as_str().into(),
+            },
+            live: true,
+            local: false,
+        }
+    };
+    Service {
+        name: service_name(number).as_str().into(),
+        entry: Arc::new(entry),
+        servers: (0..3).map(|place| server(number, place)).collect(),
+        candidates: (0..CANDIDATES).map(candidate).collect(),
+    }
+}
+
+/// A server of a service; it holds the first index.
+pub(crate) fn server(service: usize, place: usize) -> Server {
+    Server {
+        name: format!("server-{service:05}-{place}").as_str().into(),
+        address: format!("10.2.{}.{place}:8000", service % 250)
+            .as_str()
+            .into(),
+        zone: "zone-0".into(),
+        incarnation: 1,
+        leaving: false,
+        slots: 2,
+        share: 4,
+        holdings: vec![ladder_core::schema::publication::Holding {
+            index: fleet::index_name(0),
+            version: 1,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/core/examples/scale/leaf.rs
@@ -0,0 +1,196 @@
+//! Cost of the leaf machine: work, calls sent, calls ended, replies, on one thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
+use ladder_core::leaf::{Action, Event, Machine, Settings};
+use ladder_core::schema::publication::record::Body;
+use ladder_core::schema::{call, target, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::{Candidate, Peer, Service, View};
+
+use crate::fleet::{Size, entry, index_name, service_name, size};
+use crate::gather::server;
+use crate::random::median;
+use crate::table::{Metric, Part, Row};
+
+/// An instance's servers in two years, in services of two and three.
+const SIZE: Size = size(1, 17, 1);
+const SERVICES: usize = 6;
+const ROUNDS: usize = 2000;
+const WINDOWS: usize = 9;
+
+pub(crate) fn measure() -> Vec<Row> {
+    [1, 100].iter().flat_map(|&shards| one(shards)).collect()
+}
+
+fn one(shards: usize) -> Vec<Row> {
+    let mut bench = Bench::new(shards);
+    bench.window();
+    let rates = (0..WINDOWS).map(|_| bench.window()).collect();
+    let rate = median(rates);
+    let row = |metric, value| Row::new(Part::Leaf, SIZE, metric, value).shards(shards);
+    vec![
+        row(Metric::Decisions, rate),
+        row(Metric::Reads, rate * shards as f64),
+    ]
+}
+
+struct Bench {
+    machine: Machine,
+    now: Instant,
+    shards: usize,
+    query: u64,
+    calls: u64,
+    replies: u64,
+    core: Duration,
+}
+
+impl Bench {
+    fn new(shards: usize) -> Self {
+        let mut view = View {
+            ready: true,
+            ..View::default()
+        };
+        for number in 0..SERVICES {
+            view.insert(service(number));
+        }
+        let settings = Settings::builder("instance-00000", 1).seed(3).build();
+        let mut bench = Self {
+            machine: Machine::new(settings),
+            now: Instant::from_millis(1000),
+            shards,
+            query: 0,
+            calls: 0,
+            replies: 0,
+            core: Duration::ZERO,
+        };
+        bench.give(Event::View(Arc::new(view)));
+        bench
+    }
+
+    /// Calls a second over some rounds of the machine's own time.
+    fn window(&mut self) -> f64 {
+        self.calls = 0;
+        self.core = Duration::ZERO;
+        for _ in 0..ROUNDS {
+            self.round();
+        }
+        self.calls as f64 / self.core.as_secs_f64()
+    }
+
+    /// One query over all services; every call is answered a millisecond later.
+    fn round(&mut self) {
+        self.query += 1;
+        self.replies = 0;
+        let work = Event::Work {
+            from: peer("entry"),
+            incarnation: 1,
+            work: self.work(),
+        };
+        let mut sends = self.give(work);
+        for _ in 0..100 {
+            if self.replies == SERVICES as u64 {
+                return;
+            }
+            self.now = self.now + Duration::from_millis(1);
+            let ended = std::mem::take(&mut sends);
+            if ended.is_empty() {
+                sends = self.give(Event::Tick);
+            }
+            for (attempt, request) in ended {
+                let outcome = answer(&request);
+                sends.extend(self.give(Event::Ended { attempt, outcome }));
+            }
+        }
+        panic!("the query {} is not answered", self.query);
+    }
+
+    fn work(&self) -> wire::Work {
+        let shard = |number| format!("shard-{number:05}");
+        let portion = |number| wire::Portion {
+            service: service_name(number),
+            shards: (0..self.shards).map(shard).collect(),
+        };
+        wire::Work {
+            query: self.query,
+            round: 1,
+            key: format!("key-{}", self.query),
+            attempt: 1,
+            index: index_name(0),
+            version: 1,
+            operation: "sweep".to_owned(),
+            budget_us: 90_000,
+            portions: (0..SERVICES).map(portion).collect(),
+            ..wire::Work::default()
+        }
+    }
+
+    /// Gives an event; connections open at once, calls are returned.
+    fn give(&mut self, event: Event) -> Vec<(AttemptKey, target::Request)> {
+        let mut sends = Vec::new();
+        let mut opened: Vec<LaneKey> = Vec::new();
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let mut out = Vec::new();
+            let before = std::time::Instant::now();
+            self.machine.handle(self.now, event, &mut out);
+            self.core += before.elapsed();
+            for action in out {
+                match action {
+                    Action::Open { lane, .. }
+                    | Action::Probe { lane, .. }
+                    | Action::Cancel { lane, .. } => opened.push(lane),
+                    Action::Send {
+                        attempt, request, ..
+                    } => {
+                        self.calls += 1;
+                        sends.push((attempt, request));
+                    }
+                    Action::Reply { .. } => self.replies += 1,
+                    Action::Close(_) | Action::Count(_) => {}
+                }
+            }
+            next = opened.pop().map(Event::Opened);
+        }
+        sends
+    }
+}
+
+fn answer(request: &target::Request) -> Outcome {
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: "x".repeat(16),
+    };
+    Outcome::Answer(target::Answer {
+        id: request.id.clone(),
+        index: request.index.clone(),
+        version: request.version,
+        parts: request.shards.iter().map(part).collect(),
+    })
+}
+
+fn peer(name: &str) -> Peer {
+    Peer {
+        name: name.into(),
+        address: "10.1.0.1:7000".into(),
+    }
+}
+
+fn service(number: usize) -> Service {
+    let Body::Entry(entry) = entry(number, 1000) else {
+        unreachable!("it is an entry");
+    };
+    let replicas = if number == 0 { 2 } else { 3 };
+    Service {
+        name: service_name(number).as_str().into(),
+        entry: Arc::new(entry),
+        servers: (0..replicas).map(|place| server(number, place)).collect(),
+        candidates: vec![Candidate {
+            peer: peer("instance-00000"),
+            live: true,
+            local: true,
+        }],
+    }
+}
