Measure spread with a slow hop and the ranking of one service

A view built before news goes out makes each hop as slow as the build; the second run of the queues uses such a hop. The time of one ranking is measured alone, as it is most of a start.

--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::collections::{Map, Set};
-use ladder_core::control::Event;
+use ladder_core::control::{Event, placement};
 use ladder_core::schema::publication::Record;
 use ladder_core::schema::wire::{Frame, Liveness, Rumour};
 use ladder_core::view::View;
@@ -34,6 +34,7 @@
         rows: Vec::new(),
     };
     memory_use(size, &mut rows);
+    ranking(size, &mut rows);
     let mut publisher = Publisher::default();
     let mut bench = start(size, &mut publisher, &mut rows);
     let idle = idle(&mut bench, &mut rows);
@@ -100,6 +101,25 @@
     bench
 }
 
+/// One ranking of a service over the published list.
+fn ranking(size: &Size, rows: &mut Rows) {
+    let names: Vec<(String, String)> = (0..size.instances)
+        .map(|number| (instance_name(number), size.zone(number)))
+        .collect();
+    let fleet: Vec<placement::Instance<'_>> = names
+        .iter()
+        .map(|(name, zone)| placement::Instance { name, zone })
+        .collect();
+    let mut times = Vec::new();
+    for service in 0..100 {
+        let name = fleet::service_name(service);
+        let before = std::time::Instant::now();
+        std::hint::black_box(placement::rank(&name, &fleet));
+        times.push(milliseconds(before.elapsed()) * KILO);
+    }
+    rows.add(Metric::RankTime, median(times));
+}
+
 /// Peers tell of the incarnations: sixteen as in one frame of the machine, then all the others.
 fn introduce(bench: &mut Bench, rows: &mut Rows) {
     let all: Vec<Rumour> = (1..bench.size.instances)
@@ -292,7 +312,9 @@
     /// One zone is lost at once.
     fn zone(&mut self) {
         let zones = self.bench.size.zones;
-        let victims: Vec<usize> = (4..self.victim).filter(|at| at % zones == 1 % zones).collect();
+        let victims: Vec<usize> = (4..self.victim)
+            .filter(|at| at % zones == 1 % zones)
+            .collect();
         let spent = self.lose(&victims);
         let (time, sent) = self.beyond(&[spent]);
         self.rows.add(Metric::ZoneTime, time);
--- a/crates/core/examples/scale/spread.rs
+++ b/crates/core/examples/scale/spread.rs
@@ -18,19 +18,25 @@
     fleet::size(72, 106, 3),
     fleet::size(200, 106, 3),
 ];
+/// Time of a frame from one machine to the next.
 const HOP: Duration = Duration::from_millis(1);
+/// The same when the receiver builds a large view before its answers go out.
+const SLOW_HOP: Duration = Duration::from_millis(230);
 const SETTLE: Duration = Duration::from_secs(15);
-const WINDOW: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_secs(8);
 /// Hops counted as push; digests come later.
-const PUSH: Duration = Duration::from_millis(30);
+const PUSH: u32 = 30;
 const CHANGES: u32 = 20;
 
 pub(crate) fn measure() -> Vec<Row> {
-    SIZES.iter().flat_map(one).collect()
+    let quick = SIZES.iter().flat_map(|size| one(Part::Spread, HOP, size));
+    let slow = SIZES[2..].iter();
+    let slow = slow.flat_map(|size| one(Part::SlowSpread, SLOW_HOP, size));
+    quick.chain(slow).collect()
 }
 
-fn one(size: &Size) -> Vec<Row> {
-    let mut fleet = Fleet::new(*size);
+fn one(part: Part, hop: Duration, size: &Size) -> Vec<Row> {
+    let mut fleet = Fleet::new(*size, hop);
     fleet.run(SETTLE);
     let idle = fleet.window(|_| {});
     let mut half = Vec::new();
@@ -38,6 +44,7 @@
     let mut missed = Vec::new();
     let mut copies = Vec::new();
     let mut sent = Vec::new();
+    let mut asked = Vec::new();
     for change in 0..CHANGES {
         let window = fleet.window(|fleet| fleet.change(change));
         let mut hops = fleet.hops();
@@ -48,11 +55,12 @@
         missed.push(100.0 * late as f64 / size.instances as f64);
         copies.push(fleet.copies as f64 / size.instances as f64);
         sent.push(window.bytes - idle.bytes);
+        asked.push(window.asked);
     }
     let seconds = WINDOW.as_secs_f64();
     let instances = size.instances as f64;
     let missed_mean = missed.iter().sum::<f64>() / f64::from(CHANGES);
-    let row = |metric, value| Row::new(Part::Spread, *size, metric, value);
+    let row = |metric, value| Row::new(part, *size, metric, value);
     vec![
         row(Metric::IdleFrames, idle.frames / seconds / instances),
         row(Metric::IdleSent, idle.bytes / seconds / instances),
@@ -61,6 +69,7 @@
         row(Metric::Copies, median(copies)),
         row(Metric::Missed, missed_mean),
         row(Metric::ChangeSent, median(sent) / instances),
+        row(Metric::BucketsAsked, median(asked) / instances),
     ]
 }
 
@@ -68,9 +77,12 @@
 struct Window {
     frames: f64,
     bytes: f64,
+    /// Frames that ask for buckets that differ.
+    asked: f64,
 }
 
 struct Fleet {
+    hop: Duration,
     now: Instant,
     machines: Vec<Machine>,
     places: BTreeMap<String, usize>,
@@ -88,7 +100,7 @@
 }
 
 impl Fleet {
-    fn new(size: Size) -> Self {
+    fn new(size: Size, hop: Duration) -> Self {
         let now = Instant::from_millis(1000);
         let mut publisher = Publisher::default();
         let records = publisher.all(&size);
@@ -101,6 +113,7 @@
             Machine::new(settings, now)
         };
         let mut fleet = Self {
+            hop,
             now,
             machines: (0..size.instances).map(machine).collect(),
             places: (0..size.instances)
@@ -137,8 +150,8 @@
     fn hops(&self) -> Vec<u64> {
         let reached = self.reached.iter().flatten();
         let spans = reached.map(|at| at.since(self.change.1));
-        let pushed = spans.filter(|span| *span <= PUSH);
-        pushed.map(|span| micros(span) / micros(HOP)).collect()
+        let pushed = spans.filter(|span| *span <= self.hop * PUSH);
+        pushed.map(|span| micros(span) / micros(self.hop)).collect()
     }
 
     fn window(&mut self, act: impl FnOnce(&mut Self)) -> Window {
@@ -199,7 +212,8 @@
                     .any(|record| record.revision == revision);
                 self.copies += u64::from(carries);
                 let to = self.places[&*to];
-                self.at(to, HOP, Event::Frame(frame));
+                self.window.asked += f64::from(u8::from(!frame.wanted.is_empty()));
+                self.at(to, self.hop, Event::Frame(frame));
             }
             Action::Watch { after, wait } => {
                 let first = after == 0;
@@ -212,7 +226,7 @@
                     head: self.publisher.revision,
                     records,
                 };
-                let delay = if first { HOP } else { wait.max(HOP) };
+                let delay = if first { self.hop } else { wait.max(self.hop) };
                 self.at(number, delay, Event::Page(page));
             }
             Action::View(view) => {
--- a/crates/core/examples/scale/table.rs
+++ b/crates/core/examples/scale/table.rs
@@ -10,6 +10,8 @@
     Control,
     /// Real control machines joined by queues.
     Spread,
+    /// The same with a slow hop.
+    SlowSpread,
     /// The rule of passing news on, without machines.
     Rule,
     Gather,
@@ -48,6 +50,8 @@
     HopsHalf,
     HopsAll,
     Copies,
+    BucketsAsked,
+    RankTime,
     Missed,
     Rounds,
     QueryTime,
@@ -90,6 +94,8 @@
             Self::HopsHalf => ("change at half of the fleet", "hops"),
             Self::HopsAll => ("change at all reached", "hops"),
             Self::Copies => ("copies of a change", "per instance"),
+            Self::BucketsAsked => ("change, frames asking for buckets", "per instance"),
+            Self::RankTime => ("ranking one service", "us"),
             Self::Missed => ("missed by push, left to digests", "%"),
             Self::Rounds => ("digest periods until all have it", "periods"),
             Self::QueryTime => ("query", "us"),
@@ -132,7 +138,7 @@
 
 pub(crate) fn header() {
     println!(
-        "{:<8} {:>9} {:>8} {:>6}  {:<36} {:>12} unit",
+        "{:<10} {:>9} {:>8} {:>6}  {:<36} {:>12} unit",
         "part", "instances", "servers", "shards", "metric", "value"
     );
 }
@@ -148,7 +154,7 @@
         let digits = if self.value.abs() < 100.0 { 2 } else { 0 };
         write!(
             f,
-            "{part:<8} {instances:>9} {servers:>8} {shards:>6}  {name:<36} {:>12.digits$} {unit}",
+            "{part:<10} {instances:>9} {servers:>8} {shards:>6}  {name:<36} {:>12.digits$} {unit}",
             self.value
         )
     }
