--- a/crates/core/examples/scale.rs
+++ b/crates/core/examples/scale.rs
@@ -5,7 +5,8 @@
 //!
 //! Processor time is wall time around the machine's calls, the median of repeats. Memory is the
 //! growth of `VmRSS`; for that each size runs in a process of its own. `-- PART` runs one part
-//! (`control`, `spread`, `rule`, `gather`, `leaf`) and `-- control INSTANCES` one size of it.
+//! (`control`, `spread`, `rule`, `gather`, `leaf`), `-- control INSTANCES` and `-- store INSTANCES`
+//! one size.
 
 #[path = "scale/bench.rs"]
 mod bench;
@@ -39,12 +40,15 @@
     match words[..] {
         [] => all(),
         ["control"] => SIZES.iter().for_each(in_own_process),
+        ["store", instances] => print(control::store(&size(instances))),
         ["control", instances] => print(control::measure(&size(instances))),
         ["spread"] => print(spread::measure()),
         ["rule"] => print(rule::measure()),
         ["gather"] => print(gather::measure()),
         ["leaf"] => print(leaf::measure()),
-        _ => eprintln!("arguments: [control [INSTANCES] | spread | rule | gather | leaf]"),
+        _ => eprintln!(
+            "arguments: [control [INSTANCES] | store INSTANCES | spread | rule | gather | leaf]"
+        ),
     }
 }
 
@@ -72,7 +76,9 @@
 fn in_own_process(size: &Size) {
     let own = std::env::current_exe().expect("the example has a path");
     let instances = size.instances.to_string();
-    let status = Command::new(own).args(["control", &instances]).status();
-    let done = status.is_ok_and(|status| status.success());
-    assert!(done, "the size {instances} failed");
+    for part in ["store", "control"] {
+        let status = Command::new(&own).args([part, &instances]).status();
+        let done = status.is_ok_and(|status| status.success());
+        assert!(done, "{part} {instances} failed");
+    }
 }
--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::collections::{Map, Set};
+use ladder_core::control::store::Store;
 use ladder_core::control::{Event, placement};
 use ladder_core::schema::publication::Record;
 use ladder_core::schema::wire::{Frame, Liveness, Rumour};
@@ -13,7 +14,7 @@
 
 use crate::bench::{Bench, Spent};
 use crate::fleet::{self, Publisher, Size, index_name, instance_address, instance_name};
-use crate::memory;
+use crate::memory::{self, Publication};
 use crate::random::median;
 use crate::table::{Metric, Part, Row};
 
@@ -66,22 +67,37 @@
     }
 }
 
+/// Memory of the records alone, in a process of its own.
+pub(crate) fn store(size: &Size) -> Vec<Row> {
+    let mut rows = Rows {
+        size: *size,
+        rows: Vec::new(),
+    };
+    let publication = Publication::new(size);
+    let before = memory::resident();
+    let mut store = Store::default();
+    for record in publication.decode() {
+        store.apply(&record);
+    }
+    rows.add(Metric::StoreMemory, memory::resident() - before);
+    rows.rows
+}
+
 /// Loads in several pages, so that the records on their way count little.
 fn memory_use(size: &Size, rows: &mut Rows) {
-    let mut publisher = Publisher::default();
-    let records = publisher.all(size);
-    rows.add(Metric::Records, records.len() as f64);
-    let bytes: usize = records.iter().map(Message::encoded_len).sum();
-    rows.add(Metric::PageBytes, bytes as f64 / KILO);
-    let encoded: Vec<Vec<u8>> = records.iter().map(Message::encode_to_vec).collect();
-    drop(records);
+    let publication = Publication::new(size);
+    rows.add(Metric::Records, publication.records as f64);
+    rows.add(Metric::PageBytes, publication.bytes.len() as f64 / KILO);
     let before = memory::resident();
     let before_peak = memory::peak();
     let mut bench = Bench::new(*size);
-    for page in encoded.chunks(PAGE) {
-        let decode = |bytes: &Vec<u8>| Record::decode(&bytes[..]).expect("just encoded");
-        let page: Vec<Record> = page.iter().map(decode).collect();
-        bench.page(page, publisher.revision);
+    let mut records = publication.decode();
+    loop {
+        let page: Vec<Record> = records.by_ref().take(PAGE).collect();
+        if page.is_empty() {
+            break;
+        }
+        bench.page(page, publication.revision);
     }
     bench.run(AFTER);
     rows.add(Metric::Memory, memory::resident() - before);
--- a/crates/core/examples/scale/fleet.rs
+++ b/crates/core/examples/scale/fleet.rs
@@ -59,15 +59,24 @@
         }
     }
 
-    /// The whole publication of a fleet.
-    pub(crate) fn all(&mut self, size: &Size) -> Vec<Record> {
+    /// Hands on the records of the whole publication of a fleet one by one.
+    pub(crate) fn each(&mut self, size: &Size, mut take: impl FnMut(Record)) {
         let services = size.services();
         let instances = (0..size.instances).map(|number| instance(size, number));
         let entries = (0..services).map(|number| entry(number, 1000));
         let servers = (0..size.servers).map(|number| server(size, number));
         let indexes = (0..services.div_ceil(SHARDS)).map(|number| index(services, number));
         let bodies = instances.chain(entries).chain(servers).chain(indexes);
-        bodies.map(|body| self.record(body)).collect()
+        for body in bodies {
+            take(self.record(body));
+        }
+    }
+
+    /// The whole publication of a fleet.
+    pub(crate) fn all(&mut self, size: &Size) -> Vec<Record> {
+        let mut records = Vec::new();
+        self.each(size, |record| records.push(record));
+        records
     }
 }
 
--- a/crates/core/examples/scale/table.rs
+++ b/crates/core/examples/scale/table.rs
@@ -23,6 +23,7 @@
 pub(crate) enum Metric {
     Records,
     PageBytes,
+    StoreMemory,
     Memory,
     PeakMemory,
     StartTime,
@@ -67,6 +68,7 @@
         match self {
             Self::Records => ("published records", "records"),
             Self::PageBytes => ("whole publication, encoded", "KB"),
+            Self::StoreMemory => ("growth of VmRSS, records alone", "MB"),
             Self::Memory => ("growth of VmRSS, loaded", "MB"),
             Self::PeakMemory => ("growth of VmHWM, loaded", "MB"),
             Self::StartTime => ("first page to first view", "ms"),
