--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -10,7 +10,6 @@
 use ladder_core::schema::wire::{Frame, Liveness, Rumour};
 use ladder_core::view::View;
 use ladder_core::{gather, leaf};
-use prost::Message;
 
 use crate::bench::{Bench, Spent};
 use crate::fleet::{self, Publisher, Size, index_name, instance_address, instance_name};
