Prove the promises with real processes

Change: a small harness lays out a run, starts the real binaries, waits on conditions, kills, freezes, wakes, cuts links and reads the targets' ledgers. Two fleets run at once at most, each on an IP number of its own.

--- /dev/null
+++ b/tests/integration/fleet.rs
@@ -0,0 +1,320 @@
+//! A whole run of real processes: platform, targets, instances.
+//!
+//! Everything listens on an IP number of the run's own and ends with the [`Fleet`].
+
+pub(crate) mod call;
+pub(crate) mod child;
+pub(crate) mod http;
+pub(crate) mod ledger;
+pub(crate) mod load;
+mod outside;
+pub(crate) mod turn;
+pub(crate) mod watch;
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ladder_schema::publication::Record;
+use ladder_schema::settings::{Instance, Timing};
+use ladder_schema::standin::{Platform, Run};
+use ladder_schema::status;
+use ladder_schema::wire::Liveness;
+use ladder_standin::layout::Layout;
+use ladder_standin::layout::user::User;
+use ladder_standin::settings;
+
+use child::Child;
+use rustix::process::Signal;
+use turn::Turn;
+
+/// Longest wait for any condition.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Between looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Numbers of the runs of this process, for IP numbers of their own.
+static RUNS: AtomicU8 = AtomicU8::new(1);
+
+/// A platform address where nothing listens.
+pub(crate) const NO_PLATFORM: &str = "127.0.0.1:1";
+
+/// Short times, so that a failure is noticed within a second.
+pub(crate) const TIMING: Timing = Timing {
+    probe_ms: 50,
+    suspect_ms: 400,
+    dead_ms: 400,
+    digest_ms: 200,
+    pause_ms: 500,
+    drain_ms: 20_000,
+    watch_ms: 1000,
+};
+
+/// A run of real processes.
+pub(crate) struct Fleet {
+    /// Addresses and names.
+    pub(crate) run: Run,
+    /// What the platform published at the start.
+    pub(crate) published: Vec<Record>,
+    folder: PathBuf,
+    platform: Child,
+    targets: Vec<Child>,
+    /// Invariant: as many as `run.instances`; none for an instance that was killed or has ended.
+    instances: Vec<Option<Child>>,
+    _turn: Turn,
+}
+
+/// The layout that most tests start from: a tenth or so of the services of today.
+pub(crate) fn layout(user: User, instances: u32) -> Layout {
+    Layout::new(user)
+        .instances(instances)
+        .processes(2)
+        .scale(0.2)
+        .service_us(4000)
+        .timing(TIMING)
+}
+
+impl Fleet {
+    /// Starts all processes of `layout` and waits until each instance is ready and knows all.
+    pub(crate) fn start(layout: Layout) -> Self {
+        Self::start_edited(layout, |_, _| {})
+    }
+
+    /// Like [`Fleet::start`], with the settings of each instance, by its number, changed first.
+    pub(crate) fn start_edited(layout: Layout, edit: impl Fn(usize, &mut Instance)) -> Self {
+        let turn = Turn::take();
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let address = Ipv4Addr::new(127, 1 + high % 250, low, number);
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("fleet-{}-{number}", std::process::id()));
+        let run = layout.address(IpAddr::V4(address)).write(&folder);
+        let run = run.expect("the run can be laid out");
+        for (at, member) in run.instances.iter().enumerate() {
+            rewrite(&folder.join(&member.file), |settings| edit(at, settings));
+        }
+        let platform = folder.join(&run.platform_file);
+        let published: Platform = settings::load(&platform).expect("the platform's settings");
+        let fleet = Self {
+            platform: Child::start(&binary("standin-platform"), &platform),
+            targets: run
+                .targets
+                .iter()
+                .map(|process| Child::start(&binary("standin-target"), &folder.join(&process.file)))
+                .collect(),
+            instances: run
+                .instances
+                .iter()
+                .map(|member| Some(instance(&folder.join(&member.file))))
+                .collect(),
+            published: published.records,
+            run,
+            folder,
+            _turn: turn,
+        };
+        fleet.settle();
+        fleet
+    }
+
+    /// Waits until all running instances are ready, agree on owners and see each other.
+    pub(crate) fn settle(&self) {
+        let running = self.running();
+        until(
+            "all instances are ready and agree on members and owners",
+            || {
+                let seen: Vec<_> = running.iter().filter_map(|&at| self.status(at)).collect();
+                let sees_all = |status: &status::Instance| {
+                    let live = status.members.iter().filter(|member| {
+                        member.name != status.name && member.liveness() == Liveness::Alive
+                    });
+                    status.ready && live.count() + 1 >= running.len()
+                };
+                seen.len() == running.len()
+                    && seen.iter().all(sees_all)
+                    && seen.iter().all(|status| owners(status) == owners(&seen[0]))
+            },
+        );
+    }
+
+    /// Numbers of the instances that run.
+    pub(crate) fn running(&self) -> Vec<usize> {
+        let instances = self.instances.iter().enumerate();
+        instances
+            .filter_map(|(at, child)| child.as_ref().map(|_| at))
+            .collect()
+    }
+
+    /// Callers' addresses of all running instances but one.
+    pub(crate) fn others(&self, besides: usize) -> Vec<String> {
+        let others = self.running().into_iter().filter(|&at| at != besides);
+        others.map(|at| self.door(at)).collect()
+    }
+
+    /// Callers' address of an instance.
+    pub(crate) fn door(&self, at: usize) -> String {
+        self.run.instances[at].caller_address.clone()
+    }
+
+    /// Name of an instance.
+    pub(crate) fn name(&self, at: usize) -> &str {
+        &self.run.instances[at].name
+    }
+
+    /// Sends a signal to a running instance.
+    pub(crate) fn signal(&self, at: usize, signal: Signal) {
+        let child = self.instances[at].as_ref();
+        child.expect("the instance runs").signal(signal);
+    }
+
+    /// Waits until an instance that was told to stop has ended; gives its exit code.
+    pub(crate) fn until_ended(&mut self, at: usize) -> Option<i32> {
+        let mut child = self.instances[at].take().expect("the instance runs");
+        let mut ended = None;
+        until("the instance ends", || {
+            ended = child.ended();
+            ended.is_some()
+        });
+        ended.and_then(|status| status.code())
+    }
+
+    /// Kills an instance.
+    pub(crate) fn kill(&mut self, at: usize) {
+        self.instances[at] = None;
+    }
+
+    /// Starts an instance anew.
+    pub(crate) fn restart(&mut self, at: usize) {
+        assert!(self.instances[at].is_none());
+        self.instances[at] = Some(instance(&self.folder.join(&self.run.instances[at].file)));
+    }
+
+    /// Changes the settings with which an instance starts next.
+    pub(crate) fn edit(&self, at: usize, edit: impl FnOnce(&mut Instance)) {
+        rewrite(&self.folder.join(&self.run.instances[at].file), edit);
+    }
+
+    /// What an instance holds true; none when it does not answer.
+    pub(crate) fn status(&self, at: usize) -> Option<status::Instance> {
+        let response = http::get(&self.run.instances[at].admin_address, "/status").ok()?;
+        (response.status == 200).then(|| response.json())
+    }
+
+    /// Whether an instance tells the balancer to send callers.
+    pub(crate) fn is_ready(&self, at: usize) -> bool {
+        http::get(&self.door(at), "/ready").is_ok_and(|response| response.status == 200)
+    }
+
+    /// The number of the instance that owns a service, by the view of a living one.
+    pub(crate) fn owner(&self, service: &str) -> usize {
+        let viewer = self.running()[0];
+        let status = self.status(viewer).expect("it answers");
+        let found = status.services.iter().find(|found| found.name == service);
+        let owner = &found.expect("the service is known").owner;
+        let instances = self.run.instances.iter();
+        let position = instances
+            .map(|member| &member.name)
+            .position(|name| name == owner);
+        position.unwrap_or_else(|| panic!("{service} has the unknown owner {owner:?}"))
+    }
+
+    /// Cuts the links between two groups of instances in both directions; none mends all.
+    pub(crate) fn cut(&self, groups: [&[usize]; 2]) {
+        for at in self.running() {
+            let across = match groups.map(|group| group.contains(&at)) {
+                [true, false] => groups[1],
+                [false, true] => groups[0],
+                _ => &[],
+            };
+            let addresses = across
+                .iter()
+                .map(|&peer| &self.run.instances[peer].peer_address);
+            let cut = status::Cut {
+                addresses: addresses.cloned().collect(),
+            };
+            self.posted(&self.run.instances[at].admin_address, "/cut", &cut);
+        }
+    }
+
+    /// Waits until no running instance holds `victim` for an owner.
+    pub(crate) fn until_replaced(&self, victim: usize) {
+        let replaced = |service: &status::Service| {
+            !service.owner.is_empty() && service.owner != self.name(victim)
+        };
+        until("the services have other owners", || {
+            self.running().into_iter().all(|at| {
+                let status = self.status(at).expect("a living instance answers");
+                status.services.iter().all(replaced)
+            })
+        });
+    }
+
+    /// Waits until every running instance has a revision in force.
+    pub(crate) fn until_in_force(&self, revision: u64) {
+        for at in self.running() {
+            until(
+                &format!("revision {revision} is in force on {}", self.name(at)),
+                || {
+                    self.status(at)
+                        .is_some_and(|status| status.revision >= revision)
+                },
+            );
+        }
+    }
+
+    pub(crate) fn posted<T: serde::Serialize>(&self, address: &str, path: &str, value: &T) {
+        let response = http::post(address, path, value).expect("it answers");
+        assert_eq!(response.status, 200, "{path}");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            let instances = self.instances.iter().flatten();
+            let children = instances.chain(&self.targets).chain([&self.platform]);
+            for child in children {
+                eprintln!("{}", child.tail());
+            }
+            return;
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Changes a settings file of an instance.
+fn rewrite(path: &Path, edit: impl FnOnce(&mut Instance)) {
+    let mut settings: Instance = settings::load(path).expect("settings of an instance");
+    edit(&mut settings);
+    settings::save(path, &settings).expect("settings can be written");
+}
+
+/// The owner of each service by one instance's view.
+pub(crate) fn owners(status: &status::Instance) -> Vec<(&str, &str)> {
+    let services = status.services.iter();
+    services
+        .map(|service| (service.name.as_str(), service.owner.as_str()))
+        .collect()
+}
+
+/// Waits until a condition holds.
+pub(crate) fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "not within {PATIENCE:?}: {what}"
+        );
+        thread::sleep(LOOK);
+    }
+}
+
+fn instance(settings: &Path) -> Child {
+    Child::start(Path::new(env!("CARGO_BIN_EXE_ladder-entry")), settings)
+}
+
+/// A binary of the workspace, in the folder of the daemon's.
+fn binary(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_ladder-entry")).with_file_name(name)
+}
--- /dev/null
+++ b/tests/integration/fleet/ledger.rs
@@ -0,0 +1,125 @@
+//! The targets' ledgers: what ran, and whether the answers say so.
+
+use ladder_core::collections::Map;
+use ladder_schema::outcome::Verdict;
+use ladder_schema::standin::Ledger;
+use ladder_standin::ledger::doubles;
+
+use super::call::Exchange;
+use super::{Fleet, http, until};
+
+/// Executions by request key and shard.
+pub(crate) struct Executed {
+    ledgers: Vec<Ledger>,
+    counts: Map<(String, String), u32>,
+}
+
+impl Fleet {
+    /// Reads all ledgers.
+    pub(crate) fn executed(&self) -> Executed {
+        let addresses = self
+            .run
+            .targets
+            .iter()
+            .map(|process| &process.admin_address);
+        let ledgers: Vec<Ledger> = addresses
+            .map(|address| {
+                http::get(address, "/admin/ledger")
+                    .expect("targets answer")
+                    .json()
+            })
+            .collect();
+        let mut counts = Map::default();
+        for execution in ledgers.iter().flat_map(|ledger| &ledger.executions) {
+            for shard in &execution.shards {
+                *counts
+                    .entry((execution.key.clone(), shard.clone()))
+                    .or_default() += execution.count;
+            }
+        }
+        Executed { ledgers, counts }
+    }
+
+    /// The ledger of one server.
+    pub(crate) fn ledger(&self, server: &str) -> Ledger {
+        let mut processes = self.run.targets.iter();
+        let process = processes.find(|process| process.servers.iter().any(|name| name == server));
+        let address = &process.expect("a process has the server").admin_address;
+        let path = format!("/admin/ledger?server={server}");
+        http::get(address, &path).expect("targets answer").json()
+    }
+
+    /// Waits until no running instance has work in hand.
+    pub(crate) fn until_idle(&self) {
+        until("nothing is open", || {
+            self.running().into_iter().all(|at| {
+                self.status(at)
+                    .is_some_and(|status| status.open_queries + status.open_portions == 0)
+            })
+        });
+    }
+
+    /// No server ever had more connections than its limit, or refused one.
+    pub(crate) fn check_connections(&self) {
+        for server in self.servers() {
+            let ledger = self.ledger(&server.name);
+            assert!(
+                ledger.peak_connections <= server.connections,
+                "{}: {} connections at once, limit {}",
+                server.name,
+                ledger.peak_connections,
+                server.connections
+            );
+            assert_eq!(
+                ledger.refused_connections, 0,
+                "{} refused connections",
+                server.name
+            );
+        }
+    }
+}
+
+impl Executed {
+    /// Executions of one request at a shard.
+    pub(crate) fn count(&self, key: &str, shard: &str) -> u32 {
+        let place = (key.to_owned(), shard.to_owned());
+        self.counts.get(&place).copied().unwrap_or(0)
+    }
+
+    /// Executions of one request at all shards.
+    pub(crate) fn of_key(&self, key: &str) -> u32 {
+        let counts = self.counts.iter().filter(|((found, _), _)| found == key);
+        counts.map(|(_, count)| count).sum()
+    }
+
+    /// No request of an unrepeatable operation ran twice at any shard.
+    pub(crate) fn check_no_doubles(&self, operation: &str) {
+        assert_eq!(doubles(&self.ledgers, operation), [], "doubled");
+    }
+
+    /// The verdicts of an answer, of the whole and of each missing shard, agree with what ran.
+    ///
+    /// `NotRun` and `Ran` claim something that the ledger shows or refutes; `MayHaveRun` does not.
+    pub(crate) fn check_verdicts(&self, exchange: &Exchange) {
+        let (answer, key) = (exchange.answer(), &exchange.request.key);
+        match answer.verdict() {
+            Verdict::NotRun => {
+                assert_eq!(self.of_key(key), 0, "ran after all: {answer:?}");
+            }
+            Verdict::Ran => assert!(self.of_key(key) > 0, "did not run: {answer:?}"),
+            Verdict::MayHaveRun => {}
+            Verdict::Unspecified => panic!("no verdict: {answer:?}"),
+        }
+        for shard in &answer.covered {
+            assert!(
+                self.count(key, shard) > 0,
+                "{shard} did not run: {answer:?}"
+            );
+        }
+        let missing = answer.missing.iter();
+        for missing in missing.filter(|missing| missing.verdict() == Verdict::NotRun) {
+            let count = self.count(key, &missing.shard);
+            assert_eq!(count, 0, "{} ran after all: {answer:?}", missing.shard);
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/partition.rs
@@ -0,0 +1,103 @@
+//! The links between two groups of instances are cut, and mended.
+
+use ladder_schema::publication::record::Body;
+use ladder_schema::wire::Liveness;
+use ladder_standin::layout::user::User;
+
+use crate::fleet::call::{BAGMATI, ask, report};
+use crate::fleet::load::Load;
+use crate::fleet::watch::{Watch, check_never_back};
+use crate::fleet::{Fleet, NO_PLATFORM, layout, until};
+
+/// The two sides; the second one never reaches the platform.
+const SIDES: [&[usize]; 2] = [&[0, 1], &[2, 3]];
+
+/// Waits until both sides hold each other dead.
+fn until_split(fleet: &Fleet) {
+    until("both sides hold each other dead", || {
+        SIDES.iter().all(|side| {
+            side.iter().all(|&at| {
+                let status = fleet.status(at).expect("it answers");
+                let members = status.members.iter();
+                let alive = members.filter(|member| {
+                    member.name != status.name && member.liveness() == Liveness::Alive
+                });
+                alive.count() + 1 == side.len()
+            })
+        })
+    });
+}
+
+/// A switch between two zones fails; each part of the fleet holds the other dead and serves on by
+/// itself, with two owners for every service. Targets would be swamped with connections and a
+/// payout be looked up on both sides. An operator changes the catalogue while only one side can
+/// read it. When the links mend, the change is in force everywhere and nothing has gone back.
+#[test]
+fn split_fleet() {
+    let fleet = Fleet::start_edited(layout(User::Bagmati, 4), |at, settings| {
+        if SIDES[1].contains(&at) {
+            settings.platform_address = NO_PLATFORM.to_owned();
+        }
+    });
+    let index = fleet.index(BAGMATI.index);
+    let shards = fleet.shards(BAGMATI.index);
+    let watch = Watch::start(&fleet);
+    let doors: Vec<String> = (0..4).map(|at| fleet.door(at)).collect();
+    let load = Load::mixed(&doors, 8, BAGMATI, shards);
+    load.until_more(50);
+    fleet.cut(SIDES);
+    until_split(&fleet);
+    check_sides_serve(&fleet);
+    let changed = publish_to_one_side(&fleet);
+    load.until_more(200);
+    fleet.cut([&[], &[]]);
+    fleet.until_in_force(changed);
+    fleet.settle();
+    load.until_more(50);
+    let exchanges = load.finish();
+    fleet.until_idle();
+    for seen in watch.finish() {
+        check_never_back(&seen);
+    }
+    let executed = fleet.executed();
+    executed.check_no_doubles(BAGMATI.booking);
+    for exchange in &exchanges {
+        exchange.check_own();
+        executed.check_verdicts(exchange);
+        if exchange.request.operation == BAGMATI.sweep {
+            exchange.check_complete(&index);
+        }
+    }
+    fleet.check_connections();
+    for at in fleet.running() {
+        let key = format!("added-{at}");
+        ask(&fleet.door(at), report("added", &key)).check_complete(&fleet.index("report-desk"));
+    }
+}
+
+/// Each instance of both sides answers completely.
+fn check_sides_serve(fleet: &Fleet) {
+    let index = fleet.index(BAGMATI.index);
+    for at in fleet.running() {
+        let sweep = ask(&fleet.door(at), BAGMATI.sweep(&format!("split-{at}")));
+        sweep.check_complete(&index);
+    }
+}
+
+/// Publishes a change that only the first side can learn now; gives its revision.
+fn publish_to_one_side(fleet: &Fleet) -> u64 {
+    let entry = fleet.entry("report-desk", "added");
+    let changed = fleet.publish(vec![Body::Entry(entry)]);
+    for &at in SIDES[0] {
+        until("the change is in force on the side of the platform", || {
+            fleet
+                .status(at)
+                .is_some_and(|status| status.revision >= changed)
+        });
+    }
+    for &at in SIDES[1] {
+        let status = fleet.status(at).expect("it answers");
+        assert!(status.revision < changed, "the cut does not hold");
+    }
+    changed
+}
