--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,8 +1,8 @@
 //! Tests of the processes and of what joins them.
 
-mod lanes;
 mod catalogue;
 mod fleet;
+mod lanes;
 mod leaving;
 mod partition;
 mod path;
