Send all second copies that the budget pays at once

When many calls became slow at the same moment only the first eight were looked at until the next event. The scan now reaches beyond what the budget pays. Found by breaking the budget check: the test stayed green because the scan bounded the copies first. With the check broken the test now fails.

All tests of the leaf pass.

--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -10,7 +10,7 @@
 use crate::count;
 use ladder_schema::outcome::Reason;
 
-/// Overdue portions looked at when the first ones find no server.
+/// Overdue portions looked at beyond those that the budget pays, when the first ones find no server.
 const SCAN: usize = 8;
 
 impl Machine {
@@ -52,7 +52,8 @@
         if service.overdue.is_empty() {
             return;
         }
-        let overdue: Vec<_> = service.overdue.iter().take(SCAN).copied().collect();
+        let most = SCAN + service.budget.calls() as usize;
+        let overdue: Vec<_> = service.overdue.iter().take(most).copied().collect();
         for (sent, key) in overdue {
             if !self.services[id].budget.affords() || !self.has_room(id) {
                 return;
