Split the derives of ladder-load

Cause: the load tool's derives were merged by the formatter before its setting changed. Change: derives of other crates stand on lines of their own there too.

--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -11,17 +11,8 @@
 pub const PARTIAL: u16 = 206;
 
 /// What is untrue in an answer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Deserialize,
-    Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mistake {
     /// The key is another request's.
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -5,7 +5,8 @@
 use displaydoc::Display;
 
 /// Why a run or a comparison could not be done.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum Error {
     /// cannot read {0}: {1}
     Read(PathBuf, String),
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -17,7 +17,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Shards that one query asks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fan {
     /// All shards of the operation's services.
@@ -27,7 +28,8 @@
 }
 
 /// One kind of query.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Unique name in reports.
@@ -47,7 +49,8 @@
 }
 
 /// Classes of queries that run side by side.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mix {
     /// Name in reports.
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -8,7 +8,8 @@
 pub const SHARES: [f64; 10] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995];
 
 /// Figures of one class of queries, or of all.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Class {
     /// Name of the class.
     pub name: String,
@@ -62,7 +63,8 @@
 }
 
 /// Result of one run.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Run {
     /// Groups runs of one setting.
     pub label: String,
--- a/crates/load/src/upkeep.rs
+++ b/crates/load/src/upkeep.rs
@@ -32,7 +32,8 @@
 }
 
 /// Figures of one fleet.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Instances.
     pub instances: usize,
--- a/crates/load/src/upkeep/process.rs
+++ b/crates/load/src/upkeep/process.rs
@@ -30,7 +30,8 @@
 }
 
 /// The median and the largest value over the instances.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Range {
     /// Median.
     pub median: f64,
@@ -39,7 +40,8 @@
 }
 
 /// What an instance spends.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Rates {
     /// Share of one core in percent.
     pub cpu_percent: Range,
--- a/crates/load/src/upkeep/spread.rs
+++ b/crates/load/src/upkeep/spread.rs
@@ -21,7 +21,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// Time until a change is in force everywhere, counted from the moment before it is published.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Spread {
     /// Changes followed.
     pub changes: usize,
--- a/crates/load/src/upkeep/takeover.rs
+++ b/crates/load/src/upkeep/takeover.rs
@@ -21,7 +21,8 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 
 /// How long a dead owner's services wait.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Takeover {
     /// Services that the killed instance owned.
     pub services: usize,
