Red: prove what a dying target does to bookings and coverage

Both tests fail for real faults and are as strict as the promises.

dead_target_with_a_booking, red in three of three runs with "doubled, left: 2, right: 1". Cause: awc 3.11 reports ConnectError::Disconnected also when a connection ends after the request was written and before the answer. lanes.rs takes every SendRequestError::Connect for unsent, so the booking counts as not run and goes to the other replica.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,5 +9,6 @@
 mod pause;
 mod settings;
 mod stop;
+mod twofold;
 mod vanish;
 mod version;
