Keep two extra calls of a service's budget for retries

Cause: `two_faults_without_platform` was red in some runs with RETRY_BUDGET: a server turns slow and then dies; the second copies of its slow calls had spent the service's budget, so the calls that died with it were not repeated though the other replica had their shards. Ruled out: the verdict (the calls were repeatable), the deadline (most of it was left).

Change: hedges stop two calls above nothing; the catalogue's share of extra calls stays the bound of both together.

Tests of the leaf pass unchanged.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -5,6 +5,14 @@
 /// Most extra calls that can be saved up, so that a quiet hour does not pay for a burst.
 const BURST: u32 = 10 * CALL;
 
+/// Extra calls that only retries may spend.
+///
+/// A server that turns slow before it dies lets the second copies of its calls spend everything;
+/// the calls that die with it could then not be repeated, and their shards would be missing although
+/// another replica had them. No more calls die with a server than it has slots: two at the sweeps'
+/// services.
+const RESERVE: u32 = 2 * CALL;
+
 /// Tokens earned by first calls and spent by extra calls.
 ///
 /// In overload every call is slow and would be copied or repeated; the extra calls would then make
@@ -22,11 +30,16 @@
         self.tokens = (self.tokens + earned).min(BURST);
     }
 
-    /// Whether an extra call can be paid.
-    pub(super) fn affords(&self) -> bool {
+    /// Whether a retry can be paid.
+    fn affords(&self) -> bool {
         self.tokens >= CALL
     }
 
+    /// Whether a second copy can be paid without touching what is kept for retries.
+    pub(super) fn affords_copy(&self) -> bool {
+        self.tokens >= RESERVE + CALL
+    }
+
     /// Pays for an extra call; `false` when the tokens do not suffice.
     pub(super) fn spend(&mut self) -> bool {
         let paid = self.affords();
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -55,7 +55,7 @@
         let most = SCAN + service.budget.calls() as usize;
         let overdue: Vec<_> = service.overdue.iter().take(most).copied().collect();
         for (sent, key) in overdue {
-            if !self.services[id].budget.affords() || !self.has_room(id) {
+            if !self.services[id].budget.affords_copy() || !self.has_room(id) {
                 return;
             }
             if !self.worth_copying(key) {
