Give a young service the retries' part of its budget

Change: a service starts with the two calls that only retries may spend, unless its catalogue entry allows no extra calls.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -17,13 +17,20 @@
 ///
 /// In overload every call is slow and would be copied or repeated; the extra calls would then make
 /// the overload worse. Tokens bound them to a share of the first calls.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Budget {
     /// Thousandths of an extra call, at most [`BURST`].
     tokens: u32,
 }
 
 impl Budget {
+    /// What a service starts with: the retries' part, so that it can stand the loss of a server
+    /// before its calls have earned any, and nothing where the catalogue allows no extra calls.
+    pub(super) fn new(extra_percent: u32) -> Self {
+        let tokens = if extra_percent == 0 { 0 } else { RESERVE };
+        Self { tokens }
+    }
+
     /// Earns what one first call allows.
     pub(super) fn earn(&mut self, extra_percent: u32) {
         let earned = extra_percent * (CALL / 100);
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -95,7 +95,7 @@
             slow: None,
             fast: None,
             marked: false,
-            budget: Budget::default(),
+            budget: Budget::new(listed.entry.limits.unwrap_or_default().extra_percent),
             admission: Admission::default(),
             overdue: BTreeSet::new(),
             cursor: 0,
--- a/crates/core/tests/leaf/dispatch.rs
+++ b/crates/core/tests/leaf/dispatch.rs
@@ -2,9 +2,11 @@
 
 use ladder_core::count;
 use ladder_core::leaf::event::Outcome;
+use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::view::Service;
 
-use crate::bed::{Bed, Sent, work};
+use crate::bed::{Bed, Sent, entry, server, service, settings, work};
 
 #[test]
 fn answer_is_replied_with_its_parts() {
@@ -27,7 +29,7 @@
     reply: Option<(Verdict, Reason)>,
 }
 
-/// A call at a target fails. A repeatable portion is sent again, here without saved-up tokens only
+/// A call at a target fails. A repeatable portion is sent again, here without any extra calls only
 /// when it did not run. An unrepeatable one is sent again only on proof that it did not run; a dock
 /// booked by a call whose answer was lost would otherwise be booked twice.
 #[test]
@@ -78,7 +80,7 @@
         ),
     ];
     for case in cases {
-        let mut bed = Bed::new();
+        let mut bed = Bed::with(settings(), without_extra_calls());
         bed.work(work(1, case.operation));
         let first = bed.sent()[0].clone();
         bed.end(first.attempt, (case.outcome)(&first));
@@ -92,6 +94,29 @@
     }
 }
 
+/// A service whose catalogue entry allows no extra calls.
+fn without_extra_calls() -> Service {
+    let mut service = service(vec![server(1), server(2)]);
+    let mut entry = entry();
+    entry.limits = entry.limits.map(|limits| Limits {
+        extra_percent: 0,
+        ..limits
+    });
+    service.entry = entry.into();
+    service
+}
+
+/// A server dies with calls in hand before the service has earned any extra call. Their shards
+/// would be missing though the other replica has them.
+#[test]
+fn young_service_repeats_what_dies_with_a_server() {
+    let mut bed = Bed::new();
+    bed.work(work(1, "sweep"));
+    let first = bed.sent()[0].clone();
+    bed.end(first.attempt, Outcome::Lost);
+    assert_eq!(bed.sent().len(), 2);
+}
+
 /// A target takes the call and never answers. The entry must hear of it while its own caller still
 /// waits, and what the call left behind must not be counted as idle.
 #[test]
