Measure first frames of peers, codecs and the largest record

A listed peer that speaks for the first time changes the membership and so builds a view; its cost is now a row of its own, as each instance meets it once for each other. JSON against protobuf shows what the calls to targets spend, the largest record how far a value is from a megabyte.

--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -87,6 +87,7 @@
     let publication = Publication::new(size);
     rows.add(Metric::Records, publication.records as f64);
     rows.add(Metric::PageBytes, publication.bytes.len() as f64 / KILO);
+    rows.add(Metric::LargestRecord, publication.largest as f64 / KILO);
     let before = memory::resident();
     let before_peak = memory::peak();
     let mut bench = Bench::new(*size);
@@ -135,8 +136,13 @@
     rows.add(Metric::RankTime, median(times));
 }
 
-/// Peers tell of the incarnations: sixteen as in one frame of the machine, then all the others.
+/// A listed peer speaks for the first time; peers tell of the incarnations: sixteen as in one frame
+/// of the machine, then all the others.
 fn introduce(bench: &mut Bench, rows: &mut Rows) {
+    bench.spent = Spent::default();
+    let first = bench.frame(bench.size.instances - 1);
+    bench.give(Event::Frame(Box::new(first)));
+    rows.add(Metric::FirstFrame, milliseconds(bench.spent.time));
     let all: Vec<Rumour> = (1..bench.size.instances)
         .map(|number| rumour(&bench.size, number, Liveness::Alive))
         .collect();
--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -9,6 +9,7 @@
 use ladder_core::schema::{call, target, wire};
 use ladder_core::time::Instant;
 use ladder_core::view::{Candidate, Peer, Service, View};
+use prost::Message;
 
 use crate::fleet::{Size, entry, index_name, service_name, size};
 use crate::gather::server;
@@ -31,12 +32,56 @@
     let rates = (0..WINDOWS).map(|_| bench.window()).collect();
     let rate = median(rates);
     let row = |metric, value| Row::new(Part::Leaf, SIZE, metric, value).shards(shards);
+    let (json, binary) = codec(shards);
     vec![
         row(Metric::Decisions, rate),
         row(Metric::Reads, rate * shards as f64),
+        row(Metric::JsonTime, json),
+        row(Metric::BinaryTime, binary),
     ]
 }
 
+/// Microseconds to encode one target request and decode its answer, in JSON and in protobuf.
+fn codec(shards: usize) -> (f64, f64) {
+    let request = target::Request {
+        id: "instance-00000/1/123456".to_owned(),
+        key: "key-123456".to_owned(),
+        index: index_name(0),
+        version: 1,
+        shards: (0..shards).map(shard).collect(),
+        operation: "sweep".to_owned(),
+        deadline_ms: 90,
+        payload: String::new(),
+    };
+    let answer = whole(&request);
+    let json = serde_json::to_vec(&answer).expect("an answer is JSON");
+    let binary = answer.encode_to_vec();
+    let by_json = time(|| {
+        let bytes = serde_json::to_vec(&request).expect("a request is JSON");
+        let answer: target::Answer = serde_json::from_slice(&json).expect("just encoded");
+        bytes.len() + answer.parts.len()
+    });
+    let by_binary = time(|| {
+        let bytes = request.encode_to_vec();
+        let answer = target::Answer::decode(&binary[..]).expect("just encoded");
+        bytes.len() + answer.parts.len()
+    });
+    (by_json, by_binary)
+}
+
+/// Mean microseconds of a call.
+fn time(act: impl Fn() -> usize) -> f64 {
+    let before = std::time::Instant::now();
+    for _ in 0..ROUNDS {
+        std::hint::black_box(act());
+    }
+    before.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
+}
+
+fn shard(number: usize) -> String {
+    format!("shard-{number:05}")
+}
+
 struct Bench {
     machine: Machine,
     now: Instant,
@@ -108,7 +153,6 @@
     }
 
     fn work(&self) -> wire::Work {
-        let shard = |number| format!("shard-{number:05}");
         let portion = |number| wire::Portion {
             service: service_name(number),
             shards: (0..self.shards).map(shard).collect(),
@@ -159,16 +203,20 @@
 }
 
 fn answer(request: &target::Request) -> Outcome {
+    Outcome::Answer(whole(request))
+}
+
+fn whole(request: &target::Request) -> target::Answer {
     let part = |shard: &String| call::Part {
         shard: shard.clone(),
         body: "x".repeat(16),
     };
-    Outcome::Answer(target::Answer {
+    target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
         version: request.version,
         parts: request.shards.iter().map(part).collect(),
-    })
+    }
 }
 
 fn peer(name: &str) -> Peer {
--- a/crates/core/examples/scale/memory.rs
+++ b/crates/core/examples/scale/memory.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Publication {
     pub(crate) bytes: Vec<u8>,
     pub(crate) records: usize,
+    /// Bytes of the largest record.
+    pub(crate) largest: usize,
     pub(crate) revision: u64,
 }
 
@@ -39,8 +41,10 @@
         let mut publisher = Publisher::default();
         let mut bytes = Vec::new();
         let mut records = 0;
+        let mut largest = 0;
         publisher.each(size, |record| {
             records += 1;
+            largest = largest.max(record.encoded_len());
             let room = bytes.try_reserve(record.encoded_len() + 10);
             room.expect("memory for the publication");
             let encoded = record.encode_length_delimited(&mut bytes);
@@ -49,6 +53,7 @@
         Self {
             bytes,
             records,
+            largest,
             revision: publisher.revision,
         }
     }
--- a/crates/core/examples/scale/table.rs
+++ b/crates/core/examples/scale/table.rs
@@ -27,6 +27,7 @@
     Memory,
     PeakMemory,
     StartTime,
+    FirstFrame,
     StartRumours,
     IdleTime,
     IdleFrames,
@@ -61,6 +62,9 @@
     CodecTime,
     Decisions,
     Reads,
+    JsonTime,
+    BinaryTime,
+    LargestRecord,
 }
 
 impl Metric {
@@ -72,6 +76,7 @@
             Self::Memory => ("growth of VmRSS, loaded", "MB"),
             Self::PeakMemory => ("growth of VmHWM, loaded", "MB"),
             Self::StartTime => ("first page to first view", "ms"),
+            Self::FirstFrame => ("first frame of a listed peer", "ms"),
             Self::StartRumours => ("frame of 16 first rumours", "ms"),
             Self::IdleTime => ("idle", "us/s"),
             Self::IdleFrames => ("idle, frames sent", "frames/s"),
@@ -105,6 +110,9 @@
             Self::WorkBytes => ("query, work and replies encoded", "KB"),
             Self::CodecTime => ("query, encode work, decode replies", "us"),
             Self::Decisions => ("calls decided", "calls/s"),
+            Self::JsonTime => ("call, request and answer as JSON", "us"),
+            Self::BinaryTime => ("call, request and answer as protobuf", "us"),
+            Self::LargestRecord => ("largest record, encoded", "KB"),
             Self::Reads => ("shard reads", "reads/s"),
         }
     }
