Feed every decoder with anything

Cause: settings, callers' bodies, targets' answers, records and peers' frames were checked by tables of known mistakes; nothing showed that other bytes do no harm. Change: properties over bytes for each decoder, over damaged frames for all three machines, and a table of frames of another fleet, protocol or size.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the processes and of what joins them.
 
 mod catalogue;
+mod decoders;
 mod fleet;
 mod lanes;
 mod leaving;
