--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser};
+use serde::Serialize;
 
 use crate::compare::{self, Summary};
 use crate::demo;
@@ -11,6 +12,7 @@
 use crate::fault::Fault;
 use crate::layout;
 use crate::mix::{self, Mix};
+use crate::overhead;
 use crate::ready;
 use crate::report;
 use crate::result::Run;
@@ -32,6 +34,8 @@
     Demo(demo::Options),
     /// Measures the control cost of a fleet.
     Upkeep(upkeep::Options),
+    /// Measures the latency that the tier adds.
+    Overhead(PathBuf),
     /// Waits until every process of a layout serves.
     Ready(Readiness),
 }
@@ -97,7 +101,12 @@
         .to_options()
         .descr("Measures what a fleet costs, how fast changes spread, how an owner is replaced")
         .command("upkeep");
-    bpaf::construct!([run, compare, demo, ready, upkeep])
+    let overhead = layout_file()
+        .map(Command::Overhead)
+        .to_options()
+        .descr("Measures what the tier adds to a single query's latency at low load")
+        .command("overhead");
+    bpaf::construct!([run, compare, demo, ready, upkeep, overhead])
         .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
@@ -271,14 +280,15 @@
         Command::Run(arguments) => run(arguments),
         Command::Compare(comparison) => compare(&comparison),
         Command::Ready(readiness) => ready(&readiness),
-        Command::Upkeep(options) => measure_upkeep(&options),
+        Command::Upkeep(options) => json(&upkeep::execute(&options)?),
+        Command::Overhead(run) => json(&overhead::execute(&run)?),
         Command::Demo(options) => demonstrate(&options),
     }
 }
 
-fn measure_upkeep(options: &upkeep::Options) -> Result<String, Error> {
-    let report = upkeep::execute(options)?;
-    serde_json::to_string(&report)
+/// A report as one line.
+fn json(report: &impl Serialize) -> Result<String, Error> {
+    serde_json::to_string(report)
         .map_err(|error| Error::Write("standard output".into(), error.to_string()))
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fault;
 pub mod layout;
 pub mod mix;
+pub mod overhead;
 pub mod plan;
 pub mod plot;
 pub mod ready;
