--- a/crates/core/examples/sweep_trial.rs
+++ b/crates/core/examples/sweep_trial.rs
@@ -1,23 +1,29 @@
-//! Trial of the leaf machine: sweeps over 20 services of small simulated servers, on a virtual
-//! clock and from a seed. Prints latency and extra calls of the baseline and the chosen policy.
+//! Trial of the leaf machine: queries to 20 services of small simulated servers, on a virtual clock
+//! and from a seed. Prints latency, coverage and extra calls of the baseline and the chosen policy.
 //!
-//! `cargo run --release -p ladder-core --example sweep_trial`
+//! `cargo run --release -p ladder-core --example sweep_trial [LOAD...] [sweeps|gate|patrol...]`
 
 #[path = "sweep_trial/fleet.rs"]
 mod fleet;
 #[path = "sweep_trial/messages.rs"]
 mod messages;
+#[path = "sweep_trial/mix.rs"]
+mod mix;
 #[path = "sweep_trial/run.rs"]
 mod run;
 
 use fleet::Times;
 use ladder_core::leaf::Settings;
 use ladder_core::schema::settings::Selection;
-use run::{Plan, run};
+use messages::SERVICES;
+use mix::{Kind, MIXES, Mix};
+use run::{Figures, Plan, Tally, run};
 
 /// Loads unless the command line names others.
 const LOADS: [f64; 5] = [0.3, 0.5, 0.7, 0.85, 1.3];
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// Queries of a run, counted in sweeps of the same number of calls.
+const SWEEPS: u64 = 6000;
 
 fn policies() -> Vec<(&'static str, Settings)> {
     let base = || Settings::builder("trial", 1).seed(1);
@@ -34,46 +40,62 @@
 
 fn main() {
     println!(
-        "times        load  policy       p50ms  p99ms p99.9ms  ratio  extra complete urgent99 complete portions/s"
+        "mix    times       load policy     extra portions/s kind       p50ms  p99ms p99.9ms complete goodput  covered"
     );
     let named: Vec<f64> = std::env::args()
         .skip(1)
         .filter_map(|load| load.parse().ok())
         .collect();
     let loads = if named.is_empty() { &LOADS[..] } else { &named };
-    for times in [Times::Exponential, Times::Narrow] {
-        for load in loads {
-            compare(times, *load);
+    let chosen = |name: &str| std::env::args().any(|word| word == name);
+    let all = !MIXES.iter().any(|(name, _)| chosen(name));
+    for (name, mix) in MIXES {
+        if !all && !chosen(name) {
+            continue;
+        }
+        for times in [Times::Exponential, Times::Narrow] {
+            for load in loads {
+                compare(name, mix, times, *load);
+            }
         }
     }
 }
 
-fn compare(times: Times, load: f64) {
-    let mut baseline = None;
-    for (name, settings) in policies() {
+fn compare(name: &str, mix: Mix, times: Times, load: f64) {
+    let per_query = mix::rate(mix, 1.0) * SERVICES as f64;
+    for (policy, settings) in policies() {
         let plan = Plan {
             times,
             load,
-            sweeps: 6000,
+            mix,
+            queries: (SWEEPS as f64 * per_query) as u64,
         };
-        let mut outcomes = SEEDS.map(|seed| run(&plan, settings.clone(), seed));
-        let mut sum = run::Figures::default();
-        for outcome in &mut outcomes {
-            sum.add(outcome);
+        let mut figures = Figures::default();
+        for seed in SEEDS {
+            figures.add(run(&plan, settings.clone(), seed));
+        }
+        let extra = figures.sends as f64 / figures.portions as f64;
+        let core_rate = figures.portions as f64 / figures.core.as_secs_f64();
+        for (kind, tally) in mix.iter().zip(&mut figures.tallies) {
+            let times = format!("{times:?}");
+            print!("{name:<6} {times:<11} {load:<4} {policy:<10} {extra:>5.3} {core_rate:>10.0} ");
+            print_tally(kind, tally, load);
         }
-        let base = *baseline.get_or_insert(sum.p99);
-        println!(
-            "{:<12} {load:<5} {name:<11} {:>6.1} {:>6.1} {:>7.1} {:>6.2} {:>6.3} {:>8.4} {:>8.1} {:>8.4} {:>10.0}",
-            format!("{times:?}"),
-            sum.p50 / 3.0,
-            sum.p99 / 3.0,
-            sum.p999 / 3.0,
-            sum.p99 / base,
-            sum.extra / 3.0,
-            sum.complete / 3.0,
-            sum.urgent_p99 / 3.0,
-            sum.urgent_complete / 3.0,
-            sum.core_rate / 3.0,
-        );
     }
 }
+
+fn print_tally(kind: &Kind, tally: &mut Tally, load: f64) {
+    tally.latencies.sort_by(f64::total_cmp);
+    let quantile = |share| tally.latencies[((tally.latencies.len() - 1) as f64 * share) as usize];
+    let count = tally.latencies.len() as f64;
+    let complete = tally.complete as f64 / count;
+    println!(
+        "{:<8} {:>7.1} {:>6.1} {:>7.1} {complete:>8.4} {:>7.4} {:>8.4}",
+        kind.operation,
+        quantile(0.5),
+        quantile(0.99),
+        quantile(0.999),
+        complete * load,
+        1.0 - tally.missing as f64 / (count * kind.fan as f64),
+    );
+}
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -10,10 +10,10 @@
 use ladder_core::view::{Candidate, Peer, Server, Service};
 
 use crate::fleet::SLOTS;
+use crate::mix::Kind;
 
 pub(crate) const SERVICES: usize = 20;
 pub(crate) const SERVERS: usize = 2;
-const BUDGET_US: u64 = 1_000_000;
 
 pub(crate) fn answer(request: &target::Request) -> Outcome {
     let part = |shard: &String| call::Part {
@@ -43,14 +43,10 @@
     }
 }
 
-/// Every tenth sweep is urgent.
-pub(crate) fn urgent(query: u64) -> bool {
-    query.is_multiple_of(10)
-}
-
-pub(crate) fn work(query: u64) -> wire::Work {
-    let portion = |number| wire::Portion {
-        service: format!("service-{number}"),
+/// A query to `kind.fan` services from the one numbered `first` on.
+pub(crate) fn work(query: u64, kind: &Kind, first: usize) -> wire::Work {
+    let portion = |step| wire::Portion {
+        service: format!("service-{}", (first + step) % SERVICES),
         shards: vec!["shard".into()],
     };
     wire::Work {
@@ -60,9 +56,10 @@
         attempt: 1,
         index: "index".into(),
         version: 1,
-        operation: if urgent(query) { "check" } else { "sweep" }.into(),
-        budget_us: BUDGET_US,
-        portions: (0..SERVICES).map(portion).collect(),
+        operation: kind.operation.into(),
+        unrepeatable: kind.unrepeatable,
+        budget_us: kind.budget_ms * 1000,
+        portions: (0..kind.fan).map(portion).collect(),
         ..wire::Work::default()
     }
 }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -13,43 +13,52 @@
 use ladder_core::view::View;
 
 use crate::fleet::{self, Arrival, Random, SLOTS, Times};
-use crate::messages::{SERVERS, SERVICES, answer, peer, refusal, service, urgent, work};
+use crate::messages::{SERVERS, SERVICES, answer, peer, refusal, service, work};
+use crate::mix::{self, Mix};
 
 const HOP_US: u64 = 500;
 const CONNECT_US: u64 = 6000;
-/// Sweeps that only teach.
+/// Queries that only teach.
 const WARM_UP: u64 = 1000;
 
 /// What to run.
 pub(crate) struct Plan {
     pub(crate) times: Times,
     pub(crate) load: f64,
-    pub(crate) sweeps: u64,
+    pub(crate) mix: Mix,
+    /// Queries.
+    pub(crate) queries: u64,
 }
 
-/// What came out; latencies in milliseconds.
-#[derive(Clone, Copy, Debug, Default)]
+/// What became of one kind of query; latencies in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) latencies: Vec<f64>,
+    pub(crate) complete: usize,
+    pub(crate) missing: usize,
+}
+
+/// What came out, by kind of the mix.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Figures {
-    pub(crate) p50: f64,
-    pub(crate) p99: f64,
-    pub(crate) p999: f64,
-    pub(crate) urgent_p99: f64,
-    pub(crate) urgent_complete: f64,
-    pub(crate) extra: f64,
-    pub(crate) complete: f64,
-    pub(crate) core_rate: f64,
+    pub(crate) tallies: Vec<Tally>,
+    pub(crate) portions: u64,
+    pub(crate) sends: u64,
+    pub(crate) core: Duration,
 }
 
 impl Figures {
-    pub(crate) fn add(&mut self, other: &Self) {
-        self.p50 += other.p50;
-        self.p99 += other.p99;
-        self.p999 += other.p999;
-        self.urgent_p99 += other.urgent_p99;
-        self.urgent_complete += other.urgent_complete;
-        self.extra += other.extra;
-        self.complete += other.complete;
-        self.core_rate += other.core_rate;
+    pub(crate) fn add(&mut self, other: Self) {
+        self.tallies
+            .resize_with(other.tallies.len(), Tally::default);
+        for (tally, other) in self.tallies.iter_mut().zip(other.tallies) {
+            tally.latencies.extend(other.latencies);
+            tally.complete += other.complete;
+            tally.missing += other.missing;
+        }
+        self.portions += other.portions;
+        self.sends += other.sends;
+        self.core += other.core;
     }
 }
 
@@ -75,6 +84,7 @@
 
 #[derive(Clone, Copy, Default)]
 struct Sweep {
+    kind: usize,
     started: u64,
     left: usize,
     missing: usize,
@@ -94,13 +104,7 @@
     numbers: BTreeMap<String, u64>,
     sweeps: BTreeMap<u64, Sweep>,
     started: u64,
-    latencies: Vec<f64>,
-    urgent: Vec<f64>,
-    urgent_complete: u64,
-    complete: u64,
-    portions: u64,
-    sends: u64,
-    core: Duration,
+    figures: Figures,
 }
 
 pub(crate) fn run(plan: &Plan, settings: Settings, seed: u64) -> Figures {
@@ -120,18 +124,15 @@
         numbers: BTreeMap::new(),
         sweeps: BTreeMap::new(),
         started: 0,
-        latencies: Vec::new(),
-        urgent: Vec::new(),
-        urgent_complete: 0,
-        complete: 0,
-        portions: 0,
-        sends: 0,
-        core: Duration::ZERO,
+        figures: Figures {
+            tallies: vec![Tally::default(); plan.mix.len()],
+            ..Figures::default()
+        },
     };
     run.publish();
     run.at(20_000, Step::Sweep);
     run.go();
-    run.figures()
+    run.figures
 }
 
 impl Run<'_> {
@@ -160,7 +161,7 @@
     fn go(&mut self) {
         while let Some(Reverse((at, _, step))) = self.steps.pop() {
             self.now = at;
-            let finished = self.started > self.plan.sweeps && self.sweeps.is_empty();
+            let finished = self.started > self.plan.queries && self.sweeps.is_empty();
             if finished {
                 break;
             }
@@ -183,27 +184,32 @@
         }
     }
 
-    /// Starts a sweep over all services and plans the next one.
+    /// Starts a query and plans the next one.
     fn sweep(&mut self) {
-        if self.started > self.plan.sweeps {
+        if self.started > self.plan.queries {
             return;
         }
         self.started += 1;
         let query = self.started;
+        let place = mix::pick(self.plan.mix, self.random.unit());
+        let kind = &self.plan.mix[place];
+        let first = (self.random.unit() * SERVICES as f64) as usize;
         let sweep = Sweep {
+            kind: place,
             started: self.now,
-            left: SERVICES,
+            left: kind.fan,
             missing: 0,
         };
         self.sweeps.insert(query, sweep);
-        self.portions += SERVICES as u64;
+        self.figures.portions += kind.fan as u64;
         let event = Event::Work {
             from: peer("entry"),
             incarnation: 1,
-            work: work(query),
+            work: work(query, kind, first),
         };
         self.handle(event);
-        let rate = self.plan.load * (SERVERS * SLOTS) as f64 / Times::mean();
+        let slots = (SERVICES * SERVERS * SLOTS) as f64;
+        let rate = mix::rate(self.plan.mix, self.plan.load * slots / Times::mean());
         let gap = self.random.exponential(1.0 / rate);
         self.at(gap as u64, Step::Sweep);
     }
@@ -253,7 +259,7 @@
         let before = std::time::Instant::now();
         self.machine
             .handle(Instant::from_micros(self.now), event, &mut out);
-        self.core += before.elapsed();
+        self.figures.core += before.elapsed();
         for action in out {
             self.act(action);
         }
@@ -297,7 +303,7 @@
     }
 
     fn send(&mut self, lane: LaneKey, attempt: AttemptKey, request: target::Request) {
-        self.sends += 1;
+        self.figures.sends += 1;
         self.sequence += 1;
         let number = self.sequence;
         let server = self.lanes[&lane];
@@ -325,32 +331,11 @@
         if reply.query <= WARM_UP {
             return;
         }
-        let latency = (self.now - sweep.started) as f64 / 1000.0;
-        let complete = u64::from(sweep.missing == 0);
-        self.latencies.push(latency);
-        self.complete += complete;
-        if urgent(reply.query) {
-            self.urgent.push(latency);
-            self.urgent_complete += complete;
-        }
+        let tally = &mut self.figures.tallies[sweep.kind];
+        tally
+            .latencies
+            .push((self.now - sweep.started) as f64 / 1000.0);
+        tally.complete += usize::from(sweep.missing == 0);
+        tally.missing += sweep.missing;
     }
-
-    fn figures(mut self) -> Figures {
-        let count = self.latencies.len();
-        Figures {
-            p50: quantile(&mut self.latencies, 0.5),
-            p99: quantile(&mut self.latencies, 0.99),
-            p999: quantile(&mut self.latencies, 0.999),
-            urgent_p99: quantile(&mut self.urgent, 0.99),
-            urgent_complete: self.urgent_complete as f64 / self.urgent.len() as f64,
-            extra: self.sends as f64 / self.portions as f64,
-            complete: self.complete as f64 / count as f64,
-            core_rate: self.portions as f64 / self.core.as_secs_f64(),
-        }
-    }
-}
-
-fn quantile(latencies: &mut [f64], share: f64) -> f64 {
-    latencies.sort_by(f64::total_cmp);
-    latencies[((latencies.len() - 1) as f64 * share) as usize]
 }
