Keep work that a server shed for the busy replica

Ruled out: the retry budget, which a refused call does not touch, and the outlook, which one server without a pause satisfies. Change: a server that has shed since its last answer does not get a portion it had before while another reachable holder can take it before the deadline; portions that are new to it still try it. Weighed: more tries per portion, which would multiply the calls at a server in trouble. Conclusion: fewer calls at the shedding server and no missing shards; nothing is spent beyond the budget.

--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -131,7 +131,7 @@
         let count = service.servers.len();
         for step in 0..count {
             let candidate = service.servers[(service.cursor + step) % count];
-            if !self.may_send(candidate, &portion.job.work) {
+            if !self.may_send(candidate, &portion.job.work) || self.shed_back(key, candidate) {
                 continue;
             }
             let server = &self.servers[candidate];
@@ -158,6 +158,27 @@
         !shedding && self.can_send(key) && self.holds(key, work)
     }
 
+    /// Whether the server has shed what it got since it last answered, this portion too, while
+    /// another may still take the portion.
+    ///
+    /// A shedding server looks free as soon as its pause ends. A portion that waits for a busy
+    /// replica would go back and forth until its tries are used up, and its shards be missing
+    /// although the replica would have answered in time. Other portions try the shedding server.
+    fn shed_back(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let portion = &self.portions[key];
+        let sheds = |server: ServerKey| {
+            self.servers[server].health.sheds() && portion.tried.contains(&server)
+        };
+        let takes = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            let reachable = server.in_flight > 0 || server.open_failures < UNREACHABLE;
+            let usable = server.accepts() && reachable && !server.health.suspect();
+            let in_time = server.health.shed_until() < portion.deadline;
+            usable && in_time && !sheds(*key) && self.holds(*key, &portion.job.work)
+        };
+        sheds(candidate) && self.services[portion.service].servers.iter().any(takes)
+    }
+
     fn holds(&self, key: ServerKey, work: &wire::Work) -> bool {
         self.servers[key].holds(self.now, &work.index, work.version)
     }
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -42,6 +42,8 @@
     paused_until: Instant,
     /// End of the pause that the server asked for by shedding.
     shed_until: Instant,
+    /// It has shed since its last answer.
+    sheds: bool,
 }
 
 impl Health {
@@ -52,6 +54,7 @@
             self.failure_rate = self.failure_rate.min(RATE / 2.0);
         }
         self.row = 0;
+        self.sheds = false;
         self.pauses = 0;
         self.sample(span);
     }
@@ -80,6 +83,7 @@
     }
 
     pub(super) fn shed(&mut self, now: Instant, advice: Duration, random: &mut Random) -> Instant {
+        self.sheds = true;
         let pause = advice.clamp(SHED_PAUSE, LONGEST_SHED_PAUSE);
         let until = now + pause + random.jitter(pause / 4);
         self.shed_until = self.shed_until.max(until);
@@ -95,6 +99,11 @@
         self.paused_until
     }
 
+    /// Whether it has shed since its last answer.
+    pub(super) fn sheds(&self) -> bool {
+        self.sheds
+    }
+
     pub(super) fn shed_until(&self) -> Instant {
         self.shed_until
     }
--- a/crates/core/tests/leaf/servers.rs
+++ b/crates/core/tests/leaf/servers.rs
@@ -242,6 +242,35 @@
     assert!(drive(&mut bed, 20, "10.0.0.1:80", Sent::answer) > 0);
 }
 
+/// One server sheds all it gets, without advice; both slots of the other are busy for a while. A
+/// commuter's sweep would miss these docks although the busy server has them in time: it went back
+/// to the shedding server after each short pause until its tries were used up.
+#[test]
+fn work_that_was_shed_waits_for_the_busy_replica() {
+    let mut bed = Bed::new();
+    for query in 1..=4 {
+        bed.work(work(query, "sweep"));
+    }
+    let mut ended = 0;
+    for step in 0..40 {
+        for sent in bed.sent().split_off(ended) {
+            let shedding = &*sent.address == "10.0.0.1:80";
+            ended += 1;
+            if shedding {
+                bed.end(sent.attempt, sent.refusal(Reason::TargetShed, 0));
+            }
+        }
+        bed.advance(10);
+        if step == 30 {
+            let busy: Vec<Sent> = bed.sent();
+            let busy = busy.iter().filter(|sent| &*sent.address == "10.0.0.2:80");
+            busy.for_each(|sent| bed.end(sent.attempt, sent.answer()));
+        }
+    }
+    let shed = (Verdict::NotRun, Reason::TargetShed);
+    assert!(!bed.replies().contains(&shed), "{:?}", bed.replies());
+}
+
 #[test]
 fn all_servers_shedding_past_the_deadline_refuses_with_advice() {
     let mut bed = Bed::new();
