Keep views up to date in parts and rank from a prepared list

Cause: each view was built whole, so at 3,700 instances, 64,000 servers and 21,333 services one catalogue change cost as much as all of them, and the first load ranked each service over unprepared names.

Change: the store says which services a record or departure concerns; a view shares all other services with the last one by Arc. Standings that turned, list changes, grown shares and forgotten lists name the services they concern. Names are cut into words and zones numbered once per list; scores stay the same. Two tests change in types alone, as the arena now holds Arc<Service>.

A property test compares the kept view with one built whole after each event.

--- a/crates/core/src/control/hash.rs
+++ b/crates/core/src/control/hash.rs
@@ -16,16 +16,47 @@
 
 /// Hash of a list of byte strings; the borders between them count.
 pub fn of(parts: &[&[u8]]) -> u64 {
-    let mut state = STEP;
-    for part in parts {
-        state = mix(state ^ part.len() as u64).wrapping_add(STEP);
-        for chunk in part.chunks(8) {
-            let mut word = [0; 8];
-            word[..chunk.len()].copy_from_slice(chunk);
-            state = mix(state ^ u64::from_le_bytes(word)).wrapping_add(STEP);
-        }
+    let prefix = parts.iter().fold(Prefix(STEP), |state, part| {
+        let state = state.begin(part.len() as u64);
+        words(part).fold(state, Prefix::word)
+    });
+    mix(prefix.0)
+}
+
+/// The words of a byte string, the last filled up with zeros.
+pub(super) fn words(part: &[u8]) -> impl Iterator<Item = u64> {
+    part.chunks(8).map(|chunk| {
+        let mut word = [0; 8];
+        word[..chunk.len()].copy_from_slice(chunk);
+        u64::from_le_bytes(word)
+    })
+}
+
+/// Hash of the first parts of a list, to be continued by many last parts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Prefix(u64);
+
+impl Prefix {
+    /// Of a list that begins with one part.
+    pub(super) fn of(part: &[u8]) -> Self {
+        let state = Self(STEP).begin(part.len() as u64);
+        words(part).fold(state, Self::word)
+    }
+
+    /// Begins a part of this many bytes.
+    pub(super) const fn begin(self, length: u64) -> Self {
+        self.word(length)
+    }
+
+    const fn word(self, word: u64) -> Self {
+        Self(mix(self.0 ^ word).wrapping_add(STEP))
+    }
+
+    /// The hash when these are the words of the last part.
+    pub(super) fn end(self, words: &[u64]) -> u64 {
+        let state = words.iter().fold(self, |state, &word| state.word(word));
+        mix(state.0)
     }
-    mix(state)
 }
 
 /// Seeded pseudo-random numbers (`SplitMix64`).
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -13,7 +13,7 @@
 
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
-use super::project::{Projection, Source};
+use super::project::{Projection, Source, Standings};
 use super::reader::{self, Reader};
 use super::settings::Settings;
 use super::spread::News;
@@ -224,14 +224,15 @@
         if !(store_changed || members_changed || became_ready || due) {
             return;
         }
+        let changes = self.store.take_changes();
         let source = Source {
+            standings: self.standings(now, members_changed || due),
             store: &self.store,
             membership: &self.membership,
-            standings: self.membership.standings(now),
             settings: &self.settings,
             now,
         };
-        if let Some(view) = self.projection.refresh(&source, ready) {
+        if let Some(view) = self.projection.refresh(&source, changes, ready) {
             out.push(Action::View(view));
         }
         let growth = self.projection.next_growth(&self.settings);
@@ -240,6 +241,29 @@
         self.next_view = [growth, order, settled].into_iter().flatten().min();
     }
 
+    /// Whether work may be given to each instance. It changes with the members and with time, and
+    /// whenever time changes it the view is due.
+    fn standings(&self, now: Instant, may_differ: bool) -> Arc<Standings> {
+        match may_differ {
+            true => Arc::new(self.membership.standings(now)),
+            false => Arc::clone(self.projection.standings()),
+        }
+    }
+
+    /// The view of this moment, built whole from the records and from what the past decides. It
+    /// equals [`Machine::view`], which is kept up to date in parts, but for generation and keys.
+    pub fn rebuilt(&self, now: Instant) -> View {
+        let store = self.store.rebuilt();
+        let source = Source {
+            standings: self.standings(now, true),
+            store: &store,
+            membership: &self.membership,
+            settings: &self.settings,
+            now,
+        };
+        self.projection.whole(&source, self.view().ready)
+    }
+
     fn may_serve(&self, now: Instant) -> bool {
         let known = self.store.entries().next().is_some() && self.store.indexes().next().is_some();
         let alone = self.settings.seeds.is_empty() && self.membership.members().next().is_none();
--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -17,10 +17,11 @@
 //! `(REACH + r) * (p + s) <= n`. Lists further apart may exceed it; the control machine therefore
 //! grows a share only after the list has been known for a while.
 
-use std::cmp::Reverse;
+mod fleet;
+
+pub use fleet::Fleet;
 
 use super::hash;
-use crate::collections::Map;
 
 /// Zones whose best instance is a primary candidate of a service: 4 cover any loss of one zone,
 /// and a server is reached by a handful of instances however large the fleet is.
@@ -62,55 +63,7 @@
 /// the rest up to [`CANDIDATES`]. An instance that leaves the list changes only the services that
 /// it was a candidate of.
 pub fn rank(service: &str, fleet: &[Instance<'_>]) -> Ranking {
-    let mut scored: Vec<Scored> = (0..fleet.len())
-        .map(|at| Scored {
-            score: Reverse(score(service, fleet[at].name)),
-            at,
-        })
-        .collect();
-    let mut primaries = best_of_zones(&scored, fleet);
-    keep_best(&mut scored, CANDIDATES + REACH);
-    sort(&mut primaries, fleet);
-    primaries.truncate(REACH);
-    sort(&mut scored, fleet);
-    let spares = scored.iter().filter(|scored| !primaries.contains(scored));
-    let order = primaries.iter().chain(spares).take(CANDIDATES);
-    Ranking {
-        order: order.map(|scored| scored.at).collect(),
-        primaries: primaries.len(),
-    }
-}
-
-/// An instance with its score; the best sorts first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Scored {
-    score: Reverse<u64>,
-    at: usize,
-}
-
-fn best_of_zones(scored: &[Scored], fleet: &[Instance<'_>]) -> Vec<Scored> {
-    let key = |scored: &Scored| (scored.score, fleet[scored.at].name);
-    let mut best: Map<&str, Scored> = Map::default();
-    for &new in scored {
-        let known = best.entry(fleet[new.at].zone).or_insert(new);
-        if key(&new) < key(known) {
-            *known = new;
-        }
-    }
-    best.into_values().collect()
-}
-
-/// Drops all but the `count` best, in linear time.
-fn keep_best(scored: &mut Vec<Scored>, count: usize) {
-    if scored.len() > count {
-        scored.select_nth_unstable(count);
-        scored.truncate(count);
-    }
-}
-
-/// Sorts by score, then by name, as positions may differ between instances.
-fn sort(scored: &mut [Scored], fleet: &[Instance<'_>]) {
-    scored.sort_unstable_by_key(|scored| (scored.score, fleet[scored.at].name));
+    Fleet::new(fleet.iter().copied()).rank(service)
 }
 
 /// Rendezvous score of an instance for a service; the highest wins.
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -4,7 +4,6 @@
 mod grants;
 mod ranks;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,11 +13,14 @@
 use super::membership::{Membership, Standing};
 use super::placement;
 use super::settings::{Placement, Settings};
-use super::store::Store;
-use crate::collections::Map;
+use super::store::{Changes, Store};
+use crate::collections::{Map, Set};
 use crate::time::Instant;
 use crate::view::{Candidate, Peer, Server, Service, View};
 
+/// Whether work may be given to each instance.
+pub(super) type Standings = Map<Arc<str>, Standing>;
+
 /// Builds views and remembers what is costly to compute.
 #[derive(Debug, Default)]
 pub(super) struct Projection {
@@ -26,6 +28,10 @@
     ranks: ranks::Ranks,
     grants: grants::Grants,
     cache: cache::Cache,
+    /// Standings that the view was built from.
+    standings: Arc<Standings>,
+    /// Names of zones, shared by the servers.
+    zones: Set<Arc<str>>,
 }
 
 /// What a view is built from.
@@ -35,7 +41,7 @@
     /// Who is alive.
     pub(super) membership: &'a Membership,
     /// Whether work may be given to an instance; one that is missing is gone.
-    pub(super) standings: Map<Arc<str>, Standing>,
+    pub(super) standings: Arc<Standings>,
     /// The instance's settings.
     pub(super) settings: &'a Settings,
     /// The present.
@@ -48,9 +54,15 @@
     }
 }
 
-type Targets<'a> = BTreeMap<&'a str, Vec<&'a publication::Server>>;
+/// A service by name; none if it has no entry.
+type Built = (Arc<str>, Option<Service>);
 
 impl Projection {
+    /// Standings that the last view was built from.
+    pub(super) const fn standings(&self) -> &Arc<Standings> {
+        &self.standings
+    }
+
     /// The last view.
     pub(super) const fn view(&self) -> &Arc<View> {
         &self.view
@@ -66,67 +78,150 @@
         self.ranks.next_change(period(settings))
     }
 
-    /// Builds the view anew and returns it if it differs from the last one.
-    pub(super) fn refresh(&mut self, source: &Source<'_>, ready: bool) -> Option<Arc<View>> {
-        self.ranks.refresh(source.store.instances());
-        self.cache.refresh(source.store);
-        let cache = &self.cache;
-        self.ranks.retain(|service| cache.has_entry(service));
-        self.grants.begin();
-        let mut view = View {
-            generation: self.view.generation + 1,
-            revision: source.store.revision(),
-            ready,
-            indexes: self.cache.index_lists(),
-            ..View::default()
-        };
-        for service in self.services(source) {
-            view.insert(service);
-        }
-        if is_same(&self.view, &view) {
+    /// Brings the view up to date and returns it if it differs from the last one.
+    ///
+    /// Only services that something of `changes` or the passing of time can concern are built. At
+    /// tens of thousands of services building all of them at each change would take a fifth of a
+    /// core; that nothing is missed shows in [`Projection::whole`].
+    pub(super) fn refresh(
+        &mut self,
+        source: &Source<'_>,
+        changes: Changes,
+        ready: bool,
+    ) -> Option<Arc<View>> {
+        let indexes = changes.indexes.then(|| {
+            self.cache.refresh(source.store);
+            self.cache.index_lists()
+        });
+        let stale = self.stale(source, changes);
+        let built = self.build(source, &stale);
+        let revision = source.store.revision();
+        let old = &self.view;
+        let indexes = indexes.filter(|lists| *lists != old.indexes);
+        let is_same = built.is_empty() && indexes.is_none();
+        if is_same && old.ready == ready && old.revision == revision {
             return None;
         }
+        let mut view = View::clone(old);
+        view.generation += 1;
+        view.revision = revision;
+        view.ready = ready;
+        view.indexes = indexes.unwrap_or(view.indexes);
+        for (name, service) in built {
+            match service {
+                Some(service) => drop(view.insert(service)),
+                None => view.remove(&name),
+            }
+        }
         self.view = Arc::new(view);
         Some(Arc::clone(&self.view))
     }
 
-    fn services(&mut self, source: &Source<'_>) -> Vec<Service> {
-        let mut targets = Targets::new();
-        for server in source.store.servers() {
-            targets.entry(&server.service).or_default().push(server);
-        }
-        let mut entries: Vec<_> = self.cache.entries().map(Arc::clone).collect();
-        entries.sort_unstable_by(|one, other| one.service.cmp(&other.service));
-        let build = |entry: Arc<catalogue::Entry>| {
-            let targets = targets.get(entry.service.as_str());
-            self.service(source, entry, targets.map_or(&[], Vec::as_slice))
+    /// The view of the same past, but built whole: all that [`Projection::refresh`] keeps and finds
+    /// out is found out again.
+    pub(super) fn whole(&self, source: &Source<'_>, ready: bool) -> View {
+        let mut ranks = self.ranks.clone();
+        ranks.doubt();
+        let mut new = Self {
+            ranks,
+            grants: self.grants.clone(),
+            standings: source.standings.clone(),
+            ..Self::default()
+        };
+        let mut changes = Changes {
+            indexes: true,
+            instances: true,
+            ..Changes::default()
         };
-        entries.into_iter().map(build).collect()
+        let names = source.store.entries().map(|entry| entry.service.as_str());
+        changes.services = names.map(Arc::from).collect();
+        new.refresh(source, changes, ready);
+        View::clone(&new.view)
+    }
+
+    /// Services to build.
+    fn stale(&mut self, source: &Source<'_>, changes: Changes) -> Set<Arc<str>> {
+        let mut stale = changes.services;
+        if changes.instances {
+            stale.extend(self.ranks.refresh(source.store.instances()));
+        }
+        let settings = source.settings;
+        stale.extend(self.ranks.due(source.now, period(settings)).cloned());
+        for server in self.grants.due(source.now, settings.timing.grace) {
+            let server = source.store.server(server);
+            stale.extend(server.map(|server| server.service.as_str().into()));
+        }
+        let turned = self.turned(source);
+        if settings.placement == Placement::Direct {
+            let concerns_all = changes.instances || turned.contains(&settings.name);
+            let all = self.view.service_keys.keys().filter(|_| concerns_all);
+            stale.extend(all.cloned());
+        } else if !turned.is_empty() {
+            let services = self.view.services.values();
+            let concerned = services.filter(|service| is_candidate(service, &turned));
+            stale.extend(concerned.map(|service| Arc::clone(&service.name)));
+        }
+        stale
+    }
+
+    /// Instances whose standing differs from the last view.
+    fn turned(&mut self, source: &Source<'_>) -> Set<Arc<str>> {
+        if Arc::ptr_eq(&self.standings, &source.standings) {
+            return Set::default();
+        }
+        let old = std::mem::replace(&mut self.standings, Arc::clone(&source.standings));
+        let turned = |name: &&Arc<str>| old.get(*name) != source.standings.get(*name);
+        let names = old.keys().chain(source.standings.keys());
+        names.filter(turned).cloned().collect()
+    }
+
+    /// Builds services; returns those that differ, without those that have no entry any more.
+    fn build(&mut self, source: &Source<'_>, stale: &Set<Arc<str>>) -> Vec<Built> {
+        let view = Arc::clone(&self.view);
+        let known = stale.iter().filter_map(|name| view.service(name));
+        let servers = known.flat_map(|service| &service.servers);
+        self.grants.begin(servers.map(|server| &server.name));
+        let mut names: Vec<&Arc<str>> = stale.iter().collect();
+        names.sort_unstable();
+        let mut built = Vec::new();
+        for name in names {
+            let old = view.service(name);
+            let new = self.service(source, name, old);
+            if old != new.as_ref() {
+                built.push((Arc::clone(name), new));
+            }
+        }
+        built
     }
 
     fn service(
         &mut self,
         source: &Source<'_>,
-        entry: Arc<catalogue::Entry>,
-        targets: &[&publication::Server],
-    ) -> Service {
-        let name: Arc<str> = entry.service.as_str().into();
-        let lists = self.ranks.of(source.now, &name, period(source.settings));
+        name: &Arc<str>,
+        old: Option<&Service>,
+    ) -> Option<Service> {
+        let Some(entry) = source.store.entry(name) else {
+            self.ranks.forget(name);
+            return None;
+        };
+        let lists = self.ranks.of(source.now, name, period(source.settings));
         let newest = lists.newest();
         let limits = entry.limits.unwrap_or_default();
+        let targets: Vec<_> = source.store.servers_of(name).collect();
         let mut servers = Vec::with_capacity(targets.len());
-        for target in targets {
+        for target in &targets {
             let limit = limit(target, &limits);
             let share = newest.map_or(0, |ranked| self.share(source, ranked, limit));
             servers.push(self.server(source, target, share));
         }
         let widest = targets.iter().map(|target| limit(target, &limits)).max();
-        Service {
+        let known = old.filter(|old| *old.entry == *entry);
+        Some(Service {
             candidates: self.candidates(source, &lists, widest),
-            name,
-            entry,
+            name: Arc::clone(name),
+            entry: known.map_or_else(|| Arc::new(entry.clone()), |old| Arc::clone(&old.entry)),
             servers,
-        }
+        })
     }
 
     /// The share of this instance by the newest list. An instance that is not in the list has
@@ -151,7 +246,7 @@
             share: self.grants.settle(source.now, &name, share, grace),
             name,
             address: target.address.as_str().into(),
-            zone: target.zone.as_str().into(),
+            zone: self.zone(&target.zone),
             incarnation: target.incarnation,
             leaving: source.store.departed(target),
             slots: target.slots,
@@ -159,6 +254,15 @@
         }
     }
 
+    fn zone(&mut self, name: &str) -> Arc<str> {
+        if let Some(known) = self.zones.get(name) {
+            return Arc::clone(known);
+        }
+        let new: Arc<str> = name.into();
+        self.zones.insert(Arc::clone(&new));
+        new
+    }
+
     /// The candidates that have a share of the server with the widest limit; all if the service
     /// has no server.
     fn candidates(
@@ -218,22 +322,7 @@
     }
 }
 
-/// Whether two views differ in nothing but their generation.
-fn is_same(old: &View, new: &View) -> bool {
-    old.ready == new.ready
-        && old.revision == new.revision
-        && old.services.len() == new.services.len()
-        && old.indexes == new.indexes
-        && new
-            .services
-            .values()
-            .all(|service| is_same_service(old, service))
-}
-
-fn is_same_service(old: &View, service: &Service) -> bool {
-    old.service(&service.name).is_some_and(|old| {
-        old.entry == service.entry
-            && old.servers == service.servers
-            && old.candidates == service.candidates
-    })
+fn is_candidate(service: &Service, turned: &Set<Arc<str>>) -> bool {
+    let mut candidates = service.candidates.iter();
+    candidates.any(|candidate| turned.contains(&candidate.peer.name))
 }
--- a/crates/core/src/control/project/grants.rs
+++ b/crates/core/src/control/project/grants.rs
@@ -34,19 +34,24 @@
 }
 
 /// Connections granted per server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Grants {
-    /// Invariant: each has been settled since the last [`Grants::begin`]. A growth that nobody
-    /// settles any more would stay due for ever, and the machine would wake without end.
+    /// Invariant: each is of a server that has been settled since it was last in a
+    /// [`Grants::begin`]. A growth that nobody settles any more would stay due for ever, and the
+    /// machine would wake without end.
     granted: Map<Arc<str>, Grant>,
     /// Grants before the last [`Grants::begin`].
     old: Map<Arc<str>, Grant>,
 }
 
 impl Grants {
-    /// Starts a new round: a server that is not settled in it has no grant any more.
-    pub(super) fn begin(&mut self) {
-        self.old = std::mem::take(&mut self.granted);
+    /// Starts a new round: one of these servers that is not settled in it has no grant any more.
+    pub(super) fn begin<'a>(&mut self, servers: impl Iterator<Item = &'a Arc<str>>) {
+        self.old.clear();
+        for server in servers {
+            let grant = self.granted.remove_entry(server);
+            self.old.extend(grant);
+        }
     }
 
     /// The connections granted when the share by the newest list is `share`.
@@ -60,12 +65,24 @@
         if share == 0 {
             return 0;
         }
-        let mut grant = self.old.remove(server).unwrap_or_default();
+        let known = self.old.remove(server);
+        let known = known.or_else(|| self.granted.remove(server));
+        let mut grant = known.unwrap_or_default();
         grant.settle(now, share, grace);
         self.granted.insert(Arc::clone(server), grant);
         grant.connections
     }
 
+    /// Servers whose share grows now.
+    pub(super) fn due(&self, now: Instant, grace: Duration) -> impl Iterator<Item = &Arc<str>> {
+        let is_due = move |grant: &Grant| {
+            let growth = grant.growth;
+            growth.is_some_and(|growth| now.since(growth.since) >= grace)
+        };
+        let due = self.granted.iter().filter(move |(_, grant)| is_due(grant));
+        due.map(|(server, _)| server)
+    }
+
     /// When the next share grows.
     pub(super) fn next_growth(&self, grace: Duration) -> Option<Instant> {
         let growths = self.granted.values().filter_map(|grant| grant.growth);
--- a/crates/core/src/control/project/ranks.rs
+++ b/crates/core/src/control/project/ranks.rs
@@ -31,13 +31,19 @@
     pub(super) instances: Vec<Arc<Listed>>,
     /// How many of them are primary.
     pub(super) primaries: usize,
+    /// Least score among them; zero without any.
+    lowest: u64,
 }
 
 /// Rankings of services over the published instances.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Ranks {
     /// Published instances by name.
     fleet: BTreeMap<Arc<str>, Arc<Listed>>,
+    /// The same in order of name, by position in `prepared`.
+    listed: Vec<Arc<Listed>>,
+    /// The same, prepared for ranking.
+    prepared: placement::Fleet,
     ranked: Map<Arc<str>, History>,
 }
 
@@ -46,7 +52,7 @@
 /// An instance that a new list makes the best candidate has its larger share only after the grace
 /// period. Until then the order of the older lists goes before, so that no owner starts with the
 /// connections of a spare.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct History {
     /// Each with the time since which it holds.
     ///
@@ -59,7 +65,12 @@
 
 impl Ranks {
     /// Takes over the published list.
-    pub(super) fn refresh<'a>(&mut self, list: impl Iterator<Item = &'a Instance>) {
+    ///
+    /// Returns the services whose ranking may have changed.
+    pub(super) fn refresh<'a>(
+        &mut self,
+        list: impl Iterator<Item = &'a Instance>,
+    ) -> Vec<Arc<str>> {
         let old = std::mem::take(&mut self.fleet);
         let mut added = Vec::new();
         for instance in list {
@@ -80,13 +91,35 @@
         let removed = old.values().filter(|known| !kept(known));
         let removed: Set<Arc<str>> = removed.map(|known| Arc::clone(&known.peer.name)).collect();
         if added.is_empty() && removed.is_empty() {
-            return;
+            return Vec::new();
         }
+        self.prepare();
+        let mut stale = Vec::new();
         for (service, history) in &mut self.ranked {
             let newest = history.lists.last();
             let affected =
                 |(_, ranked): &(_, Arc<Ranked>)| ranked.is_affected(service, &added, &removed);
             history.stale |= newest.is_none_or(affected);
+            if history.stale {
+                stale.push(Arc::clone(service));
+            }
+        }
+        stale
+    }
+
+    fn prepare(&mut self) {
+        let instances = self.fleet.values().map(|listed| placement::Instance {
+            name: &listed.peer.name,
+            zone: &listed.zone,
+        });
+        self.prepared = placement::Fleet::new(instances);
+        self.listed = self.fleet.values().map(Arc::clone).collect();
+    }
+
+    /// Forgets what holds only while nothing was missed: all rankings are computed anew.
+    pub(super) fn doubt(&mut self) {
+        for history in self.ranked.values_mut() {
+            history.stale = true;
         }
     }
 
@@ -100,9 +133,19 @@
         self.fleet.contains_key(name)
     }
 
-    /// Forgets all services but these.
-    pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.ranked.retain(|service, _| is_known(service));
+    /// Forgets a service.
+    pub(super) fn forget(&mut self, service: &str) {
+        self.ranked.remove(service);
+    }
+
+    /// Services of which an older list is to be forgotten now.
+    pub(super) fn due(&self, now: Instant, period: Duration) -> impl Iterator<Item = &Arc<str>> {
+        let is_due = move |history: &History| {
+            let second = history.lists.get(1);
+            second.is_some_and(|&(since, _)| now.since(since) >= period)
+        };
+        let due = self.ranked.iter().filter(move |(_, all)| is_due(all));
+        due.map(|(service, _)| service)
     }
 
     /// The candidates of a service by the newest list, and those of lists that are younger than
@@ -131,18 +174,13 @@
     }
 
     fn rank(&self, service: &str) -> Ranked {
-        let fleet: Vec<_> = self.fleet.values().collect();
-        let instances = fleet.iter().map(|listed| placement::Instance {
-            name: &listed.peer.name,
-            zone: &listed.zone,
-        });
-        let ranking = placement::rank(service, &instances.collect::<Vec<_>>());
+        let ranking = self.prepared.rank(service);
+        let instances = ranking.order.iter().map(|&at| Arc::clone(&self.listed[at]));
+        let instances: Vec<_> = instances.collect();
+        let scores = instances.iter().map(|known| known.score(service));
         Ranked {
-            instances: ranking
-                .order
-                .iter()
-                .map(|&at| Arc::clone(fleet[at]))
-                .collect(),
+            lowest: scores.min().unwrap_or(0),
+            instances,
             primaries: ranking.primaries,
         }
     }
@@ -247,11 +285,9 @@
         if self.instances.len() < CANDIDATES || self.instances.iter().any(gone) {
             return true;
         }
-        let scores = self.instances.iter().map(|known| known.score(service));
-        let lowest = scores.min().unwrap_or(0);
         added
             .iter()
-            .any(|new| new.score(service) >= lowest || self.lacks_zone(&new.zone))
+            .any(|new| new.score(service) >= self.lowest || self.lacks_zone(&new.zone))
     }
 
     fn lacks_zone(&self, zone: &str) -> bool {
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -5,6 +5,7 @@
 //! replica of the platform nor a stale peer can bring anything back. The content therefore depends
 //! on the set of records seen and not on their order.
 
+mod changes;
 mod key;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use ladder_schema::publication::{Index, Instance, Kind, Record, Server, State, record::Body};
 use ladder_schema::{catalogue, check, wire};
 
+pub use changes::Changes;
 pub use key::Key;
 
 use super::hash;
@@ -63,6 +65,10 @@
     buckets: [u64; BUCKETS],
     /// Highest revision in force.
     revision: u64,
+    /// Invariant: holds exactly the records in force of servers.
+    groups: changes::Groups,
+    /// Since [`Store::take_changes`].
+    changes: Changes,
 }
 
 impl Default for Store {
@@ -73,6 +79,8 @@
             departures: Map::default(),
             buckets: [0; BUCKETS],
             revision: 0,
+            groups: changes::Groups::default(),
+            changes: Changes::default(),
         }
     }
 }
@@ -127,14 +135,37 @@
         }
         self.revision = self.revision.max(record.revision);
         self.toggle(key, record.revision);
-        if let Some(old) = self.records.insert(key.clone(), Arc::new(record.clone())) {
+        let new = Arc::new(record.clone());
+        let old = self.records.insert(key.clone(), Arc::clone(&new));
+        if let Some(old) = &old {
             self.toggle(key, old.revision);
         }
+        self.changes.note(key);
         if key.kind == Kind::Server {
             self.settle_departure(&key.name, record);
+            let left = old.and_then(|old| self.groups.remove(&old));
+            let joined = self.groups.add(&new);
+            self.changes.services.extend(left.into_iter().chain(joined));
         }
     }
 
+    /// What changed since the last call.
+    pub fn take_changes(&mut self) -> Changes {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// A store of the same records and departures, taken in one by one.
+    pub fn rebuilt(&self) -> Self {
+        let mut new = Self::default();
+        for record in self.records.values() {
+            new.apply(record);
+        }
+        for (server, &incarnation) in &self.departures {
+            new.depart(server, incarnation);
+        }
+        new
+    }
+
     /// Keeps the departures' invariant after a server's record changed.
     ///
     /// A target that leaves may be listed as live again by a lagging source. What was once said to
@@ -175,13 +206,12 @@
         if incarnation < server.incarnation {
             return false;
         }
-        if self
-            .departures
-            .get(name)
-            .is_some_and(|&known| known >= incarnation)
-        {
+        let known = self.departures.get(name);
+        if known.is_some_and(|&known| known >= incarnation) {
             return false;
         }
+        let service = self.groups.name(&server.service);
+        self.changes.services.insert(service);
         self.set_departure(&name.into(), Some(incarnation));
         true
     }
@@ -277,6 +307,19 @@
         })
     }
 
+    /// Servers of a service in force, in order of name.
+    pub fn servers_of(&self, service: &str) -> impl Iterator<Item = &Server> {
+        self.groups.of(service)
+    }
+
+    /// The entry in force of a service.
+    pub fn entry(&self, service: &str) -> Option<&catalogue::Entry> {
+        match &self.records.get(&Key::new(Kind::Entry, service))?.body {
+            Some(Body::Entry(entry)) => Some(entry),
+            _ => None,
+        }
+    }
+
     /// Published instances, leaving ones included.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.bodies(Kind::Instance).filter_map(|body| match body {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -61,7 +61,7 @@
 }
 
 /// A search service with its catalogue entry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Unique name.
     pub name: Arc<str>,
@@ -103,29 +103,48 @@
     /// Enough is known to serve callers.
     pub ready: bool,
     /// Services that have a catalogue entry.
-    pub services: SlotMap<ServiceKey, Service>,
+    ///
+    /// Views share those in which they do not differ, as a change concerns few of many thousands.
+    pub services: SlotMap<ServiceKey, Arc<Service>>,
     /// Keys of the services by name.
     ///
     /// Invariant: holds exactly the keys of `services`.
-    pub service_keys: Map<Arc<str>, ServiceKey>,
+    pub service_keys: Arc<Map<Arc<str>, ServiceKey>>,
     /// Published versions of each index, newest first.
     pub indexes: Map<Arc<str>, Vec<Arc<publication::Index>>>,
 }
 
 impl View {
-    /// Adds a service; one of the same name is replaced.
-    pub fn insert(&mut self, service: Service) -> ServiceKey {
-        let name = Arc::clone(&service.name);
-        if let Some(old) = self.service_keys.remove(&name) {
-            self.services.remove(old);
+    /// Adds a service; one of the same name is replaced and leaves its key to it.
+    pub fn insert(&mut self, service: impl Into<Arc<Service>>) -> ServiceKey {
+        let service = service.into();
+        let known = self.service_keys.get(&service.name).copied();
+        if let Some(key) = known
+            && let Some(old) = self.services.get_mut(key)
+        {
+            *old = service;
+            return key;
         }
+        let name = Arc::clone(&service.name);
         let key = self.services.insert(service);
-        self.service_keys.insert(name, key);
+        Arc::make_mut(&mut self.service_keys).insert(name, key);
         key
     }
 
+    /// Removes the service of this name.
+    pub fn remove(&mut self, name: &str) {
+        if !self.service_keys.contains_key(name) {
+            return;
+        }
+        if let Some(key) = Arc::make_mut(&mut self.service_keys).remove(name) {
+            self.services.remove(key);
+        }
+    }
+
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services.get(*self.service_keys.get(name)?)
+        self.services
+            .get(*self.service_keys.get(name)?)
+            .map(|service| &**service)
     }
 }
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod disorder;
 mod harness;
 mod membership;
+mod parts;
 mod placement;
 mod publish;
 mod reader;
--- a/crates/core/tests/fleet/replacement.rs
+++ b/crates/core/tests/fleet/replacement.rs
@@ -1,5 +1,6 @@
 //! Instances are replaced while all serve.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ladder_core::control::Event;
@@ -70,7 +71,7 @@
     for (own, node) in &fleet.nodes {
         let ready = node.views.iter().filter(|(_, view)| view.ready);
         for (at, view) in ready {
-            let owned = |service: &&Service| service.owner().is_some_and(|owner| owner.local);
+            let owned = |service: &&Arc<Service>| service.owner().is_some_and(|owner| owner.local);
             for service in view.services.values().filter(owned) {
                 let share = service.servers[0].share;
                 assert!(
--- a/crates/core/tests/fleet/session.rs
+++ b/crates/core/tests/fleet/session.rs
@@ -41,7 +41,7 @@
 }
 
 fn describe(view: &View) -> String {
-    let services = view.services.values().map(service);
+    let services = view.services.values().map(|known| service(known));
     let ready = if view.ready { "ready" } else { "not ready" };
     let services: Vec<String> = services.collect();
     let (generation, revision) = (view.generation, view.revision);
