Repair large buckets by the hashes of their parts

Cause: a digest that differed in one bucket sent the whole bucket and asked for the peer's, about 1,400 records at 89,044 records. Ruled out: more buckets in each digest, which every exchange would carry also when nothing differs.

Change: above 2,048 records a differing bucket that the peer holds too is answered with 32 hashes of its parts (Frame.details); the peer sends its records of the parts that differ and asks for the others (Frame.wanted_parts). Smaller publications are repaired as before. The fields are additive: an older peer ignores them and still answers digests with whole buckets.

Conclusion: first answers are small; the test holds records and frame sizes of the whole exchange.

--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ladder_schema::publication::Record;
-use ladder_schema::wire::{Digest, Frame, Probe, Rumour};
+use ladder_schema::wire::{Departure, Digest, Frame, Probe, Rumour};
 
 use super::{DEFERRALS, FANOUT, FEW_BUCKETS, GOSSIP, Machine, START_PEERS, UNDER_WAY};
 use crate::control::Action;
@@ -32,6 +32,11 @@
             self.compare(now, &frame.address, digest, &mut reply, out);
         }
         self.supply(&frame.address, &frame.wanted, out);
+        if !frame.details.is_empty() {
+            reply.wanted_parts = self.store.differing_parts(&frame.details);
+            self.supply_parts(&frame.address, &reply.wanted_parts, out);
+        }
+        self.supply_parts(&frame.address, &frame.wanted_parts, out);
         reply.acknowledgements = frame.probes;
         self.answer(&frame.address, reply, out);
     }
@@ -47,7 +52,8 @@
     }
 
     /// Sends a peer our records of the buckets in which its digest differs, and asks for its own
-    /// unless it has none.
+    /// unless it has none. Of large buckets that it has too, it first gets the hashes of the parts,
+    /// and answers with what differs.
     fn compare(
         &mut self,
         now: Instant,
@@ -60,14 +66,20 @@
         if self.is_under_way(now, differing.len()) {
             return;
         }
-        self.supply(to, &differing, out);
         let holds = |at: &u32| {
             digest
                 .buckets
                 .get(*at as usize)
                 .is_none_or(|&hash| hash != 0)
         };
-        reply.wanted = differing.into_iter().filter(holds).collect();
+        let (held, missing): (Vec<u32>, Vec<u32>) = differing.iter().partition(|at| holds(at));
+        if self.store.is_large() {
+            reply.details = self.store.details(&held);
+            self.supply(to, &missing, out);
+            return;
+        }
+        self.supply(to, &differing, out);
+        reply.wanted = held;
     }
 
     /// Whether a small difference is most likely a change that is just being passed on. Sending
@@ -88,8 +100,27 @@
             return;
         }
         let records = self.store.records_of(buckets);
-        let records = records.iter().map(|record| Record::clone(record)).collect();
         let departures = self.store.departures_of(buckets);
+        self.supply_all(to, &records, departures, out);
+    }
+
+    fn supply_parts(&self, to: &str, parts: &[u32], out: &mut Vec<Action>) {
+        if parts.is_empty() {
+            return;
+        }
+        let records = self.store.records_of_parts(parts);
+        let departures = self.store.departures_of_parts(parts);
+        self.supply_all(to, &records, departures, out);
+    }
+
+    fn supply_all(
+        &self,
+        to: &str,
+        records: &[Arc<Record>],
+        departures: Vec<Departure>,
+        out: &mut Vec<Action>,
+    ) {
+        let records = records.iter().map(|record| Record::clone(record)).collect();
         let news = News {
             records,
             departures,
@@ -102,7 +133,9 @@
     pub(super) fn answer(&mut self, to: &str, mut reply: Frame, out: &mut Vec<Action>) {
         let worth = !reply.acknowledgements.is_empty()
             || !reply.rumours.is_empty()
-            || !reply.wanted.is_empty();
+            || !reply.wanted.is_empty()
+            || !reply.details.is_empty()
+            || !reply.wanted_parts.is_empty();
         if worth && !to.is_empty() {
             reply.rumours.extend(self.membership.take_rumours());
             let reply = spread::signed(&self.settings, reply);
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -6,6 +6,7 @@
 //! on the set of records seen and not on their order.
 
 mod changes;
+mod detail;
 mod key;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use ladder_schema::{catalogue, check, wire};
 
 pub use changes::Changes;
+pub use detail::PARTS;
 pub use key::Key;
 
 use super::hash;
--- a/crates/core/src/control/store/key.rs
+++ b/crates/core/src/control/store/key.rs
@@ -6,7 +6,7 @@
 use ladder_schema::bounds;
 use ladder_schema::publication::{Kind, Record, record::Body};
 
-use super::BUCKETS;
+use super::{BUCKETS, PARTS};
 use crate::control::hash;
 
 /// Kind and name of a record.
@@ -48,7 +48,19 @@
 
     /// The bucket of a digest that the key belongs to.
     pub(super) fn bucket(&self) -> usize {
-        (hash::of(&[&[self.kind as u8], self.name.as_bytes()]) % BUCKETS as u64) as usize
+        (self.place() % BUCKETS as u64) as usize
+    }
+
+    /// The part of a bucket that the key belongs to, numbered over all buckets.
+    pub(super) fn part(&self) -> usize {
+        let place = self.place();
+        let bucket = place % BUCKETS as u64;
+        let part = place / BUCKETS as u64 % PARTS as u64;
+        bucket as usize * PARTS + part as usize
+    }
+
+    fn place(&self) -> u64 {
+        hash::of(&[&[self.kind as u8], self.name.as_bytes()])
     }
 
     /// What a revision of the key adds to its bucket.
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod publish;
 mod reader;
+mod repair;
 mod replacement;
 mod session;
 mod store;
