--- a/crates/codegen/src/reference.rs
+++ b/crates/codegen/src/reference.rs
@@ -10,11 +10,8 @@
 };
 
 /// Schema files that operators write values of.
-const SHOWN: [&str; 3] = [
-    "ladder/settings.proto",
-    "ladder/catalogue.proto",
-    "ladder/publication.proto",
-];
+const SHOWN: [&str; 3] =
+    ["ladder/settings.proto", "ladder/catalogue.proto", "ladder/publication.proto"];
 
 /// Field numbers of the descriptor messages that source paths are made of.
 mod path {
@@ -54,30 +51,18 @@
 /// A table of a message's fields.
 fn describe_message(page: &mut String, comments: &Comments<'_>, at: i32, of: &DescriptorProto) {
     let text = comments.at(&[path::MESSAGE, at]);
-    let _ = write!(
-        page,
-        "\n## {}\n\n{text}\n\n| field | type | meaning |\n|---|---|---|\n",
-        of.name()
-    );
+    let _ =
+        write!(page, "\n## {}\n\n{text}\n\n| field | type | meaning |\n|---|---|---|\n", of.name());
     for (position, field) in of.field.iter().enumerate() {
         let text = comments.at(&[path::MESSAGE, at, path::FIELD, index(position)]);
-        let _ = writeln!(
-            page,
-            "| `{}` | {} | {text} |",
-            field.json_name(),
-            kind(field)
-        );
+        let _ = writeln!(page, "| `{}` | {} | {text} |", field.json_name(), kind(field));
     }
 }
 
 /// A table of an enumeration's values.
 fn describe_enum(page: &mut String, comments: &Comments<'_>, at: i32, of: &EnumDescriptorProto) {
     let text = comments.at(&[path::ENUM, at]);
-    let _ = write!(
-        page,
-        "\n## {}\n\n{text}\n\n| value | meaning |\n|---|---|\n",
-        of.name()
-    );
+    let _ = write!(page, "\n## {}\n\n{text}\n\n| value | meaning |\n|---|---|\n", of.name());
     for (position, value) in of.value.iter().enumerate() {
         let text = comments.at(&[path::ENUM, at, path::VALUE, index(position)]);
         let _ = writeln!(page, "| `{}` | {text} |", value.name());
@@ -101,11 +86,7 @@
         }
         other => format!("{other:?}").to_lowercase(),
     };
-    if field.label() == Label::Repeated {
-        format!("list of {one}")
-    } else {
-        one
-    }
+    if field.label() == Label::Repeated { format!("list of {one}") } else { one }
 }
 
 /// Comments of one schema file.
@@ -114,14 +95,9 @@
 impl Comments<'_> {
     /// The comment before the element at `path`, as one line.
     fn at(&self, path: &[i32]) -> String {
-        let locations = self
-            .0
-            .source_code_info
-            .iter()
-            .flat_map(|info| &info.location);
-        let found = locations
-            .filter(|location| location.path == path)
-            .map(Location::leading_comments);
+        let locations = self.0.source_code_info.iter().flat_map(|info| &info.location);
+        let found =
+            locations.filter(|location| location.path == path).map(Location::leading_comments);
         let text: Vec<_> = found.flat_map(str::split_whitespace).collect();
         text.join(" ")
     }
--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -131,10 +131,7 @@
             Action::Send { to, frame } => self.sent(&to, *frame),
             Action::Watch { wait, .. } => {
                 let head = self.peers.revision();
-                let page = Page {
-                    head,
-                    records: Vec::new(),
-                };
+                let page = Page { head, records: Vec::new() };
                 self.at(wait.max(HOP), Event::Page(page));
             }
             Action::View(view) => {
@@ -154,10 +151,7 @@
         }
         let number = (1..self.size.instances).find(|&number| instance_address(number) == *to);
         if let Some(number) = number.filter(|number| !self.dead.contains(number)) {
-            let answer = Frame {
-                acknowledgements: frame.probes,
-                ..self.frame(number)
-            };
+            let answer = Frame { acknowledgements: frame.probes, ..self.frame(number) };
             self.at(HOP, Event::Frame(Box::new(answer)));
         }
     }
--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -29,22 +29,13 @@
 
 /// All figures at one size.
 pub(crate) fn measure(size: &Size) -> Vec<Row> {
-    let mut rows = Rows {
-        size: *size,
-        rows: Vec::new(),
-    };
+    let mut rows = Rows { size: *size, rows: Vec::new() };
     memory_use(size, &mut rows);
     ranking(size, &mut rows);
     let mut publisher = Publisher::default();
     let mut bench = start(size, &mut publisher, &mut rows);
     let idle = idle(&mut bench, &mut rows);
-    let mut measure = Measure {
-        bench,
-        publisher,
-        idle,
-        rows,
-        victim: size.instances,
-    };
+    let mut measure = Measure { bench, publisher, idle, rows, victim: size.instances };
     measure.changes();
     measure.bucket();
     measure.views();
@@ -61,17 +52,13 @@
 
 impl Rows {
     fn add(&mut self, metric: Metric, value: f64) {
-        self.rows
-            .push(Row::new(Part::Control, self.size, metric, value));
+        self.rows.push(Row::new(Part::Control, self.size, metric, value));
     }
 }
 
 /// Memory of the records alone, in a process of its own.
 pub(crate) fn store(size: &Size) -> Vec<Row> {
-    let mut rows = Rows {
-        size: *size,
-        rows: Vec::new(),
-    };
+    let mut rows = Rows { size: *size, rows: Vec::new() };
     let publication = Publication::new(size);
     let before = memory::resident();
     let mut store = Store::default();
@@ -119,13 +106,10 @@
 
 /// One ranking of a service over the published list.
 fn ranking(size: &Size, rows: &mut Rows) {
-    let names: Vec<(String, String)> = (0..size.instances)
-        .map(|number| (instance_name(number), size.zone(number)))
-        .collect();
-    let fleet: Vec<placement::Instance<'_>> = names
-        .iter()
-        .map(|(name, zone)| placement::Instance { name, zone })
-        .collect();
+    let names: Vec<(String, String)> =
+        (0..size.instances).map(|number| (instance_name(number), size.zone(number))).collect();
+    let fleet: Vec<placement::Instance<'_>> =
+        names.iter().map(|(name, zone)| placement::Instance { name, zone }).collect();
     let mut times = Vec::new();
     for service in 0..100 {
         let name = fleet::service_name(service);
@@ -154,10 +138,7 @@
 }
 
 fn tell(bench: &mut Bench, rumours: Vec<Rumour>) {
-    let frame = Frame {
-        rumours,
-        ..bench.frame(1)
-    };
+    let frame = Frame { rumours, ..bench.frame(1) };
     bench.give(Event::Frame(Box::new(frame)));
 }
 
@@ -333,9 +314,7 @@
     /// One zone is lost at once.
     fn zone(&mut self) {
         let zones = self.bench.size.zones;
-        let victims: Vec<usize> = (4..self.victim)
-            .filter(|at| at % zones == 1 % zones)
-            .collect();
+        let victims: Vec<usize> = (4..self.victim).filter(|at| at % zones == 1 % zones).collect();
         let spent = self.lose(&victims);
         let (time, sent) = self.beyond(&[spent]);
         self.rows.add(Metric::ZoneTime, time);
@@ -347,10 +326,7 @@
 /// Rumours arrive in full frames, a millisecond apart.
 fn spread_over(bench: &mut Bench, delay: Duration, rumours: &[Rumour]) {
     for (number, part) in rumours.chunks(RUMOURS).enumerate() {
-        let frame = Frame {
-            rumours: part.to_vec(),
-            ..bench.frame(2)
-        };
+        let frame = Frame { rumours: part.to_vec(), ..bench.frame(2) };
         let delay = delay + Duration::from_millis(number as u64);
         bench.at(delay, Event::Frame(Box::new(frame)));
     }
@@ -360,9 +336,7 @@
 fn owners(view: &View) -> usize {
     let versions = view.indexes.get(index_name(0).as_str());
     let shards = versions.map_or(&[][..], |versions| &versions[0].shards);
-    let services = shards
-        .iter()
-        .filter_map(|shard| view.service(&shard.service));
+    let services = shards.iter().filter_map(|shard| view.service(&shard.service));
     let owners = services.filter_map(|service| service.owner());
     let names: Set<&str> = owners.map(|owner| &*owner.peer.name).collect();
     names.len()
--- a/crates/core/examples/scale/fleet.rs
+++ b/crates/core/examples/scale/fleet.rs
@@ -19,19 +19,11 @@
 }
 
 /// From today's nine instances to the fleet of two years.
-pub(crate) const SIZES: [Size; 4] = [
-    size(9, 106, 3),
-    size(100, 2_000, 6),
-    size(1_000, 16_000, 15),
-    size(3_700, 64_000, 30),
-];
+pub(crate) const SIZES: [Size; 4] =
+    [size(9, 106, 3), size(100, 2_000, 6), size(1_000, 16_000, 15), size(3_700, 64_000, 30)];
 
 pub(crate) const fn size(instances: usize, servers: usize, zones: usize) -> Size {
-    Size {
-        instances,
-        servers,
-        zones,
-    }
+    Size { instances, servers, zones }
 }
 
 impl Size {
@@ -53,10 +45,7 @@
 impl Publisher {
     pub(crate) fn record(&mut self, body: Body) -> Record {
         self.revision += 1;
-        Record {
-            revision: self.revision,
-            body: Some(body),
-        }
+        Record { revision: self.revision, body: Some(body) }
     }
 
     /// Hands on the records of the whole publication of a fleet one by one.
@@ -106,10 +95,7 @@
 }
 
 pub(crate) fn withdrawn(number: usize) -> Body {
-    Body::Tombstone(Tombstone {
-        kind: Kind::Instance as i32,
-        name: instance_name(number),
-    })
+    Body::Tombstone(Tombstone { kind: Kind::Instance as i32, name: instance_name(number) })
 }
 
 pub(crate) fn entry(number: usize, queue: u32) -> Body {
@@ -117,11 +103,7 @@
         service: service_name(number),
         owner: "operator".to_owned(),
         urgency: Urgency::Ordinary as i32,
-        limits: Some(Limits {
-            queue,
-            extra_percent: 5,
-            ..Limits::default()
-        }),
+        limits: Some(Limits { queue, extra_percent: 5, ..Limits::default() }),
         operations: vec![Operation {
             name: "sweep".to_owned(),
             preference: Preference::Timely as i32,
@@ -142,10 +124,7 @@
         state: State::Live as i32,
         slots: 2,
         connections: 25,
-        holdings: vec![Holding {
-            index: index_name(service / SHARDS),
-            version: 1,
-        }],
+        holdings: vec![Holding { index: index_name(service / SHARDS), version: 1 }],
     })
 }
 
--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -27,10 +27,7 @@
 
 pub(crate) fn measure() -> Vec<Row> {
     let size = SIZES[SIZES.len() - 1];
-    [20, SHARDS]
-        .iter()
-        .flat_map(|&shards| one(size, shards))
-        .collect()
+    [20, SHARDS].iter().flat_map(|&shards| one(size, shards)).collect()
 }
 
 fn one(size: Size, shards: usize) -> Vec<Row> {
@@ -117,10 +114,7 @@
         self.bytes += work.encode_to_vec().len();
         self.codec += before.elapsed();
         let replies = work.portions.iter().map(|portion| reply(work, portion));
-        let frame = wire::Frame {
-            replies: replies.collect(),
-            ..wire::Frame::default()
-        };
+        let frame = wire::Frame { replies: replies.collect(), ..wire::Frame::default() };
         let bytes = frame.encode_to_vec();
         self.bytes += bytes.len();
         let before = std::time::Instant::now();
@@ -135,10 +129,7 @@
 }
 
 fn reply(work: &wire::Work, portion: &wire::Portion) -> wire::Reply {
-    let part = |shard: &String| call::Part {
-        shard: shard.clone(),
-        body: "x".repeat(BODY),
-    };
+    let part = |shard: &String| call::Part { shard: shard.clone(), body: "x".repeat(BODY) };
     wire::Reply {
         query: work.query,
         round: work.round,
@@ -155,24 +146,13 @@
 /// A view of the whole fleet in which the index has so many shards, one for each of its services,
 /// held by [`OWNERS`] owners.
 fn view(size: &Size, shards: usize) -> View {
-    let mut view = View {
-        generation: 1,
-        revision: 1,
-        ready: true,
-        ..View::default()
-    };
+    let mut view = View { generation: 1, revision: 1, ready: true, ..View::default() };
     for number in 0..size.services() {
         view.insert(service(size, number));
     }
-    let shard = |number| Shard {
-        name: format!("shard-{number:05}"),
-        service: service_name(number),
-    };
-    let index = Index {
-        name: index_name(0),
-        version: 1,
-        shards: (0..shards).map(shard).collect(),
-    };
+    let shard =
+        |number| Shard { name: format!("shard-{number:05}"), service: service_name(number) };
+    let index = Index { name: index_name(0), version: 1, shards: (0..shards).map(shard).collect() };
     let name = index_name(0).as_str().into();
     view.indexes.insert(name, vec![Arc::new(index)]);
     view
@@ -206,9 +186,7 @@
 pub(crate) fn server(service: usize, place: usize) -> Server {
     Server {
         name: format!("server-{service:05}-{place}").as_str().into(),
-        address: format!("10.2.{}.{place}:8000", service % 250)
-            .as_str()
-            .into(),
+        address: format!("10.2.{}.{place}:8000", service % 250).as_str().into(),
         zone: "zone-0".into(),
         incarnation: 1,
         leaving: false,
--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -94,10 +94,7 @@
 
 impl Bench {
     fn new(shards: usize) -> Self {
-        let mut view = View {
-            ready: true,
-            ..View::default()
-        };
+        let mut view = View { ready: true, ..View::default() };
         for number in 0..SERVICES {
             view.insert(service(number));
         }
@@ -129,11 +126,7 @@
     fn round(&mut self) {
         self.query += 1;
         self.replies = 0;
-        let work = Event::Work {
-            from: peer("entry"),
-            incarnation: 1,
-            work: self.work(),
-        };
+        let work = Event::Work { from: peer("entry"), incarnation: 1, work: self.work() };
         let mut sends = self.give(work);
         for _ in 0..100 {
             if self.replies == SERVICES as u64 {
@@ -186,9 +179,7 @@
                     Action::Open { lane, .. }
                     | Action::Probe { lane, .. }
                     | Action::Cancel { lane, .. } => opened.push(lane),
-                    Action::Send {
-                        attempt, request, ..
-                    } => {
+                    Action::Send { attempt, request, .. } => {
                         self.calls += 1;
                         sends.push((attempt, request));
                     }
@@ -207,10 +198,7 @@
 }
 
 fn whole(request: &target::Request) -> target::Answer {
-    let part = |shard: &String| call::Part {
-        shard: shard.clone(),
-        body: "x".repeat(16),
-    };
+    let part = |shard: &String| call::Part { shard: shard.clone(), body: "x".repeat(16) };
     target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -220,10 +208,7 @@
 }
 
 fn peer(name: &str) -> Peer {
-    Peer {
-        name: name.into(),
-        address: "10.1.0.1:7000".into(),
-    }
+    Peer { name: name.into(), address: "10.1.0.1:7000".into() }
 }
 
 fn service(number: usize) -> Service {
@@ -235,10 +220,6 @@
         name: service_name(number).as_str().into(),
         entry: Arc::new(entry),
         servers: (0..replicas).map(|place| server(number, place)).collect(),
-        candidates: vec![Candidate {
-            peer: peer("instance-00000"),
-            live: true,
-            local: true,
-        }],
+        candidates: vec![Candidate { peer: peer("instance-00000"), live: true, local: true }],
     }
 }
--- a/crates/core/examples/scale/memory.rs
+++ b/crates/core/examples/scale/memory.rs
@@ -50,12 +50,7 @@
             let encoded = record.encode_length_delimited(&mut bytes);
             encoded.expect("room was reserved");
         });
-        Self {
-            bytes,
-            records,
-            largest,
-            revision: publisher.revision,
-        }
+        Self { bytes, records, largest, revision: publisher.revision }
     }
 
     pub(crate) fn decode(&self) -> impl Iterator<Item = Record> {
--- a/crates/core/examples/scale/rule.rs
+++ b/crates/core/examples/scale/rule.rs
@@ -42,10 +42,7 @@
 
 impl Run {
     fn new(instances: usize) -> Self {
-        Self {
-            has: vec![false; instances],
-            copies: 0,
-        }
+        Self { has: vec![false; instances], copies: 0 }
     }
 
     fn missing(&self) -> usize {
--- a/crates/core/examples/scale/spread.rs
+++ b/crates/core/examples/scale/spread.rs
@@ -116,9 +116,7 @@
             hop,
             now,
             machines: (0..size.instances).map(machine).collect(),
-            places: (0..size.instances)
-                .map(|number| (instance_address(number), number))
-                .collect(),
+            places: (0..size.instances).map(|number| (instance_address(number), number)).collect(),
             queue: BTreeMap::new(),
             sequence: 0,
             publisher,
@@ -138,10 +136,7 @@
         self.change = (record.revision, self.now);
         self.reached.fill(None);
         self.copies = 0;
-        let page = Page {
-            head: record.revision,
-            records: vec![record],
-        };
+        let page = Page { head: record.revision, records: vec![record] };
         let first = number as usize % self.machines.len();
         self.give(first, Event::Page(page));
     }
@@ -206,10 +201,7 @@
                 self.window.frames += 1.0;
                 self.window.bytes += frame.encoded_len() as f64;
                 let revision = self.change.0;
-                let carries = frame
-                    .records
-                    .iter()
-                    .any(|record| record.revision == revision);
+                let carries = frame.records.iter().any(|record| record.revision == revision);
                 self.copies += u64::from(carries);
                 let to = self.places[&*to];
                 self.window.asked += f64::from(u8::from(!frame.wanted.is_empty()));
@@ -217,15 +209,8 @@
             }
             Action::Watch { after, wait } => {
                 let first = after == 0;
-                let records = if first {
-                    self.records.clone()
-                } else {
-                    Vec::new()
-                };
-                let page = Page {
-                    head: self.publisher.revision,
-                    records,
-                };
+                let records = if first { self.records.clone() } else { Vec::new() };
+                let page = Page { head: self.publisher.revision, records };
                 let delay = if first { self.hop } else { wait.max(self.hop) };
                 self.at(number, delay, Event::Page(page));
             }
--- a/crates/core/examples/scale/table.rs
+++ b/crates/core/examples/scale/table.rs
@@ -131,13 +131,7 @@
 
 impl Row {
     pub(crate) const fn new(part: Part, size: Size, metric: Metric, value: f64) -> Self {
-        Self {
-            part,
-            size,
-            shards: None,
-            metric,
-            value,
-        }
+        Self { part, size, shards: None, metric, value }
     }
 
     pub(crate) const fn shards(mut self, shards: usize) -> Self {
@@ -157,9 +151,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (name, unit) = self.metric.words();
         let part = format!("{:?}", self.part).to_lowercase();
-        let shards = self
-            .shards
-            .map_or_else(String::new, |shards| shards.to_string());
+        let shards = self.shards.map_or_else(String::new, |shards| shards.to_string());
         let (instances, servers) = (self.size.instances, self.size.servers);
         let digits = if self.value.abs() < 100.0 { 2 } else { 0 };
         write!(
--- a/crates/core/examples/sweep_trial.rs
+++ b/crates/core/examples/sweep_trial.rs
@@ -27,10 +27,7 @@
 
 fn policies() -> Vec<(&'static str, Settings)> {
     let base = || Settings::builder("trial", 1).seed(1);
-    let baseline = base()
-        .selection(Selection::RoundRobin)
-        .hedging(false)
-        .queueing(false);
+    let baseline = base().selection(Selection::RoundRobin).hedging(false).queueing(false);
     vec![
         ("baseline", baseline.build()),
         ("queue only", base().hedging(false).build()),
@@ -42,10 +39,7 @@
     println!(
         "mix    times       load policy     extra portions/s kind       p50ms  p99ms p99.9ms complete goodput  covered"
     );
-    let named: Vec<f64> = std::env::args()
-        .skip(1)
-        .filter_map(|load| load.parse().ok())
-        .collect();
+    let named: Vec<f64> = std::env::args().skip(1).filter_map(|load| load.parse().ok()).collect();
     let loads = if named.is_empty() { &LOADS[..] } else { &named };
     let chosen = |name: &str| std::env::args().any(|word| word == name);
     let all = !MIXES.iter().any(|(name, _)| chosen(name));
@@ -64,12 +58,7 @@
 fn compare(name: &str, mix: Mix, times: Times, load: f64) {
     let per_query = mix::rate(mix, 1.0) * SERVICES as f64;
     for (policy, settings) in policies() {
-        let plan = Plan {
-            times,
-            load,
-            mix,
-            queries: (SWEEPS as f64 * per_query) as u64,
-        };
+        let plan = Plan { times, load, mix, queries: (SWEEPS as f64 * per_query) as u64 };
         let mut figures = Figures::default();
         for seed in SEEDS {
             figures.add(run(&plan, settings.clone(), seed));
--- a/crates/core/examples/sweep_trial/fleet.rs
+++ b/crates/core/examples/sweep_trial/fleet.rs
@@ -34,11 +34,7 @@
 
 impl Times {
     pub(crate) fn draw(self, random: &mut Random) -> u64 {
-        let factor = if random.unit() < STRAGGLERS {
-            FACTOR
-        } else {
-            1.0
-        };
+        let factor = if random.unit() < STRAGGLERS { FACTOR } else { 1.0 };
         let plain = match self {
             Self::Exponential => random.exponential(MEAN_US),
             Self::Narrow => MEAN_US * (0.7 + 0.6 * random.unit()),
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -16,10 +16,7 @@
 pub(crate) const SERVERS: usize = 2;
 
 pub(crate) fn answer(request: &target::Request) -> Outcome {
-    let part = |shard: &String| call::Part {
-        shard: shard.clone(),
-        body: String::new(),
-    };
+    let part = |shard: &String| call::Part { shard: shard.clone(), body: String::new() };
     Outcome::Answer(target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -37,10 +34,7 @@
 }
 
 pub(crate) fn peer(name: &str) -> Peer {
-    Peer {
-        name: name.into(),
-        address: "127.0.0.1:1".into(),
-    }
+    Peer { name: name.into(), address: "127.0.0.1:1".into() }
 }
 
 /// A query to `kind.fan` services from the one numbered `first` on.
@@ -73,16 +67,9 @@
         leaving: false,
         slots: SLOTS as u32,
         share: 12,
-        holdings: vec![Holding {
-            index: "index".into(),
-            version: 1,
-        }],
-    };
-    let limits = Limits {
-        queue: 1000,
-        extra_percent: 5,
-        ..Limits::default()
+        holdings: vec![Holding { index: "index".into(), version: 1 }],
     };
+    let limits = Limits { queue: 1000, extra_percent: 5, ..Limits::default() };
     Service {
         name: format!("service-{number}").into(),
         entry: Arc::new(Entry {
@@ -96,10 +83,6 @@
             ..Entry::default()
         }),
         servers: (0..SERVERS).map(server).collect(),
-        candidates: vec![Candidate {
-            peer: peer("trial"),
-            live: true,
-            local: true,
-        }],
+        candidates: vec![Candidate { peer: peer("trial"), live: true, local: true }],
     }
 }
--- a/crates/core/examples/sweep_trial/mix.rs
+++ b/crates/core/examples/sweep_trial/mix.rs
@@ -15,31 +15,19 @@
 }
 
 const fn kind(operation: &'static str, fan: usize, budget_ms: u64, share: f64) -> Kind {
-    Kind {
-        operation,
-        fan,
-        budget_ms,
-        unrepeatable: false,
-        share,
-    }
+    Kind { operation, fan, budget_ms, unrepeatable: false, share }
 }
 
 /// Kinds on the same services.
 pub(crate) type Mix = &'static [Kind];
 
 /// Sweeps, every tenth of them urgent.
-const SWEEPS: Mix = &[
-    kind("sweep", SERVICES, 1000, 0.9),
-    kind("check", SERVICES, 1000, 0.1),
-];
+const SWEEPS: Mix = &[kind("sweep", SERVICES, 1000, 0.9), kind("check", SERVICES, 1000, 0.1)];
 
 /// Sweeps beside a few bookings of the same urgency.
 const GATE: Mix = &[
     kind("sweep", SERVICES, 1000, 0.97),
-    Kind {
-        unrepeatable: true,
-        ..kind("book", 1, 2000, 0.03)
-    },
+    Kind { unrepeatable: true, ..kind("book", 1, 2000, 0.03) },
 ];
 
 /// Urgent sweeps beside rounds over half of the services and single look-ups.
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -49,8 +49,7 @@
 
 impl Figures {
     pub(crate) fn add(&mut self, other: Self) {
-        self.tallies
-            .resize_with(other.tallies.len(), Tally::default);
+        self.tallies.resize_with(other.tallies.len(), Tally::default);
         for (tally, other) in self.tallies.iter_mut().zip(other.tallies) {
             tally.latencies.extend(other.latencies);
             tally.complete += other.complete;
@@ -115,19 +114,14 @@
         now: 1_000_000,
         steps: BinaryHeap::new(),
         sequence: 0,
-        servers: (0..SERVICES * SERVERS)
-            .map(|_| fleet::Server::default())
-            .collect(),
+        servers: (0..SERVICES * SERVERS).map(|_| fleet::Server::default()).collect(),
         places: BTreeMap::new(),
         lanes: BTreeMap::new(),
         calls: BTreeMap::new(),
         numbers: BTreeMap::new(),
         sweeps: BTreeMap::new(),
         started: 0,
-        figures: Figures {
-            tallies: vec![Tally::default(); plan.mix.len()],
-            ..Figures::default()
-        },
+        figures: Figures { tallies: vec![Tally::default(); plan.mix.len()], ..Figures::default() },
     };
     run.publish();
     run.at(20_000, Step::Sweep);
@@ -137,15 +131,11 @@
 
 impl Run<'_> {
     fn publish(&mut self) {
-        let mut view = View {
-            ready: true,
-            ..View::default()
-        };
+        let mut view = View { ready: true, ..View::default() };
         for number in 0..SERVICES {
             let service = service(number);
             for (place, server) in service.servers.iter().enumerate() {
-                self.places
-                    .insert(Arc::clone(&server.address), number * SERVERS + place);
+                self.places.insert(Arc::clone(&server.address), number * SERVERS + place);
             }
             view.insert(service);
         }
@@ -154,8 +144,7 @@
 
     fn at(&mut self, delay: u64, step: Step) {
         self.sequence += 1;
-        self.steps
-            .push(Reverse((self.now + delay, self.sequence, step)));
+        self.steps.push(Reverse((self.now + delay, self.sequence, step)));
     }
 
     fn go(&mut self) {
@@ -194,19 +183,11 @@
         let place = mix::pick(self.plan.mix, self.random.unit());
         let kind = &self.plan.mix[place];
         let first = (self.random.unit() * SERVICES as f64) as usize;
-        let sweep = Sweep {
-            kind: place,
-            started: self.now,
-            left: kind.fan,
-            missing: 0,
-        };
+        let sweep = Sweep { kind: place, started: self.now, left: kind.fan, missing: 0 };
         self.sweeps.insert(query, sweep);
         self.figures.portions += kind.fan as u64;
-        let event = Event::Work {
-            from: peer("entry"),
-            incarnation: 1,
-            work: work(query, kind, first),
-        };
+        let event =
+            Event::Work { from: peer("entry"), incarnation: 1, work: work(query, kind, first) };
         self.handle(event);
         let slots = (SERVICES * SERVERS * SLOTS) as f64;
         let rate = mix::rate(self.plan.mix, self.plan.load * slots / Times::mean());
@@ -247,28 +228,22 @@
             return;
         };
         self.numbers.remove(&call.request.id);
-        let event = Event::Ended {
-            attempt: call.attempt,
-            outcome: outcome(&call.request),
-        };
+        let event = Event::Ended { attempt: call.attempt, outcome: outcome(&call.request) };
         self.handle(event);
     }
 
     fn handle(&mut self, event: Event) {
         let mut out = Vec::new();
         let before = std::time::Instant::now();
-        self.machine
-            .handle(Instant::from_micros(self.now), event, &mut out);
+        self.machine.handle(Instant::from_micros(self.now), event, &mut out);
         self.figures.core += before.elapsed();
         for action in out {
             self.act(action);
         }
         if let Some(at) = self.machine.next_wake() {
             let delay = at.as_micros().saturating_sub(self.now);
-            let known = self
-                .steps
-                .peek()
-                .is_some_and(|Reverse((next, ..))| *next <= self.now + delay);
+            let known =
+                self.steps.peek().is_some_and(|Reverse((next, ..))| *next <= self.now + delay);
             if !known {
                 self.at(delay, Step::Tick);
             }
@@ -284,12 +259,7 @@
             Action::Close(lane) => {
                 self.lanes.remove(&lane);
             }
-            Action::Send {
-                lane,
-                attempt,
-                request,
-                ..
-            } => self.send(lane, attempt, request),
+            Action::Send { lane, attempt, request, .. } => self.send(lane, attempt, request),
             Action::Cancel { lane, id } => {
                 self.at(2 * HOP_US, Step::Ready(lane));
                 if let Some(number) = self.numbers.get(&id).copied() {
@@ -308,11 +278,7 @@
         let number = self.sequence;
         let server = self.lanes[&lane];
         self.numbers.insert(request.id.clone(), number);
-        let call = Call {
-            attempt,
-            server,
-            request,
-        };
+        let call = Call { attempt, server, request };
         self.calls.insert(number, call);
         self.at(HOP_US, Step::Reach(number));
     }
@@ -332,9 +298,7 @@
             return;
         }
         let tally = &mut self.figures.tallies[sweep.kind];
-        tally
-            .latencies
-            .push((self.now - sweep.started) as f64 / 1000.0);
+        tally.latencies.push((self.now - sweep.started) as f64 / 1000.0);
         tally.complete += usize::from(sweep.missing == 0);
         tally.missing += sweep.missing;
     }
--- a/crates/core/src/age.rs
+++ b/crates/core/src/age.rs
@@ -36,15 +36,9 @@
         if self.senders.len() >= SENDERS && !self.senders.contains_key(&sender) {
             self.senders.clear();
         }
-        let gauge = self.senders.entry(sender).or_insert(Gauge {
-            incarnation,
-            offset,
-        });
+        let gauge = self.senders.entry(sender).or_insert(Gauge { incarnation, offset });
         if gauge.incarnation != incarnation {
-            *gauge = Gauge {
-                incarnation,
-                offset,
-            };
+            *gauge = Gauge { incarnation, offset };
         }
         gauge.offset = gauge.offset.min(offset);
         offset.saturating_sub(gauge.offset).unsigned_abs()
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -116,10 +116,9 @@
             Event::Page(page) => self.page(now, &page, out),
             Event::WatchFailed => self.reader.failed(now, &mut self.random),
             Event::LinkDown(name) => self.membership.link_down(now, &name),
-            Event::ServerLeaving {
-                server,
-                incarnation,
-            } => self.server_leaving(&server, incarnation, out),
+            Event::ServerLeaving { server, incarnation } => {
+                self.server_leaving(&server, incarnation, out);
+            }
             Event::Paused(_) => self.paused(now, out),
             Event::Drain => self.drain(now, out),
             Event::Tick => {}
@@ -182,10 +181,7 @@
     }
 
     const fn read_timing(&self) -> reader::Timing {
-        reader::Timing {
-            digest: self.settings.timing.digest,
-            watch: self.settings.timing.watch,
-        }
+        reader::Timing { digest: self.settings.timing.digest, watch: self.settings.timing.watch }
     }
 
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
@@ -203,14 +199,8 @@
             self.is_reader = self.is_chosen();
         }
         let timing = self.read_timing();
-        if let Some(read) = self
-            .reader
-            .poll(now, self.is_reader, timing, &mut self.random)
-        {
-            out.push(Action::Watch {
-                after: read.after,
-                wait: read.wait,
-            });
+        if let Some(read) = self.reader.poll(now, self.is_reader, timing, &mut self.random) {
+            out.push(Action::Watch { after: read.after, wait: read.wait });
         }
         self.project(now, out);
     }
@@ -319,10 +309,7 @@
     }
 
     fn server_leaving(&mut self, name: &str, at: u64, out: &mut Vec<Action>) {
-        let departure = Departure {
-            server: name.to_owned(),
-            incarnation: at,
-        };
+        let departure = Departure { server: name.to_owned(), incarnation: at };
         let news = self.depart(vec![departure]);
         self.tell(&news, "", out);
     }
@@ -357,8 +344,5 @@
 }
 
 const fn drop_count(reason: Reason) -> Action {
-    Action::Count(Count {
-        event: count::Event::Drop,
-        reason,
-    })
+    Action::Count(Count { event: count::Event::Drop, reason })
 }
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -42,10 +42,7 @@
     }
 
     fn acknowledged(&mut self, acknowledgements: &[Probe]) {
-        if acknowledgements
-            .iter()
-            .any(|probe| self.asked.contains(&probe.number))
-        {
+        if acknowledgements.iter().any(|probe| self.asked.contains(&probe.number)) {
             self.peer_answered = true;
             self.asked.clear();
         }
@@ -66,12 +63,7 @@
         if self.is_under_way(now, differing.len()) {
             return;
         }
-        let holds = |at: &u32| {
-            digest
-                .buckets
-                .get(*at as usize)
-                .is_none_or(|&hash| hash != 0)
-        };
+        let holds = |at: &u32| digest.buckets.get(*at as usize).is_none_or(|&hash| hash != 0);
         let (held, missing): (Vec<u32>, Vec<u32>) = differing.iter().partition(|at| holds(at));
         if self.store.is_large() {
             reply.details = self.store.details(&held);
@@ -121,10 +113,7 @@
         out: &mut Vec<Action>,
     ) {
         let records = records.iter().map(|record| Record::clone(record)).collect();
-        let news = News {
-            records,
-            departures,
-        };
+        let news = News { records, departures };
         for part in news.parts() {
             send(&to.into(), part.into_frame(self.blank()), out);
         }
@@ -180,9 +169,7 @@
         targets.extend(self.random.pick(&lost, 1));
         if !self.peer_answered || targets.is_empty() {
             let seeds = self.settings.seeds.iter();
-            let seeds: Vec<_> = seeds
-                .filter(|seed| **seed != self.settings.address)
-                .collect();
+            let seeds: Vec<_> = seeds.filter(|seed| **seed != self.settings.address).collect();
             let picked = self.random.pick(&seeds, START_PEERS);
             targets.extend(picked.into_iter().map(Arc::clone));
         }
@@ -241,8 +228,5 @@
 }
 
 pub(super) fn send(to: &Arc<str>, frame: Frame, out: &mut Vec<Action>) {
-    out.push(Action::Send {
-        to: Arc::clone(to),
-        frame: Box::new(frame),
-    });
+    out.push(Action::Send { to: Arc::clone(to), frame: Box::new(frame) });
 }
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -119,10 +119,7 @@
     /// holds the other dead and neither would ever speak first.
     pub fn lost(&self) -> impl Iterator<Item = &Member> {
         let lost = |member: &&Member| member.liveness == Liveness::Dead;
-        self.members
-            .values()
-            .filter(lost)
-            .filter(|member| member.published.is_some())
+        self.members.values().filter(lost).filter(|member| member.published.is_some())
     }
 
     /// Whether something that a view depends on changed since [`Membership::take_changed`].
@@ -265,11 +262,7 @@
         if leaving && !names.contains(&self.own.name) {
             rumours.push(self.own.as_rumour());
         }
-        rumours.extend(
-            names
-                .iter()
-                .filter_map(|name| Some(self.get(name)?.as_rumour())),
-        );
+        rumours.extend(names.iter().filter_map(|name| Some(self.get(name)?.as_rumour())));
         rumours
     }
 
@@ -282,10 +275,7 @@
     pub fn doubts(&self) -> Vec<Rumour> {
         let doubted = |member: &&Member| member.liveness != Liveness::Alive;
         let members = self.members.values().filter(doubted);
-        members
-            .take(queue::PER_FRAME)
-            .map(Member::as_rumour)
-            .collect()
+        members.take(queue::PER_FRAME).map(Member::as_rumour).collect()
     }
 
     /// Whether work may be given to the instance of this name. It leaves when either the published
@@ -327,9 +317,7 @@
     /// When the next member becomes settled.
     pub fn next_settled(&self, now: Instant) -> Option<Instant> {
         let all = self.members.values().chain([&self.own]);
-        all.map(|member| self.settled_at(member))
-            .filter(|&at| at > now)
-            .min()
+        all.map(|member| self.settled_at(member)).filter(|&at| at > now).min()
     }
 }
 
@@ -337,9 +325,7 @@
 fn successors<'a>(own: &str, names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
     let place = |name: &str| hash::of(&[b"ring", name.as_bytes()]);
     let start = place(own);
-    let mut ring: Vec<_> = names
-        .map(|name| (place(name).wrapping_sub(start), name))
-        .collect();
+    let mut ring: Vec<_> = names.map(|name| (place(name).wrapping_sub(start), name)).collect();
     ring.sort_unstable();
     let first = ring.into_iter().take(NEIGHBOURS);
     first.map(|(_, name)| Arc::clone(name)).collect()
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -120,12 +120,8 @@
             rumour.refutation,
             rumour.liveness(),
         );
-        let held = (
-            self.incarnation,
-            self.liveness == Liveness::Leaving,
-            self.refutation,
-            self.liveness,
-        );
+        let held =
+            (self.incarnation, self.liveness == Liveness::Leaving, self.refutation, self.liveness);
         rumour.liveness() != Liveness::Unspecified && heard > held
     }
 
--- a/crates/core/src/control/membership/queue.rs
+++ b/crates/core/src/control/membership/queue.rs
@@ -31,10 +31,7 @@
     pub(super) fn take(&mut self, fleet: usize) -> Vec<Arc<str>> {
         let most = TELLINGS * (usize::BITS - fleet.leading_zeros());
         let count = self.told.len().min(PER_FRAME);
-        let names = self.told[..count]
-            .iter()
-            .map(|(_, name)| Arc::clone(name))
-            .collect();
+        let names = self.told[..count].iter().map(|(_, name)| Arc::clone(name)).collect();
         for (told, _) in &mut self.told[..count] {
             *told += 1;
         }
--- a/crates/core/src/control/membership/suspicion.rs
+++ b/crates/core/src/control/membership/suspicion.rs
@@ -29,12 +29,7 @@
     fn withdraw(&mut self, now: Instant) {
         let on_link =
             |member: &&Member| member.liveness == Liveness::Suspect && member.why == Why::LinkDown;
-        let names: Vec<_> = self
-            .members
-            .values()
-            .filter(on_link)
-            .map(Member::key)
-            .collect();
+        let names: Vec<_> = self.members.values().filter(on_link).map(Member::key).collect();
         for name in names {
             self.turn(now, &name, Liveness::Alive, Why::OwnFault);
         }
@@ -66,12 +61,7 @@
         let expired = |member: &&Member| {
             member.liveness == Liveness::Suspect && now.since(member.since) >= dead
         };
-        let gone: Vec<_> = self
-            .members
-            .values()
-            .filter(expired)
-            .map(Member::key)
-            .collect();
+        let gone: Vec<_> = self.members.values().filter(expired).map(Member::key).collect();
         for name in gone {
             self.turn(now, &name, Liveness::Dead, Why::Unrefuted);
         }
--- a/crates/core/src/control/membership/watch.rs
+++ b/crates/core/src/control/membership/watch.rs
@@ -45,12 +45,7 @@
 impl Watch {
     /// Watches nobody yet.
     pub(super) const fn new(now: Instant) -> Self {
-        Self {
-            neighbours: BTreeMap::new(),
-            hold: None,
-            broken: BTreeMap::new(),
-            last_tick: now,
-        }
+        Self { neighbours: BTreeMap::new(), hold: None, broken: BTreeMap::new(), last_tick: now }
     }
 
     /// Names of the probed members.
@@ -80,10 +75,7 @@
             *since = now;
         }
         self.broken.clear();
-        self.hold = Some(Hold {
-            since: now,
-            answered: false,
-        });
+        self.hold = Some(Hold { since: now, answered: false });
         self.last_tick = now;
     }
 
@@ -120,10 +112,7 @@
         let names = self.neighbours.iter().filter(silent).map(|(name, _)| name);
         let silent: Vec<Arc<str>> = names.cloned().collect();
         let flood = silent.len() >= 2 && silent.len() * 2 > self.neighbours.len();
-        let fresh: Vec<_> = silent
-            .into_iter()
-            .filter(|name| is_alive(members, name))
-            .collect();
+        let fresh: Vec<_> = silent.into_iter().filter(|name| is_alive(members, name)).collect();
         if fresh.is_empty() {
             return fresh;
         }
@@ -132,10 +121,7 @@
             return Vec::new();
         }
         if flood && !was_held {
-            self.hold = Some(Hold {
-                since: now,
-                answered: false,
-            });
+            self.hold = Some(Hold { since: now, answered: false });
             return Vec::new();
         }
         fresh
@@ -153,16 +139,10 @@
         self.broken.retain(|_, at| now.since(*at) <= timing.suspect);
         self.broken.insert(Arc::clone(name), now);
         let flood = self.broken.len() >= 2 && self.broken.len() * 2 > reachable;
-        if flood || self.is_held(now, timing) {
-            Blame::Own
-        } else {
-            Blame::Peer
-        }
+        if flood || self.is_held(now, timing) { Blame::Own } else { Blame::Peer }
     }
 }
 
 fn is_alive(members: &BTreeMap<Arc<str>, Member>, name: &str) -> bool {
-    members
-        .get(name)
-        .is_some_and(|member| member.liveness == Liveness::Alive)
+    members.get(name).is_some_and(|member| member.liveness == Liveness::Alive)
 }
--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -91,17 +91,9 @@
     let spare = spare_share(limit);
     let primary = (limit - PLACES * spare) / PLACES;
     if primary > 0 {
-        return Share {
-            primary: primary.min(PRIMARY_CAP),
-            primaries: REACH,
-            spare,
-        };
-    }
-    Share {
-        primary: 1,
-        primaries: limit.saturating_sub(1) as usize,
-        spare: 0,
+        return Share { primary: primary.min(PRIMARY_CAP), primaries: REACH, spare };
     }
+    Share { primary: 1, primaries: limit.saturating_sub(1) as usize, spare: 0 }
 }
 
 /// About a seventh of the limit for all spares, but at least one each if the primaries keep more.
--- a/crates/core/src/control/placement/fleet.rs
+++ b/crates/core/src/control/placement/fleet.rs
@@ -84,10 +84,7 @@
         primaries.truncate(REACH);
         let spares = best.iter().filter(|scored| !primaries.contains(scored));
         let order = primaries.iter().chain(spares).take(CANDIDATES);
-        Ranking {
-            order: order.map(|scored| scored.at).collect(),
-            primaries: primaries.len(),
-        }
+        Ranking { order: order.map(|scored| scored.at).collect(), primaries: primaries.len() }
     }
 
     /// The best of each zone in no order, and the best of all in order.
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -128,11 +128,7 @@
             standings: source.standings.clone(),
             ..Self::default()
         };
-        let mut changes = Changes {
-            indexes: true,
-            instances: true,
-            ..Changes::default()
-        };
+        let mut changes = Changes { indexes: true, instances: true, ..Changes::default() };
         let names = source.store.entries().map(|entry| entry.service.as_str());
         changes.services = names.map(Arc::from).collect();
         new.refresh(source, changes, ready);
@@ -279,9 +275,7 @@
         let has_share =
             |position: usize| divided.is_none_or(|share| share.at(primaries, position) > 0);
         let usable = lists.ordered(has_share);
-        let standings = usable
-            .iter()
-            .map(|listed| (listed, source.standing(&listed.peer.name)));
+        let standings = usable.iter().map(|listed| (listed, source.standing(&listed.peer.name)));
         let standings: Vec<_> = standings.collect();
         let best = standings.iter().map(|&(_, standing)| standing).max();
         let candidate = |&(listed, standing): &(&Arc<ranks::Listed>, Standing)| Candidate {
@@ -296,10 +290,7 @@
         let own = source.membership.own();
         let standing = source.standing(&own.name);
         let candidate = Candidate {
-            peer: Peer {
-                name: Arc::clone(&own.name),
-                address: Arc::clone(&own.address),
-            },
+            peer: Peer { name: Arc::clone(&own.name), address: Arc::clone(&own.address) },
             live: standing > Standing::Gone,
             local: true,
         };
--- a/crates/core/src/control/project/grants.rs
+++ b/crates/core/src/control/project/grants.rs
@@ -105,10 +105,7 @@
             self.connections = share;
             self.growth = None;
         } else if self.growth.is_none() {
-            self.growth = Some(Growth {
-                least: share,
-                since: now,
-            });
+            self.growth = Some(Growth { least: share, since: now });
         }
     }
 }
--- a/crates/core/src/control/project/ranks.rs
+++ b/crates/core/src/control/project/ranks.rs
@@ -74,9 +74,7 @@
         let old = std::mem::take(&mut self.fleet);
         let mut added = Vec::new();
         for instance in list {
-            let known = old
-                .get(instance.name.as_str())
-                .filter(|known| known.is(instance));
+            let known = old.get(instance.name.as_str()).filter(|known| known.is(instance));
             let listed = known.map_or_else(|| Arc::new(Listed::of(instance)), Arc::clone);
             if known.is_none() {
                 added.push(Arc::clone(&listed));
@@ -108,10 +106,10 @@
     }
 
     fn prepare(&mut self) {
-        let instances = self.fleet.values().map(|listed| placement::Instance {
-            name: &listed.peer.name,
-            zone: &listed.zone,
-        });
+        let instances = self
+            .fleet
+            .values()
+            .map(|listed| placement::Instance { name: &listed.peer.name, zone: &listed.zone });
         self.prepared = placement::Fleet::new(instances);
         self.listed = self.fleet.values().map(Arc::clone).collect();
     }
@@ -152,18 +150,14 @@
     /// `period` or were replaced within it, oldest first.
     pub(super) fn of(&mut self, now: Instant, service: &Arc<str>, period: Duration) -> Lists {
         let known = self.ranked.get(service);
-        let fresh = known
-            .is_none_or(|history| history.stale)
-            .then(|| self.rank(service));
+        let fresh = known.is_none_or(|history| history.stale).then(|| self.rank(service));
         let history = self.ranked.entry(Arc::clone(service)).or_default();
         if let Some(fresh) = fresh {
             history.push(now, fresh);
         }
         history.forget(now, period);
         let lists = history.lists.iter();
-        Lists {
-            lists: lists.map(|(_, ranked)| Arc::clone(ranked)).collect(),
-        }
+        Lists { lists: lists.map(|(_, ranked)| Arc::clone(ranked)).collect() }
     }
 
     /// When an older list is forgotten next.
@@ -178,11 +172,7 @@
         let instances = ranking.order.iter().map(|&at| Arc::clone(&self.listed[at]));
         let instances: Vec<_> = instances.collect();
         let scores = instances.iter().map(|known| known.score(service));
-        Ranked {
-            lowest: scores.min().unwrap_or(0),
-            instances,
-            primaries: ranking.primaries,
-        }
+        Ranked { lowest: scores.min().unwrap_or(0), instances, primaries: ranking.primaries }
     }
 }
 
@@ -228,20 +218,13 @@
             return Vec::new();
         };
         let instances = newest.instances.iter().enumerate();
-        let mut left: Vec<_> = instances
-            .filter(|&(position, _)| usable(position))
-            .collect();
+        let mut left: Vec<_> = instances.filter(|&(position, _)| usable(position)).collect();
         if self.lists.len() == 1 {
-            return left
-                .into_iter()
-                .map(|(_, listed)| Arc::clone(listed))
-                .collect();
+            return left.into_iter().map(|(_, listed)| Arc::clone(listed)).collect();
         }
         let mut ordered = Vec::with_capacity(left.len());
         for old in self.lists.iter().flat_map(|ranked| &ranked.instances) {
-            let found = left
-                .iter()
-                .position(|(_, new)| new.peer.name == old.peer.name);
+            let found = left.iter().position(|(_, new)| new.peer.name == old.peer.name);
             if let Some(found) = found {
                 ordered.push(Arc::clone(left.remove(found).1));
             }
@@ -285,9 +268,7 @@
         if self.instances.len() < CANDIDATES || self.instances.iter().any(gone) {
             return true;
         }
-        added
-            .iter()
-            .any(|new| new.score(service) >= self.lowest || self.lacks_zone(&new.zone))
+        added.iter().any(|new| new.score(service) >= self.lowest || self.lacks_zone(&new.zone))
     }
 
     fn lacks_zone(&self, zone: &str) -> bool {
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -141,18 +141,11 @@
             return None;
         }
         self.open = true;
-        let wait = if self.urgent || !reader {
-            Duration::ZERO
-        } else {
-            timing.watch
-        };
+        let wait = if self.urgent || !reader { Duration::ZERO } else { timing.watch };
         if !reader {
             self.digest_seen = now;
         }
-        Some(Read {
-            after: self.cursor,
-            wait,
-        })
+        Some(Read { after: self.cursor, wait })
     }
 
     /// Waits a little when the rule first chooses this instance: after the loss of many readers,
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -35,11 +35,7 @@
                 parts.push(Self::default());
                 bytes = record.encoded_len();
             }
-            parts
-                .iter_mut()
-                .rev()
-                .take(1)
-                .for_each(|part| part.records.push(record.clone()));
+            parts.iter_mut().rev().take(1).for_each(|part| part.records.push(record.clone()));
         }
         for departure in &self.departures {
             bytes += departure.encoded_len();
@@ -47,11 +43,7 @@
                 parts.push(Self::default());
                 bytes = departure.encoded_len();
             }
-            parts
-                .iter_mut()
-                .rev()
-                .take(1)
-                .for_each(|part| part.departures.push(departure.clone()));
+            parts.iter_mut().rev().take(1).for_each(|part| part.departures.push(departure.clone()));
         }
         parts
     }
@@ -59,11 +51,7 @@
     /// Puts it into a frame. Records go before departures: a departure of a server that is not yet
     /// known would be dropped.
     pub(super) fn into_frame(self, frame: Frame) -> Frame {
-        Frame {
-            records: self.records,
-            departures: self.departures,
-            ..frame
-        }
+        Frame { records: self.records, departures: self.departures, ..frame }
     }
 }
 
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -111,11 +111,7 @@
         if known.is_some_and(|known| known.revision >= revision) {
             return Outcome::Known;
         }
-        let refusal = Refusal {
-            key: key.clone(),
-            revision,
-            detail,
-        };
+        let refusal = Refusal { key: key.clone(), revision, detail };
         self.refused.insert(key, refusal.clone());
         if self.refused.len() > REFUSED {
             self.forget_refusal();
@@ -230,9 +226,7 @@
 
     /// One hash per bucket over keys, revisions and departures.
     pub fn digest(&self) -> wire::Digest {
-        wire::Digest {
-            buckets: self.buckets.to_vec(),
-        }
+        wire::Digest { buckets: self.buckets.to_vec() }
     }
 
     /// Buckets in which a peer's digest differs; all for a digest of another size.
@@ -347,10 +341,7 @@
 }
 
 fn departure(server: &str, incarnation: u64) -> wire::Departure {
-    wire::Departure {
-        server: server.to_owned(),
-        incarnation,
-    }
+    wire::Departure { server: server.to_owned(), incarnation }
 }
 
 fn departure_hash(server: &str, incarnation: u64) -> u64 {
--- a/crates/core/src/control/store/detail.rs
+++ b/crates/core/src/control/store/detail.rs
@@ -40,10 +40,7 @@
         let known = buckets.iter().filter(|&&at| (at as usize) < BUCKETS);
         let detail = |&bucket: &u32| {
             let first = bucket as usize * PARTS;
-            Detail {
-                bucket,
-                parts: hashes[first..first + PARTS].to_vec(),
-            }
+            Detail { bucket, parts: hashes[first..first + PARTS].to_vec() }
         };
         known.map(detail).collect()
     }
--- a/crates/core/src/control/store/key.rs
+++ b/crates/core/src/control/store/key.rs
@@ -21,10 +21,7 @@
 impl Key {
     /// A key of its parts.
     pub fn new(kind: Kind, name: &str) -> Self {
-        Self {
-            kind,
-            name: name.into(),
-        }
+        Self { kind, name: name.into() }
     }
 
     /// The key of a record. A name beyond its bound is cut, so that a refused record can be
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -148,11 +148,7 @@
 /// is missing can be asked for again. `NotRun` always means all of it.
 pub(crate) fn verdict(query: &Query) -> Verdict {
     let mut verdicts = query.portions.iter().map(Portion::verdict);
-    if query
-        .portions
-        .iter()
-        .all(|p| p.verdict() == Verdict::NotRun)
-    {
+    if query.portions.iter().all(|p| p.verdict() == Verdict::NotRun) {
         return former(query.exposed, Verdict::NotRun);
     }
     let ran = if query.terms.unrepeatable {
@@ -160,11 +156,7 @@
     } else {
         verdicts.any(|verdict| verdict == Verdict::Ran)
     };
-    if ran {
-        Verdict::Ran
-    } else {
-        Verdict::MayHaveRun
-    }
+    if ran { Verdict::Ran } else { Verdict::MayHaveRun }
 }
 
 /// The reason that most missing shards have, the first of equals.
--- a/crates/core/src/gather/check.rs
+++ b/crates/core/src/gather/check.rs
@@ -17,10 +17,7 @@
 
 impl Refusal {
     pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
-        Self {
-            reason,
-            detail: detail.into(),
-        }
+        Self { reason, detail: detail.into() }
     }
 }
 
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -52,18 +52,12 @@
         self.planner.forget();
         let view = Arc::clone(&self.view);
         let mut live: Map<&str, bool> = Map::default();
-        let candidates = view
-            .services
-            .values()
-            .flat_map(|service| &service.candidates);
+        let candidates = view.services.values().flat_map(|service| &service.candidates);
         for candidate in candidates {
             *live.entry(&candidate.peer.name).or_default() |= candidate.live;
         }
-        let mut gone: Vec<&str> = live
-            .iter()
-            .filter(|&(_, &live)| !live)
-            .map(|(&name, _)| name)
-            .collect();
+        let mut gone: Vec<&str> =
+            live.iter().filter(|&(_, &live)| !live).map(|(&name, _)| name).collect();
         gone.sort_unstable();
         for name in gone {
             if let Some(peer) = self.peers.find(name) {
@@ -144,10 +138,7 @@
             portion.is_open() && sendings.any(|sending| relies(now, query, sending, peer, loss))
         };
         let portions = query.portions.iter().enumerate();
-        portions
-            .filter(|(_, portion)| held(portion))
-            .map(|(position, _)| position)
-            .collect()
+        portions.filter(|(_, portion)| held(portion)).map(|(position, _)| position).collect()
     }
 
     fn leave_query(
@@ -187,10 +178,7 @@
         let Some(state) = self.peers.get(peer) else {
             return;
         };
-        let step = Step::Lost {
-            owner: state.peer.name.clone(),
-            portions: portions.len() as u32,
-        };
+        let step = Step::Lost { owner: state.peer.name.clone(), portions: portions.len() as u32 };
         self.history.add(self.queries[key].account, now, step);
     }
 
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -69,10 +69,7 @@
         if query.open == 0 {
             // An unrepeatable query waits until no portion can run any more before it starts again.
             let retired = State::Refused(Reason::VersionRetired);
-            let is_retired = query
-                .portions
-                .iter()
-                .any(|portion| portion.state == retired);
+            let is_retired = query.portions.iter().any(|portion| portion.state == retired);
             if query.terms.unrepeatable && is_retired && self.restart(now, key, out) {
                 // Nothing may have been sent; each restart gives up a version, so that this ends.
                 self.finish_if_settled(now, key, out);
@@ -111,14 +108,9 @@
             let Some(state) = self.peers.get(holder) else {
                 continue;
             };
-            let cancel = wire::Cancel {
-                query: query.number,
-                incarnation: self.settings.incarnation,
-            };
-            out.push(Action::Cancel {
-                to: state.peer.clone(),
-                cancel,
-            });
+            let cancel =
+                wire::Cancel { query: query.number, incarnation: self.settings.incarnation };
+            out.push(Action::Cancel { to: state.peer.clone(), cancel });
         }
         let portions = query.portions.iter();
         for sending in portions.flat_map(|portion| &portion.sendings) {
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -105,11 +105,7 @@
 
 impl History {
     pub(crate) fn new(capacity: usize) -> Self {
-        Self {
-            ring: VecDeque::with_capacity(capacity),
-            capacity,
-            oldest: 0,
-        }
+        Self { ring: VecDeque::with_capacity(capacity), capacity, oldest: 0 }
     }
 
     /// Starts an account and returns its number.
--- a/crates/core/src/gather/peers.rs
+++ b/crates/core/src/gather/peers.rs
@@ -64,8 +64,7 @@
 
     /// It has been waited for longer than half its limit.
     fn is_doubtful(&self, now: Instant) -> bool {
-        self.waiting
-            .is_some_and(|since| now.since(since) >= self.limit() / 2)
+        self.waiting.is_some_and(|since| now.since(since) >= self.limit() / 2)
     }
 
     /// It gets no work but probes.
@@ -87,11 +86,7 @@
 impl Peers {
     /// No peers yet; `own` is the name of this instance.
     pub(crate) fn new(own: Arc<str>) -> Self {
-        Self {
-            own,
-            states: SlotMap::default(),
-            keys: Map::default(),
-        }
+        Self { own, states: SlotMap::default(), keys: Map::default() }
     }
 
     /// The key of a peer, new if need be.
@@ -170,8 +165,7 @@
 
     /// Whether the peer of this name gets no work but probes.
     pub(crate) fn is_silent(&self, name: &str, now: Instant) -> bool {
-        self.find(name)
-            .is_some_and(|key| self.states[key].is_silent(now))
+        self.find(name).is_some_and(|key| self.states[key].is_silent(now))
     }
 
     /// Whether any peer gets no work but probes.
@@ -199,10 +193,7 @@
     /// It shows as more than half of the peers with open work in doubt together, two at least.
     /// Failover waits then; the membership and broken links still trigger it.
     pub(crate) fn is_flood(&self, now: Instant) -> bool {
-        let waiting = self
-            .states
-            .values()
-            .filter(|state| state.open > 0 && !state.local);
+        let waiting = self.states.values().filter(|state| state.open > 0 && !state.local);
         let (mut all, mut doubtful) = (0, 0);
         for state in waiting {
             all += 1;
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -111,12 +111,7 @@
     };
     let shares = shares(view, &pin);
     let terms = terms(view, request, &shares)?;
-    Ok(Plan {
-        index: pin.index,
-        shares,
-        missing: pin.missing,
-        terms,
-    })
+    Ok(Plan { index: pin.index, shares, missing: pin.missing, terms })
 }
 
 /// Refuses a shard that no published version has; one that only some have is reported as missing.
@@ -124,11 +119,8 @@
     if asked.is_empty() {
         return Ok(());
     }
-    let known: crate::collections::Set<&str> = versions
-        .iter()
-        .flat_map(|index| &index.shards)
-        .map(|shard| shard.name.as_str())
-        .collect();
+    let known: crate::collections::Set<&str> =
+        versions.iter().flat_map(|index| &index.shards).map(|shard| shard.name.as_str()).collect();
     match asked.iter().find(|name| !known.contains(name.as_str())) {
         None => Ok(()),
         Some(name) => {
@@ -144,13 +136,9 @@
     for &position in &pin.held {
         let name = pin.index.shards[position as usize].service.as_str();
         let place = *places.entry(name).or_insert_with(|| {
-            let service = view
-                .service(name)
-                .map_or_else(|| name.into(), |service| Arc::clone(&service.name));
-            shares.push(Share {
-                service,
-                shards: Vec::new(),
-            });
+            let service =
+                view.service(name).map_or_else(|| name.into(), |service| Arc::clone(&service.name));
+            shares.push(Share { service, shards: Vec::new() });
             shares.len() - 1
         });
         shares[place].shards.push(position);
@@ -160,16 +148,9 @@
 }
 
 fn terms(view: &View, request: &call::Request, shares: &[Arc<Share>]) -> Result<Terms, Refusal> {
-    let mut terms = Terms {
-        unrepeatable: false,
-        complete: false,
-        deadline: Duration::ZERO,
-    };
+    let mut terms = Terms { unrepeatable: false, complete: false, deadline: Duration::ZERO };
     let mut default_ms = ladder_schema::bounds::DEADLINE_MS;
-    for service in shares
-        .iter()
-        .filter_map(|share| view.service(&share.service))
-    {
+    for service in shares.iter().filter_map(|share| view.service(&share.service)) {
         let Some(operation) = service.operation(&request.operation) else {
             let detail = format!(
                 "operation: {}; the entry of service {} does not list it",
--- a/crates/core/src/gather/quantile.rs
+++ b/crates/core/src/gather/quantile.rs
@@ -23,10 +23,7 @@
 
 impl Default for Quantile {
     fn default() -> Self {
-        Self {
-            counts: [0; BUCKETS],
-            total: 0,
-        }
+        Self { counts: [0; BUCKETS], total: 0 }
     }
 }
 
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -74,13 +74,7 @@
 
 impl Portion {
     fn new(share: Arc<Share>) -> Self {
-        Self {
-            share,
-            state: State::Open,
-            sendings: Vec::new(),
-            exposed: false,
-            ran: false,
-        }
+        Self { share, state: State::Open, sendings: Vec::new(), exposed: false, ran: false }
     }
 
     pub(crate) fn is_open(&self) -> bool {
@@ -257,9 +251,7 @@
 
     /// Position of the portion of a service.
     pub(crate) fn portion(&self, service: &str) -> Option<usize> {
-        self.portions
-            .binary_search_by(|portion| (*portion.share.service).cmp(service))
-            .ok()
+        self.portions.binary_search_by(|portion| (*portion.share.service).cmp(service)).ok()
     }
 
     /// Nothing of it can have run so far.
--- a/crates/core/src/gather/reply.rs
+++ b/crates/core/src/gather/reply.rs
@@ -36,10 +36,7 @@
         return Err(Reason::StaleAnswer);
     }
     content(query, portion, reply)?;
-    Ok(Place {
-        portion: position,
-        sending,
-    })
+    Ok(Place { portion: position, sending })
 }
 
 /// Checks what the reply says.
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -33,10 +33,8 @@
             let key = self.peers.find(&candidate.peer.name);
             sendings.iter().any(|sending| Some(sending.peer) == key)
         };
-        let mut live = service
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.live && !tried(candidate));
+        let mut live =
+            service.candidates.iter().filter(|candidate| candidate.live && !tried(candidate));
         let first = live.clone().next();
         live.find(|candidate| candidate.local || !self.peers.is_silent(&candidate.peer.name, now))
             .or(first)
@@ -164,17 +162,10 @@
                 progress: Progress::Open,
             });
         }
-        let step = Step::Sent {
-            to: peer.name.clone(),
-            round,
-            portions: portions.len() as u32,
-            again,
-        };
+        let step =
+            Step::Sent { to: peer.name.clone(), round, portions: portions.len() as u32, again };
         self.history.add(query.account, now, step);
-        out.push(Action::Send {
-            to: peer.clone(),
-            work: work(now, query, portions),
-        });
+        out.push(Action::Send { to: peer.clone(), work: work(now, query, portions) });
         self.peers.sent(peer_key, now, portions.len() as u32);
         self.watch(now, peer_key);
     }
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -14,14 +14,7 @@
 impl Settings {
     /// Starts from the defaults for the instance `name` in its `incarnation`.
     pub fn builder(name: &str, incarnation: u64) -> Builder {
-        Builder {
-            settings: Self {
-                name: name.into(),
-                incarnation,
-                hedging: true,
-                history: 512,
-            },
-        }
+        Builder { settings: Self { name: name.into(), incarnation, hedging: true, history: 512 } }
     }
 }
 
--- a/crates/core/src/gather/snapshot.rs
+++ b/crates/core/src/gather/snapshot.rs
@@ -46,10 +46,7 @@
         if pin.is_complete() {
             return Some(pin);
         }
-        if best
-            .as_ref()
-            .is_none_or(|best| best.held.len() < pin.held.len())
-        {
+        if best.as_ref().is_none_or(|best| best.held.len() < pin.held.len()) {
             best = Some(pin);
         }
     }
@@ -58,11 +55,7 @@
 
 /// Which of the asked shards can be had in one version.
 fn examine(view: &View, index: &Arc<Index>, asked: &[String]) -> Pin {
-    let mut pin = Pin {
-        index: Arc::clone(index),
-        held: Vec::new(),
-        missing: Vec::new(),
-    };
+    let mut pin = Pin { index: Arc::clone(index), held: Vec::new(), missing: Vec::new() };
     let mut unmatched: Set<&str> = asked.iter().map(String::as_str).collect();
     let mut services: Map<&str, Option<Reason>> = Map::default();
     for (position, shard) in (0u32..).zip(&index.shards) {
--- a/crates/core/src/leaf/attempt.rs
+++ b/crates/core/src/leaf/attempt.rs
@@ -68,23 +68,14 @@
         if answer.parts.len() != self.shards.len() {
             return false;
         }
-        let same_order = answer
-            .parts
-            .iter()
-            .zip(self.shards.iter())
-            .all(|(part, shard)| part.shard == *shard);
+        let same_order =
+            answer.parts.iter().zip(self.shards.iter()).all(|(part, shard)| part.shard == *shard);
         same_order || self.covers_set(answer)
     }
 
     /// Whether each shard asked for is among as many parts as there are shards.
     fn covers_set(&self, answer: &target::Answer) -> bool {
-        let parts: Set<&str> = answer
-            .parts
-            .iter()
-            .map(|part| part.shard.as_str())
-            .collect();
-        self.shards
-            .iter()
-            .all(|shard| parts.contains(shard.as_str()))
+        let parts: Set<&str> = answer.parts.iter().map(|part| part.shard.as_str()).collect();
+        self.shards.iter().all(|shard| parts.contains(shard.as_str()))
     }
 }
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -208,12 +208,8 @@
             return Vec::new();
         }
         let accepting = |key: &&ServerKey| self.servers[**key].accepts();
-        let servers: Vec<ServerKey> = self.services[id]
-            .servers
-            .iter()
-            .filter(accepting)
-            .copied()
-            .collect();
+        let servers: Vec<ServerKey> =
+            self.services[id].servers.iter().filter(accepting).copied().collect();
         let rate = |key: &ServerKey| self.servers[*key].health.failure_rate(self.now);
         let suspect = |key: &ServerKey| self.servers[*key].health.suspect();
         let mut suspects: Vec<ServerKey> = servers.iter().copied().filter(suspect).collect();
@@ -260,10 +256,7 @@
         if holders.iter().all(unreachable) {
             return Err(Refused::because(Reason::ConnectFailed));
         }
-        let rest = holders
-            .iter()
-            .map(|server| server.health.shed_until())
-            .min();
+        let rest = holders.iter().map(|server| server.health.shed_until()).min();
         match rest {
             Some(until) if until >= deadline && self.selects_by_outcome() => {
                 let wait = until.since(self.now);
@@ -302,10 +295,7 @@
             return;
         };
         self.sequence += 1;
-        let id = format!(
-            "{}.{}.{}",
-            self.settings.name, self.settings.incarnation, self.sequence
-        );
+        let id = format!("{}.{}.{}", self.settings.name, self.settings.incarnation, self.sequence);
         let portion = &mut self.portions[key];
         let timeout = portion.deadline.since(self.now);
         let attempt = self.attempts.insert(Attempt {
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -175,10 +175,7 @@
             return Err(Refused::with(standing, reason));
         }
         let outlook = self.outlook(portion.service, work, portion.deadline);
-        outlook.map_err(|refused| Refused {
-            verdict: standing,
-            ..refused
-        })?;
+        outlook.map_err(|refused| Refused { verdict: standing, ..refused })?;
         if verdict == Verdict::NotRun {
             return Ok(());
         }
--- a/crates/core/src/leaf/estimate.rs
+++ b/crates/core/src/leaf/estimate.rs
@@ -26,12 +26,7 @@
 
 impl Default for Estimate {
     fn default() -> Self {
-        Self {
-            buckets: vec![0; BUCKETS],
-            total: 0,
-            samples: 0,
-            mean_us: 0.0,
-        }
+        Self { buckets: vec![0; BUCKETS], total: 0, samples: 0, mean_us: 0.0 }
     }
 }
 
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -75,9 +75,7 @@
         if !self.suspect() || paused {
             return;
         }
-        let pause = PAUSE
-            .saturating_mul(1 << self.pauses.min(6))
-            .min(LONGEST_PAUSE);
+        let pause = PAUSE.saturating_mul(1 << self.pauses.min(6)).min(LONGEST_PAUSE);
         self.pauses += 1;
         self.paused_until = now + random.jitter(pause);
     }
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -98,8 +98,6 @@
                 && server.holds(self.now, &work.index, work.version)
         };
         let candidates = self.services[id].servers.iter().copied();
-        candidates
-            .filter(fits)
-            .min_by_key(|candidate| self.servers[*candidate].in_flight)
+        candidates.filter(fits).min_by_key(|candidate| self.servers[*candidate].in_flight)
     }
 }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -35,12 +35,7 @@
         out: &mut Vec<Action>,
     ) {
         let portions = std::mem::take(&mut work.portions);
-        let job = Arc::new(Job {
-            from,
-            incarnation,
-            key: work.key.as_str().into(),
-            work,
-        });
+        let job = Arc::new(Job { from, incarnation, key: work.key.as_str().into(), work });
         for portion in portions {
             self.arrive(&job, portion, out);
         }
@@ -76,10 +71,7 @@
         if finding == Some(Finding::Repeated) {
             return Err(Refused::repeated());
         }
-        let query = Query {
-            incarnation: job.incarnation,
-            number: job.work.query,
-        };
+        let query = Query { incarnation: job.incarnation, number: job.work.query };
         if self.cancelled.contains(&query) {
             return Err(Refused::because(Reason::Cancelled));
         }
@@ -102,10 +94,7 @@
         if !unrepeatable(&self.services[id], &job.work) {
             return None;
         }
-        let name = record::Name {
-            service: id,
-            key: Arc::clone(&job.key),
-        };
+        let name = record::Name { service: id, key: Arc::clone(&job.key) };
         Some(self.records.find(&name, job.work.attempt))
     }
 
@@ -172,9 +161,7 @@
     /// How long the first waiting portion of a class has waited.
     fn waited(&self, id: ServiceId, class: Class) -> Duration {
         let head = self.services[id].queue.head(class);
-        head.map_or(Duration::ZERO, |key| {
-            self.now.since(self.portions[key].arrived)
-        })
+        head.map_or(Duration::ZERO, |key| self.now.since(self.portions[key].arrived))
     }
 
     /// How long a portion waits behind `ahead` others.
@@ -214,16 +201,12 @@
             hedged: false,
         };
         if portion.unrepeatable {
-            self.records
-                .start(self.now, portion.record(), job.work.attempt);
+            self.records.start(self.now, portion.record(), job.work.attempt);
         }
         let fast = service.fast();
         let key = self.portions.insert(portion);
         self.queue(key);
-        let query = Query {
-            incarnation: job.incarnation,
-            number: job.work.query,
-        };
+        let query = Query { incarnation: job.incarnation, number: job.work.query };
         self.queries.entry(query).or_default().push(key);
         self.timers.push(deadline, Timer::Deadline(key));
         if self.settings.queueing && !fast.is_zero() {
@@ -257,10 +240,7 @@
 
     /// An entry gives a query up. Queued portions are proved not to run.
     pub(super) fn cancel(&mut self, cancel: &wire::Cancel, out: &mut Vec<Action>) {
-        let query = Query {
-            incarnation: cancel.incarnation,
-            number: cancel.query,
-        };
+        let query = Query { incarnation: cancel.incarnation, number: cancel.query };
         self.cancelled.insert(self.now, query);
         let keys = self.queries.remove(&query).unwrap_or_default();
         for key in keys {
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -160,16 +160,10 @@
     }
 
     fn open_lane(&mut self, key: ServerKey, out: &mut Vec<Action>) {
-        let lane = self.lanes.insert(Lane {
-            server: key,
-            state: State::Opening,
-        });
+        let lane = self.lanes.insert(Lane { server: key, state: State::Opening });
         let server = &mut self.servers[key];
         server.lanes.push(lane);
-        out.push(Action::Open {
-            lane,
-            address: Arc::clone(&server.address),
-        });
+        out.push(Action::Open { lane, address: Arc::clone(&server.address) });
     }
 
     /// A connection that can be closed without cutting a call.
@@ -182,9 +176,7 @@
         let Some(lane) = self.lanes.remove(key) else {
             return;
         };
-        self.servers[lane.server]
-            .lanes
-            .retain(|other| *other != key);
+        self.servers[lane.server].lanes.retain(|other| *other != key);
     }
 
     /// Periodic work on a service.
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -140,11 +140,7 @@
 
     fn take(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Work {
-                from,
-                incarnation,
-                work,
-            } => self.work(from, incarnation, work, out),
+            Event::Work { from, incarnation, work } => self.work(from, incarnation, work, out),
             Event::Cancel(cancel) => self.cancel(&cancel, out),
             Event::Opened(lane) => self.opened(lane, out),
             Event::Closed(lane) => self.closed(lane, out),
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -79,9 +79,6 @@
 
     /// Name of its record.
     pub(super) fn record(&self) -> record::Name {
-        record::Name {
-            service: self.service,
-            key: Arc::clone(&self.job.key),
-        }
+        record::Name { service: self.service, key: Arc::clone(&self.job.key) }
     }
 }
--- a/crates/core/src/leaf/queue.rs
+++ b/crates/core/src/leaf/queue.rs
@@ -89,11 +89,7 @@
         self.sequence += 1;
         let sequence = self.sequence;
         self.classes[class.0].insert((turn, sequence), key);
-        Place {
-            class,
-            turn,
-            sequence,
-        }
+        Place { class, turn, sequence }
     }
 
     pub(super) fn remove(&mut self, place: Place) {
@@ -109,9 +105,7 @@
     pub(super) fn order(&self) -> impl Iterator<Item = PortionKey> + '_ {
         let first = self.first_class();
         let rest = (0..CLASSES).filter(move |class| *class != first);
-        std::iter::once(first)
-            .chain(rest)
-            .flat_map(|class| self.classes[class].values().copied())
+        std::iter::once(first).chain(rest).flat_map(|class| self.classes[class].values().copied())
     }
 
     /// Removes a portion that is dispatched and keeps account of the classes passed over.
--- a/crates/core/src/leaf/recent.rs
+++ b/crates/core/src/leaf/recent.rs
@@ -21,11 +21,7 @@
 
 impl<T> Default for Recent<T> {
     fn default() -> Self {
-        Self {
-            current: Set::default(),
-            previous: Set::default(),
-            started: Instant::default(),
-        }
+        Self { current: Set::default(), previous: Set::default(), started: Instant::default() }
     }
 }
 
--- a/crates/core/src/leaf/record.rs
+++ b/crates/core/src/leaf/record.rs
@@ -116,11 +116,7 @@
     fn write(&mut self, now: Instant, name: Name, state: State, attempt: u32) {
         self.sequence += 1;
         let sequence = self.sequence;
-        let record = Record {
-            state,
-            attempt,
-            sequence,
-        };
+        let record = Record { state, attempt, sequence };
         self.order.push_back((now, sequence, name.clone()));
         self.records.insert(name, record);
         while self.records.len() > RECORDS || self.order.len() > 4 * RECORDS {
@@ -132,10 +128,7 @@
         let Some((_, sequence, name)) = self.order.pop_front() else {
             return;
         };
-        let current = self
-            .records
-            .get(&name)
-            .is_some_and(|record| record.sequence == sequence);
+        let current = self.records.get(&name).is_some_and(|record| record.sequence == sequence);
         if current {
             self.records.remove(&name);
         }
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -18,8 +18,13 @@
 impl Machine {
     /// Takes a new view in.
     pub(super) fn refresh(&mut self, view: &Arc<View>, out: &mut Vec<Action>) {
-        self.view = Arc::clone(view);
-        for listed in view.services.values() {
+        let before = std::mem::replace(&mut self.view, Arc::clone(view));
+        for (key, listed) in &view.services {
+            // Views share the services that did not change.
+            let same = |old: &Arc<view::Service>| Arc::ptr_eq(old, listed);
+            if before.services.get(key).is_some_and(same) {
+                continue;
+            }
             if listed.is_candidate() || self.service_ids.contains_key(&listed.name) {
                 self.list(listed);
             }
@@ -169,10 +174,7 @@
     /// suspension: another instance may own the services since. Nothing unrepeatable is sent on
     /// such knowledge, and nothing whose time is up.
     pub(super) fn resumed(&mut self, length: Duration, out: &mut Vec<Action>) {
-        self.gap = Some(Gap {
-            ended: self.now,
-            length,
-        });
+        self.gap = Some(Gap { ended: self.now, length });
         let ids: Vec<ServiceId> = self.services.keys().collect();
         for id in ids {
             let waiting: Vec<PortionKey> = self.services[id].queue.order().collect();
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -28,11 +28,7 @@
     }
 
     pub(super) fn with(verdict: Verdict, reason: Reason) -> Self {
-        Self {
-            verdict,
-            reason,
-            retry_after: Duration::ZERO,
-        }
+        Self { verdict, reason, retry_after: Duration::ZERO }
     }
 
     /// An earlier delivery of the request may have run.
@@ -52,10 +48,7 @@
     pub(super) fn refuse(job: &Job, service: String, refused: Refused, out: &mut Vec<Action>) {
         Self::count(count::Event::Refusal, refused.reason, out);
         let reply = reply(job, service, refused, 0, Vec::new());
-        out.push(Action::Reply {
-            to: job.from.clone(),
-            reply,
-        });
+        out.push(Action::Reply { to: job.from.clone(), reply });
     }
 
     /// Replies to a portion that is given up.
@@ -114,10 +107,7 @@
             let sent = self.attempts[*attempt].sent;
             service.overdue.remove(&(sent, key));
         }
-        let query = Query {
-            incarnation: portion.job.incarnation,
-            number: portion.job.work.query,
-        };
+        let query = Query { incarnation: portion.job.incarnation, number: portion.job.work.query };
         let Some(keys) = self.queries.get_mut(&query) else {
             return;
         };
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -130,8 +130,7 @@
     }
 
     pub(super) fn leaving(&self) -> bool {
-        self.leaving
-            .is_some_and(|leaving| leaving >= self.incarnation)
+        self.leaving.is_some_and(|leaving| leaving >= self.incarnation)
     }
 
     /// Whether it may get new work at all.
@@ -142,10 +141,7 @@
     /// The server refused this version as retired.
     pub(super) fn retire(&mut self, now: Instant, index: &str, version: u64) {
         self.retired.retain(|(_, at)| now.since(*at) < RETIRED_AGE);
-        let holding = Holding {
-            index: index.to_owned(),
-            version,
-        };
+        let holding = Holding { index: index.to_owned(), version };
         self.retired.push((holding, now));
     }
 
@@ -153,16 +149,10 @@
     pub(super) fn holds(&self, now: Instant, index: &str, version: u64) -> bool {
         let is = |holding: &Holding| holding.version == version && holding.index == index;
         let fresh = |at: &Instant| now.since(*at) < RETIRED_AGE;
-        if self
-            .retired
-            .iter()
-            .any(|(holding, at)| is(holding) && fresh(at))
-        {
+        if self.retired.iter().any(|(holding, at)| is(holding) && fresh(at)) {
             return false;
         }
-        let reported = self
-            .fresh_report(now)
-            .is_some_and(|load| load.holdings.iter().any(is));
+        let reported = self.fresh_report(now).is_some_and(|load| load.holdings.iter().any(is));
         reported || self.holdings.iter().any(is)
     }
 
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -109,9 +109,7 @@
 
     /// Mean call time once it is learned.
     pub(super) fn mean(&self) -> Option<Duration> {
-        self.times
-            .mean()
-            .filter(|_| self.times.samples() >= LEARNED)
+        self.times.mean().filter(|_| self.times.samples() >= LEARNED)
     }
 
     /// Takes a call time in.
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -78,11 +78,8 @@
 impl Machine {
     /// State of all services, in order of name.
     pub fn status(&self, now: Instant) -> Vec<Service> {
-        let mut services: Vec<Service> = self
-            .services
-            .keys()
-            .map(|id| self.service_status(id, now))
-            .collect();
+        let mut services: Vec<Service> =
+            self.services.keys().map(|id| self.service_status(id, now)).collect();
         services.sort_by(|a, b| a.name.cmp(&b.name));
         services
     }
@@ -133,11 +130,7 @@
         return State::Unreachable;
     }
     if server.health.suspect() {
-        return if held {
-            State::Suspect
-        } else {
-            State::Tolerated
-        };
+        return if held { State::Suspect } else { State::Tolerated };
     }
     if now < server.health.shed_until() {
         return State::Shedding;
--- a/crates/core/src/leaf/timer.rs
+++ b/crates/core/src/leaf/timer.rs
@@ -37,9 +37,7 @@
     }
 
     pub(super) fn peek(&self) -> Option<(Instant, Timer)> {
-        self.heap
-            .peek()
-            .map(|Reverse((at, _, timer))| (*at, *timer))
+        self.heap.peek().map(|Reverse((at, _, timer))| (*at, *timer))
     }
 
     pub(super) fn pop(&mut self) {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -86,10 +86,7 @@
 
     /// The operation of this name in the entry.
     pub fn operation(&self, name: &str) -> Option<&catalogue::Operation> {
-        self.entry
-            .operations
-            .iter()
-            .find(|operation| operation.name == name)
+        self.entry.operations.iter().find(|operation| operation.name == name)
     }
 }
 
@@ -143,8 +140,6 @@
 
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services
-            .get(*self.service_keys.get(name)?)
-            .map(|service| &**service)
+        self.services.get(*self.service_keys.get(name)?).map(|service| &**service)
     }
 }
--- a/crates/core/tests/age.rs
+++ b/crates/core/tests/age.rs
@@ -81,33 +81,18 @@
 #[test]
 fn senders_are_told_apart() {
     let mut gauges = Gauges::default();
-    assert_eq!(
-        gauges.age(Arc::from("a"), 1, 0, Instant::from_micros(900)),
-        0
-    );
-    assert_eq!(
-        gauges.age(Arc::from("b"), 1, 0, Instant::from_micros(5_000)),
-        0
-    );
-    assert_eq!(
-        gauges.age(Arc::from("a"), 1, 0, Instant::from_micros(1_000)),
-        100
-    );
+    assert_eq!(gauges.age(Arc::from("a"), 1, 0, Instant::from_micros(900)), 0);
+    assert_eq!(gauges.age(Arc::from("b"), 1, 0, Instant::from_micros(5_000)), 0);
+    assert_eq!(gauges.age(Arc::from("a"), 1, 0, Instant::from_micros(1_000)), 100);
 }
 
 #[test]
 fn clocks_of_any_value_give_an_age() {
-    bolero::check!()
-        .with_iterations(20_000)
-        .with_type::<(u64, u64, u64, u64)>()
-        .for_each(|(sent, received, sent_later, received_later)| {
+    bolero::check!().with_iterations(20_000).with_type::<(u64, u64, u64, u64)>().for_each(
+        |(sent, received, sent_later, received_later)| {
             let mut gauges = Gauges::default();
             gauges.age(Arc::from("a"), 1, *sent, Instant::from_micros(*received));
-            gauges.age(
-                Arc::from("a"),
-                1,
-                *sent_later,
-                Instant::from_micros(*received_later),
-            );
-        });
+            gauges.age(Arc::from("a"), 1, *sent_later, Instant::from_micros(*received_later));
+        },
+    );
 }
--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -86,9 +86,7 @@
         let mut services: Vec<_> = view.services.values().collect();
         services.sort_by_key(|service| &service.name);
         let owners = services.iter().map(|service| service.owner());
-        owners
-            .map(|owner| owner.map(|owner| Arc::clone(&owner.peer.name)))
-            .collect()
+        owners.map(|owner| owner.map(|owner| Arc::clone(&owner.peer.name))).collect()
     };
     let mut all = fleet.nodes.values().map(names);
     let first = all.next().expect("a node");
@@ -106,10 +104,7 @@
 }
 
 fn page(record: Record) -> Page {
-    Page {
-        head: record.revision,
-        records: vec![record],
-    }
+    Page { head: record.revision, records: vec![record] }
 }
 
 /// A catalogue change that reached one instance before the platform went down is in force on all
@@ -203,9 +198,7 @@
     fleet.silence_platform();
     let leaving = owner(&fleet.nodes[&name(0)], "gate-0").expect("owned");
     fleet.give(&leaving, Event::Drain);
-    fleet.until("left", Duration::from_secs(1), |fleet| {
-        nobody_uses(fleet, &leaving)
-    });
+    fleet.until("left", Duration::from_secs(1), |fleet| nobody_uses(fleet, &leaving));
     fleet.run(Duration::from_secs(10));
     assert!(nobody_uses(&fleet, &leaving), "for good");
 }
@@ -217,10 +210,7 @@
     let mut fleet = fleet(9, 4);
     fleet.silence_platform();
     fleet.island = (0..2).map(name).collect();
-    let seen = Event::ServerLeaving {
-        server: "gate-0-1".into(),
-        incarnation: 1,
-    };
+    let seen = Event::ServerLeaving { server: "gate-0-1".into(), incarnation: 1 };
     fleet.give(&name(5), seen);
     fleet.run(Duration::from_secs(2));
     fleet.island.clear();
@@ -286,10 +276,7 @@
     let view = Arc::clone(fleet.nodes[&name(50)].machine.view());
     assert_eq!(view.services.len(), 4);
     let mut servers = view.services.values().flat_map(|service| &service.servers);
-    assert!(
-        servers.all(|server| server.share == 0),
-        "it is not published"
-    );
+    assert!(servers.all(|server| server.share == 0), "it is not published");
 }
 
 /// No source answers at the start: the instance never becomes ready, and goes on asking.
@@ -323,8 +310,5 @@
     let (small, reads) = cost(9);
     let (large, more_reads) = cost(36);
     assert!(large <= small * 4 * 11 / 10, "{small} and {large} frames");
-    assert!(
-        reads <= 18 && more_reads <= 18,
-        "{reads} and {more_reads} reads in 10 s"
-    );
+    assert!(reads <= 18 && more_reads <= 18, "{reads} and {more_reads} reads in 10 s");
 }
--- a/crates/core/tests/fleet/disorder.rs
+++ b/crates/core/tests/fleet/disorder.rs
@@ -28,12 +28,7 @@
         for at in 0..INSTANCES {
             fleet.start(&name(at), zone(at));
         }
-        Self {
-            fleet,
-            revision: 1000,
-            queue: 100,
-            withdrawn: false,
-        }
+        Self { fleet, revision: 1000, queue: 100, withdrawn: false }
     }
 
     fn step(&mut self, choice: u8, which: u8) {
@@ -50,8 +45,7 @@
             7 => self.leave(which),
             _ => self.toggle(),
         }
-        self.fleet
-            .run(Duration::from_millis(200 * (which as u64 % 8)));
+        self.fleet.run(Duration::from_millis(200 * (which as u64 % 8)));
     }
 
     fn change(&mut self, which: usize) {
@@ -77,9 +71,7 @@
     fn restart(&mut self, own: &str, which: usize) {
         self.kill(own, which);
         self.fleet.incarnation += 1;
-        self.fleet.seeds = (0..INSTANCES)
-            .map(|at| publish::address(&name(at)))
-            .collect();
+        self.fleet.seeds = (0..INSTANCES).map(|at| publish::address(&name(at))).collect();
         self.fleet.start(own, zone(which % INSTANCES));
     }
 
@@ -90,10 +82,8 @@
     }
 
     fn leave(&mut self, which: usize) {
-        let seen = Event::ServerLeaving {
-            server: format!("gate-{}-0", which % 3).into(),
-            incarnation: 1,
-        };
+        let seen =
+            Event::ServerLeaving { server: format!("gate-{}-0", which % 3).into(), incarnation: 1 };
         if let Some(own) = self.fleet.nodes.keys().next().cloned() {
             self.fleet.give(&own, seen);
         }
@@ -114,9 +104,7 @@
 fn digests(fleet: &Fleet) -> Vec<Vec<(String, u64)>> {
     let known = |node: &crate::harness::Node| {
         let records = node.machine.records();
-        records
-            .map(|(key, record)| (key.to_string(), record.revision))
-            .collect()
+        records.map(|(key, record)| (key.to_string(), record.revision)).collect()
     };
     fleet.nodes.values().map(known).collect()
 }
@@ -126,17 +114,11 @@
     let newest = |node: &crate::harness::Node| {
         let view = node.machine.view();
         let service = view.service("gate-0");
-        service
-            .and_then(|service| service.entry.limits)
-            .map(|limits| limits.queue)
+        service.and_then(|service| service.entry.limits).map(|limits| limits.queue)
     };
     let servers = |node: &crate::harness::Node| -> Vec<bool> {
         let view = node.machine.view();
-        let mut servers: Vec<_> = view
-            .services
-            .values()
-            .flat_map(|s| s.servers.clone())
-            .collect();
+        let mut servers: Vec<_> = view.services.values().flat_map(|s| s.servers.clone()).collect();
         servers.sort_by(|one, other| one.name.cmp(&other.name));
         servers.iter().map(|server| server.leaving).collect()
     };
@@ -153,11 +135,8 @@
 /// its limit, and when the failures end every instance soon holds the newest of everything.
 #[test]
 fn any_failures_hold_caps_and_converge() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8)>>()
-        .with_iterations(40)
-        .with_max_len(60)
-        .for_each(|steps| {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(40).with_max_len(60).for_each(
+        |steps| {
             let mut session = Session::new();
             for &(choice, which) in steps.iter().take(20) {
                 session.step(choice, which);
@@ -168,7 +147,8 @@
             session.fleet.until("converged", SETTLED, done);
             let most = session.fleet.most_shares.values().max();
             assert!(most.is_none_or(|&most| most <= LIMIT), "{most:?}");
-        });
+        },
+    );
 }
 
 /// A racing withdrawal: the tombstone of an instance and its return are published while half of
@@ -186,8 +166,6 @@
     session.fleet.publish([publish::record(2001, back)]);
     session.heal();
     session.fleet.until("returned", SETTLED, |fleet| {
-        digests(fleet)
-            .iter()
-            .all(|known| known.contains(&("instance entry-5".to_owned(), 2001)))
+        digests(fleet).iter().all(|known| known.contains(&("instance entry-5".to_owned(), 2001)))
     });
 }
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -61,11 +61,7 @@
 
 impl Fleet {
     pub(crate) fn new() -> Self {
-        Self {
-            platform_up: true,
-            incarnation: 1,
-            ..Self::default()
-        }
+        Self { platform_up: true, incarnation: 1, ..Self::default() }
     }
 
     pub(crate) fn start(&mut self, name: &str, zone: &str) {
@@ -151,10 +147,7 @@
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
         let head = self.records.iter().map(|record| record.revision).max();
-        Page {
-            head: head.unwrap_or(0),
-            records,
-        }
+        Page { head: head.unwrap_or(0), records }
     }
 
     fn answer_watch(&mut self, name: &str) {
@@ -189,8 +182,7 @@
     fn act(&mut self, name: &str, action: Action) {
         let now = self.now;
         let line = session::line(&action);
-        self.log
-            .extend(line.map(|line| format!("{:>6} {name} {line}", now.as_micros() / 1000)));
+        self.log.extend(line.map(|line| format!("{:>6} {name} {line}", now.as_micros() / 1000)));
         match action {
             Action::Send { to, frame } => self.send(name, &to, frame),
             Action::Watch { after, wait } => {
@@ -221,10 +213,7 @@
         node.sent += 1;
         node.bytes += prost::Message::encoded_len(&*frame);
         let names = self.nodes.keys();
-        let target = names
-            .into_iter()
-            .find(|name| publish::address(name) == to)
-            .cloned();
+        let target = names.into_iter().find(|name| publish::address(name) == to).cloned();
         let Some(target) = target else { return };
         if self.island.contains(from) == self.island.contains(&target) {
             self.push(&target, HOP, Delivery::Frame(frame));
@@ -273,15 +262,8 @@
 
     fn step(&mut self) {
         let next = self.next_time();
-        self.idle_steps = if next > self.now {
-            0
-        } else {
-            self.idle_steps + 1
-        };
-        assert!(
-            self.idle_steps < 1000,
-            "machines wake without end at {next:?}"
-        );
+        self.idle_steps = if next > self.now { 0 } else { self.idle_steps + 1 };
+        assert!(self.idle_steps < 1000, "machines wake without end at {next:?}");
         self.now = next;
         let now = self.now;
         while let Some(entry) = self.queue.first_entry() {
@@ -326,10 +308,7 @@
     ) -> Duration {
         let start = self.now;
         while !holds(self) {
-            assert!(
-                self.now.since(start) < bound,
-                "not within {bound:?}: {what}"
-            );
+            assert!(self.now.since(start) < bound, "not within {bound:?}: {what}");
             self.step();
         }
         self.now.since(start)
--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -20,10 +20,8 @@
 
 impl Bench {
     fn new(peers: usize) -> Self {
-        let settings = Settings::builder(OWN, &publish::address(OWN))
-            .zone("trindade")
-            .incarnation(5)
-            .build();
+        let settings =
+            Settings::builder(OWN, &publish::address(OWN)).zone("trindade").incarnation(5).build();
         let now = Instant::from_millis(1000);
         let mut membership = Membership::new(&settings, now);
         let listed: Vec<Instance> = (0..=peers).map(|at| listed(at, State::Live)).collect();
@@ -132,11 +130,7 @@
     bench.pass(500, &[1, 2, 3, 4, 5, 6]);
     bench.pass(1000, &[1, 2, 3, 4, 5, 6]);
     for number in 1..=6 {
-        assert_eq!(
-            bench.liveness(number),
-            Liveness::Alive,
-            "entry-{number} after return"
-        );
+        assert_eq!(bench.liveness(number), Liveness::Alive, "entry-{number} after return");
     }
 }
 
@@ -146,14 +140,10 @@
 fn answer_ends_the_blame() {
     let mut bench = Bench::new(6);
     bench.pass(500, &[1, 2, 3, 4, 5, 6]);
-    let neighbours: Vec<String> = bench
-        .membership
-        .neighbours()
-        .map(|m| m.name.to_string())
-        .collect();
-    let speaking: Vec<usize> = (1..=6)
-        .filter(|at| !neighbours.contains(&format!("entry-{at}")))
-        .collect();
+    let neighbours: Vec<String> =
+        bench.membership.neighbours().map(|m| m.name.to_string()).collect();
+    let speaking: Vec<usize> =
+        (1..=6).filter(|at| !neighbours.contains(&format!("entry-{at}"))).collect();
     bench.pass(1750, &speaking);
     for name in &neighbours {
         let member = bench.membership.get(name).expect("known");
@@ -166,9 +156,7 @@
 fn flood_of_broken_links_blames_the_watcher() {
     let mut bench = Bench::new(4);
     for number in 1..=4 {
-        bench
-            .membership
-            .link_down(bench.now, &format!("entry-{number}"));
+        bench.membership.link_down(bench.now, &format!("entry-{number}"));
     }
     for number in 1..=4 {
         assert_eq!(bench.liveness(number), Liveness::Alive, "entry-{number}");
@@ -199,11 +187,7 @@
     bench.pass(500, &[]);
     assert_eq!([bench.liveness(1), bench.liveness(2)], [Liveness::Alive; 2]);
     bench.pass(250, &[1, 2]);
-    assert_eq!(
-        bench.liveness(3),
-        Liveness::Suspect,
-        "not dead for the time asleep"
-    );
+    assert_eq!(bench.liveness(3), Liveness::Suspect, "not dead for the time asleep");
 }
 
 /// The same without the shell noticing: a tick comes far too late, and the frames of two of three
@@ -216,15 +200,9 @@
     bench.hear(1, 1);
     bench.hear(2, 1);
     bench.membership.tick(bench.now);
-    assert_eq!(
-        [1, 2, 3].map(|number| bench.liveness(number)),
-        [Liveness::Alive; 3]
-    );
+    assert_eq!([1, 2, 3].map(|number| bench.liveness(number)), [Liveness::Alive; 3]);
     bench.pass(750, &[1, 2, 3]);
-    assert_eq!(
-        [1, 2, 3].map(|number| bench.liveness(number)),
-        [Liveness::Alive; 3]
-    );
+    assert_eq!([1, 2, 3].map(|number| bench.liveness(number)), [Liveness::Alive; 3]);
 }
 
 struct Hearsay {
@@ -289,10 +267,7 @@
     assert_eq!(own.liveness(), Liveness::Alive);
     bench.tell(0, 5, 1, Liveness::Dead);
     let own = bench.own_rumour().expect("told again");
-    assert_eq!(
-        own.refutation, 4,
-        "an older suspicion needs no higher refutation"
-    );
+    assert_eq!(own.refutation, 4, "an older suspicion needs no higher refutation");
 }
 
 /// A frame sent before its sender died arrives after the death is known. It must not bring the
@@ -302,10 +277,7 @@
     let mut bench = Bench::new(3);
     bench.tell(2, 1, 0, Liveness::Dead);
     let life = bench.hear(2, 1);
-    assert!(
-        matches!(life, Life::Doubted(_)),
-        "the sender is told: {life:?}"
-    );
+    assert!(matches!(life, Life::Doubted(_)), "the sender is told: {life:?}");
     assert_eq!(bench.liveness(2), Liveness::Suspect);
     bench.pass(1250, &[1, 3]);
     assert_eq!(bench.liveness(2), Liveness::Dead);
@@ -347,11 +319,7 @@
     bench.tell(2, 1, 0, Liveness::Dead);
     bench.pass(30_000, &[1, 3]);
     assert!(bench.membership.get("entry-2").is_some(), "still published");
-    let list = [
-        listed(0, State::Live),
-        listed(1, State::Live),
-        listed(3, State::Live),
-    ];
+    let list = [listed(0, State::Live), listed(1, State::Live), listed(3, State::Live)];
     bench.membership.publish(bench.now, list.iter());
     bench.pass(500, &[1, 3]);
     assert!(bench.membership.get("entry-2").is_none());
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -50,12 +50,8 @@
 }
 
 fn rumour(which: u8, detail: u8) -> Frame {
-    let liveness = [
-        Liveness::Alive,
-        Liveness::Suspect,
-        Liveness::Dead,
-        Liveness::Leaving,
-    ][usize::from(detail % 4)];
+    let liveness = [Liveness::Alive, Liveness::Suspect, Liveness::Dead, Liveness::Leaving]
+        [usize::from(detail % 4)];
     let told = Rumour {
         name: name(which),
         incarnation: 1 + u64::from(detail / 64),
@@ -93,11 +89,7 @@
             .zone(zone(0))
             .placement(placement)
             .build();
-        let mut session = Self {
-            machine: Machine::new(settings, now),
-            now,
-            revision: 0,
-        };
+        let mut session = Self { machine: Machine::new(settings, now), now, revision: 0 };
         let instances = (0..INSTANCES).map(|which| (3, which, 0));
         let entries = (0..SERVICES).map(|which| (0, which, 0));
         let servers = (0..8).map(|which| (1, which, which * 8));
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -23,12 +23,8 @@
     let ranking = rank(service, &list);
     let share = divide(limit);
     let order = ranking.order.iter().enumerate();
-    let named = order.map(|(position, &at)| {
-        (
-            list[at].name.to_owned(),
-            share.at(ranking.primaries, position),
-        )
-    });
+    let named = order
+        .map(|(position, &at)| (list[at].name.to_owned(), share.at(ranking.primaries, position)));
     named.collect()
 }
 
@@ -44,19 +40,15 @@
 
 fn fleet_of(zones: &[u8]) -> Fleet {
     let named = zones.iter().enumerate();
-    named
-        .map(|(at, zone)| (format!("entry-{at}"), format!("zone-{}", zone % 7)))
-        .collect()
+    named.map(|(at, zone)| (format!("entry-{at}"), format!("zone-{}", zone % 7))).collect()
 }
 
 /// A server of 25 connections refuses the 26th. Whatever the fleet looks like, the shares that the
 /// instances compute alone must not exceed the limit in the sum, and reach must stay bounded.
 #[test]
 fn shares_stay_below_the_limit() {
-    bolero::check!()
-        .with_type::<(Vec<u8>, u8, u8)>()
-        .with_iterations(2000)
-        .for_each(|(zones, service, limit)| {
+    bolero::check!().with_type::<(Vec<u8>, u8, u8)>().with_iterations(2000).for_each(
+        |(zones, service, limit)| {
             let fleet = fleet_of(zones);
             let limit = u32::from(*limit).max(2);
             let shares = shares(&fleet, &format!("gate-{service}"), limit);
@@ -66,17 +58,16 @@
             assert!(direct * fleet.len() as u32 <= limit);
             let larger = direct.max(direct_share(limit, fleet.len() + 1));
             assert!(larger * (fleet.len() as u32 + 1) <= limit);
-        });
+        },
+    );
 }
 
 /// During a rolling replacement some instances know the new list and some the old one, and both
 /// are connected. One instance is replaced at a time within its zone.
 #[test]
 fn lists_one_replacement_apart_hold_the_limit() {
-    bolero::check!()
-        .with_type::<(Vec<u8>, u8, u8, u8)>()
-        .with_iterations(4000)
-        .for_each(|(zones, service, limit, gone)| {
+    bolero::check!().with_type::<(Vec<u8>, u8, u8, u8)>().with_iterations(4000).for_each(
+        |(zones, service, limit, gone)| {
             let limit = u32::from(*limit).max(2);
             let service = format!("gate-{service}");
             let old = fleet_of(zones);
@@ -90,17 +81,16 @@
             let (one, other) = (shares(&old, &service, limit), shares(&new, &service, limit));
             let held = together(&one, &other);
             assert!(held <= limit, "{held} of {limit}: {one:?} {other:?}");
-        });
+        },
+    );
 }
 
 /// An instance is taken away without a successor, or one more is added: the lists before and after
 /// hold the limit together too.
 #[test]
 fn lists_one_instance_apart_hold_the_limit() {
-    bolero::check!()
-        .with_type::<(Vec<u8>, u8, u8, u8)>()
-        .with_iterations(4000)
-        .for_each(|(zones, service, limit, gone)| {
+    bolero::check!().with_type::<(Vec<u8>, u8, u8, u8)>().with_iterations(4000).for_each(
+        |(zones, service, limit, gone)| {
             let limit = u32::from(*limit).max(2);
             let service = format!("gate-{service}");
             let old = fleet_of(zones);
@@ -112,7 +102,8 @@
             let (one, other) = (shares(&old, &service, limit), shares(&new, &service, limit));
             let held = together(&one, &other);
             assert!(held <= limit, "{held} of {limit}: {one:?} {other:?}");
-        });
+        },
+    );
 }
 
 /// Taking an instance away moves only the services that it was a candidate of.
@@ -125,11 +116,7 @@
         for service in (0..50).map(|at| format!("gate-{at}")) {
             let before = shares(&fleet, &service, 25);
             if !before.contains_key(gone) {
-                assert_eq!(
-                    before,
-                    shares(&rest, &service, 25),
-                    "{service} without {gone}"
-                );
+                assert_eq!(before, shares(&rest, &service, 25), "{service} without {gone}");
             }
         }
     }
@@ -211,12 +198,7 @@
         let share = divide(size.limit);
         assert_eq!(ranking.order.len(), size.candidates, "{}", size.story);
         assert!(ranking.primaries <= REACH, "{}", size.story);
-        assert_eq!(
-            (share.primary, share.spare),
-            (size.primary, size.spare),
-            "{}",
-            size.story
-        );
+        assert_eq!((share.primary, share.spare), (size.primary, size.spare), "{}", size.story);
     }
 }
 
@@ -230,57 +212,46 @@
     let view = machine.view();
     let service = view.service(service).expect("published");
     let candidates = service.candidates.iter();
-    candidates
-        .map(|candidate| candidate.peer.name.to_string())
-        .collect()
+    candidates.map(|candidate| candidate.peer.name.to_string()).collect()
 }
 
 /// A machine recomputes only the rankings that a change of the list can affect. After any changes
 /// its candidates are those of a machine that ranks the whole list anew.
 #[test]
 fn followed_rankings_equal_new_ones() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8)>>()
-        .with_iterations(300)
-        .for_each(|changes| {
-            let mut machine = machine();
-            let mut fleet = Fleet::new();
-            let services: Vec<String> = (0..5).map(|at| format!("gate-{at}")).collect();
-            let entries = services.iter().map(|service| publish::entry(service, 10));
-            give(&mut machine, 1, entries.collect());
-            for (at, &(instance, zone)) in changes.iter().enumerate() {
-                let name = format!("entry-{}", instance % 40);
-                let zone = format!("zone-{}", zone % 7);
-                let body = if fleet.remove(&name).is_some() {
-                    publish::tombstone(Kind::Instance, &name)
-                } else {
-                    fleet.insert(name.clone(), zone.clone());
-                    publish::instance(&name, &zone, State::Live)
-                };
-                give(&mut machine, 100 + at as u64, vec![body]);
-            }
-            for service in &services {
-                let list = instances(&fleet);
-                let order = rank(service, &list).order;
-                let anew: BTreeSet<String> = order.iter().map(|&at| list[at].name.into()).collect();
-                assert_eq!(followed(&machine, service), anew);
-            }
-        });
+    bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(300).for_each(|changes| {
+        let mut machine = machine();
+        let mut fleet = Fleet::new();
+        let services: Vec<String> = (0..5).map(|at| format!("gate-{at}")).collect();
+        let entries = services.iter().map(|service| publish::entry(service, 10));
+        give(&mut machine, 1, entries.collect());
+        for (at, &(instance, zone)) in changes.iter().enumerate() {
+            let name = format!("entry-{}", instance % 40);
+            let zone = format!("zone-{}", zone % 7);
+            let body = if fleet.remove(&name).is_some() {
+                publish::tombstone(Kind::Instance, &name)
+            } else {
+                fleet.insert(name.clone(), zone.clone());
+                publish::instance(&name, &zone, State::Live)
+            };
+            give(&mut machine, 100 + at as u64, vec![body]);
+        }
+        for service in &services {
+            let list = instances(&fleet);
+            let order = rank(service, &list).order;
+            let anew: BTreeSet<String> = order.iter().map(|&at| list[at].name.into()).collect();
+            assert_eq!(followed(&machine, service), anew);
+        }
+    });
 }
 
 fn give(machine: &mut Machine, revision: u64, bodies: Vec<Body>) {
     let records = bodies.into_iter().zip(revision..);
     let page = Page {
         head: revision,
-        records: records
-            .map(|(body, revision)| publish::record(revision, body))
-            .collect(),
+        records: records.map(|(body, revision)| publish::record(revision, body)).collect(),
     };
-    machine.handle(
-        Instant::from_millis(revision),
-        Event::Page(page),
-        &mut Vec::new(),
-    );
+    machine.handle(Instant::from_millis(revision), Event::Page(page), &mut Vec::new());
 }
 
 /// A fourth zone is opened with one instance. It is the best of its zone and thus a candidate of
@@ -296,15 +267,8 @@
         publish::instance(&format!("entry-{at}"), &zone, State::Live)
     });
     give(&mut machine, 100, old.collect());
-    give(
-        &mut machine,
-        200,
-        vec![publish::instance("entry-99", "zone-3", State::Live)],
-    );
+    give(&mut machine, 200, vec![publish::instance("entry-99", "zone-3", State::Live)]);
     for service in &services {
-        assert!(
-            followed(&machine, service).contains("entry-99"),
-            "{service}"
-        );
+        assert!(followed(&machine, service).contains("entry-99"), "{service}");
     }
 }
--- a/crates/core/tests/fleet/publish.rs
+++ b/crates/core/tests/fleet/publish.rs
@@ -6,10 +6,7 @@
 };
 
 pub(crate) fn record(revision: u64, body: Body) -> Record {
-    Record {
-        revision,
-        body: Some(body),
-    }
+    Record { revision, body: Some(body) }
 }
 
 pub(crate) fn entry(service: &str, queue: u32) -> Body {
@@ -17,11 +14,7 @@
         service: service.to_owned(),
         owner: "porto".to_owned(),
         urgency: Urgency::Urgent as i32,
-        limits: Some(Limits {
-            queue,
-            extra_percent: 10,
-            ..Limits::default()
-        }),
+        limits: Some(Limits { queue, extra_percent: 10, ..Limits::default() }),
         operations: vec![Operation {
             name: "find".to_owned(),
             deadline_ms: 90,
@@ -31,10 +24,8 @@
 }
 
 pub(crate) fn index(name: &str, version: u64, services: &[&str]) -> Body {
-    let shard = |service: &&str| Shard {
-        name: format!("{service}-shard"),
-        service: (*service).to_owned(),
-    };
+    let shard =
+        |service: &&str| Shard { name: format!("{service}-shard"), service: (*service).to_owned() };
     Body::Index(Index {
         name: name.to_owned(),
         version,
@@ -66,10 +57,7 @@
 }
 
 pub(crate) fn tombstone(kind: Kind, name: &str) -> Body {
-    Body::Tombstone(Tombstone {
-        kind: kind as i32,
-        name: name.to_owned(),
-    })
+    Body::Tombstone(Tombstone { kind: kind as i32, name: name.to_owned() })
 }
 
 /// Peer address of an instance whose name ends in a number.
--- a/crates/core/tests/fleet/reader.rs
+++ b/crates/core/tests/fleet/reader.rs
@@ -6,10 +6,7 @@
 use ladder_core::control::reader::{Reader, Timing, chosen};
 use ladder_core::time::Instant;
 
-const TIMING: Timing = Timing {
-    digest: Duration::from_secs(1),
-    watch: Duration::from_secs(5),
-};
+const TIMING: Timing = Timing { digest: Duration::from_secs(1), watch: Duration::from_secs(5) };
 
 fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
@@ -25,10 +22,8 @@
     let name = |number: usize| format!("entry-{number}");
     let zone = |number: usize| number % 30;
     let readers = (0..3700).filter(|&own| {
-        let names: Vec<String> = (0..3700)
-            .filter(|&other| other != own && zone(other) == zone(own))
-            .map(name)
-            .collect();
+        let names: Vec<String> =
+            (0..3700).filter(|&other| other != own && zone(other) == zone(own)).map(name).collect();
         chosen(&name(own), names.iter().map(String::as_str))
     });
     assert_eq!(readers.count(), 60);
@@ -45,24 +40,15 @@
         let mut now = at(0);
         let mut last = Duration::ZERO;
         for failure in 0..10 {
-            assert!(
-                reader.poll(now, true, TIMING, &mut random).is_some(),
-                "failure {failure}"
-            );
-            assert!(
-                reader.poll(now, true, TIMING, &mut random).is_none(),
-                "one read at a time"
-            );
+            assert!(reader.poll(now, true, TIMING, &mut random).is_some(), "failure {failure}");
+            assert!(reader.poll(now, true, TIMING, &mut random).is_none(), "one read at a time");
             reader.failed(now, &mut random);
             let next = reader.next_wake(true, TIMING).expect("a retry");
             last = next.since(now);
             assert!(last >= Duration::from_millis(250) && last <= Duration::from_secs(15));
             now = next;
         }
-        assert!(
-            last >= Duration::from_millis(7500),
-            "the tenth failure waits long"
-        );
+        assert!(last >= Duration::from_millis(7500), "the tenth failure waits long");
         waits.push(last);
     }
     waits.sort();
@@ -76,28 +62,17 @@
 fn cursor_follows_the_platform_alone() {
     let mut random = Random::new(1);
     let mut reader = reader(&mut random);
-    let read = reader
-        .poll(at(0), true, TIMING, &mut random)
-        .expect("at once");
+    let read = reader.poll(at(0), true, TIMING, &mut random).expect("at once");
     assert_eq!((read.after, read.wait), (0, Duration::ZERO));
     reader.answered(at(1), Some(40), 90);
-    let read = reader
-        .poll(at(1), true, TIMING, &mut random)
-        .expect("the rest");
+    let read = reader.poll(at(1), true, TIMING, &mut random).expect("the rest");
     assert_eq!((read.after, read.wait), (40, Duration::ZERO));
     reader.answered(at(2), Some(90), 90);
-    let read = reader
-        .poll(at(2), true, TIMING, &mut random)
-        .expect("a watch");
+    let read = reader.poll(at(2), true, TIMING, &mut random).expect("a watch");
     assert_eq!((read.after, read.wait), (90, TIMING.watch));
     reader.answered(at(9), None, 30);
-    let read = reader
-        .poll(at(500), true, TIMING, &mut random)
-        .expect("a watch");
-    assert_eq!(
-        read.after, 90,
-        "a stale replica does not move the cursor back"
-    );
+    let read = reader.poll(at(500), true, TIMING, &mut random).expect("a watch");
+    assert_eq!(read.after, 90, "a stale replica does not move the cursor back");
 }
 
 /// An instance that the rule did not choose reads once at its start, and again only when no digest
@@ -106,10 +81,7 @@
 fn cut_off_instance_reads_itself() {
     let mut random = Random::new(3);
     let mut reader = reader(&mut random);
-    assert!(
-        reader.poll(at(0), false, TIMING, &mut random).is_some(),
-        "the start"
-    );
+    assert!(reader.poll(at(0), false, TIMING, &mut random).is_some(), "the start");
     reader.answered(at(1), Some(10), 10);
     for second in 1..60 {
         reader.heard_digest(at(second * 1000));
--- a/crates/core/tests/fleet/repair.rs
+++ b/crates/core/tests/fleet/repair.rs
@@ -21,9 +21,7 @@
 
 fn known(machine: &Machine) -> Vec<(String, u64)> {
     let records = machine.records();
-    records
-        .map(|(key, record)| (key.to_string(), record.revision))
-        .collect()
+    records.map(|(key, record)| (key.to_string(), record.revision)).collect()
 }
 
 /// Each of two instances has missed a change of a publication of 4,000 records. A digest shows the
@@ -36,10 +34,7 @@
     let mut first = all.clone();
     first.push(publish::record(5000, publish::entry("gate-7", 20)));
     let mut second = all;
-    second.push(publish::record(
-        5001,
-        publish::tombstone(Kind::Entry, "gate-9"),
-    ));
+    second.push(publish::record(5001, publish::tombstone(Kind::Entry, "gate-9")));
     let mut machines = [machine(NAMES[0], first), machine(NAMES[1], second)];
     let mut frames: Vec<(usize, Frame)> = Vec::new();
     let mut records = 0;
--- a/crates/core/tests/fleet/replacement.rs
+++ b/crates/core/tests/fleet/replacement.rs
@@ -28,14 +28,9 @@
         fleet.start(&new, zone(at));
         publish(&mut fleet, publish::instance(&new, zone(at), State::Live));
         fleet.run(ahead);
-        publish(
-            &mut fleet,
-            publish::instance(&old, zone(at), State::Leaving),
-        );
+        publish(&mut fleet, publish::instance(&old, zone(at), State::Leaving));
         fleet.give(&old, Event::Drain);
-        fleet.until("left", Duration::from_secs(3), |fleet| {
-            nobody_uses(fleet, &old)
-        });
+        fleet.until("left", Duration::from_secs(3), |fleet| nobody_uses(fleet, &old));
         fleet.kill(&old, true);
         publish(&mut fleet, publish::tombstone(Kind::Instance, &old));
         fleet.run(Duration::from_millis(300));
@@ -74,11 +69,7 @@
             let owned = |service: &&Arc<Service>| service.owner().is_some_and(|owner| owner.local);
             for service in view.services.values().filter(owned) {
                 let share = service.servers[0].share;
-                assert!(
-                    share >= PRIMARY,
-                    "{own} owns {} with {share} at {at:?}",
-                    service.name
-                );
+                assert!(share >= PRIMARY, "{own} owns {} with {share} at {at:?}", service.name);
             }
         }
     }
@@ -96,10 +87,7 @@
         let revision = 1000 + 2 * at as u64;
         let new = publish::instance(&name(100 + at), zone(at), State::Live);
         let gone = publish::tombstone(Kind::Instance, &name(at));
-        [
-            publish::record(revision, new),
-            publish::record(revision + 1, gone),
-        ]
+        [publish::record(revision, new), publish::record(revision + 1, gone)]
     });
     fleet.publish(records);
     for at in replaced.clone() {
--- a/crates/core/tests/fleet/session.rs
+++ b/crates/core/tests/fleet/session.rs
@@ -45,10 +45,7 @@
     let ready = if view.ready { "ready" } else { "not ready" };
     let services: Vec<String> = services.collect();
     let (generation, revision) = (view.generation, view.revision);
-    format!(
-        "view {generation} of revision {revision}, {ready}: {}",
-        services.join("; ")
-    )
+    format!("view {generation} of revision {revision}, {ready}: {}", services.join("; "))
 }
 
 fn service(service: &Service) -> String {
@@ -56,18 +53,10 @@
         let mark = if candidate.live { "" } else { "!" };
         format!("{mark}{}", candidate.peer.name)
     });
-    let shares = service
-        .servers
-        .iter()
-        .map(|server| server.share.to_string());
+    let shares = service.servers.iter().map(|server| server.share.to_string());
     let candidates: Vec<String> = candidates.collect();
     let shares: Vec<String> = shares.collect();
-    format!(
-        "{} by {} with {}",
-        service.name,
-        candidates.join(" "),
-        shares.join("+")
-    )
+    format!("{} by {} with {}", service.name, candidates.join(" "), shares.join("+"))
 }
 
 /// An instance is replaced: the new one starts and is listed, the old one drains, leaves the list
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -117,9 +117,7 @@
 }
 
 fn entry_with(limits: Option<Limits>, operations: Vec<Operation>) -> Body {
-    let Body::Entry(mut entry) = entry("gate-1", 10) else {
-        unreachable!("built as an entry")
-    };
+    let Body::Entry(mut entry) = entry("gate-1", 10) else { unreachable!("built as an entry") };
     if limits.is_some() {
         entry.limits = limits;
     }
@@ -128,29 +126,17 @@
 }
 
 fn operation(name: &str, deadline_ms: u32) -> Operation {
-    Operation {
-        name: name.to_owned(),
-        deadline_ms,
-        ..Operation::default()
-    }
+    Operation { name: name.to_owned(), deadline_ms, ..Operation::default() }
 }
 
 fn limits(queue: u32, extra_percent: u32, connections: u32) -> Option<Limits> {
-    Some(Limits {
-        queue,
-        extra_percent,
-        connections,
-        ..Limits::default()
-    })
+    Some(Limits { queue, extra_percent, connections, ..Limits::default() })
 }
 
 fn bad_entries() -> Vec<Bad> {
     let find = || vec![operation("find", 90)];
     vec![
-        Bad {
-            body: entry("", 10),
-            detail: "entry.service: is missing",
-        },
+        Bad { body: entry("", 10), detail: "entry.service: is missing" },
         Bad {
             body: entry_with(limits(200_000, 10, 0), find()),
             detail: "entry.limits.queue: 200000 is outside 1 to 100000",
@@ -188,10 +174,7 @@
             body: addressed,
             detail: "instance.peer_address: \"localhost:80\" is not an IP number and port",
         },
-        Bad {
-            body: index("docks", 1, &[]),
-            detail: "index.shards: 0 is outside 1 to 4096",
-        },
+        Bad { body: index("docks", 1, &[]), detail: "index.shards: 0 is outside 1 to 4096" },
         Bad {
             body: index("docks", 1, &["gate-1", "gate-1"]),
             detail: "index.shards: \"gate-1-shard\" stands twice",
@@ -218,10 +201,7 @@
             panic!("accepted although {}", bad.detail);
         };
         assert_eq!(refusal.detail, bad.detail);
-        assert_eq!(
-            store.apply(&record(3, entry("gate-2", 10))),
-            Outcome::Applied
-        );
+        assert_eq!(store.apply(&record(3, entry("gate-2", 10))), Outcome::Applied);
         assert_eq!(store.refused().count(), 1);
     }
 }
@@ -238,10 +218,7 @@
         record(revision, server("gate-1-0", "gate-1", incarnation, state))
     };
     let mut store = Store::default();
-    assert!(
-        !store.depart("gate-1-0", 1),
-        "nothing is known of the server yet"
-    );
+    assert!(!store.depart("gate-1-0", 1), "nothing is known of the server yet");
     store.apply(&published(1, 1, State::Live));
     assert!(!listed(&store));
     assert!(store.depart("gate-1-0", 1), "a load report says leaving");
@@ -260,11 +237,7 @@
     let one = |(at, &(kind, key, incarnation)): (usize, &(u8, u8, u8))| {
         let name = format!("gate-{}", key % 4);
         let incarnation = u64::from(incarnation % 3);
-        let state = if kind % 2 == 0 {
-            State::Live
-        } else {
-            State::Leaving
-        };
+        let state = if kind % 2 == 0 { State::Live } else { State::Leaving };
         let body = match kind % 6 {
             0 | 1 => server(&name, "gate", incarnation, state),
             2 => entry(&name, u32::from(key % 3)),
@@ -297,9 +270,7 @@
 
 fn contents(store: &Store) -> Vec<(Key, u64)> {
     let records = store.records();
-    records
-        .map(|(key, record)| (key.clone(), record.revision))
-        .collect()
+    records.map(|(key, record)| (key.clone(), record.revision)).collect()
 }
 
 /// Two instances receive the same records in different orders, some twice and some never, with
@@ -333,12 +304,8 @@
     let Some(record) = records.get(usize::from(at) % records.len().max(1)) else {
         return;
     };
-    let before = store
-        .get(&Key::of(record))
-        .map_or(0, |known| known.revision);
+    let before = store.get(&Key::of(record)).map_or(0, |known| known.revision);
     store.apply(record);
-    let after = store
-        .get(&Key::of(record))
-        .map_or(0, |known| known.revision);
+    let after = store.get(&Key::of(record)).map_or(0, |known| known.revision);
     assert!(after >= before);
 }
--- a/crates/core/tests/gather/any_order.rs
+++ b/crates/core/tests/gather/any_order.rs
@@ -14,14 +14,8 @@
 use crate::session::{INCARNATION, request};
 
 /// Version 9 moves shards between services and replaces `f` by `g`.
-const MOVED: [(&str, &str); 6] = [
-    ("a", "s2"),
-    ("b", "s1"),
-    ("c", "s2"),
-    ("d", "s3"),
-    ("e", "s3"),
-    ("g", "s1"),
-];
+const MOVED: [(&str, &str); 6] =
+    [("a", "s2"), ("b", "s1"), ("c", "s2"), ("d", "s3"), ("e", "s3"), ("g", "s1")];
 
 const REASONS: [Reason; 12] = [
     Reason::NotOwner,
@@ -89,10 +83,7 @@
         let caller = Caller(self.callers);
         let operation = ["sweep", "check", "book", "book"][usize::from(a % 4)];
         let shards = ["a", "b", "c", "d", "e", "f", "g"];
-        let asked = shards
-            .iter()
-            .enumerate()
-            .filter(|(bit, _)| b >> bit & 1 == 1);
+        let asked = shards.iter().enumerate().filter(|(bit, _)| b >> bit & 1 == 1);
         let asked: Vec<&str> = asked.map(|(_, &shard)| shard).collect();
         let request = Request {
             payload: caller.0.to_string(),
@@ -153,10 +144,7 @@
 
     fn replied(&mut self, from: String, reply: Reply) {
         self.oracle.replied(&from, &reply);
-        self.give(Event::Replies {
-            from: from.into(),
-            replies: vec![reply],
-        });
+        self.give(Event::Replies { from: from.into(), replies: vec![reply] });
     }
 
     /// Time passes and the machine is woken as it asks.
@@ -202,10 +190,8 @@
 
 fn reply(sent: &Sent, b: u8) -> Reply {
     let covered = b & 3 != 0;
-    let parts = sent.portion.shards.iter().map(|shard| Part {
-        shard: shard.clone(),
-        body: String::new(),
-    });
+    let parts =
+        sent.portion.shards.iter().map(|shard| Part { shard: shard.clone(), body: String::new() });
     let verdict = match (covered, b & 4 == 0) {
         (true, _) => Verdict::Ran,
         (false, true) => Verdict::NotRun,
@@ -230,13 +216,9 @@
 
 #[test]
 fn promises_hold_in_any_order_of_events() {
-    let steps = bolero::generator::produce::<Vec<[u8; 4]>>()
-        .with()
-        .len(0usize..160);
-    bolero::check!()
-        .with_generator(steps)
-        .with_iterations(1500)
-        .for_each(|steps: &Vec<[u8; 4]>| {
+    let steps = bolero::generator::produce::<Vec<[u8; 4]>>().with().len(0usize..160);
+    bolero::check!().with_generator(steps).with_iterations(1500).for_each(
+        |steps: &Vec<[u8; 4]>| {
             let mut world = World::new();
             for &step in steps {
                 world.step(step);
@@ -245,5 +227,6 @@
             world.wake(255);
             world.wake(255);
             assert_eq!(world.machine.open(), 0);
-        });
+        },
+    );
 }
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -11,14 +11,8 @@
 /// The instance under test.
 pub(crate) const SELF: &str = "e1";
 /// Shards with their services in the usual map.
-pub(crate) const MAP: [(&str, &str); 6] = [
-    ("a", "s1"),
-    ("b", "s1"),
-    ("c", "s2"),
-    ("d", "s2"),
-    ("e", "s3"),
-    ("f", "s3"),
-];
+pub(crate) const MAP: [(&str, &str); 6] =
+    [("a", "s1"), ("b", "s1"), ("c", "s2"), ("d", "s2"), ("e", "s3"), ("f", "s3")];
 
 /// A service with the versions that its two servers hold and its candidates.
 #[derive(Clone, Debug)]
@@ -77,19 +71,11 @@
 
     /// The view.
     pub(crate) fn view(&self) -> Arc<View> {
-        let mut view = View {
-            generation: 1,
-            revision: 1,
-            ready: self.ready,
-            ..View::default()
-        };
+        let mut view = View { generation: 1, revision: 1, ready: self.ready, ..View::default() };
         for site in &self.sites {
             view.insert(service(site));
         }
-        let versions = self
-            .versions
-            .iter()
-            .map(|(version, map)| index(*version, map));
+        let versions = self.versions.iter().map(|(version, map)| index(*version, map));
         view.indexes.insert(INDEX.into(), versions.collect());
         Arc::new(view)
     }
@@ -132,15 +118,10 @@
 }
 
 fn index(version: u64, map: &[(&str, &str)]) -> Arc<Index> {
-    let shards = map.iter().map(|(name, service)| Shard {
-        name: (*name).to_owned(),
-        service: (*service).to_owned(),
-    });
-    Arc::new(Index {
-        name: INDEX.to_owned(),
-        version,
-        shards: shards.collect(),
-    })
+    let shards = map
+        .iter()
+        .map(|(name, service)| Shard { name: (*name).to_owned(), service: (*service).to_owned() });
+    Arc::new(Index { name: INDEX.to_owned(), version, shards: shards.collect() })
 }
 
 fn service(site: &Site) -> Service {
@@ -165,10 +146,7 @@
 }
 
 fn server(service: &str, number: usize, held: &[u64], leaving: bool) -> Server {
-    let holdings = held.iter().map(|&version| Holding {
-        index: INDEX.to_owned(),
-        version,
-    });
+    let holdings = held.iter().map(|&version| Holding { index: INDEX.to_owned(), version });
     Server {
         name: format!("{service}-{number}").into(),
         address: "127.0.0.1:9".into(),
--- a/crates/core/tests/gather/oracle.rs
+++ b/crates/core/tests/gather/oracle.rs
@@ -65,10 +65,7 @@
 
 impl Oracle {
     pub(crate) fn called(&mut self, now: Instant, caller: Caller, request: &Request) {
-        let open = Open {
-            request: request.clone(),
-            arrived: now,
-        };
+        let open = Open { request: request.clone(), arrived: now };
         self.open.insert(caller, open);
     }
 
@@ -92,11 +89,7 @@
                 Action::Cancel { .. } | Action::Count(_) => {}
             }
         }
-        assert_eq!(
-            machine.open(),
-            self.open.len(),
-            "each call is open or answered"
-        );
+        assert_eq!(machine.open(), self.open.len(), "each call is open or answered");
         for (caller, open) in &self.open {
             // A caller that names no deadline waits for at least the shortest default of 100 ms and
             // at most the longest of 500 ms.
@@ -143,10 +136,7 @@
             same_key && shares_shard(&sent.portion, portion)
         });
         for sent in earlier {
-            assert!(
-                sent.is_proved_not_run(),
-                "{work:?} may run twice after {sent:?}"
-            );
+            assert!(sent.is_proved_not_run(), "{work:?} may run twice after {sent:?}");
         }
     }
 
@@ -177,10 +167,7 @@
         assert!(in_order.eq(answer.covered.iter()), "in order of the map");
         named.sort_unstable();
         let mut asked: Vec<&str> = match request.shards.as_slice() {
-            [] => self.maps[&answer.version]
-                .iter()
-                .map(String::as_str)
-                .collect(),
+            [] => self.maps[&answer.version].iter().map(String::as_str).collect(),
             shards => shards.iter().map(String::as_str).collect(),
         };
         asked.sort_unstable();
@@ -214,20 +201,12 @@
             assert_ne!(missing.reason(), Reason::Unspecified, "{answer:?}");
             let mut holding = sent().filter(|sent| sent.portion.shards.contains(&missing.shard));
             if missing.verdict() == Verdict::NotRun {
-                assert!(
-                    holding.all(Sent::is_proved_not_run),
-                    "{missing:?} in {answer:?}"
-                );
+                assert!(holding.all(Sent::is_proved_not_run), "{missing:?} in {answer:?}");
             }
         }
         let unrepeatable = sent().any(|sent| sent.work.unrepeatable);
         if unrepeatable && answer.verdict() == Verdict::Ran {
-            assert!(
-                answer
-                    .missing
-                    .iter()
-                    .all(|missing| missing.verdict() == Verdict::Ran)
-            );
+            assert!(answer.missing.iter().all(|missing| missing.verdict() == Verdict::Ran));
         }
     }
 }
--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -42,11 +42,7 @@
     let answer = answer(&session.reply("e3", covered(&again[0].1, "s2")));
     assert_eq!(answer.covered, ["c", "d"]);
     let next = session.call(request("k2", "sweep", &["c"]));
-    assert_eq!(
-        receivers(&next),
-        ["e3"],
-        "until the owner is heard of again"
-    );
+    assert_eq!(receivers(&next), ["e3"], "until the owner is heard of again");
 }
 
 /// The link breaks, or the owner refuses, in the two milliseconds before the deadline that are kept
@@ -155,28 +151,16 @@
     }
     session.call(request("k", "check", &["c"]));
     assert_eq!(receivers(&serve(&mut session, 30, None)), ["e3"]);
-    assert_eq!(
-        receivers(&serve(&mut session, 0, Some("d"))),
-        ["e3"],
-        "passed over"
-    );
+    assert_eq!(receivers(&serve(&mut session, 0, Some("d"))), ["e3"], "passed over");
     session.pass(250);
     let booking = session.call(request("b", "book", &["d"]));
     assert_eq!(receivers(&booking), ["e3"], "a booking never probes");
     let probing = serve(&mut session, 0, Some("d"));
     assert_eq!(receivers(&probing), ["e3", "e2"], "probed");
-    assert_eq!(
-        receivers(&serve(&mut session, 0, Some("d"))),
-        ["e3"],
-        "one probe at a time"
-    );
+    assert_eq!(receivers(&serve(&mut session, 0, Some("d"))), ["e3"], "one probe at a time");
     let probe = &works(&probing)[1].1;
     session.reply("e2", covered(probe, "s2"));
-    assert_eq!(
-        receivers(&serve(&mut session, 0, Some("d"))),
-        ["e2"],
-        "taken back"
-    );
+    assert_eq!(receivers(&serve(&mut session, 0, Some("d"))), ["e2"], "taken back");
 }
 
 /// Lets time pass, asks for a shard of s2 if one is named, and replies for e3.
@@ -221,10 +205,7 @@
 #[test]
 fn slow_operation_is_given_time() {
     let mut session = Session::new(&Fleet::default());
-    let asked = Request {
-        deadline_ms: 20_000,
-        ..request("k1", "check", &["c"])
-    };
+    let asked = Request { deadline_ms: 20_000, ..request("k1", "check", &["c"]) };
     session.call(asked);
     assert!(works(&session.pass(1249)).is_empty());
     assert_eq!(receivers(&session.pass(101)), ["e3"]);
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -25,12 +25,7 @@
 }
 
 const fn case(operation: &'static str, verdict: Verdict, reason: Reason, then: Then) -> Case {
-    Case {
-        operation,
-        verdict,
-        reason,
-        then,
-    }
+    Case { operation, verdict, reason, then }
 }
 
 const NOT: Verdict = Verdict::NotRun;
@@ -110,10 +105,7 @@
     for shards in [&["c"][..], &[]] {
         let mut session = Session::new(&Fleet::default());
         for unrepeatable in [true, false] {
-            let asked = Request {
-                unrepeatable,
-                ..request("k1", "check", shards)
-            };
+            let asked = Request { unrepeatable, ..request("k1", "check", shards) };
             session.call(asked);
             let moved = !works(&session.link_down("e2")).is_empty();
             assert_eq!(moved, !unrepeatable, "{shards:?}");
@@ -162,26 +154,10 @@
         again: Option<Verdict>,
     }
     let cases = [
-        Case {
-            key: "open",
-            reply: None,
-            again: Some(MAY),
-        },
-        Case {
-            key: "ran",
-            reply: Some((RAN, Reason::RepeatedKey)),
-            again: Some(RAN),
-        },
-        Case {
-            key: "unsure",
-            reply: Some((MAY, Reason::TargetLost)),
-            again: Some(MAY),
-        },
-        Case {
-            key: "refused",
-            reply: Some((NOT, Reason::QueueFull)),
-            again: None,
-        },
+        Case { key: "open", reply: None, again: Some(MAY) },
+        Case { key: "ran", reply: Some((RAN, Reason::RepeatedKey)), again: Some(RAN) },
+        Case { key: "unsure", reply: Some((MAY, Reason::TargetLost)), again: Some(MAY) },
+        Case { key: "refused", reply: Some((NOT, Reason::QueueFull)), again: None },
     ];
     let mut session = Session::new(&Fleet::default());
     for case in &cases {
@@ -193,18 +169,10 @@
         }
         let out = session.call(request(case.key, "book", &["c"]));
         let answer = answers(&out).pop();
-        assert_eq!(
-            answer.as_ref().map(Answer::verdict),
-            case.again,
-            "{}",
-            case.key
-        );
+        assert_eq!(answer.as_ref().map(Answer::verdict), case.again, "{}", case.key);
         assert_eq!(works(&out).is_empty(), case.again.is_some(), "{}", case.key);
         if let Some(answer) = answer {
-            assert_eq!(
-                (answer.reason(), status(&answer)),
-                (Reason::RepeatedKey, 409)
-            );
+            assert_eq!((answer.reason(), status(&answer)), (Reason::RepeatedKey, 409));
         }
     }
 }
@@ -233,10 +201,7 @@
         (Reason::Paused, 504),
     ];
     for (reason, expected) in cases {
-        let answer = Answer {
-            reason: reason.into(),
-            ..Answer::default()
-        };
+        let answer = Answer { reason: reason.into(), ..Answer::default() };
         assert_eq!(status(&answer), expected, "{reason:?}");
     }
 }
--- a/crates/core/tests/gather/replies.rs
+++ b/crates/core/tests/gather/replies.rs
@@ -146,10 +146,7 @@
         let mut reply = covered(work, "s2");
         reply.parts[0].body = key.to_owned();
         let answer = answer(&session.reply("e2", reply));
-        assert_eq!(
-            (answer.key.as_str(), answer.parts[0].body.as_str()),
-            (key, key)
-        );
+        assert_eq!((answer.key.as_str(), answer.parts[0].body.as_str()), (key, key));
     }
 }
 
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -74,10 +74,7 @@
 
     /// A peer replies.
     pub(crate) fn reply(&mut self, from: &str, reply: Reply) -> Vec<Action> {
-        self.give(Event::Replies {
-            from: from.into(),
-            replies: vec![reply],
-        })
+        self.give(Event::Replies { from: from.into(), replies: vec![reply] })
     }
 
     pub(crate) fn link_down(&mut self, name: &str) -> Vec<Action> {
@@ -131,10 +128,10 @@
         .iter()
         .find(|portion| portion.service == service)
         .expect("the work has a portion of the service");
-    let parts = portion.shards.iter().map(|shard| Part {
-        shard: shard.clone(),
-        body: format!("{shard}@{}", work.version),
-    });
+    let parts = portion
+        .shards
+        .iter()
+        .map(|shard| Part { shard: shard.clone(), body: format!("{shard}@{}", work.version) });
     Reply {
         verdict: Verdict::Ran.into(),
         parts: parts.collect(),
@@ -165,12 +162,7 @@
 
 fn missing_text(missing: &Missing) -> String {
     let (reason, verdict) = (missing.reason(), missing.verdict());
-    format!(
-        "{}:{}/{}",
-        missing.shard,
-        short(reason),
-        verdict_text(verdict)
-    )
+    format!("{}:{}/{}", missing.shard, short(reason), verdict_text(verdict))
 }
 
 fn short(reason: Reason) -> &'static str {
--- a/crates/core/tests/gather/stop.rs
+++ b/crates/core/tests/gather/stop.rs
@@ -19,14 +19,8 @@
 #[test]
 fn bound_answers_everything_open_with_its_verdict() {
     let cases = [
-        Case {
-            operation: "check",
-            verdict: Verdict::MayHaveRun,
-        },
-        Case {
-            operation: "book",
-            verdict: Verdict::MayHaveRun,
-        },
+        Case { operation: "check", verdict: Verdict::MayHaveRun },
+        Case { operation: "book", verdict: Verdict::MayHaveRun },
     ];
     for case in cases {
         let mut session = Session::new(&Fleet::default());
@@ -36,12 +30,7 @@
         let answer = answer(&out);
         assert_eq!(answer.verdict(), case.verdict, "{}", case.operation);
         assert_eq!(answer.missing.len(), 1, "{}", case.operation);
-        assert_eq!(
-            answer.missing[0].reason(),
-            Reason::Draining,
-            "{}",
-            case.operation
-        );
+        assert_eq!(answer.missing[0].reason(), Reason::Draining, "{}", case.operation);
         assert_eq!(session.machine.open(), 0, "{}", case.operation);
     }
 }
--- a/crates/core/tests/gather/sweep.rs
+++ b/crates/core/tests/gather/sweep.rs
@@ -32,10 +32,7 @@
     }
     let answer = answer(&session.pass(100));
     assert_eq!(answer.covered, ["a", "b", "e", "f"]);
-    assert_eq!(
-        missing(&answer),
-        "c:DEADLINE/MAY_HAVE_RUN d:DEADLINE/MAY_HAVE_RUN"
-    );
+    assert_eq!(missing(&answer), "c:DEADLINE/MAY_HAVE_RUN d:DEADLINE/MAY_HAVE_RUN");
     assert_eq!(answer.verdict(), Verdict::Ran);
     assert_eq!(session.machine.open(), 0);
 }
@@ -82,10 +79,7 @@
         for service in &SERVICES[lacking..] {
             session.reply("e2", covered(&work, service));
         }
-        assert!(
-            answers(&session.pass(answered_ms - 1)).is_empty(),
-            "{operation} {lacking}"
-        );
+        assert!(answers(&session.pass(answered_ms - 1)).is_empty(), "{operation} {lacking}");
         let answer = answer(&session.pass(1));
         assert_eq!(answer.covered.len(), 20 - lacking, "{operation} {lacking}");
     }
@@ -99,19 +93,12 @@
     let again = works(&session.reply("e2", refused(&sent[0].1, "s2", Reason::NotOwner)));
     session.reply("e3", covered(&again[0].1, "s2"));
     let account = session.machine.explain("k1").expect("it is remembered");
-    let steps: Vec<Step> = account
-        .steps
-        .iter()
-        .map(|stamp| stamp.step.clone())
-        .collect();
+    let steps: Vec<Step> = account.steps.iter().map(|stamp| stamp.step.clone()).collect();
     insta::assert_debug_snapshot!(steps);
     for number in 0..512 {
         session.call(request(&format!("other{number}"), "check", &["c"]));
     }
-    assert!(
-        session.machine.explain("k1").is_none(),
-        "the ring is bounded"
-    );
+    assert!(session.machine.explain("k1").is_none(), "the ring is bounded");
 }
 
 /// A stopping instance refuses what is new and finishes what is open.
@@ -130,10 +117,7 @@
 /// An instance without a catalogue refuses everything.
 #[test]
 fn nothing_is_taken_before_the_view_is_ready() {
-    let fleet = Fleet {
-        ready: false,
-        ..Fleet::default()
-    };
+    let fleet = Fleet { ready: false, ..Fleet::default() };
     let mut session = Session::new(&fleet);
     let refusal = answer(&session.call(request("k1", "check", &["c"])));
     assert_eq!(refusal.reason(), Reason::NotReady);
--- a/crates/core/tests/gather/versions.rs
+++ b/crates/core/tests/gather/versions.rs
@@ -144,16 +144,10 @@
         let mut session = Session::new(&fleet);
         let sent = works(&session.call(request("k1", "check", case.shards)));
         let portions = sent.iter().flat_map(|(_, work)| &work.portions);
-        let mut shards: Vec<String> = portions
-            .flat_map(|portion| portion.shards.clone())
-            .collect();
+        let mut shards: Vec<String> = portions.flat_map(|portion| portion.shards.clone()).collect();
         shards.sort();
         assert_eq!(shards.join(" "), case.sent, "{}", case.name);
-        assert!(
-            sent.iter().all(|(_, work)| work.version == case.version),
-            "{}",
-            case.name
-        );
+        assert!(sent.iter().all(|(_, work)| work.version == case.version), "{}", case.name);
         let answer = answer(&session.pass(400));
         assert_eq!(answer.version, case.version, "{}", case.name);
         let unsent = |entry: &&str| !entry.contains("DEADLINE");
@@ -207,10 +201,7 @@
         session.reply("e1", covered(&old[0].1, "s1"));
         let out = session.reply("e2", refused(&old[1].1, "s2", Reason::VersionRetired));
         let answer = answer(&out);
-        assert_eq!(
-            (answer.version, answer.covered.as_slice()),
-            (7, &["a".to_owned()][..])
-        );
+        assert_eq!((answer.version, answer.covered.as_slice()), (7, &["a".to_owned()][..]));
         assert_eq!(missing(&answer), "c:VERSION_RETIRED/NOT_RUN");
     }
 }
@@ -250,10 +241,7 @@
     let out = session.reply("e2", refused(&new[1].1, "s2", Reason::QueueFull));
     let answer = answer(&out);
     assert_eq!(answer.verdict(), Verdict::MayHaveRun);
-    assert_eq!(
-        missing(&answer),
-        "a:QUEUE_FULL/MAY_HAVE_RUN c:QUEUE_FULL/MAY_HAVE_RUN"
-    );
+    assert_eq!(missing(&answer), "a:QUEUE_FULL/MAY_HAVE_RUN c:QUEUE_FULL/MAY_HAVE_RUN");
 }
 
 /// Two sweeps of the whole index with a new view in between: the second one follows it.
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -28,10 +28,8 @@
 impl Sent {
     /// The answer that fits the request.
     pub(crate) fn answer(&self) -> Outcome {
-        let part = |shard: &String| call::Part {
-            shard: shard.clone(),
-            body: format!("{shard}: 3 free"),
-        };
+        let part =
+            |shard: &String| call::Part { shard: shard.clone(), body: format!("{shard}: 3 free") };
         Outcome::Answer(target::Answer {
             id: self.request.id.clone(),
             index: self.request.index.clone(),
@@ -64,10 +62,7 @@
 }
 
 pub(crate) fn peer(name: &str) -> Peer {
-    Peer {
-        name: name.into(),
-        address: "127.0.0.1:1".into(),
-    }
+    Peer { name: name.into(), address: "127.0.0.1:1".into() }
 }
 
 /// A server with two slots that holds version 1.
@@ -85,10 +80,7 @@
 }
 
 pub(crate) fn holding(version: u64) -> Holding {
-    Holding {
-        index: INDEX.into(),
-        version,
-    }
+    Holding { index: INDEX.into(), version }
 }
 
 pub(crate) fn entry() -> Entry {
@@ -101,11 +93,7 @@
     Entry {
         service: SERVICE.into(),
         urgency: Urgency::Elevated.into(),
-        limits: Some(Limits {
-            queue: 100,
-            extra_percent: 5,
-            ..Limits::default()
-        }),
+        limits: Some(Limits { queue: 100, extra_percent: 5, ..Limits::default() }),
         operations: vec![
             operation("sweep", false, Urgency::Unspecified),
             operation("check", false, Urgency::Urgent),
@@ -118,11 +106,7 @@
 
 /// A service that this instance owns.
 pub(crate) fn service(servers: Vec<Server>) -> Service {
-    let candidate = |name: &str, local| Candidate {
-        peer: peer(name),
-        live: true,
-        local,
-    };
+    let candidate = |name: &str, local| Candidate { peer: peer(name), live: true, local };
     Service {
         name: SERVICE.into(),
         entry: Arc::new(entry()),
@@ -132,10 +116,7 @@
 }
 
 pub(crate) fn view(service: Service) -> Event {
-    let mut view = View {
-        ready: true,
-        ..View::default()
-    };
+    let mut view = View { ready: true, ..View::default() };
     view.insert(service);
     Event::View(Arc::new(view))
 }
@@ -220,11 +201,7 @@
     }
 
     pub(crate) fn work(&mut self, work: wire::Work) {
-        self.handle(Event::Work {
-            from: peer("porto-2"),
-            incarnation: 9,
-            work,
-        });
+        self.handle(Event::Work { from: peer("porto-2"), incarnation: 9, work });
     }
 
     pub(crate) fn end(&mut self, attempt: AttemptKey, outcome: Outcome) {
@@ -249,12 +226,7 @@
             found.map_or_else(|| "closed".into(), |(_, address)| Arc::clone(address))
         };
         let sent = |action: &Action| match action {
-            Action::Send {
-                lane,
-                attempt,
-                request,
-                ..
-            } => Some(Sent {
+            Action::Send { lane, attempt, request, .. } => Some(Sent {
                 lane: *lane,
                 attempt: *attempt,
                 request: request.clone(),
--- a/crates/core/tests/leaf/dispatch.rs
+++ b/crates/core/tests/leaf/dispatch.rs
@@ -37,47 +37,18 @@
     let shed = |sent: &Sent| sent.refusal(Reason::TargetShed, 5);
     let leaving = |sent: &Sent| sent.refusal(Reason::TargetLeaving, 0);
     let may = |reason| Some((Verdict::MayHaveRun, reason));
-    let case = |name, operation, outcome, calls, reply| Case {
-        name,
-        operation,
-        outcome,
-        calls,
-        reply,
-    };
+    let case =
+        |name, operation, outcome, calls, reply| Case { name, operation, outcome, calls, reply };
     let cases = [
         case("shed sweep", "sweep", shed, 2, None),
         case("unsent sweep", "sweep", |_| Outcome::Unsent, 2, None),
-        case(
-            "lost sweep",
-            "sweep",
-            |_| Outcome::Lost,
-            1,
-            may(Reason::RetryBudget),
-        ),
-        case(
-            "failed sweep",
-            "sweep",
-            |_| Outcome::Error,
-            1,
-            may(Reason::RetryBudget),
-        ),
+        case("lost sweep", "sweep", |_| Outcome::Lost, 1, may(Reason::RetryBudget)),
+        case("failed sweep", "sweep", |_| Outcome::Error, 1, may(Reason::RetryBudget)),
         case("shed booking", "book", shed, 2, None),
         case("refused booking", "book", leaving, 2, None),
         case("unsent booking", "book", |_| Outcome::Unsent, 2, None),
-        case(
-            "lost booking",
-            "book",
-            |_| Outcome::Lost,
-            1,
-            may(Reason::TargetLost),
-        ),
-        case(
-            "failed booking",
-            "book",
-            |_| Outcome::Error,
-            1,
-            may(Reason::TargetError),
-        ),
+        case("lost booking", "book", |_| Outcome::Lost, 1, may(Reason::TargetLost)),
+        case("failed booking", "book", |_| Outcome::Error, 1, may(Reason::TargetError)),
     ];
     for case in cases {
         let mut bed = Bed::with(settings(), without_extra_calls());
@@ -98,10 +69,7 @@
 fn without_extra_calls() -> Service {
     let mut service = service(vec![server(1), server(2)]);
     let mut entry = entry();
-    entry.limits = entry.limits.map(|limits| Limits {
-        extra_percent: 0,
-        ..limits
-    });
+    entry.limits = entry.limits.map(|limits| Limits { extra_percent: 0, ..limits });
     service.entry = entry.into();
     service
 }
--- a/crates/core/tests/leaf/hedge.rs
+++ b/crates/core/tests/leaf/hedge.rs
@@ -62,11 +62,7 @@
 /// saved up allow ten.
 #[test]
 fn copies_stay_within_the_budget() {
-    let wide = |number| Server {
-        slots: 50,
-        share: 60,
-        ..server(number)
-    };
+    let wide = |number| Server { slots: 50, share: 60, ..server(number) };
     let mut bed = Bed::with(settings(), service(vec![wide(1), wide(2)]));
     bed.teach(LEARNED, 10);
     for query in 0..30 {
@@ -125,25 +121,16 @@
 fn no_copy_into_trouble() {
     let load = |load: target::Load| Event::Load {
         server: "docks-1".into(),
-        load: Some(target::Load {
-            incarnation: 1,
-            ..load
-        }),
+        load: Some(target::Load { incarnation: 1, ..load }),
     };
     let cases: [(&str, Trouble); 5] = [
         ("none", |_, _| {}),
         ("cold", |bed, load| {
-            let cold = target::Load {
-                cold: true,
-                ..target::Load::default()
-            };
+            let cold = target::Load { cold: true, ..target::Load::default() };
             bed.handle(load(cold));
         }),
         ("leaving", |bed, load| {
-            let leaving = target::Load {
-                leaving: true,
-                ..target::Load::default()
-            };
+            let leaving = target::Load { leaving: true, ..target::Load::default() };
             bed.handle(load(leaving));
         }),
         ("shedding", |bed, _| {
@@ -165,9 +152,7 @@
 fn no_copy_without_learned_call_times_or_when_switched_off() {
     let mut unlearned = Bed::new();
     unlearned.teach(20, 10);
-    let off = ladder_core::leaf::Settings::builder("porto-1", 7)
-        .hedging(false)
-        .build();
+    let off = ladder_core::leaf::Settings::builder("porto-1", 7).hedging(false).build();
     let mut off = Bed::with(off, service(vec![server(1), server(2)]));
     off.teach(LEARNED, 10);
     let mut alone = Bed::with(settings(), service(vec![server(1)]));
--- a/crates/core/tests/leaf/lanes.rs
+++ b/crates/core/tests/leaf/lanes.rs
@@ -31,11 +31,7 @@
         service: Service,
         connections: usize,
     }
-    let case = |name, service, connections| Case {
-        name,
-        service,
-        connections,
-    };
+    let case = |name, service, connections| Case { name, service, connections };
     let cases = [
         case("owner", service(vec![shared(6)]), 4),
         case("owner with a small share", service(vec![shared(3)]), 3),
@@ -102,10 +98,7 @@
         let sent = bed.sent();
         bed.log.clear();
         bed.end(sent[0].attempt, outcome);
-        let opens = bed
-            .log
-            .iter()
-            .filter(|action| matches!(action, Action::Open { .. }));
+        let opens = bed.log.iter().filter(|action| matches!(action, Action::Open { .. }));
         assert_eq!(opens.count(), 1);
         bed.connect();
         bed.work(work(2, "sweep"));
@@ -136,10 +129,6 @@
     let mut moved = server(1);
     moved.address = "10.0.0.9:80".into();
     bed.handle(view(service(vec![moved])));
-    assert!(
-        bed.opened
-            .iter()
-            .all(|(_, address)| &**address == "10.0.0.9:80")
-    );
+    assert!(bed.opened.iter().all(|(_, address)| &**address == "10.0.0.9:80"));
     assert_eq!(bed.opened.len(), 4);
 }
--- a/crates/core/tests/leaf/once.rs
+++ b/crates/core/tests/leaf/once.rs
@@ -27,18 +27,11 @@
 }
 
 fn booking(query: u64, attempt: u32) -> wire::Work {
-    wire::Work {
-        key: "booking".into(),
-        attempt,
-        ..work(query, "book")
-    }
+    wire::Work { key: "booking".into(), attempt, ..work(query, "book") }
 }
 
 fn cancel(query: u64) -> Event {
-    Event::Cancel(wire::Cancel {
-        query,
-        incarnation: 9,
-    })
+    Event::Cancel(wire::Cancel { query, incarnation: 9 })
 }
 
 /// Fills all slots, so that what comes next waits.
@@ -87,11 +80,7 @@
 /// cannot prove not to have run.
 #[test]
 fn second_delivery_of_a_key() {
-    let case = |first, attempt, runs| Case {
-        first,
-        attempt,
-        runs,
-    };
+    let case = |first, attempt, runs| Case { first, attempt, runs };
     let cases = [
         case(First::None, 0, true),
         case(First::None, 1, true),
@@ -164,10 +153,7 @@
         let mut bed = Bed::new();
         bed.work(work(1, operation));
         bed.handle(cancel(1));
-        let sent = bed
-            .log
-            .iter()
-            .filter(|action| matches!(action, Action::Cancel { .. }));
+        let sent = bed.log.iter().filter(|action| matches!(action, Action::Cancel { .. }));
         assert_eq!(sent.count(), cancels, "{operation}");
         assert_eq!(bed.replies(), [(Verdict::MayHaveRun, Reason::Cancelled)]);
     }
@@ -195,10 +181,7 @@
 #[test]
 fn catalogue_makes_an_operation_unrepeatable() {
     let mut bed = Bed::new();
-    bed.work(wire::Work {
-        unrepeatable: false,
-        ..work(1, "book")
-    });
+    bed.work(wire::Work { unrepeatable: false, ..work(1, "book") });
     let sent = bed.sent();
     bed.end(sent[0].attempt, Outcome::Lost);
     assert_eq!(bed.sent().len(), 1);
--- a/crates/core/tests/leaf/property.rs
+++ b/crates/core/tests/leaf/property.rs
@@ -33,23 +33,12 @@
 #[derive(Clone, Copy, Debug)]
 #[derive(TypeGenerator)]
 enum Step {
-    Work {
-        query: u8,
-        round: u8,
-        operation: u8,
-        attempt: u8,
-        budget: u8,
-    },
-    Cancel {
-        query: u8,
-    },
+    Work { query: u8, round: u8, operation: u8, attempt: u8, budget: u8 },
+    Cancel { query: u8 },
     Connect(u8),
     Drop(u8),
     End(u8, End),
-    Load {
-        server: u8,
-        cold: bool,
-    },
+    Load { server: u8, cold: bool },
     Share(u8, u8),
     Slots(u8, u8),
     Leave(u8),
@@ -68,10 +57,7 @@
         let settings = Settings::builder("porto-1", 7).seed(3).build();
         let servers = vec![bed::server(1), bed::server(2), bed::server(3)];
         let world = World::new(Instant::from_millis(1000), servers);
-        let mut run = Self {
-            machine: Machine::new(settings),
-            world,
-        };
+        let mut run = Self { machine: Machine::new(settings), world };
         run.publish();
         run.teach();
         run
@@ -100,13 +86,9 @@
 
     fn step(&mut self, step: Step) {
         match step {
-            Step::Work {
-                query,
-                round,
-                operation,
-                attempt,
-                budget,
-            } => self.work(query, round, operation, attempt, budget),
+            Step::Work { query, round, operation, attempt, budget } => {
+                self.work(query, round, operation, attempt, budget)
+            }
             Step::Cancel { query } => self.handle(Event::Cancel(wire::Cancel {
                 query: u64::from(query % 16),
                 incarnation: 9,
@@ -144,11 +126,7 @@
             ..bed::work(query, operation)
         };
         self.world.deliver(&work);
-        self.handle(Event::Work {
-            from: bed::peer("porto-2"),
-            incarnation: 9,
-            work,
-        });
+        self.handle(Event::Work { from: bed::peer("porto-2"), incarnation: 9, work });
     }
 
     fn connect(&mut self, which: u8) {
@@ -167,11 +145,7 @@
     }
 
     fn lane(&self, which: u8, fits: impl Fn(&Lane) -> bool) -> Option<LaneKey> {
-        let lanes = self
-            .world
-            .lanes
-            .iter()
-            .filter(|(_, (_, state))| fits(state));
+        let lanes = self.world.lanes.iter().filter(|(_, (_, state))| fits(state));
         let lanes: Vec<LaneKey> = lanes.map(|(lane, _)| *lane).collect();
         lanes.get(usize::from(which) % lanes.len().max(1)).copied()
     }
@@ -184,27 +158,15 @@
         let outcome = outcome(&self.world.calls[&attempt], end);
         let call = self.world.end(attempt, &outcome);
         self.handle(Event::Ended { attempt, outcome });
-        assert!(
-            !self
-                .world
-                .calls
-                .values()
-                .any(|other| other.request.id == call.request.id)
-        );
+        assert!(!self.world.calls.values().any(|other| other.request.id == call.request.id));
     }
 
     fn load(&mut self, which: u8, cold: bool) {
         let server = &self.world.servers[usize::from(which % 3)];
-        let load = target::Load {
-            cold,
-            incarnation: server.incarnation,
-            ..target::Load::default()
-        };
+        let load =
+            target::Load { cold, incarnation: server.incarnation, ..target::Load::default() };
         let server = Arc::clone(&server.name);
-        self.handle(Event::Load {
-            server,
-            load: Some(load),
-        });
+        self.handle(Event::Load { server, load: Some(load) });
     }
 
     fn change(&mut self, which: u8, change: impl Fn(&mut Server)) {
@@ -237,10 +199,7 @@
             retry_after_ms: 3,
         })
     };
-    let part = |shard: &String| call::Part {
-        shard: shard.clone(),
-        body: request.payload.clone(),
-    };
+    let part = |shard: &String| call::Part { shard: shard.clone(), body: request.payload.clone() };
     let answer = target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -254,10 +213,7 @@
             parts: Vec::new(),
             ..answer
         }),
-        End::OtherVersion => Outcome::Answer(target::Answer {
-            version: 2,
-            ..answer
-        }),
+        End::OtherVersion => Outcome::Answer(target::Answer { version: 2, ..answer }),
         End::Shed => refusal(Reason::TargetShed),
         End::Cancelled => refusal(Reason::Cancelled),
         End::Retired => refusal(Reason::VersionRetired),
--- a/crates/core/tests/leaf/queue.rs
+++ b/crates/core/tests/leaf/queue.rs
@@ -14,31 +14,19 @@
 fn busy(limits: Limits) -> Bed {
     let mut only = server(1);
     only.slots = 1;
-    let entry = Entry {
-        limits: Some(limits),
-        ..entry()
-    };
-    let service = Service {
-        entry: Arc::new(entry),
-        ..service(vec![only])
-    };
+    let entry = Entry { limits: Some(limits), ..entry() };
+    let service = Service { entry: Arc::new(entry), ..service(vec![only]) };
     let mut bed = Bed::with(settings(), service);
     bed.work(work(0, "sweep"));
     bed
 }
 
 fn limits() -> Limits {
-    Limits {
-        queue: 100,
-        ..Limits::default()
-    }
+    Limits { queue: 100, ..Limits::default() }
 }
 
 fn with_budget(query: u64, operation: &str, millis: u64) -> wire::Work {
-    wire::Work {
-        budget_us: millis * 1000,
-        ..work(query, operation)
-    }
+    wire::Work { budget_us: millis * 1000, ..work(query, operation) }
 }
 
 /// Ends the last call and returns the key of the next one.
@@ -94,10 +82,7 @@
 
 #[test]
 fn full_queue_refuses_with_when_to_come_back() {
-    let mut bed = busy(Limits {
-        queue: 2,
-        ..Limits::default()
-    });
+    let mut bed = busy(Limits { queue: 2, ..Limits::default() });
     for query in 1..=3 {
         bed.work(work(query, "sweep"));
     }
@@ -107,18 +92,9 @@
 
 #[test]
 fn service_limit_holds_over_all_servers() {
-    let limited = Entry {
-        limits: Some(Limits {
-            queue: 100,
-            in_flight: 1,
-            ..Limits::default()
-        }),
-        ..entry()
-    };
-    let service = Service {
-        entry: Arc::new(limited),
-        ..service(vec![server(1), server(2)])
-    };
+    let limited =
+        Entry { limits: Some(Limits { queue: 100, in_flight: 1, ..Limits::default() }), ..entry() };
+    let service = Service { entry: Arc::new(limited), ..service(vec![server(1), server(2)]) };
     let mut bed = Bed::with(settings(), service);
     bed.work(work(1, "sweep"));
     bed.work(work(2, "sweep"));
@@ -137,17 +113,11 @@
     }
     bed.log.clear();
     bed.work(with_budget(100, "sweep", 30));
-    assert_eq!(
-        bed.replies(),
-        [(Verdict::NotRun, Reason::WouldMissDeadline)]
-    );
+    assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::WouldMissDeadline)]);
     assert!(bed.retry_after() > 0);
     bed.log.clear();
     bed.work(with_budget(101, "check", 60));
-    assert!(
-        bed.replies().is_empty(),
-        "the urgent do not wait for the others"
-    );
+    assert!(bed.replies().is_empty(), "the urgent do not wait for the others");
 }
 
 /// Work that has waited too long is refused while its entry can still use the time, and not sent
@@ -181,18 +151,12 @@
     let sent = bed.sent();
     bed.end(sent[0].attempt, sent[0].refusal(Reason::TargetShed, 0));
     assert_eq!(bed.sent().len(), 1);
-    assert_eq!(
-        bed.replies(),
-        [(Verdict::NotRun, Reason::WouldMissDeadline)]
-    );
+    assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::WouldMissDeadline)]);
 }
 
 #[test]
 fn without_queueing_all_connections_are_used() {
-    let direct = Settings::builder("porto-1", 7)
-        .queueing(false)
-        .hedging(false)
-        .build();
+    let direct = Settings::builder("porto-1", 7).queueing(false).hedging(false).build();
     let mut bed = Bed::with(direct, service(vec![server(1), server(2)]));
     for query in 0..40 {
         bed.work(work(query, "sweep"));
@@ -216,18 +180,9 @@
         taken
     };
     let (one, other) = (taken(0, 10), taken(7, 12));
-    assert!(
-        (600..=900).contains(&one.len()),
-        "{} of 2000 taken on",
-        one.len()
-    );
+    assert!((600..=900).contains(&one.len()), "{} of 2000 taken on", one.len());
     let shared = other.iter().filter(|query| one.contains(query)).count();
-    assert!(
-        shared * 10 >= other.len() * 9,
-        "{shared} of {} and {}",
-        one.len(),
-        other.len()
-    );
+    assert!(shared * 10 >= other.len() * 9, "{shared} of {} and {}", one.len(), other.len());
 }
 
 /// Without second copies.
--- a/crates/core/tests/leaf/servers.rs
+++ b/crates/core/tests/leaf/servers.rs
@@ -9,25 +9,16 @@
 use crate::bed::{Bed, Sent, holding, server, service, settings, view, work};
 
 fn load(server: &str, load: target::Load) -> Event {
-    Event::Load {
-        server: server.into(),
-        load: Some(load),
-    }
+    Event::Load { server: server.into(), load: Some(load) }
 }
 
 fn report(incarnation: u64) -> target::Load {
-    target::Load {
-        incarnation,
-        ..target::Load::default()
-    }
+    target::Load { incarnation, ..target::Load::default() }
 }
 
 fn state(bed: &Bed, name: &str) -> State {
     let status = bed.machine.status(bed.now);
-    let found = status[0]
-        .servers
-        .iter()
-        .find(|server| &*server.name == name);
+    let found = status[0].servers.iter().find(|server| &*server.name == name);
     found.expect("a server").state
 }
 
@@ -77,10 +68,7 @@
                 bed.handle(view(service(vec![leaving, server(2)])));
             }
             Source::Report => {
-                let leaving = target::Load {
-                    leaving: true,
-                    ..report(1)
-                };
+                let leaving = target::Load { leaving: true, ..report(1) };
                 bed.handle(load("docks-1", leaving));
             }
             Source::Refusal => {
@@ -91,10 +79,7 @@
         bed.handle(view(service(vec![server(1), server(2)])));
         bed.handle(load("docks-1", report(1)));
         assert_eq!(state(&bed, "docks-1"), State::Leaving, "{source:?}");
-        let open = bed
-            .opened
-            .iter()
-            .filter(|(_, address)| &**address == "10.0.0.1:80");
+        let open = bed.opened.iter().filter(|(_, address)| &**address == "10.0.0.1:80");
         assert_eq!(open.count(), 0, "{source:?}");
         let there = drive(&mut bed, 10, "10.0.0.1:80", Sent::answer);
         assert_eq!(there, 0, "{source:?}");
@@ -135,10 +120,7 @@
     for call in 0..2 {
         let sent = bed.sent();
         assert_eq!(sent.len(), call + 1);
-        bed.end(
-            sent[call].attempt,
-            sent[call].refusal(Reason::VersionRetired, 0),
-        );
+        bed.end(sent[call].attempt, sent[call].refusal(Reason::VersionRetired, 0));
     }
     assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::VersionRetired)]);
 }
@@ -146,10 +128,7 @@
 #[test]
 fn reported_version_is_used_before_it_is_published() {
     let mut bed = Bed::new();
-    let loaded = target::Load {
-        holdings: vec![holding(2)],
-        ..report(1)
-    };
+    let loaded = target::Load { holdings: vec![holding(2)], ..report(1) };
     bed.handle(load("docks-2", loaded));
     let mut newer = work(1, "sweep");
     newer.version = 2;
@@ -164,10 +143,7 @@
     let mut bed = Bed::new();
     bed.teach(50, 10);
     let there = drive(&mut bed, 100, "10.0.0.1:80", |_| Outcome::Error);
-    assert!(
-        (3..=25).contains(&there),
-        "{there} calls at the failing server"
-    );
+    assert!((3..=25).contains(&there), "{there} calls at the failing server");
     assert_eq!(state(&bed, "docks-1"), State::Suspect);
 
     bed.advance(10_000);
@@ -220,11 +196,7 @@
     }
     let status = bed.machine.status(bed.now);
     let suspect = |server: &&_| matches!(server, State::Suspect);
-    let states: Vec<State> = status[0]
-        .servers
-        .iter()
-        .map(|server| server.state)
-        .collect();
+    let states: Vec<State> = status[0].servers.iter().map(|server| server.state).collect();
     assert_eq!(states.iter().filter(suspect).count(), 2, "{states:?}");
     bed.work(work(100, "sweep"));
     assert_eq!(bed.sent().len(), 1);
@@ -277,10 +249,7 @@
     bed.work(work(1, "sweep"));
     for call in 0..2 {
         let sent = bed.sent();
-        bed.end(
-            sent[call].attempt,
-            sent[call].refusal(Reason::TargetShed, 1500),
-        );
+        bed.end(sent[call].attempt, sent[call].refusal(Reason::TargetShed, 1500));
     }
     assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::TargetShed)]);
     assert!(bed.retry_after() >= 1500);
@@ -292,10 +261,7 @@
 fn cold_server_gets_less() {
     let mut bed = Bed::new();
     bed.teach(200, 10);
-    let cold = target::Load {
-        cold: true,
-        ..report(1)
-    };
+    let cold = target::Load { cold: true, ..report(1) };
     bed.handle(load("docks-1", cold));
     assert_eq!(state(&bed, "docks-1"), State::Cold);
     for query in 0..6 {
@@ -303,9 +269,7 @@
     }
     let there = |bed: &Bed| {
         let sent = bed.sent();
-        sent.iter()
-            .filter(|sent| &*sent.address == "10.0.0.1:80")
-            .count()
+        sent.iter().filter(|sent| &*sent.address == "10.0.0.1:80").count()
     };
     assert_eq!((bed.sent().len(), there(&bed)), (3, 1));
     for sent in bed.sent() {
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -34,12 +34,7 @@
                 format!("open lane {} to {address}", self.number(*lane))
             }
             Action::Close(lane) => format!("close lane {}", self.number(*lane)),
-            Action::Send {
-                lane,
-                request,
-                timeout,
-                ..
-            } => format!(
+            Action::Send { lane, request, timeout, .. } => format!(
                 "send {} on lane {}: {} {}@{} {:?} for {}, timeout {} us",
                 request.id,
                 self.number(*lane),
@@ -145,10 +140,6 @@
     let mut again = work(20, "book");
     again.key = "key-2".into();
     again.attempt = 2;
-    let event = Event::Work {
-        from: crate::bed::peer("porto-3"),
-        incarnation: 4,
-        work: again,
-    };
+    let event = Event::Work { from: crate::bed::peer("porto-3"), incarnation: 4, work: again };
     tape.step(5, "the caller asks again through another entry", event);
 }
--- a/crates/core/tests/leaf/stop.rs
+++ b/crates/core/tests/leaf/stop.rs
@@ -41,8 +41,7 @@
     bed.work(long(11, "book"));
     bed.work(long(12, "sweep"));
     bed.now = bed.now + Duration::from_secs(30);
-    bed.log
-        .retain(|action| !matches!(action, ladder_core::leaf::Action::Reply { .. }));
+    bed.log.retain(|action| !matches!(action, ladder_core::leaf::Action::Reply { .. }));
     let calls = bed.sent();
     bed.handle(Event::Paused(Duration::from_secs(30)));
     let paused = (Verdict::NotRun, Reason::Paused);
@@ -50,20 +49,13 @@
     for sent in calls {
         bed.end(sent.attempt, sent.answer());
     }
-    let keys: Vec<String> = bed
-        .sent()
-        .into_iter()
-        .map(|sent| sent.request.key)
-        .collect();
+    let keys: Vec<String> = bed.sent().into_iter().map(|sent| sent.request.key).collect();
     assert!(keys.contains(&"key-12".into()));
     assert!(!keys.contains(&"key-10".into()) && !keys.contains(&"key-11".into()));
 }
 
 fn long(query: u64, operation: &str) -> wire::Work {
-    wire::Work {
-        budget_us: 60_000_000,
-        ..work(query, operation)
-    }
+    wire::Work { budget_us: 60_000_000, ..work(query, operation) }
 }
 
 /// Work lay in a socket buffer while the process was suspended. It arrives with the budget it was
@@ -114,33 +106,13 @@
 /// of another version, and would enter the caller's answer as if it belonged there.
 #[test]
 fn wrong_answers_are_dropped() {
-    let wrong = |name, spoil, reason| Wrong {
-        name,
-        spoil,
-        reason,
-    };
+    let wrong = |name, spoil, reason| Wrong { name, spoil, reason };
     let cases = [
-        wrong(
-            "id",
-            |answer| answer.id = "porto-1.6.1".into(),
-            Reason::WrongAnswer,
-        ),
-        wrong(
-            "index",
-            |answer| answer.index = "bikes".into(),
-            Reason::WrongVersion,
-        ),
+        wrong("id", |answer| answer.id = "porto-1.6.1".into(), Reason::WrongAnswer),
+        wrong("index", |answer| answer.index = "bikes".into(), Reason::WrongVersion),
         wrong("version", |answer| answer.version = 2, Reason::WrongVersion),
-        wrong(
-            "shard",
-            |answer| answer.parts[0].shard = "s9".into(),
-            Reason::WrongAnswer,
-        ),
-        wrong(
-            "missing shard",
-            |answer| answer.parts.truncate(1),
-            Reason::WrongAnswer,
-        ),
+        wrong("shard", |answer| answer.parts[0].shard = "s9".into(), Reason::WrongAnswer),
+        wrong("missing shard", |answer| answer.parts.truncate(1), Reason::WrongAnswer),
         wrong(
             "doubled shard",
             |answer| answer.parts[1] = answer.parts[0].clone(),
@@ -153,26 +125,12 @@
         bed.work(work(1, "sweep"));
         let first = bed.sent()[0].clone();
         bed.end(first.attempt, spoiled(&first, case.spoil));
-        assert_eq!(
-            bed.counted(count::Event::Drop, case.reason),
-            1,
-            "{}",
-            case.name
-        );
+        assert_eq!(bed.counted(count::Event::Drop, case.reason), 1, "{}", case.name);
         assert!(bed.replies().is_empty(), "{}", case.name);
-        assert!(
-            bed.opened.iter().all(|(lane, _)| *lane != first.lane),
-            "{}",
-            case.name
-        );
+        assert!(bed.opened.iter().all(|(lane, _)| *lane != first.lane), "{}", case.name);
         let second = bed.sent()[1].clone();
         bed.end(second.attempt, second.answer());
-        assert_eq!(
-            bed.replies(),
-            [(Verdict::Ran, Reason::Unspecified)],
-            "{}",
-            case.name
-        );
+        assert_eq!(bed.replies(), [(Verdict::Ran, Reason::Unspecified)], "{}", case.name);
     }
 }
 
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -56,11 +56,7 @@
 impl World {
     /// A machine that owns nothing yet faces these servers.
     pub(crate) fn new(now: Instant, servers: Vec<Server>) -> Self {
-        Self {
-            now,
-            servers,
-            ..Self::default()
-        }
+        Self { now, servers, ..Self::default() }
     }
 
     /// Nothing can be replied during a suspension.
@@ -74,14 +70,12 @@
     /// Notes work that is about to be handed over; a second delivery must get no second reply.
     pub(crate) fn deliver(&mut self, work: &wire::Work) {
         let end = self.now + Duration::from_micros(work.budget_us);
-        self.deliveries
-            .entry(work.payload.clone())
-            .or_insert(Delivery {
-                end,
-                reply_by: end,
-                replies: 0,
-                may_have_run: 0,
-            });
+        self.deliveries.entry(work.payload.clone()).or_insert(Delivery {
+            end,
+            reply_by: end,
+            replies: 0,
+            may_have_run: 0,
+        });
     }
 
     /// Notes the end of a call that is about to be reported.
@@ -97,10 +91,7 @@
             let delivery = self.deliveries.get_mut(&call.request.payload);
             delivery.expect("a known delivery").may_have_run -= 1;
             if call.request.operation == "book" {
-                *self
-                    .sent_keys
-                    .get_mut(&call.request.key)
-                    .expect("a sent key") -= 1;
+                *self.sent_keys.get_mut(&call.request.key).expect("a sent key") -= 1;
             }
         }
         call
@@ -115,12 +106,9 @@
             match action {
                 Action::Open { lane, address } => self.check_open(*lane, address),
                 Action::Close(lane) => self.check_close(*lane),
-                Action::Send {
-                    lane,
-                    attempt,
-                    request,
-                    ..
-                } => self.check_send(*lane, *attempt, request),
+                Action::Send { lane, attempt, request, .. } => {
+                    self.check_send(*lane, *attempt, request)
+                }
                 Action::Cancel { lane, .. } | Action::Probe { lane, .. } => self.take(*lane),
                 Action::Reply { reply, .. } => self.check_reply(reply),
                 Action::Count(_) => {}
@@ -136,21 +124,14 @@
     }
 
     fn server(&self, address: &str) -> Option<&Server> {
-        self.servers
-            .iter()
-            .find(|server| &*server.address == address)
+        self.servers.iter().find(|server| &*server.address == address)
     }
 
     fn check_open(&mut self, lane: LaneKey, address: &Arc<str>) {
-        let open = self
-            .lanes
-            .values()
-            .filter(|(other, _)| other == address)
-            .count();
+        let open = self.lanes.values().filter(|(other, _)| other == address).count();
         let share = self.server(address).expect("a listed server").share;
         assert!(open < share as usize, "connections beyond the share");
-        self.lanes
-            .insert(lane, (Arc::clone(address), Lane::Opening));
+        self.lanes.insert(lane, (Arc::clone(address), Lane::Opening));
     }
 
     fn check_close(&mut self, lane: LaneKey) {
@@ -171,16 +152,9 @@
         let server = self.server(&address).expect("a listed server");
         assert!(!server.leaving, "work for a leaving server");
         let slots = server.slots as usize;
-        let busy = self
-            .calls
-            .values()
-            .filter(|call| call.address == address)
-            .count();
+        let busy = self.calls.values().filter(|call| call.address == address).count();
         assert!(busy < slots, "calls beyond the slots");
-        let delivery = self
-            .deliveries
-            .get_mut(&request.payload)
-            .expect("a known delivery");
+        let delivery = self.deliveries.get_mut(&request.payload).expect("a known delivery");
         assert_eq!(delivery.replies, 0, "a call after the reply");
         assert!(self.now < delivery.end, "a call after the deadline");
         delivery.may_have_run += 1;
@@ -189,14 +163,7 @@
             assert_eq!(*sent, 0, "an unrepeatable request is sent twice");
             *sent += 1;
         }
-        self.calls.insert(
-            attempt,
-            Call {
-                lane,
-                address,
-                request: request.clone(),
-            },
-        );
+        self.calls.insert(attempt, Call { lane, address, request: request.clone() });
     }
 
     fn check_reply(&mut self, reply: &wire::Reply) {
--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -54,10 +54,8 @@
                 let server = layout::server(target);
                 let path = format!("/admin/ledger?server={}&least={}", server.name, u32::MAX);
                 let ledger: standin::Ledger = self.get(&process.admin, &path).await?;
-                peaks.push(Peak {
-                    connections: ledger.peak_connections,
-                    limit: server.connections,
-                });
+                peaks
+                    .push(Peak { connections: ledger.peak_connections, limit: server.connections });
             }
         }
         Ok(peaks)
@@ -100,12 +98,8 @@
     async fn body(&self, address: &str, path: &str) -> Result<Vec<u8>, Error> {
         let url = format!("http://{address}{path}");
         let failed = |cause: String| Error::Admin(url.clone(), cause);
-        let mut response = self
-            .client
-            .get(&url)
-            .send()
-            .await
-            .map_err(|error| failed(error.to_string()))?;
+        let mut response =
+            self.client.get(&url).send().await.map_err(|error| failed(error.to_string()))?;
         if !response.status().is_success() {
             return Err(failed(response.status().to_string()));
         }
--- a/crates/load/src/audit.rs
+++ b/crates/load/src/audit.rs
@@ -34,10 +34,7 @@
 /// A finding for each record, in the same order.
 pub fn audit(plans: &[Plan], records: &[Record], ledgers: &[standin::Ledger]) -> Vec<Finding> {
     let executions = Executions::of(ledgers);
-    records
-        .iter()
-        .map(|record| executions.finding(&plans[record.class], record))
-        .collect()
+    records.iter().map(|record| executions.finding(&plans[record.class], record)).collect()
 }
 
 /// Whether any ledger holds an execution of a key that starts with `prefix`.
@@ -100,16 +97,8 @@
     let may_have_run = |missing: &&call::Missing| missing.verdict() != Verdict::NotRun;
     let missing = answer.missing.iter().filter(may_have_run);
     let missing = missing.map(|missing| missing.shard.as_str());
-    let ran: Set<&str> = answer
-        .covered
-        .iter()
-        .map(String::as_str)
-        .chain(missing)
-        .collect();
-    let shards = plan
-        .shards
-        .iter()
-        .filter(|shard| ran.contains(shard.name.as_str()));
+    let ran: Set<&str> = answer.covered.iter().map(String::as_str).chain(missing).collect();
+    let shards = plan.shards.iter().filter(|shard| ran.contains(shard.name.as_str()));
     let services: Set<&str> = shards.map(|shard| shard.service.as_str()).collect();
     services.len() as u64
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -89,9 +89,7 @@
 /// Sends `arrivals` and returns a record of each; runs inside an actix system.
 pub async fn send(plans: Rc<[Plan]>, arrivals: Vec<Arrival>, options: Options) -> Vec<Record> {
     let rotation = Rotation::new(&options.instances);
-    let checks = options
-        .checks
-        .then(|| actix_rt::spawn(rotation.clone().check()));
+    let checks = options.checks.then(|| actix_rt::spawn(rotation.clone().check()));
     let caller = Rc::new(Caller::new(plans, options, rotation));
     let mut open = Vec::with_capacity(arrivals.len());
     for arrival in arrivals {
@@ -124,20 +122,10 @@
 
 impl Caller {
     fn new(plans: Rc<[Plan]>, options: Options, rotation: Rotation) -> Self {
-        let connector = Connector::new()
-            .limit(0)
-            .timeout(CONNECT_TIMEOUT)
-            .conn_keep_alive(KEEP_ALIVE);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .finish();
-        Self {
-            client,
-            plans,
-            options,
-            rotation,
-        }
+        let connector =
+            Connector::new().limit(0).timeout(CONNECT_TIMEOUT).conn_keep_alive(KEEP_ALIVE);
+        let client = Client::builder().connector(connector).disable_timeout().finish();
+        Self { client, plans, options, rotation }
     }
 
     async fn query(&self, arrival: Arrival) -> Record {
@@ -151,9 +139,7 @@
         if self.options.retries && matches!(last, Attempt::Broken(_)) {
             request.attempt = 2;
             turn += 1;
-            last = self
-                .attempt(&request, &mut turn, &mut refusals, Instant::now())
-                .await;
+            last = self.attempt(&request, &mut turn, &mut refusals, Instant::now()).await;
         }
         Record {
             class: arrival.class,
@@ -232,11 +218,7 @@
         attempt: 1,
         index: plan.index.clone(),
         operation: plan.class.operation.clone(),
-        shards: if plan.whole {
-            Vec::new()
-        } else {
-            arrival.shards.iter().map(named).collect()
-        },
+        shards: if plan.whole { Vec::new() } else { arrival.shards.iter().map(named).collect() },
         deadline_ms: plan.deadline_ms,
         unrepeatable: false,
         payload: format!("{}-{}", plan.class.name, arrival.sequence),
@@ -251,10 +233,7 @@
     let Ok(mut answer) = serde_json::from_slice::<call::Answer>(&body) else {
         return Outcome::Undecodable { status };
     };
-    let names = arrival
-        .shards
-        .iter()
-        .map(|shard| plan.shards[*shard].name.as_str());
+    let names = arrival.shards.iter().map(|shard| plan.shards[*shard].name.as_str());
     let asked = Asked {
         key: &request.key,
         index: &request.index,
@@ -263,11 +242,7 @@
     };
     let mistakes = check::check(&asked, status, &answer);
     answer.parts = Vec::new();
-    Outcome::Answered {
-        status,
-        answer: Box::new(answer),
-        mistakes,
-    }
+    Outcome::Answered { status, answer: Box::new(answer), mistakes }
 }
 
 /// Services that a query's shards belong to.
--- a/crates/load/src/check.rs
+++ b/crates/load/src/check.rs
@@ -119,10 +119,7 @@
 }
 
 fn split_body<'a>(index: &str, body: &'a str) -> Option<(u64, &'a str)> {
-    let (version, rest) = body
-        .strip_prefix(index)?
-        .strip_prefix('@')?
-        .split_once('/')?;
+    let (version, rest) = body.strip_prefix(index)?.strip_prefix('@')?.split_once('/')?;
     Some((version.parse().ok()?, rest))
 }
 
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -124,38 +124,24 @@
     let processes = bpaf::positional("PID")
         .help("Processes of the instances, in the layout's order")
         .some("name the process of each instance");
-    bpaf::construct!(upkeep::Options {
-        run,
-        seconds,
-        changes,
-        processes,
-    })
+    bpaf::construct!(upkeep::Options { run, seconds, changes, processes })
 }
 
 fn demonstration() -> impl Parser<demo::Options> {
     let run = layout_file();
-    let instance = bpaf::long("kill-instance")
-        .help("Process to kill of an instance")
-        .argument("PID");
+    let instance =
+        bpaf::long("kill-instance").help("Process to kill of an instance").argument("PID");
     let target = bpaf::long("kill-target")
         .help("Process to kill of the layout's last target process")
         .argument("PID");
-    bpaf::construct!(demo::Options {
-        run,
-        instance,
-        target
-    })
+    bpaf::construct!(demo::Options { run, instance, target })
 }
 
 fn arguments() -> impl Parser<Arguments> {
     let run = layout_file();
     let amount = amount();
     let seconds = number("seconds", "Length of the measured part", 10.0);
-    let warmup = number(
-        "warmup",
-        "Length of the part before it, checked, not measured",
-        2.0,
-    );
+    let warmup = number("warmup", "Length of the part before it, checked, not measured", 2.0);
     let seed = bpaf::long("seed")
         .help("Seed of the schedule")
         .argument("N")
@@ -199,9 +185,7 @@
 }
 
 fn layout_file() -> impl Parser<PathBuf> {
-    bpaf::long("run")
-        .help("run.json of the layout")
-        .argument("FILE")
+    bpaf::long("run").help("run.json of the layout").argument("FILE")
 }
 
 fn comparison() -> impl Parser<Comparison> {
@@ -213,16 +197,8 @@
         .fallback(0.7)
         .display_fallback();
     let out = out();
-    let files = bpaf::positional("FILE")
-        .help("Result files of runs")
-        .some("no result file");
-    bpaf::construct!(Comparison {
-        baseline,
-        chosen,
-        load,
-        out,
-        files,
-    })
+    let files = bpaf::positional("FILE").help("Result files of runs").some("no result file");
+    bpaf::construct!(Comparison { baseline, chosen, load, out, files })
 }
 
 fn number(name: &'static str, help: &'static str, fallback: f64) -> impl Parser<f64> {
@@ -231,18 +207,11 @@
         .argument("S")
         .fallback(fallback)
         .display_fallback()
-        .guard(
-            |seconds| (0.0..=86_400.0).contains(seconds),
-            "must be 0 to 86400 seconds",
-        )
+        .guard(|seconds| (0.0..=86_400.0).contains(seconds), "must be 0 to 86400 seconds")
 }
 
 fn name(name: &'static str, help: &'static str, fallback: &'static str) -> impl Parser<String> {
-    bpaf::long(name)
-        .help(help)
-        .argument("NAME")
-        .fallback(fallback.to_owned())
-        .display_fallback()
+    bpaf::long(name).help(help).argument("NAME").fallback(fallback.to_owned()).display_fallback()
 }
 
 fn faults() -> impl Parser<Vec<Fault>> {
@@ -257,9 +226,7 @@
 }
 
 fn out() -> impl Parser<PathBuf> {
-    bpaf::long("out")
-        .help("Where the result goes")
-        .argument("FILE")
+    bpaf::long("out").help("Where the result goes").argument("FILE")
 }
 
 fn amount() -> impl Parser<Amount> {
@@ -362,12 +329,7 @@
     let runs: Vec<Run> = runs.collect::<Result<_, _>>()?;
     let rows = compare::group(&runs);
     let tables = report::tables(&rows);
-    let summary = Summary::of(
-        &rows,
-        &arguments.baseline,
-        &arguments.chosen,
-        arguments.load,
-    )?;
+    let summary = Summary::of(&rows, &arguments.baseline, &arguments.chosen, arguments.load)?;
     let page = report::page(&tables, &report::plots(&rows, arguments.load)?, &summary);
     write(&arguments.out, &page)?;
     let texts: Vec<String> = tables.iter().map(Table::to_text).collect();
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -116,9 +116,7 @@
     let steady = rows.iter().filter(|row| row.scenario == STEADY);
     let loads = steady.map(|row| row.load);
     let distance = |load: &f64| (load - wanted).abs();
-    loads
-        .min_by(|a, b| distance(a).total_cmp(&distance(b)))
-        .unwrap_or(wanted)
+    loads.min_by(|a, b| distance(a).total_cmp(&distance(b))).unwrap_or(wanted)
 }
 
 /// The chosen policy against the baseline, on the headline class without faults.
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -65,10 +65,7 @@
 
     /// Counts one outcome.
     fn add(&mut self, outcome: &Outcome) {
-        let Outcome::Answered {
-            answer, mistakes, ..
-        } = outcome
-        else {
+        let Outcome::Answered { answer, mistakes, .. } = outcome else {
             self.lost += 1;
             return;
         };
@@ -108,19 +105,12 @@
     let layout = Layout::read(&options.run)?;
     let plans = plan::resolve(&Mix::of(&layout.user), &layout)?;
     let system = actix_rt::System::new();
-    println!(
-        "{} instances are ready; {RATE} queries a second follow",
-        layout.instances.len()
-    );
+    println!("{} instances are ready; {RATE} queries a second follow", layout.instances.len());
     let load = plan::load_of(&plans, RATE)?;
     let arrivals = schedule::draw(&plans, load, LENGTH, SEED);
     let start = Instant::now();
     let callers = caller::Options {
-        instances: layout
-            .instances
-            .iter()
-            .map(|instance| instance.address.clone())
-            .collect(),
+        instances: layout.instances.iter().map(|instance| instance.address.clone()).collect(),
         prefix: "demo".to_owned(),
         retries: true,
         checks: true,
@@ -154,30 +144,18 @@
     let class = &plans[record.class].class.name;
     let at = record.at.as_secs_f64();
     let took = record.latency.as_millis();
-    let again = if record.attempts > 1 {
-        ", asked again"
-    } else {
-        ""
-    };
+    let again = if record.attempts > 1 { ", asked again" } else { "" };
     let what = match &record.outcome {
-        Outcome::Answered {
-            answer, mistakes, ..
-        } => describe(answer, mistakes.is_empty()),
+        Outcome::Answered { answer, mistakes, .. } => describe(answer, mistakes.is_empty()),
         Outcome::Undecodable { status } => format!("no answer but HTTP status {status}"),
         Outcome::Lost { cause } => format!("lost: {cause}"),
     };
-    format!(
-        "{at:6.2} s  {class:<18} {:<9} {took:>5} ms  {what}{again}",
-        record.key
-    )
+    format!("{at:6.2} s  {class:<18} {:<9} {took:>5} ms  {what}{again}", record.key)
 }
 
 /// What an answer says.
 fn describe(answer: &call::Answer, sound: bool) -> String {
-    let verdict = answer
-        .verdict()
-        .as_str_name()
-        .trim_start_matches("VERDICT_");
+    let verdict = answer.verdict().as_str_name().trim_start_matches("VERDICT_");
     let total = answer.covered.len() + answer.missing.len();
     let mut text = format!("{verdict}, {} of {total} shards", answer.covered.len());
     if answer.reason() != Reason::Unspecified {
