--- a/crates/load/src/fault.rs
+++ b/crates/load/src/fault.rs
@@ -59,15 +59,9 @@
     fn from_str(text: &str) -> Result<Self, Error> {
         let wrong = || Error::Fault(text.to_owned());
         let mut fields = text.splitn(3, ':');
-        let at: f64 = fields
-            .next()
-            .and_then(|at| at.parse().ok())
-            .ok_or_else(wrong)?;
+        let at: f64 = fields.next().and_then(|at| at.parse().ok()).ok_or_else(wrong)?;
         let kind = fields.next().and_then(kind).ok_or_else(wrong)?;
-        let name = fields
-            .next()
-            .filter(|name| !name.is_empty())
-            .ok_or_else(wrong)?;
+        let name = fields.next().filter(|name| !name.is_empty()).ok_or_else(wrong)?;
         Ok(Self {
             at: Duration::try_from_secs_f64(at).map_err(|_| wrong())?,
             kind,
@@ -99,11 +93,7 @@
         failing: kind == Kind::Failing,
         shedding: kind == Kind::Shedding,
         lying: kind == Kind::Lying,
-        slowdown: if matches!(kind, Kind::Lying | Kind::Slowdown) {
-            SLOWDOWN
-        } else {
-            0
-        },
+        slowdown: if matches!(kind, Kind::Lying | Kind::Slowdown) { SLOWDOWN } else { 0 },
         silent: kind == Kind::Silent,
         holdings: Vec::new(),
     }
@@ -119,13 +109,10 @@
         if fault.kind == Kind::Version {
             change_version(&admin, layout, &fault.name).await?;
         } else {
-            let process = layout
-                .process_of(&fault.name)
-                .ok_or_else(|| Error::Unknown(fault.name.clone()))?;
+            let process =
+                layout.process_of(&fault.name).ok_or_else(|| Error::Unknown(fault.name.clone()))?;
             let message = message(fault.kind);
-            admin
-                .set_fault(&process.admin, &fault.name, &message)
-                .await?;
+            admin.set_fault(&process.admin, &fault.name, &message).await?;
         }
     }
     Ok(())
@@ -137,10 +124,7 @@
         .filter(|index| index.name == name)
         .max_by_key(|index| index.version)
         .ok_or_else(|| Error::Unknown(name.to_owned()))?;
-    let new = publication::Index {
-        version: old.version + 1,
-        ..old.clone()
-    };
+    let new = publication::Index { version: old.version + 1, ..old.clone() };
     let (before, after) = (old.version, new.version);
     publish(admin, layout, Body::Index(new)).await?;
     roll(admin, layout, old, &[before, after]).await?;
@@ -158,21 +142,13 @@
     for process in &layout.processes {
         for target in &process.targets {
             let mut server = layout::server(target);
-            if !index
-                .shards
-                .iter()
-                .any(|shard| shard.service == server.service)
-            {
+            if !index.shards.iter().any(|shard| shard.service == server.service) {
                 continue;
             }
             server.holdings = holdings(&server, index, versions);
-            let fault = standin::Fault {
-                holdings: server.holdings.clone(),
-                ..standin::Fault::default()
-            };
-            admin
-                .set_fault(&process.admin, &server.name, &fault)
-                .await?;
+            let fault =
+                standin::Fault { holdings: server.holdings.clone(), ..standin::Fault::default() };
+            admin.set_fault(&process.admin, &server.name, &fault).await?;
             publish(admin, layout, Body::Server(server)).await?;
             tokio::time::sleep(ROLLOUT_GAP).await;
         }
@@ -185,21 +161,14 @@
     index: &publication::Index,
     versions: &[u64],
 ) -> Vec<publication::Holding> {
-    let others = server
-        .holdings
+    let others = server.holdings.iter().filter(|holding| holding.index != index.name);
+    let own = versions
         .iter()
-        .filter(|holding| holding.index != index.name);
-    let own = versions.iter().map(|version| publication::Holding {
-        index: index.name.clone(),
-        version: *version,
-    });
+        .map(|version| publication::Holding { index: index.name.clone(), version: *version });
     others.cloned().chain(own).collect()
 }
 
 async fn publish(admin: &Admin, layout: &Layout, body: Body) -> Result<(), Error> {
-    let record = publication::Record {
-        revision: 0,
-        body: Some(body),
-    };
+    let record = publication::Record { revision: 0, body: Some(body) };
     admin.publish(&layout.platform, vec![record]).await
 }
--- a/crates/load/src/layout.rs
+++ b/crates/load/src/layout.rs
@@ -20,11 +20,7 @@
 
 impl From<standin::Member> for Instance {
     fn from(member: standin::Member) -> Self {
-        Self {
-            name: member.name,
-            address: member.caller_address,
-            admin: member.admin_address,
-        }
+        Self { name: member.name, address: member.caller_address, admin: member.admin_address }
     }
 }
 
@@ -85,9 +81,7 @@
 
     /// Servers of one service.
     pub fn servers(&self, service: &str) -> Vec<&standin::Target> {
-        self.targets()
-            .filter(|target| server(target).service == service)
-            .collect()
+        self.targets().filter(|target| server(target).service == service).collect()
     }
 
     /// Catalogue entries.
@@ -108,12 +102,9 @@
 
     /// The process that runs a server.
     pub fn process_of(&self, name: &str) -> Option<&Process> {
-        self.processes.iter().find(|process| {
-            process
-                .targets
-                .iter()
-                .any(|target| server(target).name == name)
-        })
+        self.processes
+            .iter()
+            .find(|process| process.targets.iter().any(|target| server(target).name == name))
     }
 }
 
@@ -126,10 +117,7 @@
     let mut found = Vec::new();
     for process in listed {
         let settings: standin::Targets = decode(&folder.join(&process.file))?;
-        found.push(Process {
-            admin: process.admin_address.clone(),
-            targets: settings.targets,
-        });
+        found.push(Process { admin: process.admin_address.clone(), targets: settings.targets });
     }
     Ok(found)
 }
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -71,10 +71,7 @@
 }
 
 fn headline(class: Class) -> Class {
-    Class {
-        headline: true,
-        ..class
-    }
+    Class { headline: true, ..class }
 }
 
 /// Porto's mix.
@@ -82,12 +79,7 @@
     Mix {
         name: "porto".to_owned(),
         classes: vec![
-            headline(class(
-                "dock-availability",
-                "dock-availability",
-                Fan::All,
-                0.97,
-            )),
+            headline(class("dock-availability", "dock-availability", Fan::All, 0.97)),
             class("dock-booking", "dock-booking", Fan::Some(1), 0.03),
             class("stolen-bike", "stolen-bike", Fan::All, 0.3),
             class("flagged-round", "flagged-bikes", Fan::Some(10), 0.65),
@@ -107,12 +99,7 @@
             class("eligibility-sweep", "eligibility", Fan::All, 0.4),
             class("eligibility", "eligibility", Fan::Some(1), 0.07),
             class("payout-lookup", "payout-lookup", Fan::Some(1), 0.03),
-            class(
-                "application-status",
-                "application-status",
-                Fan::Some(1),
-                0.3,
-            ),
+            class("application-status", "application-status", Fan::Some(1), 0.3),
         ],
     }
 }
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -81,11 +81,7 @@
                 tier.saturating_record(micros(through));
             }
         }
-        Ok(Overhead {
-            queries: QUERIES,
-            direct: latency(&direct),
-            tier: latency(&tier),
-        })
+        Ok(Overhead { queries: QUERIES, direct: latency(&direct), tier: latency(&tier) })
     })
 }
 
@@ -94,9 +90,7 @@
         let missing = |what: &str| Error::Unknown(what.to_owned());
         let index = layout.indexes().next().ok_or_else(|| missing("index"))?;
         let shard = index.shards.first().ok_or_else(|| missing("shard"))?;
-        let entry = layout
-            .entries()
-            .find(|entry| entry.service == shard.service);
+        let entry = layout.entries().find(|entry| entry.service == shard.service);
         let mut operations = entry.into_iter().flat_map(|entry| &entry.operations);
         let operation = operations.find(|operation| !operation.unrepeatable);
         let servers = layout.servers(&shard.service);
@@ -150,10 +144,7 @@
         let start = Instant::now();
         let sent = self.client.post(&url).send_json(request).await;
         let mut response = sent.map_err(|error| failed(error.to_string()))?;
-        response
-            .body()
-            .await
-            .map_err(|error| failed(error.to_string()))?;
+        response.body().await.map_err(|error| failed(error.to_string()))?;
         if response.status().is_success() {
             Ok(start.elapsed())
         } else {
@@ -168,10 +159,7 @@
 }
 
 fn latency(histogram: &Histogram<u64>) -> Latency {
-    Latency {
-        p50_us: histogram.value_at_quantile(0.5),
-        p99_us: histogram.value_at_quantile(0.99),
-    }
+    Latency { p50_us: histogram.value_at_quantile(0.5), p99_us: histogram.value_at_quantile(0.99) }
 }
 
 fn micros(span: Duration) -> u64 {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -36,11 +36,7 @@
 /// The load at which all classes together send `rate` queries a second.
 pub fn load_of(plans: &[Plan], rate: f64) -> Result<f64, Error> {
     let unit: f64 = plans.iter().map(|plan| plan.rate).sum();
-    if unit > 0.0 {
-        Ok(rate / unit)
-    } else {
-        Err(Error::EmptyMix)
-    }
+    if unit > 0.0 { Ok(rate / unit) } else { Err(Error::EmptyMix) }
 }
 
 fn one(class: &Class, layout: &Layout) -> Result<Plan, Error> {
@@ -54,11 +50,7 @@
     Ok(Plan {
         whole: class.fan == Fan::All && shards.len() == index.shards.len(),
         unrepeatable: operation.unrepeatable,
-        deadline_ms: if named > 0 {
-            named
-        } else {
-            operation.deadline_ms
-        },
+        deadline_ms: if named > 0 { named } else { operation.deadline_ms },
         rate: class.share * queries_per_second(layout, &shards, fan),
         index: index.name.clone(),
         class: class.clone(),
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -63,11 +63,7 @@
         .x_label_area_size(LABEL_AREA)
         .y_label_area_size(LABEL_AREA)
         .build_cartesian_2d(0.0..right, 0.0..top)?;
-    chart
-        .configure_mesh()
-        .x_desc(plot.x.as_str())
-        .y_desc(plot.y.as_str())
-        .draw()?;
+    chart.configure_mesh().x_desc(plot.x.as_str()).y_desc(plot.y.as_str()).draw()?;
     for (number, series) in plot.series.iter().enumerate() {
         let color = Palette99::pick(number).to_rgba();
         let points = series.points.iter().copied();
@@ -78,11 +74,7 @@
             .legend(move |(x, y)| PathElement::new([(x, y), (x + LEGEND, y)], color));
         chart.draw_series(points.map(|point| Circle::new(point, MARK, color.filled())))?;
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()?;
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
     area.present()?;
     Ok(())
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -23,11 +23,7 @@
 }
 
 fn names(row: &Row) -> Vec<String> {
-    vec![
-        row.scenario.clone(),
-        row.label.clone(),
-        format!("{:.2}", row.load),
-    ]
+    vec![row.scenario.clone(), row.label.clone(), format!("{:.2}", row.load)]
 }
 
 fn promises(rows: &[Row]) -> Table {
@@ -124,14 +120,7 @@
 }
 
 fn reasons(rows: &[Row]) -> Table {
-    let head = [
-        "scenario",
-        "label",
-        "load",
-        "class",
-        "refused",
-        "missing shards",
-    ];
+    let head = ["scenario", "label", "load", "class", "refused", "missing shards"];
     let mut table = Table::new("Refusals and missing shards by reason", &head);
     for row in rows {
         for class in compare::classes(rows).iter().skip(1) {
@@ -171,9 +160,7 @@
     };
     Ok(vec![
         against("99th percentile against load", "ms", |class| class.p99_ms)?,
-        against("Complete answers in time", "answers/s", |class| {
-            class.goodput
-        })?,
+        against("Complete answers in time", "answers/s", |class| class.goodput)?,
         against("Coverage", "share of shards asked", |class| class.coverage)?,
         plot::draw(&Plot {
             title: format!("Latency by share of answers at load {load:.2}"),
--- a/crates/load/src/rotation.rs
+++ b/crates/load/src/rotation.rs
@@ -26,13 +26,10 @@
 impl Rotation {
     /// All instances, held ready until their first check.
     pub fn new(addresses: &[String]) -> Self {
-        let members = addresses.iter().map(|address| Member {
-            address: address.clone(),
-            ready: Cell::new(true),
-        });
-        Self {
-            members: members.collect(),
-        }
+        let members = addresses
+            .iter()
+            .map(|address| Member { address: address.clone(), ready: Cell::new(true) });
+        Self { members: members.collect() }
     }
 
     /// Number of instances, ready or not.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -160,10 +160,7 @@
         let share = |peak: &Peak| f64::from(peak.connections) / f64::from(peak.limit.max(1));
         let peaks = admin.peaks(layout).await?.into_iter();
         let nearest = peaks.max_by(|a, b| share(a).total_cmp(&share(b)));
-        Ok(Self {
-            ledgers: admin.ledgers(layout).await?,
-            nearest: nearest.unwrap_or_default(),
-        })
+        Ok(Self { ledgers: admin.ledgers(layout).await?, nearest: nearest.unwrap_or_default() })
     }
 }
 
@@ -181,14 +178,7 @@
     if audit::is_used(&before, &prefix(options.seed)) {
         return Err(Error::Seed(options.seed));
     }
-    let session = Session {
-        options,
-        layout,
-        mix,
-        plans,
-        load,
-        before,
-    };
+    let session = Session { options, layout, mix, plans, load, before };
     let records = session.send(&system)?;
     let after = system.block_on(Aftermath::read(&session.layout))?;
     Ok(session.figures(&records, &after))
@@ -252,15 +242,9 @@
             warmup: self.options.warmup.as_secs_f64(),
             instances: self.addresses().len() as u64,
             faults: self.options.faults.iter().map(describe).collect(),
-            classes: classes
-                .into_iter()
-                .map(|tally| tally.finish(seconds))
-                .collect(),
+            classes: classes.into_iter().map(|tally| tally.finish(seconds)).collect(),
             overall: overall.finish(seconds),
-            passed_over: records
-                .iter()
-                .map(|record| u64::from(record.refusals))
-                .sum(),
+            passed_over: records.iter().map(|record| u64::from(record.refusals)).sum(),
             samples: samples(&self.plans, records, &findings),
             ..Run::default()
         };
@@ -295,15 +279,11 @@
     fn expected_us(&self, records: &[Record], findings: &[Finding]) -> f64 {
         let mean = |plan: &Plan| {
             let servers = self.layout.servers(&plan.shards[0].service);
-            servers
-                .first()
-                .map_or(0.0, |target| capacity::mean_service_us(target))
+            servers.first().map_or(0.0, |target| capacity::mean_service_us(target))
         };
         let means: Vec<f64> = self.plans.iter().map(mean).collect();
         let pairs = records.iter().zip(findings);
-        pairs
-            .map(|(record, finding)| finding.needed as f64 * means[record.class])
-            .sum()
+        pairs.map(|(record, finding)| finding.needed as f64 * means[record.class]).sum()
     }
 }
 
@@ -347,10 +327,7 @@
     let described = pairs.into_iter().take(SAMPLES).map(|(record, finding)| {
         let name = &plans[record.class].class.name;
         let at = record.at.as_secs_f64();
-        format!(
-            "{at:.3} s {name} {} {finding:?} {:?}",
-            record.key, record.outcome
-        )
+        format!("{at:.3} s {name} {} {finding:?} {:?}", record.key, record.outcome)
     });
     described.collect()
 }
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -73,7 +73,5 @@
 
 /// Text with the characters that HTML gives a meaning replaced.
 pub fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -35,11 +35,7 @@
 impl Tally {
     /// Nothing yet.
     pub fn new(name: &str, headline: bool) -> Self {
-        let class = Class {
-            name: name.to_owned(),
-            headline,
-            ..Class::default()
-        };
+        let class = Class { name: name.to_owned(), headline, ..Class::default() };
         // The bounds are constants that the histogram accepts.
         let latency = Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("bounds");
         Self {
@@ -132,11 +128,7 @@
 
 /// `part` of `whole`; 0 of nothing.
 pub fn ratio(part: u64, whole: u64) -> f64 {
-    if whole == 0 {
-        0.0
-    } else {
-        part as f64 / whole as f64
-    }
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
 }
 
 fn step(counts: &mut BTreeMap<String, u64>, name: &str) {
--- a/crates/load/src/upkeep.rs
+++ b/crates/load/src/upkeep.rs
@@ -88,10 +88,7 @@
 /// The catalogue entries of a page.
 fn entries(page: &Page) -> Vec<Record> {
     let is_entry = |record: &&Record| {
-        matches!(
-            record.body,
-            Some(ladder_schema::publication::record::Body::Entry(_))
-        )
+        matches!(record.body, Some(ladder_schema::publication::record::Body::Entry(_)))
     };
     page.records.iter().filter(is_entry).cloned().collect()
 }
--- a/crates/load/src/upkeep/process.rs
+++ b/crates/load/src/upkeep/process.rs
@@ -57,10 +57,7 @@
 
 impl Process {
     pub(super) fn new(id: u32, admin: &str) -> Self {
-        Self {
-            id,
-            admin: admin.to_owned(),
-        }
+        Self { id, admin: admin.to_owned() }
     }
 
     async fn sample(&self, client: &Admin) -> Result<Sample, Error> {
--- a/crates/load/src/upkeep/spread.rs
+++ b/crates/load/src/upkeep/spread.rs
@@ -49,11 +49,7 @@
         if entries.is_empty() {
             return Err(Error::Unknown("catalogue entry".to_owned()));
         }
-        Ok(Self {
-            client: Admin::default(),
-            platform: platform.to_owned(),
-            entries,
-        })
+        Ok(Self { client: Admin::default(), platform: platform.to_owned(), entries })
     }
 
     /// Publishes `rate` changes a second for `length`; one that fails is left out.
@@ -79,10 +75,7 @@
             }
             times.push(start.elapsed().as_secs_f64() * 1000.0);
         }
-        Ok(Spread {
-            changes: times.len(),
-            milliseconds: range(times),
-        })
+        Ok(Spread { changes: times.len(), milliseconds: range(times) })
     }
 
     /// Publishes the next change of an entry's queue limit; gives its revision.
@@ -97,10 +90,7 @@
         self.client.publish(&self.platform, vec![record]).await?;
         let page: Page = self
             .client
-            .get(
-                &self.platform,
-                "/v1/records?after=18446744073709551614&wait_ms=0",
-            )
+            .get(&self.platform, "/v1/records?after=18446744073709551614&wait_ms=0")
             .await?;
         Ok(page.head)
     }
@@ -109,11 +99,7 @@
     async fn wait(&self, admin: &str, revision: u64, end: Instant) -> Result<(), Error> {
         loop {
             let text = self.client.text(admin, "/revision").await?;
-            if text
-                .trim()
-                .parse::<u64>()
-                .is_ok_and(|found| found >= revision)
-            {
+            if text.trim().parse::<u64>().is_ok_and(|found| found >= revision) {
                 return Ok(());
             }
             if Instant::now() > end {
--- a/crates/load/src/upkeep/takeover.rs
+++ b/crates/load/src/upkeep/takeover.rs
@@ -71,11 +71,7 @@
         tokio::time::sleep(PAUSE).await;
     }
     let new_owner_ms = watch.await.map_err(|_| Error::Thread)??;
-    let mut takeover = Takeover {
-        services: owned.len(),
-        new_owner_ms,
-        ..Takeover::default()
-    };
+    let mut takeover = Takeover { services: owned.len(), new_owner_ms, ..Takeover::default() };
     for query in queries {
         let (complete, latency) = query.await.map_err(|_| Error::Thread)?;
         takeover.queries += 1;
@@ -88,10 +84,7 @@
 /// Services that `owner` owns in the view of the instance at `admin`.
 async fn owned(client: &Admin, admin: &str, owner: &str) -> Result<Vec<String>, Error> {
     let status: status::Instance = client.get(admin, "/status").await?;
-    let owned = status
-        .services
-        .into_iter()
-        .filter(|service| service.owner == owner);
+    let owned = status.services.into_iter().filter(|service| service.owner == owner);
     Ok(owned.map(|service| service.name).collect())
 }
 
@@ -110,26 +103,13 @@
 fn shards(layout: &Layout, services: &[String]) -> Vec<(String, String, String)> {
     let mut shards = Vec::new();
     for index in layout.indexes() {
-        for shard in index
-            .shards
-            .iter()
-            .filter(|shard| services.contains(&shard.service))
-        {
-            let entry = layout
-                .entries()
-                .find(|entry| entry.service == shard.service);
+        for shard in index.shards.iter().filter(|shard| services.contains(&shard.service)) {
+            let entry = layout.entries().find(|entry| entry.service == shard.service);
             let operation = entry.and_then(|entry| {
-                entry
-                    .operations
-                    .iter()
-                    .find(|operation| !operation.unrepeatable)
+                entry.operations.iter().find(|operation| !operation.unrepeatable)
             });
             if let Some(operation) = operation {
-                shards.push((
-                    index.name.clone(),
-                    operation.name.clone(),
-                    shard.name.clone(),
-                ));
+                shards.push((index.name.clone(), operation.name.clone(), shard.name.clone()));
             }
         }
     }
@@ -141,11 +121,7 @@
     let start = Instant::now();
     let url = format!("http://{address}/query");
     let limit = Duration::from_millis(u64::from(DEADLINE_MS) + 1000);
-    let response = Client::new()
-        .post(url)
-        .timeout(limit)
-        .send_json(&request)
-        .await;
+    let response = Client::new().post(url).timeout(limit).send_json(&request).await;
     let complete = match response {
         Ok(mut response) => {
             let answer = response.json::<call::Answer>().await;
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -14,18 +14,10 @@
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::standin::{Execution, Ledger};
 
-const ASKED: Asked<'_> = Asked {
-    key: "k1",
-    index: "docks",
-    shards: &["s1", "s2"],
-    payload: "p",
-};
+const ASKED: Asked<'_> = Asked { key: "k1", index: "docks", shards: &["s1", "s2"], payload: "p" };
 
 fn part(shard: &str, body: &str) -> Part {
-    Part {
-        shard: shard.to_owned(),
-        body: body.to_owned(),
-    }
+    Part { shard: shard.to_owned(), body: body.to_owned() }
 }
 
 fn complete() -> Answer {
@@ -79,48 +71,18 @@
 }
 
 fn case(name: &'static str, status: u16, answer: Answer, mistakes: &'static [Mistake]) -> Case {
-    Case {
-        name,
-        status,
-        answer,
-        mistakes,
-    }
+    Case { name, status, answer, mistakes }
 }
 
 fn body_cases() -> Vec<Case> {
     let body = |text: &'static str| with(complete(), |answer| answer.parts[1].body = text.into());
     vec![
         case("own", 200, complete(), &[]),
-        case(
-            "foreign key",
-            200,
-            body("docks@1/s2/k2/p"),
-            &[Mistake::ForeignBody],
-        ),
-        case(
-            "foreign payload",
-            200,
-            body("docks@1/s2/k1/q"),
-            &[Mistake::ForeignBody],
-        ),
-        case(
-            "foreign shard",
-            200,
-            body("docks@1/s1/k1/p"),
-            &[Mistake::ForeignBody],
-        ),
-        case(
-            "foreign index",
-            200,
-            body("dock@1/s2/k1/p"),
-            &[Mistake::ForeignBody],
-        ),
-        case(
-            "mixed versions",
-            200,
-            body("docks@2/s2/k1/p"),
-            &[Mistake::MixedVersions],
-        ),
+        case("foreign key", 200, body("docks@1/s2/k2/p"), &[Mistake::ForeignBody]),
+        case("foreign payload", 200, body("docks@1/s2/k1/q"), &[Mistake::ForeignBody]),
+        case("foreign shard", 200, body("docks@1/s1/k1/p"), &[Mistake::ForeignBody]),
+        case("foreign index", 200, body("dock@1/s2/k1/p"), &[Mistake::ForeignBody]),
+        case("mixed versions", 200, body("docks@2/s2/k1/p"), &[Mistake::MixedVersions]),
         case(
             "other caller's answer",
             200,
@@ -142,19 +104,9 @@
     });
     vec![
         case("partial", 206, partial(Verdict::MayHaveRun), &[]),
-        case(
-            "partial as complete",
-            200,
-            partial(Verdict::MayHaveRun),
-            &[Mistake::Status],
-        ),
+        case("partial as complete", 200, partial(Verdict::MayHaveRun), &[Mistake::Status]),
         case("complete as partial", 206, complete(), &[Mistake::Status]),
-        case(
-            "missing shard unlisted",
-            200,
-            unlisted,
-            &[Mistake::Unlisted],
-        ),
+        case("missing shard unlisted", 200, unlisted, &[Mistake::Unlisted]),
         case(
             "covered without a part",
             200,
@@ -197,18 +149,8 @@
 fn refusal_cases() -> Vec<Case> {
     vec![
         case("refused", 503, refusal(Verdict::NotRun), &[]),
-        case(
-            "refused with parts",
-            503,
-            complete(),
-            &[Mistake::Status, Mistake::Verdict],
-        ),
-        case(
-            "refused without a verdict",
-            503,
-            refusal(Verdict::Unspecified),
-            &[Mistake::Verdict],
-        ),
+        case("refused with parts", 503, complete(), &[Mistake::Status, Mistake::Verdict]),
+        case("refused without a verdict", 503, refusal(Verdict::Unspecified), &[Mistake::Verdict]),
     ]
 }
 
@@ -230,10 +172,7 @@
         deadline_ms: 0,
         headline: false,
     };
-    let mix = Mix {
-        name: "small".to_owned(),
-        classes: vec![class("sweep"), class("book")],
-    };
+    let mix = Mix { name: "small".to_owned(), classes: vec![class("sweep"), class("book")] };
     plan::resolve(&mix, &fixture::layout("127.0.0.1:1")).expect("plans")
 }
 
@@ -259,12 +198,7 @@
 }
 
 fn finding(calls: u64, needed: u64, doubled: bool, ran_after_all: bool) -> Finding {
-    Finding {
-        calls,
-        needed,
-        doubled,
-        ran_after_all,
-    }
+    Finding { calls, needed, doubled, ran_after_all }
 }
 
 fn audit_of(
@@ -273,23 +207,13 @@
     executions: &'static [(&'static str, &'static str, &'static str, u32)],
     finding: Finding,
 ) -> Audit {
-    Audit {
-        name,
-        class,
-        status,
-        answer,
-        executions,
-        finding,
-    }
+    Audit { name, class, status, answer, executions, finding }
 }
 
 const SWEEP: usize = 0;
 const BOOK: usize = 1;
-const TWICE_AT_TWO: &[(&str, &str, &str, u32)] = &[
-    ("a", "k1", "s1", 1),
-    ("b", "k1", "s1", 1),
-    ("c", "k1", "s2", 1),
-];
+const TWICE_AT_TWO: &[(&str, &str, &str, u32)] =
+    &[("a", "k1", "s1", 1), ("b", "k1", "s1", 1), ("c", "k1", "s2", 1)];
 const TWICE_AT_ONE: &[(&str, &str, &str, u32)] = &[("a", "k1", "s1", 2), ("c", "k1", "s2", 1)];
 const ONCE: &[(&str, &str, &str, u32)] = &[("a", "k1", "s1", 1), ("a", "k1", "s2", 1)];
 const FOREIGN: &[(&str, &str, &str, u32)] = &[("c", "k2", "s2", 9)];
@@ -301,18 +225,8 @@
     let none = finding(0, 2, false, false);
     vec![
         audit_of("hedged", (SWEEP, 200, complete()), TWICE_AT_TWO, hedged),
-        audit_of(
-            "at two servers",
-            (BOOK, 200, complete()),
-            TWICE_AT_TWO,
-            doubled,
-        ),
-        audit_of(
-            "at one server",
-            (BOOK, 200, complete()),
-            TWICE_AT_ONE,
-            doubled,
-        ),
+        audit_of("at two servers", (BOOK, 200, complete()), TWICE_AT_TWO, doubled),
+        audit_of("at one server", (BOOK, 200, complete()), TWICE_AT_ONE, doubled),
         audit_of("two shards", (BOOK, 200, complete()), ONCE, once),
         audit_of("another request's", (BOOK, 200, complete()), FOREIGN, none),
     ]
--- a/crates/load/tests/compare.rs
+++ b/crates/load/tests/compare.rs
@@ -87,11 +87,7 @@
     let summary = Summary::of(&rows, "baseline", "owner", 0.7).expect("summary");
     let plots = report::plots(&rows, 0.7).expect("plots");
     assert_eq!(plots.len(), 4);
-    assert!(
-        plots
-            .iter()
-            .all(|plot| plot.starts_with("<svg") && plot.contains("baseline"))
-    );
+    assert!(plots.iter().all(|plot| plot.starts_with("<svg") && plot.contains("baseline")));
     let page = report::page(&report::tables(&rows), &plots, &summary);
     assert_eq!(page.matches("<svg").count(), 4);
     assert!(page.contains(&summary.to_string()));
--- a/crates/load/tests/plan.rs
+++ b/crates/load/tests/plan.rs
@@ -91,12 +91,7 @@
         assert_eq!(plan.whole, case.whole);
         assert_eq!(plan.unrepeatable, case.unrepeatable);
         assert_eq!(plan.deadline_ms, 400);
-        assert!(
-            (plan.rate - case.rate).abs() < 1e-6,
-            "{} {}",
-            plan.rate,
-            case.rate
-        );
+        assert!((plan.rate - case.rate).abs() < 1e-6, "{} {}", plan.rate, case.rate);
     }
     let sum: f64 = plans.iter().map(|plan| plan.rate).sum();
     let load = plan::load_of(&plans, sum * 0.7).expect("load");
@@ -112,20 +107,12 @@
     assert_ne!(first, schedule::draw(&plans, 0.7, length, 8));
     assert!(first.is_sorted_by_key(|arrival| arrival.at));
     for (class, plan) in plans.iter().enumerate() {
-        let own: Vec<_> = first
-            .iter()
-            .filter(|arrival| arrival.class == class)
-            .collect();
+        let own: Vec<_> = first.iter().filter(|arrival| arrival.class == class).collect();
         let expected = plan.rate * 0.7 * 60.0;
         // Six standard deviations of a Poisson count.
-        assert!(
-            (own.len() as f64 - expected).abs() < 6.0 * expected.sqrt(),
-            "{class}"
-        );
+        assert!((own.len() as f64 - expected).abs() < 6.0 * expected.sqrt(), "{class}");
         assert!(own.iter().all(|arrival| arrival.shards.len() == plan.fan));
-        let gaps = own
-            .windows(2)
-            .map(|pair| (pair[1].at - pair[0].at).as_secs_f64());
+        let gaps = own.windows(2).map(|pair| (pair[1].at - pair[0].at).as_secs_f64());
         let square = gaps.map(|gap| gap * gap).sum::<f64>() / own.len() as f64;
         // The second moment of exponential gaps is twice the square of their mean.
         let moment = square * (plan.rate * 0.7).powi(2);
--- a/crates/load/tests/session.rs
+++ b/crates/load/tests/session.rs
@@ -94,10 +94,7 @@
 fn an_instance_that_refuses_connections_is_passed_over() {
     let records = send(&[Script::Answer], false);
     // Every second query meets the closed instance first.
-    let refusals: u64 = records
-        .iter()
-        .map(|record| u64::from(record.refusals))
-        .sum();
+    let refusals: u64 = records.iter().map(|record| u64::from(record.refusals)).sum();
     assert_eq!(refusals, QUERIES / 2);
     assert!(records.iter().all(|record| mistakes(record).is_empty()));
 }
--- a/crates/schema/src/check/record.rs
+++ b/crates/schema/src/check/record.rs
@@ -44,15 +44,8 @@
     urgency("entry.urgency", entry.urgency, false)?;
     let missing_limits = || missing("entry.limits");
     limits(entry.limits.as_ref().ok_or_else(missing_limits)?)?;
-    count(
-        "entry.operations",
-        entry.operations.len(),
-        bounds::OPERATIONS,
-    )?;
-    let names = entry
-        .operations
-        .iter()
-        .map(|operation| operation.name.as_str());
+    count("entry.operations", entry.operations.len(), bounds::OPERATIONS)?;
+    let names = entry.operations.iter().map(|operation| operation.name.as_str());
     unique("entry.operations", names)?;
     for (at, item) in entry.operations.iter().enumerate() {
         operation(&format!("entry.operations[{at}]"), item)?;
@@ -61,35 +54,15 @@
 }
 
 fn limits(limits: &Limits) -> Outcome {
-    range(
-        "entry.limits.in_flight",
-        limits.in_flight.into(),
-        0,
-        IN_FLIGHT,
-    )?;
-    range(
-        "entry.limits.queue",
-        limits.queue.into(),
-        1,
-        bounds::QUEUE.into(),
-    )?;
+    range("entry.limits.in_flight", limits.in_flight.into(), 0, IN_FLIGHT)?;
+    range("entry.limits.queue", limits.queue.into(), 1, bounds::QUEUE.into())?;
     let extra = u64::from(limits.extra_percent);
-    range(
-        "entry.limits.extra_percent",
-        extra,
-        0,
-        bounds::EXTRA_PERCENT.into(),
-    )?;
+    range("entry.limits.extra_percent", extra, 0, bounds::EXTRA_PERCENT.into())?;
     if limits.connections == 0 {
         return Ok(());
     }
     let connections = u64::from(limits.connections);
-    range(
-        "entry.limits.connections",
-        connections,
-        CONNECTIONS.0,
-        CONNECTIONS.1,
-    )
+    range("entry.limits.connections", connections, CONNECTIONS.0, CONNECTIONS.1)
 }
 
 fn operation(path: &str, operation: &Operation) -> Outcome {
@@ -103,12 +76,7 @@
         });
     }
     let deadline = u64::from(operation.deadline_ms);
-    range(
-        &format!("{path}.deadline_ms"),
-        deadline,
-        1,
-        bounds::DEADLINE_MS.into(),
-    )
+    range(&format!("{path}.deadline_ms"), deadline, 1, bounds::DEADLINE_MS.into())
 }
 
 fn urgency(field: &str, value: i32, optional: bool) -> Outcome {
@@ -128,10 +96,7 @@
     name("index.name", &index.name)?;
     range("index.version", index.version, 1, u64::MAX)?;
     count("index.shards", index.shards.len(), bounds::SHARDS)?;
-    unique(
-        "index.shards",
-        index.shards.iter().map(|shard| shard.name.as_str()),
-    )?;
+    unique("index.shards", index.shards.iter().map(|shard| shard.name.as_str()))?;
     for (at, item) in index.shards.iter().enumerate() {
         shard(&format!("index.shards[{at}]"), item)?;
     }
@@ -151,28 +116,13 @@
     state("server.state", server.state)?;
     range("server.slots", server.slots.into(), 1, SLOTS)?;
     let connections = u64::from(server.connections);
-    range(
-        "server.connections",
-        connections,
-        CONNECTIONS.0,
-        CONNECTIONS.1,
-    )?;
-    range(
-        "server.holdings",
-        server.holdings.len() as u64,
-        0,
-        HOLDINGS as u64,
-    )?;
+    range("server.connections", connections, CONNECTIONS.0, CONNECTIONS.1)?;
+    range("server.holdings", server.holdings.len() as u64, 0, HOLDINGS as u64)?;
     let keys: Vec<String> = server.holdings.iter().map(holding_key).collect();
     unique("server.holdings", keys.iter().map(String::as_str))?;
     for (at, item) in server.holdings.iter().enumerate() {
         name(&format!("server.holdings[{at}].index"), &item.index)?;
-        range(
-            &format!("server.holdings[{at}].version"),
-            item.version,
-            1,
-            u64::MAX,
-        )?;
+        range(&format!("server.holdings[{at}].version"), item.version, 1, u64::MAX)?;
     }
     Ok(())
 }
@@ -243,12 +193,7 @@
     if (low..=high).contains(&value) {
         return Ok(());
     }
-    Err(Error::Range {
-        field: field.to_owned(),
-        value,
-        low,
-        high,
-    })
+    Err(Error::Range { field: field.to_owned(), value, low, high })
 }
 
 fn count(field: &str, value: usize, high: usize) -> Outcome {
@@ -259,27 +204,18 @@
     let mut seen = BTreeSet::new();
     for value in values {
         if !seen.insert(value) {
-            return Err(Error::Duplicate {
-                field: field.to_owned(),
-                value: shown(value),
-            });
+            return Err(Error::Duplicate { field: field.to_owned(), value: shown(value) });
         }
     }
     Ok(())
 }
 
 fn missing(field: &str) -> Error {
-    Error::Missing {
-        field: field.to_owned(),
-    }
+    Error::Missing { field: field.to_owned() }
 }
 
 fn text(field: &str, value: &str, allowed: &'static str) -> Error {
-    Error::Text {
-        field: field.to_owned(),
-        value: shown(value),
-        allowed,
-    }
+    Error::Text { field: field.to_owned(), value: shown(value), allowed }
 }
 
 fn shown(value: &str) -> String {
--- a/crates/schema/tests/generated.rs
+++ b/crates/schema/tests/generated.rs
@@ -14,11 +14,7 @@
         let file = file.expect("readable folder");
         let committed = fs::read_to_string(file.path()).expect("readable file");
         let fresh = fs::read_to_string(scratch.join(file.file_name())).expect("generated again");
-        assert!(
-            committed == fresh,
-            "{:?} is not what the schema gives",
-            file.file_name()
-        );
+        assert!(committed == fresh, "{:?} is not what the schema gives", file.file_name());
         files += 1;
     }
     assert_eq!(files, 2 * ladder_codegen::FILES.len());
@@ -30,8 +26,5 @@
     write_reference(&schema_dir(), &scratch).expect("the schema compiles");
     let committed = fs::read_to_string(reference_path()).expect("the page is committed");
     let fresh = fs::read_to_string(scratch).expect("written again");
-    assert!(
-        committed == fresh,
-        "docs/REFERENCE.md is not what the schema gives"
-    );
+    assert!(committed == fresh, "docs/REFERENCE.md is not what the schema gives");
 }
--- a/crates/standin/src/bin/standin-layout.rs
+++ b/crates/standin/src/bin/standin-layout.rs
@@ -27,9 +27,8 @@
 
 fn options() -> OptionParser<Options> {
     let layout = layout();
-    let out = long("out")
-        .help("Folder to write to; created when absent")
-        .argument::<PathBuf>("DIR");
+    let out =
+        long("out").help("Folder to write to; created when absent").argument::<PathBuf>("DIR");
     construct!(Options { layout, out })
         .to_options()
         .descr("Writes the settings of a whole run at a user's sizes of today, on free ports.")
@@ -41,9 +40,7 @@
 }
 
 fn layout() -> impl Parser<Layout> {
-    let user = long("user")
-        .help("Whose sizes: porto or bagmati")
-        .argument::<User>("USER");
+    let user = long("user").help("Whose sizes: porto or bagmati").argument::<User>("USER");
     let sizes = sizes();
     let service = service();
     let strategy = strategy();
@@ -89,12 +86,7 @@
         .argument("IP")
         .fallback(IpAddr::V4(Ipv4Addr::LOCALHOST))
         .display_fallback();
-    construct!(Sizes {
-        instances,
-        processes,
-        scale,
-        address
-    })
+    construct!(Sizes { instances, processes, scale, address })
 }
 
 struct Service {
@@ -120,58 +112,27 @@
         .argument("MS")
         .fallback(0)
         .display_fallback();
-    let seed = long("seed")
-        .help("Seed of the service times")
-        .argument("S")
-        .fallback(1)
-        .display_fallback();
-    construct!(Service {
-        straggler_permille,
-        service_us,
-        cold_ms,
-        seed
-    })
+    let seed =
+        long("seed").help("Seed of the service times").argument("S").fallback(1).display_fallback();
+    construct!(Service { straggler_permille, service_us, cold_ms, seed })
 }
 
 fn strategy() -> impl Parser<Strategy> {
-    let placement = choice(
-        "placement",
-        "owner|direct",
-        "Who works on a service",
-        |name| match name {
+    let placement =
+        choice("placement", "owner|direct", "Who works on a service", |name| match name {
             "owner" => Some(Placement::Owner.into()),
             "direct" => Some(Placement::Direct.into()),
             _ => None,
-        },
-    );
-    let selection = choice(
-        "selection",
-        "outcome|round-robin",
-        "How a server is chosen",
-        |name| match name {
+        });
+    let selection =
+        choice("selection", "outcome|round-robin", "How a server is chosen", |name| match name {
             "outcome" => Some(Selection::Outcome.into()),
             "round-robin" => Some(Selection::RoundRobin.into()),
             _ => None,
-        },
-    );
-    let hedging = choice(
-        "hedging",
-        "on|off",
-        "Second copies of slow requests",
-        switch,
-    );
-    let queueing = choice(
-        "queueing",
-        "on|off",
-        "Queue in front of the servers",
-        switch,
-    );
-    construct!(Strategy {
-        placement,
-        selection,
-        hedging,
-        queueing
-    })
+        });
+    let hedging = choice("hedging", "on|off", "Second copies of slow requests", switch);
+    let queueing = choice("queueing", "on|off", "Queue in front of the servers", switch);
+    construct!(Strategy { placement, selection, hedging, queueing })
 }
 
 fn switch(name: &str) -> Option<i32> {
--- a/crates/standin/src/layout.rs
+++ b/crates/standin/src/layout.rs
@@ -180,12 +180,7 @@
             instance.platform_address.clone_from(&platform.address);
         }
         let run = self.run(&platform, &targets, &instances);
-        Ok(Plan {
-            platform,
-            targets,
-            instances,
-            run,
-        })
+        Ok(Plan { platform, targets, instances, run })
     }
 
     /// Writes the settings of [`Layout::plan`] into a folder, which is created when absent.
@@ -233,10 +228,7 @@
     }
 
     fn log(&self) -> Log {
-        Log {
-            format: Format::Json.into(),
-            level: self.level.into(),
-        }
+        Log { format: Format::Json.into(), level: self.level.into() }
     }
 
     /// Spreads the servers over the processes, round robin.
@@ -249,10 +241,7 @@
         let mut processes = Vec::new();
         for number in 0..u64::from(self.processes) {
             processes.push(Targets {
-                seed: self
-                    .seed
-                    .wrapping_mul(PROCESSES.into())
-                    .wrapping_add(number),
+                seed: self.seed.wrapping_mul(PROCESSES.into()).wrapping_add(number),
                 admin_address: ports.next()?,
                 ..Targets::default()
             });
@@ -260,9 +249,7 @@
         let connect_ms = sizes.connect_ms();
         for (position, server) in servers.iter().enumerate() {
             let target = self.target(server, connect_ms[server.service.as_str()]);
-            processes[position % self.processes as usize]
-                .targets
-                .push(target);
+            processes[position % self.processes as usize].targets.push(target);
         }
         Ok(processes)
     }
@@ -325,10 +312,8 @@
 
 /// Gives each instance the first peers other than itself as seeds.
 fn seed(instances: &mut [Instance]) {
-    let peers: Vec<String> = instances
-        .iter()
-        .map(|instance| instance.peer_address.clone())
-        .collect();
+    let peers: Vec<String> =
+        instances.iter().map(|instance| instance.peer_address.clone()).collect();
     for instance in instances {
         let others = peers.iter().filter(|peer| **peer != instance.peer_address);
         instance.seeds = others.take(SEEDS).cloned().collect();
--- a/crates/standin/src/layout/files.rs
+++ b/crates/standin/src/layout/files.rs
@@ -22,10 +22,8 @@
 }
 
 pub(super) fn write(plan: &Plan, folder: &Path) -> Result<(), Error> {
-    fs::create_dir_all(folder).map_err(|cause| Error::Write {
-        path: folder.display().to_string(),
-        cause,
-    })?;
+    fs::create_dir_all(folder)
+        .map_err(|cause| Error::Write { path: folder.display().to_string(), cause })?;
     save(&folder.join(PLATFORM), &plan.platform)?;
     for (number, settings) in plan.targets.iter().enumerate() {
         save(&folder.join(targets(number)), settings)?;
--- a/crates/standin/src/layout/records.rs
+++ b/crates/standin/src/layout/records.rs
@@ -27,10 +27,7 @@
         .chain(indexes.map(Body::Index))
         .chain(servers.iter().cloned().map(Body::Server))
         .chain(instances.iter().map(instance).map(Body::Instance));
-    let records = (1..).zip(bodies).map(|(revision, body)| Record {
-        revision,
-        body: Some(body),
-    });
+    let records = (1..).zip(bodies).map(|(revision, body)| Record { revision, body: Some(body) });
     records.collect()
 }
 
@@ -65,15 +62,8 @@
 /// One shard for each service of a group.
 fn index(group: &Group) -> Index {
     let names = group.service_names().into_iter();
-    let shards = names.map(|service| Shard {
-        name: service.clone(),
-        service,
-    });
-    Index {
-        name: group.name.to_owned(),
-        version: VERSION,
-        shards: shards.collect(),
-    }
+    let shards = names.map(|service| Shard { name: service.clone(), service });
+    Index { name: group.name.to_owned(), version: VERSION, shards: shards.collect() }
 }
 
 fn instance(settings: &settings::Instance) -> publication::Instance {
--- a/crates/standin/src/layout/user.rs
+++ b/crates/standin/src/layout/user.rs
@@ -79,11 +79,7 @@
             Self::Bagmati => ("krishak-sahakari", BAGMATI_ZONES, BAGMATI_GROUPS),
         };
         let groups = groups.iter().map(|group| group.scaled(scale)).collect();
-        Sizes {
-            owner,
-            zones,
-            groups,
-        }
+        Sizes { owner, zones, groups }
     }
 }
 
@@ -115,9 +111,7 @@
         if !self.numbered {
             return vec![self.name.to_owned()];
         }
-        (1..=self.services)
-            .map(|number| format!("{}-{number:02}", self.name))
-            .collect()
+        (1..=self.services).map(|number| format!("{}-{number:02}", self.name)).collect()
     }
 
     /// Many services of two servers with few slots and costly connections.
@@ -203,10 +197,7 @@
     Group {
         operations: &[
             Operation::new("profile", Urgency::Ordinary, 1000),
-            Operation {
-                unrepeatable: true,
-                ..Operation::new("payment", Urgency::Ordinary, 2000)
-            },
+            Operation { unrepeatable: true, ..Operation::new("payment", Urgency::Ordinary, 2000) },
         ],
         slots: 6,
         connections: 100,
@@ -242,11 +233,7 @@
         ..Group::wide("ledger-sync", 30, Urgency::Elevated)
     },
     Group {
-        operations: &[Operation::new(
-            "application-status",
-            Urgency::Ordinary,
-            1000,
-        )],
+        operations: &[Operation::new("application-status", Urgency::Ordinary, 1000)],
         slots: 2,
         connections: 35,
         ..Group::single("member-portal", 5)
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -91,16 +91,8 @@
 
 impl Service {
     fn new(store: Store) -> Self {
-        let state = State {
-            store,
-            snapshot: None,
-            mode: Mode::default(),
-            calls: 0,
-        };
-        Self {
-            state: Mutex::new(state),
-            generation: watch::Sender::new(0),
-        }
+        let state = State { store, snapshot: None, mode: Mode::default(), calls: 0 };
+        Self { state: Mutex::new(state), generation: watch::Sender::new(0) }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -161,10 +153,7 @@
             .publish(page.records)
             .map_err(|refusal| http::problem(refusal.status(), &refusal.to_string()))?;
         self.changed();
-        let page = Page {
-            head,
-            records: Vec::new(),
-        };
+        let page = Page { head, records: Vec::new() };
         Ok(http::json(StatusCode::OK, &page))
     }
 
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -99,9 +99,6 @@
         let newer = newer.filter(|record| record.revision > after);
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
-        Page {
-            head: self.head,
-            records,
-        }
+        Page { head: self.head, records }
     }
 }
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -28,10 +28,7 @@
         let handle = receiver
             .recv()
             .unwrap_or_else(|_| Err(Error::field("thread", "ended before it served")))?;
-        Ok(Self {
-            handle,
-            thread: Some(thread),
-        })
+        Ok(Self { handle, thread: Some(thread) })
     }
 }
 
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -52,10 +52,7 @@
 impl Error {
     /// A mistake in one field.
     pub(crate) fn field(field: impl Into<String>, problem: impl Into<String>) -> Self {
-        Self::Field {
-            field: field.into(),
-            problem: problem.into(),
-        }
+        Self::Field { field: field.into(), problem: problem.into() }
     }
 }
 
@@ -65,14 +62,10 @@
 ///
 /// [`Error::Read`] when the file cannot be read, [`Error::Json`] when it does not fit the schema.
 pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
-    let text = fs::read_to_string(path).map_err(|cause| Error::Read {
-        path: path.display().to_string(),
-        cause,
-    })?;
-    serde_json::from_str(&text).map_err(|cause| Error::Json {
-        path: path.display().to_string(),
-        cause,
-    })
+    let text = fs::read_to_string(path)
+        .map_err(|cause| Error::Read { path: path.display().to_string(), cause })?;
+    serde_json::from_str(&text)
+        .map_err(|cause| Error::Json { path: path.display().to_string(), cause })
 }
 
 /// Writes a settings file as JSON for people to read.
@@ -81,14 +74,10 @@
 ///
 /// [`Error::Write`] when the file cannot be written.
 pub fn save<T: serde::Serialize>(path: &Path, value: &T) -> Result<(), Error> {
-    let text = serde_json::to_string_pretty(value).map_err(|cause| Error::Json {
-        path: path.display().to_string(),
-        cause,
-    })?;
-    fs::write(path, text + "\n").map_err(|cause| Error::Write {
-        path: path.display().to_string(),
-        cause,
-    })
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|cause| Error::Json { path: path.display().to_string(), cause })?;
+    fs::write(path, text + "\n")
+        .map_err(|cause| Error::Write { path: path.display().to_string(), cause })
 }
 
 /// An IP number and port out of the field of this name.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -37,9 +37,7 @@
         0 => THREADS,
         threads => threads,
     };
-    let mut builder = Listener::build()
-        .workers(threads as usize)
-        .shutdown_timeout(1);
+    let mut builder = Listener::build().workers(threads as usize).shutdown_timeout(1);
     for (position, server) in servers.iter().enumerate() {
         let field = format!("targets[{position}].server.address");
         let listen = address(&field, server.address())?;
--- a/crates/standin/src/target/check.rs
+++ b/crates/standin/src/target/check.rs
@@ -52,11 +52,7 @@
         ("connect_ms", target.connect_ms, CONNECT_MS),
         ("service_us", target.service_us, SERVICE_US),
         ("straggler_permille", target.straggler_permille, 1000),
-        (
-            "straggler_factor",
-            target.straggler_factor,
-            STRAGGLER_FACTOR,
-        ),
+        ("straggler_factor", target.straggler_factor, STRAGGLER_FACTOR),
         ("queue", target.queue, QUEUE),
         ("cold_ms", target.cold_ms, COLD_MS),
     ];
--- a/crates/standin/src/target/executions.rs
+++ b/crates/standin/src/target/executions.rs
@@ -32,11 +32,8 @@
     pub(super) fn record(&mut self, request: &Request) {
         let mut shards = request.shards.clone();
         shards.sort();
-        let key = Key {
-            request: request.key.clone(),
-            operation: request.operation.clone(),
-            shards,
-        };
+        let key =
+            Key { request: request.key.clone(), operation: request.operation.clone(), shards };
         *self.counts.entry(key).or_default() += 1;
     }
 
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -70,11 +70,7 @@
         }
         state.open.insert(id.to_owned(), Arc::clone(&cancelled));
         drop(state);
-        Some(Self {
-            server,
-            id: id.to_owned(),
-            cancelled,
-        })
+        Some(Self { server, id: id.to_owned(), cancelled })
     }
 }
 
@@ -143,11 +139,7 @@
         let factor = server.slowdown(&state);
         let time = state.clock.draw(factor);
         let time = state.clock.shorten(time);
-        let work = Self {
-            server,
-            begun: Instant::now(),
-            _slot: slot,
-        };
+        let work = Self { server, begun: Instant::now(), _slot: slot };
         (work, time)
     }
 
@@ -194,12 +186,7 @@
         Part { shard, body }
     });
     let parts = parts.collect();
-    Answer {
-        id: request.id,
-        index: request.index,
-        version: request.version,
-        parts,
-    }
+    Answer { id: request.id, index: request.index, version: request.version, parts }
 }
 
 fn refuse(server: &Server, request: Request, reason: Reason) -> Outcome {
@@ -207,11 +194,7 @@
         Reason::TargetShed => backlog_ms(server),
         _ => 0,
     };
-    Outcome::Refusal(Refusal {
-        id: request.id,
-        reason: reason.into(),
-        retry_after_ms,
-    })
+    Outcome::Refusal(Refusal { id: request.id, reason: reason.into(), retry_after_ms })
 }
 
 /// Milliseconds of work in the queue; at least 1.
--- a/crates/standin/tests/standin/client.rs
+++ b/crates/standin/tests/standin/client.rs
@@ -35,9 +35,7 @@
 
 /// HTTP client; each has connections of its own.
 pub(crate) fn client() -> awc::Client {
-    awc::Client::builder()
-        .timeout(Duration::from_secs(60))
-        .finish()
+    awc::Client::builder().timeout(Duration::from_secs(60)).finish()
 }
 
 /// A request whose connection may break.
@@ -52,10 +50,7 @@
     let request = client.request(method, format!("http://{url}"));
     let mut response = request.send_body(body).await.ok()?;
     let body = response.body().limit(64 << 20).await.ok()?;
-    Some(Reply {
-        status: response.status().as_u16(),
-        body: body.to_vec(),
-    })
+    Some(Reply { status: response.status().as_u16(), body: body.to_vec() })
 }
 
 pub(crate) async fn get(url: &str) -> Reply {
@@ -63,9 +58,7 @@
 }
 
 pub(crate) async fn post<T: Serialize>(url: &str, body: &T) -> Reply {
-    attempt(&client(), "POST", url, body)
-        .await
-        .expect("answered")
+    attempt(&client(), "POST", url, body).await.expect("answered")
 }
 
 /// IP number and port that are free.
@@ -109,10 +102,7 @@
             };
             let copy = settings.clone();
             let process = Process::start(move || target::start(&copy))?;
-            Ok(Self {
-                settings,
-                _process: process,
-            })
+            Ok(Self { settings, _process: process })
         })
     }
 
@@ -153,10 +143,7 @@
         deadline_ms: u32,
     ) -> actix_rt::task::JoinHandle<Option<Reply>> {
         let url = self.url("/query");
-        let request = Request {
-            deadline_ms,
-            ..request(id)
-        };
+        let request = Request { deadline_ms, ..request(id) };
         actix_rt::spawn(async move { attempt(&client(), "POST", &url, &request).await })
     }
 }
@@ -171,10 +158,7 @@
             incarnation: 1,
             slots: 1,
             connections: 8,
-            holdings: vec![Holding {
-                index: "docks".to_owned(),
-                version: 3,
-            }],
+            holdings: vec![Holding { index: "docks".to_owned(), version: 3 }],
             ..Server::default()
         }),
         service_us: 1000,
--- a/crates/standin/tests/standin/connections.rs
+++ b/crates/standin/tests/standin/connections.rs
@@ -60,19 +60,11 @@
         let pair = Pair::start();
         let mut idle = connect(&pair);
         assert!(served(&mut idle));
-        pair.fault(Fault {
-            slowdown: crate::client::ENDLESS,
-            ..Fault::default()
-        })
-        .await;
+        pair.fault(Fault { slowdown: crate::client::ENDLESS, ..Fault::default() }).await;
         let busy = pair.send("1", 60_000);
         eventually("service", async || pair.load().await.in_service == 1).await;
 
-        pair.fault(Fault {
-            dead: true,
-            ..Fault::default()
-        })
-        .await;
+        pair.fault(Fault { dead: true, ..Fault::default() }).await;
         assert!(busy.await.expect("no panic").is_none(), "request cut");
         assert!(!served(&mut idle), "idle connection closed");
         assert!(!served(&mut connect(&pair)), "new connection closed");
--- a/crates/standin/tests/standin/faults.rs
+++ b/crates/standin/tests/standin/faults.rs
@@ -18,18 +18,12 @@
 }
 
 fn cases() -> Vec<Case> {
-    let newer = Holding {
-        index: "docks".to_owned(),
-        version: 4,
-    };
+    let newer = Holding { index: "docks".to_owned(), version: 4 };
     let fault = Fault::default;
     vec![
         Case {
             name: "leaving",
-            fault: Fault {
-                leaving: true,
-                ..fault()
-            },
+            fault: Fault { leaving: true, ..fault() },
             status: 503,
             reason: Reason::TargetLeaving,
             health: 503,
@@ -37,11 +31,7 @@
         },
         Case {
             name: "leaving, but says otherwise",
-            fault: Fault {
-                leaving: true,
-                lying: true,
-                ..fault()
-            },
+            fault: Fault { leaving: true, lying: true, ..fault() },
             status: 503,
             reason: Reason::TargetLeaving,
             health: 200,
@@ -49,10 +39,7 @@
         },
         Case {
             name: "shedding",
-            fault: Fault {
-                shedding: true,
-                ..fault()
-            },
+            fault: Fault { shedding: true, ..fault() },
             status: 503,
             reason: Reason::TargetShed,
             health: 200,
@@ -60,10 +47,7 @@
         },
         Case {
             name: "retired version",
-            fault: Fault {
-                holdings: vec![newer],
-                ..fault()
-            },
+            fault: Fault { holdings: vec![newer], ..fault() },
             status: 409,
             reason: Reason::VersionRetired,
             health: 200,
@@ -98,18 +82,11 @@
 fn a_failing_server_looks_idle() {
     run(async {
         let pair = Pair::start();
-        let slow = Fault {
-            slowdown: ENDLESS,
-            ..Fault::default()
-        };
+        let slow = Fault { slowdown: ENDLESS, ..Fault::default() };
         pair.fault(slow).await;
         let _busy = pair.send("busy", 60_000);
         eventually("service", async || pair.load().await.in_service == 1).await;
-        pair.fault(Fault {
-            failing: true,
-            ..Fault::default()
-        })
-        .await;
+        pair.fault(Fault { failing: true, ..Fault::default() }).await;
         assert_eq!(post(&pair.url("/query"), &request("1")).await.status, 500);
         assert_eq!(pair.load().await.in_service, 0);
         assert_eq!(get(&pair.url("/health")).await.status, 200);
@@ -123,11 +100,7 @@
 fn a_silent_server_executes_and_does_not_answer() {
     run(async {
         let pair = Pair::start();
-        pair.fault(Fault {
-            silent: true,
-            ..Fault::default()
-        })
-        .await;
+        pair.fault(Fault { silent: true, ..Fault::default() }).await;
         let unanswered = pair.send("1", 60_000);
         eventually("the execution", async || pair.ledger().await.calls == 1).await;
         eventually("the free slot", async || pair.load().await.in_service == 0).await;
@@ -143,20 +116,10 @@
 fn holdings_replace_the_versions_served() {
     run(async {
         let pair = Pair::start();
-        let holdings = [3, 4].map(|version| Holding {
-            index: "docks".to_owned(),
-            version,
-        });
-        pair.fault(Fault {
-            holdings: holdings.to_vec(),
-            ..Fault::default()
-        })
-        .await;
+        let holdings = [3, 4].map(|version| Holding { index: "docks".to_owned(), version });
+        pair.fault(Fault { holdings: holdings.to_vec(), ..Fault::default() }).await;
         for version in [3, 4] {
-            let request = Request {
-                version,
-                ..request("1")
-            };
+            let request = Request { version, ..request("1") };
             assert_eq!(post(&pair.url("/query"), &request).await.status, 200);
         }
         assert_eq!(pair.load().await.holdings, holdings);
--- a/crates/standin/tests/standin/layout.rs
+++ b/crates/standin/tests/standin/layout.rs
@@ -24,25 +24,11 @@
 
 impl Size {
     const fn wide(group: &'static str, services: usize) -> Self {
-        Self {
-            group,
-            services,
-            servers: 2,
-            slots: 2,
-            connections: 25,
-            connect_ms: 6,
-        }
+        Self { group, services, servers: 2, slots: 2, connections: 25, connect_ms: 6 }
     }
 
     const fn narrow(group: &'static str, servers: usize, slots: u32, connections: u32) -> Self {
-        Self {
-            group,
-            services: 1,
-            servers,
-            slots,
-            connections,
-            connect_ms: 1,
-        }
+        Self { group, services: 1, servers, slots, connections, connect_ms: 1 }
     }
 }
 
@@ -108,17 +94,11 @@
     assert_eq!(index.shards.len(), size.services, "{}", size.group);
     for shard in &index.shards {
         let servers = servers(plan);
-        let replicas = servers
-            .iter()
-            .filter(|server| server.service == shard.service);
+        let replicas = servers.iter().filter(|server| server.service == shard.service);
         let replicas: Vec<_> = replicas.collect();
         assert_eq!(replicas.len(), size.servers, "{}", shard.name);
         let zones: Set<&str> = replicas.iter().map(|server| server.zone.as_str()).collect();
-        assert!(
-            zones.len() >= size.servers.min(3),
-            "{} in one zone",
-            shard.name
-        );
+        assert!(zones.len() >= size.servers.min(3), "{} in one zone", shard.name);
         for server in replicas {
             assert_eq!(server.slots, size.slots, "{}", server.name);
             assert_eq!(server.connections, size.connections, "{}", server.name);
@@ -128,9 +108,7 @@
             check_target(plan, server, size);
         }
         let entries = entries(plan);
-        let mut entries = entries
-            .iter()
-            .filter(|entry| entry.service == shard.service);
+        let mut entries = entries.iter().filter(|entry| entry.service == shard.service);
         assert!(!entries.next().expect("an entry").operations.is_empty());
         assert!(entries.next().is_none(), "two entries of {}", shard.service);
     }
@@ -156,10 +134,7 @@
         let all: usize = sizes.map(|size| size.services * size.servers).sum();
         assert_eq!(servers(&plan).len(), all);
         assert_eq!(indexes(&plan).len(), brief.sizes.len());
-        let zones: Set<&str> = servers(&plan)
-            .iter()
-            .map(|server| server.zone.as_str())
-            .collect();
+        let zones: Set<&str> = servers(&plan).iter().map(|server| server.zone.as_str()).collect();
         assert_eq!(zones.len(), brief.zones);
         let zones: Set<&str> = plan.instances.iter().map(|one| one.zone.as_str()).collect();
         assert_eq!(zones.len(), brief.zones);
@@ -168,10 +143,7 @@
 
 #[test]
 fn revisions_grow_and_no_address_is_given_twice() {
-    let plan = Layout::new(User::Porto)
-        .instances(9)
-        .plan()
-        .expect("a plan");
+    let plan = Layout::new(User::Porto).instances(9).plan().expect("a plan");
     let records = plan.platform.records.iter();
     let revisions: Vec<u64> = records.map(|record| record.revision).collect();
     assert!(revisions.is_sorted_by(|a, b| a < b));
@@ -179,11 +151,7 @@
     addresses.extend(servers(&plan).iter().map(|server| server.address.as_str()));
     addresses.extend(plan.targets.iter().map(|one| one.admin_address.as_str()));
     for instance in &plan.instances {
-        let own = [
-            &instance.caller_address,
-            &instance.peer_address,
-            &instance.admin_address,
-        ];
+        let own = [&instance.caller_address, &instance.peer_address, &instance.admin_address];
         addresses.extend(own.map(String::as_str));
         assert_eq!(instance.seeds.len(), 3);
         assert!(!instance.seeds.contains(&instance.peer_address));
@@ -208,10 +176,8 @@
 #[test]
 fn the_files_of_a_run_load() {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("layout");
-    let strategy = ladder_schema::settings::Strategy {
-        hedging: Switch::Off.into(),
-        ..Default::default()
-    };
+    let strategy =
+        ladder_schema::settings::Strategy { hedging: Switch::Off.into(), ..Default::default() };
     let layout = Layout::new(User::Bagmati).scale(0.1).processes(2);
     let written = layout.strategy(strategy).write(&folder).expect("written");
     let run: Run = settings::load(&folder.join("run.json")).expect("loads");
--- a/crates/standin/tests/standin/platform.rs
+++ b/crates/standin/tests/standin/platform.rs
@@ -28,10 +28,7 @@
                 records: vec![instance(0, "a"), instance(0, "b")],
             };
             let process = Process::start(move || platform::start(&settings))?;
-            Ok(Self {
-                address,
-                _process: process,
-            })
+            Ok(Self { address, _process: process })
         })
     }
 
@@ -57,9 +54,7 @@
     /// Watches for a minute in the background.
     fn watch(&self, after: u64) -> actix_rt::task::JoinHandle<Reply> {
         let url = self.url(&format!("/v1/records?after={after}&wait_ms=60000"));
-        let client = awc::Client::builder()
-            .timeout(Duration::from_secs(100))
-            .finish();
+        let client = awc::Client::builder().timeout(Duration::from_secs(100)).finish();
         actix_rt::spawn(async move {
             let reply = attempt(&client, "GET", &url, &()).await;
             reply.expect("answered")
@@ -72,25 +67,13 @@
 }
 
 fn instance(revision: u64, name: &str) -> Record {
-    let instance = Instance {
-        name: name.to_owned(),
-        ..Instance::default()
-    };
-    Record {
-        revision,
-        body: Some(Body::Instance(instance)),
-    }
+    let instance = Instance { name: name.to_owned(), ..Instance::default() };
+    Record { revision, body: Some(Body::Instance(instance)) }
 }
 
 fn tombstone(name: &str) -> Record {
-    let tombstone = Tombstone {
-        kind: Kind::Instance.into(),
-        name: name.to_owned(),
-    };
-    Record {
-        revision: 0,
-        body: Some(Body::Tombstone(tombstone)),
-    }
+    let tombstone = Tombstone { kind: Kind::Instance.into(), name: name.to_owned() };
+    Record { revision: 0, body: Some(Body::Tombstone(tombstone)) }
 }
 
 fn revisions(page: &Page) -> Vec<u64> {
@@ -101,21 +84,10 @@
 fn a_read_gives_the_newest_record_of_each_key() {
     run(async {
         let service = Service::start();
-        service
-            .publish(vec![tombstone("a"), instance(9, "b")])
-            .await;
+        service.publish(vec![tombstone("a"), instance(9, "b")]).await;
         let page = service.read(0).await;
         assert_eq!(page.head, 9);
-        assert_eq!(
-            page.records,
-            [
-                Record {
-                    revision: 3,
-                    ..tombstone("a")
-                },
-                instance(9, "b")
-            ]
-        );
+        assert_eq!(page.records, [Record { revision: 3, ..tombstone("a") }, instance(9, "b")]);
         assert_eq!(revisions(&service.read(3).await), [9]);
         assert!(service.read(9).await.records.is_empty());
         assert_eq!(service.calls().await, 3);
@@ -164,19 +136,9 @@
 fn a_stale_platform_serves_what_was_published_before() {
     run(async {
         let service = Service::start();
-        let stale = Mode {
-            stale: true,
-            ..Mode::default()
-        };
+        let stale = Mode { stale: true, ..Mode::default() };
         service.mode(stale).await;
-        assert_eq!(
-            service
-                .publish(vec![instance(0, "c")])
-                .await
-                .json::<Page>()
-                .head,
-            3
-        );
+        assert_eq!(service.publish(vec![instance(0, "c")]).await.json::<Page>().head, 3);
         service.mode(stale).await;
         let page = service.read(0).await;
         assert_eq!((page.head, revisions(&page)), (2, vec![1, 2]));
@@ -201,10 +163,7 @@
         let service = Service::start();
         let watch = service.watch(2);
         eventually("the watch", async || service.calls().await == 1).await;
-        let down = Mode {
-            down: true,
-            ..Mode::default()
-        };
+        let down = Mode { down: true, ..Mode::default() };
         service.mode(down).await;
         assert_eq!(watch.await.expect("no panic").status, 503);
         let url = service.url("/v1/records?after=0");
@@ -219,9 +178,7 @@
     run(async {
         let service = Service::start();
         let url = service.url("/v1/records?after=x");
-        let reply = attempt(&client(), "GET", &url, &())
-            .await
-            .expect("answered");
+        let reply = attempt(&client(), "GET", &url, &()).await.expect("answered");
         assert_eq!(
             (reply.status, reply.body.as_slice()),
             (400, &b"after: \"x\" is not a number"[..])
--- a/crates/standin/tests/standin/requests.rs
+++ b/crates/standin/tests/standin/requests.rs
@@ -8,16 +8,9 @@
 use crate::client::{ENDLESS, Pair, eventually, get, post, request, run};
 
 /// Fills the only slot of the first server with a request that does not end by itself.
-async fn occupied() -> (
-    Pair,
-    actix_rt::task::JoinHandle<Option<crate::client::Reply>>,
-) {
+async fn occupied() -> (Pair, actix_rt::task::JoinHandle<Option<crate::client::Reply>>) {
     let pair = Pair::start();
-    pair.fault(Fault {
-        slowdown: ENDLESS,
-        ..Fault::default()
-    })
-    .await;
+    pair.fault(Fault { slowdown: ENDLESS, ..Fault::default() }).await;
     let first = pair.send("first", 60_000);
     eventually("service", async || pair.load().await.in_service == 1).await;
     (pair, first)
@@ -55,16 +48,9 @@
             shards: vec!["north".to_owned(), "east".to_owned()],
             ..request(id)
         };
-        let replica = Request {
-            shards: vec!["north".to_owned()],
-            ..twice("3")
-        };
-        for (server, request) in [
-            (0, twice("1")),
-            (0, twice("2")),
-            (1, replica),
-            (0, request("4")),
-        ] {
+        let replica = Request { shards: vec!["north".to_owned()], ..twice("3") };
+        for (server, request) in [(0, twice("1")), (0, twice("2")), (1, replica), (0, request("4"))]
+        {
             let reply = post(&pair.url_of(server, "/query"), &request).await;
             assert_eq!(reply.status, 200);
         }
@@ -96,10 +82,7 @@
         pair.fault(Fault::default()).await;
 
         assert_eq!(post(&pair.url("/cancel?id=first"), &()).await.status, 200);
-        assert_eq!(
-            first.await.expect("no panic").expect("answered").status,
-            500
-        );
+        assert_eq!(first.await.expect("no panic").expect("answered").status, 500);
         let second = waiting.await.expect("no panic").expect("answered");
         assert_eq!(second.status, 200);
         assert_eq!(keys(&pair.ledger().await), ["key-first", "key-second"]);
@@ -196,20 +179,11 @@
     run(async {
         let (pair, _first) = occupied().await;
         let no_id = post(&pair.url("/query"), &request("")).await;
-        assert_eq!(
-            (no_id.status, no_id.body.as_slice()),
-            (400, &b"id: is empty"[..])
-        );
-        assert_eq!(
-            post(&pair.url("/query"), &request("first")).await.status,
-            400
-        );
+        assert_eq!((no_id.status, no_id.body.as_slice()), (400, &b"id: is empty"[..]));
+        assert_eq!(post(&pair.url("/query"), &request("first")).await.status, 400);
         assert_eq!(post(&pair.url("/query"), &"text").await.status, 400);
         assert_eq!(post(&pair.url("/cancel"), &()).await.status, 400);
-        assert_eq!(
-            get(&pair.admin("/admin/ledger?server=s-9")).await.status,
-            404
-        );
+        assert_eq!(get(&pair.admin("/admin/ledger?server=s-9")).await.status, 404);
         assert_eq!(pair.ledger().await.calls, 1);
     });
 }
--- a/crates/standin/tests/standin/settings.rs
+++ b/crates/standin/tests/standin/settings.rs
@@ -85,10 +85,7 @@
 #[test]
 fn a_mistake_in_the_platform_names_its_field() {
     let path = scratch("platform.json");
-    let settings = Platform {
-        address: "127.0.0.1".to_owned(),
-        ..Platform::default()
-    };
+    let settings = Platform { address: "127.0.0.1".to_owned(), ..Platform::default() };
     save(&path, &settings).expect("written");
     let (code, text) = failure(env!("CARGO_BIN_EXE_standin-platform"), &path);
     assert_eq!(code, Some(2));
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -15,9 +15,7 @@
 impl Clock {
     /// A clock whose origin is now.
     pub fn new() -> Self {
-        Self {
-            origin: boot_micros(),
-        }
+        Self { origin: boot_micros() }
     }
 
     /// Time since the origin.
@@ -47,7 +45,5 @@
 pub fn incarnation() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
-        .map_or(1, |since| {
-            u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-        })
+        .map_or(1, |since| u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
 }
--- a/src/ctl/arguments.rs
+++ b/src/ctl/arguments.rs
@@ -86,10 +86,8 @@
 
 /// `owners [--service NAME] ADMIN...`.
 fn owners() -> impl Parser<Command> {
-    let service = bpaf::long("service")
-        .help("Only this service")
-        .argument::<String>("NAME")
-        .optional();
+    let service =
+        bpaf::long("service").help("Only this service").argument::<String>("NAME").optional();
     let instances = instances();
     construct!(Command::Owners { service, instances })
         .to_options()
@@ -119,9 +117,7 @@
 /// `cut ADMIN PEER...`.
 fn cut() -> impl Parser<Command> {
     let instance = instance();
-    let peers = positional::<String>("PEER")
-        .help("Peer address, IP:PORT; none: heal")
-        .many();
+    let peers = positional::<String>("PEER").help("Peer address, IP:PORT; none: heal").many();
     construct!(Command::Cut { instance, peers })
         .to_options()
         .descr("Cuts an instance off from peers; only where its settings allow fault injection.")
--- a/src/ctl/check.rs
+++ b/src/ctl/check.rs
@@ -37,32 +37,19 @@
 /// [`Error`] when the file cannot be read or a record would be refused.
 pub fn run(path: &Path) -> Result<(), client::Error> {
     let page = load(path).map_err(client::Error::Check)?;
-    let refused = page
-        .records
-        .iter()
-        .filter(|record| !is_sound(record))
-        .count();
+    let refused = page.records.iter().filter(|record| !is_sound(record)).count();
     if refused > 0 {
         return Err(client::Error::Check(Error::Refused(refused)));
     }
-    println!(
-        "{}: {} records, all sound",
-        path.display(),
-        page.records.len()
-    );
+    println!("{}: {} records, all sound", path.display(), page.records.len());
     Ok(())
 }
 
 /// Reads a page of records.
 fn load(path: &Path) -> Result<Page, Error> {
-    let text = fs::read_to_string(path).map_err(|error| Error::Unreadable {
-        path: path.to_owned(),
-        error,
-    })?;
-    serde_json::from_str(&text).map_err(|error| Error::Malformed {
-        path: path.to_owned(),
-        error,
-    })
+    let text = fs::read_to_string(path)
+        .map_err(|error| Error::Unreadable { path: path.to_owned(), error })?;
+    serde_json::from_str(&text).map_err(|error| Error::Malformed { path: path.to_owned(), error })
 }
 
 /// Whether instances would take the record; says why not.
@@ -84,11 +71,7 @@
         Some(record::Body::Server(server)) => format!("server {:?}", server.name),
         Some(record::Body::Instance(instance)) => format!("instance {:?}", instance.name),
         Some(record::Body::Tombstone(tombstone)) => {
-            format!(
-                "tombstone {} {:?}",
-                tombstone.kind().as_str_name(),
-                tombstone.name
-            )
+            format!("tombstone {} {:?}", tombstone.kind().as_str_name(), tombstone.name)
         }
         None => "record without a body".to_owned(),
     }
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -61,9 +61,7 @@
 ///
 /// As [`status`].
 pub fn owners(service: Option<&str>, instances: &[String]) -> Result<(), Error> {
-    each(instances, "status", |instance, answer| {
-        print::owners(instance, service, answer)
-    })
+    each(instances, "status", |instance, answer| print::owners(instance, service, answer))
 }
 
 /// Prints what happened to the requests of `key`.
@@ -135,31 +133,14 @@
 /// [`Error`] when there is no such answer.
 pub async fn get<T: DeserializeOwned>(instance: &str, path: &str) -> Result<T, Error> {
     let url = format!("http://{instance}/{path}");
-    let silent = |error| Error::Silent {
-        instance: instance.to_owned(),
-        error,
-    };
-    let garbled = |detail: String| Error::Garbled {
-        instance: instance.to_owned(),
-        detail,
-    };
-    let mut response = Client::new()
-        .get(url)
-        .timeout(PATIENCE)
-        .send()
-        .await
-        .map_err(silent)?;
-    let body = response
-        .body()
-        .limit(ANSWER_BYTES)
-        .await
-        .map_err(|error| garbled(error.to_string()))?;
+    let silent = |error| Error::Silent { instance: instance.to_owned(), error };
+    let garbled = |detail: String| Error::Garbled { instance: instance.to_owned(), detail };
+    let mut response = Client::new().get(url).timeout(PATIENCE).send().await.map_err(silent)?;
+    let body =
+        response.body().limit(ANSWER_BYTES).await.map_err(|error| garbled(error.to_string()))?;
     if !response.status().is_success() {
         let detail = String::from_utf8_lossy(&body).trim().to_owned();
-        return Err(Error::Refused {
-            instance: instance.to_owned(),
-            detail,
-        });
+        return Err(Error::Refused { instance: instance.to_owned(), detail });
     }
     serde_json::from_slice(&body).map_err(|error| garbled(error.to_string()))
 }
@@ -167,10 +148,7 @@
 /// One POST of a JSON body.
 async fn post(instance: &str, path: &str, body: &status::Cut) -> Result<(), Error> {
     let url = format!("http://{instance}/{path}");
-    let silent = |error| Error::Silent {
-        instance: instance.to_owned(),
-        error,
-    };
+    let silent = |error| Error::Silent { instance: instance.to_owned(), error };
     let request = Client::new().post(url).timeout(PATIENCE);
     let mut response = request.send_json(body).await.map_err(silent)?;
     if response.status().is_success() {
@@ -178,8 +156,5 @@
     }
     let body = response.body().await.unwrap_or_default();
     let detail = String::from_utf8_lossy(&body).trim().to_owned();
-    Err(Error::Refused {
-        instance: instance.to_owned(),
-        detail,
-    })
+    Err(Error::Refused { instance: instance.to_owned(), detail })
 }
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -13,16 +13,9 @@
             status.revision,
             if status.ready { "ready" } else { "not ready" },
             if status.draining { ", draining" } else { "" },
-            if status.reader {
-                ", reads the platform"
-            } else {
-                ""
-            },
-        ),
-        format!(
-            "  open: {} queries, {} portions",
-            status.open_queries, status.open_portions
+            if status.reader { ", reads the platform" } else { "" },
         ),
+        format!("  open: {} queries, {} portions", status.open_queries, status.open_portions),
     ];
     lines.extend(status.members.iter().map(member));
     lines.extend(status.refused.iter().map(refused));
@@ -63,11 +56,7 @@
 
 /// One line on a service.
 fn service(service: &Service) -> String {
-    let owner = if service.owner.is_empty() {
-        "nobody"
-    } else {
-        &service.owner
-    };
+    let owner = if service.owner.is_empty() { "nobody" } else { &service.owner };
     format!(
         "  {} (revision {}): {owner}, in order {}; {} queued and {} running here",
         service.name,
@@ -85,10 +74,7 @@
     }
     let mut lines = Vec::new();
     for query in &explanation.queries {
-        lines.push(format!(
-            "{address}: key {} query {}",
-            query.key, query.query
-        ));
+        lines.push(format!("{address}: key {} query {}", query.key, query.query));
         lines.extend(query.steps.iter().map(step));
     }
     lines.join("\n")
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -54,9 +54,7 @@
 
 impl<M: Machine> Clone for Handle<M> {
     fn clone(&self) -> Self {
-        Self {
-            inputs: self.inputs.clone(),
-        }
+        Self { inputs: self.inputs.clone() }
     }
 }
 
@@ -140,8 +138,6 @@
     /// The machine's next wake, at most one heartbeat away.
     fn planned_wake(&self) -> Instant {
         let latest = self.clock.now() + HEARTBEAT;
-        self.machine
-            .next_wake()
-            .map_or(latest, |wake| wake.min(latest))
+        self.machine.next_wake().map_or(latest, |wake| wake.min(latest))
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -127,10 +127,8 @@
     let settings = &options.instance;
     let callers = listen(&settings.caller_address)?;
     let operators = listen(&settings.admin_address)?;
-    let socket = Inbound::listen(&settings.peer_address).map_err(|error| Error::Peer {
-        address: settings.peer_address.clone(),
-        error,
-    })?;
+    let socket = Inbound::listen(&settings.peer_address)
+        .map_err(|error| Error::Peer { address: settings.peer_address.clone(), error })?;
     let (control, control_inbox) = driver::channel();
     let (gather, gather_inbox) = driver::channel();
     let (leaf, leaf_inbox) = driver::channel();
@@ -191,10 +189,7 @@
 
 /// A listener for a thread's own runtime.
 fn listen(address: &str) -> Result<TcpListener, Error> {
-    let fail = |error| Error::Listen {
-        address: address.to_owned(),
-        error,
-    };
+    let fail = |error| Error::Listen { address: address.to_owned(), error };
     let listener = TcpListener::bind(address).map_err(fail)?;
     listener.set_nonblocking(true).map_err(fail)?;
     Ok(listener)
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -29,11 +29,7 @@
         match (request.method(), request.path()) {
             (&Method::GET, "/metrics") => http::text(StatusCode::OK, self.shared.metrics.text()),
             (&Method::GET, "/revision") => {
-                let revision = self
-                    .shared
-                    .control
-                    .ask(|machine| machine.view().revision)
-                    .await;
+                let revision = self.shared.control.ask(|machine| machine.view().revision).await;
                 http::text(StatusCode::OK, revision.unwrap_or_default().to_string())
             }
             (&Method::GET, "/status") => {
@@ -63,10 +59,7 @@
     /// Replaces the cut links, where the settings allow it.
     async fn cut(&self, request: &mut Request) -> Response<BoxBody> {
         if !self.shared.options.instance.fault_injection {
-            return http::text(
-                StatusCode::FORBIDDEN,
-                "faultInjection is off in the settings\n",
-            );
+            return http::text(StatusCode::FORBIDDEN, "faultInjection is off in the settings\n");
         }
         let body = match http::body(request, bounds::REQUEST_BYTES).await {
             Ok(body) => body,
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -52,13 +52,7 @@
 
 impl Drop for Presence {
     fn drop(&mut self) {
-        if self
-            .waiting
-            .borrow_mut()
-            .callers
-            .remove(&self.caller)
-            .is_some()
-        {
+        if self.waiting.borrow_mut().callers.remove(&self.caller).is_some() {
             self.shared.gather.tell(Event::Gone(self.caller));
         }
     }
@@ -88,10 +82,9 @@
                 http::text(StatusCode::OK, "ready\n")
             }
             (&Method::GET, "/ready") => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            (_, "/query" | "/ready") => http::text(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "POST /query or GET /ready\n",
-            ),
+            (_, "/query" | "/ready") => {
+                http::text(StatusCode::METHOD_NOT_ALLOWED, "POST /query or GET /ready\n")
+            }
             _ => http::text(StatusCode::NOT_FOUND, "POST /query or GET /ready\n"),
         }
     }
@@ -105,25 +98,15 @@
         let key = request.key.clone();
         let arrived = self.shared.clock.now();
         let (caller, answered) = self.waiting.borrow_mut().enter();
-        let presence = Presence {
-            shared: self.shared.clone(),
-            waiting: Rc::clone(&self.waiting),
-            caller,
-        };
+        let presence =
+            Presence { shared: self.shared.clone(), waiting: Rc::clone(&self.waiting), caller };
         self.shared.gather.tell(Event::Call { caller, request });
         let answer = match answered.await {
             Ok(answer) => answer,
-            Err(_) => refusal(
-                key,
-                Reason::Draining,
-                Verdict::MayHaveRun,
-                "the instance ended",
-            ),
+            Err(_) => refusal(key, Reason::Draining, Verdict::MayHaveRun, "the instance ended"),
         };
         drop(presence);
-        self.shared
-            .metrics
-            .answered(&answer, self.shared.clock.now().since(arrived));
+        self.shared.metrics.answered(&answer, self.shared.clock.now().since(arrived));
         self.respond(&answer)
     }
 
@@ -135,9 +118,7 @@
         if self.shared.ready.is_draining() {
             // A request written to a kept connection right when the process ends would be cut and
             // leave its caller without a verdict: connections are given up beforehand.
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::Close);
+            response.head_mut().set_connection_type(ConnectionType::Close);
         }
         response
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -72,9 +72,7 @@
         if view.ready {
             self.shared.ready.set_known(true);
         }
-        self.shared
-            .gather
-            .tell(gather::Event::View(Arc::clone(&view)));
+        self.shared.gather.tell(gather::Event::View(Arc::clone(&view)));
         self.shared.leaf.tell(leaf::Event::View(view));
     }
 }
@@ -99,11 +97,7 @@
                         "revision" => view.revision, "ready" => view.ready);
                     self.publish(view);
                 }
-                Action::Refused {
-                    record,
-                    revision,
-                    detail,
-                } => {
+                Action::Refused { record, revision, detail } => {
                     warn!(self.shared.log, "published record refused"; "record" => record,
                         "revision" => revision, "detail" => detail);
                 }
@@ -125,17 +119,12 @@
             }
         };
         let operators = admin::Door::new(shared.clone());
-        actix_rt::spawn(http::serve(listener, move |request| {
-            operators.clone().handle(request)
-        }));
+        actix_rt::spawn(http::serve(listener, move |request| operators.clone().handle(request)));
         let driver = Driver {
             machine: Machine::new(self::settings(&shared), shared.clock.now()),
             clock: shared.clock,
             pause: shared.options.times.pause,
-            performer: Performing {
-                shared,
-                client: Client::default(),
-            },
+            performer: Performing { shared, client: Client::default() },
         };
         driver.run(inbox).await;
     });
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -57,11 +57,7 @@
                 work,
             });
         } else {
-            self.frames
-                .entry(Arc::clone(to))
-                .or_default()
-                .work
-                .push(work);
+            self.frames.entry(Arc::clone(to)).or_default().work.push(work);
         }
     }
 
@@ -70,11 +66,7 @@
         if *to == self.shared.me.address {
             self.shared.leaf.tell(leaf::Event::Cancel(cancel));
         } else {
-            self.frames
-                .entry(Arc::clone(to))
-                .or_default()
-                .cancels
-                .push(cancel);
+            self.frames.entry(Arc::clone(to)).or_default().cancels.push(cancel);
         }
     }
 }
@@ -110,9 +102,7 @@
         };
         let waiting = Rc::new(RefCell::new(Waiting::default()));
         let door = callers::Door::new(shared.clone(), Rc::clone(&waiting));
-        actix_rt::spawn(http::serve(listener, move |request| {
-            door.clone().handle(request)
-        }));
+        actix_rt::spawn(http::serve(listener, move |request| door.clone().handle(request)));
         let settings = Settings::builder(&shared.me.name, shared.incarnation)
             .hedging(shared.options.strategy.hedging)
             .build();
@@ -120,11 +110,7 @@
             machine: Machine::new(settings),
             clock: shared.clock,
             pause: shared.options.times.pause,
-            performer: Performing {
-                shared,
-                waiting,
-                frames: Map::default(),
-            },
+            performer: Performing { shared, waiting, frames: Map::default() },
         };
         driver.run(inbox).await;
     });
--- a/src/entry/lanes.rs
+++ b/src/entry/lanes.rs
@@ -49,20 +49,12 @@
         control: Handle<control::Machine>,
         clock: Clock,
     ) -> Self {
-        Self {
-            lanes: Rc::default(),
-            leaf,
-            control,
-            clock,
-        }
+        Self { lanes: Rc::default(), leaf, control, clock }
     }
 
     /// Opens a connection by asking for the load, so that the first query finds it warm.
     pub fn open(&self, key: LaneKey, address: &Arc<str>) {
-        let lane = Lane {
-            client: client(),
-            address: Arc::clone(address),
-        };
+        let lane = Lane { client: client(), address: Arc::clone(address) };
         self.lanes.borrow_mut().insert(key, lane.clone());
         let lanes = self.clone();
         actix_rt::spawn(async move {
@@ -85,10 +77,7 @@
         until: Instant,
     ) {
         let Some(lane) = self.get(key) else {
-            self.leaf.tell(Event::Ended {
-                attempt,
-                outcome: Outcome::Unsent,
-            });
+            self.leaf.tell(Event::Ended { attempt, outcome: Outcome::Unsent });
             return;
         };
         let lanes = self.clone();
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -51,11 +51,7 @@
         if to.address == self.shared.me.address {
             self.local.push(reply);
         } else {
-            self.frames
-                .entry(Arc::clone(&to.address))
-                .or_default()
-                .replies
-                .push(reply);
+            self.frames.entry(Arc::clone(&to.address)).or_default().replies.push(reply);
         }
     }
 
@@ -64,9 +60,7 @@
         if !self.local.is_empty() {
             let from = Arc::clone(&self.shared.me.name);
             let replies = std::mem::take(&mut self.local);
-            self.shared
-                .gather
-                .tell(gather::Event::Replies { from, replies });
+            self.shared.gather.tell(gather::Event::Replies { from, replies });
         }
         for (address, frame) in self.frames.drain() {
             self.shared.outbound.send(&address, frame);
@@ -80,12 +74,7 @@
             match action {
                 Action::Open { lane, address } => self.lanes.open(lane, &address),
                 Action::Close(lane) => self.lanes.close(lane),
-                Action::Send {
-                    lane,
-                    attempt,
-                    request,
-                    timeout,
-                } => {
+                Action::Send { lane, attempt, request, timeout } => {
                     self.lanes.send(lane, attempt, request, now + timeout);
                 }
                 Action::Cancel { lane, id } => self.lanes.cancel(lane, &id),
@@ -113,12 +102,7 @@
             machine: Machine::new(settings),
             clock: shared.clock,
             pause: shared.options.times.pause,
-            performer: Performing {
-                shared,
-                lanes,
-                local: Vec::new(),
-                frames: Map::default(),
-            },
+            performer: Performing { shared, lanes, local: Vec::new(), frames: Map::default() },
         };
         driver.run(inbox).await;
     });
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -63,28 +63,19 @@
 
 /// Splits a frame between the machines.
 fn deliver(shared: &Shared, mut frame: Frame) {
-    let from = Peer {
-        name: Arc::from(frame.from.as_str()),
-        address: Arc::from(frame.address.as_str()),
-    };
+    let from =
+        Peer { name: Arc::from(frame.from.as_str()), address: Arc::from(frame.address.as_str()) };
     let incarnation = frame.incarnation;
     for work in frame.work.drain(..) {
         let from = from.clone();
-        shared.leaf.tell(leaf::Event::Work {
-            from,
-            incarnation,
-            work,
-        });
+        shared.leaf.tell(leaf::Event::Work { from, incarnation, work });
     }
     for cancel in frame.cancels.drain(..) {
         shared.leaf.tell(leaf::Event::Cancel(cancel));
     }
     if !frame.replies.is_empty() {
         let replies = std::mem::take(&mut frame.replies);
-        shared.gather.tell(gather::Event::Replies {
-            from: Arc::clone(&from.name),
-            replies,
-        });
+        shared.gather.tell(gather::Event::Replies { from: Arc::clone(&from.name), replies });
     }
     shared.control.tell(control::Event::Frame(Box::new(frame)));
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -15,11 +15,7 @@
 pub async fn instance(shared: &Shared) -> status::Instance {
     let known = shared.control.ask(known).await.unwrap_or_default();
     let now = shared.clock.now();
-    let queues = shared
-        .leaf
-        .ask(move |machine| machine.status(now))
-        .await
-        .unwrap_or_default();
+    let queues = shared.leaf.ask(move |machine| machine.status(now)).await.unwrap_or_default();
     let mut services = known.services;
     for service in &mut services {
         if let Some(queue) = queues.iter().find(|queue| *queue.name == *service.name) {
@@ -43,13 +39,8 @@
 
 /// What happened to the requests of `key`.
 pub async fn explanation(shared: &Shared, key: String) -> status::Explanation {
-    let found = shared
-        .gather
-        .ask(move |machine| machine.explain(&key).map(query))
-        .await;
-    status::Explanation {
-        queries: found.flatten().into_iter().collect(),
-    }
+    let found = shared.gather.ask(move |machine| machine.explain(&key).map(query)).await;
+    status::Explanation { queries: found.flatten().into_iter().collect() }
 }
 
 /// A machine's count as a message field.
@@ -84,11 +75,8 @@
 
 /// All services in order of name.
 fn services(machine: &control::Machine, view: &View) -> Vec<status::Service> {
-    let mut services: Vec<_> = view
-        .services
-        .values()
-        .map(|found| service(machine, found))
-        .collect();
+    let mut services: Vec<_> =
+        view.services.values().map(|found| service(machine, found)).collect();
     services.sort_by(|a, b| a.name.cmp(&b.name));
     services
 }
@@ -100,14 +88,8 @@
     status::Service {
         name: service.name.to_string(),
         revision: revision.map_or(0, |(_, record)| record.revision),
-        owner: service
-            .owner()
-            .map_or_else(String::new, |owner| owner.peer.name.to_string()),
-        candidates: service
-            .candidates
-            .iter()
-            .map(|c| c.peer.name.to_string())
-            .collect(),
+        owner: service.owner().map_or_else(String::new, |owner| owner.peer.name.to_string()),
+        candidates: service.candidates.iter().map(|c| c.peer.name.to_string()).collect(),
         queued: 0,
         running: 0,
     }
@@ -125,20 +107,13 @@
 
 /// The account of one query.
 fn query(explanation: &gather::Explanation) -> status::Query {
-    let arrived = explanation
-        .steps
-        .first()
-        .map_or_else(Default::default, |first| first.at);
+    let arrived = explanation.steps.first().map_or_else(Default::default, |first| first.at);
     let steps = explanation.steps.iter().map(|stamp| {
         let mut step = step(&stamp.step);
         step.at_us = stamp.at.as_micros().saturating_sub(arrived.as_micros());
         step
     });
-    status::Query {
-        key: explanation.key.clone(),
-        query: explanation.query,
-        steps: steps.collect(),
-    }
+    status::Query { key: explanation.key.clone(), query: explanation.query, steps: steps.collect() }
 }
 
 /// One step in words, with its reason and verdict.
@@ -147,40 +122,21 @@
     let mut shown = status::Step::default();
     shown.what = match step {
         Step::Arrived { attempt } => format!("arrived, attempt {attempt}"),
-        Step::Pinned {
-            version,
-            portions,
-            missing,
-        } => {
+        Step::Pinned { version, portions, missing } => {
             format!("pinned version {version}: {portions} portions, {missing} shards missing")
         }
-        Step::Sent {
-            to,
-            round,
-            portions,
-            again,
-        } => {
+        Step::Sent { to, round, portions, again } => {
             shown.reason = again.unwrap_or_default().into();
             format!("sent {portions} portions to {to}, round {round}")
         }
-        Step::Replied {
-            from,
-            service,
-            verdict,
-            reason,
-        } => {
+        Step::Replied { from, service, verdict, reason } => {
             shown.verdict = (*verdict).into();
             shown.reason = (*reason).into();
             format!("{from} replied for {service}")
         }
         Step::Lost { owner, portions } => format!("gave up {portions} portions at {owner}"),
         Step::Gone => "the caller left".to_owned(),
-        Step::Answered {
-            verdict,
-            reason,
-            covered,
-            missing,
-        } => {
+        Step::Answered { verdict, reason, covered, missing } => {
             shown.verdict = (*verdict).into();
             shown.reason = (*reason).into();
             format!("answered: {covered} shards covered, {missing} missing")
--- a/src/http.rs
+++ b/src/http.rs
@@ -85,10 +85,7 @@
 pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<BoxBody> {
     match serde_json::to_vec(value) {
         Ok(body) => Response::build(status)
-            .insert_header((
-                header::CONTENT_TYPE,
-                HeaderValue::from_static("application/json"),
-            ))
+            .insert_header((header::CONTENT_TYPE, HeaderValue::from_static("application/json")))
             .body(body)
             .map_into_boxed_body(),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
@@ -97,16 +94,10 @@
 
 /// A plain text response.
 pub fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
-    Response::build(status)
-        .body(body.into())
-        .map_into_boxed_body()
+    Response::build(status).body(body.into()).map_into_boxed_body()
 }
 
 /// The value of `name` in a query string, as it stands.
 pub fn parameter<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request
-        .uri()
-        .query()?
-        .split('&')
-        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    request.uri().query()?.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -57,14 +57,7 @@
         cut: Cut,
         on_down: OnDown,
     ) -> Self {
-        Self {
-            identity: Arc::new(identity),
-            clock,
-            metrics,
-            cut,
-            on_down,
-            lines: Arc::default(),
-        }
+        Self { identity: Arc::new(identity), clock, metrics, cut, on_down, lines: Arc::default() }
     }
 
     /// Fills in the sender and hands the frame to the connection; it may be lost.
@@ -76,11 +69,8 @@
         let traffic = !(frame.work.is_empty() && frame.replies.is_empty());
         self.sign(&mut frame);
         let bytes = frame.encode_to_vec();
-        self.metrics
-            .sent(if traffic { "traffic" } else { "control" }, bytes.len());
-        let sent = self
-            .socket(address)
-            .is_some_and(|socket| socket.try_send(&bytes[..]).is_ok());
+        self.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
+        let sent = self.socket(address).is_some_and(|socket| socket.try_send(&bytes[..]).is_ok());
         if !sent {
             self.metrics.dropped(Reason::LinkFull);
         }
@@ -128,11 +118,7 @@
             }
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(Line {
-            socket,
-            used: now,
-            closing,
-        })
+        Ok(Line { socket, used: now, closing })
     }
 }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -16,18 +16,12 @@
         Format::Human => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            let drain = slog_async::Async::new(drain)
-                .build()
-                .filter_level(level)
-                .fuse();
+            let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
             Logger::root(drain, values)
         }
         Format::Json | Format::Unspecified => {
             let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            let drain = slog_async::Async::new(drain)
-                .build()
-                .filter_level(level)
-                .fuse();
+            let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
             Logger::root(drain, values)
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,9 +36,8 @@
     /// When the exporter cannot be registered.
     pub fn new() -> Result<Self, OTelSdkError> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter: Meter = provider.meter("ladder");
         let counter = |name: &'static str, text: &'static str| {
@@ -49,10 +48,7 @@
             retries: counter("ladder_retries", "Requests sent again, by reason"),
             hedges: counter("ladder_hedges", "Second copies sent, by reason"),
             drops: counter("ladder_drops", "Messages dropped, by reason"),
-            answers: counter(
-                "ladder_answers",
-                "Answers to callers, by verdict and coverage",
-            ),
+            answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
                 .with_description("Time from a caller's request to its answer")
@@ -78,10 +74,7 @@
 
     /// Counts a dropped message that never reached the core.
     pub fn dropped(&self, reason: Reason) {
-        self.count(Count {
-            event: Event::Drop,
-            reason,
-        });
+        self.count(Count { event: Event::Drop, reason });
     }
 
     /// Counts an answer to a caller, given after `elapsed`.
@@ -94,10 +87,7 @@
         let verdict = Verdict::try_from(answer.verdict).unwrap_or_default();
         self.answers.add(
             1,
-            &[
-                KeyValue::new("verdict", verdict.as_str_name()),
-                KeyValue::new("coverage", coverage),
-            ],
+            &[KeyValue::new("verdict", verdict.as_str_name()), KeyValue::new("coverage", coverage)],
         );
         self.latency.record(elapsed.as_secs_f64(), &[]);
     }
--- a/src/options.rs
+++ b/src/options.rs
@@ -100,11 +100,7 @@
             queueing: strategy.queueing() != Switch::Off,
         };
         let times = Times::new(&instance.timing.unwrap_or_default());
-        Self {
-            instance,
-            strategy,
-            times,
-        }
+        Self { instance, strategy, times }
     }
 }
 
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -27,15 +27,11 @@
         .help("Check the settings file, name each mistake, and stop: 0 if it is sound, 2 if not")
         .switch();
     let settings = positional::<PathBuf>("SETTINGS").help("Settings of the instance, a JSON file");
-    construct!(Arguments {
-        log_level,
-        check_settings,
-        settings
-    })
-    .to_options()
-    .descr("Runs one instance of the query tier.")
-    .footer("Exit codes: 0 stopped as asked, 1 failed while running, 2 bad settings.")
-    .version(env!("CARGO_PKG_VERSION"))
+    construct!(Arguments { log_level, check_settings, settings })
+        .to_options()
+        .descr("Runs one instance of the query tier.")
+        .footer("Exit codes: 0 stopped as asked, 1 failed while running, 2 bad settings.")
+        .version(env!("CARGO_PKG_VERSION"))
 }
 
 /// The log level of this name.
@@ -45,8 +41,6 @@
         "warning" => Ok(Level::Warning),
         "info" => Ok(Level::Info),
         "debug" => Ok(Level::Debug),
-        other => Err(format!(
-            "{other:?} is no level: error, warning, info or debug"
-        )),
+        other => Err(format!("{other:?} is no level: error, warning, info or debug")),
     }
 }
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -45,9 +45,7 @@
 
 impl fmt::Display for Mistakes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|mistake| write!(f, "\n  {mistake}"))
+        self.0.iter().try_for_each(|mistake| write!(f, "\n  {mistake}"))
     }
 }
 
@@ -65,10 +63,8 @@
 ///
 /// [`Error`]; [`Error::Invalid`] names every mistake at once.
 pub fn load(path: &Path) -> Result<Instance, Error> {
-    let text = fs::read_to_string(path).map_err(|error| Error::Unreadable {
-        path: path.to_owned(),
-        error,
-    })?;
+    let text = fs::read_to_string(path)
+        .map_err(|error| Error::Unreadable { path: path.to_owned(), error })?;
     parse(&text)
 }
 
@@ -80,21 +76,15 @@
 pub fn parse(text: &str) -> Result<Instance, Error> {
     let instance: Instance = serde_json::from_str(text).map_err(Error::Malformed)?;
     let mistakes = check(&instance);
-    if mistakes.is_empty() {
-        Ok(instance)
-    } else {
-        Err(Error::Invalid(Mistakes(mistakes)))
-    }
+    if mistakes.is_empty() { Ok(instance) } else { Err(Error::Invalid(Mistakes(mistakes))) }
 }
 
 /// Every mistake in `instance`.
 fn check(instance: &Instance) -> Vec<Mistake> {
     let mut mistakes = Vec::new();
-    for (field, value) in [
-        ("fleet", &instance.fleet),
-        ("name", &instance.name),
-        ("zone", &instance.zone),
-    ] {
+    for (field, value) in
+        [("fleet", &instance.fleet), ("name", &instance.name), ("zone", &instance.zone)]
+    {
         check_name(field, value, &mut mistakes);
     }
     for (field, value) in [
@@ -137,18 +127,8 @@
 
 /// Times are 0 for the default or within their range.
 fn check_timing(timing: &Timing, mistakes: &mut Vec<Mistake>) {
-    let range = |field, value, least, most| Range {
-        field,
-        value,
-        least,
-        most,
-    };
-    for Range {
-        field,
-        value,
-        least,
-        most,
-    } in [
+    let range = |field, value, least, most| Range { field, value, least, most };
+    for Range { field, value, least, most } in [
         range("timing.probeMs", timing.probe_ms, 50, 10_000),
         range("timing.suspectMs", timing.suspect_ms, 100, 60_000),
         range("timing.deadMs", timing.dead_ms, 100, 60_000),
--- a/tests/integration/catalogue.rs
+++ b/tests/integration/catalogue.rs
@@ -34,14 +34,9 @@
     let watch = Watch::start(&fleet);
     let changed = fleet.publish(vec![Body::Entry(fleet.entry("report-desk", "summary"))]);
     until("the change has reached one instance", || {
-        fleet
-            .status(0)
-            .is_some_and(|status| status.revision >= changed)
-    });
-    fleet.mode(Mode {
-        down: true,
-        ..Mode::default()
+        fleet.status(0).is_some_and(|status| status.revision >= changed)
     });
+    fleet.mode(Mode { down: true, ..Mode::default() });
     fleet.until_in_force(changed);
     fleet.restart_platform();
     let newcomer = 2;
@@ -65,14 +60,8 @@
         answer.check_complete(&fleet.index("report-desk"));
     }
     let last = seen[newcomer].last().expect("it was seen").incarnation;
-    for status in seen[newcomer]
-        .iter()
-        .filter(|status| status.incarnation == last)
-    {
-        assert!(
-            !status.ready || status.revision >= changed,
-            "served by the old copy"
-        );
+    for status in seen[newcomer].iter().filter(|status| status.incarnation == last) {
+        assert!(!status.ready || status.revision >= changed, "served by the old copy");
     }
 }
 
@@ -84,10 +73,7 @@
     for exchange in answered {
         let answer = exchange.answer();
         let reasons = [Reason::UnknownOperation, Reason::NotReady];
-        assert!(
-            answer.covered.is_empty(),
-            "served by the withdrawn operation: {answer:?}"
-        );
+        assert!(answer.covered.is_empty(), "served by the withdrawn operation: {answer:?}");
         assert!(reasons.contains(&answer.reason()), "{answer:?}");
     }
 }
@@ -126,14 +112,9 @@
 
 /// Publishes an entry under a revision of the operator's own; gives the status of the answer.
 fn publish(fleet: &Fleet, revision: u64, operation: &str) -> thread::JoinHandle<u16> {
-    let record = Record {
-        revision,
-        body: Some(Body::Entry(fleet.entry("report-desk", operation))),
-    };
-    let page = Page {
-        head: 0,
-        records: vec![record],
-    };
+    let record =
+        Record { revision, body: Some(Body::Entry(fleet.entry("report-desk", operation))) };
+    let page = Page { head: 0, records: vec![record] };
     let address = fleet.run.platform_address.clone();
     thread::spawn(move || {
         let response = http::post(&address, "/admin/publish", &page);
@@ -160,16 +141,8 @@
         let status = fleet.status(at).expect("it answers");
         let refused = status.refused.as_slice();
         assert_eq!(refused.len(), 1, "{refused:?}");
-        assert_eq!(
-            (refused[0].name.as_str(), refused[0].revision),
-            ("report-desk", head - 1)
-        );
-        assert!(
-            refused[0]
-                .detail
-                .contains("deadline_ms: 0 is outside 1 to 60000"),
-            "{refused:?}"
-        );
+        assert_eq!((refused[0].name.as_str(), refused[0].revision), ("report-desk", head - 1));
+        assert!(refused[0].detail.contains("deadline_ms: 0 is outside 1 to 60000"), "{refused:?}");
         let kept = ask(&fleet.door(at), report("report", &format!("kept-{at}")));
         kept.check_complete(&fleet.index("report-desk"));
         let mut added = report("added", &format!("added-{at}"));
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -21,68 +21,51 @@
 
 #[test]
 fn any_text_is_settings_or_a_clear_error() {
-    bolero::check!()
-        .with_iterations(RUNS)
-        .for_each(|bytes: &[u8]| {
-            if let Err(error) = file::parse(&String::from_utf8_lossy(bytes)) {
-                assert!(error.to_string().len() > 10);
-            }
-        });
+    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+        if let Err(error) = file::parse(&String::from_utf8_lossy(bytes)) {
+            assert!(error.to_string().len() > 10);
+        }
+    });
 }
 
 #[test]
 fn any_body_is_a_request_or_is_refused_as_not_run() {
-    bolero::check!()
-        .with_iterations(RUNS)
-        .for_each(|bytes: &[u8]| {
-            if let Err(answer) = callers::decode(Ok(Bytes::copy_from_slice(bytes))) {
-                assert_eq!(answer.verdict(), Verdict::NotRun);
-                assert_eq!(answer.reason(), Reason::Malformed);
-                assert!(!answer.detail.is_empty());
-            }
-        });
+    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+        if let Err(answer) = callers::decode(Ok(Bytes::copy_from_slice(bytes))) {
+            assert_eq!(answer.verdict(), Verdict::NotRun);
+            assert_eq!(answer.reason(), Reason::Malformed);
+            assert!(!answer.detail.is_empty());
+        }
+    });
 }
 
 #[test]
 fn any_response_of_a_target_has_an_outcome() {
-    bolero::check!()
-        .with_iterations(RUNS)
-        .with_type::<(u16, Vec<u8>)>()
-        .for_each(|(code, body)| {
+    bolero::check!().with_iterations(RUNS).with_type::<(u16, Vec<u8>)>().for_each(
+        |(code, body)| {
             if let Ok(status) = awc::http::StatusCode::from_u16(*code) {
                 let outcome = lanes::outcome(status, body, "a1");
-                assert_ne!(
-                    outcome,
-                    leaf::event::Outcome::Unsent,
-                    "something was written"
-                );
+                assert_ne!(outcome, leaf::event::Outcome::Unsent, "something was written");
             }
-        });
+        },
+    );
 }
 
 #[test]
 fn any_page_is_checked_record_by_record() {
-    bolero::check!()
-        .with_iterations(RUNS)
-        .for_each(|bytes: &[u8]| {
-            for record in Page::decode(bytes).unwrap_or_default().records {
-                let _ = check::record(&record);
-            }
-        });
+    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+        for record in Page::decode(bytes).unwrap_or_default().records {
+            let _ = check::record(&record);
+        }
+    });
 }
 
 /// A frame of this fleet with everything in it that a peer may say.
 fn frame() -> Frame {
     use ladder_schema::call::Part;
     use ladder_schema::wire::{Cancel, Digest, Portion, Probe, Reply, Rumour, Work};
-    let portion = Portion {
-        service: "s".into(),
-        shards: vec!["a".into(), "b".into()],
-    };
-    let part = Part {
-        shard: "a".into(),
-        body: "x".into(),
-    };
+    let portion = Portion { service: "s".into(), shards: vec!["a".into(), "b".into()] };
+    let part = Part { shard: "a".into(), body: "x".into() };
     Frame {
         protocol: bounds::PROTOCOL,
         fleet: FLEET.into(),
@@ -90,31 +73,13 @@
         incarnation: 7,
         address: "127.0.0.1:9".into(),
         zone: "campanha".into(),
-        work: vec![Work {
-            query: 1,
-            budget_us: 9,
-            portions: vec![portion],
-            ..Work::default()
-        }],
-        replies: vec![Reply {
-            query: 1,
-            parts: vec![part],
-            ..Reply::default()
-        }],
-        cancels: vec![Cancel {
-            query: 1,
-            incarnation: 7,
-        }],
+        work: vec![Work { query: 1, budget_us: 9, portions: vec![portion], ..Work::default() }],
+        replies: vec![Reply { query: 1, parts: vec![part], ..Reply::default() }],
+        cancels: vec![Cancel { query: 1, incarnation: 7 }],
         probes: vec![Probe { number: 3 }],
         acknowledgements: vec![Probe { number: 4 }],
-        rumours: vec![Rumour {
-            name: "porto-3".into(),
-            incarnation: 2,
-            ..Rumour::default()
-        }],
-        digest: Some(Digest {
-            buckets: vec![1; 64],
-        }),
+        rumours: vec![Rumour { name: "porto-3".into(), incarnation: 2, ..Rumour::default() }],
+        digest: Some(Digest { buckets: vec![1; 64] }),
         wanted: vec![0, 63, 64, u32::MAX],
         sent_us: 5,
         ..Frame::default()
@@ -128,9 +93,7 @@
 #[test]
 fn damaged_frames_are_refused_or_harmless() {
     let sound = frame().encode_to_vec();
-    let damage = bolero::check!()
-        .with_iterations(4 * RUNS)
-        .with_type::<Vec<(u16, u8)>>();
+    let damage = bolero::check!().with_iterations(4 * RUNS).with_type::<Vec<(u16, u8)>>();
     damage.for_each(|places| {
         let mut bytes = sound.clone();
         for (place, value) in places {
@@ -147,28 +110,17 @@
 /// Hands a frame's parts to fresh machines.
 fn take(frame: Frame) {
     let now = Instant::from_millis(10);
-    let from = Peer {
-        name: frame.from.as_str().into(),
-        address: frame.address.as_str().into(),
-    };
+    let from = Peer { name: frame.from.as_str().into(), address: frame.address.as_str().into() };
     let mut leaf = leaf::Machine::new(leaf::Settings::builder("porto-1", 1).build());
     for work in frame.work.clone() {
-        let event = leaf::Event::Work {
-            from: from.clone(),
-            incarnation: frame.incarnation,
-            work,
-        };
+        let event = leaf::Event::Work { from: from.clone(), incarnation: frame.incarnation, work };
         leaf.handle(now, event, &mut Vec::new());
     }
     let mut gather = gather::Machine::new(gather::Settings::builder("porto-1", 1).build());
-    let replies = gather::Event::Replies {
-        from: Arc::clone(&from.name),
-        replies: frame.replies.clone(),
-    };
+    let replies =
+        gather::Event::Replies { from: Arc::clone(&from.name), replies: frame.replies.clone() };
     gather.handle(now, replies, &mut Vec::new());
-    let settings = Settings::builder("porto-1", "127.0.0.1:1")
-        .fleet(FLEET)
-        .build();
+    let settings = Settings::builder("porto-1", "127.0.0.1:1").fleet(FLEET).build();
     let mut control = control::Machine::new(settings, now);
     control.handle(now, control::Event::Frame(Box::new(frame)), &mut Vec::new());
 }
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -79,21 +79,13 @@
 
 impl Default for Edits {
     fn default() -> Self {
-        Self {
-            instance: |_, _| {},
-            entry: |_| {},
-        }
+        Self { instance: |_, _| {}, entry: |_| {} }
     }
 }
 
 /// The layout that most tests start from: a tenth or so of the services of today.
 pub(crate) fn layout(user: User, instances: u32) -> Layout {
-    Layout::new(user)
-        .instances(instances)
-        .processes(2)
-        .scale(0.2)
-        .service_us(4000)
-        .timing(TIMING)
+    Layout::new(user).instances(instances).processes(2).scale(0.2).service_us(4000).timing(TIMING)
 }
 
 impl Fleet {
@@ -143,29 +135,24 @@
     /// Waits until all running instances are ready, agree on owners and see each other.
     pub(crate) fn settle(&self) {
         let running = self.running();
-        until(
-            "all instances are ready and agree on members and owners",
-            || {
-                let seen: Vec<_> = running.iter().filter_map(|&at| self.status(at)).collect();
-                let sees_all = |status: &status::Instance| {
-                    let live = status.members.iter().filter(|member| {
-                        member.name != status.name && member.liveness() == Liveness::Alive
-                    });
-                    status.ready && live.count() + 1 >= running.len()
-                };
-                seen.len() == running.len()
-                    && seen.iter().all(sees_all)
-                    && seen.iter().all(|status| owners(status) == owners(&seen[0]))
-            },
-        );
+        until("all instances are ready and agree on members and owners", || {
+            let seen: Vec<_> = running.iter().filter_map(|&at| self.status(at)).collect();
+            let sees_all = |status: &status::Instance| {
+                let live = status.members.iter().filter(|member| {
+                    member.name != status.name && member.liveness() == Liveness::Alive
+                });
+                status.ready && live.count() + 1 >= running.len()
+            };
+            seen.len() == running.len()
+                && seen.iter().all(sees_all)
+                && seen.iter().all(|status| owners(status) == owners(&seen[0]))
+        });
     }
 
     /// Numbers of the instances that run.
     pub(crate) fn running(&self) -> Vec<usize> {
         let instances = self.instances.iter().enumerate();
-        instances
-            .filter_map(|(at, child)| child.as_ref().map(|_| at))
-            .collect()
+        instances.filter_map(|(at, child)| child.as_ref().map(|_| at)).collect()
     }
 
     /// Callers' addresses of all running instances but one.
@@ -235,9 +222,7 @@
         let found = status.services.iter().find(|found| found.name == service);
         let owner = &found.expect("the service is known").owner;
         let instances = self.run.instances.iter();
-        let position = instances
-            .map(|member| &member.name)
-            .position(|name| name == owner);
+        let position = instances.map(|member| &member.name).position(|name| name == owner);
         position.unwrap_or_else(|| panic!("{service} has the unknown owner {owner:?}"))
     }
 
@@ -249,12 +234,8 @@
                 [false, true] => groups[0],
                 _ => &[],
             };
-            let addresses = across
-                .iter()
-                .map(|&peer| &self.run.instances[peer].peer_address);
-            let cut = status::Cut {
-                addresses: addresses.cloned().collect(),
-            };
+            let addresses = across.iter().map(|&peer| &self.run.instances[peer].peer_address);
+            let cut = status::Cut { addresses: addresses.cloned().collect() };
             self.posted(&self.run.instances[at].admin_address, "/cut", &cut);
         }
     }
@@ -275,13 +256,9 @@
     /// Waits until every running instance has a revision in force.
     pub(crate) fn until_in_force(&self, revision: u64) {
         for at in self.running() {
-            until(
-                &format!("revision {revision} is in force on {}", self.name(at)),
-                || {
-                    self.status(at)
-                        .is_some_and(|status| status.revision >= revision)
-                },
-            );
+            until(&format!("revision {revision} is in force on {}", self.name(at)), || {
+                self.status(at).is_some_and(|status| status.revision >= revision)
+            });
         }
     }
 
@@ -327,19 +304,14 @@
 /// The owner of each service by one instance's view.
 pub(crate) fn owners(status: &status::Instance) -> Vec<(&str, &str)> {
     let services = status.services.iter();
-    services
-        .map(|service| (service.name.as_str(), service.owner.as_str()))
-        .collect()
+    services.map(|service| (service.name.as_str(), service.owner.as_str())).collect()
 }
 
 /// Waits until a condition holds.
 pub(crate) fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
     while !holds() {
-        assert!(
-            begun.elapsed() < PATIENCE,
-            "not within {PATIENCE:?}: {what}"
-        );
+        assert!(begun.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
         thread::sleep(LOOK);
     }
 }
--- a/tests/integration/fleet/call.rs
+++ b/tests/integration/fleet/call.rs
@@ -23,18 +23,12 @@
 }
 
 /// Of Porto.
-pub(crate) const PORTO: Operations = Operations {
-    index: "gate-finder",
-    sweep: "dock-availability",
-    booking: "dock-booking",
-};
+pub(crate) const PORTO: Operations =
+    Operations { index: "gate-finder", sweep: "dock-availability", booking: "dock-booking" };
 
 /// Of Bagmati; its sweeps use the whole deadline to be complete.
-pub(crate) const BAGMATI: Operations = Operations {
-    index: "counter-desk",
-    sweep: "eligibility",
-    booking: "payout-lookup",
-};
+pub(crate) const BAGMATI: Operations =
+    Operations { index: "counter-desk", sweep: "eligibility", booking: "payout-lookup" };
 
 impl Operations {
     /// A sweep over all shards.
@@ -121,25 +115,12 @@
         let answer = self.answer();
         assert_eq!(answer.version, index.version);
         let asked: BTreeSet<&str> = match self.request.shards.as_slice() {
-            [] => index
-                .shards
-                .iter()
-                .map(|shard| shard.name.as_str())
-                .collect(),
+            [] => index.shards.iter().map(|shard| shard.name.as_str()).collect(),
             some => some.iter().map(String::as_str).collect(),
         };
         let missing = answer.missing.iter().map(|missing| missing.shard.as_str());
-        let stated: Vec<&str> = answer
-            .covered
-            .iter()
-            .map(String::as_str)
-            .chain(missing)
-            .collect();
-        assert_eq!(
-            stated.len(),
-            asked.len(),
-            "a shard stands twice or not at all: {answer:?}"
-        );
+        let stated: Vec<&str> = answer.covered.iter().map(String::as_str).chain(missing).collect();
+        assert_eq!(stated.len(), asked.len(), "a shard stands twice or not at all: {answer:?}");
         assert_eq!(stated.into_iter().collect::<BTreeSet<_>>(), asked);
     }
 
@@ -148,11 +129,7 @@
         self.check_own();
         self.check_map(index);
         let answer = self.answer();
-        assert!(
-            answer.missing.is_empty(),
-            "not complete: {:?} {answer:?}",
-            self.request
-        );
+        assert!(answer.missing.is_empty(), "not complete: {:?} {answer:?}", self.request);
         assert_eq!(self.status(), 200);
     }
 }
--- a/tests/integration/fleet/http.rs
+++ b/tests/integration/fleet/http.rs
@@ -64,16 +64,11 @@
 /// The response in these bytes; none when it is not whole.
 fn parse(answer: &[u8]) -> Option<Response> {
     let end = answer.windows(4).position(|window| window == b"\r\n\r\n")?;
-    let head = std::str::from_utf8(&answer[..end])
-        .ok()?
-        .to_ascii_lowercase();
+    let head = std::str::from_utf8(&answer[..end]).ok()?.to_ascii_lowercase();
     let mut lines = head.split("\r\n");
     let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
-    let length: usize = lines
-        .find_map(|line| line.strip_prefix("content-length:"))?
-        .trim()
-        .parse()
-        .ok()?;
+    let length: usize =
+        lines.find_map(|line| line.strip_prefix("content-length:"))?.trim().parse().ok()?;
     let body = answer[end + 4..].to_vec();
     (body.len() == length).then_some(Response { status, body })
 }
--- a/tests/integration/fleet/ledger.rs
+++ b/tests/integration/fleet/ledger.rs
@@ -17,24 +17,15 @@
 impl Fleet {
     /// Reads all ledgers.
     pub(crate) fn executed(&self) -> Executed {
-        let addresses = self
-            .run
-            .targets
-            .iter()
-            .map(|process| &process.admin_address);
+        let addresses = self.run.targets.iter().map(|process| &process.admin_address);
         let ledgers: Vec<Ledger> = addresses
-            .map(|address| {
-                http::get(address, "/admin/ledger")
-                    .expect("targets answer")
-                    .json()
-            })
+            .map(|address| http::get(address, "/admin/ledger").expect("targets answer").json())
             .collect();
         let mut counts = Map::default();
         for execution in ledgers.iter().flat_map(|ledger| &ledger.executions) {
             for shard in &execution.shards {
-                *counts
-                    .entry((execution.key.clone(), shard.clone()))
-                    .or_default() += execution.count;
+                *counts.entry((execution.key.clone(), shard.clone())).or_default() +=
+                    execution.count;
             }
         }
         Executed { ledgers, counts }
@@ -74,11 +65,7 @@
                 ledger.peak_connections,
                 limit
             );
-            assert_eq!(
-                ledger.refused_connections, 0,
-                "{} refused connections",
-                server.name
-            );
+            assert_eq!(ledger.refused_connections, 0, "{} refused connections", server.name);
         }
     }
 }
@@ -115,10 +102,7 @@
             Verdict::Unspecified => panic!("no verdict: {answer:?}"),
         }
         for shard in &answer.covered {
-            assert!(
-                self.count(key, shard) > 0,
-                "{shard} did not run: {answer:?}"
-            );
+            assert!(self.count(key, shard) > 0, "{shard} did not run: {answer:?}");
         }
         let missing = answer.missing.iter();
         for missing in missing.filter(|missing| missing.verdict() == Verdict::NotRun) {
--- a/tests/integration/fleet/load.rs
+++ b/tests/integration/fleet/load.rs
@@ -47,11 +47,7 @@
             })
         });
         let callers = callers.collect();
-        Self {
-            stop,
-            answered,
-            callers,
-        }
+        Self { stop, answered, callers }
     }
 
     /// Callers of sweeps and bookings by turns; the bookings go over `shards` in turn.
@@ -73,17 +69,13 @@
     /// Waits for this many more answers.
     pub(crate) fn until_more(&self, answers: usize) {
         let goal = self.answered.load(Ordering::Relaxed) + answers;
-        until("callers get answers", || {
-            self.answered.load(Ordering::Relaxed) >= goal
-        });
+        until("callers get answers", || self.answered.load(Ordering::Relaxed) >= goal);
     }
 
     /// Stops and gives all requests with their outcomes.
     pub(crate) fn finish(self) -> Vec<Exchange> {
         self.stop.store(true, Ordering::Relaxed);
         let callers = self.callers.into_iter();
-        callers
-            .flat_map(|caller| caller.join().expect("a caller goes on"))
-            .collect()
+        callers.flat_map(|caller| caller.join().expect("a caller goes on")).collect()
     }
 }
--- a/tests/integration/fleet/outside.rs
+++ b/tests/integration/fleet/outside.rs
@@ -27,14 +27,8 @@
 
     /// Publishes bodies in order, with the next revisions; gives the highest.
     pub(crate) fn publish(&self, bodies: Vec<Body>) -> u64 {
-        let records = bodies.into_iter().map(|body| Record {
-            revision: 0,
-            body: Some(body),
-        });
-        let page = Page {
-            head: 0,
-            records: records.collect(),
-        };
+        let records = bodies.into_iter().map(|body| Record { revision: 0, body: Some(body) });
+        let page = Page { head: 0, records: records.collect() };
         let response = http::post(&self.run.platform_address, "/admin/publish", &page);
         let response = response.expect("the platform answers");
         assert_eq!(response.status, 200);
@@ -52,10 +46,7 @@
     /// Makes all servers of a service take requests without answering, or ends that.
     pub(crate) fn silence(&self, service: &str, silent: bool) {
         for server in self.servers().filter(|server| server.service == service) {
-            let fault = Fault {
-                silent,
-                ..Fault::default()
-            };
+            let fault = Fault { silent, ..Fault::default() };
             self.fault(&server.name, &fault);
         }
     }
--- a/tests/integration/fleet/watch.rs
+++ b/tests/integration/fleet/watch.rs
@@ -23,11 +23,7 @@
     /// Starts to look.
     pub(crate) fn start(fleet: &Fleet) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
-        let addresses = fleet
-            .run
-            .instances
-            .iter()
-            .map(|member| &member.admin_address);
+        let addresses = fleet.run.instances.iter().map(|member| &member.admin_address);
         let watchers = addresses.cloned().map(|address| {
             let stop = Arc::clone(&stop);
             thread::spawn(move || look(&address, &stop))
@@ -40,9 +36,7 @@
     pub(crate) fn finish(self) -> Vec<Vec<Instance>> {
         self.stop.store(true, Ordering::Relaxed);
         let watchers = self.watchers.into_iter();
-        watchers
-            .map(|watcher| watcher.join().expect("the watcher goes on"))
-            .collect()
+        watchers.map(|watcher| watcher.join().expect("the watcher goes on")).collect()
     }
 }
 
--- a/tests/integration/lanes.rs
+++ b/tests/integration/lanes.rs
@@ -31,11 +31,7 @@
         });
         let request = target::Request::default();
         let client = Client::builder().timeout(Duration::from_secs(30)).finish();
-        client
-            .post(format!("http://{address}/query"))
-            .send_json(&request)
-            .await
-            .err()
+        client.post(format!("http://{address}/query")).send_json(&request).await.err()
     });
     let error = error.expect("no answer");
     assert_eq!(broken(&error), Outcome::Lost, "{error}");
@@ -62,14 +58,8 @@
             error: SendRequestError::Connect(ConnectError::Disconnected),
             outcome: Outcome::Lost,
         },
-        Broken {
-            error: SendRequestError::Send(reset()),
-            outcome: Outcome::Lost,
-        },
-        Broken {
-            error: SendRequestError::Timeout,
-            outcome: Outcome::Lost,
-        },
+        Broken { error: SendRequestError::Send(reset()), outcome: Outcome::Lost },
+        Broken { error: SendRequestError::Timeout, outcome: Outcome::Lost },
     ];
     for case in cases {
         assert_eq!(broken(&case.error), case.outcome, "{:?}", case.error);
@@ -110,23 +100,10 @@
             body: "upstream unavailable",
             outcome: Outcome::Error,
         },
-        Response {
-            status: StatusCode::BAD_GATEWAY,
-            body: own,
-            outcome: Outcome::Error,
-        },
-        Response {
-            status: StatusCode::OK,
-            body: "{",
-            outcome: Outcome::Error,
-        },
+        Response { status: StatusCode::BAD_GATEWAY, body: own, outcome: Outcome::Error },
+        Response { status: StatusCode::OK, body: "{", outcome: Outcome::Error },
     ];
     for case in cases {
-        assert_eq!(
-            outcome(case.status, case.body.as_bytes(), "a1"),
-            case.outcome,
-            "{}",
-            case.body
-        );
+        assert_eq!(outcome(case.status, case.body.as_bytes(), "a1"), case.outcome, "{}", case.body);
     }
 }
--- a/tests/integration/leaving.rs
+++ b/tests/integration/leaving.rs
@@ -22,11 +22,7 @@
 
 /// Load over all running instances.
 fn load(fleet: &Fleet, name: &'static str) -> Load {
-    let doors: Vec<String> = fleet
-        .running()
-        .into_iter()
-        .map(|at| fleet.door(at))
-        .collect();
+    let doors: Vec<String> = fleet.running().into_iter().map(|at| fleet.door(at)).collect();
     Load::start(&doors, 6, move |caller, number| {
         BAGMATI.sweep(&format!("{name}-{caller}-{number}"))
     })
@@ -79,11 +75,7 @@
     until_quiet(&fleet, &server, &load);
     let before = calls(&fleet, &server);
     load.until_more(2 * ANSWERS);
-    assert_eq!(
-        calls(&fleet, &server),
-        before,
-        "new work at a leaving server"
-    );
+    assert_eq!(calls(&fleet, &server), before, "new work at a leaving server");
     check_complete(&fleet, load);
 }
 
@@ -99,14 +91,8 @@
     let before = load(&fleet, "before");
     before.until_more(ANSWERS);
     assert!(calls(&fleet, &server) > 0, "it had work before");
-    fleet.mode(Mode {
-        down: true,
-        ..Mode::default()
-    });
-    let leaving = Fault {
-        leaving: true,
-        ..Fault::default()
-    };
+    fleet.mode(Mode { down: true, ..Mode::default() });
+    let leaving = Fault { leaving: true, ..Fault::default() };
     fleet.fault(&server.name, &leaving);
     before.until_more(3 * ANSWERS);
     check_complete(&fleet, before);
@@ -116,11 +102,7 @@
     let after = load(&fleet, "after");
     after.until_more(3 * ANSWERS);
     assert_ne!(fleet.owner(&server.service), owner);
-    assert_eq!(
-        calls(&fleet, &server),
-        quiet,
-        "new work at a leaving server"
-    );
+    assert_eq!(calls(&fleet, &server), quiet, "new work at a leaving server");
     fleet.mode(Mode::default());
     server.incarnation += 1;
     let changed = fleet.publish(vec![Body::Server(server.clone())]);
--- a/tests/integration/partition.rs
+++ b/tests/integration/partition.rs
@@ -97,9 +97,7 @@
     let changed = fleet.publish(vec![Body::Entry(entry)]);
     for &at in SIDES[0] {
         until("the change is in force on the side of the platform", || {
-            fleet
-                .status(at)
-                .is_some_and(|status| status.revision >= changed)
+            fleet.status(at).is_some_and(|status| status.revision >= changed)
         });
     }
     for &at in SIDES[1] {
--- a/tests/integration/path.rs
+++ b/tests/integration/path.rs
@@ -16,11 +16,7 @@
 
 fn refused() -> Vec<Refused> {
     let sweep = |key: &str| PORTO.sweep(key);
-    let case = |request, status, reason| Refused {
-        request,
-        status,
-        reason,
-    };
+    let case = |request, status, reason| Refused { request, status, reason };
     let mut index = sweep("unknown-index");
     index.index = "nowhere".to_owned();
     let mut operation = sweep("unknown-operation");
@@ -120,12 +116,8 @@
         if answer.verdict() == Verdict::Ran {
             continue;
         }
-        let reasons = [
-            Reason::Expired,
-            Reason::Deadline,
-            Reason::WouldMissDeadline,
-            Reason::TargetTimeout,
-        ];
+        let reasons =
+            [Reason::Expired, Reason::Deadline, Reason::WouldMissDeadline, Reason::TargetTimeout];
         assert!(reasons.contains(&answer.reason()), "{answer:?}");
         assert!([429, 504].contains(&exchange.status()), "{answer:?}");
     }
--- a/tests/integration/pause.rs
+++ b/tests/integration/pause.rs
@@ -56,10 +56,8 @@
     let open = freeze(&fleet, victim, entry, &service);
     beside.until_more(50);
     until_dead(&fleet, victim);
-    let mut exchanges: Vec<Exchange> = open
-        .into_iter()
-        .map(|sender| sender.join().expect("a caller is answered"))
-        .collect();
+    let mut exchanges: Vec<Exchange> =
+        open.into_iter().map(|sender| sender.join().expect("a caller is answered")).collect();
     check_retries(&fleet, victim, &exchanges);
     fleet.signal(victim, Signal::CONT);
     own.until_more(20);
@@ -82,10 +80,7 @@
 
 /// A booking that is given up before the owner wakes.
 fn short(key: &str, service: &str) -> Request {
-    Request {
-        deadline_ms: 3000,
-        ..BAGMATI.booking(key, service)
-    }
+    Request { deadline_ms: 3000, ..BAGMATI.booking(key, service) }
 }
 
 /// Freezes the owner of a service with one booking at a silent target and one on its way to it.
@@ -97,9 +92,7 @@
 ) -> Vec<thread::JoinHandle<Exchange>> {
     fleet.silence(service, true);
     let running = send(fleet, entry, short("running", service));
-    until("the booking runs", || {
-        fleet.executed().of_key("running") > 0
-    });
+    until("the booking runs", || fleet.executed().of_key("running") > 0);
     fleet.signal(victim, Signal::STOP);
     fleet.silence(service, false);
     let sent = send(fleet, entry, short("on-its-way", service));
@@ -117,10 +110,7 @@
             continue;
         }
         for door in fleet.others(victim) {
-            let retry = Request {
-                attempt: 2,
-                ..exchange.request.clone()
-            };
+            let retry = Request { attempt: 2, ..exchange.request.clone() };
             let retry = ask(&door, retry);
             let answer = retry.answer();
             assert_eq!(answer.verdict(), Verdict::MayHaveRun, "{answer:?}");
--- a/tests/integration/settings.rs
+++ b/tests/integration/settings.rs
@@ -20,11 +20,7 @@
 
 #[test]
 fn valid_settings_load() {
-    for folder in [
-        "tests/valid_configs",
-        "sample_configs/porto",
-        "sample_configs/bagmati",
-    ] {
+    for folder in ["tests/valid_configs", "sample_configs/porto", "sample_configs/bagmati"] {
         for path in files(folder, "json") {
             if let Err(error) = file::load(&path) {
                 panic!("{}: {error}", path.display());
@@ -38,11 +34,7 @@
     for path in files("tests/invalid_configs", "json") {
         let expected = fs::read_to_string(path.with_extension("txt")).expect("expected message");
         let error = file::load(&path).expect_err("an invalid file").to_string();
-        assert!(
-            error.contains(expected.trim()),
-            "{}: {error}",
-            path.display()
-        );
+        assert!(error.contains(expected.trim()), "{}: {error}", path.display());
     }
 }
 
@@ -51,9 +43,6 @@
     let error = file::parse(r#"{"name": "a b", "timing": {"pauseMs": 1}}"#).expect_err("mistakes");
     let text = error.to_string();
     for field in ["fleet", "name", "zone", "callerAddress", "timing.pauseMs"] {
-        assert!(
-            text.contains(&format!("\n  {field}: ")),
-            "{field} is not named in {text}"
-        );
+        assert!(text.contains(&format!("\n  {field}: ")), "{field} is not named in {text}");
     }
 }
--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -19,17 +19,11 @@
     let servers = fleet.servers().filter(|server| server.service == service);
     let names: Vec<&str> = servers.map(|server| server.name.as_str()).collect();
     for name in &names {
-        let slow = Fault {
-            slowdown: 250,
-            ..Fault::default()
-        };
+        let slow = Fault { slowdown: 250, ..Fault::default() };
         fleet.fault(name, &slow);
     }
     let callers = ["long-1", "long-2"].map(|key| {
-        let booking = Request {
-            deadline_ms: 50_000,
-            ..BAGMATI.booking(key, &service)
-        };
+        let booking = Request { deadline_ms: 50_000, ..BAGMATI.booking(key, &service) };
         let door = fleet.door(at);
         thread::spawn(move || ask(&door, booking))
     });
@@ -127,14 +121,9 @@
 
 /// Sends a booking and waits until a target holds it.
 fn held_booking(fleet: &Fleet, entry: usize, service: &str) -> JoinHandle<Exchange> {
-    let booking = Request {
-        deadline_ms: 40_000,
-        ..BAGMATI.booking("held", service)
-    };
+    let booking = Request { deadline_ms: 40_000, ..BAGMATI.booking("held", service) };
     let door = fleet.door(entry);
     let caller = thread::spawn(move || ask(&door, booking));
-    until("the target holds the booking", || {
-        fleet.executed().of_key("held") > 0
-    });
+    until("the target holds the booking", || fleet.executed().of_key("held") > 0);
     caller
 }
--- a/tests/integration/twofold.rs
+++ b/tests/integration/twofold.rs
@@ -30,28 +30,14 @@
     let index = fleet.index(BAGMATI.index);
     let service = index.shards[0].service.clone();
     let victim = fleet.owner(&service);
-    let load = Load::mixed(
-        &fleet.others(victim),
-        8,
-        BAGMATI,
-        fleet.shards(BAGMATI.index),
-    );
+    let load = Load::mixed(&fleet.others(victim), 8, BAGMATI, fleet.shards(BAGMATI.index));
     load.until_more(50);
-    fleet.mode(Mode {
-        down: true,
-        ..Mode::default()
-    });
+    fleet.mode(Mode { down: true, ..Mode::default() });
     let dead = target_of_another(&fleet, victim);
-    let slow = Fault {
-        slowdown: 50,
-        ..Fault::default()
-    };
+    let slow = Fault { slowdown: 50, ..Fault::default() };
     fleet.fault(&dead, &slow);
     load.until_more(50);
-    let gone = Fault {
-        dead: true,
-        ..Fault::default()
-    };
+    let gone = Fault { dead: true, ..Fault::default() };
     fleet.fault(&dead, &gone);
     fleet.kill(victim);
     load.until_more(100);
@@ -85,10 +71,7 @@
     let holder = servers.find(|server| !fleet.ledger(&server.name).executions.is_empty());
     let holder = holder.expect("one of them has it").name.clone();
     fleet.silence(&service, false);
-    let gone = Fault {
-        dead: true,
-        ..Fault::default()
-    };
+    let gone = Fault { dead: true, ..Fault::default() };
     fleet.fault(&holder, &gone);
     let exchange = caller.join().expect("the caller is answered");
     fleet.until_idle();
--- a/tests/integration/vanish.rs
+++ b/tests/integration/vanish.rs
@@ -37,12 +37,7 @@
     let service = index.shards[0].service.clone();
     let victim = fleet.owner(&service);
     let held = hold(&fleet, &fleet.others(victim), &service);
-    let load = Load::mixed(
-        &fleet.others(victim),
-        8,
-        BAGMATI,
-        fleet.shards(BAGMATI.index),
-    );
+    let load = Load::mixed(&fleet.others(victim), 8, BAGMATI, fleet.shards(BAGMATI.index));
     load.until_more(100);
     fleet.kill(victim);
     load.until_more(100);
--- a/tests/integration/version.rs
+++ b/tests/integration/version.rs
@@ -17,27 +17,14 @@
             service: shard.service.clone(),
         })
     });
-    Index {
-        name: old.name.clone(),
-        version: old.version + 1,
-        shards: halves.collect(),
-    }
+    Index { name: old.name.clone(), version: old.version + 1, shards: halves.collect() }
 }
 
 /// Makes a server hold these versions of an index, and publishes it.
 fn hold(fleet: &Fleet, server: &Server, index: &str, versions: &[u64]) -> u64 {
-    let holdings = versions.iter().map(|&version| Holding {
-        index: index.to_owned(),
-        version,
-    });
-    let server = Server {
-        holdings: holdings.collect(),
-        ..server.clone()
-    };
-    let fault = Fault {
-        holdings: server.holdings.clone(),
-        ..Fault::default()
-    };
+    let holdings = versions.iter().map(|&version| Holding { index: index.to_owned(), version });
+    let server = Server { holdings: holdings.collect(), ..server.clone() };
+    let fault = Fault { holdings: server.holdings.clone(), ..Fault::default() };
     fleet.fault(&server.name, &fault);
     fleet.publish(vec![Body::Server(server)])
 }
@@ -51,22 +38,13 @@
     let fleet = Fleet::start(layout(User::Bagmati, 4));
     let old = fleet.index(BAGMATI.index);
     let new = split(&old);
-    let services: Vec<&str> = old
-        .shards
-        .iter()
-        .map(|shard| shard.service.as_str())
-        .collect();
+    let services: Vec<&str> = old.shards.iter().map(|shard| shard.service.as_str()).collect();
     let servers = fleet.servers();
     let holders = servers.filter(|server| services.contains(&server.service.as_str()));
     let holders: Vec<Server> = holders.cloned().collect();
-    let doors: Vec<String> = fleet
-        .running()
-        .into_iter()
-        .map(|at| fleet.door(at))
-        .collect();
-    let load = Load::start(&doors, 8, |caller, number| {
-        BAGMATI.sweep(&format!("sweep-{caller}-{number}"))
-    });
+    let doors: Vec<String> = fleet.running().into_iter().map(|at| fleet.door(at)).collect();
+    let load =
+        Load::start(&doors, 8, |caller, number| BAGMATI.sweep(&format!("sweep-{caller}-{number}")));
     load.until_more(50);
     fleet.publish(vec![Body::Index(new.clone())]);
     load.until_more(20);
@@ -84,15 +62,9 @@
     let exchanges = load.finish();
     for exchange in &exchanges {
         let version = exchange.answer().version;
-        let index = [&old, &new]
-            .into_iter()
-            .find(|index| index.version == version);
+        let index = [&old, &new].into_iter().find(|index| index.version == version);
         exchange.check_complete(index.expect("a published version"));
     }
-    let of = |version| {
-        exchanges
-            .iter()
-            .filter(move |e| e.answer().version == version)
-    };
+    let of = |version| exchanges.iter().filter(move |e| e.answer().version == version);
     assert!(of(old.version).count() > 0 && of(new.version).count() > 0);
 }
