Write the tables of the load and stand-in tests a row a line

Change: rows are tuple structs whose doc comment names the columns, changed answers are made by struct update, the plans of the small layout stand in the fixture, and a plan's records are sorted by kind in one pass.

Conclusion: no case, name, story or assertion is gone; the holding of a server is compared whole instead of field by field.

--- a/crates/load/tests/plan.rs
+++ b/crates/load/tests/plan.rs
@@ -6,31 +6,16 @@
 use std::time::Duration;
 
 use ladder_load::capacity;
-use ladder_load::mix::{Class, Fan, Mix};
+use ladder_load::mix::Fan;
 use ladder_load::plan::{self, Plan};
 use ladder_load::schedule;
 
-fn class(name: &str, operation: &str, fan: Fan, share: f64) -> Class {
-    Class {
-        name: name.to_owned(),
-        operation: operation.to_owned(),
-        fan,
-        share,
-        deadline_ms: 0,
-        headline: false,
-    }
-}
-
 fn plans() -> Vec<Plan> {
-    let mix = Mix {
-        name: "small".to_owned(),
-        classes: vec![
-            class("sweep", "sweep", Fan::All, 0.9),
-            class("book", "book", Fan::Some(1), 0.1),
-            class("tariff", "tariff", Fan::Some(1), 0.5),
-        ],
-    };
-    plan::resolve(&mix, &fixture::layout("127.0.0.1:1")).expect("plans")
+    fixture::plans(&[
+        ("sweep", Fan::All, 0.9),
+        ("book", Fan::Some(1), 0.1),
+        ("tariff", Fan::Some(1), 0.5),
+    ])
 }
 
 #[test]
@@ -42,8 +27,8 @@
     assert!((capacity::calls_per_second(&servers) - 4.0 / 0.0218).abs() < 1e-9);
 }
 
+/// What a class of the mix becomes.
 struct Rate {
-    class: usize,
     index: &'static str,
     fan: usize,
     whole: bool,
@@ -55,40 +40,19 @@
 fn rates_keep_the_share_of_the_slots_busy() {
     let gate = 4.0 / 0.0218;
     let tariff = 6.0 / 0.0109;
+    let docks = Rate { index: "docks", fan: 2, whole: true, unrepeatable: false, rate: 0.0 };
     let cases = [
         // Each sweep costs each of both services a call.
-        Rate {
-            class: 0,
-            index: "docks",
-            fan: 2,
-            whole: true,
-            unrepeatable: false,
-            rate: 0.9 * gate,
-        },
+        Rate { rate: 0.9 * gate, ..docks },
         // Each booking costs one of both services a call.
-        Rate {
-            class: 1,
-            index: "docks",
-            fan: 1,
-            whole: false,
-            unrepeatable: true,
-            rate: 0.1 * 2.0 * gate,
-        },
-        Rate {
-            class: 2,
-            index: "tariffs",
-            fan: 1,
-            whole: false,
-            unrepeatable: false,
-            rate: 0.5 * tariff,
-        },
+        Rate { fan: 1, whole: false, unrepeatable: true, rate: 0.1 * 2.0 * gate, ..docks },
+        Rate { index: "tariffs", fan: 1, whole: false, rate: 0.5 * tariff, ..docks },
     ];
     let plans = plans();
-    for case in cases {
-        let plan = &plans[case.class];
+    assert_eq!(plans.len(), cases.len());
+    for (plan, case) in plans.iter().zip(cases) {
         assert_eq!(plan.index, case.index);
-        assert_eq!(plan.fan, case.fan);
-        assert_eq!(plan.whole, case.whole);
+        assert_eq!((plan.fan, plan.whole), (case.fan, case.whole));
         assert_eq!(plan.unrepeatable, case.unrepeatable);
         assert_eq!(plan.deadline_ms, 400);
         assert!((plan.rate - case.rate).abs() < 1e-6, "{} {}", plan.rate, case.rate);
--- a/crates/load/tests/session.rs
+++ b/crates/load/tests/session.rs
@@ -11,29 +11,14 @@
 use entry::{Closed, Entry, Script};
 use ladder_load::caller::{self, Options, Outcome, Record};
 use ladder_load::check::Mistake;
-use ladder_load::mix::{Class, Fan, Mix};
-use ladder_load::plan::{self, Plan};
+use ladder_load::mix::Fan;
+use ladder_load::plan::Plan;
 use ladder_load::rotation::Rotation;
 use ladder_load::schedule::Arrival;
 
 const QUERIES: u64 = 40;
 const GAP: Duration = Duration::from_millis(5);
 
-fn plans() -> Vec<Plan> {
-    let mix = Mix {
-        name: "small".to_owned(),
-        classes: vec![Class {
-            name: "sweep".to_owned(),
-            operation: "sweep".to_owned(),
-            fan: Fan::All,
-            share: 1.0,
-            deadline_ms: 400,
-            headline: true,
-        }],
-    };
-    plan::resolve(&mix, &fixture::layout("127.0.0.1:1")).expect("plans")
-}
-
 fn arrivals() -> Vec<Arrival> {
     let arrival = |sequence: u64| Arrival {
         at: GAP * sequence as u32,
@@ -46,8 +31,7 @@
 
 /// Sends the schedule to the entries in turn, the first of which accepts no connection.
 fn send(scripts: &[Script], retries: bool) -> Vec<Record> {
-    let system = actix_rt::System::new();
-    system.block_on(async {
+    actix_rt::System::new().block_on(async {
         let entries: Vec<Entry> = scripts.iter().map(|script| Entry::start(*script)).collect();
         let closed = Closed::new();
         let mut instances = vec![closed.address.clone()];
@@ -59,7 +43,7 @@
             checks: false,
             start: Instant::now() + GAP,
         };
-        let plans: Rc<[Plan]> = plans().into();
+        let plans: Rc<[Plan]> = fixture::plans(&[("sweep", Fan::All, 1.0)]).into();
         let records = caller::send(plans, arrivals(), options).await;
         for entry in entries {
             entry.stop().await;
--- a/crates/standin/tests/standin/faults.rs
+++ b/crates/standin/tests/standin/faults.rs
@@ -7,52 +7,21 @@
 
 use crate::client::{ENDLESS, Pair, eventually, get, post, request, run};
 
-/// A fault and how a request of version 3 ends under it.
-struct Case {
-    name: &'static str,
-    fault: Fault,
-    status: u16,
-    reason: Reason,
-    health: u16,
-    leaving: bool,
-}
+/// Name of a fault, the fault, status and reason of a request of version 3 under it, status of
+/// health, and whether the load says that the server leaves.
+struct Case(&'static str, Fault, u16, Reason, u16, bool);
 
-fn cases() -> Vec<Case> {
+fn cases() -> [Case; 4] {
+    let leaving = Fault { leaving: true, ..Fault::default() };
+    let lying = Fault { lying: true, ..leaving.clone() };
+    let shedding = Fault { shedding: true, ..Fault::default() };
     let newer = Holding { index: "docks".to_owned(), version: 4 };
-    let fault = Fault::default;
-    vec![
-        Case {
-            name: "leaving",
-            fault: Fault { leaving: true, ..fault() },
-            status: 503,
-            reason: Reason::TargetLeaving,
-            health: 503,
-            leaving: true,
-        },
-        Case {
-            name: "leaving, but says otherwise",
-            fault: Fault { leaving: true, lying: true, ..fault() },
-            status: 503,
-            reason: Reason::TargetLeaving,
-            health: 200,
-            leaving: false,
-        },
-        Case {
-            name: "shedding",
-            fault: Fault { shedding: true, ..fault() },
-            status: 503,
-            reason: Reason::TargetShed,
-            health: 200,
-            leaving: false,
-        },
-        Case {
-            name: "retired version",
-            fault: Fault { holdings: vec![newer], ..fault() },
-            status: 409,
-            reason: Reason::VersionRetired,
-            health: 200,
-            leaving: false,
-        },
+    let retired = Fault { holdings: vec![newer], ..Fault::default() };
+    [
+        Case("leaving", leaving, 503, Reason::TargetLeaving, 503, true),
+        Case("leaving, but says otherwise", lying, 503, Reason::TargetLeaving, 200, false),
+        Case("shedding", shedding, 503, Reason::TargetShed, 200, false),
+        Case("retired version", retired, 409, Reason::VersionRetired, 200, false),
     ]
 }
 
@@ -60,15 +29,13 @@
 fn each_fault_refuses_with_its_reason() {
     run(async {
         let pair = Pair::start();
-        for case in cases() {
-            pair.fault(case.fault).await;
+        for Case(name, fault, status, reason, health, leaving) in cases() {
+            pair.fault(fault).await;
             let reply = post(&pair.url("/query"), &request("1")).await;
-            assert_eq!(reply.status, case.status, "{}", case.name);
-            let refusal: Refusal = reply.json();
-            assert_eq!(refusal.reason(), case.reason, "{}", case.name);
-            let health = get(&pair.url("/health")).await.status;
-            assert_eq!(health, case.health, "{}", case.name);
-            assert_eq!(pair.load().await.leaving, case.leaving, "{}", case.name);
+            assert_eq!(reply.status, status, "{name}");
+            assert_eq!(reply.json::<Refusal>().reason(), reason, "{name}");
+            assert_eq!(get(&pair.url("/health")).await.status, health, "{name}");
+            assert_eq!(pair.load().await.leaving, leaving, "{name}");
         }
         assert_eq!(pair.ledger().await.calls, 0);
         pair.fault(Fault::default()).await;
@@ -82,8 +49,7 @@
 fn a_failing_server_looks_idle() {
     run(async {
         let pair = Pair::start();
-        let slow = Fault { slowdown: ENDLESS, ..Fault::default() };
-        pair.fault(slow).await;
+        pair.fault(Fault { slowdown: ENDLESS, ..Fault::default() }).await;
         let _busy = pair.send("busy", 60_000);
         eventually("service", async || pair.load().await.in_service == 1).await;
         pair.fault(Fault { failing: true, ..Fault::default() }).await;
--- a/crates/standin/tests/standin/layout.rs
+++ b/crates/standin/tests/standin/layout.rs
@@ -5,8 +5,8 @@
 use ladder_core::collections::Set;
 use ladder_schema::catalogue::Entry;
 use ladder_schema::publication::record::Body;
-use ladder_schema::publication::{Index, Server};
-use ladder_schema::settings::{Instance, Switch};
+use ladder_schema::publication::{Holding, Index, Server};
+use ladder_schema::settings::{Instance, Strategy, Switch};
 use ladder_schema::standin::{Platform, Run, Targets};
 use ladder_standin::layout::user::User;
 use ladder_standin::layout::{Layout, Plan};
@@ -61,39 +61,33 @@
     },
 ];
 
-fn published<T>(plan: &Plan, of: impl Fn(&Body) -> Option<&T>) -> Vec<&T> {
-    let bodies = plan.platform.records.iter().flat_map(|record| &record.body);
-    bodies.filter_map(of).collect()
+/// What a plan publishes.
+#[derive(Default)]
+struct Published<'a> {
+    servers: Vec<&'a Server>,
+    indexes: Vec<&'a Index>,
+    entries: Vec<&'a Entry>,
 }
 
-fn servers(plan: &Plan) -> Vec<&Server> {
-    published(plan, |body| match body {
-        Body::Server(server) => Some(server),
-        _ => None,
-    })
-}
-
-fn indexes(plan: &Plan) -> Vec<&Index> {
-    published(plan, |body| match body {
-        Body::Index(index) => Some(index),
-        _ => None,
-    })
-}
-
-fn entries(plan: &Plan) -> Vec<&Entry> {
-    published(plan, |body| match body {
-        Body::Entry(entry) => Some(entry),
-        _ => None,
-    })
+fn published(plan: &Plan) -> Published<'_> {
+    let mut published = Published::default();
+    for body in plan.platform.records.iter().flat_map(|record| &record.body) {
+        match body {
+            Body::Server(server) => published.servers.push(server),
+            Body::Index(index) => published.indexes.push(index),
+            Body::Entry(entry) => published.entries.push(entry),
+            _ => {}
+        }
+    }
+    published
 }
 
 fn check_size(plan: &Plan, size: &Size) {
-    let indexes = indexes(plan);
+    let Published { servers, indexes, entries } = published(plan);
     let index = indexes.iter().find(|index| index.name == size.group);
     let index = index.expect("an index for each group");
     assert_eq!(index.shards.len(), size.services, "{}", size.group);
     for shard in &index.shards {
-        let servers = servers(plan);
         let replicas = servers.iter().filter(|server| server.service == shard.service);
         let replicas: Vec<_> = replicas.collect();
         assert_eq!(replicas.len(), size.servers, "{}", shard.name);
@@ -102,12 +96,10 @@
         for server in replicas {
             assert_eq!(server.slots, size.slots, "{}", server.name);
             assert_eq!(server.connections, size.connections, "{}", server.name);
-            assert_eq!(server.holdings.len(), 1);
-            assert_eq!(server.holdings[0].index, size.group);
-            assert_eq!(server.holdings[0].version, index.version);
+            let holding = Holding { index: size.group.to_owned(), version: index.version };
+            assert_eq!(server.holdings, [holding]);
             check_target(plan, server, size);
         }
-        let entries = entries(plan);
         let mut entries = entries.iter().filter(|entry| entry.service == shard.service);
         assert!(!entries.next().expect("an entry").operations.is_empty());
         assert!(entries.next().is_none(), "two entries of {}", shard.service);
@@ -132,9 +124,10 @@
         }
         let sizes = brief.sizes.iter();
         let all: usize = sizes.map(|size| size.services * size.servers).sum();
-        assert_eq!(servers(&plan).len(), all);
-        assert_eq!(indexes(&plan).len(), brief.sizes.len());
-        let zones: Set<&str> = servers(&plan).iter().map(|server| server.zone.as_str()).collect();
+        let Published { servers, indexes, .. } = published(&plan);
+        assert_eq!(servers.len(), all);
+        assert_eq!(indexes.len(), brief.sizes.len());
+        let zones: Set<&str> = servers.iter().map(|server| server.zone.as_str()).collect();
         assert_eq!(zones.len(), brief.zones);
         let zones: Set<&str> = plan.instances.iter().map(|one| one.zone.as_str()).collect();
         assert_eq!(zones.len(), brief.zones);
@@ -148,7 +141,7 @@
     let revisions: Vec<u64> = records.map(|record| record.revision).collect();
     assert!(revisions.is_sorted_by(|a, b| a < b));
     let mut addresses: Vec<&str> = vec![&plan.platform.address];
-    addresses.extend(servers(&plan).iter().map(|server| server.address.as_str()));
+    addresses.extend(published(&plan).servers.iter().map(|server| server.address.as_str()));
     addresses.extend(plan.targets.iter().map(|one| one.admin_address.as_str()));
     for instance in &plan.instances {
         let own = [&instance.caller_address, &instance.peer_address, &instance.admin_address];
@@ -165,7 +158,7 @@
     let mut unrepeatable = Vec::new();
     for user in [User::Porto, User::Bagmati] {
         let plan = Layout::new(user).scale(0.01).plan().expect("a plan");
-        let entries = entries(&plan);
+        let entries = published(&plan).entries;
         let operations = entries.iter().flat_map(|entry| &entry.operations);
         let marked = operations.filter(|operation| operation.unrepeatable);
         unrepeatable.extend(marked.map(|operation| operation.name.clone()));
@@ -176,8 +169,7 @@
 #[test]
 fn the_files_of_a_run_load() {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("layout");
-    let strategy =
-        ladder_schema::settings::Strategy { hedging: Switch::Off.into(), ..Default::default() };
+    let strategy = Strategy { hedging: Switch::Off.into(), ..Strategy::default() };
     let layout = Layout::new(User::Bagmati).scale(0.1).processes(2);
     let written = layout.strategy(strategy).write(&folder).expect("written");
     let run: Run = settings::load(&folder.join("run.json")).expect("loads");
--- a/crates/standin/tests/standin/requests.rs
+++ b/crates/standin/tests/standin/requests.rs
@@ -57,11 +57,8 @@
         let all: Ledger = get(&pair.admin("/admin/ledger")).await.json();
         assert_eq!(all.calls, 4);
         let doubles = ledger::doubles(std::slice::from_ref(&all), "dock-booking");
-        let counts: Vec<(&str, &str, u32)> = doubles
-            .iter()
-            .map(|double| (double.key.as_str(), double.shard.as_str(), double.count))
-            .collect();
-        assert_eq!(counts, [("booking", "east", 2), ("booking", "north", 3)]);
+        let counts = doubles.iter().map(|one| (one.key.as_str(), one.shard.as_str(), one.count));
+        assert_eq!(counts.collect::<Vec<_>>(), [("booking", "east", 2), ("booking", "north", 3)]);
         assert!(ledger::doubles(&[all], "dock-availability").is_empty());
 
         let repeated: Ledger = get(&pair.admin("/admin/ledger?least=2")).await.json();
@@ -83,8 +80,7 @@
 
         assert_eq!(post(&pair.url("/cancel?id=first"), &()).await.status, 200);
         assert_eq!(first.await.expect("no panic").expect("answered").status, 500);
-        let second = waiting.await.expect("no panic").expect("answered");
-        assert_eq!(second.status, 200);
+        assert_eq!(waiting.await.expect("no panic").expect("answered").status, 200);
         assert_eq!(keys(&pair.ledger().await), ["key-first", "key-second"]);
     });
 }
@@ -98,43 +94,18 @@
         first.abort();
         eventually("the free slot", async || pair.load().await.in_service == 0).await;
         pair.fault(Fault::default()).await;
-        let reply = post(&pair.url("/query"), &request("second")).await;
-        assert_eq!(reply.status, 200);
+        assert_eq!(post(&pair.url("/query"), &request("second")).await.status, 200);
     });
 }
 
-/// How a request that waits for a slot ends without one.
-struct Waiting {
-    name: &'static str,
-    deadline_ms: u32,
-    /// Requests that fill the queue before it.
-    before: u32,
-    cancelled: bool,
-    reason: Reason,
-}
+/// How a request that waits for a slot ends without one: name of the case, the request's deadline
+/// in milliseconds, requests that fill the queue before it, whether it is cancelled, the reason.
+struct Waiting(&'static str, u32, u32, bool, Reason);
 
 const WAITING: [Waiting; 3] = [
-    Waiting {
-        name: "cancelled",
-        deadline_ms: 60_000,
-        before: 0,
-        cancelled: true,
-        reason: Reason::Cancelled,
-    },
-    Waiting {
-        name: "expired",
-        deadline_ms: 20,
-        before: 0,
-        cancelled: false,
-        reason: Reason::Cancelled,
-    },
-    Waiting {
-        name: "beyond the queue",
-        deadline_ms: 60_000,
-        before: 2,
-        cancelled: false,
-        reason: Reason::TargetShed,
-    },
+    Waiting("cancelled", 60_000, 0, true, Reason::Cancelled),
+    Waiting("expired", 20, 0, false, Reason::Cancelled),
+    Waiting("beyond the queue", 60_000, 2, false, Reason::TargetShed),
 ];
 
 /// A refusal promises that the request did not run and will not. A caller repeats an unrepeatable
@@ -142,22 +113,22 @@
 #[test]
 fn a_request_refused_in_the_queue_never_runs() {
     run(async {
-        for case in &WAITING {
+        for Waiting(name, deadline_ms, before, cancelled, reason) in WAITING {
             let (pair, _first) = occupied().await;
-            for number in 0..case.before {
+            for number in 0..before {
                 drop(pair.send(&format!("before-{number}"), 60_000));
                 let length = number + 1;
                 eventually("the queue", async || pair.load().await.queued == length).await;
             }
-            let waiting = pair.send("refused", case.deadline_ms);
-            if case.cancelled {
+            let waiting = pair.send("refused", deadline_ms);
+            if cancelled {
                 eventually("the queue", async || pair.load().await.queued == 1).await;
                 post(&pair.url("/cancel?id=refused"), &()).await;
             }
             let reply = waiting.await.expect("no panic").expect("answered");
-            assert_eq!(reply.status, 503, "{}", case.name);
+            assert_eq!(reply.status, 503, "{name}");
             let refusal: Refusal = reply.json();
-            assert_eq!(refusal.reason(), case.reason, "{}", case.name);
+            assert_eq!(refusal.reason(), reason, "{name}");
             assert_eq!(refusal.id, "refused");
 
             pair.fault(Fault::default()).await;
@@ -168,8 +139,8 @@
             })
             .await;
             let ledger = pair.ledger().await;
-            assert!(!keys(&ledger).contains(&"key-refused"), "{}", case.name);
-            assert_eq!(ledger.calls, u64::from(case.before) + 1, "{}", case.name);
+            assert!(!keys(&ledger).contains(&"key-refused"), "{name}");
+            assert_eq!(ledger.calls, u64::from(before) + 1, "{name}");
         }
     });
 }
--- a/crates/standin/tests/standin/settings.rs
+++ b/crates/standin/tests/standin/settings.rs
@@ -11,44 +11,33 @@
 
 use crate::client::{address, small};
 
-struct Mistake {
-    change: fn(&mut Targets),
-    message: &'static str,
-}
+/// A change of sound settings, and the message that it must give.
+struct Mistake(fn(&mut Targets), &'static str);
 
 const MISTAKES: [Mistake; 8] = [
-    Mistake {
-        change: |settings| settings.admin_address = "here".to_owned(),
-        message: "admin_address: \"here\" is not an IP number and port such as 127.0.0.1:8000",
-    },
-    Mistake {
-        change: |settings| settings.threads = 65,
-        message: "threads: 65 is not within 0 to 64",
-    },
-    Mistake {
-        change: |settings| settings.targets.clear(),
-        message: "targets: is empty; name at least one",
-    },
-    Mistake {
-        change: |settings| settings.targets[0].server = None,
-        message: "targets[0].server: is missing",
-    },
-    Mistake {
-        change: |settings| settings.targets[1].server = settings.targets[0].server.clone(),
-        message: "targets[1].server.name: \"s-1\" stands twice",
-    },
-    Mistake {
-        change: |settings| settings.targets[1].straggler_permille = 1001,
-        message: "targets[1].straggler_permille: 1001 is not within 0 to 1000",
-    },
-    Mistake {
-        change: |settings| server(&mut settings.targets[1]).slots = 0,
-        message: "targets[1].server.slots: 0 is not within 1 to 10000",
-    },
-    Mistake {
-        change: |settings| server(&mut settings.targets[0]).connections = 0,
-        message: "targets[0].server.connections: 0 is not within 1 to 100000",
-    },
+    Mistake(
+        |settings| settings.admin_address = "here".to_owned(),
+        "admin_address: \"here\" is not an IP number and port such as 127.0.0.1:8000",
+    ),
+    Mistake(|settings| settings.threads = 65, "threads: 65 is not within 0 to 64"),
+    Mistake(|settings| settings.targets.clear(), "targets: is empty; name at least one"),
+    Mistake(|settings| settings.targets[0].server = None, "targets[0].server: is missing"),
+    Mistake(
+        |settings| settings.targets[1].server = settings.targets[0].server.clone(),
+        "targets[1].server.name: \"s-1\" stands twice",
+    ),
+    Mistake(
+        |settings| settings.targets[1].straggler_permille = 1001,
+        "targets[1].straggler_permille: 1001 is not within 0 to 1000",
+    ),
+    Mistake(
+        |settings| server(&mut settings.targets[1]).slots = 0,
+        "targets[1].server.slots: 0 is not within 1 to 10000",
+    ),
+    Mistake(
+        |settings| server(&mut settings.targets[0]).connections = 0,
+        "targets[0].server.connections: 0 is not within 1 to 100000",
+    ),
 ];
 
 fn server(target: &mut Target) -> &mut ladder_schema::publication::Server {
@@ -69,16 +58,16 @@
 #[test]
 fn a_mistake_in_targets_names_its_field() {
     let path = scratch("targets.json");
-    for mistake in &MISTAKES {
+    for Mistake(change, message) in MISTAKES {
         let mut settings = Targets {
             targets: vec![small("s-1"), small("s-2")],
             admin_address: address(),
             ..Targets::default()
         };
-        (mistake.change)(&mut settings);
+        change(&mut settings);
         save(&path, &settings).expect("written");
         let (code, text) = failure(env!("CARGO_BIN_EXE_standin-target"), &path);
-        assert_eq!((code, text.as_str()), (Some(2), mistake.message));
+        assert_eq!((code, text.as_str()), (Some(2), message));
     }
 }
 
