Check the requests of a run of processes in one place

Cause: five tests of real processes wrote the same checks of all requests again, each a little different, and others the same callers' threads, server look-ups and settings edits.

Tables of frames, responses and broken connections are a row a line.

Conclusion: no case or assertion is gone. two_faults_without_platform now also checks that each answer is its own.

--- a/tests/integration/catalogue.rs
+++ b/tests/integration/catalogue.rs
@@ -2,6 +2,8 @@
 
 use std::thread;
 
+use ladder_schema::call::Request;
+use ladder_schema::catalogue::Entry;
 use ladder_schema::outcome::Reason;
 use ladder_schema::publication::record::Body;
 use ladder_schema::publication::{Page, Record};
@@ -10,8 +12,8 @@
 
 use crate::fleet::call::{ask, report};
 use crate::fleet::load::Load;
-use crate::fleet::watch::{Watch, check_never_back};
-use crate::fleet::{Edits, Fleet, NO_PLATFORM, http, layout, until};
+use crate::fleet::watch::Watch;
+use crate::fleet::{Fleet, http, layout, until};
 
 /// Races of operators.
 const RACES: u64 = 10;
@@ -22,15 +24,7 @@
 /// The change must reach all, stay, and be the first thing that the newcomer serves by.
 #[test]
 fn platform_down_then_stale() {
-    let edits = Edits {
-        instance: |at, settings| {
-            if at > 0 {
-                settings.platform_address = NO_PLATFORM.to_owned();
-            }
-        },
-        ..Edits::default()
-    };
-    let mut fleet = Fleet::start_edited(layout(User::Bagmati, 4), edits);
+    let mut fleet = Fleet::start_edited(layout(User::Bagmati, 4), &[1, 2, 3], |_| {});
     let watch = Watch::start(&fleet);
     let changed = fleet.publish(vec![Body::Entry(fleet.entry("report-desk", "summary"))]);
     until("the change has reached one instance", || {
@@ -43,7 +37,6 @@
     fleet.kill(newcomer);
     let platform = fleet.run.platform_address.clone();
     fleet.edit(newcomer, |settings| settings.platform_address = platform);
-    let before = fleet.running();
     let callers = Load::start(&[fleet.door(newcomer)], 2, |caller, number| {
         report("report", &format!("withdrawn-{caller}-{number}"))
     });
@@ -51,11 +44,10 @@
     until("the newcomer is ready", || fleet.is_ready(newcomer));
     callers.until_more(100);
     let seen = watch.finish();
-    seen.iter().for_each(|seen| check_never_back(seen));
     check_withdrawn(callers);
     fleet.settle();
     fleet.until_in_force(changed);
-    for at in before.into_iter().chain([newcomer]) {
+    for at in fleet.running() {
         let answer = ask(&fleet.door(at), report("summary", &format!("summary-{at}")));
         answer.check_complete(&fleet.index("report-desk"));
     }
@@ -67,10 +59,8 @@
 
 /// No caller was served by the withdrawn operation.
 fn check_withdrawn(callers: Load) {
-    let exchanges = callers.finish();
     // Before it listens, a new process gives no answer at all.
-    let answered = exchanges.iter().filter(|exchange| exchange.outcome.is_ok());
-    for exchange in answered {
+    for exchange in callers.finish().iter().filter(|exchange| exchange.outcome.is_ok()) {
         let answer = exchange.answer();
         let reasons = [Reason::UnknownOperation, Reason::NotReady];
         assert!(answer.covered.is_empty(), "served by the withdrawn operation: {answer:?}");
@@ -105,16 +95,13 @@
             assert_eq!(lost.answer().reason(), Reason::UnknownOperation);
         }
     }
-    for seen in watch.finish() {
-        check_never_back(&seen);
-    }
+    watch.finish();
 }
 
 /// Publishes an entry under a revision of the operator's own; gives the status of the answer.
 fn publish(fleet: &Fleet, revision: u64, operation: &str) -> thread::JoinHandle<u16> {
-    let record =
-        Record { revision, body: Some(Body::Entry(fleet.entry("report-desk", operation))) };
-    let page = Page { head: 0, records: vec![record] };
+    let body = Some(Body::Entry(fleet.entry("report-desk", operation)));
+    let page = Page { head: 0, records: vec![Record { revision, body }] };
     let address = fleet.run.platform_address.clone();
     thread::spawn(move || {
         let response = http::post(&address, "/admin/publish", &page);
@@ -128,25 +115,25 @@
 #[test]
 fn bad_entry_among_good_ones() {
     let fleet = Fleet::start(layout(User::Bagmati, 3));
+    let changed = |service, operation| Entry {
+        owner: "another-owner".to_owned(),
+        ..fleet.entry(service, operation)
+    };
     let mut bad = fleet.entry("report-desk", "mistaken");
     bad.operations[0].deadline_ms = 0;
-    let mut good = fleet.entry("member-portal", "added");
-    good.owner = "another-owner".to_owned();
-    let mut last = fleet.entry("counter-desk-01", "eligibility");
-    last.owner = "another-owner".to_owned();
-    let bodies = [good, bad, last].map(Body::Entry);
-    let head = fleet.publish(bodies.into());
+    let (good, last) =
+        (changed("member-portal", "added"), changed("counter-desk-01", "eligibility"));
+    let head = fleet.publish([good, bad, last].map(Body::Entry).into());
     fleet.until_in_force(head);
     for at in fleet.running() {
-        let status = fleet.status(at).expect("it answers");
-        let refused = status.refused.as_slice();
+        let refused = fleet.view(at).refused;
         assert_eq!(refused.len(), 1, "{refused:?}");
         assert_eq!((refused[0].name.as_str(), refused[0].revision), ("report-desk", head - 1));
         assert!(refused[0].detail.contains("deadline_ms: 0 is outside 1 to 60000"), "{refused:?}");
         let kept = ask(&fleet.door(at), report("report", &format!("kept-{at}")));
         kept.check_complete(&fleet.index("report-desk"));
-        let mut added = report("added", &format!("added-{at}"));
-        added.index = "member-portal".to_owned();
+        let added = report("added", &format!("added-{at}"));
+        let added = Request { index: "member-portal".to_owned(), ..added };
         ask(&fleet.door(at), added).check_complete(&fleet.index("member-portal"));
     }
 }
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -125,40 +125,20 @@
     control.handle(now, control::Event::Frame(Box::new(frame)), &mut Vec::new());
 }
 
-struct Foreign {
-    name: &'static str,
-    change: fn(&mut Frame),
-    reason: Reason,
-}
+/// A change of a frame and the reason of its refusal.
+struct Foreign(fn(&mut Frame), Reason);
 
 #[test]
 fn frames_of_others_are_refused_with_their_reason() {
     let cases = [
-        Foreign {
-            name: "another fleet",
-            change: |frame| frame.fleet = "bagmati".into(),
-            reason: Reason::ForeignFleet,
-        },
-        Foreign {
-            name: "another protocol",
-            change: |frame| frame.protocol += 1,
-            reason: Reason::WrongProtocol,
-        },
-        Foreign {
-            name: "no sender",
-            change: |frame| frame.from.clear(),
-            reason: Reason::PeerMalformed,
-        },
-        Foreign {
-            name: "too large",
-            change: |frame| frame.zone = "z".repeat(bounds::FRAME_BYTES),
-            reason: Reason::TooLarge,
-        },
+        Foreign(|frame| frame.fleet = "bagmati".into(), Reason::ForeignFleet),
+        Foreign(|frame| frame.protocol += 1, Reason::WrongProtocol),
+        Foreign(|frame| frame.from.clear(), Reason::PeerMalformed),
+        Foreign(|frame| frame.zone = "z".repeat(bounds::FRAME_BYTES), Reason::TooLarge),
     ];
-    for case in cases {
+    for Foreign(change, reason) in cases {
         let mut frame = frame();
-        (case.change)(&mut frame);
-        let refused = inbound::decode(&frame.encode_to_vec(), FLEET);
-        assert_eq!(refused.err(), Some(case.reason), "{}", case.name);
+        change(&mut frame);
+        assert_eq!(inbound::decode(&frame.encode_to_vec(), FLEET).err(), Some(reason));
     }
 }
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -41,7 +41,7 @@
 static RUNS: AtomicU8 = AtomicU8::new(1);
 
 /// A platform address where nothing listens.
-pub(crate) const NO_PLATFORM: &str = "127.0.0.1:1";
+const NO_PLATFORM: &str = "127.0.0.1:1";
 
 /// Short times, so that a failure is noticed within a second.
 pub(crate) const TIMING: Timing = Timing {
@@ -68,21 +68,6 @@
     _turn: Turn,
 }
 
-/// Changes of a run's files before it starts.
-#[derive(Clone, Copy)]
-pub(crate) struct Edits {
-    /// Of the settings of each instance, by its number.
-    pub(crate) instance: fn(usize, &mut Instance),
-    /// Of each catalogue entry.
-    pub(crate) entry: fn(&mut Entry),
-}
-
-impl Default for Edits {
-    fn default() -> Self {
-        Self { instance: |_, _| {}, entry: |_| {} }
-    }
-}
-
 /// The layout that most tests start from: a tenth or so of the services of today.
 pub(crate) fn layout(user: User, instances: u32) -> Layout {
     Layout::new(user).instances(instances).processes(2).scale(0.2).service_us(4000).timing(TIMING)
@@ -91,11 +76,12 @@
 impl Fleet {
     /// Starts all processes of `layout` and waits until each instance is ready and knows all.
     pub(crate) fn start(layout: Layout) -> Self {
-        Self::start_edited(layout, Edits::default())
+        Self::start_edited(layout, &[], |_| {})
     }
 
-    /// Like [`Fleet::start`], with the files of the run changed first.
-    pub(crate) fn start_edited(layout: Layout, edits: Edits) -> Self {
+    /// Like [`Fleet::start`], but the instances `cut_off` never reach the platform, and each
+    /// catalogue entry is changed by `edit` first.
+    pub(crate) fn start_edited(layout: Layout, cut_off: &[usize], edit: fn(&mut Entry)) -> Self {
         let turn = Turn::take();
         let number = RUNS.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -104,25 +90,19 @@
             .join(format!("fleet-{}-{number}", std::process::id()));
         let run = layout.address(IpAddr::V4(address)).write(&folder);
         let run = run.expect("the run can be laid out");
-        for (at, member) in run.instances.iter().enumerate() {
-            rewrite(&folder.join(&member.file), |settings| {
-                (edits.instance)(at, settings);
+        for &at in cut_off {
+            rewrite(&folder.join(&run.instances[at].file), |settings| {
+                settings.platform_address = NO_PLATFORM.to_owned();
             });
         }
         let platform = folder.join(&run.platform_file);
-        let published = publish(&platform, edits.entry);
+        let published = publish(&platform, edit);
+        let targets = run.targets.iter().map(|process| folder.join(&process.file));
+        let instances = run.instances.iter().map(|member| folder.join(&member.file));
         let fleet = Self {
-            platform: Child::start(&binary("standin-platform"), &platform),
-            targets: run
-                .targets
-                .iter()
-                .map(|process| Child::start(&binary("standin-target"), &folder.join(&process.file)))
-                .collect(),
-            instances: run
-                .instances
-                .iter()
-                .map(|member| Some(instance(&folder.join(&member.file))))
-                .collect(),
+            platform: start("standin-platform", &platform),
+            targets: targets.map(|settings| start("standin-target", &settings)).collect(),
+            instances: instances.map(|settings| Some(start("ladder-entry", &settings))).collect(),
             published,
             run,
             folder,
@@ -137,14 +117,8 @@
         let running = self.running();
         until("all instances are ready and agree on members and owners", || {
             let seen: Vec<_> = running.iter().filter_map(|&at| self.status(at)).collect();
-            let sees_all = |status: &status::Instance| {
-                let live = status.members.iter().filter(|member| {
-                    member.name != status.name && member.liveness() == Liveness::Alive
-                });
-                status.ready && live.count() + 1 >= running.len()
-            };
             seen.len() == running.len()
-                && seen.iter().all(sees_all)
+                && seen.iter().all(|status| status.ready && alive(status) >= running.len())
                 && seen.iter().all(|status| owners(status) == owners(&seen[0]))
         });
     }
@@ -155,6 +129,11 @@
         instances.filter_map(|(at, child)| child.as_ref().map(|_| at)).collect()
     }
 
+    /// Callers' addresses of all running instances.
+    pub(crate) fn doors(&self) -> Vec<String> {
+        self.running().into_iter().map(|at| self.door(at)).collect()
+    }
+
     /// Callers' addresses of all running instances but one.
     pub(crate) fn others(&self, besides: usize) -> Vec<String> {
         let others = self.running().into_iter().filter(|&at| at != besides);
@@ -196,7 +175,8 @@
     /// Starts an instance anew.
     pub(crate) fn restart(&mut self, at: usize) {
         assert!(self.instances[at].is_none());
-        self.instances[at] = Some(instance(&self.folder.join(&self.run.instances[at].file)));
+        let settings = self.folder.join(&self.run.instances[at].file);
+        self.instances[at] = Some(start("ladder-entry", &settings));
     }
 
     /// Changes the settings with which an instance starts next.
@@ -210,6 +190,11 @@
         (response.status == 200).then(|| response.json())
     }
 
+    /// What a running instance holds true.
+    pub(crate) fn view(&self, at: usize) -> status::Instance {
+        self.status(at).expect("a running instance answers")
+    }
+
     /// Whether an instance tells the balancer to send callers.
     pub(crate) fn is_ready(&self, at: usize) -> bool {
         http::get(&self.door(at), "/ready").is_ok_and(|response| response.status == 200)
@@ -217,8 +202,7 @@
 
     /// The number of the instance that owns a service, by the view of a living one.
     pub(crate) fn owner(&self, service: &str) -> usize {
-        let viewer = self.running()[0];
-        let status = self.status(viewer).expect("it answers");
+        let status = self.view(self.running()[0]);
         let found = status.services.iter().find(|found| found.name == service);
         let owner = &found.expect("the service is known").owner;
         let instances = self.run.instances.iter();
@@ -246,10 +230,7 @@
             !service.owner.is_empty() && service.owner != self.name(victim)
         };
         until("the services have other owners", || {
-            self.running().into_iter().all(|at| {
-                let status = self.status(at).expect("a living instance answers");
-                status.services.iter().all(replaced)
-            })
+            self.running().into_iter().all(|at| self.view(at).services.iter().all(replaced))
         });
     }
 
@@ -262,9 +243,10 @@
         }
     }
 
-    pub(crate) fn posted<T: serde::Serialize>(&self, address: &str, path: &str, value: &T) {
+    fn posted<T: serde::Serialize>(&self, address: &str, path: &str, value: &T) -> http::Response {
         let response = http::post(address, path, value).expect("it answers");
         assert_eq!(response.status, 200, "{path}");
+        response
     }
 }
 
@@ -272,8 +254,7 @@
     fn drop(&mut self) {
         if thread::panicking() {
             let instances = self.instances.iter().flatten();
-            let children = instances.chain(&self.targets).chain([&self.platform]);
-            for child in children {
+            for child in instances.chain(&self.targets).chain([&self.platform]) {
                 eprintln!("{}", child.tail());
             }
             return;
@@ -301,8 +282,14 @@
     settings::save(path, &settings).expect("settings can be written");
 }
 
+/// Members that an instance holds alive, with itself.
+pub(crate) fn alive(status: &status::Instance) -> usize {
+    let others = status.members.iter().filter(|member| member.name != status.name);
+    others.filter(|member| member.liveness() == Liveness::Alive).count() + 1
+}
+
 /// The owner of each service by one instance's view.
-pub(crate) fn owners(status: &status::Instance) -> Vec<(&str, &str)> {
+fn owners(status: &status::Instance) -> Vec<(&str, &str)> {
     let services = status.services.iter();
     services.map(|service| (service.name.as_str(), service.owner.as_str())).collect()
 }
@@ -316,11 +303,8 @@
     }
 }
 
-fn instance(settings: &Path) -> Child {
-    Child::start(Path::new(env!("CARGO_BIN_EXE_ladder-entry")), settings)
-}
-
-/// A binary of the workspace, in the folder of the daemon's.
-fn binary(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_BIN_EXE_ladder-entry")).with_file_name(name)
+/// Starts a binary of the workspace, from the folder of the daemon's.
+fn start(binary: &str, settings: &Path) -> Child {
+    let program = Path::new(env!("CARGO_BIN_EXE_ladder-entry")).with_file_name(binary);
+    Child::start(&program, settings)
 }
--- a/tests/integration/fleet/call.rs
+++ b/tests/integration/fleet/call.rs
@@ -1,6 +1,7 @@
 //! Callers' requests, what they get, and what must be true of it.
 
 use std::collections::BTreeSet;
+use std::thread::{self, JoinHandle};
 
 use ladder_schema::call::{Answer, Request};
 use ladder_schema::publication::Index;
@@ -81,6 +82,17 @@
     Exchange { request, outcome }
 }
 
+/// Sends a request from a thread of its own.
+pub(crate) fn send(door: String, request: Request) -> JoinHandle<Exchange> {
+    thread::spawn(move || ask(&door, request))
+}
+
+/// Waits for the answers to requests that were sent.
+pub(crate) fn received(sent: Vec<JoinHandle<Exchange>>) -> Vec<Exchange> {
+    let joined = sent.into_iter().map(JoinHandle::join);
+    joined.map(|exchange| exchange.expect("the caller is answered")).collect()
+}
+
 impl Exchange {
     /// The answer; a request without any fails the test.
     pub(crate) fn answer(&self) -> &Answer {
@@ -100,9 +112,11 @@
     pub(crate) fn check_own(&self) {
         let (answer, request) = (self.answer(), &self.request);
         assert_eq!(answer.key, request.key, "another request's answer");
-        let covered: Vec<&String> = answer.parts.iter().map(|part| &part.shard).collect();
-        let listed: Vec<&String> = answer.covered.iter().collect();
-        assert_eq!(listed, covered, "coverage is not what the parts are of");
+        let covered = answer.parts.iter().map(|part| &part.shard);
+        assert!(
+            answer.covered.iter().eq(covered),
+            "coverage is not what the parts are of: {answer:?}"
+        );
         for part in &answer.parts {
             let (key, payload) = (&request.key, &request.payload);
             let expected = body(&request.index, answer.version, &part.shard, key, payload);
@@ -128,8 +142,7 @@
     pub(crate) fn check_complete(&self, index: &Index) {
         self.check_own();
         self.check_map(index);
-        let answer = self.answer();
-        assert!(answer.missing.is_empty(), "not complete: {:?} {answer:?}", self.request);
+        assert!(self.answer().missing.is_empty(), "not complete: {self:?}");
         assert_eq!(self.status(), 200);
     }
 }
--- a/tests/integration/fleet/ledger.rs
+++ b/tests/integration/fleet/ledger.rs
@@ -5,7 +5,7 @@
 use ladder_schema::standin::Ledger;
 use ladder_standin::ledger::doubles;
 
-use super::call::Exchange;
+use super::call::{BAGMATI, Exchange};
 use super::{Fleet, http, until};
 
 /// Executions by request key and shard.
@@ -33,20 +33,36 @@
 
     /// The ledger of one server.
     pub(crate) fn ledger(&self, server: &str) -> Ledger {
-        let mut processes = self.run.targets.iter();
-        let process = processes.find(|process| process.servers.iter().any(|name| name == server));
-        let address = &process.expect("a process has the server").admin_address;
         let path = format!("/admin/ledger?server={server}");
-        http::get(address, &path).expect("targets answer").json()
+        http::get(self.admin_of(server), &path).expect("targets answer").json()
+    }
+
+    /// Requests that a server has started on.
+    pub(crate) fn calls(&self, server: &str) -> u64 {
+        self.ledger(server).calls
+    }
+
+    /// What must hold of all requests of a run of Bagmati, whatever failed: no booking ran twice,
+    /// each answer is its own and true, and sweeps are complete.
+    pub(crate) fn check(&self, exchanges: &[Exchange]) {
+        self.until_idle();
+        let executed = self.executed();
+        executed.check_no_doubles(BAGMATI.booking);
+        let index = self.index(BAGMATI.index);
+        for exchange in exchanges {
+            exchange.check_own();
+            executed.check_verdicts(exchange);
+            if exchange.request.operation == BAGMATI.sweep {
+                exchange.check_complete(&index);
+            }
+        }
     }
 
     /// Waits until no running instance has work in hand.
     pub(crate) fn until_idle(&self) {
         until("nothing is open", || {
-            self.running().into_iter().all(|at| {
-                self.status(at)
-                    .is_some_and(|status| status.open_queries + status.open_portions == 0)
-            })
+            let mut seen = self.running().into_iter().map(|at| self.status(at));
+            seen.all(|seen| seen.is_some_and(|one| one.open_queries + one.open_portions == 0))
         });
     }
 
@@ -58,14 +74,9 @@
                 0 => server.connections,
                 limit => limit.min(server.connections),
             };
-            assert!(
-                ledger.peak_connections <= limit,
-                "{}: {} connections at once, limit {}",
-                server.name,
-                ledger.peak_connections,
-                limit
-            );
-            assert_eq!(ledger.refused_connections, 0, "{} refused connections", server.name);
+            let (name, peak) = (&server.name, ledger.peak_connections);
+            assert!(peak <= limit, "{name}: {peak} connections at once, limit {limit}");
+            assert_eq!(ledger.refused_connections, 0, "{name} refused connections");
         }
     }
 }
@@ -94,9 +105,7 @@
     pub(crate) fn check_verdicts(&self, exchange: &Exchange) {
         let (answer, key) = (exchange.answer(), &exchange.request.key);
         match answer.verdict() {
-            Verdict::NotRun => {
-                assert_eq!(self.of_key(key), 0, "ran after all: {answer:?}");
-            }
+            Verdict::NotRun => assert!(self.of_key(key) == 0, "ran after all: {answer:?}"),
             Verdict::Ran => assert!(self.of_key(key) > 0, "did not run: {answer:?}"),
             Verdict::MayHaveRun => {}
             Verdict::Unspecified => panic!("no verdict: {answer:?}"),
--- a/tests/integration/fleet/load.rs
+++ b/tests/integration/fleet/load.rs
@@ -7,7 +7,7 @@
 
 use ladder_schema::call::Request;
 
-use super::call::{Exchange, Operations, ask};
+use super::call::{BAGMATI, Exchange, ask};
 use super::until;
 
 /// Between a caller's answer and its next request.
@@ -50,18 +50,26 @@
         Self { stop, answered, callers }
     }
 
-    /// Callers of sweeps and bookings by turns; the bookings go over `shards` in turn.
+    /// Callers of sweeps; `name` begins their keys.
+    pub(crate) fn sweeps(name: &'static str, doors: &[String], callers: usize) -> Self {
+        Self::start(doors, callers, move |caller, number| {
+            BAGMATI.sweep(&format!("{name}-{caller}-{number}"))
+        })
+    }
+
+    /// Callers of sweeps and bookings by turns; the bookings go over `shards` in turn, `name`
+    /// begins the keys.
     pub(crate) fn mixed(
+        name: &'static str,
         doors: &[String],
         callers: usize,
-        operations: Operations,
         shards: Vec<String>,
     ) -> Self {
         Self::start(doors, callers, move |caller, number| {
-            let key = format!("{}-{caller}-{number}", operations.index);
+            let key = format!("{name}-{caller}-{number}");
             match number % 2 {
-                0 => operations.sweep(&key),
-                _ => operations.booking(&key, &shards[(caller + number / 2) % shards.len()]),
+                0 => BAGMATI.sweep(&key),
+                _ => BAGMATI.booking(&key, &shards[(caller + number / 2) % shards.len()]),
             }
         })
     }
--- a/tests/integration/fleet/watch.rs
+++ b/tests/integration/fleet/watch.rs
@@ -32,11 +32,15 @@
         Self { stop, watchers }
     }
 
-    /// Stops; gives what was seen of each instance in order of time.
+    /// Stops; checks that nothing went back; gives what was seen of each instance in order of time.
     pub(crate) fn finish(self) -> Vec<Vec<Instance>> {
         self.stop.store(true, Ordering::Relaxed);
-        let watchers = self.watchers.into_iter();
-        watchers.map(|watcher| watcher.join().expect("the watcher goes on")).collect()
+        let seen = self.watchers.into_iter().map(|watcher| {
+            let seen = watcher.join().expect("the watcher goes on");
+            check_never_back(&seen);
+            seen
+        });
+        seen.collect()
     }
 }
 
@@ -52,30 +56,20 @@
 }
 
 /// No instance's revision, nor that of any entry, went back while the process lived.
-pub(crate) fn check_never_back(seen: &[Instance]) {
+fn check_never_back(seen: &[Instance]) {
     for pair in seen.windows(2) {
         let (before, after) = (&pair[0], &pair[1]);
         if before.incarnation != after.incarnation {
             continue;
         }
-        assert!(
-            after.revision >= before.revision,
-            "{} went back from revision {} to {}",
-            after.name,
-            before.revision,
-            after.revision
-        );
+        let (name, was, is) = (&after.name, before.revision, after.revision);
+        assert!(is >= was, "{name} went back from revision {was} to {is}");
         let services = after.services.iter();
         let entries: Map<&str, u64> = services.map(|s| (s.name.as_str(), s.revision)).collect();
         for service in &before.services {
-            let now = entries.get(service.name.as_str()).copied().unwrap_or(0);
-            assert!(
-                now >= service.revision,
-                "{}: the entry {} went back from revision {} to {now}",
-                after.name,
-                service.name,
-                service.revision
-            );
+            let is = entries.get(service.name.as_str()).copied().unwrap_or(0);
+            let (entry, was) = (&service.name, service.revision);
+            assert!(is >= was, "{name}: the entry {entry} went back from revision {was} to {is}");
         }
     }
 }
--- a/tests/integration/lanes.rs
+++ b/tests/integration/lanes.rs
@@ -37,40 +37,25 @@
     assert_eq!(broken(&error), Outcome::Lost, "{error}");
 }
 
-struct Broken {
-    error: SendRequestError,
-    outcome: Outcome,
-}
+struct Broken(SendRequestError, Outcome);
 
 #[test]
 fn only_errors_before_the_connection_prove_that_nothing_was_written() {
     let reset = || io::Error::from(io::ErrorKind::ConnectionReset);
     let cases = [
-        Broken {
-            error: SendRequestError::Connect(ConnectError::Io(reset())),
-            outcome: Outcome::Unsent,
-        },
-        Broken {
-            error: SendRequestError::Connect(ConnectError::Timeout),
-            outcome: Outcome::Unsent,
-        },
-        Broken {
-            error: SendRequestError::Connect(ConnectError::Disconnected),
-            outcome: Outcome::Lost,
-        },
-        Broken { error: SendRequestError::Send(reset()), outcome: Outcome::Lost },
-        Broken { error: SendRequestError::Timeout, outcome: Outcome::Lost },
+        Broken(SendRequestError::Connect(ConnectError::Io(reset())), Outcome::Unsent),
+        Broken(SendRequestError::Connect(ConnectError::Timeout), Outcome::Unsent),
+        Broken(SendRequestError::Connect(ConnectError::Disconnected), Outcome::Lost),
+        Broken(SendRequestError::Send(reset()), Outcome::Lost),
+        Broken(SendRequestError::Timeout, Outcome::Lost),
     ];
-    for case in cases {
-        assert_eq!(broken(&case.error), case.outcome, "{:?}", case.error);
+    for Broken(error, outcome) in cases {
+        assert_eq!(broken(&error), outcome, "{error:?}");
     }
 }
 
-struct Response {
-    status: StatusCode,
-    body: &'static str,
-    outcome: Outcome,
-}
+/// Status and body of a response, and what it proves.
+struct Response(StatusCode, &'static str, Outcome);
 
 /// A request that a proxy on the way turned down runs twice.
 ///
@@ -84,26 +69,15 @@
         retry_after_ms: 0,
     };
     let own = r#"{"id":"a1","reason":"REASON_TARGET_SHED"}"#;
+    let foreign = r#"{"id":"a2","reason":"REASON_TARGET_SHED"}"#;
     let cases = [
-        Response {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            body: own,
-            outcome: Outcome::Refusal(refusal),
-        },
-        Response {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            body: r#"{"id":"a2","reason":"REASON_TARGET_SHED"}"#,
-            outcome: Outcome::Error,
-        },
-        Response {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            body: "upstream unavailable",
-            outcome: Outcome::Error,
-        },
-        Response { status: StatusCode::BAD_GATEWAY, body: own, outcome: Outcome::Error },
-        Response { status: StatusCode::OK, body: "{", outcome: Outcome::Error },
+        Response(StatusCode::SERVICE_UNAVAILABLE, own, Outcome::Refusal(refusal)),
+        Response(StatusCode::SERVICE_UNAVAILABLE, foreign, Outcome::Error),
+        Response(StatusCode::SERVICE_UNAVAILABLE, "upstream unavailable", Outcome::Error),
+        Response(StatusCode::BAD_GATEWAY, own, Outcome::Error),
+        Response(StatusCode::OK, "{", Outcome::Error),
     ];
-    for case in cases {
-        assert_eq!(outcome(case.status, case.body.as_bytes(), "a1"), case.outcome, "{}", case.body);
+    for Response(status, body, proof) in cases {
+        assert_eq!(outcome(status, body.as_bytes(), "a1"), proof, "{body}");
     }
 }
--- a/tests/integration/leaving.rs
+++ b/tests/integration/leaving.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::call::BAGMATI;
 use crate::fleet::load::Load;
-use crate::fleet::{Edits, Fleet, NO_PLATFORM, layout, until};
+use crate::fleet::{Fleet, layout, until};
 
 /// Answers after which the last request before the departure is through, at least.
 const ANSWERS: usize = 150;
@@ -15,30 +15,15 @@
 /// A server of the first service.
 fn first(fleet: &Fleet) -> Server {
     let service = &fleet.index(BAGMATI.index).shards[0].service;
-    let mut servers = fleet.servers();
-    let found = servers.find(|server| server.service == *service);
-    found.expect("the service has servers").clone()
-}
-
-/// Load over all running instances.
-fn load(fleet: &Fleet, name: &'static str) -> Load {
-    let doors: Vec<String> = fleet.running().into_iter().map(|at| fleet.door(at)).collect();
-    Load::start(&doors, 6, move |caller, number| {
-        BAGMATI.sweep(&format!("{name}-{caller}-{number}"))
-    })
-}
-
-/// Requests that a server has started on.
-fn calls(fleet: &Fleet, server: &Server) -> u64 {
-    fleet.ledger(&server.name).calls
+    fleet.servers_of(service).next().expect("the service has servers").clone()
 }
 
 /// Waits until no new request starts at the server while callers go on.
 fn until_quiet(fleet: &Fleet, server: &Server, load: &Load) {
-    let mut last = calls(fleet, server);
+    let mut last = fleet.calls(&server.name);
     until("no new request starts at the server", || {
         load.until_more(ANSWERS);
-        let now = calls(fleet, server);
+        let now = fleet.calls(&server.name);
         std::mem::replace(&mut last, now) == now
     });
 }
@@ -56,26 +41,18 @@
 /// few seconds none of them sends it any more work, and sweeps stay whole by the other replica.
 #[test]
 fn leaving_by_the_list() {
-    let edits = Edits {
-        instance: |at, settings| {
-            if at >= 2 {
-                settings.platform_address = NO_PLATFORM.to_owned();
-            }
-        },
-        ..Edits::default()
-    };
-    let fleet = Fleet::start_edited(layout(User::Bagmati, 4), edits);
+    let fleet = Fleet::start_edited(layout(User::Bagmati, 4), &[2, 3], |_| {});
     let mut server = first(&fleet);
-    let load = load(&fleet, "list");
+    let load = Load::sweeps("list", &fleet.doors(), 6);
     load.until_more(ANSWERS);
-    assert!(calls(&fleet, &server) > 0, "it had work before");
+    assert!(fleet.calls(&server.name) > 0, "it had work before");
     server.set_state(State::Leaving);
     let changed = fleet.publish(vec![Body::Server(server.clone())]);
     fleet.until_in_force(changed);
     until_quiet(&fleet, &server, &load);
-    let before = calls(&fleet, &server);
+    let before = fleet.calls(&server.name);
     load.until_more(2 * ANSWERS);
-    assert_eq!(calls(&fleet, &server), before, "new work at a leaving server");
+    assert_eq!(fleet.calls(&server.name), before, "new work at a leaving server");
     check_complete(&fleet, load);
 }
 
@@ -88,28 +65,27 @@
     let mut fleet = Fleet::start(layout(User::Bagmati, 4));
     let mut server = first(&fleet);
     let owner = fleet.owner(&server.service);
-    let before = load(&fleet, "before");
+    let before = Load::sweeps("before", &fleet.doors(), 6);
     before.until_more(ANSWERS);
-    assert!(calls(&fleet, &server) > 0, "it had work before");
+    assert!(fleet.calls(&server.name) > 0, "it had work before");
     fleet.mode(Mode { down: true, ..Mode::default() });
-    let leaving = Fault { leaving: true, ..Fault::default() };
-    fleet.fault(&server.name, &leaving);
+    fleet.fault(&server.name, &Fault { leaving: true, ..Fault::default() });
     before.until_more(3 * ANSWERS);
     check_complete(&fleet, before);
     fleet.fault(&server.name, &Fault::default());
-    let quiet = calls(&fleet, &server);
+    let quiet = fleet.calls(&server.name);
     fleet.kill(owner);
-    let after = load(&fleet, "after");
+    let after = Load::sweeps("after", &fleet.doors(), 6);
     after.until_more(3 * ANSWERS);
     assert_ne!(fleet.owner(&server.service), owner);
-    assert_eq!(calls(&fleet, &server), quiet, "new work at a leaving server");
+    assert_eq!(fleet.calls(&server.name), quiet, "new work at a leaving server");
     fleet.mode(Mode::default());
     server.incarnation += 1;
     let changed = fleet.publish(vec![Body::Server(server.clone())]);
     fleet.until_in_force(changed);
     until("a new incarnation has work again", || {
         after.until_more(10);
-        calls(&fleet, &server) > quiet
+        fleet.calls(&server.name) > quiet
     });
     check_complete(&fleet, after);
 }
--- a/tests/integration/partition.rs
+++ b/tests/integration/partition.rs
@@ -1,13 +1,12 @@
 //! The links between two groups of instances are cut, and mended.
 
 use ladder_schema::publication::record::Body;
-use ladder_schema::wire::Liveness;
 use ladder_standin::layout::user::User;
 
 use crate::fleet::call::{BAGMATI, ask, report};
 use crate::fleet::load::Load;
-use crate::fleet::watch::{Watch, check_never_back};
-use crate::fleet::{Edits, Fleet, NO_PLATFORM, layout, until};
+use crate::fleet::watch::Watch;
+use crate::fleet::{Fleet, alive, layout, until};
 
 /// The two sides; the second one never reaches the platform.
 const SIDES: [&[usize]; 2] = [&[0, 1], &[2, 3]];
@@ -18,16 +17,7 @@
 /// Waits until both sides hold each other dead.
 fn until_split(fleet: &Fleet) {
     until("both sides hold each other dead", || {
-        SIDES.iter().all(|side| {
-            side.iter().all(|&at| {
-                let status = fleet.status(at).expect("it answers");
-                let members = status.members.iter();
-                let alive = members.filter(|member| {
-                    member.name != status.name && member.liveness() == Liveness::Alive
-                });
-                alive.count() + 1 == side.len()
-            })
-        })
+        SIDES.iter().all(|side| side.iter().all(|&at| alive(&fleet.view(at)) == side.len()))
     });
 }
 
@@ -37,20 +27,11 @@
 /// read it. When the links mend, the change is in force everywhere and nothing has gone back.
 #[test]
 fn split_fleet() {
-    let edits = Edits {
-        instance: |at, settings| {
-            if SIDES[1].contains(&at) {
-                settings.platform_address = NO_PLATFORM.to_owned();
-            }
-        },
-        entry: |entry| entry.limits.get_or_insert_default().connections = CONNECTIONS,
-    };
-    let fleet = Fleet::start_edited(layout(User::Bagmati, 4), edits);
-    let index = fleet.index(BAGMATI.index);
-    let shards = fleet.shards(BAGMATI.index);
+    let fleet = Fleet::start_edited(layout(User::Bagmati, 4), SIDES[1], |entry| {
+        entry.limits.get_or_insert_default().connections = CONNECTIONS;
+    });
     let watch = Watch::start(&fleet);
-    let doors: Vec<String> = (0..4).map(|at| fleet.door(at)).collect();
-    let load = Load::mixed(&doors, 8, BAGMATI, shards);
+    let load = Load::mixed("mixed", &fleet.doors(), 8, fleet.shards(BAGMATI.index));
     load.until_more(50);
     fleet.cut(SIDES);
     until_split(&fleet);
@@ -61,20 +42,8 @@
     fleet.until_in_force(changed);
     fleet.settle();
     load.until_more(50);
-    let exchanges = load.finish();
-    fleet.until_idle();
-    for seen in watch.finish() {
-        check_never_back(&seen);
-    }
-    let executed = fleet.executed();
-    executed.check_no_doubles(BAGMATI.booking);
-    for exchange in &exchanges {
-        exchange.check_own();
-        executed.check_verdicts(exchange);
-        if exchange.request.operation == BAGMATI.sweep {
-            exchange.check_complete(&index);
-        }
-    }
+    fleet.check(&load.finish());
+    watch.finish();
     fleet.check_connections();
     for at in fleet.running() {
         let key = format!("added-{at}");
@@ -86,8 +55,7 @@
 fn check_sides_serve(fleet: &Fleet) {
     let index = fleet.index(BAGMATI.index);
     for at in fleet.running() {
-        let sweep = ask(&fleet.door(at), BAGMATI.sweep(&format!("split-{at}")));
-        sweep.check_complete(&index);
+        ask(&fleet.door(at), BAGMATI.sweep(&format!("split-{at}"))).check_complete(&index);
     }
 }
 
@@ -101,8 +69,7 @@
         });
     }
     for &at in SIDES[1] {
-        let status = fleet.status(at).expect("it answers");
-        assert!(status.revision < changed, "the cut does not hold");
+        assert!(fleet.view(at).revision < changed, "the cut does not hold");
     }
     changed
 }
--- a/tests/integration/path.rs
+++ b/tests/integration/path.rs
@@ -15,22 +15,17 @@
 }
 
 fn refused() -> Vec<Refused> {
-    let sweep = |key: &str| PORTO.sweep(key);
     let case = |request, status, reason| Refused { request, status, reason };
-    let mut index = sweep("unknown-index");
-    index.index = "nowhere".to_owned();
-    let mut operation = sweep("unknown-operation");
-    operation.operation = "nothing".to_owned();
-    let mut shard = sweep("unknown-shard");
-    shard.shards = vec!["nowhere".to_owned()];
-    let mut payload = sweep("payload-too-large");
-    payload.payload = "x".repeat(64 * 1024 + 1);
-    let mut deadline = sweep("deadline-too-long");
-    deadline.deadline_ms = 60_001;
-    let mut repeated = PORTO.booking("repeated", "gate-finder-01");
-    repeated.attempt = 2;
+    let nowhere = || "nowhere".to_owned();
+    let index = Request { index: nowhere(), ..PORTO.sweep("unknown-index") };
+    let operation = Request { operation: nowhere(), ..PORTO.sweep("unknown-operation") };
+    let shard = Request { shards: vec![nowhere()], ..PORTO.sweep("unknown-shard") };
+    let large = "x".repeat(64 * 1024 + 1);
+    let payload = Request { payload: large, ..PORTO.sweep("payload-too-large") };
+    let deadline = Request { deadline_ms: 60_001, ..PORTO.sweep("deadline-too-long") };
+    let repeated = Request { attempt: 2, ..PORTO.booking("repeated", "gate-finder-01") };
     vec![
-        case(sweep(""), 400, Reason::Malformed),
+        case(PORTO.sweep(""), 400, Reason::Malformed),
         case(deadline, 400, Reason::Malformed),
         case(payload, 413, Reason::TooLarge),
         case(index, 404, Reason::UnknownIndex),
@@ -86,8 +81,7 @@
         (&[b' '; 128 * 1024 + 1], 413, Reason::TooLarge),
     ];
     for (body, status, reason) in bodies {
-        let response = http::exchange(&fleet.door(0), "POST", "/query", body);
-        let response = response.expect("an answer");
+        let response = http::exchange(&fleet.door(0), "POST", "/query", body).expect("an answer");
         let answer: Answer = response.json();
         assert_eq!((response.status, answer.reason()), (status, reason));
         assert_eq!(answer.verdict(), Verdict::NotRun);
@@ -101,13 +95,11 @@
 /// A deadline that nothing can meet: nobody is kept waiting, and what is said not to have run did
 /// not run.
 fn check_expired(fleet: &Fleet) {
-    let exchanges: Vec<Exchange> = (0..20)
-        .map(|number| {
-            let mut booking = PORTO.booking(&format!("expired-{number}"), "gate-finder-01");
-            booking.deadline_ms = 1;
-            ask(&fleet.door(number % 2), booking)
-        })
-        .collect();
+    let exchanges = (0..20).map(|number| {
+        let booking = PORTO.booking(&format!("expired-{number}"), "gate-finder-01");
+        ask(&fleet.door(number % 2), Request { deadline_ms: 1, ..booking })
+    });
+    let exchanges: Vec<Exchange> = exchanges.collect();
     fleet.until_idle();
     let executed = fleet.executed();
     for exchange in &exchanges {
--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -1,38 +1,35 @@
 //! Graceful stops.
 
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 
 use ladder_schema::call::Request;
 use ladder_schema::outcome::Verdict;
+use ladder_schema::settings::Timing;
 use ladder_schema::standin::Fault;
 use ladder_standin::layout::user::User;
 use rustix::process::Signal;
 
-use crate::fleet::call::{BAGMATI, Exchange, ask};
+use crate::fleet::call::{BAGMATI, Exchange, received, send};
 use crate::fleet::load::Load;
-use crate::fleet::{Edits, Fleet, layout, until};
+use crate::fleet::{Fleet, TIMING, layout, until};
 
 /// Bookings through an instance that take some seconds at their targets, longer than an instance
 /// that stops goes on taking callers.
 fn long_bookings(fleet: &Fleet, at: usize) -> Vec<JoinHandle<Exchange>> {
     let service = fleet.shards(BAGMATI.index).remove(1);
-    let servers = fleet.servers().filter(|server| server.service == service);
-    let names: Vec<&str> = servers.map(|server| server.name.as_str()).collect();
-    for name in &names {
-        let slow = Fault { slowdown: 250, ..Fault::default() };
-        fleet.fault(name, &slow);
+    for server in fleet.servers_of(&service) {
+        fleet.fault(&server.name, &Fault { slowdown: 250, ..Fault::default() });
     }
     let callers = ["long-1", "long-2"].map(|key| {
         let booking = Request { deadline_ms: 50_000, ..BAGMATI.booking(key, &service) };
-        let door = fleet.door(at);
-        thread::spawn(move || ask(&door, booking))
+        send(fleet.door(at), booking)
     });
     until("the targets have the bookings", || {
         let executed = fleet.executed();
         executed.of_key("long-1") + executed.of_key("long-2") == 2
     });
-    for name in &names {
-        fleet.fault(name, &Fault::default());
+    for server in fleet.servers_of(&service) {
+        fleet.fault(&server.name, &Fault::default());
     }
     callers.into()
 }
@@ -42,24 +39,14 @@
 /// tells the balancer first, finishes what it has, hands its services over and ends with code 0.
 #[test]
 fn stopped_under_load() {
-    let edits = Edits {
-        instance: |_, settings| settings.timing.get_or_insert_default().drain_ms = 60_000,
-        ..Edits::default()
-    };
-    let layout = layout(User::Bagmati, 3).service_us(20_000);
-    let mut fleet = Fleet::start_edited(layout, edits);
+    let timing = Timing { drain_ms: 60_000, ..TIMING };
+    let mut fleet = Fleet::start(layout(User::Bagmati, 3).service_us(20_000).timing(timing));
     let index = fleet.index(BAGMATI.index);
     let shards = fleet.shards(BAGMATI.index);
     let victim = fleet.owner(&index.shards[0].service);
     let long = long_bookings(&fleet, victim);
-    let beside = Load::mixed(&fleet.others(victim), 4, BAGMATI, shards.clone());
-    let own = Load::start(&[fleet.door(victim)], 8, move |caller, number| {
-        let key = format!("own-{caller}-{number}");
-        match number % 2 {
-            0 => BAGMATI.sweep(&key),
-            _ => BAGMATI.booking(&key, &shards[(caller + number / 2) % shards.len()]),
-        }
-    });
+    let beside = Load::mixed("beside", &fleet.others(victim), 4, shards.clone());
+    let own = Load::mixed("own", &[fleet.door(victim)], 8, shards);
     own.until_more(50);
     beside.until_more(20);
     fleet.signal(victim, Signal::TERM);
@@ -68,15 +55,11 @@
     assert_eq!(fleet.until_ended(victim), Some(0));
     beside.until_more(50);
     exchanges.extend(beside.finish());
-    let long = long.into_iter().map(JoinHandle::join);
-    exchanges.extend(long.map(|exchange| exchange.expect("a caller is answered")));
-    fleet.until_idle();
-    let executed = fleet.executed();
-    executed.check_no_doubles(BAGMATI.booking);
+    exchanges.extend(received(long));
+    fleet.check(&exchanges);
     for exchange in &exchanges {
         exchange.check_complete(&index);
         assert_eq!(exchange.answer().verdict(), Verdict::Ran);
-        executed.check_verdicts(exchange);
     }
     fleet.check_connections();
 }
@@ -87,22 +70,18 @@
 /// ends, and the answer does not claim that the booking did not run.
 #[test]
 fn stopped_at_its_bound() {
-    for stops in [Stops::Entry, Stops::Owner] {
-        let edits = Edits {
-            instance: |_, settings| settings.timing.get_or_insert_default().drain_ms = 1000,
-            ..Edits::default()
-        };
-        let mut fleet = Fleet::start_edited(layout(User::Bagmati, 3), edits);
+    for owner_stops in [false, true] {
+        let timing = Timing { drain_ms: 1000, ..TIMING };
+        let mut fleet = Fleet::start(layout(User::Bagmati, 3).timing(timing));
         let service = fleet.index(BAGMATI.index).shards[0].service.clone();
         let owner = fleet.owner(&service);
         let mut others = fleet.running().into_iter().filter(|&at| at != owner);
         let entry = others.next().expect("another instance");
         fleet.silence(&service, true);
-        let victim = match stops {
-            Stops::Entry => entry,
-            Stops::Owner => owner,
-        };
-        let caller = held_booking(&fleet, entry, &service);
+        let victim = if owner_stops { owner } else { entry };
+        let booking = Request { deadline_ms: 40_000, ..BAGMATI.booking("held", &service) };
+        let caller = send(fleet.door(entry), booking);
+        until("the target holds the booking", || fleet.executed().of_key("held") > 0);
         fleet.signal(victim, Signal::TERM);
         let exchange = caller.join().expect("the caller is answered");
         let answer = exchange.answer();
@@ -111,19 +90,3 @@
         assert_eq!(fleet.executed().of_key("held"), 1);
     }
 }
-
-/// Which instance is told to stop.
-#[derive(Clone, Copy)]
-enum Stops {
-    Entry,
-    Owner,
-}
-
-/// Sends a booking and waits until a target holds it.
-fn held_booking(fleet: &Fleet, entry: usize, service: &str) -> JoinHandle<Exchange> {
-    let booking = Request { deadline_ms: 40_000, ..BAGMATI.booking("held", service) };
-    let door = fleet.door(entry);
-    let caller = thread::spawn(move || ask(&door, booking));
-    until("the target holds the booking", || fleet.executed().of_key("held") > 0);
-    caller
-}
--- a/tests/integration/twofold.rs
+++ b/tests/integration/twofold.rs
@@ -1,12 +1,10 @@
 //! Targets die, alone and together with an instance.
 
-use std::thread;
-
 use ladder_schema::outcome::Verdict;
 use ladder_schema::standin::{Fault, Mode};
 use ladder_standin::layout::user::User;
 
-use crate::fleet::call::{BAGMATI, ask};
+use crate::fleet::call::{BAGMATI, send};
 use crate::fleet::load::Load;
 use crate::fleet::{Fleet, layout, until};
 
@@ -15,10 +13,8 @@
     let shards = fleet.index(BAGMATI.index).shards;
     let mut services = shards.iter().map(|shard| &shard.service);
     let service = services.find(|service| fleet.owner(service) != victim);
-    let service = service.expect("no instance owns all");
-    let mut servers = fleet.servers();
-    let found = servers.find(|server| server.service == *service);
-    found.expect("the service has servers").name.clone()
+    let mut servers = fleet.servers_of(service.expect("no instance owns all"));
+    servers.next().expect("the service has servers").name.clone()
 }
 
 /// Two things break at once while the platform is out of service: a target dies with requests in hand and
@@ -27,32 +23,19 @@
 #[test]
 fn two_faults_without_platform() {
     let mut fleet = Fleet::start(layout(User::Bagmati, 4));
-    let index = fleet.index(BAGMATI.index);
-    let service = index.shards[0].service.clone();
-    let victim = fleet.owner(&service);
-    let load = Load::mixed(&fleet.others(victim), 8, BAGMATI, fleet.shards(BAGMATI.index));
+    let victim = fleet.owner(&fleet.index(BAGMATI.index).shards[0].service);
+    let load = Load::mixed("mixed", &fleet.others(victim), 8, fleet.shards(BAGMATI.index));
     load.until_more(50);
     fleet.mode(Mode { down: true, ..Mode::default() });
     let dead = target_of_another(&fleet, victim);
-    let slow = Fault { slowdown: 50, ..Fault::default() };
-    fleet.fault(&dead, &slow);
+    fleet.fault(&dead, &Fault { slowdown: 50, ..Fault::default() });
     load.until_more(50);
-    let gone = Fault { dead: true, ..Fault::default() };
-    fleet.fault(&dead, &gone);
+    fleet.fault(&dead, &Fault { dead: true, ..Fault::default() });
     fleet.kill(victim);
     load.until_more(100);
     fleet.until_replaced(victim);
     load.until_more(200);
-    let exchanges = load.finish();
-    fleet.until_idle();
-    let executed = fleet.executed();
-    executed.check_no_doubles(BAGMATI.booking);
-    for exchange in &exchanges {
-        executed.check_verdicts(exchange);
-        if exchange.request.operation == BAGMATI.sweep {
-            exchange.check_complete(&index);
-        }
-    }
+    fleet.check(&load.finish());
 }
 
 /// A target dies with a payout lookup in hand. Its connection ends before any answer, which looks
@@ -63,16 +46,13 @@
     let fleet = Fleet::start(layout(User::Bagmati, 2));
     let service = fleet.shards(BAGMATI.index).remove(0);
     fleet.silence(&service, true);
-    let door = fleet.door(0);
-    let booking = BAGMATI.booking("held", &service);
-    let caller = thread::spawn(move || ask(&door, booking));
+    let caller = send(fleet.door(0), BAGMATI.booking("held", &service));
     until("the booking runs", || fleet.executed().of_key("held") > 0);
-    let mut servers = fleet.servers().filter(|server| server.service == service);
+    let mut servers = fleet.servers_of(&service);
     let holder = servers.find(|server| !fleet.ledger(&server.name).executions.is_empty());
-    let holder = holder.expect("one of them has it").name.clone();
+    let holder = holder.expect("one of them has it");
     fleet.silence(&service, false);
-    let gone = Fault { dead: true, ..Fault::default() };
-    fleet.fault(&holder, &gone);
+    fleet.fault(&holder.name, &Fault { dead: true, ..Fault::default() });
     let exchange = caller.join().expect("the caller is answered");
     fleet.until_idle();
     assert_eq!(fleet.executed().of_key("held"), 1, "doubled");
--- a/tests/integration/vanish.rs
+++ b/tests/integration/vanish.rs
@@ -1,11 +1,11 @@
 //! An instance vanishes under load.
 
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 
 use ladder_schema::outcome::Verdict;
 use ladder_standin::layout::user::User;
 
-use crate::fleet::call::{BAGMATI, Exchange, ask};
+use crate::fleet::call::{BAGMATI, Exchange, ask, received, send};
 use crate::fleet::load::Load;
 use crate::fleet::{Fleet, layout, until};
 
@@ -13,9 +13,7 @@
 fn hold(fleet: &Fleet, doors: &[String], service: &str) -> Vec<JoinHandle<Exchange>> {
     fleet.silence(service, true);
     let callers = doors.iter().enumerate().map(|(number, door)| {
-        let booking = BAGMATI.booking(&format!("held-{number}"), service);
-        let door = door.clone();
-        thread::spawn(move || ask(&door, booking))
+        send(door.clone(), BAGMATI.booking(&format!("held-{number}"), service))
     });
     let callers = callers.collect();
     until("the bookings run", || {
@@ -37,25 +35,17 @@
     let service = index.shards[0].service.clone();
     let victim = fleet.owner(&service);
     let held = hold(&fleet, &fleet.others(victim), &service);
-    let load = Load::mixed(&fleet.others(victim), 8, BAGMATI, fleet.shards(BAGMATI.index));
+    let load = Load::mixed("mixed", &fleet.others(victim), 8, fleet.shards(BAGMATI.index));
     load.until_more(100);
     fleet.kill(victim);
     load.until_more(100);
     fleet.until_replaced(victim);
     load.until_more(100);
     let mut exchanges = load.finish();
-    let held = held.into_iter().map(JoinHandle::join);
-    exchanges.extend(held.map(|exchange| exchange.expect("a caller is answered")));
-    fleet.until_idle();
-    let executed = fleet.executed();
-    executed.check_no_doubles(BAGMATI.booking);
+    exchanges.extend(received(held));
+    fleet.check(&exchanges);
     for exchange in &exchanges {
-        exchange.check_own();
         exchange.check_map(&index);
-        executed.check_verdicts(exchange);
-        if exchange.request.operation == BAGMATI.sweep {
-            exchange.check_complete(&index);
-        }
     }
     for shard in fleet.shards(BAGMATI.index) {
         let key = format!("afterwards-{shard}");
--- a/tests/integration/version.rs
+++ b/tests/integration/version.rs
@@ -38,13 +38,9 @@
     let fleet = Fleet::start(layout(User::Bagmati, 4));
     let old = fleet.index(BAGMATI.index);
     let new = split(&old);
-    let services: Vec<&str> = old.shards.iter().map(|shard| shard.service.as_str()).collect();
-    let servers = fleet.servers();
-    let holders = servers.filter(|server| services.contains(&server.service.as_str()));
-    let holders: Vec<Server> = holders.cloned().collect();
-    let doors: Vec<String> = fleet.running().into_iter().map(|at| fleet.door(at)).collect();
-    let load =
-        Load::start(&doors, 8, |caller, number| BAGMATI.sweep(&format!("sweep-{caller}-{number}")));
+    let holders = old.shards.iter().flat_map(|shard| fleet.servers_of(&shard.service));
+    let holders: Vec<&Server> = holders.collect();
+    let load = Load::sweeps("sweep", &fleet.doors(), 8);
     load.until_more(50);
     fleet.publish(vec![Body::Index(new.clone())]);
     load.until_more(20);
