--- a/crates/standin/tests/standin/layout.rs
+++ b/crates/standin/tests/standin/layout.rs
@@ -12,25 +12,9 @@
 use ladder_standin::layout::{Layout, Plan};
 use ladder_standin::settings;
 
-/// A row of the brief's "Sizes of today".
-struct Size {
-    group: &'static str,
-    services: usize,
-    servers: usize,
-    slots: u32,
-    connections: u32,
-    connect_ms: u32,
-}
-
-impl Size {
-    const fn wide(group: &'static str, services: usize) -> Self {
-        Self { group, services, servers: 2, slots: 2, connections: 25, connect_ms: 6 }
-    }
-
-    const fn narrow(group: &'static str, servers: usize, slots: u32, connections: u32) -> Self {
-        Self { group, services: 1, servers, slots, connections, connect_ms: 1 }
-    }
-}
+/// A row of the brief's "Sizes of today": group, services, servers of each, then of each server
+/// slots, connections and milliseconds to connect.
+struct Size(&'static str, usize, usize, u32, u32, u32);
 
 struct Brief {
     user: User,
@@ -43,20 +27,20 @@
         user: User::Porto,
         zones: 3,
         sizes: [
-            Size::wide("gate-finder", 20),
-            Size::wide("patrol-rounds", 30),
-            Size::narrow("subscriber-desk", 3, 6, 100),
-            Size::narrow("tariff-board", 3, 6, 100),
+            Size("gate-finder", 20, 2, 2, 25, 6),
+            Size("patrol-rounds", 30, 2, 2, 25, 6),
+            Size("subscriber-desk", 1, 3, 6, 100, 1),
+            Size("tariff-board", 1, 3, 6, 100, 1),
         ],
     },
     Brief {
         user: User::Bagmati,
         zones: 4,
         sizes: [
-            Size::wide("counter-desk", 20),
-            Size::wide("ledger-sync", 30),
-            Size::narrow("member-portal", 5, 2, 35),
-            Size::narrow("report-desk", 4, 2, 35),
+            Size("counter-desk", 20, 2, 2, 25, 6),
+            Size("ledger-sync", 30, 2, 2, 25, 6),
+            Size("member-portal", 1, 5, 2, 35, 1),
+            Size("report-desk", 1, 4, 2, 35, 1),
         ],
     },
 ];
@@ -83,22 +67,22 @@
 }
 
 fn check_size(plan: &Plan, size: &Size) {
+    let &Size(group, services, replicas, slots, connections, connect_ms) = size;
     let Published { servers, indexes, entries } = published(plan);
-    let index = indexes.iter().find(|index| index.name == size.group);
+    let index = indexes.iter().find(|index| index.name == group);
     let index = index.expect("an index for each group");
-    assert_eq!(index.shards.len(), size.services, "{}", size.group);
+    assert_eq!(index.shards.len(), services, "{group}");
     for shard in &index.shards {
-        let replicas = servers.iter().filter(|server| server.service == shard.service);
-        let replicas: Vec<_> = replicas.collect();
-        assert_eq!(replicas.len(), size.servers, "{}", shard.name);
-        let zones: Set<&str> = replicas.iter().map(|server| server.zone.as_str()).collect();
-        assert!(zones.len() >= size.servers.min(3), "{} in one zone", shard.name);
-        for server in replicas {
-            assert_eq!(server.slots, size.slots, "{}", server.name);
-            assert_eq!(server.connections, size.connections, "{}", server.name);
-            let holding = Holding { index: size.group.to_owned(), version: index.version };
+        let own = servers.iter().filter(|server| server.service == shard.service);
+        let own: Vec<_> = own.collect();
+        assert_eq!(own.len(), replicas, "{}", shard.name);
+        let zones: Set<&str> = own.iter().map(|server| server.zone.as_str()).collect();
+        assert!(zones.len() >= replicas.min(3), "{} in one zone", shard.name);
+        for server in own {
+            assert_eq!((server.slots, server.connections), (slots, connections), "{}", server.name);
+            let holding = Holding { index: group.to_owned(), version: index.version };
             assert_eq!(server.holdings, [holding]);
-            check_target(plan, server, size);
+            check_target(plan, server, connect_ms);
         }
         let mut entries = entries.iter().filter(|entry| entry.service == shard.service);
         assert!(!entries.next().expect("an entry").operations.is_empty());
@@ -107,11 +91,11 @@
 }
 
 /// A server is served by exactly one process, as it is published.
-fn check_target(plan: &Plan, server: &Server, size: &Size) {
+fn check_target(plan: &Plan, server: &Server, connect_ms: u32) {
     let targets = plan.targets.iter().flat_map(|targets| &targets.targets);
     let mut targets = targets.filter(|target| target.server.as_ref() == Some(server));
     let target = targets.next().expect("a target for each server");
-    assert_eq!(target.connect_ms, size.connect_ms, "{}", server.name);
+    assert_eq!(target.connect_ms, connect_ms, "{}", server.name);
     assert!(targets.next().is_none(), "{} is served twice", server.name);
 }
 
@@ -123,7 +107,7 @@
             check_size(&plan, size);
         }
         let sizes = brief.sizes.iter();
-        let all: usize = sizes.map(|size| size.services * size.servers).sum();
+        let all: usize = sizes.map(|Size(_, services, replicas, ..)| services * replicas).sum();
         let Published { servers, indexes, .. } = published(&plan);
         assert_eq!(servers.len(), all);
         assert_eq!(indexes.len(), brief.sizes.len());
--- a/crates/standin/tests/standin/platform.rs
+++ b/crates/standin/tests/standin/platform.rs
@@ -8,7 +8,7 @@
 use ladder_standin::platform;
 use ladder_standin::process::Process;
 
-use crate::client::{Reply, address, attempt, client, eventually, get, post, run, started};
+use crate::client::{Reply, address, attempt, eventually, get, post, run, started};
 
 /// Readers that wait at once.
 const WATCHES: u64 = 400;
@@ -37,28 +37,22 @@
     }
 
     async fn read(&self, after: u64) -> Page {
-        let url = self.url(&format!("/v1/records?after={after}"));
-        get(&url).await.json()
+        get(&self.url(&format!("/v1/records?after={after}"))).await.json()
     }
 
     async fn publish(&self, records: Vec<Record>) -> Reply {
-        let page = Page { head: 0, records };
-        post(&self.url("/admin/publish"), &page).await
+        post(&self.url("/admin/publish"), &Page { head: 0, records }).await
     }
 
     async fn mode(&self, mode: Mode) {
-        let reply = post(&self.url("/admin/mode"), &mode).await;
-        assert_eq!(reply.status, 200);
+        assert_eq!(post(&self.url("/admin/mode"), &mode).await.status, 200);
     }
 
     /// Watches for a minute in the background.
     fn watch(&self, after: u64) -> actix_rt::task::JoinHandle<Reply> {
         let url = self.url(&format!("/v1/records?after={after}&wait_ms=60000"));
         let client = awc::Client::builder().timeout(Duration::from_secs(100)).finish();
-        actix_rt::spawn(async move {
-            let reply = attempt(&client, "GET", &url, &()).await;
-            reply.expect("answered")
-        })
+        actix_rt::spawn(async move { attempt(&client, "GET", &url, &()).await.expect("answered") })
     }
 
     async fn calls(&self) -> u64 {
@@ -102,8 +96,7 @@
         let service = Service::start();
         let first = service.publish(vec![instance(3, "first")]).await;
         assert_eq!((first.status, first.json::<Page>().head), (200, 3));
-        let second = service.publish(vec![instance(3, "second")]).await;
-        assert_eq!(second.status, 409);
+        assert_eq!(service.publish(vec![instance(3, "second")]).await.status, 409);
         let half_new = vec![instance(0, "c"), instance(3, "second")];
         assert_eq!(service.publish(half_new).await.status, 409);
         assert_eq!(revisions(&service.read(0).await), [1, 2, 3]);
@@ -163,11 +156,9 @@
         let service = Service::start();
         let watch = service.watch(2);
         eventually("the watch", async || service.calls().await == 1).await;
-        let down = Mode { down: true, ..Mode::default() };
-        service.mode(down).await;
+        service.mode(Mode { down: true, ..Mode::default() }).await;
         assert_eq!(watch.await.expect("no panic").status, 503);
-        let url = service.url("/v1/records?after=0");
-        assert_eq!(get(&url).await.status, 503);
+        assert_eq!(get(&service.url("/v1/records?after=0")).await.status, 503);
         service.mode(Mode::default()).await;
         assert_eq!(service.read(0).await.head, 2);
     });
@@ -177,11 +168,8 @@
 fn a_number_that_is_none_is_refused() {
     run(async {
         let service = Service::start();
-        let url = service.url("/v1/records?after=x");
-        let reply = attempt(&client(), "GET", &url, &()).await.expect("answered");
-        assert_eq!(
-            (reply.status, reply.body.as_slice()),
-            (400, &b"after: \"x\" is not a number"[..])
-        );
+        let reply = get(&service.url("/v1/records?after=x")).await;
+        let text = b"after: \"x\" is not a number";
+        assert_eq!((reply.status, reply.body.as_slice()), (400, &text[..]));
     });
 }
