Shorten the tests of control: cases on a line, set-up in one place

In the tests of control, cases took a line a field, two properties of neighbouring lists shared their whole body, and frames, rumours and records were built in four files each its own way.

Change: cases of sizes, frame ages and bad records are rows; the two properties call one function with the change that sets them apart; `publish` builds frames, rumours and runs of records for all; the queue of the harness holds events instead of an enum that mirrored them, and its fields that no test read are gone. No test, case or assertion is dropped.

--- a/crates/core/tests/age.rs
+++ b/crates/core/tests/age.rs
@@ -19,56 +19,21 @@
 /// cause is that their budgets are relative and count from the reading: their age has to be seen.
 #[test]
 fn frames_that_waited_show_their_age() {
+    let frame = |story, incarnation, sent_us, received_us, age_us| Frame {
+        story,
+        incarnation,
+        sent_us,
+        received_us,
+        age_us,
+    };
     let frames = [
-        Frame {
-            story: "the first shows the way",
-            incarnation: 1,
-            sent_us: 1_000,
-            received_us: 501_000,
-            age_us: 0,
-        },
-        Frame {
-            story: "a slower one waited",
-            incarnation: 1,
-            sent_us: 2_000,
-            received_us: 502_400,
-            age_us: 400,
-        },
-        Frame {
-            story: "a faster one sets the way",
-            incarnation: 1,
-            sent_us: 3_000,
-            received_us: 502_800,
-            age_us: 0,
-        },
-        Frame {
-            story: "and is compared with",
-            incarnation: 1,
-            sent_us: 4_000,
-            received_us: 504_000,
-            age_us: 200,
-        },
-        Frame {
-            story: "read after a suspension",
-            incarnation: 1,
-            sent_us: 5_000,
-            received_us: 30_504_800,
-            age_us: 30_000_000,
-        },
-        Frame {
-            story: "a restarted sender has another clock",
-            incarnation: 2,
-            sent_us: 10,
-            received_us: 31_000_000,
-            age_us: 0,
-        },
-        Frame {
-            story: "which is compared with itself",
-            incarnation: 2,
-            sent_us: 20,
-            received_us: 31_000_510,
-            age_us: 500,
-        },
+        frame("the first shows the way", 1, 1_000, 501_000, 0),
+        frame("a slower one waited", 1, 2_000, 502_400, 400),
+        frame("a faster one sets the way", 1, 3_000, 502_800, 0),
+        frame("and is compared with", 1, 4_000, 504_000, 200),
+        frame("read after a suspension", 1, 5_000, 30_504_800, 30_000_000),
+        frame("a restarted sender has another clock", 2, 10, 31_000_000, 0),
+        frame("which is compared with itself", 2, 20, 31_000_510, 500),
     ];
     let mut gauges = Gauges::default();
     for frame in frames {
--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -37,8 +37,7 @@
     bodies.push(publish::index("docks", 1, &names));
     bodies.extend((0..count).map(|at| publish::instance(&name(at), zone(at), State::Live)));
     let mut fleet = Fleet::new();
-    let records = bodies.into_iter().zip(1..);
-    fleet.publish(records.map(|(body, revision)| publish::record(revision, body)));
+    fleet.publish(publish::records(1, bodies));
     fleet
 }
 
@@ -57,15 +56,18 @@
     fleet.nodes.values().all(|node| node.machine.view().ready)
 }
 
-fn queue(node: &Node, service: &str) -> u32 {
-    let view = node.machine.view();
-    let service = view.service(service).expect("known");
-    service.entry.limits.expect("limits").queue
+fn queue(node: &Node, service: &str) -> Option<u32> {
+    let service = node.machine.view().service(service)?;
+    Some(service.entry.limits?.queue)
+}
+
+/// All instances hold the entry of the service with this queue limit.
+pub(crate) fn in_force(fleet: &Fleet, service: &str, limit: u32) -> bool {
+    fleet.nodes.values().all(|node| queue(node, service) == Some(limit))
 }
 
 fn owner(node: &Node, service: &str) -> Option<Arc<str>> {
-    let view = node.machine.view();
-    let owner = view.service(service)?.owner()?;
+    let owner = node.machine.view().service(service)?.owner()?;
     Some(Arc::clone(&owner.peer.name))
 }
 
@@ -103,8 +105,9 @@
     publish::record(revision, publish::entry("gate-3", queue))
 }
 
-fn page(record: Record) -> Page {
-    Page { head: record.revision, records: vec![record] }
+/// The change as the platform's answer to a watch.
+fn page(revision: u64, queue: u32) -> Event {
+    Event::Page(Page { head: revision, records: vec![change(revision, queue)] })
 }
 
 /// A catalogue change that reached one instance before the platform went down is in force on all
@@ -114,9 +117,9 @@
     let mut fleet = fleet(24, 20);
     fleet.silence_platform();
     fleet.run(Duration::from_secs(1));
-    fleet.give(&name(5), Event::Page(page(change(1000, 7))));
+    fleet.give(&name(5), page(1000, 7));
     fleet.until("change everywhere", Duration::from_millis(500), |fleet| {
-        fleet.nodes.values().all(|node| queue(node, "gate-3") == 7)
+        in_force(fleet, "gate-3", 7)
     });
 }
 
@@ -126,12 +129,10 @@
     let mut fleet = fleet(9, 4);
     fleet.silence_platform();
     fleet.island = (0..1).map(name).collect();
-    fleet.give(&name(0), Event::Page(page(change(1000, 7))));
+    fleet.give(&name(0), page(1000, 7));
     fleet.run(Duration::from_millis(100));
     fleet.island.clear();
-    fleet.until("change everywhere", Duration::from_secs(7), |fleet| {
-        fleet.nodes.values().all(|node| queue(node, "gate-3") == 7)
-    });
+    fleet.until("change everywhere", Duration::from_secs(7), |fleet| in_force(fleet, "gate-3", 7));
 }
 
 /// An owner is killed. Its links break, and every other instance gives its services to the next
@@ -179,14 +180,12 @@
             assert_eq!(fleet.island.contains(&*owner.peer.name), side, "{own}");
         }
     }
-    fleet.give(&name(3), Event::Page(page(change(1000, 7))));
-    fleet.give(&name(20), Event::Page(page(change(1001, 8))));
+    fleet.give(&name(3), page(1000, 7));
+    fleet.give(&name(20), page(1001, 8));
     fleet.run(Duration::from_secs(5));
-    assert_eq!(queue(&fleet.nodes[&name(1)], "gate-3"), 7);
+    assert_eq!(queue(&fleet.nodes[&name(1)], "gate-3"), Some(7));
     fleet.island.clear();
-    fleet.until("newer everywhere", BOUND, |fleet| {
-        fleet.nodes.values().all(|node| queue(node, "gate-3") == 8)
-    });
+    fleet.until("newer everywhere", BOUND, |fleet| in_force(fleet, "gate-3", 8));
     fleet.until("agreed", BOUND, agreed);
     assert_caps(&fleet);
 }
@@ -260,7 +259,7 @@
     fleet.until("ready", BOUND, all_ready);
     fleet.run(Duration::from_secs(30));
     for node in fleet.nodes.values() {
-        assert_eq!(queue(node, "gate-3"), 7);
+        assert_eq!(queue(node, "gate-3"), Some(7));
         assert!(node.machine.view().service("gate-0").is_none(), "withdrawn");
     }
 }
@@ -300,12 +299,11 @@
     let cost = |count: usize| {
         let mut fleet = fleet(count, 8);
         fleet.run(Duration::from_secs(30));
-        let sum = |fleet: &Fleet| fleet.nodes.values().map(|node| node.sent).sum::<usize>();
-        let before = sum(&fleet);
-        let reads = fleet.nodes.values().map(|node| node.reads).sum::<usize>();
+        let sent = |fleet: &Fleet| fleet.nodes.values().map(|node| node.sent).sum::<usize>();
+        let reads = |fleet: &Fleet| fleet.nodes.values().map(|node| node.reads).sum::<usize>();
+        let (sent_before, reads_before) = (sent(&fleet), reads(&fleet));
         fleet.run(Duration::from_secs(10));
-        let reads = fleet.nodes.values().map(|node| node.reads).sum::<usize>() - reads;
-        (sum(&fleet) - before, reads)
+        (sent(&fleet) - sent_before, reads(&fleet) - reads_before)
     };
     let (small, reads) = cost(9);
     let (large, more_reads) = cost(36);
--- a/crates/core/tests/fleet/disorder.rs
+++ b/crates/core/tests/fleet/disorder.rs
@@ -5,8 +5,8 @@
 use ladder_core::control::Event;
 use ladder_core::schema::publication::{Kind, State};
 
-use crate::concert::{all_ready, name, platform, zone};
-use crate::harness::Fleet;
+use crate::concert::{all_ready, in_force, name, platform, zone};
+use crate::harness::{Fleet, Node};
 use crate::publish;
 
 const INSTANCES: usize = 6;
@@ -51,8 +51,7 @@
     fn change(&mut self, which: usize) {
         self.revision += 1;
         self.queue = 1 + which as u32;
-        let entry = publish::entry("gate-0", self.queue);
-        self.fleet.publish([publish::record(self.revision, entry)]);
+        self.fleet.put(self.revision, publish::entry("gate-0", self.queue));
     }
 
     /// Lists that differ by one instance hold the caps together however long they differ.
@@ -65,7 +64,7 @@
         };
         self.withdrawn = !self.withdrawn;
         self.revision += 1;
-        self.fleet.publish([publish::record(self.revision, body)]);
+        self.fleet.put(self.revision, body);
     }
 
     fn restart(&mut self, own: &str, which: usize) {
@@ -102,21 +101,12 @@
 }
 
 fn digests(fleet: &Fleet) -> Vec<Vec<(String, u64)>> {
-    let known = |node: &crate::harness::Node| {
-        let records = node.machine.records();
-        records.map(|(key, record)| (key.to_string(), record.revision)).collect()
-    };
-    fleet.nodes.values().map(known).collect()
+    fleet.nodes.values().map(|node| publish::known(&node.machine)).collect()
 }
 
 fn has_converged(fleet: &Fleet, queue: u32) -> bool {
     let known = digests(fleet);
-    let newest = |node: &crate::harness::Node| {
-        let view = node.machine.view();
-        let service = view.service("gate-0");
-        service.and_then(|service| service.entry.limits).map(|limits| limits.queue)
-    };
-    let servers = |node: &crate::harness::Node| -> Vec<bool> {
+    let servers = |node: &Node| -> Vec<bool> {
         let view = node.machine.view();
         let mut servers: Vec<_> = view.services.values().flat_map(|s| s.servers.clone()).collect();
         servers.sort_by(|one, other| one.name.cmp(&other.name));
@@ -126,13 +116,14 @@
     let first = leaving.next();
     all_ready(fleet)
         && known.iter().all(|other| *other == known[0])
-        && fleet.nodes.values().all(|node| newest(node) == Some(queue))
+        && in_force(fleet, "gate-0", queue)
         && leaving.all(|other| Some(other) == first)
 }
 
 /// Links are cut and healed, instances killed and restarted, the platform is silenced, catalogue
-/// changes, leaving servers and a withdrawn instance come in between, in any order. The shares of a server never exceed
-/// its limit, and when the failures end every instance soon holds the newest of everything.
+/// changes, leaving servers and a withdrawn instance come in between, in any order. The shares of a
+/// server never exceed its limit, and when the failures end every instance soon holds the newest of
+/// everything.
 #[test]
 fn any_failures_hold_caps_and_converge() {
     bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(40).with_max_len(60).for_each(
@@ -158,12 +149,10 @@
     let mut session = Session::new();
     session.fleet.until("ready", SETTLED, all_ready);
     session.fleet.island = (0..3).map(name).collect();
-    let gone = publish::tombstone(Kind::Instance, &name(5));
-    let back = publish::instance(&name(5), zone(5), State::Live);
-    session.fleet.publish([publish::record(2000, gone)]);
+    session.fleet.put(2000, publish::tombstone(Kind::Instance, &name(5)));
     session.fleet.silence_platform();
     session.fleet.run(Duration::from_secs(2));
-    session.fleet.publish([publish::record(2001, back)]);
+    session.fleet.put(2001, publish::instance(&name(5), zone(5), State::Live));
     session.heal();
     session.fleet.until("returned", SETTLED, |fleet| {
         digests(fleet).iter().all(|known| known.contains(&("instance entry-5".to_owned(), 2001)))
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ladder_core::control::{Action, Event, Machine, Settings};
-use ladder_core::schema::publication::{Page, Record};
+use ladder_core::schema::publication::{Page, Record, record::Body};
 use ladder_core::schema::wire::Frame;
 use ladder_core::time::Instant;
 use ladder_core::view::View;
@@ -14,13 +14,6 @@
 
 const HOP: Duration = Duration::from_millis(1);
 
-enum Delivery {
-    Frame(Box<Frame>),
-    Page(Page),
-    Failure,
-    Broken(Arc<str>),
-}
-
 struct Watch {
     after: u64,
     until: Instant,
@@ -30,11 +23,9 @@
     pub machine: Machine,
     watch: Option<Watch>,
     frozen: bool,
-    inbox: Vec<Delivery>,
-    pub refused: Vec<String>,
+    inbox: Vec<Event>,
     pub reads: usize,
     pub sent: usize,
-    pub bytes: usize,
     pub views: Vec<(Instant, Arc<View>)>,
 }
 
@@ -42,7 +33,7 @@
 pub(crate) struct Fleet {
     pub now: Instant,
     pub nodes: BTreeMap<String, Node>,
-    queue: BTreeMap<(Instant, u64), (String, Delivery)>,
+    queue: BTreeMap<(Instant, u64), (String, Event)>,
     sequence: u64,
     records: Vec<Record>,
     platform_up: bool,
@@ -65,12 +56,11 @@
     }
 
     pub(crate) fn start(&mut self, name: &str, zone: &str) {
-        let seeds = self.seeds.iter().map(String::as_str);
         let settings = Settings::builder(name, &publish::address(name))
             .zone(zone)
             .fleet("porto")
             .incarnation(self.incarnation)
-            .seeds(seeds)
+            .seeds(self.seeds.iter().map(String::as_str))
             .seed(publish::address(name).len() as u64 + self.sequence)
             .build();
         let node = Node {
@@ -78,10 +68,8 @@
             watch: None,
             frozen: false,
             inbox: Vec::new(),
-            refused: Vec::new(),
             reads: 0,
             sent: 0,
-            bytes: 0,
             views: Vec::new(),
         };
         self.nodes.insert(name.to_owned(), node);
@@ -91,9 +79,8 @@
     /// The process dies; with `links`, the peers' links to it break.
     pub(crate) fn kill(&mut self, name: &str, links: bool) {
         self.nodes.remove(name);
-        let peers: Vec<String> = self.nodes.keys().cloned().collect();
-        for peer in peers.iter().filter(|_| links) {
-            self.push(peer, HOP, Delivery::Broken(name.into()));
+        for peer in self.names().iter().filter(|_| links) {
+            self.push(peer, Event::LinkDown(name.into()));
         }
     }
 
@@ -104,11 +91,15 @@
     pub(crate) fn thaw(&mut self, name: &str, gap: Duration) {
         self.node(name).frozen = false;
         self.give(name, Event::Paused(gap));
-        for delivery in std::mem::take(&mut self.node(name).inbox) {
-            self.deliver(name, delivery);
+        for event in std::mem::take(&mut self.node(name).inbox) {
+            self.deliver(name, event);
         }
     }
 
+    fn names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
     pub(crate) fn node(&mut self, name: &str) -> &mut Node {
         self.nodes.get_mut(name).expect("the node runs")
     }
@@ -119,12 +110,16 @@
         if !self.platform_up {
             return;
         }
-        let names: Vec<String> = self.nodes.keys().cloned().collect();
-        for name in names {
+        for name in self.names() {
             self.answer_watch(&name);
         }
     }
 
+    /// The same with one record.
+    pub(crate) fn put(&mut self, revision: u64, body: Body) {
+        self.publish([publish::record(revision, body)]);
+    }
+
     /// The platform answers again, perhaps from a replica that forgot all above a revision.
     pub(crate) fn wake_platform(&mut self, newest: u64) {
         self.platform_up = true;
@@ -134,10 +129,9 @@
     /// The platform stops answering; open watches fail.
     pub(crate) fn silence_platform(&mut self) {
         self.platform_up = false;
-        let names: Vec<String> = self.nodes.keys().cloned().collect();
-        for name in names {
+        for name in self.names() {
             if self.node(&name).watch.take().is_some() {
-                self.push(&name, HOP, Delivery::Failure);
+                self.push(&name, Event::WatchFailed);
             }
         }
     }
@@ -160,19 +154,18 @@
         let page = self.page(if reached { after } else { u64::MAX });
         if due || !page.records.is_empty() {
             self.node(name).watch = None;
-            self.push(name, HOP, Delivery::Page(page));
+            self.push(name, Event::Page(page));
         }
     }
 
-    fn push(&mut self, to: &str, delay: Duration, delivery: Delivery) {
+    fn push(&mut self, to: &str, event: Event) {
         self.sequence += 1;
-        let at = (self.now + delay, self.sequence);
-        self.queue.insert(at, (to.to_owned(), delivery));
+        let at = (self.now + HOP, self.sequence);
+        self.queue.insert(at, (to.to_owned(), event));
     }
 
     pub(crate) fn give(&mut self, name: &str, event: Event) {
-        let now = self.now;
-        let mut out = Vec::new();
+        let (now, mut out) = (self.now, Vec::new());
         self.node(name).machine.handle(now, event, &mut out);
         for action in out {
             self.act(name, action);
@@ -190,50 +183,37 @@
                 let node = self.node(name);
                 node.reads += 1;
                 if up {
-                    let until = now + wait;
-                    node.watch = Some(Watch { after, until });
+                    node.watch = Some(Watch { after, until: now + wait });
                     self.answer_watch(name);
                 } else {
-                    self.push(name, HOP, Delivery::Failure);
+                    self.push(name, Event::WatchFailed);
                 }
             }
             Action::View(view) => {
                 self.node(name).views.push((now, view));
                 self.sum_shares();
             }
-            Action::Refused { record, detail, .. } => {
-                self.node(name).refused.push(format!("{record}: {detail}"));
-            }
-            Action::Count(_) => {}
+            Action::Refused { .. } | Action::Count(_) => {}
         }
     }
 
     fn send(&mut self, from: &str, to: &str, frame: Box<Frame>) {
-        let node = self.node(from);
-        node.sent += 1;
-        node.bytes += prost::Message::encoded_len(&*frame);
-        let names = self.nodes.keys();
-        let target = names.into_iter().find(|name| publish::address(name) == to).cloned();
+        self.node(from).sent += 1;
+        let target = self.names().into_iter().find(|name| publish::address(name) == to);
         let Some(target) = target else { return };
         if self.island.contains(from) == self.island.contains(&target) {
-            self.push(&target, HOP, Delivery::Frame(frame));
+            self.push(&target, Event::Frame(frame));
         }
     }
 
-    fn deliver(&mut self, name: &str, delivery: Delivery) {
+    fn deliver(&mut self, name: &str, event: Event) {
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
         if node.frozen {
-            node.inbox.push(delivery);
+            node.inbox.push(event);
             return;
         }
-        let event = match delivery {
-            Delivery::Frame(frame) => Event::Frame(frame),
-            Delivery::Page(page) => Event::Page(page),
-            Delivery::Failure => Event::WatchFailed,
-            Delivery::Broken(peer) => Event::LinkDown(peer),
-        };
         self.give(name, event);
     }
 
@@ -270,19 +250,16 @@
             if entry.key().0 > now {
                 break;
             }
-            let (name, delivery) = entry.remove();
-            self.deliver(&name, delivery);
+            let (name, event) = entry.remove();
+            self.deliver(&name, event);
         }
-        let names: Vec<String> = self.nodes.keys().cloned().collect();
-        for name in names {
+        for name in self.names() {
             if self.node(&name).frozen {
                 continue;
             }
-            if self.platform_up {
-                let due = self.node(&name).watch.as_ref();
-                if due.is_some_and(|watch| watch.until <= now) {
-                    self.answer_watch(&name);
-                }
+            let watch = self.node(&name).watch.as_ref();
+            if watch.is_some_and(|watch| watch.until <= now) && self.platform_up {
+                self.answer_watch(&name);
             }
             if self.node(&name).machine.next_wake() <= now {
                 self.give(&name, Event::Tick);
@@ -300,17 +277,11 @@
     }
 
     /// Lets virtual time pass until the condition holds; fails after a bound.
-    pub(crate) fn until(
-        &mut self,
-        what: &str,
-        bound: Duration,
-        holds: impl Fn(&Self) -> bool,
-    ) -> Duration {
+    pub(crate) fn until(&mut self, what: &str, bound: Duration, holds: impl Fn(&Self) -> bool) {
         let start = self.now;
         while !holds(self) {
             assert!(self.now.since(start) < bound, "not within {bound:?}: {what}");
             self.step();
         }
-        self.now.since(start)
     }
 }
--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -5,7 +5,7 @@
 use ladder_core::control::Settings;
 use ladder_core::control::membership::{Life, Membership, Standing};
 use ladder_core::schema::publication::{Instance, State, record::Body};
-use ladder_core::schema::wire::{Frame, Liveness, Rumour};
+use ladder_core::schema::wire::{Liveness, Rumour};
 use ladder_core::time::Instant;
 
 use crate::publish;
@@ -34,7 +34,8 @@
     }
 
     fn hear(&mut self, number: usize, incarnation: u64) -> Life {
-        self.membership.heard(self.now, &frame(number, incarnation))
+        let frame = publish::frame(&format!("entry-{number}"), "trindade", incarnation);
+        self.membership.heard(self.now, &frame)
     }
 
     /// Lets time pass in ticks; the peers in `speaking` are heard at each.
@@ -53,8 +54,13 @@
         self.membership.get(&name).expect("known").liveness
     }
 
+    fn all<const COUNT: usize>(&self, numbers: [usize; COUNT]) -> [Liveness; COUNT] {
+        numbers.map(|number| self.liveness(number))
+    }
+
     fn tell(&mut self, number: usize, incarnation: u64, refutation: u32, liveness: Liveness) {
-        let rumour = rumour(number, incarnation, refutation, liveness);
+        let (name, version) = (format!("entry-{number}"), (incarnation, refutation));
+        let rumour = publish::rumour(&name, "trindade", version, liveness);
         self.membership.rumour(self.now, &rumour);
     }
 
@@ -71,29 +77,6 @@
     }
 }
 
-fn frame(number: usize, incarnation: u64) -> Frame {
-    let name = format!("entry-{number}");
-    Frame {
-        address: publish::address(&name),
-        from: name,
-        incarnation,
-        zone: "trindade".to_owned(),
-        ..Frame::default()
-    }
-}
-
-fn rumour(number: usize, incarnation: u64, refutation: u32, liveness: Liveness) -> Rumour {
-    let name = format!("entry-{number}");
-    Rumour {
-        address: publish::address(&name),
-        name,
-        incarnation,
-        refutation,
-        liveness: liveness as i32,
-        zone: "trindade".to_owned(),
-    }
-}
-
 /// An instance is killed without its links breaking: it is suspected after the first window of
 /// silence and held dead after the second.
 #[test]
@@ -104,7 +87,7 @@
     assert_eq!(bench.liveness(3), Liveness::Suspect);
     bench.pass(1250, &[1, 2]);
     assert_eq!(bench.liveness(3), Liveness::Dead);
-    assert_eq!([bench.liveness(1), bench.liveness(2)], [Liveness::Alive; 2]);
+    assert_eq!(bench.all([1, 2]), [Liveness::Alive; 2]);
 }
 
 /// The link breaks as the process dies: no window of silence is waited for.
@@ -124,14 +107,10 @@
     let mut bench = Bench::new(6);
     bench.pass(500, &[1, 2, 3, 4, 5, 6]);
     bench.pass(1500, &[]);
-    for number in 1..=6 {
-        assert_eq!(bench.liveness(number), Liveness::Alive, "entry-{number}");
-    }
+    assert_eq!(bench.all([1, 2, 3, 4, 5, 6]), [Liveness::Alive; 6]);
     bench.pass(500, &[1, 2, 3, 4, 5, 6]);
     bench.pass(1000, &[1, 2, 3, 4, 5, 6]);
-    for number in 1..=6 {
-        assert_eq!(bench.liveness(number), Liveness::Alive, "entry-{number} after return");
-    }
+    assert_eq!(bench.all([1, 2, 3, 4, 5, 6]), [Liveness::Alive; 6], "after return");
 }
 
 /// A rack dies: most neighbours are really gone. The answer of any other proves that the watcher
@@ -158,9 +137,7 @@
     for number in 1..=4 {
         bench.membership.link_down(bench.now, &format!("entry-{number}"));
     }
-    for number in 1..=4 {
-        assert_eq!(bench.liveness(number), Liveness::Alive, "entry-{number}");
-    }
+    assert_eq!(bench.all([1, 2, 3, 4]), [Liveness::Alive; 4]);
 }
 
 /// One peer crashes again and again, and its link breaks with it each time. That is one bad peer
@@ -185,7 +162,7 @@
     bench.now = bench.now + Duration::from_secs(30);
     bench.membership.resumed(bench.now);
     bench.pass(500, &[]);
-    assert_eq!([bench.liveness(1), bench.liveness(2)], [Liveness::Alive; 2]);
+    assert_eq!(bench.all([1, 2]), [Liveness::Alive; 2]);
     bench.pass(250, &[1, 2]);
     assert_eq!(bench.liveness(3), Liveness::Suspect, "not dead for the time asleep");
 }
@@ -200,9 +177,9 @@
     bench.hear(1, 1);
     bench.hear(2, 1);
     bench.membership.tick(bench.now);
-    assert_eq!([1, 2, 3].map(|number| bench.liveness(number)), [Liveness::Alive; 3]);
+    assert_eq!(bench.all([1, 2, 3]), [Liveness::Alive; 3]);
     bench.pass(750, &[1, 2, 3]);
-    assert_eq!([1, 2, 3].map(|number| bench.liveness(number)), [Liveness::Alive; 3]);
+    assert_eq!(bench.all([1, 2, 3]), [Liveness::Alive; 3]);
 }
 
 struct Hearsay {
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -6,9 +6,8 @@
 
 use ladder_core::control::settings::Placement;
 use ladder_core::control::{Event, Machine, Settings};
-use ladder_core::schema::bounds::PROTOCOL;
-use ladder_core::schema::publication::{Kind, Page, Record, State, record::Body};
-use ladder_core::schema::wire::{Frame, Liveness, Rumour};
+use ladder_core::schema::publication::{Kind, Page, State, record::Body};
+use ladder_core::schema::wire::{Frame, Liveness};
 use ladder_core::time::Instant;
 use ladder_core::view::{Service, View};
 
@@ -52,23 +51,9 @@
 fn rumour(which: u8, detail: u8) -> Frame {
     let liveness = [Liveness::Alive, Liveness::Suspect, Liveness::Dead, Liveness::Leaving]
         [usize::from(detail % 4)];
-    let told = Rumour {
-        name: name(which),
-        incarnation: 1 + u64::from(detail / 64),
-        refutation: u32::from(detail / 16),
-        liveness: liveness as i32,
-        address: publish::address(&name(which)),
-        zone: zone(which).to_owned(),
-    };
-    Frame {
-        protocol: PROTOCOL,
-        from: name(1),
-        incarnation: 1,
-        address: publish::address(&name(1)),
-        zone: zone(1).to_owned(),
-        rumours: vec![told],
-        ..Frame::default()
-    }
+    let version = (1 + u64::from(detail / 64), u32::from(detail / 16));
+    let told = publish::rumour(&name(which), zone(which), version, liveness);
+    Frame { rumours: vec![told], ..publish::frame(&name(1), zone(1), 1) }
 }
 
 fn by_name(view: &View) -> BTreeMap<&str, &Arc<Service>> {
@@ -99,15 +84,10 @@
     }
 
     fn publish(&mut self, bodies: &[(u8, u8, u8)]) {
-        let mut records = Vec::new();
-        for &(kind, which, detail) in bodies {
-            self.revision += 1;
-            let body = Some(body(kind, which, detail));
-            let revision = self.revision;
-            records.push(Record { revision, body });
-        }
-        let head = self.revision;
-        self.give(Event::Page(Page { head, records }));
+        let bodies = bodies.iter().map(|&(kind, which, detail)| body(kind, which, detail));
+        let records = publish::records(self.revision + 1, bodies);
+        self.revision += records.len() as u64;
+        self.give(Event::Page(Page { head: self.revision, records }));
     }
 
     fn step(&mut self, (choice, which, detail): (u8, u8, u8)) {
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -62,22 +62,18 @@
     );
 }
 
-/// During a rolling replacement some instances know the new list and some the old one, and both
-/// are connected. One instance is replaced at a time within its zone.
-#[test]
-fn lists_one_replacement_apart_hold_the_limit() {
+/// Lists before and after a change to one instance, whose name is given, hold the limit together.
+fn hold_the_limit_together(change: fn(&mut Fleet, &str)) {
     bolero::check!().with_type::<(Vec<u8>, u8, u8, u8)>().with_iterations(4000).for_each(
-        |(zones, service, limit, gone)| {
+        |(zones, service, limit, which)| {
             let limit = u32::from(*limit).max(2);
             let service = format!("gate-{service}");
             let old = fleet_of(zones);
             if old.is_empty() {
                 return;
             }
-            let gone = format!("entry-{}", usize::from(*gone) % old.len());
             let mut new = old.clone();
-            let zone = new.remove(&gone).expect("listed");
-            new.insert(format!("{gone}-new"), zone);
+            change(&mut new, &format!("entry-{}", usize::from(*which) % old.len()));
             let (one, other) = (shares(&old, &service, limit), shares(&new, &service, limit));
             let held = together(&one, &other);
             assert!(held <= limit, "{held} of {limit}: {one:?} {other:?}");
@@ -85,25 +81,21 @@
     );
 }
 
+/// During a rolling replacement some instances know the new list and some the old one, and both
+/// are connected. One instance is replaced at a time within its zone.
+#[test]
+fn lists_one_replacement_apart_hold_the_limit() {
+    hold_the_limit_together(|fleet, gone| {
+        let zone = fleet.remove(gone).expect("listed");
+        fleet.insert(format!("{gone}-new"), zone);
+    });
+}
+
 /// An instance is taken away without a successor, or one more is added: the lists before and after
 /// hold the limit together too.
 #[test]
 fn lists_one_instance_apart_hold_the_limit() {
-    bolero::check!().with_type::<(Vec<u8>, u8, u8, u8)>().with_iterations(4000).for_each(
-        |(zones, service, limit, gone)| {
-            let limit = u32::from(*limit).max(2);
-            let service = format!("gate-{service}");
-            let old = fleet_of(zones);
-            if old.is_empty() {
-                return;
-            }
-            let mut new = old.clone();
-            new.remove(&format!("entry-{}", usize::from(*gone) % old.len()));
-            let (one, other) = (shares(&old, &service, limit), shares(&new, &service, limit));
-            let held = together(&one, &other);
-            assert!(held <= limit, "{held} of {limit}: {one:?} {other:?}");
-        },
-    );
+    hold_the_limit_together(|fleet, gone| drop(fleet.remove(gone)));
 }
 
 /// Taking an instance away moves only the services that it was a candidate of.
@@ -132,61 +124,23 @@
     candidates: usize,
 }
 
+const PORTO: Size = Size {
+    story: "Porto's gate-finder",
+    instances: 9,
+    zones: 3,
+    limit: 25,
+    primary: 4,
+    spare: 1,
+    candidates: 8,
+};
+
 const SIZES: [Size; 6] = [
-    Size {
-        story: "Porto's gate-finder",
-        instances: 9,
-        zones: 3,
-        limit: 25,
-        primary: 4,
-        spare: 1,
-        candidates: 8,
-    },
-    Size {
-        story: "Porto's subscriber-desk",
-        instances: 9,
-        zones: 3,
-        limit: 100,
-        primary: 8,
-        spare: 2,
-        candidates: 8,
-    },
-    Size {
-        story: "Bagmati's counter-desk",
-        instances: 8,
-        zones: 4,
-        limit: 25,
-        primary: 4,
-        spare: 1,
-        candidates: 8,
-    },
-    Size {
-        story: "seven zones: reach stays bounded",
-        instances: 200,
-        zones: 7,
-        limit: 25,
-        primary: 4,
-        spare: 1,
-        candidates: 8,
-    },
-    Size {
-        story: "one instance alone",
-        instances: 1,
-        zones: 1,
-        limit: 25,
-        primary: 4,
-        spare: 1,
-        candidates: 1,
-    },
-    Size {
-        story: "too few connections for all candidates",
-        instances: 9,
-        zones: 3,
-        limit: 3,
-        primary: 1,
-        spare: 0,
-        candidates: 8,
-    },
+    PORTO,
+    Size { story: "Porto's subscriber-desk", limit: 100, primary: 8, spare: 2, ..PORTO },
+    Size { story: "Bagmati's counter-desk", instances: 8, zones: 4, ..PORTO },
+    Size { story: "seven zones: reach stays bounded", instances: 200, zones: 7, ..PORTO },
+    Size { story: "one instance alone", instances: 1, zones: 1, candidates: 1, ..PORTO },
+    Size { story: "too few for all candidates", limit: 3, primary: 1, spare: 0, ..PORTO },
 ];
 
 #[test]
@@ -224,7 +178,7 @@
         let mut fleet = Fleet::new();
         let services: Vec<String> = (0..5).map(|at| format!("gate-{at}")).collect();
         let entries = services.iter().map(|service| publish::entry(service, 10));
-        give(&mut machine, 1, entries.collect());
+        give(&mut machine, 1, entries);
         for (at, &(instance, zone)) in changes.iter().enumerate() {
             let name = format!("entry-{}", instance % 40);
             let zone = format!("zone-{}", zone % 7);
@@ -234,7 +188,7 @@
                 fleet.insert(name.clone(), zone.clone());
                 publish::instance(&name, &zone, State::Live)
             };
-            give(&mut machine, 100 + at as u64, vec![body]);
+            give(&mut machine, 100 + at as u64, [body]);
         }
         for service in &services {
             let list = instances(&fleet);
@@ -245,12 +199,8 @@
     });
 }
 
-fn give(machine: &mut Machine, revision: u64, bodies: Vec<Body>) {
-    let records = bodies.into_iter().zip(revision..);
-    let page = Page {
-        head: revision,
-        records: records.map(|(body, revision)| publish::record(revision, body)).collect(),
-    };
+fn give(machine: &mut Machine, revision: u64, bodies: impl IntoIterator<Item = Body>) {
+    let page = Page { head: revision, records: publish::records(revision, bodies) };
     machine.handle(Instant::from_millis(revision), Event::Page(page), &mut Vec::new());
 }
 
@@ -261,13 +211,13 @@
     let mut machine = machine();
     let services: Vec<String> = (0..50).map(|at| format!("gate-{at}")).collect();
     let entries = services.iter().map(|service| publish::entry(service, 10));
-    give(&mut machine, 1, entries.collect());
+    give(&mut machine, 1, entries);
     let old = (0..24).map(|at| {
         let zone = format!("zone-{}", at % 3);
         publish::instance(&format!("entry-{at}"), &zone, State::Live)
     });
-    give(&mut machine, 100, old.collect());
-    give(&mut machine, 200, vec![publish::instance("entry-99", "zone-3", State::Live)]);
+    give(&mut machine, 100, old);
+    give(&mut machine, 200, [publish::instance("entry-99", "zone-3", State::Live)]);
     for service in &services {
         assert!(followed(&machine, service).contains("entry-99"), "{service}");
     }
--- a/crates/core/tests/fleet/publish.rs
+++ b/crates/core/tests/fleet/publish.rs
@@ -1,9 +1,12 @@
 //! Published records for tests.
 
+use ladder_core::control::Machine;
+use ladder_core::schema::bounds::PROTOCOL;
 use ladder_core::schema::catalogue::{Entry, Limits, Operation, Urgency};
 use ladder_core::schema::publication::{
     Index, Instance, Kind, Record, Server, Shard, State, Tombstone, record::Body,
 };
+use ladder_core::schema::wire::{Frame, Liveness, Rumour};
 
 pub(crate) fn record(revision: u64, body: Body) -> Record {
     Record { revision, body: Some(body) }
@@ -15,22 +18,19 @@
         owner: "porto".to_owned(),
         urgency: Urgency::Urgent as i32,
         limits: Some(Limits { queue, extra_percent: 10, ..Limits::default() }),
-        operations: vec![Operation {
-            name: "find".to_owned(),
-            deadline_ms: 90,
-            ..Operation::default()
-        }],
+        operations: vec![operation("find", 90)],
     })
 }
 
+pub(crate) fn operation(name: &str, deadline_ms: u32) -> Operation {
+    Operation { name: name.to_owned(), deadline_ms, ..Operation::default() }
+}
+
 pub(crate) fn index(name: &str, version: u64, services: &[&str]) -> Body {
     let shard =
         |service: &&str| Shard { name: format!("{service}-shard"), service: (*service).to_owned() };
-    Body::Index(Index {
-        name: name.to_owned(),
-        version,
-        shards: services.iter().map(shard).collect(),
-    })
+    let shards = services.iter().map(shard).collect();
+    Body::Index(Index { name: name.to_owned(), version, shards })
 }
 
 pub(crate) fn server(name: &str, service: &str, incarnation: u64, state: State) -> Body {
@@ -66,3 +66,38 @@
     let number: u16 = digits.parse().expect("names end in a number");
     format!("127.0.0.1:{}", 10_000 + number)
 }
+
+/// Bodies with revisions from `first` on.
+pub(crate) fn records(first: u64, bodies: impl IntoIterator<Item = Body>) -> Vec<Record> {
+    bodies.into_iter().zip(first..).map(|(body, revision)| record(revision, body)).collect()
+}
+
+/// A frame that says no more than who sent it.
+pub(crate) fn frame(name: &str, zone: &str, incarnation: u64) -> Frame {
+    Frame {
+        protocol: PROTOCOL,
+        from: name.to_owned(),
+        incarnation,
+        address: address(name),
+        zone: zone.to_owned(),
+        ..Frame::default()
+    }
+}
+
+/// That an instance had this liveness, by incarnation and refutation.
+pub(crate) fn rumour(name: &str, zone: &str, version: (u64, u32), liveness: Liveness) -> Rumour {
+    Rumour {
+        name: name.to_owned(),
+        incarnation: version.0,
+        refutation: version.1,
+        liveness: liveness as i32,
+        address: address(name),
+        zone: zone.to_owned(),
+    }
+}
+
+/// Keys and revisions of what a machine knows.
+pub(crate) fn known(machine: &Machine) -> Vec<(String, u64)> {
+    let records = machine.records();
+    records.map(|(key, record)| (key.to_string(), record.revision)).collect()
+}
--- a/crates/core/tests/fleet/repair.rs
+++ b/crates/core/tests/fleet/repair.rs
@@ -19,11 +19,6 @@
     machine
 }
 
-fn known(machine: &Machine) -> Vec<(String, u64)> {
-    let records = machine.records();
-    records.map(|(key, record)| (key.to_string(), record.revision)).collect()
-}
-
 /// Each of two instances has missed a change of a publication of 4,000 records. A digest shows the
 /// buckets, but a bucket of such a size is large, and control may take little of the network: the
 /// hashes of its parts go first, and far less than the bucket follows. Both end up equal.
@@ -36,16 +31,9 @@
     let mut second = all;
     second.push(publish::record(5001, publish::tombstone(Kind::Entry, "gate-9")));
     let mut machines = [machine(NAMES[0], first), machine(NAMES[1], second)];
-    let mut frames: Vec<(usize, Frame)> = Vec::new();
+    let mut frames: Vec<(usize, Frame)> = vec![(0, publish::frame(NAMES[1], "", 1))];
     let mut records = 0;
     let mut bytes = 0;
-    let hello = Frame {
-        from: NAMES[1].to_owned(),
-        incarnation: 1,
-        address: publish::address(NAMES[1]),
-        ..Frame::default()
-    };
-    frames.push((0, hello));
     for _ in 0..50 {
         let Some((to, mut frame)) = frames.pop() else {
             break;
@@ -62,7 +50,7 @@
             }
         }
     }
-    assert_eq!(known(&machines[0]), known(&machines[1]));
+    assert_eq!(publish::known(&machines[0]), publish::known(&machines[1]));
     assert!(records < 40, "{records} records were sent");
     assert!(bytes < 8192, "{bytes} bytes in one frame");
 }
--- a/crates/core/tests/fleet/replacement.rs
+++ b/crates/core/tests/fleet/replacement.rs
@@ -21,7 +21,7 @@
     let mut revision = 1000;
     let mut publish = |fleet: &mut Fleet, body: Body| {
         revision += 1;
-        fleet.publish([publish::record(revision, body)]);
+        fleet.put(revision, body);
     };
     for at in 0..9 {
         let (old, new) = (name(at), name(100 + at));
--- a/crates/core/tests/fleet/session.rs
+++ b/crates/core/tests/fleet/session.rs
@@ -41,9 +41,8 @@
 }
 
 fn describe(view: &View) -> String {
-    let services = view.services.values().map(|known| service(known));
+    let services: Vec<String> = view.services.values().map(|known| service(known)).collect();
     let ready = if view.ready { "ready" } else { "not ready" };
-    let services: Vec<String> = services.collect();
     let (generation, revision) = (view.generation, view.revision);
     format!("view {generation} of revision {revision}, {ready}: {}", services.join("; "))
 }
@@ -53,8 +52,8 @@
         let mark = if candidate.live { "" } else { "!" };
         format!("{mark}{}", candidate.peer.name)
     });
-    let shares = service.servers.iter().map(|server| server.share.to_string());
     let candidates: Vec<String> = candidates.collect();
+    let shares = service.servers.iter().map(|server| server.share.to_string());
     let shares: Vec<String> = shares.collect();
     format!("{} by {} with {}", service.name, candidates.join(" "), shares.join("+"))
 }
@@ -69,16 +68,13 @@
     }
     fleet.run(Duration::from_secs(6));
     fleet.start(&name(4), zone(4));
-    let listed = publish::instance(&name(4), zone(4), State::Live);
-    fleet.publish([publish::record(100, listed)]);
+    fleet.put(100, publish::instance(&name(4), zone(4), State::Live));
     fleet.run(Duration::from_secs(3));
-    let leaving = publish::instance(&name(1), zone(1), State::Leaving);
     fleet.give(&name(1), Event::Drain);
-    fleet.publish([publish::record(101, leaving)]);
+    fleet.put(101, publish::instance(&name(1), zone(1), State::Leaving));
     fleet.run(Duration::from_secs(1));
     fleet.kill(&name(1), true);
-    let gone = publish::tombstone(Kind::Instance, &name(1));
-    fleet.publish([publish::record(102, gone)]);
+    fleet.put(102, publish::tombstone(Kind::Instance, &name(1)));
     fleet.run(Duration::from_secs(4));
     insta::assert_snapshot!(fleet.log.join("\n"));
 }
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -1,10 +1,10 @@
 //! The store of published records under stale, racing and bad input.
 
 use ladder_core::control::store::{Key, Outcome, Store};
-use ladder_core::schema::catalogue::{Limits, Operation};
+use ladder_core::schema::catalogue::{Entry, Limits};
 use ladder_core::schema::publication::{Kind, Record, State, record::Body};
 
-use crate::publish::{entry, index, instance, record, server, tombstone};
+use crate::publish::{entry, index, instance, operation, record, server, tombstone};
 
 /// Which step of a case does what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,7 +22,8 @@
     in_force: Option<u64>,
 }
 
-fn entry_at(revision: u64, queue: u32) -> Record {
+/// A change of the entry to this queue limit.
+fn put(revision: u64, queue: u32) -> Record {
     record(revision, entry("gate-1", queue))
 }
 
@@ -31,58 +32,47 @@
 }
 
 fn cases() -> Vec<Case> {
+    use Step::{Applied, Known, Refused, Stale};
     vec![
         Case {
             story: "A stale replica of the platform answers after a fresh one.",
-            records: vec![
-                (entry_at(7, 10), Step::Applied),
-                (entry_at(5, 20), Step::Stale),
-                (entry_at(7, 10), Step::Known),
-            ],
+            records: vec![(put(7, 10), Applied), (put(5, 20), Stale), (put(7, 10), Known)],
             in_force: Some(7),
         },
         Case {
             story: "Two changes race; the older arrives last.",
-            records: vec![
-                (entry_at(1, 10), Step::Applied),
-                (entry_at(3, 30), Step::Applied),
-                (entry_at(2, 20), Step::Stale),
-            ],
+            records: vec![(put(1, 10), Applied), (put(3, 30), Applied), (put(2, 20), Stale)],
             in_force: Some(3),
         },
         Case {
             story: "A peer that slept through the withdrawal offers the old entry again.",
             records: vec![
-                (entry_at(1, 10), Step::Applied),
-                (withdrawn(4), Step::Applied),
-                (entry_at(1, 10), Step::Stale),
-                (entry_at(3, 10), Step::Stale),
+                (put(1, 10), Applied),
+                (withdrawn(4), Applied),
+                (put(1, 10), Stale),
+                (put(3, 10), Stale),
             ],
             in_force: Some(4),
         },
         Case {
             story: "A withdrawal arrives before the entry that it withdraws.",
-            records: vec![
-                (withdrawn(4), Step::Applied),
-                (entry_at(3, 10), Step::Stale),
-                (entry_at(6, 10), Step::Applied),
-            ],
+            records: vec![(withdrawn(4), Applied), (put(3, 10), Stale), (put(6, 10), Applied)],
             in_force: Some(6),
         },
         Case {
             story: "A bad change leaves the last good one in force and is reported once.",
             records: vec![
-                (entry_at(1, 10), Step::Applied),
-                (entry_at(2, 0), Step::Refused),
-                (entry_at(2, 0), Step::Known),
-                (entry_at(3, 30), Step::Applied),
-                (entry_at(2, 0), Step::Stale),
+                (put(1, 10), Applied),
+                (put(2, 0), Refused),
+                (put(2, 0), Known),
+                (put(3, 30), Applied),
+                (put(2, 0), Stale),
             ],
             in_force: Some(3),
         },
         Case {
             story: "The first version of an entry is bad.",
-            records: vec![(entry_at(2, 0), Step::Refused)],
+            records: vec![(put(2, 0), Refused)],
             in_force: None,
         },
     ]
@@ -116,51 +106,38 @@
     detail: &'static str,
 }
 
-fn entry_with(limits: Option<Limits>, operations: Vec<Operation>) -> Body {
+fn bad(body: Body, detail: &'static str) -> Bad {
+    Bad { body, detail }
+}
+
+fn entry_with(change: impl FnOnce(&mut Entry)) -> Body {
     let Body::Entry(mut entry) = entry("gate-1", 10) else { unreachable!("built as an entry") };
-    if limits.is_some() {
-        entry.limits = limits;
-    }
-    entry.operations = operations;
+    change(&mut entry);
     Body::Entry(entry)
 }
 
-fn operation(name: &str, deadline_ms: u32) -> Operation {
-    Operation { name: name.to_owned(), deadline_ms, ..Operation::default() }
+/// An entry with operations of these names and deadlines in milliseconds.
+fn operations(listed: &[(&str, u32)]) -> Body {
+    let listed = listed.iter().map(|&(name, deadline_ms)| operation(name, deadline_ms));
+    entry_with(|entry| entry.operations = listed.collect())
 }
 
-fn limits(queue: u32, extra_percent: u32, connections: u32) -> Option<Limits> {
-    Some(Limits { queue, extra_percent, connections, ..Limits::default() })
+fn limits(queue: u32, extra_percent: u32, connections: u32) -> Body {
+    let limits = Limits { queue, extra_percent, connections, ..Limits::default() };
+    entry_with(|entry| entry.limits = Some(limits))
 }
 
 fn bad_entries() -> Vec<Bad> {
-    let find = || vec![operation("find", 90)];
+    let doubled = operations(&[("find", 90), ("find", 80)]);
+    let late = operations(&[("find", 60_001)]);
     vec![
-        Bad { body: entry("", 10), detail: "entry.service: is missing" },
-        Bad {
-            body: entry_with(limits(200_000, 10, 0), find()),
-            detail: "entry.limits.queue: 200000 is outside 1 to 100000",
-        },
-        Bad {
-            body: entry_with(limits(10, 101, 0), find()),
-            detail: "entry.limits.extra_percent: 101 is outside 0 to 100",
-        },
-        Bad {
-            body: entry_with(limits(10, 10, 1), find()),
-            detail: "entry.limits.connections: 1 is outside 2 to 100000",
-        },
-        Bad {
-            body: entry_with(None, Vec::new()),
-            detail: "entry.operations: 0 is outside 1 to 256",
-        },
-        Bad {
-            body: entry_with(None, vec![operation("find", 90), operation("find", 80)]),
-            detail: "entry.operations: \"find\" stands twice",
-        },
-        Bad {
-            body: entry_with(None, vec![operation("find", 60_001)]),
-            detail: "entry.operations[0].deadline_ms: 60001 is outside 1 to 60000",
-        },
+        bad(entry("", 10), "entry.service: is missing"),
+        bad(limits(200_000, 10, 0), "entry.limits.queue: 200000 is outside 1 to 100000"),
+        bad(limits(10, 101, 0), "entry.limits.extra_percent: 101 is outside 0 to 100"),
+        bad(limits(10, 10, 1), "entry.limits.connections: 1 is outside 2 to 100000"),
+        bad(operations(&[]), "entry.operations: 0 is outside 1 to 256"),
+        bad(doubled, "entry.operations: \"find\" stands twice"),
+        bad(late, "entry.operations[0].deadline_ms: 60001 is outside 1 to 60000"),
     ]
 }
 
@@ -169,24 +146,15 @@
     if let Body::Instance(instance) = &mut addressed {
         instance.peer_address = "localhost:80".to_owned();
     }
+    let doubled = index("docks", 1, &["gate-1", "gate-1"]);
+    let stateless = server("gate-1-0", "gate-1", 1, State::Unspecified);
+    let nameless = tombstone(Kind::Index, "docks");
     vec![
-        Bad {
-            body: addressed,
-            detail: "instance.peer_address: \"localhost:80\" is not an IP number and port",
-        },
-        Bad { body: index("docks", 1, &[]), detail: "index.shards: 0 is outside 1 to 4096" },
-        Bad {
-            body: index("docks", 1, &["gate-1", "gate-1"]),
-            detail: "index.shards: \"gate-1-shard\" stands twice",
-        },
-        Bad {
-            body: server("gate-1-0", "gate-1", 1, State::Unspecified),
-            detail: "server.state: 0 is not one of STATE_LIVE, STATE_LEAVING",
-        },
-        Bad {
-            body: tombstone(Kind::Index, "docks"),
-            detail: "tombstone.name: \"docks\" is not an index name, @ and a version from 1",
-        },
+        bad(addressed, "instance.peer_address: \"localhost:80\" is not an IP number and port"),
+        bad(index("docks", 1, &[]), "index.shards: 0 is outside 1 to 4096"),
+        bad(doubled, "index.shards: \"gate-1-shard\" stands twice"),
+        bad(stateless, "server.state: 0 is not one of STATE_LIVE, STATE_LEAVING"),
+        bad(nameless, "tombstone.name: \"docks\" is not an index name, @ and a version from 1"),
     ]
 }
 
@@ -194,13 +162,13 @@
 /// message names field, value and what is allowed.
 #[test]
 fn bad_records_are_refused_alone() {
-    for bad in bad_entries().into_iter().chain(bad_others()) {
+    for Bad { body, detail } in bad_entries().into_iter().chain(bad_others()) {
         let mut store = Store::default();
-        let outcome = store.apply(&record(2, bad.body));
+        let outcome = store.apply(&record(2, body));
         let Outcome::Refused(refusal) = outcome else {
-            panic!("accepted although {}", bad.detail);
+            panic!("accepted although {detail}");
         };
-        assert_eq!(refusal.detail, bad.detail);
+        assert_eq!(refusal.detail, detail);
         assert_eq!(store.apply(&record(3, entry("gate-2", 10))), Outcome::Applied);
         assert_eq!(store.refused().count(), 1);
     }
