Shorten the tests of gathering: cases on a line, one way to ask

In the tests of gathering, cases took a line a field, and 24 tests opened a session and sent one request in the same two statements.

Change: refusals, replies and statuses are rows, and cases of versions state only what differs from the newest or the older version; `asked` and `planned` open a session with one request under way; the lines of golden files are formatted from destructured messages. No test, case or assertion is dropped and no golden file changes.

--- a/crates/core/tests/gather/any_order.rs
+++ b/crates/core/tests/gather/any_order.rs
@@ -44,9 +44,8 @@
 
 impl World {
     fn new() -> Self {
-        let settings = Settings::builder(SELF, INCARNATION).build();
         let mut world = Self {
-            machine: Machine::new(settings),
+            machine: Machine::new(Settings::builder(SELF, INCARNATION).build()),
             oracle: Oracle::default(),
             now: Instant::from_millis(1000),
             callers: 0,
@@ -192,14 +191,10 @@
     let covered = b & 3 != 0;
     let parts =
         sent.portion.shards.iter().map(|shard| Part { shard: shard.clone(), body: String::new() });
-    let verdict = match (covered, b & 4 == 0) {
-        (true, _) => Verdict::Ran,
-        (false, true) => Verdict::NotRun,
-        (false, false) => Verdict::MayHaveRun,
-    };
-    let reason = match covered {
-        true => Reason::Unspecified,
-        false => REASONS[usize::from(b >> 3) % REASONS.len()],
+    let (verdict, reason) = match (covered, REASONS[usize::from(b >> 3) % REASONS.len()]) {
+        (true, _) => (Verdict::Ran, Reason::Unspecified),
+        (false, reason) if b & 4 == 0 => (Verdict::NotRun, reason),
+        (false, reason) => (Verdict::MayHaveRun, reason),
     };
     Reply {
         query: sent.work.query,
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -95,32 +95,24 @@
     }
 }
 
-pub(crate) fn operation(
+fn operation(
     name: &str,
     unrepeatable: bool,
     preference: Preference,
     deadline_ms: u32,
 ) -> Operation {
-    Operation {
-        name: name.to_owned(),
-        unrepeatable,
-        preference: preference.into(),
-        deadline_ms,
-        ..Operation::default()
-    }
+    let (name, preference) = (name.to_owned(), preference.into());
+    Operation { name, unrepeatable, preference, deadline_ms, ..Operation::default() }
 }
 
 pub(crate) fn peer(name: &str) -> Peer {
-    Peer {
-        name: name.into(),
-        address: format!("127.0.0.1:{}", 7000 + u32::from(name.as_bytes()[1])).into(),
-    }
+    let port = 7000 + u32::from(name.as_bytes()[1]);
+    Peer { name: name.into(), address: format!("127.0.0.1:{port}").into() }
 }
 
 fn index(version: u64, map: &[(&str, &str)]) -> Arc<Index> {
-    let shards = map
-        .iter()
-        .map(|(name, service)| Shard { name: (*name).to_owned(), service: (*service).to_owned() });
+    let shards =
+        map.iter().map(|&(name, service)| Shard { name: name.into(), service: service.into() });
     Arc::new(Index { name: INDEX.to_owned(), version, shards: shards.collect() })
 }
 
--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use ladder_core::count::{self, Count};
 use ladder_core::gather::event::Caller;
 use ladder_core::gather::{Action, Event};
 use ladder_core::schema::call::Request;
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::fleet::Fleet;
-use crate::session::{Session, answer, answers, covered, missing, refused, request, works};
+use crate::session::{
+    Session, answer, answers, asked, covered, dropped, missing, refused, request, works,
+};
 
 fn receivers(actions: &[Action]) -> Vec<String> {
     let works = works(actions).into_iter();
@@ -24,17 +25,11 @@
     cancels.collect()
 }
 
-fn dropped(reason: Reason) -> Action {
-    let event = count::Event::Drop;
-    Action::Count(Count { event, reason })
-}
-
 /// The instance that owns s2 is replaced: its link breaks with the portion open. The portion goes
 /// to the next candidate at once and the caller gets everything.
 #[test]
 fn broken_link_moves_repeatable_work() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "sweep", &["c", "d"]));
+    let (mut session, _) = asked("sweep", &["c", "d"]);
     session.pass(3);
     let again = works(&session.link_down("e2"));
     assert_eq!(&*again[0].0, "e3");
@@ -50,8 +45,7 @@
 #[test]
 fn nothing_is_sent_when_it_is_time_to_answer() {
     for broken in [true, false] {
-        let mut session = Session::new(&Fleet::default());
-        let sent = works(&session.call(request("k1", "sweep", &["c"])));
+        let (mut session, sent) = asked("sweep", &["c"]);
         session.now = session.now + Duration::from_millis(99);
         let out = match broken {
             true => session.link_down("e2"),
@@ -66,8 +60,7 @@
 /// again, and the caller hears so at once.
 #[test]
 fn broken_link_never_moves_a_booking() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "book", &["c"]));
+    let (mut session, _) = asked("book", &["c"]);
     let out = session.link_down("e2");
     assert!(works(&out).is_empty());
     let answer = answer(&out);
@@ -90,8 +83,7 @@
 #[test]
 fn silent_owner_is_passed_over() {
     for (first, second) in [("e2", "e3"), ("e3", "e2")] {
-        let mut session = Session::new(&Fleet::default());
-        let sent = works(&session.call(request("k1", "check", &["a", "c"])));
+        let (mut session, sent) = asked("check", &["a", "c"]);
         assert!(works(&session.pass(199)).is_empty());
         let again = works(&session.pass(1));
         assert_eq!(&*again[0].0, "e3");
@@ -111,16 +103,14 @@
 /// answer and is waited for. If the next one answers, the silent one is told to give up.
 #[test]
 fn silent_owner_is_waited_for_when_the_next_one_refuses() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let (mut session, sent) = asked("check", &["c"]);
     let again = works(&session.pass(200));
     let refusal = refused(&again[0].1, "s2", Reason::QueueFull);
     assert!(session.reply("e3", refusal).is_empty());
     let answer = answer(&session.reply("e2", covered(&sent[0].1, "s2")));
     assert_eq!(answer.covered, ["c"]);
 
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "check", &["c"]));
+    let (mut session, _) = asked("check", &["c"]);
     let again = works(&session.pass(200));
     let out = session.reply("e3", covered(&again[0].1, "s2"));
     assert_eq!(cancelled(&out), ["e2"]);
@@ -130,8 +120,7 @@
 /// that it may have run.
 #[test]
 fn booking_stays_at_silent_owner() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "book", &["c"]));
+    let (mut session, _) = asked("book", &["c"]);
     session.give(Event::View(Fleet::default().without("e2").view()));
     let out = session.pass(500);
     assert!(works(&out).is_empty());
@@ -179,8 +168,7 @@
 /// nothing a second time.
 #[test]
 fn silence_of_all_is_no_ones_fault_but_ours() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "check", &["c", "e"]));
+    let (mut session, _) = asked("check", &["c", "e"]);
     assert!(works(&session.pass(390)).is_empty());
 }
 
@@ -188,8 +176,7 @@
 /// the end of its deadline that the owner is lost, not merely that time ran out.
 #[test]
 fn lost_owner_is_named_at_the_deadline() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "check", &["a", "c"])));
+    let (mut session, sent) = asked("check", &["a", "c"]);
     session.pass(1);
     session.reply("e1", covered(&sent[0].1, "s1"));
     let again = works(&session.pass(199));
@@ -217,8 +204,7 @@
 fn silence_while_asleep_proves_nothing() {
     let pause = Duration::from_millis(205);
     for (asleep, event) in [(230, Event::Tick), (205, Event::Paused(pause))] {
-        let mut session = Session::new(&Fleet::default());
-        session.call(request("k1", "check", &["c"]));
+        let (mut session, _) = asked("check", &["c"]);
         session.now = session.now + Duration::from_millis(asleep);
         assert!(works(&session.give(event)).is_empty());
         assert!(works(&session.pass(160)).is_empty());
@@ -229,8 +215,7 @@
 /// time is over; the new view that comes with the waking moves nothing of that query.
 #[test]
 fn expired_queries_end_before_anything_is_sent() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "check", &["c"]));
+    let (mut session, _) = asked("check", &["c"]);
     session.now = session.now + Duration::from_secs(1);
     let out = session.give(Event::Paused(Duration::from_secs(1)));
     assert_eq!(missing(&answer(&out)), "c:PAUSED/MAY_HAVE_RUN");
@@ -244,8 +229,7 @@
 /// The membership gives the owner up while a sweep is open there: the sweep goes on elsewhere.
 #[test]
 fn view_without_owner_moves_repeatable_work() {
-    let mut session = Session::new(&Fleet::default());
-    session.call(request("k1", "check", &["c"]));
+    let (mut session, _) = asked("check", &["c"]);
     let out = session.give(Event::View(Fleet::default().without("e2").view()));
     assert_eq!(receivers(&out), ["e3"]);
 }
@@ -253,8 +237,7 @@
 /// The caller hangs up: the owners are told, late replies are dropped, no answer is given.
 #[test]
 fn gone_caller_is_forgotten() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "check", &["c", "e"])));
+    let (mut session, sent) = asked("check", &["c", "e"]);
     let out = session.give(Event::Gone(Caller(1)));
     assert_eq!(cancelled(&out), ["e2", "e3"]);
     let late = session.reply("e2", covered(&sent[0].1, "s2"));
--- a/crates/core/tests/gather/plans.rs
+++ b/crates/core/tests/gather/plans.rs
@@ -8,77 +8,42 @@
 use crate::session::{Session, answer, request};
 
 struct Case {
-    name: &'static str,
     change: fn(&mut Request),
     reason: Reason,
     status: u16,
     detail: &'static str,
 }
 
+const fn malformed(change: fn(&mut Request), detail: &'static str) -> Case {
+    Case { change, reason: Reason::Malformed, status: 400, detail }
+}
+
+const fn large(change: fn(&mut Request), detail: &'static str) -> Case {
+    Case { change, reason: Reason::TooLarge, status: 413, detail }
+}
+
+const fn unknown(reason: Reason, change: fn(&mut Request), detail: &'static str) -> Case {
+    Case { change, reason, status: 404, detail }
+}
+
 const CASES: &[Case] = &[
-    Case {
-        name: "no key",
-        change: |request| request.key.clear(),
-        reason: Reason::Malformed,
-        status: 400,
-        detail: "key: 0 bytes; allowed: 1 to 128",
-    },
-    Case {
-        name: "key too long",
-        change: |request| request.key = "k".repeat(129),
-        reason: Reason::TooLarge,
-        status: 413,
-        detail: "key: 129 bytes; allowed: 1 to 128",
-    },
-    Case {
-        name: "payload too large",
-        change: |request| request.payload = "p".repeat(65537),
-        reason: Reason::TooLarge,
-        status: 413,
-        detail: "payload: 65537 bytes; allowed: 0 to 65536",
-    },
-    Case {
-        name: "deadline too long",
-        change: |request| request.deadline_ms = 60_001,
-        reason: Reason::Malformed,
-        status: 400,
-        detail: "deadline_ms: 60001; allowed: 0 to 60000",
-    },
-    Case {
-        name: "too many shards",
-        change: |request| request.shards = vec!["a".to_owned(); 4097],
-        reason: Reason::TooLarge,
-        status: 413,
-        detail: "shards: 4097 names; allowed: 0 to 4096",
-    },
-    Case {
-        name: "shard twice",
-        change: |request| request.shards = vec!["a".to_owned(); 2],
-        reason: Reason::Malformed,
-        status: 400,
-        detail: "shards: a twice; allowed: each name once",
-    },
-    Case {
-        name: "unknown index",
-        change: |request| request.index = "fish".to_owned(),
-        reason: Reason::UnknownIndex,
-        status: 404,
-        detail: "index: fish; it is not published",
-    },
-    Case {
-        name: "unknown shard",
-        change: |request| request.shards = vec!["a".to_owned(), "z".to_owned()],
-        reason: Reason::UnknownShard,
-        status: 404,
-        detail: "shards: z; no published version has it",
-    },
-    Case {
-        name: "unknown operation",
-        change: |request| request.operation = "fly".to_owned(),
-        reason: Reason::UnknownOperation,
-        status: 404,
-        detail: "operation: fly; the entry of service s1 does not list it",
-    },
+    malformed(|r| r.key.clear(), "key: 0 bytes; allowed: 1 to 128"),
+    large(|r| r.key = "k".repeat(129), "key: 129 bytes; allowed: 1 to 128"),
+    large(|r| r.payload = "p".repeat(65537), "payload: 65537 bytes; allowed: 0 to 65536"),
+    malformed(|r| r.deadline_ms = 60_001, "deadline_ms: 60001; allowed: 0 to 60000"),
+    large(|r| r.shards = vec!["a".into(); 4097], "shards: 4097 names; allowed: 0 to 4096"),
+    malformed(|r| r.shards = vec!["a".into(); 2], "shards: a twice; allowed: each name once"),
+    unknown(Reason::UnknownIndex, |r| r.index = "fish".into(), "index: fish; it is not published"),
+    unknown(
+        Reason::UnknownShard,
+        |r| r.shards = vec!["a".into(), "z".into()],
+        "shards: z; no published version has it",
+    ),
+    unknown(
+        Reason::UnknownOperation,
+        |r| r.operation = "fly".into(),
+        "operation: fly; the entry of service s1 does not list it",
+    ),
 ];
 
 #[test]
@@ -88,9 +53,9 @@
         let mut asked = request("k1", "sweep", &[]);
         (case.change)(&mut asked);
         let answer = answer(&session.call(asked));
-        assert_eq!(answer.reason(), case.reason, "{}", case.name);
-        assert_eq!(answer.verdict(), Verdict::NotRun, "{}", case.name);
-        assert_eq!(status(&answer), case.status, "{}", case.name);
-        assert_eq!(answer.detail, case.detail, "{}", case.name);
+        assert_eq!(answer.reason(), case.reason, "{}", case.detail);
+        assert_eq!(answer.verdict(), Verdict::NotRun, "{}", case.detail);
+        assert_eq!(status(&answer), case.status, "{}", case.detail);
+        assert_eq!(answer.detail, case.detail);
     }
 }
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -4,9 +4,10 @@
 use ladder_core::gather::{Action, Event, status};
 use ladder_core::schema::call::{Answer, Request};
 use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::wire::Reply;
 
 use crate::fleet::Fleet;
-use crate::session::{Session, answer, answers, covered, refused, request, works};
+use crate::session::{Session, answer, answers, asked, covered, refused, request, works};
 
 /// What follows.
 #[derive(Debug, PartialEq)]
@@ -58,11 +59,9 @@
 fn each_refusal_has_its_remedy() {
     for case in CASES {
         let name = format!("{} {:?} {:?}", case.operation, case.verdict, case.reason);
-        let mut session = Session::new(&Fleet::default());
-        let sent = works(&session.call(request("k1", case.operation, &["c"])));
-        let mut reply = refused(&sent[0].1, "s2", case.reason);
-        reply.verdict = case.verdict.into();
-        let out = session.reply("e2", reply);
+        let (mut session, sent) = asked(case.operation, &["c"]);
+        let refusal = refused(&sent[0].1, "s2", case.reason);
+        let out = session.reply("e2", Reply { verdict: case.verdict.into(), ..refusal });
         let sent = works(&out);
         let event = match &case.then {
             Then::Sent(to) => {
@@ -77,8 +76,7 @@
                 count::Event::Refusal
             }
         };
-        let reason = case.reason;
-        let counted = Action::Count(Count { event, reason });
+        let counted = Action::Count(Count { event, reason: case.reason });
         assert!(out.contains(&counted), "{name}: counted");
     }
 }
@@ -119,8 +117,7 @@
 /// for done, nor for not run.
 #[test]
 fn booking_of_which_a_part_ran_may_have_run() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "book", &["a", "c"])));
+    let (mut session, sent) = asked("book", &["a", "c"]);
     session.reply("e1", covered(&sent[0].1, "s1"));
     let refusal = refused(&sent[1].1, "s2", Reason::QueueFull);
     let answer = answer(&session.reply("e2", refusal));
@@ -163,9 +160,8 @@
     for case in &cases {
         let sent = works(&session.call(request(case.key, "book", &["c"])));
         if let Some((verdict, reason)) = case.reply {
-            let mut reply = refused(&sent[0].1, "s2", reason);
-            reply.verdict = verdict.into();
-            session.reply("e2", reply);
+            let refusal = refused(&sent[0].1, "s2", reason);
+            session.reply("e2", Reply { verdict: verdict.into(), ..refusal });
         }
         let out = session.call(request(case.key, "book", &["c"]));
         let answer = answers(&out).pop();
@@ -179,29 +175,22 @@
 
 #[test]
 fn status_says_what_http_clients_expect() {
-    let cases = [
-        (Reason::Malformed, 400),
-        (Reason::UnknownIndex, 404),
-        (Reason::UnknownOperation, 404),
-        (Reason::UnknownShard, 404),
-        (Reason::RepeatedKey, 409),
-        (Reason::TooLarge, 413),
-        (Reason::ServiceLimit, 429),
-        (Reason::QueueFull, 429),
-        (Reason::WouldMissDeadline, 429),
-        (Reason::TargetShed, 429),
-        (Reason::OwnerLost, 502),
-        (Reason::TargetError, 502),
-        (Reason::NotReady, 503),
-        (Reason::Draining, 503),
-        (Reason::NoOwner, 503),
-        (Reason::NoServer, 503),
-        (Reason::NoCommonVersion, 503),
-        (Reason::Deadline, 504),
-        (Reason::Paused, 504),
+    let cases: [(u16, &[Reason]); 10] = [
+        (400, &[Reason::Malformed]),
+        (404, &[Reason::UnknownIndex, Reason::UnknownOperation, Reason::UnknownShard]),
+        (409, &[Reason::RepeatedKey]),
+        (413, &[Reason::TooLarge]),
+        (429, &[Reason::ServiceLimit, Reason::QueueFull, Reason::WouldMissDeadline]),
+        (429, &[Reason::TargetShed]),
+        (502, &[Reason::OwnerLost, Reason::TargetError]),
+        (503, &[Reason::NotReady, Reason::Draining, Reason::NoOwner]),
+        (503, &[Reason::NoServer, Reason::NoCommonVersion]),
+        (504, &[Reason::Deadline, Reason::Paused]),
     ];
-    for (reason, expected) in cases {
-        let answer = Answer { reason: reason.into(), ..Answer::default() };
-        assert_eq!(status(&answer), expected, "{reason:?}");
+    for (expected, reasons) in cases {
+        for &reason in reasons {
+            let answer = Answer { reason: reason.into(), ..Answer::default() };
+            assert_eq!(status(&answer), expected, "{reason:?}");
+        }
     }
 }
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::count::{self, Count};
 use ladder_core::gather::event::Caller;
 use ladder_core::gather::{Action, Event, Machine, Settings, status};
 use ladder_core::schema::call::{Answer, Missing, Part, Request};
@@ -28,12 +29,8 @@
 impl Session {
     /// A machine that has taken the view of `fleet`.
     pub(crate) fn new(fleet: &Fleet) -> Self {
-        Self::with(Settings::builder(SELF, INCARNATION).build(), fleet)
-    }
-
-    pub(crate) fn with(settings: Settings, fleet: &Fleet) -> Self {
         let mut session = Self {
-            machine: Machine::new(settings),
+            machine: Machine::new(Settings::builder(SELF, INCARNATION).build()),
             now: Instant::from_millis(1000),
             log: String::new(),
             callers: 0,
@@ -87,6 +84,13 @@
     }
 }
 
+/// A session of the usual fleet with one request under way, and the work that was sent for it.
+pub(crate) fn asked(operation: &str, shards: &[&str]) -> (Session, Vec<(Arc<str>, Work)>) {
+    let mut session = Session::new(&Fleet::default());
+    let sent = works(&session.call(request("k1", operation, shards)));
+    (session, sent)
+}
+
 pub(crate) fn request(key: &str, operation: &str, shards: &[&str]) -> Request {
     Request {
         key: key.to_owned(),
@@ -106,6 +110,11 @@
     sends.collect()
 }
 
+/// The count of a reply that is dropped.
+pub(crate) fn dropped(reason: Reason) -> Action {
+    Action::Count(Count { event: count::Event::Drop, reason })
+}
+
 /// The only answer.
 pub(crate) fn answer(actions: &[Action]) -> Answer {
     let mut answers = answers(actions);
@@ -123,18 +132,13 @@
 
 /// The reply that covers the portion of `service` in `work`.
 pub(crate) fn covered(work: &Work, service: &str) -> Reply {
-    let portion = work
-        .portions
-        .iter()
-        .find(|portion| portion.service == service)
-        .expect("the work has a portion of the service");
-    let parts = portion
-        .shards
-        .iter()
-        .map(|shard| Part { shard: shard.clone(), body: format!("{shard}@{}", work.version) });
+    let portion = work.portions.iter().find(|portion| portion.service == service);
+    let shards = &portion.expect("the work has a portion of the service").shards;
+    let part =
+        |shard: &String| Part { shard: shard.clone(), body: format!("{shard}@{}", work.version) };
     Reply {
         verdict: Verdict::Ran.into(),
-        parts: parts.collect(),
+        parts: shards.iter().map(part).collect(),
         calls: 1,
         ..refused(work, service, Reason::Unspecified)
     }
@@ -175,16 +179,11 @@
 
 fn event_line(event: &Event) -> String {
     match event {
-        Event::Call { caller, request } => format!(
-            "call #{} {} attempt={} {}/{} shards={:?} deadline={}",
-            caller.0,
-            request.key,
-            request.attempt,
-            request.index,
-            request.operation,
-            request.shards,
-            request.deadline_ms
-        ),
+        Event::Call { caller: Caller(caller), request } => {
+            let Request { key, attempt, index, operation, shards, deadline_ms, .. } = request;
+            let asked = format!("{index}/{operation} shards={shards:?} deadline={deadline_ms}");
+            format!("call #{caller} {key} attempt={attempt} {asked}")
+        }
         Event::Gone(caller) => format!("gone #{}", caller.0),
         Event::Replies { from, replies } => {
             let replies = replies.iter().map(reply_text);
@@ -200,21 +199,15 @@
 }
 
 fn reply_text(reply: &Reply) -> String {
-    let parts = reply.parts.iter().map(part_text);
-    format!(
-        "q{} r{} {} {} {} v{} [{}]",
-        reply.query,
-        reply.round,
-        reply.service,
-        verdict_text(reply.verdict()),
-        short(reply.reason()),
-        reply.version,
-        parts.collect::<Vec<_>>().join(" ")
-    )
+    let Reply { query, round, service, version, parts, .. } = reply;
+    let (verdict, reason) = (verdict_text(reply.verdict()), short(reply.reason()));
+    let parts = parts_text(parts);
+    format!("q{query} r{round} {service} {verdict} {reason} v{version} [{parts}]")
 }
 
-fn part_text(part: &Part) -> String {
-    format!("{}={}", part.shard, part.body)
+fn parts_text(parts: &[Part]) -> String {
+    let parts = parts.iter().map(|part| format!("{}={}", part.shard, part.body));
+    parts.collect::<Vec<_>>().join(" ")
 }
 
 fn action_line(action: &Action) -> String {
@@ -229,39 +222,25 @@
 }
 
 fn work_text(work: &Work) -> String {
-    let portions = work
-        .portions
-        .iter()
-        .map(|portion| format!("{}[{}]", portion.service, portion.shards.join(" ")));
-    format!(
-        "q{} r{} {} attempt={} {}/{} v{} {} budget={}us extra={}{}",
-        work.query,
-        work.round,
-        work.key,
-        work.attempt,
-        work.index,
-        work.operation,
-        work.version,
-        portions.collect::<Vec<_>>().join(" "),
-        work.budget_us,
-        work.extra_calls,
-        if work.unrepeatable { " once" } else { "" }
-    )
+    let portions = work.portions.iter();
+    let portions =
+        portions.map(|portion| format!("{}[{}]", portion.service, portion.shards.join(" ")));
+    let portions = portions.collect::<Vec<_>>().join(" ");
+    let Work { query, round, key, attempt, index, operation, version, .. } = work;
+    let Work { budget_us, extra_calls, .. } = work;
+    let once = if work.unrepeatable { " once" } else { "" };
+    let asked = format!("attempt={attempt} {index}/{operation} v{version} {portions}");
+    format!("q{query} r{round} {key} {asked} budget={budget_us}us extra={extra_calls}{once}")
 }
 
 fn answer_text(answer: &Answer) -> String {
-    let parts = answer.parts.iter().map(part_text);
+    let Answer { key, version, retry_after_ms, instance, .. } = answer;
+    let (verdict, reason) = (verdict_text(answer.verdict()), short(answer.reason()));
+    let (covered, missing) = (answer.covered.join(" "), missing(answer));
+    let parts = parts_text(&answer.parts);
+    let content = format!("covered=[{covered}] missing=[{missing}] parts=[{parts}]");
+    let status = status(answer);
     format!(
-        "{} {} {} {} v{} covered=[{}] missing=[{}] parts=[{}] retry={} {}",
-        status(answer),
-        answer.key,
-        verdict_text(answer.verdict()),
-        short(answer.reason()),
-        answer.version,
-        answer.covered.join(" "),
-        missing(answer),
-        parts.collect::<Vec<_>>().join(" "),
-        answer.retry_after_ms,
-        answer.instance
+        "{status} {key} {verdict} {reason} v{version} {content} retry={retry_after_ms} {instance}"
     )
 }
--- a/crates/core/tests/gather/stop.rs
+++ b/crates/core/tests/gather/stop.rs
@@ -3,13 +3,7 @@
 use ladder_core::gather::Event;
 use ladder_core::schema::outcome::{Reason, Verdict};
 
-use crate::fleet::Fleet;
-use crate::session::{Session, answer, request};
-
-struct Case {
-    operation: &'static str,
-    verdict: Verdict,
-}
+use crate::session::{answer, asked};
 
 /// A caller sees its connection break and asks again, and a booking runs twice.
 ///
@@ -18,19 +12,14 @@
 /// with its verdict first.
 #[test]
 fn bound_answers_everything_open_with_its_verdict() {
-    let cases = [
-        Case { operation: "check", verdict: Verdict::MayHaveRun },
-        Case { operation: "book", verdict: Verdict::MayHaveRun },
-    ];
-    for case in cases {
-        let mut session = Session::new(&Fleet::default());
-        session.call(request("k1", case.operation, &["c"]));
+    for operation in ["check", "book"] {
+        let (mut session, _) = asked(operation, &["c"]);
         session.give(Event::Drain);
         let out = session.give(Event::Cut);
         let answer = answer(&out);
-        assert_eq!(answer.verdict(), case.verdict, "{}", case.operation);
-        assert_eq!(answer.missing.len(), 1, "{}", case.operation);
-        assert_eq!(answer.missing[0].reason(), Reason::Draining, "{}", case.operation);
-        assert_eq!(session.machine.open(), 0, "{}", case.operation);
+        assert_eq!(answer.verdict(), Verdict::MayHaveRun, "{operation}");
+        assert_eq!(answer.missing.len(), 1, "{operation}");
+        assert_eq!(answer.missing[0].reason(), Reason::Draining, "{operation}");
+        assert_eq!(session.machine.open(), 0, "{operation}");
     }
 }
--- a/crates/core/tests/gather/sweep.rs
+++ b/crates/core/tests/gather/sweep.rs
@@ -4,14 +4,13 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::fleet::{Fleet, site};
-use crate::session::{Session, answer, answers, covered, missing, refused, request, works};
+use crate::session::{Session, answer, answers, asked, covered, missing, refused, request, works};
 
 /// A caller sweeps all shards: the request goes in, one work message goes to each owner, the
 /// replies come back out of order, the caller gets all six shards of one version.
 #[test]
 fn first_whole_session() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "sweep", &[])));
+    let (mut session, sent) = asked("sweep", &[]);
     session.pass(4);
     for place in [2, 0, 1] {
         let (from, work) = &sent[place];
@@ -25,8 +24,7 @@
 /// shards are missing and cancels the rest.
 #[test]
 fn deadline_cuts_and_says_what_is_missing() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "sweep", &[])));
+    let (mut session, sent) = asked("sweep", &[]);
     for (from, work) in sent.iter().filter(|(from, _)| **from != *"e2") {
         session.reply(from, covered(work, &work.portions[0].service));
     }
@@ -41,8 +39,7 @@
 /// longest advice when to come back.
 #[test]
 fn refusal_of_all_is_not_held() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "sweep", &[])));
+    let (mut session, sent) = asked("sweep", &[]);
     let mut last = Vec::new();
     for (delay, (from, work)) in sent.iter().enumerate() {
         let mut reply = refused(work, &work.portions[0].service, Reason::QueueFull);
@@ -88,8 +85,7 @@
 /// An operator asks what happened to one query: the owner refused it, the next one answered.
 #[test]
 fn history_explains_a_query() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let (mut session, sent) = asked("check", &["c"]);
     let again = works(&session.reply("e2", refused(&sent[0].1, "s2", Reason::NotOwner)));
     session.reply("e3", covered(&again[0].1, "s2"));
     let account = session.machine.explain("k1").expect("it is remembered");
@@ -104,8 +100,7 @@
 /// A stopping instance refuses what is new and finishes what is open.
 #[test]
 fn drain_refuses_new_and_finishes_open() {
-    let mut session = Session::new(&Fleet::default());
-    let sent = works(&session.call(request("k1", "check", &["c"])));
+    let (mut session, sent) = asked("check", &["c"]);
     session.give(Event::Drain);
     let refusal = answer(&session.call(request("k2", "check", &["c"])));
     assert_eq!(refusal.reason(), Reason::Draining);
--- a/crates/core/tests/gather/versions.rs
+++ b/crates/core/tests/gather/versions.rs
@@ -1,7 +1,10 @@
 //! One answer, one index version.
 
+use std::sync::Arc;
+
 use ladder_core::gather::Event;
 use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::wire::{Reply, Work};
 
 use crate::fleet::{Fleet, MAP};
 use crate::session::{Session, answer, covered, missing, refused, request, works};
@@ -26,48 +29,45 @@
     }
 }
 
-/// Version 8 follows 7 with shard `f` replaced by `g`.
-const CASES: &[Case] = &[
-    Case {
-        name: "the newest version held everywhere",
-        change: |fleet| hold_all(fleet, &[7, 8]),
-        shards: &[],
-        version: 8,
-        sent: "a b c d e g",
-        missing: "",
+/// Version 8 follows 7 with shard `f` replaced by `g`; both are held everywhere.
+const NEWER: Case = Case {
+    name: "the newest version held everywhere",
+    change: |fleet| hold_all(fleet, &[7, 8]),
+    shards: &[],
+    version: 8,
+    sent: "a b c d e g",
+    missing: "",
+};
+
+/// The newer version is not held by the second service.
+const OLDER: Case = Case {
+    name: "the newest is not everywhere yet",
+    change: |fleet| {
+        hold_all(fleet, &[7, 8]);
+        hold(fleet, 1, &[7]);
     },
+    version: 7,
+    sent: "a b c d e f",
+    ..NEWER
+};
+
+const CASES: &[Case] = &[
+    NEWER,
     Case {
         name: "one replica of each service is enough",
         change: |fleet| {
             hold_all(fleet, &[7, 8]);
             fleet.sites[0].held = vec![vec![7], vec![8]];
         },
-        shards: &[],
-        version: 8,
-        sent: "a b c d e g",
-        missing: "",
-    },
-    Case {
-        name: "the newest is not everywhere yet",
-        change: |fleet| {
-            hold_all(fleet, &[7, 8]);
-            hold(fleet, 1, &[7]);
-        },
-        shards: &[],
-        version: 7,
-        sent: "a b c d e f",
-        missing: "",
+        ..NEWER
     },
+    OLDER,
     Case {
         name: "the newest is everywhere that is asked",
-        change: |fleet| {
-            hold_all(fleet, &[7, 8]);
-            hold(fleet, 1, &[7]);
-        },
         shards: &["a"],
         version: 8,
         sent: "a",
-        missing: "",
+        ..OLDER
     },
     Case {
         name: "a server that leaves holds nothing",
@@ -76,22 +76,14 @@
             fleet.sites[0].held = vec![vec![7], vec![8]];
             fleet.sites[0].leaving = vec![false, true];
         },
-        shards: &[],
-        version: 7,
-        sent: "a b c d e f",
-        missing: "",
+        ..OLDER
     },
     Case {
         name: "no common version: the greatest coverage",
-        change: |fleet| {
-            hold(fleet, 0, &[8]);
-            hold(fleet, 1, &[7]);
-            hold(fleet, 2, &[7]);
-        },
-        shards: &[],
-        version: 7,
+        change: |fleet| hold(fleet, 0, &[8]),
         sent: "c d e f",
         missing: "a:NO_COMMON_VERSION/NOT_RUN b:NO_COMMON_VERSION/NOT_RUN",
+        ..OLDER
     },
     Case {
         name: "no server at all",
@@ -99,26 +91,24 @@
             hold_all(fleet, &[8]);
             fleet.sites[1].leaving = vec![true, true];
         },
-        shards: &[],
-        version: 8,
         sent: "a b e g",
         missing: "c:NO_SERVER/NOT_RUN d:NO_SERVER/NOT_RUN",
+        ..NEWER
     },
     Case {
         name: "an asked shard that only the old map has",
-        change: |fleet| hold_all(fleet, &[7, 8]),
         shards: &["a", "f"],
         version: 7,
         sent: "a f",
-        missing: "",
+        ..NEWER
     },
     Case {
         name: "the old map is gone from the servers",
         change: |fleet| hold_all(fleet, &[8]),
         shards: &["a", "f"],
-        version: 8,
         sent: "a",
         missing: "f:UNKNOWN_SHARD/NOT_RUN",
+        ..NEWER
     },
     Case {
         name: "a service without a catalogue entry",
@@ -126,10 +116,9 @@
             hold_all(fleet, &[8]);
             fleet.sites.remove(0);
         },
-        shards: &[],
-        version: 8,
         sent: "c d e g",
         missing: "a:UNKNOWN_OPERATION/NOT_RUN b:UNKNOWN_OPERATION/NOT_RUN",
+        ..NEWER
     },
 ];
 
@@ -157,23 +146,26 @@
     }
 }
 
-/// Version 7 held by all, 8 by none yet; then the reverse.
-fn before_and_after() -> (Fleet, Fleet) {
-    let before = Fleet::default().with_version(8, [&[7], &[7], &[7]]);
-    let after = Fleet::default().with_version(8, [&[8], &[8], &[8]]);
-    (before, after)
+/// Versions 7 and 8 are published, and all servers hold this one.
+fn holding(version: u64) -> Fleet {
+    Fleet::default().with_version(8, [&[version]; 3])
+}
+
+/// A request planned on version 7 and the work that was sent for it.
+fn planned(operation: &str, shards: &[&str]) -> (Session, Vec<(Arc<str>, Work)>) {
+    let mut session = Session::new(&holding(7));
+    let old = works(&session.call(request("k1", operation, shards)));
+    (session, old)
 }
 
 /// Version 7 is retired at s2 while a sweep runs and s1 has already answered from it. The sweep
 /// starts again on version 8; what was and what still comes of version 7 is thrown away.
 #[test]
 fn retired_version_restarts_the_whole() {
-    let (before, after) = before_and_after();
-    let mut session = Session::new(&before);
-    let old = works(&session.call(request("k1", "sweep", &[])));
+    let (mut session, old) = planned("sweep", &[]);
     session.pass(5);
     session.reply("e1", covered(&old[0].1, "s1"));
-    session.give(Event::View(after.view()));
+    session.give(Event::View(holding(8).view()));
     let new = works(&session.reply("e2", refused(&old[1].1, "s2", Reason::VersionRetired)));
     session.pass(5);
     session.reply("e3", covered(&old[2].1, "s3"));
@@ -192,12 +184,10 @@
 /// version is known to be everywhere: the caller gets what version 7 covers.
 #[test]
 fn retired_version_without_a_successor_is_answered_in_part() {
-    let (before, after) = before_and_after();
-    for (wait, view) in [(5, &before), (90, &after)] {
-        let mut session = Session::new(&before);
-        let old = works(&session.call(request("k1", "sweep", &["a", "c"])));
+    for (wait, version) in [(5, 7), (90, 8)] {
+        let (mut session, old) = planned("sweep", &["a", "c"]);
         session.pass(wait);
-        session.give(Event::View(view.view()));
+        session.give(Event::View(holding(version).view()));
         session.reply("e1", covered(&old[0].1, "s1"));
         let out = session.reply("e2", refused(&old[1].1, "s2", Reason::VersionRetired));
         let answer = answer(&out);
@@ -211,15 +201,12 @@
 #[test]
 fn booking_restarts_only_when_nothing_ran() {
     for verdict in [Verdict::NotRun, Verdict::MayHaveRun] {
-        let (before, after) = before_and_after();
-        let mut session = Session::new(&before);
-        let old = works(&session.call(request("k1", "book", &["a", "c"])));
-        session.give(Event::View(after.view()));
+        let (mut session, old) = planned("book", &["a", "c"]);
+        session.give(Event::View(holding(8).view()));
         let first = session.reply("e2", refused(&old[1].1, "s2", Reason::VersionRetired));
         assert!(works(&first).is_empty(), "the other portion is still out");
-        let mut reply = refused(&old[0].1, "s1", Reason::VersionRetired);
-        reply.verdict = verdict.into();
-        let out = session.reply("e1", reply);
+        let refusal = refused(&old[0].1, "s1", Reason::VersionRetired);
+        let out = session.reply("e1", Reply { verdict: verdict.into(), ..refusal });
         let expected = if verdict == Verdict::NotRun { 2 } else { 0 };
         assert_eq!(works(&out).len(), expected, "{verdict:?}");
         if expected == 0 {
@@ -232,10 +219,8 @@
 /// refuses. Something of it may have run all the same.
 #[test]
 fn restart_does_not_forget_what_may_have_run() {
-    let (before, after) = before_and_after();
-    let mut session = Session::new(&before);
-    let old = works(&session.call(request("k1", "check", &["a", "c"])));
-    session.give(Event::View(after.view()));
+    let (mut session, old) = planned("check", &["a", "c"]);
+    session.give(Event::View(holding(8).view()));
     let new = works(&session.reply("e2", refused(&old[1].1, "s2", Reason::VersionRetired)));
     session.reply("e1", refused(&new[0].1, "s1", Reason::QueueFull));
     let out = session.reply("e2", refused(&new[1].1, "s2", Reason::QueueFull));
@@ -247,10 +232,8 @@
 /// Two sweeps of the whole index with a new view in between: the second one follows it.
 #[test]
 fn plans_follow_the_view() {
-    let (before, after) = before_and_after();
-    let mut session = Session::new(&before);
-    let first = works(&session.call(request("k1", "check", &[])));
-    session.give(Event::View(after.view()));
+    let (mut session, first) = planned("check", &[]);
+    session.give(Event::View(holding(8).view()));
     let second = works(&session.call(request("k2", "check", &[])));
     assert_eq!((first[0].1.version, second[0].1.version), (7, 8));
 }
