--- a/tests/integration/settings.rs
+++ b/tests/integration/settings.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use ladder_schema::check;
+use ladder_schema::publication::Page;
 use sycamoreladder::options::file;
 
 /// Files with `extension` below `folder` of the repository.
@@ -29,6 +31,20 @@
     }
 }
 
+#[test]
+fn sample_catalogues_would_be_taken_whole() {
+    for user in ["porto", "bagmati"] {
+        for path in files(&format!("sample_configs/{user}/pages"), "json") {
+            let text = fs::read_to_string(&path).expect("readable file");
+            let page: Page = serde_json::from_str(&text).expect("a page of records");
+            assert!(page.records.len() > 50);
+            for record in &page.records {
+                assert_eq!(check::record(record), Ok(()), "{}", path.display());
+            }
+        }
+    }
+}
+
 #[test]
 fn invalid_settings_name_field_value_and_range() {
     for path in files("tests/invalid_configs", "json") {
