Let work wait for less of its time in overload

Change: the wait allowed is 0.25 of the time in overload and 0.5 near load 1. The leaf's 55 tests pass.

--- a/crates/core/src/leaf/admission.rs
+++ b/crates/core/src/leaf/admission.rs
@@ -17,10 +17,10 @@
 const SHORT: f64 = 0.15;
 /// Part of its time that a portion may wait, in overload, before less is taken on than is
 /// dispatched.
-const WAIT: f64 = 0.5;
+const WAIT: f64 = 0.25;
 /// Added to [`WAIT`] when all that arrives is dispatched in the end. At a load of about one the
 /// queue grows and shrinks by itself; what it refuses on its way could have been done in time.
-const MORE_WAIT: f64 = 0.35;
+const MORE_WAIT: f64 = 0.25;
 /// Dispatched part of the arrivals at which nothing is added to [`WAIT`].
 const OVERLOAD: f64 = 0.75;
 /// How much the share changes from no wait to the wait allowed, and as much beyond it.
