--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -86,7 +86,12 @@
     let files = FILES.map(|file| schema.join(file));
     let descriptors = compile(schema, &files)?;
     let bytes = protox::prost::Message::encode_to_vec(&descriptors);
-    prost_build::Config::new().out_dir(out).compile_fds(descriptors)?;
+    prost_build::Config::new()
+        .bytes(["."])
+        .boxed(".ladder.call.Request.message")
+        .boxed(".ladder.wire.Work.forward")
+        .out_dir(out)
+        .compile_fds(descriptors)?;
     pbjson_build::Builder::new().register_descriptors(&bytes)?.out_dir(out).build(&[".ladder"])?;
     Ok(())
 }
--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -109,7 +109,7 @@
     }
 
     pub(crate) fn page(&mut self, records: Vec<Record>, head: u64) {
-        self.give(Event::Page(Page { head, records }));
+        self.give(Event::Page(Page { head, records, ..Page::default() }));
     }
 
     /// Gives an event at once and plays the answers to what follows.
@@ -131,7 +131,7 @@
             Action::Send { to, frame } => self.sent(&to, *frame),
             Action::Watch { wait, .. } => {
                 let head = self.peers.revision();
-                let page = Page { head, records: Vec::new() };
+                let page = Page { head, records: Vec::new(), ..Page::default() };
                 self.at(wait.max(HOP), Event::Page(page));
             }
             Action::View(view) => {
--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -129,7 +129,11 @@
 }
 
 fn reply(work: &wire::Work, portion: &wire::Portion) -> wire::Reply {
-    let part = |shard: &String| call::Part { shard: shard.clone(), body: "x".repeat(BODY) };
+    let part = |shard: &String| call::Part {
+        shard: shard.clone(),
+        body: "x".repeat(BODY),
+        response: None,
+    };
     wire::Reply {
         query: work.query,
         round: work.round,
@@ -179,6 +183,7 @@
         entry: Arc::new(entry),
         servers: (0..3).map(|place| server(number, place)).collect(),
         candidates: (0..CANDIDATES).map(candidate).collect(),
+        sharers: 1,
     }
 }
 
--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -52,6 +52,7 @@
         operation: "sweep".to_owned(),
         deadline_ms: 90,
         payload: String::new(),
+        message: None,
     };
     let answer = whole(&request);
     let json = serde_json::to_vec(&answer).expect("an answer is JSON");
@@ -198,7 +199,8 @@
 }
 
 fn whole(request: &target::Request) -> target::Answer {
-    let part = |shard: &String| call::Part { shard: shard.clone(), body: "x".repeat(16) };
+    let part =
+        |shard: &String| call::Part { shard: shard.clone(), body: "x".repeat(16), response: None };
     target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -221,5 +223,6 @@
         entry: Arc::new(entry),
         servers: (0..replicas).map(|place| server(number, place)).collect(),
         candidates: vec![Candidate { peer: peer("instance-00000"), live: true, local: true }],
+        sharers: 1,
     }
 }
--- a/crates/core/examples/scale/spread.rs
+++ b/crates/core/examples/scale/spread.rs
@@ -136,7 +136,7 @@
         self.change = (record.revision, self.now);
         self.reached.fill(None);
         self.copies = 0;
-        let page = Page { head: record.revision, records: vec![record] };
+        let page = Page { head: record.revision, records: vec![record], ..Page::default() };
         let first = number as usize % self.machines.len();
         self.give(first, Event::Page(page));
     }
@@ -210,7 +210,7 @@
             Action::Watch { after, wait } => {
                 let first = after == 0;
                 let records = if first { self.records.clone() } else { Vec::new() };
-                let page = Page { head: self.publisher.revision, records };
+                let page = Page { head: self.publisher.revision, records, ..Page::default() };
                 let delay = if first { self.hop } else { wait.max(self.hop) };
                 self.at(number, delay, Event::Page(page));
             }
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -16,7 +16,7 @@
 pub(crate) const SERVERS: usize = 2;
 
 pub(crate) fn answer(request: &target::Request) -> Outcome {
-    let part = |shard: &String| call::Part { shard: shard.clone(), body: String::new() };
+    let part = |shard: &String| call::Part { shard: shard.clone(), ..call::Part::default() };
     Outcome::Answer(target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -84,5 +84,6 @@
         }),
         servers: (0..SERVERS).map(server).collect(),
         candidates: vec![Candidate { peer: peer("trial"), live: true, local: true }],
+        sharers: 1,
     }
 }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -252,7 +252,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Open { lane, address } => {
+            Action::Open { lane, address, .. } => {
                 self.lanes.insert(lane, self.places[&address]);
                 self.at(CONNECT_US, Step::Ready(lane));
             }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 mod spread;
 pub mod store;
+pub mod withdrawal;
 
 pub use event::{Action, Event};
 pub use machine::Machine;
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -17,6 +17,8 @@
     Page(publication::Page),
     /// The platform did not answer the watch, or with an error.
     WatchFailed,
+    /// The platform no longer knows what has changed since the revision asked for.
+    WatchExpired,
     /// The link to the peer of this name broke.
     LinkDown(Arc<str>),
     /// A server said that it leaves: seen by the leaf in a load report or refusal.
@@ -47,7 +49,7 @@
     /// Start a read of the platform, answered by exactly one [`Event::Page`] or
     /// [`Event::WatchFailed`].
     Watch {
-        /// Only records above this revision.
+        /// Only records above this revision; 0: all that is published.
         after: u64,
         /// How long the platform may wait for news; zero: it answers at once.
         wait: Duration,
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ladder_schema::outcome::Reason;
-use ladder_schema::publication::{Kind, Page, Record};
+use ladder_schema::publication::{Kind, Page, Record, record::Body};
 use ladder_schema::wire::{Departure, Frame, Liveness};
 
 use exchange::send;
@@ -15,9 +15,10 @@
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
 use super::reader::{self, Reader};
-use super::settings::Settings;
+use super::settings::{Listing, Settings};
 use super::spread::News;
 use super::store::{Key, Outcome, Refusal, Store};
+use super::withdrawal::{self, Withdrawals};
 use super::{Action, Event};
 use crate::collections::Set;
 use crate::count::{self, Count};
@@ -58,6 +59,7 @@
     membership: Membership,
     reader: Reader,
     projection: Projection,
+    withdrawals: Withdrawals,
     random: Random,
     started: Instant,
     next_probe: Instant,
@@ -93,6 +95,7 @@
             membership: Membership::new(&settings, now),
             reader: Reader::new(now, settings.timing.digest, &mut random),
             projection: Projection::default(),
+            withdrawals: Withdrawals::default(),
             started: now,
             next_probe: offset(settings.timing.probe, &mut random),
             next_digest: now,
@@ -114,7 +117,10 @@
         match event {
             Event::Frame(frame) => self.frame(now, *frame, out),
             Event::Page(page) => self.page(now, &page, out),
-            Event::WatchFailed => self.reader.failed(now, &mut self.random),
+            Event::WatchFailed => {
+                self.reader.failed(now, self.settings.timing.backoff, &mut self.random);
+            }
+            Event::WatchExpired => self.reader.expired(now),
             Event::LinkDown(name) => self.membership.link_down(now, &name),
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(&server, incarnation, out);
@@ -130,7 +136,7 @@
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_probe.min(self.next_digest);
         let read = self.reader.next_wake(self.is_reader, self.read_timing());
-        for other in [read, self.next_view].into_iter().flatten() {
+        for other in [read, self.next_view, self.withdrawals.next()].into_iter().flatten() {
             wake = wake.min(other);
         }
         wake
@@ -195,6 +201,11 @@
             self.next_digest = now + self.settings.timing.digest;
             self.exchange(out);
         }
+        let withdrawn = self.withdrawals.due(now);
+        if !withdrawn.is_empty() {
+            let news = self.apply(now, &withdrawn, out);
+            self.tell(&news, "", out);
+        }
         if self.membership.has_changed() {
             self.is_reader = self.is_chosen();
         }
@@ -255,7 +266,9 @@
     }
 
     fn may_serve(&self, now: Instant) -> bool {
-        let known = self.store.entries().next().is_some() && self.store.indexes().next().is_some();
+        let indexed =
+            self.store.entries().next().is_some() && self.store.indexes().next().is_some();
+        let known = indexed || self.store.routing().is_some();
         let alone = self.settings.seeds.is_empty() && self.membership.members().next().is_none();
         let waited = now.since(self.started);
         let heard = self.peer_answered || alone || waited >= START_WAIT;
@@ -264,23 +277,72 @@
 
     /// Shares that still grow are waited for, but not for ever if the list changes all the time.
     fn has_shares(&self, waited: Duration) -> bool {
+        if self.settings.listing == Listing::Observed {
+            return true;
+        }
         let bound = START_WAIT + self.settings.timing.grace * 2;
         let growing = || self.projection.next_growth(&self.settings).is_some();
         waited >= bound || (!self.store_changed && !growing())
     }
 
     fn page(&mut self, now: Instant, page: &Page, out: &mut Vec<Action>) {
-        let last = page.records.iter().map(|record| record.revision).max();
-        self.reader.answered(now, last, page.head);
-        let news = self.apply(now, &page.records, out);
+        if self.reader.is_failing() {
+            self.withdrawals.regained(now);
+        }
+        if page.whole || page.current {
+            self.reader.caught_up(now, page.head);
+        } else {
+            let last = page.records.iter().map(|record| record.revision).max();
+            self.reader.answered(now, last, page.head);
+        }
+        let mut records = page.records.clone();
+        records.extend(self.left_out(page));
+        let records = self.believed(now, records);
+        let news = self.apply(now, &records, out);
         self.tell(&news, "", out);
     }
 
+    /// Tombstones of what a page that holds all that is published does not hold.
+    fn left_out(&self, page: &Page) -> Vec<Record> {
+        if !page.whole {
+            return Vec::new();
+        }
+        let listed: Set<Key> = page.records.iter().map(Key::of).collect();
+        let gone = |(key, record): &(&Key, &Arc<Record>)| {
+            let kind = matches!(key.kind, Kind::Server | Kind::Routing);
+            kind && !is_tombstone(record) && record.revision <= page.head && !listed.contains(*key)
+        };
+        let gone = self.store.records().filter(gone);
+        gone.map(|(key, _)| withdrawal::tombstone(key, page.head)).collect()
+    }
+
+    /// Takes out the withdrawals of live servers that are doubted; they wait.
+    fn believed(&mut self, now: Instant, records: Vec<Record>) -> Vec<Record> {
+        let live = self.store.servers().filter(|server| !self.store.departed(server)).count();
+        let concerns = |record: &Record| is_tombstone(record) && self.is_live(&Key::of(record));
+        let count = records.iter().filter(|record| concerns(record)).count();
+        if count == 0 || !self.withdrawals.doubts(now, count, live) {
+            return records;
+        }
+        let (doubted, believed): (Vec<_>, Vec<_>) = records.into_iter().partition(concerns);
+        for tombstone in doubted {
+            self.withdrawals.wait(now, Key::of(&tombstone), tombstone);
+        }
+        believed
+    }
+
+    /// Whether the key is that of a server in force that nobody has said to leave.
+    fn is_live(&self, key: &Key) -> bool {
+        let server = self.store.server(&key.name);
+        key.kind == Kind::Server && server.is_some_and(|server| !self.store.departed(server))
+    }
+
     /// Applies records and returns those that were news.
     fn apply(&mut self, now: Instant, records: &[Record], out: &mut Vec<Action>) -> News {
         let mut news = News::default();
         let mut instances_changed = false;
         for record in records {
+            self.withdrawals.overtaken(&Key::of(record), record.revision);
             match self.store.apply(record) {
                 Outcome::Applied => {
                     instances_changed |= Key::of(record).kind == Kind::Instance;
@@ -343,6 +405,10 @@
     }
 }
 
+fn is_tombstone(record: &Record) -> bool {
+    matches!(record.body, Some(Body::Tombstone(_)))
+}
+
 const fn drop_count(reason: Reason) -> Action {
     Action::Count(Count { event: count::Event::Drop, reason })
 }
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -110,6 +110,13 @@
         self.members.get(name)
     }
 
+    /// Instances that are in the fleet or were of late, this one included. The dead count until they
+    /// are forgotten: most of them come back, and those that a partition hides still hold what they
+    /// hold.
+    pub fn size(&self) -> usize {
+        self.members.len() + 1
+    }
+
     /// Other members that may be sent to: neither dead nor leaving.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| member.is_reachable())
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -12,9 +12,10 @@
 
 use super::membership::{Membership, Standing};
 use super::placement;
-use super::settings::{Placement, Settings};
+use super::settings::{Listing, Placement, Settings};
 use super::store::{Changes, Store};
 use crate::collections::{Map, Set};
+use crate::route::Table;
 use crate::time::Instant;
 use crate::view::{Candidate, Peer, Server, Service, View};
 
@@ -32,6 +33,8 @@
     standings: Arc<Standings>,
     /// Names of zones, shared by the servers.
     zones: Set<Arc<str>>,
+    /// Instances that the last view was built for, where they are counted and not published.
+    observed: usize,
 }
 
 /// What a view is built from.
@@ -54,6 +57,10 @@
     }
 }
 
+/// Connections to a server that an instance takes at its start, before it can know how many others
+/// share them: it has to serve at once, and two leave room for a fleet of half a server's limit.
+const FIRST_SHARE: u32 = 2;
+
 /// A service by name; none if it has no entry.
 type Built = (Arc<str>, Option<Service>);
 
@@ -93,12 +100,14 @@
             self.cache.refresh(source.store);
             self.cache.index_lists()
         });
+        let routing = changes.routing.then(|| source.store.routing().map(Table::new).map(Arc::new));
         let stale = self.stale(source, changes);
         let built = self.build(source, &stale);
         let revision = source.store.revision();
         let old = &self.view;
         let indexes = indexes.filter(|lists| *lists != old.indexes);
-        let is_same = built.is_empty() && indexes.is_none();
+        let routing = routing.filter(|routing| *routing != old.routing);
+        let is_same = built.is_empty() && indexes.is_none() && routing.is_none();
         if is_same && old.ready == ready && old.revision == revision {
             return None;
         }
@@ -107,6 +116,7 @@
         view.revision = revision;
         view.ready = ready;
         view.indexes = indexes.unwrap_or(view.indexes);
+        view.routing = routing.unwrap_or(view.routing);
         for (name, service) in built {
             match service {
                 Some(service) => drop(view.insert(service)),
@@ -128,7 +138,8 @@
             standings: source.standings.clone(),
             ..Self::default()
         };
-        let mut changes = Changes { indexes: true, instances: true, ..Changes::default() };
+        let mut changes =
+            Changes { indexes: true, instances: true, routing: true, ..Changes::default() };
         let names = source.store.entries().map(|entry| entry.service.as_str());
         changes.services = names.map(Arc::from).collect();
         new.refresh(source, changes, ready);
@@ -149,7 +160,10 @@
         }
         let turned = self.turned(source);
         if settings.placement == Placement::Direct {
-            let concerns_all = changes.instances || turned.contains(&settings.name);
+            let observed = source.membership.size();
+            let counted = settings.listing == Listing::Observed && observed != self.observed;
+            self.observed = observed;
+            let concerns_all = changes.instances || turned.contains(&settings.name) || counted;
             let all = self.view.service_keys.keys().filter(|_| concerns_all);
             stale.extend(all.cloned());
         } else if !turned.is_empty() {
@@ -214,6 +228,7 @@
         let known = old.filter(|old| *old.entry == *entry);
         Some(Service {
             candidates: self.candidates(source, &lists, widest),
+            sharers: sharers(source),
             name: Arc::clone(name),
             entry: known.map_or_else(|| Arc::new(entry.clone()), |old| Arc::clone(&old.entry)),
             servers,
@@ -224,6 +239,9 @@
     /// none, as no other counts it.
     fn share(&self, source: &Source<'_>, ranked: &ranks::Ranked, limit: u32) -> u32 {
         let own = &source.settings.name;
+        if source.settings.listing == Listing::Observed {
+            return placement::direct_share(limit, source.membership.size()).max(1);
+        }
         if source.settings.placement == Placement::Direct {
             let listed = self.ranks.is_listed(own);
             let share = placement::direct_share(limit, self.ranks.fleet_size());
@@ -238,8 +256,12 @@
     fn server(&mut self, source: &Source<'_>, target: &publication::Server, share: u32) -> Server {
         let name = target.name.as_str().into();
         let grace = source.settings.timing.grace;
+        let first = match source.settings.listing {
+            Listing::Published => 0,
+            Listing::Observed => FIRST_SHARE,
+        };
         Server {
-            share: self.grants.settle(source.now, &name, share, grace),
+            share: self.grants.settle(source.now, &name, share, (grace, first)),
             name,
             address: target.address.as_str().into(),
             zone: self.zone(&target.zone),
@@ -294,11 +316,20 @@
             live: standing > Standing::Gone,
             local: true,
         };
-        let listed = self.ranks.is_listed(&own.name);
+        let observed = source.settings.listing == Listing::Observed;
+        let listed = observed || self.ranks.is_listed(&own.name);
         if listed { vec![candidate] } else { Vec::new() }
     }
 }
 
+/// Instances that share what an entry grants the fleet: with one owner for each service nobody does.
+fn sharers(source: &Source<'_>) -> u32 {
+    match source.settings.listing {
+        Listing::Published => 1,
+        Listing::Observed => u32::try_from(source.membership.size()).unwrap_or(u32::MAX),
+    }
+}
+
 /// How long a new list does not decide alone who is preferred: shares must have grown, and others
 /// must have learnt of it.
 fn period(settings: &Settings) -> Duration {
--- a/crates/core/src/control/project/grants.rs
+++ b/crates/core/src/control/project/grants.rs
@@ -54,20 +54,22 @@
         }
     }
 
-    /// The connections granted when the share by the newest list is `share`.
+    /// The connections granted when the share by the newest list is `share`; a server that had none
+    /// gets up to `first` at once.
     pub(super) fn settle(
         &mut self,
         now: Instant,
         server: &Arc<str>,
         share: u32,
-        grace: Duration,
+        (grace, first): (Duration, u32),
     ) -> u32 {
         if share == 0 {
             return 0;
         }
         let known = self.old.remove(server);
         let known = known.or_else(|| self.granted.remove(server));
-        let mut grant = known.unwrap_or_default();
+        let new = Grant { connections: first.min(share), growth: None };
+        let mut grant = known.unwrap_or(new);
         grant.settle(now, share, grace);
         self.granted.insert(Arc::clone(server), grant);
         grant.connections
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -11,8 +11,8 @@
 
 /// Live instances of a zone that watch the platform.
 pub const READERS_PER_ZONE: usize = 2;
-/// First and longest wait after a failed read.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(15));
+/// First wait after a failed read.
+const BACKOFF: Duration = Duration::from_millis(500);
 /// Least time after an answer without news, in case the platform does not hold watches.
 const PACE: Duration = Duration::from_millis(250);
 /// Digest periods without any digest after which an instance that is no reader reads itself.
@@ -97,14 +97,34 @@
         self.urgent = last.is_some_and(|last| last < head);
     }
 
+    /// Takes in an answer that leaves out no record up to `head`.
+    pub fn caught_up(&mut self, now: Instant, head: u64) {
+        let news = head > self.cursor;
+        self.answered(now, news.then_some(head), head);
+    }
+
+    /// The platform has forgotten what followed the last record: all is read again.
+    pub fn expired(&mut self, now: Instant) {
+        self.open = false;
+        self.tried = true;
+        self.cursor = 0;
+        self.urgent = true;
+        self.not_before = now;
+    }
+
+    /// Reads have failed since the last answer.
+    pub const fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Takes in a failure: the next read waits twice as long, with jitter, so that the instances
     /// do not all come back at once when the platform does.
-    pub fn failed(&mut self, now: Instant, random: &mut Random) {
+    pub fn failed(&mut self, now: Instant, longest: Duration, random: &mut Random) {
         self.open = false;
         self.tried = true;
-        let longest = BACKOFF.0 * 2_u32.saturating_pow(self.failures.min(10));
+        let wait = BACKOFF * 2_u32.saturating_pow(self.failures.min(10));
         self.failures = self.failures.saturating_add(1);
-        let half = longest.min(BACKOFF.1) / 2;
+        let half = wait.min(longest.max(BACKOFF)) / 2;
         self.not_before = now + half + jitter(half, random);
     }
 
@@ -154,7 +174,7 @@
         let elected = reader && !self.chosen;
         self.chosen = reader;
         if elected && self.tried {
-            self.not_before = self.not_before.max(now + jitter(BACKOFF.0, random));
+            self.not_before = self.not_before.max(now + jitter(BACKOFF, random));
         }
     }
 
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -13,6 +13,16 @@
     Direct,
 }
 
+/// Where the number of instances that share a server's connections comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Listing {
+    /// The platform publishes the instances.
+    #[default]
+    Published,
+    /// It does not: instances count those that they hear of. Only with direct placement.
+    Observed,
+}
+
 /// Time spans that steer membership, spread and reads of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -26,6 +36,8 @@
     pub digest: Duration,
     /// How long a watch of the platform may wait.
     pub watch: Duration,
+    /// Longest wait after failed reads of the platform.
+    pub backoff: Duration,
     /// How long other instances may take to learn of a new list of instances. Shares of
     /// connections grow only after it, and a new incarnation becomes an owner only after it unless
     /// there is no other.
@@ -40,6 +52,7 @@
             dead: Duration::from_millis(1000),
             digest: Duration::from_millis(1000),
             watch: Duration::from_millis(5000),
+            backoff: Duration::from_secs(15),
             grace: Duration::from_millis(2000),
         }
     }
@@ -55,6 +68,7 @@
     pub(super) address: Arc<str>,
     pub(super) seeds: Vec<Arc<str>>,
     pub(super) placement: Placement,
+    pub(super) listing: Listing,
     pub(super) timing: Timing,
     pub(super) seed: u64,
 }
@@ -71,6 +85,7 @@
                 address: address.into(),
                 seeds: Vec::new(),
                 placement: Placement::default(),
+                listing: Listing::default(),
                 timing: Timing::default(),
                 seed: 0,
             },
@@ -125,6 +140,13 @@
         self
     }
 
+    /// Where the number of instances comes from.
+    #[must_use]
+    pub const fn listing(mut self, listing: Listing) -> Self {
+        self.settings.listing = listing;
+        self
+    }
+
     /// Time spans.
     #[must_use]
     pub const fn timing(mut self, timing: Timing) -> Self {
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -12,7 +12,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ladder_schema::publication::{Index, Instance, Kind, Record, Server, State, record::Body};
+use ladder_schema::publication::{
+    Index, Instance, Kind, Record, Routing, Server, State, record::Body,
+};
 use ladder_schema::{catalogue, check, wire};
 
 pub use changes::Changes;
@@ -69,6 +71,8 @@
     revision: u64,
     /// Invariant: holds exactly the records in force of servers.
     groups: changes::Groups,
+    /// Entries of the routes in force, by service.
+    routed: BTreeMap<Arc<str>, catalogue::Entry>,
     /// Since [`Store::take_changes`].
     changes: Changes,
 }
@@ -82,6 +86,7 @@
             buckets: [0; BUCKETS],
             revision: 0,
             groups: changes::Groups::default(),
+            routed: BTreeMap::new(),
             changes: Changes::default(),
         }
     }
@@ -139,6 +144,10 @@
             self.toggle(key, old.revision);
         }
         self.changes.note(key);
+        if key.kind == Kind::Routing {
+            self.reroute(old.as_deref(), &new);
+            return;
+        }
         if key.kind == Kind::Server {
             self.settle_departure(&key.name, record);
             let left = old.and_then(|old| self.groups.remove(&old));
@@ -147,6 +156,23 @@
         }
     }
 
+    /// Notes the services whose entry came, went or changed with the routes.
+    fn reroute(&mut self, old: Option<&Record>, new: &Record) {
+        let entries = |record: &Record| match &record.body {
+            Some(Body::Routing(routing)) => routing.entries.clone(),
+            _ => Vec::new(),
+        };
+        let old = old.map_or_else(Vec::new, entries);
+        let new = entries(new);
+        let differing = |one: &[catalogue::Entry], other: &[catalogue::Entry]| {
+            let lone = one.iter().filter(|entry| !other.contains(entry));
+            lone.map(|entry| entry.service.as_str().into()).collect::<Vec<Arc<str>>>()
+        };
+        self.changes.services.extend(differing(&old, &new));
+        self.changes.services.extend(differing(&new, &old));
+        self.routed = new.into_iter().map(|entry| (entry.service.as_str().into(), entry)).collect();
+    }
+
     /// What changed since the last call.
     pub fn take_changes(&mut self) -> Changes {
         std::mem::take(&mut self.changes)
@@ -281,10 +307,20 @@
 
     /// Catalogue entries in force.
     pub fn entries(&self) -> impl Iterator<Item = &catalogue::Entry> {
-        self.bodies(Kind::Entry).filter_map(|body| match body {
+        let single = self.bodies(Kind::Entry).filter_map(|body| match body {
             Body::Entry(entry) => Some(entry),
             _ => None,
-        })
+        });
+        let routed = self.routed.values();
+        single.chain(routed.filter(|entry| self.single_entry(&entry.service).is_none()))
+    }
+
+    /// The routes in force.
+    pub fn routing(&self) -> Option<&Routing> {
+        match &self.records.get(&Key::new(Kind::Routing, ""))?.body {
+            Some(Body::Routing(routing)) => Some(routing),
+            _ => None,
+        }
     }
 
     /// Index versions in force.
@@ -308,8 +344,12 @@
         self.groups.of(service)
     }
 
-    /// The entry in force of a service.
+    /// The entry in force of a service: its own record goes before the routes' entry.
     pub fn entry(&self, service: &str) -> Option<&catalogue::Entry> {
+        self.single_entry(service).or_else(|| self.routed.get(service))
+    }
+
+    fn single_entry(&self, service: &str) -> Option<&catalogue::Entry> {
         match &self.records.get(&Key::new(Kind::Entry, service))?.body {
             Some(Body::Entry(entry)) => Some(entry),
             _ => None,
--- a/crates/core/src/control/store/changes.rs
+++ b/crates/core/src/control/store/changes.rs
@@ -16,6 +16,8 @@
     pub indexes: bool,
     /// The published list of instances changed.
     pub instances: bool,
+    /// Another version of the routes is in force.
+    pub routing: bool,
 }
 
 /// Records of the servers of each service.
@@ -90,6 +92,7 @@
             }
             Kind::Index => self.indexes = true,
             Kind::Instance => self.instances = true,
+            Kind::Routing => self.routing = true,
             Kind::Server | Kind::Unspecified => {}
         }
     }
--- a/crates/core/src/control/store/key.rs
+++ b/crates/core/src/control/store/key.rs
@@ -33,6 +33,7 @@
             Some(Body::Index(index)) => (Kind::Index, format!("{}@{}", index.name, index.version)),
             Some(Body::Server(server)) => (Kind::Server, server.name.clone()),
             Some(Body::Instance(instance)) => (Kind::Instance, instance.name.clone()),
+            Some(Body::Routing(_)) => (Kind::Routing, String::new()),
             Some(Body::Tombstone(tombstone)) => (tombstone.kind(), tombstone.name.clone()),
         };
         let longest = bounds::NAME_BYTES * 2;
@@ -75,6 +76,7 @@
             Kind::Index => "index",
             Kind::Server => "server",
             Kind::Instance => "instance",
+            Kind::Routing => "routing",
         };
         write!(f, "{kind} {}", self.name)
     }
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -27,7 +27,10 @@
     }
     match answer.reason() {
         Reason::Malformed => 400,
-        Reason::UnknownIndex | Reason::UnknownOperation | Reason::UnknownShard => 404,
+        Reason::UnknownIndex
+        | Reason::UnknownOperation
+        | Reason::UnknownShard
+        | Reason::UnknownRoute => 404,
         Reason::RepeatedKey => 409,
         Reason::TooLarge => 413,
         Reason::ServiceLimit
--- a/crates/core/src/gather/check.rs
+++ b/crates/core/src/gather/check.rs
@@ -24,8 +24,10 @@
 /// Checks every field that can be checked without a view.
 pub(crate) fn check(request: &call::Request) -> Result<(), Refusal> {
     length("key", request.key.len(), KEY_BYTES)?;
-    length("index", request.index.len(), NAME_BYTES)?;
-    length("operation", request.operation.len(), NAME_BYTES)?;
+    if request.message.is_none() {
+        length("index", request.index.len(), NAME_BYTES)?;
+        length("operation", request.operation.len(), NAME_BYTES)?;
+    }
     at_most("payload", request.payload.len(), PAYLOAD_BYTES, "bytes")?;
     at_most("shards", request.shards.len(), SHARDS, "names")?;
     deadline(request.deadline_ms)?;
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -6,6 +6,7 @@
 use super::answer;
 use super::event::Action;
 use super::machine::{Machine, count};
+use super::merge;
 use super::query::{Progress, Query, QueryKey, State};
 use super::timers::Timer;
 use crate::count;
@@ -78,6 +79,8 @@
             self.finish(now, key, Reason::Unspecified, out);
         } else if query.is_enough(now) {
             self.finish(now, key, Reason::Deadline, out);
+        } else if query.is_hopeless() {
+            self.finish(now, key, Reason::Cancelled, out);
         }
     }
 
@@ -95,7 +98,10 @@
             let verdict = answer::verdict(&query);
             self.keys.end(&query.request.key, verdict);
         }
-        let answer = answer::answer(&mut query, reason);
+        let mut answer = answer::answer(&mut query, reason);
+        if let Some(route) = &query.route {
+            merge::respond(route, &mut answer);
+        }
         self.answer(now, query.caller, query.account, answer, out);
     }
 
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -8,6 +8,7 @@
 
 use super::check::{self, Refusal};
 use super::event::{Action, Caller, Event};
+use super::forward::Forwarder;
 use super::history::{Explanation, History, Step};
 use super::keys::Keys;
 use super::peers::Peers;
@@ -36,6 +37,7 @@
     pub(crate) view: Arc<View>,
     draining: bool,
     pub(crate) planner: Planner,
+    forwarder: Forwarder,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     /// Invariant: holds exactly the present numbers of `queries`.
     pub(crate) numbers: Map<u64, QueryKey>,
@@ -59,6 +61,7 @@
             view: Arc::default(),
             draining: false,
             planner: Planner::default(),
+            forwarder: Forwarder::default(),
             queries: SlotMap::default(),
             numbers: Map::default(),
             callers: Map::default(),
@@ -154,7 +157,11 @@
             let detail = format!("{OPEN_QUERIES} requests are open here");
             return Err(refuse(Refusal::new(Reason::QueueFull, detail)));
         }
-        let plan = self.planner.first(&self.view, request).map_err(refuse)?;
+        let plan = match &request.message {
+            Some(message) => self.forwarder.plan(&self.view, request, message),
+            None => self.planner.first(&self.view, request),
+        };
+        let plan = plan.map_err(refuse)?;
         if plan.terms.unrepeatable
             && let Some(verdict) = self.keys.get(&request.key)
         {
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -11,6 +11,7 @@
 use super::check::Refusal;
 use super::snapshot::{self, Pin};
 use crate::collections::Map;
+use crate::route::Route;
 use crate::view::View;
 
 /// What holds for a whole query, the strictest of its services' entries.
@@ -56,6 +57,8 @@
     pub(crate) missing: Vec<call::Missing>,
     /// The terms.
     pub(crate) terms: Terms,
+    /// The route of a forwarded message.
+    pub(crate) route: Option<Arc<Route>>,
 }
 
 /// Plans requests and keeps the plans of whole indexes while the view stays.
@@ -111,7 +114,7 @@
     };
     let shares = shares(view, &pin);
     let terms = terms(view, request, &shares)?;
-    Ok(Plan { index: pin.index, shares, missing: pin.missing, terms })
+    Ok(Plan { index: pin.index, shares, missing: pin.missing, terms, route: None })
 }
 
 /// Refuses a shard that no published version has; one that only some have is reported as missing.
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -11,6 +11,7 @@
 use super::event::Caller;
 use super::peers::PeerKey;
 use super::plan::{Plan, Share, Terms};
+use crate::route::Route;
 use crate::time::{Instant, micros};
 
 new_key_type! {
@@ -122,6 +123,8 @@
     pub(crate) index: Arc<Index>,
     /// The terms.
     pub(crate) terms: Terms,
+    /// The route of a forwarded message.
+    pub(crate) route: Option<Arc<Route>>,
     /// One portion per service, in order of the services' names.
     ///
     /// Invariant: the shards of the portions and those of `missing` are the asked set, each once.
@@ -166,6 +169,26 @@
 /// Shards it may then leave out, in percent of the asked ones.
 const LATE_PERCENT: usize = 5;
 
+/// Least time kept for an answer's way to a caller, and its share of the time at hand, in percent.
+///
+/// Nobody says how far away a caller is. Some milliseconds lie in every way through a balancer, and
+/// operators who grant more time mostly do so because callers are further away.
+const WAY_BACK: (Duration, u32) = (Duration::from_millis(5), 8);
+
+/// Time kept for an answer's way to its caller out of the time that the caller has.
+fn way_back(span: Duration) -> Duration {
+    WAY_BACK.0 + span * WAY_BACK.1 / 100
+}
+
+/// When a forwarded sweep answers with its route's floor.
+fn timely(now: Instant, route: &Route, answer_at: Instant) -> Instant {
+    if route.spec.target_ms == 0 {
+        return answer_at;
+    }
+    let target = Duration::from_millis(route.spec.target_ms.into());
+    (now + (target - way_back(target).min(target / 2))).min(answer_at)
+}
+
 impl Query {
     /// A query that has sent nothing yet; `number` and `account` name it in messages and history.
     pub(crate) fn new(
@@ -177,9 +200,11 @@
     ) -> Self {
         let terms = plan.terms;
         let deadline = now + terms.deadline;
-        let answer_at = deadline - MARGIN.min(terms.deadline / 4);
+        let margin = plan.route.as_ref().map_or(MARGIN, |_| way_back(terms.deadline));
+        let answer_at = deadline - margin.min(terms.deadline / 4);
         let share = micros(terms.deadline) * TIMELY_PERCENT / 100;
-        let timely_at = now + Duration::from_micros(share);
+        let usual = now + Duration::from_micros(share);
+        let timely_at = plan.route.as_ref().map_or(usual, |route| timely(now, route, answer_at));
         let mut query = Self {
             caller,
             request,
@@ -187,6 +212,7 @@
             account,
             index: Arc::clone(&plan.index),
             terms,
+            route: plan.route.clone(),
             portions: Vec::new(),
             missing: Vec::new(),
             timely_at,
@@ -212,11 +238,27 @@
     ///
     /// Until `timely_at` every query waits for all its shards, so that an answer is not needlessly
     /// partial. From then on a query that prefers time answers once nearly all shards are settled: what is still out by then is a straggler that mostly misses the deadline too.
+    ///
+    /// A sweep that is forwarded answers then with the floor of its route or more: a late answer is
+    /// worth a fraction of one that lacks a part.
     pub(crate) fn is_enough(&self, now: Instant) -> bool {
+        if let Some(route) = &self.route {
+            return now >= self.timely_at && self.covered >= route.floor(self.asked);
+        }
         let few = self.awaited * 100 <= self.asked * LATE_PERCENT;
         now >= self.timely_at && few && self.covered > 0
     }
 
+    /// So many parts are lost that the rest cannot reach the floor of its route.
+    ///
+    /// Whoever asked can come back at once instead of waiting for an answer that will be none.
+    pub(crate) fn is_hopeless(&self) -> bool {
+        let short = |route: &Arc<Route>| {
+            route.is_sweep() && self.covered + self.awaited < route.floor(self.asked)
+        };
+        self.route.as_ref().is_some_and(short)
+    }
+
     /// Takes the portions of a plan in place of its present ones.
     pub(crate) fn adopt(&mut self, plan: Plan) {
         self.index = plan.index;
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -216,9 +216,21 @@
             .map(|&portion| wire_portion(query, &query.portions[portion]))
             .collect(),
         extra_calls: query.extra_calls,
+        forward: forward(query),
     }
 }
 
+/// How a message is to be forwarded; `None` for a query of the product's own.
+fn forward(query: &Query) -> Option<Box<wire::Forward>> {
+    let route = query.route.as_ref()?;
+    Some(Box::new(wire::Forward {
+        message: query.request.message.as_deref().cloned(),
+        urgency: route.spec.urgency,
+        attempts: route.spec.attempts,
+        part: route.is_sweep(),
+    }))
+}
+
 fn wire_portion(query: &Query, portion: &Portion) -> wire::Portion {
     let shards = &query.index.shards;
     let name = |&position: &u32| shards[position as usize].name.clone();
--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -2,8 +2,6 @@
 
 /// Thousandths of an extra call.
 const CALL: u32 = 1000;
-/// Most extra calls that can be saved up, so that a quiet hour does not pay for a burst.
-const BURST: u32 = 10 * CALL;
 
 /// Extra calls that only retries may spend.
 ///
@@ -19,7 +17,7 @@
 /// the overload worse. Tokens bound them to a share of the first calls.
 #[derive(Clone, Debug)]
 pub(super) struct Budget {
-    /// Thousandths of an extra call, at most [`BURST`].
+    /// Thousandths of an extra call.
     tokens: u32,
 }
 
@@ -31,10 +29,10 @@
         Self { tokens }
     }
 
-    /// Earns what one first call allows.
-    pub(super) fn earn(&mut self, extra_percent: u32) {
+    /// Earns what one first call allows; no more than `most` calls are saved up.
+    pub(super) fn earn(&mut self, extra_percent: u32, most: u32) {
         let earned = extra_percent * (CALL / 100);
-        self.tokens = (self.tokens + earned).min(BURST);
+        self.tokens = (self.tokens + earned).min(most.saturating_mul(CALL));
     }
 
     /// Whether a retry can be paid.
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -25,6 +25,9 @@
 const UNREACHABLE: u32 = 3;
 /// How much a failing server is avoided: a failure rate of one weighs like this many call times.
 const FAILURE_COST: f64 = 4.0;
+/// How much a server of another zone is avoided: bytes between zones are paid for, and a server
+/// nearby that is as free as one far away answers a little sooner.
+const FAR: f64 = 1.5;
 
 impl Machine {
     /// Dispatches for all services that changed in the event at hand.
@@ -179,8 +182,9 @@
         sheds(candidate) && self.services[portion.service].servers.iter().any(takes)
     }
 
-    fn holds(&self, key: ServerKey, work: &wire::Work) -> bool {
-        self.servers[key].holds(self.now, &work.index, work.version)
+    pub(super) fn holds(&self, key: ServerKey, work: &wire::Work) -> bool {
+        // The routes name the services of a version; their servers answer for every version.
+        work.forward.is_some() || self.servers[key].holds(self.now, &work.index, work.version)
     }
 
     fn ready_for_trial(&self, server: &Server) -> bool {
@@ -191,11 +195,26 @@
     fn cost(&self, id: ServiceId, server: &Server, tried: bool) -> f64 {
         let usual = self.services[id].times.mean().unwrap_or(UNLEARNED);
         let seen = server.health.mean(self.now).unwrap_or(usual);
-        let expected = seen.max(usual / 2).as_secs_f64();
+        let expected = seen.max(usual / 2).max(self.oldest_call(server)).as_secs_f64();
         let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
         let failures = FAILURE_COST * server.health.failure_rate(self.now);
         let again = if tried { 4.0 } else { 1.0 };
-        expected * (1.0 + load) * (1.0 + failures) * again
+        let near = self.settings.zone.is_empty() || self.settings.zone == server.zone;
+        let way = if near { 1.0 } else { FAR };
+        expected * (1.0 + load) * (1.0 + failures) * again * way
+    }
+
+    /// Age of the oldest call that a server has not answered: it takes at least as long now.
+    ///
+    /// A server that stands still for a moment shows it by nothing else, and the calls that go to it
+    /// meanwhile all wait until it goes on.
+    fn oldest_call(&self, server: &Server) -> Duration {
+        let busy = server.lanes.iter().filter_map(|lane| match self.lanes[*lane].state {
+            lane::State::Busy(attempt) => self.attempts.get(attempt),
+            _ => None,
+        });
+        let oldest = busy.map(|attempt| attempt.sent).min();
+        oldest.map_or(Duration::ZERO, |sent| self.now.since(sent))
     }
 
     /// Servers that are held back because of their outcomes: the worst half at most.
@@ -282,7 +301,8 @@
         }
         if first {
             let percent = service.limits().extra_percent;
-            service.budget.earn(percent);
+            let burst = service.burst();
+            service.budget.earn(percent, burst);
             service.admission.dispatched(self.now, portion.class);
         }
         self.send(key, server, out);
@@ -344,5 +364,6 @@
         operation: work.operation.clone(),
         deadline_ms: u32::try_from(millis).unwrap_or(u32::MAX),
         payload: work.payload.clone(),
+        message: work.forward.as_ref().and_then(|forward| forward.message.clone()),
     }
 }
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -19,13 +19,43 @@
 /// Extra calls of one query, over all layers, after which no further one is made.
 pub(super) const QUERY_EXTRA: u32 = 8;
 
+/// Whether the connection of a call that ended like this may carry another one.
+fn is_whole(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answer(_) | Outcome::Refusal(_))
+}
+
+/// Takes a forwarded message's response for a failure where another server may do better; whether
+/// it was a whole response all the same.
+///
+/// The response of an unrepeatable message stands as it is: it ran, and whoever asked must know how
+/// it ended.
+fn judged(attempt: &Attempt, outcome: Outcome) -> (Outcome, bool) {
+    let Some(forward) = &attempt.job.work.forward else {
+        return (outcome, false);
+    };
+    let Outcome::Answer(answer) = &outcome else {
+        return (outcome, false);
+    };
+    let mut responses = answer.parts.iter().filter_map(|part| part.response.as_ref());
+    let success = |status: u32| (200..300).contains(&status);
+    let failed = responses.any(|response| match forward.part {
+        true => !success(response.status),
+        false => response.status >= 500,
+    });
+    if failed && attempt.record.is_none() {
+        return (Outcome::Error, true);
+    }
+    (outcome, false)
+}
+
 impl Machine {
     pub(super) fn ended(&mut self, key: AttemptKey, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(attempt) = self.attempts.remove(key) else {
             return;
         };
         let (outcome, mismatched) = Self::checked(&attempt, outcome, out);
-        self.release(&attempt, &outcome, mismatched, out);
+        let (outcome, answered) = judged(&attempt, outcome);
+        self.release(&attempt, answered || is_whole(&outcome), mismatched, out);
         self.learn(&attempt, &outcome, out);
         match attempt.portion {
             Some(portion) => self.conclude(portion, key, &attempt, outcome, out),
@@ -50,29 +80,20 @@
 
     /// Frees the call's slot and its connection. A connection whose call did not end properly is
     /// not used again: an answer still on its way would be taken for the next request's.
-    fn release(
-        &mut self,
-        attempt: &Attempt,
-        outcome: &Outcome,
-        mismatched: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn release(&mut self, attempt: &Attempt, whole: bool, mismatched: bool, out: &mut Vec<Action>) {
         self.services[attempt.service].in_flight -= 1;
         let server = &mut self.servers[attempt.server];
         server.in_flight -= 1;
-        match outcome {
-            Outcome::Answer(_) | Outcome::Refusal(_) => {
-                self.lanes[attempt.lane].state = lane::State::Idle;
-                self.idle(attempt.lane, out);
-            }
-            _ => {
-                self.remove_lane(attempt.lane);
-                if mismatched {
-                    out.push(Action::Close(attempt.lane));
-                }
-                self.maintain_server(attempt.server, out);
-            }
+        if whole && !self.lanes[attempt.lane].closing {
+            self.lanes[attempt.lane].state = lane::State::Idle;
+            self.idle(attempt.lane, out);
+            return;
+        }
+        self.remove_lane(attempt.lane);
+        if mismatched {
+            out.push(Action::Close(attempt.lane));
         }
+        self.maintain_server(attempt.server, out);
     }
 
     /// Takes what the call's end says of the server.
@@ -149,6 +170,7 @@
             return;
         }
         portion.failures += 1;
+        portion.spared += u32::from(verdict == Verdict::NotRun);
         portion.may_have_run |= verdict == Verdict::MayHaveRun;
         if !portion.attempts.is_empty() {
             return;
@@ -176,7 +198,12 @@
         }
         let outlook = self.outlook(portion.service, work, portion.deadline);
         outlook.map_err(|refused| Refused { verdict: standing, ..refused })?;
-        if verdict == Verdict::NotRun {
+        if !portion.may_go_out() {
+            return Err(Refused::with(standing, reason));
+        }
+        let limits = self.services[portion.service].limits();
+        let arrived = reason != Reason::ConnectFailed;
+        if verdict == Verdict::NotRun && !(limits.count_refused && arrived) {
             return Ok(());
         }
         let spent = work.extra_calls + portion.calls;
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -48,7 +48,8 @@
     Cancel(wire::Cancel),
     /// A lane asked for by [`Action::Open`] is connected and idle.
     Opened(LaneKey),
-    /// A lane failed or was closed by the target while idle, or could not be opened.
+    /// A lane failed or was closed by the target while idle, or could not be opened; while it
+    /// carries a call: the target will close it after the call's end.
     Closed(LaneKey),
     /// A call ended. After anything but an answer or a refusal the shell has closed the lane, and
     /// no further event names it.
@@ -84,8 +85,10 @@
         lane: LaneKey,
         /// IP number and port of the server.
         address: Arc<str>,
+        /// Name of the server.
+        server: Arc<str>,
     },
-    /// Close a connection; no further event names it.
+    /// Close a connection, also one whose call is given up; no further event names it or the call.
     Close(LaneKey),
     /// Send a request on an idle lane. It must end with [`Event::Ended`], whatever happens.
     Send {
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -77,7 +77,7 @@
     fn worth_copying(&self, key: PortionKey) -> bool {
         let portion = &self.portions[key];
         let mean = self.services[portion.service].mean().unwrap_or_default();
-        let in_time = self.now + mean / 2 < portion.deadline;
+        let in_time = self.now + mean / 2 < portion.deadline && portion.may_go_out();
         in_time && portion.job.work.extra_calls + portion.calls <= QUERY_EXTRA
     }
 
@@ -95,7 +95,7 @@
                 && !server.cold(self.now)
                 && !portion.tried.contains(candidate)
                 && self.can_send(*candidate)
-                && server.holds(self.now, &work.index, work.version)
+                && self.holds(*candidate, work)
         };
         let candidates = self.services[id].servers.iter().copied();
         candidates.filter(fits).min_by_key(|candidate| self.servers[*candidate].in_flight)
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -197,6 +197,7 @@
             tried: Vec::new(),
             calls: 0,
             failures: 0,
+            spared: 0,
             may_have_run: false,
             hedged: false,
         };
@@ -280,6 +281,9 @@
 fn class(service: &Service, work: &wire::Work) -> Class {
     use ladder_schema::catalogue::Urgency;
 
+    if let Some(forward) = &work.forward {
+        return forward.urgency().into();
+    }
     let mut operations = service.entry.operations.iter();
     let operation = operations.find(|operation| operation.name == work.operation);
     match operation.map(ladder_schema::catalogue::Operation::urgency) {
--- a/crates/core/src/leaf/lane.rs
+++ b/crates/core/src/leaf/lane.rs
@@ -21,4 +21,6 @@
 pub(super) struct Lane {
     pub(super) server: ServerKey,
     pub(super) state: State,
+    /// The server ends it after the call at hand.
+    pub(super) closing: bool,
 }
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -40,6 +40,7 @@
             return;
         };
         if matches!(lane.state, State::Busy(_)) {
+            self.lanes[key].closing = true;
             return;
         }
         self.remove_lane(key);
@@ -160,10 +161,11 @@
     }
 
     fn open_lane(&mut self, key: ServerKey, out: &mut Vec<Action>) {
-        let lane = self.lanes.insert(Lane { server: key, state: State::Opening });
+        let lane = self.lanes.insert(Lane { server: key, state: State::Opening, closing: false });
         let server = &mut self.servers[key];
         server.lanes.push(lane);
-        out.push(Action::Open { lane, address: Arc::clone(&server.address) });
+        let name = Arc::clone(&server.name);
+        out.push(Action::Open { lane, address: Arc::clone(&server.address), server: name });
     }
 
     /// A connection that can be closed without cutting a call.
@@ -196,6 +198,9 @@
     /// Asks servers for their load reports, each at most once a second and one question at a time.
     /// A server that does not answer would otherwise occupy one connection after the other.
     fn probe(&mut self, id: ServiceId, out: &mut Vec<Action>) {
+        if !self.settings.probing {
+            return;
+        }
         for index in 0..self.services[id].servers.len() {
             let key = self.services[id].servers[index];
             let server = &self.servers[key];
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -166,6 +166,7 @@
                 Timer::Hedge(portion) => self.hedge_due(portion),
                 Timer::Pump(service) => self.resume(service, out),
                 Timer::Upkeep(service) => self.upkeep(service, out),
+                Timer::Abandon(attempt) => self.abandon(attempt, out),
             }
         }
     }
@@ -177,6 +178,7 @@
                 Timer::Deadline(portion) => !self.portions.contains_key(portion),
                 Timer::Late(portion) => !self.waits(portion),
                 Timer::Hedge(portion) => !self.portions.contains_key(portion),
+                Timer::Abandon(attempt) => !self.attempts.contains_key(attempt),
                 Timer::Pump(service) | Timer::Upkeep(service) => {
                     !self.services.contains_key(service)
                 }
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -62,6 +62,8 @@
     pub(super) calls: u32,
     /// Calls that ended without an answer.
     pub(super) failures: u32,
+    /// Calls that are proved not to have run.
+    pub(super) spared: u32,
     /// A call ended without proof that it did not run.
     pub(super) may_have_run: bool,
     /// A second copy was sent.
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Whether its route allows one more server to be asked.
+    pub(super) fn may_go_out(&self) -> bool {
+        let forward = self.job.work.forward.as_ref();
+        forward.is_none_or(|forward| self.calls - self.spared < forward.attempts)
+    }
+
     /// Name of its record.
     pub(super) fn record(&self) -> record::Name {
         record::Name { service: self.service, key: Arc::clone(&self.job.key) }
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -52,6 +52,7 @@
         let service = &mut self.services[id];
         service.rank = Rank::of(listed);
         service.entry = Arc::clone(&listed.entry);
+        service.sharers = listed.sharers;
         let servers = service.servers.clone();
         for key in servers {
             self.servers[key].listed = false;
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -10,6 +10,7 @@
 use super::machine::{Machine, Query};
 use super::portion::{Job, Portion, PortionKey};
 use super::record::State;
+use super::timer::Timer;
 use crate::count;
 
 /// Why a portion is not answered.
@@ -135,9 +136,31 @@
             health.slow(elapsed);
             health.failed(self.now, &mut self.random);
         }
+        if let Some(linger) = self.settings.linger {
+            self.timers.push(self.now + linger, Timer::Abandon(key));
+            return;
+        }
         self.servers[server].cancels.push_back(key);
         self.send_cancels(server, out);
     }
+
+    /// Nobody has waited for a call's end for a while: its connection is closed, which is what ends
+    /// it at a server that takes no cancellations.
+    ///
+    /// Most calls end before that, and their connections live on. One at a server that hangs would
+    /// otherwise keep its connection to the end of the caller's time, and the server go on working
+    /// for a caller that has left.
+    pub(super) fn abandon(&mut self, key: AttemptKey, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        self.services[attempt.service].in_flight -= 1;
+        self.servers[attempt.server].in_flight -= 1;
+        self.remove_lane(attempt.lane);
+        out.push(Action::Close(attempt.lane));
+        self.maintain_server(attempt.server, out);
+        self.mark(attempt.service);
+    }
 }
 
 /// What a reply says of later deliveries of the same key.
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -30,6 +30,7 @@
     pub(super) service: ServiceId,
     pub(super) name: Arc<str>,
     pub(super) address: Arc<str>,
+    pub(super) zone: Arc<str>,
     /// In the view with this address. New work goes to listed servers only.
     pub(super) listed: bool,
     /// Highest incarnation any source named.
@@ -68,6 +69,7 @@
             service,
             name: Arc::clone(&listed.name),
             address: Arc::clone(&listed.address),
+            zone: Arc::clone(&listed.zone),
             listed: true,
             incarnation: 0,
             leaving: None,
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -25,6 +25,11 @@
 pub(super) const LEARNED: u64 = 50;
 /// Samples between two computations of the quantiles.
 const REFRESH: u64 = 25;
+/// Extra calls that may be saved up where the entry does not say, so that a quiet hour does not pay
+/// for a burst.
+const BURST: u32 = 10;
+/// Least and greatest share of calls that are not held slow.
+const SLOW: (f64, f64) = (0.8, 0.99);
 
 /// What this instance is to a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +79,8 @@
     /// Its queue or servers changed in the event at hand.
     pub(super) marked: bool,
     pub(super) budget: Budget,
+    /// Instances that share the fleet's limits.
+    pub(super) sharers: u32,
     pub(super) admission: Admission,
     /// Portions whose hedge is due but has found no slot or no token yet, by time of sending.
     pub(super) overdue: BTreeSet<(Instant, PortionKey)>,
@@ -96,6 +103,7 @@
             fast: None,
             marked: false,
             budget: Budget::new(listed.entry.limits.unwrap_or_default().extra_percent),
+            sharers: listed.sharers,
             admission: Admission::default(),
             overdue: BTreeSet::new(),
             cursor: 0,
@@ -107,6 +115,14 @@
         self.entry.limits.unwrap_or_default()
     }
 
+    /// Extra calls that this instance may save up: its part of what the fleet may.
+    pub(super) fn burst(&self) -> u32 {
+        match self.limits().extra_burst {
+            0 => BURST,
+            burst => burst / self.sharers.max(1),
+        }
+    }
+
     /// Mean call time once it is learned.
     pub(super) fn mean(&self) -> Option<Duration> {
         self.times.mean().filter(|_| self.times.samples() >= LEARNED)
@@ -125,7 +141,7 @@
     /// extra calls that the budget pays, so that the tokens are there when a straggler shows.
     fn refresh_quantiles(&mut self) {
         let extra = f64::from(self.limits().extra_percent) / 100.0;
-        let slow = (1.0 - 0.8 * extra).clamp(0.9, 0.99);
+        let slow = (1.0 - 0.8 * extra).clamp(SLOW.0, SLOW.1);
         self.slow = self.times.quantile(slow);
         self.fast = self.times.quantile(0.25);
     }
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the machine, by a builder.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::settings::Selection;
 
@@ -17,6 +18,13 @@
     pub(super) hedging: bool,
     /// Hold work beyond the servers' slots in a queue.
     pub(super) queueing: bool,
+    /// Ask servers for their load reports.
+    pub(super) probing: bool,
+    /// How long a call that nobody waits for may go on before its connection is closed; `None`:
+    /// the server is asked to cancel it.
+    pub(super) linger: Option<Duration>,
+    /// Availability zone of this instance.
+    pub(super) zone: Arc<str>,
     /// Seed of the jitter of pauses.
     pub(super) seed: u64,
 }
@@ -30,6 +38,9 @@
             selection: Selection::Outcome,
             hedging: true,
             queueing: true,
+            probing: true,
+            linger: None,
+            zone: "".into(),
             seed: 0,
         })
     }
@@ -64,6 +75,28 @@
         self
     }
 
+    /// Whether servers are asked for their load reports.
+    #[must_use]
+    pub fn probing(mut self, on: bool) -> Self {
+        self.0.probing = on;
+        self
+    }
+
+    /// Servers take no cancellations: a call that nobody waits for may go on for this long, and
+    /// then its connection is closed.
+    #[must_use]
+    pub fn linger(mut self, linger: Option<Duration>) -> Self {
+        self.0.linger = linger;
+        self
+    }
+
+    /// Availability zone of this instance.
+    #[must_use]
+    pub fn zone(mut self, zone: &str) -> Self {
+        self.0.zone = zone.into();
+        self
+    }
+
     /// Seed of the jitter of pauses.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/crates/core/src/leaf/timer.rs
+++ b/crates/core/src/leaf/timer.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use super::event::AttemptKey;
 use super::portion::PortionKey;
 use super::service::ServiceId;
 use crate::time::Instant;
@@ -20,6 +21,8 @@
     Pump(ServiceId),
     /// Periodic work on a service: load reports, idle connections, old records.
     Upkeep(ServiceId),
+    /// A call that nobody waits for is given up.
+    Abandon(AttemptKey),
 }
 
 /// Timers in order of time. Timers of closed portions stay until they reach the top.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod count;
 pub mod gather;
 pub mod leaf;
+pub mod route;
 pub mod time;
 pub mod view;
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -10,6 +10,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::collections::Map;
+use crate::route;
 
 new_key_type! {
     /// A service in one view; keys of different views do not mix.
@@ -71,6 +72,8 @@
     pub servers: Vec<Server>,
     /// Instances that may work on it; the first live one is the owner.
     pub candidates: Vec<Candidate>,
+    /// Instances that share what the entry grants the fleet as a whole; at least 1.
+    pub sharers: u32,
 }
 
 impl Service {
@@ -109,6 +112,8 @@
     pub service_keys: Arc<Map<Arc<str>, ServiceKey>>,
     /// Published versions of each index, newest first.
     pub indexes: Map<Arc<str>, Vec<Arc<publication::Index>>>,
+    /// The routes in force.
+    pub routing: Option<Arc<route::Table>>,
 }
 
 impl View {
--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -107,7 +107,7 @@
 
 /// The change as the platform's answer to a watch.
 fn page(revision: u64, queue: u32) -> Event {
-    Event::Page(Page { head: revision, records: vec![change(revision, queue)] })
+    Event::Page(Page { head: revision, records: vec![change(revision, queue)], ..Page::default() })
 }
 
 /// A catalogue change that reached one instance before the platform went down is in force on all
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -141,7 +141,7 @@
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
         let head = self.records.iter().map(|record| record.revision).max();
-        Page { head: head.unwrap_or(0), records }
+        Page { head: head.unwrap_or(0), records, ..Page::default() }
     }
 
     fn answer_watch(&mut self, name: &str) {
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -87,7 +87,7 @@
         let bodies = bodies.iter().map(|&(kind, which, detail)| body(kind, which, detail));
         let records = publish::records(self.revision + 1, bodies);
         self.revision += records.len() as u64;
-        self.give(Event::Page(Page { head: self.revision, records }));
+        self.give(Event::Page(Page { head: self.revision, records, ..Page::default() }));
     }
 
     fn step(&mut self, (choice, which, detail): (u8, u8, u8)) {
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -200,7 +200,8 @@
 }
 
 fn give(machine: &mut Machine, revision: u64, bodies: impl IntoIterator<Item = Body>) {
-    let page = Page { head: revision, records: publish::records(revision, bodies) };
+    let page =
+        Page { head: revision, records: publish::records(revision, bodies), ..Page::default() };
     machine.handle(Instant::from_millis(revision), Event::Page(page), &mut Vec::new());
 }
 
--- a/crates/core/tests/fleet/reader.rs
+++ b/crates/core/tests/fleet/reader.rs
@@ -42,7 +42,7 @@
         for failure in 0..10 {
             assert!(reader.poll(now, true, TIMING, &mut random).is_some(), "failure {failure}");
             assert!(reader.poll(now, true, TIMING, &mut random).is_none(), "one read at a time");
-            reader.failed(now, &mut random);
+            reader.failed(now, Duration::from_secs(15), &mut random);
             let next = reader.next_wake(true, TIMING).expect("a retry");
             last = next.since(now);
             assert!(last >= Duration::from_millis(250) && last <= Duration::from_secs(15));
--- a/crates/core/tests/fleet/repair.rs
+++ b/crates/core/tests/fleet/repair.rs
@@ -14,7 +14,7 @@
 fn machine(name: &str, records: Vec<Record>) -> Machine {
     let settings = Settings::builder(name, &publish::address(name)).build();
     let mut machine = Machine::new(settings, Instant::from_millis(1000));
-    let page = Event::Page(Page { head: 0, records });
+    let page = Event::Page(Page { head: 0, records, ..Page::default() });
     machine.handle(Instant::from_millis(1000), page, &mut Vec::new());
     machine
 }
--- a/crates/core/tests/gather/any_order.rs
+++ b/crates/core/tests/gather/any_order.rs
@@ -189,8 +189,11 @@
 
 fn reply(sent: &Sent, b: u8) -> Reply {
     let covered = b & 3 != 0;
-    let parts =
-        sent.portion.shards.iter().map(|shard| Part { shard: shard.clone(), body: String::new() });
+    let parts = sent.portion.shards.iter().map(|shard| Part {
+        shard: shard.clone(),
+        body: String::new(),
+        response: None,
+    });
     let (verdict, reason) = match (covered, REASONS[usize::from(b >> 3) % REASONS.len()]) {
         (true, _) => (Verdict::Ran, Reason::Unspecified),
         (false, reason) if b & 4 == 0 => (Verdict::NotRun, reason),
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -124,6 +124,7 @@
     });
     let servers = site.held.iter().zip(&site.leaving).enumerate();
     Service {
+        sharers: 1,
         name: site.name.into(),
         entry: Arc::new(Entry {
             service: site.name.to_owned(),
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -134,8 +134,11 @@
 pub(crate) fn covered(work: &Work, service: &str) -> Reply {
     let portion = work.portions.iter().find(|portion| portion.service == service);
     let shards = &portion.expect("the work has a portion of the service").shards;
-    let part =
-        |shard: &String| Part { shard: shard.clone(), body: format!("{shard}@{}", work.version) };
+    let part = |shard: &String| Part {
+        shard: shard.clone(),
+        body: format!("{shard}@{}", work.version),
+        response: None,
+    };
     Reply {
         verdict: Verdict::Ran.into(),
         parts: shards.iter().map(part).collect(),
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -39,7 +39,8 @@
 
 /// The answer that fits the request, with these bodies of parts.
 pub(crate) fn answer(request: &target::Request, body: impl Fn(&str) -> String) -> target::Answer {
-    let part = |shard: &String| call::Part { shard: shard.clone(), body: body(shard) };
+    let part =
+        |shard: &String| call::Part { shard: shard.clone(), body: body(shard), response: None };
     target::Answer {
         id: request.id.clone(),
         index: request.index.clone(),
@@ -117,6 +118,7 @@
         entry: Arc::new(entry()),
         servers,
         candidates: vec![candidate("porto-1", true), candidate("porto-2", false)],
+        sharers: 1,
     }
 }
 
@@ -182,7 +184,9 @@
         self.machine.handle(self.now, event, &mut out);
         for action in &out {
             match action {
-                Action::Open { lane, address } => self.opened.push((*lane, Arc::clone(address))),
+                Action::Open { lane, address, .. } => {
+                    self.opened.push((*lane, Arc::clone(address)));
+                }
                 Action::Close(lane) => self.opened.retain(|(open, _)| open != lane),
                 _ => {}
             }
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -30,7 +30,7 @@
 
     fn line(&mut self, action: &Action) -> String {
         match action {
-            Action::Open { lane, address } => {
+            Action::Open { lane, address, .. } => {
                 self.lanes.push(*lane);
                 format!("open lane {} to {address}", self.number(*lane))
             }
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -104,7 +104,7 @@
     pub(crate) fn check(&mut self, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Open { lane, address } => self.check_open(*lane, address),
+                Action::Open { lane, address, .. } => self.check_open(*lane, address),
                 Action::Close(lane) => self.check_close(*lane),
                 Action::Send { lane, attempt, request, .. } => {
                     self.check_send(*lane, *attempt, request);
--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -78,7 +78,7 @@
         platform: &str,
         records: Vec<publication::Record>,
     ) -> Result<(), Error> {
-        let page = publication::Page { head: 0, records };
+        let page = publication::Page { records, ..publication::Page::default() };
         self.post(platform, "/admin/publish", &page).await
     }
 
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -222,6 +222,7 @@
         deadline_ms: plan.deadline_ms,
         unrepeatable: false,
         payload: format!("{}-{}", plan.class.name, arrival.sequence),
+        message: None,
     }
 }
 
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -117,6 +117,7 @@
             operation: self.operation.clone(),
             deadline_ms: DEADLINE_MS,
             payload: String::new(),
+            message: None,
         };
         self.time(&self.server, &request).await
     }
--- a/crates/load/tests/check.rs
+++ b/crates/load/tests/check.rs
@@ -16,7 +16,7 @@
 const ASKED: Asked<'_> = Asked { key: "k1", index: "docks", shards: &["s1", "s2"], payload: "p" };
 
 fn part(shard: &str, body: &str) -> Part {
-    Part { shard: shard.to_owned(), body: body.to_owned() }
+    Part { shard: shard.to_owned(), body: body.to_owned(), response: None }
 }
 
 fn complete() -> Answer {
--- a/crates/schema/src/check/record.rs
+++ b/crates/schema/src/check/record.rs
@@ -1,5 +1,7 @@
 //! Checks of each kind of record.
 
+mod routing;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -35,6 +37,7 @@
         Some(Body::Server(body)) => server(body),
         Some(Body::Instance(body)) => instance(body),
         Some(Body::Tombstone(body)) => tombstone(body),
+        Some(Body::Routing(body)) => routing::routing(body),
     }
 }
 
@@ -143,9 +146,11 @@
         Ok(Kind::Unspecified) | Err(_) => Err(Error::Choice {
             field: "tombstone.kind".to_owned(),
             value: tombstone.kind,
-            allowed: "KIND_ENTRY, KIND_INDEX, KIND_SERVER, KIND_INSTANCE",
+            allowed: "KIND_ENTRY, KIND_INDEX, KIND_SERVER, KIND_INSTANCE, KIND_ROUTING",
         }),
         Ok(Kind::Index) => versioned("tombstone.name", &tombstone.name),
+        Ok(Kind::Routing) if tombstone.name.is_empty() => Ok(()),
+        Ok(Kind::Routing) => Err(text("tombstone.name", &tombstone.name, "empty")),
         Ok(_) => name("tombstone.name", &tombstone.name),
     }
 }
--- a/crates/standin/src/bin/standin-layout.rs
+++ b/crates/standin/src/bin/standin-layout.rs
@@ -132,7 +132,8 @@
         });
     let hedging = choice("hedging", "on|off", "Second copies of slow requests", switch);
     let queueing = choice("queueing", "on|off", "Queue in front of the servers", switch);
-    construct!(Strategy { placement, selection, hedging, queueing })
+    let listing = bpaf::pure(0);
+    construct!(Strategy { placement, selection, hedging, queueing, listing })
 }
 
 fn switch(name: &str) -> Option<i32> {
--- a/crates/standin/src/layout/records.rs
+++ b/crates/standin/src/layout/records.rs
@@ -38,12 +38,7 @@
         service,
         owner: sizes.owner.to_owned(),
         urgency: group.urgency.into(),
-        limits: Some(Limits {
-            in_flight: 0,
-            queue: QUEUE,
-            extra_percent: EXTRA_PERCENT,
-            connections: 0,
-        }),
+        limits: Some(Limits { queue: QUEUE, extra_percent: EXTRA_PERCENT, ..Limits::default() }),
         operations: group.operations.iter().map(operation).collect(),
     });
     entries.collect()
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -153,7 +153,7 @@
             .publish(page.records)
             .map_err(|refusal| http::problem(refusal.status(), &refusal.to_string()))?;
         self.changed();
-        let page = Page { head, records: Vec::new() };
+        let page = Page { head, ..Page::default() };
         Ok(http::json(StatusCode::OK, &page))
     }
 
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -20,6 +20,7 @@
             Body::Index(index) => (Kind::Index, format!("{}@{}", index.name, index.version)),
             Body::Server(server) => (Kind::Server, server.name.clone()),
             Body::Instance(instance) => (Kind::Instance, instance.name.clone()),
+            Body::Routing(_) => (Kind::Routing, String::new()),
             Body::Tombstone(tombstone) => (tombstone.kind(), tombstone.name.clone()),
         };
         Some(Self { kind, name })
@@ -99,6 +100,6 @@
         let newer = newer.filter(|record| record.revision > after);
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
-        Page { head: self.head, records }
+        Page { head: self.head, records, ..Page::default() }
     }
 }
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -183,7 +183,7 @@
     let parts = request.shards.into_iter().map(|shard| {
         let (index, version) = (&request.index, request.version);
         let body = answer::body(index, version, &shard, &request.key, &request.payload);
-        Part { shard, body }
+        Part { shard, body, response: None }
     });
     let parts = parts.collect();
     Answer { id: request.id, index: request.index, version: request.version, parts }
--- a/crates/standin/tests/standin/client.rs
+++ b/crates/standin/tests/standin/client.rs
@@ -178,5 +178,6 @@
         operation: "dock-booking".to_owned(),
         deadline_ms: 60_000,
         payload: "bay 4".to_owned(),
+        message: None,
     }
 }
--- a/crates/standin/tests/standin/platform.rs
+++ b/crates/standin/tests/standin/platform.rs
@@ -41,7 +41,7 @@
     }
 
     async fn publish(&self, records: Vec<Record>) -> Reply {
-        post(&self.url("/admin/publish"), &Page { head: 0, records }).await
+        post(&self.url("/admin/publish"), &Page { head: 0, records, ..Page::default() }).await
     }
 
     async fn mode(&self, mode: Mode) {
--- a/src/bin/ladder-entry.rs
+++ b/src/bin/ladder-entry.rs
@@ -1,8 +1,10 @@
 //! `ladder-entry`: the daemon of one instance.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use sycamoreladder::entry;
+use sycamoreladder::entry::native::Native;
 use sycamoreladder::options::Options;
 use sycamoreladder::options::arguments::arguments;
 
@@ -22,7 +24,7 @@
         println!("{}: sound", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    match entry::run(&options) {
+    match entry::run(&options, Arc::new(Native)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("ladder-entry: {error}");
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,24 +7,28 @@
 //! - `peer` thread: decodes frames of peers and hands their parts to the three.
 
 pub mod admin;
-pub mod callers;
 pub mod control;
+pub mod dialect;
+pub mod door;
 pub mod gather;
-pub mod lanes;
 pub mod leaf;
+pub mod native;
 pub mod peer;
 pub mod status;
 pub mod stop;
 
 use std::io;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
 use ladder_core::view::Peer;
+use ladder_schema::publication::Bounds;
 use slog::{Logger, info};
 
+use dialect::{Dialect, Listeners};
+
 use crate::clock::{self, Clock};
 use crate::driver::{self, Handle};
 use crate::link::{Cut, Identity, Inbound, Outbound};
@@ -81,6 +85,10 @@
     pub cut: Cut,
     /// Whether the balancer should send callers here.
     pub ready: Ready,
+    /// What is spoken with callers, servers and the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// What a caller may send.
+    pub bounds: Limits,
     /// To the control machine.
     pub control: Handle<ladder_core::control::Machine>,
     /// To the gathering machine.
@@ -89,6 +97,22 @@
     pub leaf: Handle<ladder_core::leaf::Machine>,
 }
 
+/// What a caller may send, by the routes in force.
+#[derive(Clone, Debug, Default)]
+pub struct Limits(Arc<Mutex<Bounds>>);
+
+impl Limits {
+    /// The bounds in force.
+    pub fn get(&self) -> Bounds {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over other bounds.
+    pub fn set(&self, bounds: Bounds) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
+    }
+}
+
 /// Whether the balancer should send callers here: enough is known and no stop has begun.
 #[derive(Clone, Debug, Default)]
 pub struct Ready {
@@ -118,14 +142,19 @@
     }
 }
 
-/// Runs the daemon until it is told to stop.
+/// Runs the daemon until it is told to stop, speaking `dialect`.
 ///
 /// # Errors
 ///
 /// [`Error`] when it cannot start.
-pub fn run(options: &Options) -> Result<(), Error> {
+pub fn run(options: &Options, dialect: Arc<dyn Dialect>) -> Result<(), Error> {
     let settings = &options.instance;
     let callers = listen(&settings.caller_address)?;
+    let ready = match settings.ready_address.as_str() {
+        "" => None,
+        address => Some(listen(address)?),
+    };
+    let listeners = Listeners { callers, ready };
     let operators = listen(&settings.admin_address)?;
     let socket = Inbound::listen(&settings.peer_address)
         .map_err(|error| Error::Peer { address: settings.peer_address.clone(), error })?;
@@ -157,6 +186,8 @@
         outbound,
         cut,
         ready: Ready::default(),
+        dialect,
+        bounds: Limits::default(),
         control,
         gather,
         leaf,
@@ -164,7 +195,7 @@
     info!(shared.log, "starts"; "incarnation" => incarnation, "zone" => &settings.zone);
     spawn("leaf", &shared, move |shared| leaf::run(shared, leaf_inbox))?;
     spawn("gather", &shared, move |shared| {
-        gather::run(shared, gather_inbox, callers);
+        gather::run(shared, gather_inbox, listeners);
     })?;
     spawn("control", &shared, move |shared| {
         control::run(shared, control_inbox, operators);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -4,25 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::Client;
-use ladder_core::control::settings::{Placement, Settings, Timing};
+use ladder_core::control::settings::{Listing, Placement, Settings, Timing};
 use ladder_core::control::{Action, Event, Machine};
 use ladder_core::time::Instant;
 use ladder_core::view::View;
 use ladder_core::{gather, leaf};
-use ladder_schema::publication::Page;
 use ladder_schema::settings;
 use slog::{error, info, warn};
 
+use super::dialect::Publication;
 use super::{Shared, admin};
 use crate::driver::{self, Driver, Inbox, Performer};
 use crate::http;
 
-/// Added to a watch's wait before the platform counts as silent.
-const GRACE: Duration = Duration::from_millis(2000);
-/// Bytes of one page.
-const PAGE_BYTES: usize = 64 * 1024 * 1024;
-
 impl driver::Machine for Machine {
     type Event = Event;
     type Action = Action;
@@ -47,51 +41,29 @@
 /// Carries out the control machine's actions.
 struct Performing {
     shared: Shared,
-    client: Client,
+    publication: Box<dyn Publication>,
 }
 
 impl Performing {
-    /// Starts a read of the platform.
-    fn watch(&self, after: u64, wait: Duration) {
-        let platform = &self.shared.options.instance.platform_address;
-        let wait_ms = wait.as_millis();
-        let url = format!("http://{platform}/v1/records?after={after}&wait_ms={wait_ms}");
-        let request = self.client.get(url).timeout(wait + GRACE).send();
-        let control = self.shared.control.clone();
-        self.shared.metrics.platform_call();
-        actix_rt::spawn(async move {
-            control.tell(match page(request).await {
-                Some(page) => Event::Page(page),
-                None => Event::WatchFailed,
-            });
-        });
-    }
-
     /// Publishes a view to the traffic threads.
     fn publish(&self, view: Arc<View>) {
         if view.ready {
             self.shared.ready.set_known(true);
         }
+        if let Some(routing) = &view.routing {
+            self.shared.bounds.set(routing.bounds);
+        }
         self.shared.gather.tell(gather::Event::View(Arc::clone(&view)));
         self.shared.leaf.tell(leaf::Event::View(view));
     }
 }
 
-/// The page of a response, if it is one.
-async fn page(request: awc::SendClientRequest) -> Option<Page> {
-    let mut response = request.await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    response.json().limit(PAGE_BYTES).await.ok()
-}
-
 impl Performer<Machine> for Performing {
     fn perform(&mut self, _now: Instant, actions: &mut Vec<Action>) {
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
-                Action::Watch { after, wait } => self.watch(after, wait),
+                Action::Watch { after, wait } => self.publication.read(after, wait),
                 Action::View(view) => {
                     info!(self.shared.log, "view in force"; "generation" => view.generation,
                         "revision" => view.revision, "ready" => view.ready);
@@ -120,11 +92,12 @@
         };
         let operators = admin::Door::new(shared.clone());
         actix_rt::spawn(http::serve(listener, move |request| operators.clone().handle(request)));
+        let publication = shared.dialect.publication(&shared);
         let driver = Driver {
             machine: Machine::new(self::settings(&shared), shared.clock.now()),
             clock: shared.clock,
             pause: shared.options.times.pause,
-            performer: Performing { shared, client: Client::default() },
+            performer: Performing { shared, publication },
         };
         driver.run(inbox).await;
     });
@@ -138,12 +111,17 @@
         settings::Placement::Direct => Placement::Direct,
         _ => Placement::Owner,
     };
+    let listing = match shared.options.strategy.listing {
+        settings::Listing::Observed => Listing::Observed,
+        _ => Listing::Published,
+    };
     let timing = Timing {
         probe: times.probe,
         suspect: times.suspect,
         dead: times.dead,
         digest: times.digest,
         watch: times.watch,
+        backoff: times.backoff,
         ..Timing::default()
     };
     Settings::builder(&instance.name, &instance.peer_address)
@@ -152,6 +130,7 @@
         .zone(&instance.zone)
         .seeds(instance.seeds.iter().map(String::as_str))
         .placement(placement)
+        .listing(listing)
         .timing(timing)
         .seed(shared.incarnation)
         .build()
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -1,7 +1,6 @@
 //! The gather thread: callers' HTTP and the gathering machine.
 
 use std::cell::RefCell;
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,12 +10,11 @@
 use ladder_core::leaf;
 use ladder_core::time::Instant;
 use ladder_schema::wire::{Cancel, Frame, Work};
-use slog::error;
 
 use super::Shared;
-use super::callers::{self, Waiting};
+use super::dialect::Listeners;
+use super::door::{Door, Waiting};
 use crate::driver::{self, Driver, Inbox, Performer};
-use crate::http;
 
 impl driver::Machine for Machine {
     type Event = Event;
@@ -90,19 +88,11 @@
 }
 
 /// Runs the thread until the process ends.
-pub fn run(shared: Shared, inbox: Inbox<Machine>, listener: TcpListener) {
-    let log = shared.log.clone();
+pub fn run(shared: Shared, inbox: Inbox<Machine>, listeners: Listeners) {
     actix_rt::System::new().block_on(async move {
-        let listener = match tokio::net::TcpListener::from_std(listener) {
-            Ok(listener) => listener,
-            Err(error) => {
-                error!(log, "callers cannot be served"; "error" => %error);
-                return;
-            }
-        };
         let waiting = Rc::new(RefCell::new(Waiting::default()));
-        let door = callers::Door::new(shared.clone(), Rc::clone(&waiting));
-        actix_rt::spawn(http::serve(listener, move |request| door.clone().handle(request)));
+        let door = Door::new(shared.clone(), Rc::clone(&waiting));
+        actix_rt::spawn(shared.dialect.callers(door, listeners));
         let settings = Settings::builder(&shared.me.name, shared.incarnation)
             .hedging(shared.options.strategy.hedging)
             .build();
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -11,7 +11,7 @@
 use ladder_schema::wire::{Frame, Reply};
 
 use super::Shared;
-use super::lanes::Lanes;
+use super::dialect::{Reports, Servers};
 use crate::driver::{self, Driver, Inbox, Performer};
 
 impl driver::Machine for Machine {
@@ -38,7 +38,7 @@
 /// Carries out the leaf machine's actions.
 struct Performing {
     shared: Shared,
-    lanes: Lanes,
+    servers: Box<dyn Servers>,
     /// Replies of one batch to the local gathering machine; empty between batches.
     local: Vec<Reply>,
     /// Frames of one batch by peer address; empty between batches.
@@ -72,13 +72,15 @@
     fn perform(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for action in actions.drain(..) {
             match action {
-                Action::Open { lane, address } => self.lanes.open(lane, &address),
-                Action::Close(lane) => self.lanes.close(lane),
+                Action::Open { lane, address, server } => {
+                    self.servers.open(lane, &address, &server);
+                }
+                Action::Close(lane) => self.servers.close(lane),
                 Action::Send { lane, attempt, request, timeout } => {
-                    self.lanes.send(lane, attempt, request, now + timeout);
+                    self.servers.send(lane, attempt, request, now + timeout);
                 }
-                Action::Cancel { lane, id } => self.lanes.cancel(lane, &id),
-                Action::Probe { lane, server } => self.lanes.probe(lane, server),
+                Action::Cancel { lane, id } => self.servers.cancel(lane, &id),
+                Action::Probe { lane, server } => self.servers.probe(lane, server),
                 Action::Reply { to, reply } => self.reply(&to, reply),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
@@ -95,14 +97,22 @@
             .selection(strategy.selection)
             .hedging(strategy.hedging)
             .queueing(strategy.queueing)
+            .probing(shared.dialect.probes())
+            .linger(shared.dialect.linger())
+            .zone(&shared.options.instance.zone)
             .seed(shared.incarnation)
             .build();
-        let lanes = Lanes::new(shared.leaf.clone(), shared.control.clone(), shared.clock);
+        let reports = Reports {
+            leaf: shared.leaf.clone(),
+            control: shared.control.clone(),
+            clock: shared.clock,
+        };
+        let servers = shared.dialect.servers(reports);
         let driver = Driver {
             machine: Machine::new(settings),
             clock: shared.clock,
             pause: shared.options.times.pause,
-            performer: Performing { shared, lanes, local: Vec::new(), frames: Map::default() },
+            performer: Performing { shared, servers, local: Vec::new(), frames: Map::default() },
         };
         driver.run(inbox).await;
     });
--- /dev/null
+++ b/src/entry/native/callers.rs
@@ -0,0 +1,91 @@
+//! Callers' HTTP: `POST /query` and `GET /ready`.
+
+use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use ladder_core::gather;
+use ladder_schema::bounds;
+use ladder_schema::call;
+use ladder_schema::outcome::{Reason, Verdict};
+use tokio::net::TcpListener;
+
+use crate::entry::dialect::Listeners;
+use crate::entry::door::{Door, refusal};
+use crate::http::{self, BodyError};
+
+/// Serves callers and the balancer, at its own address where the settings name one.
+pub(super) async fn serve(door: Door, listeners: Listeners) {
+    let desk = Desk { door };
+    if let Some(ready) = listeners.ready.and_then(|ready| TcpListener::from_std(ready).ok()) {
+        let desk = desk.clone();
+        actix_rt::spawn(http::serve(ready, move |request| desk.clone().handle(request)));
+    }
+    if let Ok(listener) = TcpListener::from_std(listeners.callers) {
+        http::serve(listener, move |request| desk.clone().handle(request)).await;
+    }
+}
+
+/// Takes callers' requests.
+#[derive(Clone)]
+struct Desk {
+    door: Door,
+}
+
+impl Desk {
+    /// Answers one HTTP request.
+    async fn handle(self, mut request: Request) -> Response<BoxBody> {
+        match (request.method(), request.path()) {
+            (&Method::POST, "/query") => {
+                let body = http::body(&mut request, bounds::REQUEST_BYTES).await;
+                self.query(body).await
+            }
+            (&Method::GET, "/ready") if self.door.is_ready() => {
+                http::text(StatusCode::OK, "ready\n")
+            }
+            (&Method::GET, "/ready") => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (_, "/query" | "/ready") => {
+                http::text(StatusCode::METHOD_NOT_ALLOWED, "POST /query or GET /ready\n")
+            }
+            _ => http::text(StatusCode::NOT_FOUND, "POST /query or GET /ready\n"),
+        }
+    }
+
+    /// Answers one query.
+    async fn query(self, body: Result<Bytes, BodyError>) -> Response<BoxBody> {
+        let request = match decode(body) {
+            Ok(request) => request,
+            Err(answer) => return self.respond(&answer),
+        };
+        let answer = self.door.ask(request).await;
+        self.respond(&answer)
+    }
+
+    /// An answer as an HTTP response.
+    fn respond(&self, answer: &call::Answer) -> Response<BoxBody> {
+        let status = StatusCode::from_u16(gather::status(answer))
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = http::json(status, answer);
+        if self.door.is_draining() {
+            // A request written to a kept connection right when the process ends would be cut and
+            // leave its caller without a verdict: connections are given up beforehand.
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+}
+
+/// Decodes a request, or gives the refusal to answer with: nothing of it has run.
+///
+/// # Errors
+///
+/// The answer to give.
+pub fn decode(body: Result<Bytes, BodyError>) -> Result<call::Request, Box<call::Answer>> {
+    let refuse =
+        |reason, detail: String| Box::new(refusal(String::new(), reason, Verdict::NotRun, &detail));
+    match body {
+        Ok(bytes) => serde_json::from_slice(&bytes)
+            .map_err(|error| refuse(Reason::Malformed, error.to_string())),
+        Err(error @ BodyError::TooLarge(_)) => Err(refuse(Reason::TooLarge, error.to_string())),
+        Err(error @ BodyError::Broken(_)) => Err(refuse(Reason::Malformed, error.to_string())),
+    }
+}
--- a/src/entry/lanes.rs
+++ b/src/entry/native/lanes.rs
@@ -10,15 +10,15 @@
 use awc::{Client, Connector};
 use ladder_core::collections::Map;
 use ladder_core::control;
+use ladder_core::leaf::Event;
 use ladder_core::leaf::event::{AttemptKey, LaneKey, Outcome};
-use ladder_core::leaf::{self, Event};
 use ladder_core::time::Instant;
 use ladder_schema::{bounds, target};
 use serde::de::DeserializeOwned;
 use tokio::time::timeout_at;
 
 use crate::clock::Clock;
-use crate::driver::Handle;
+use crate::entry::dialect::{Reports, Servers};
 
 /// Longest time to open a connection, and to answer a load report or a cancellation.
 const SHORT: Duration = Duration::from_millis(2000);
@@ -34,26 +34,37 @@
 
 /// All lanes of the leaf thread; clones share them.
 #[derive(Clone)]
-pub struct Lanes {
+pub(super) struct Lanes {
     /// Invariant: holds the lanes that the machine holds open or is opening.
     lanes: Rc<RefCell<Map<LaneKey, Lane>>>,
-    leaf: Handle<leaf::Machine>,
-    control: Handle<control::Machine>,
-    clock: Clock,
+    reports: Reports,
 }
 
 impl Lanes {
     /// No lanes yet.
-    pub fn new(
-        leaf: Handle<leaf::Machine>,
-        control: Handle<control::Machine>,
-        clock: Clock,
-    ) -> Self {
-        Self { lanes: Rc::default(), leaf, control, clock }
+    pub(super) fn new(reports: Reports) -> Self {
+        Self { lanes: Rc::default(), reports }
     }
 
+    /// The lane of this key, unless it was closed.
+    fn get(&self, key: LaneKey) -> Option<Lane> {
+        self.lanes.borrow().get(&key).cloned()
+    }
+
+    /// Reports the lane idle after a whole exchange, closed otherwise.
+    fn settle(&self, key: LaneKey, whole: bool) {
+        if whole {
+            self.reports.leaf.tell(Event::Opened(key));
+        } else {
+            self.close(key);
+            self.reports.leaf.tell(Event::Closed(key));
+        }
+    }
+}
+
+impl Servers for Lanes {
     /// Opens a connection by asking for the load, so that the first query finds it warm.
-    pub fn open(&self, key: LaneKey, address: &Arc<str>) {
+    fn open(&self, key: LaneKey, address: &Arc<str>, _server: &Arc<str>) {
         let lane = Lane { client: client(), address: Arc::clone(address) };
         self.lanes.borrow_mut().insert(key, lane.clone());
         let lanes = self.clone();
@@ -64,38 +75,32 @@
     }
 
     /// Closes a connection.
-    pub fn close(&self, key: LaneKey) {
+    fn close(&self, key: LaneKey) {
         self.lanes.borrow_mut().remove(&key);
     }
 
     /// Sends a request and reports how it ended. `until` is when it counts as lost.
-    pub fn send(
-        &self,
-        key: LaneKey,
-        attempt: AttemptKey,
-        request: target::Request,
-        until: Instant,
-    ) {
+    fn send(&self, key: LaneKey, attempt: AttemptKey, request: target::Request, until: Instant) {
         let Some(lane) = self.get(key) else {
-            self.leaf.tell(Event::Ended { attempt, outcome: Outcome::Unsent });
+            self.reports.leaf.tell(Event::Ended { attempt, outcome: Outcome::Unsent });
             return;
         };
         let lanes = self.clone();
         actix_rt::spawn(async move {
-            let outcome = call(&lane, &request, until, lanes.clock).await;
+            let outcome = call(&lane, &request, until, lanes.reports.clock).await;
             // A connection that timed out midway still carries the late answer, which the next
             // request on it would take for its own: only a whole exchange lets it live.
             if !matches!(outcome, Outcome::Answer(_) | Outcome::Refusal(_)) {
                 lanes.close(key);
             }
-            lanes.leaf.tell(Event::Ended { attempt, outcome });
+            lanes.reports.leaf.tell(Event::Ended { attempt, outcome });
         });
     }
 
     /// Asks the server to cancel the request `id`.
-    pub fn cancel(&self, key: LaneKey, id: &str) {
+    fn cancel(&self, key: LaneKey, id: &str) {
         let Some(lane) = self.get(key) else {
-            self.leaf.tell(Event::Closed(key));
+            self.reports.leaf.tell(Event::Closed(key));
             return;
         };
         let lanes = self.clone();
@@ -110,39 +115,24 @@
     }
 
     /// Asks the server for its load.
-    pub fn probe(&self, key: LaneKey, server: Arc<str>) {
+    fn probe(&self, key: LaneKey, server: Arc<str>) {
         let Some(lane) = self.get(key) else {
-            self.leaf.tell(Event::Closed(key));
+            self.reports.leaf.tell(Event::Closed(key));
             return;
         };
         let lanes = self.clone();
         actix_rt::spawn(async move {
             let load = load(&lane).await;
             if let Some(report) = load.as_ref().filter(|report| report.leaving) {
-                lanes.control.tell(control::Event::ServerLeaving {
+                lanes.reports.control.tell(control::Event::ServerLeaving {
                     server: Arc::clone(&server),
                     incarnation: report.incarnation,
                 });
             }
             lanes.settle(key, load.is_some());
-            lanes.leaf.tell(Event::Load { server, load });
+            lanes.reports.leaf.tell(Event::Load { server, load });
         });
     }
-
-    /// The lane of this key, unless it was closed.
-    fn get(&self, key: LaneKey) -> Option<Lane> {
-        self.lanes.borrow().get(&key).cloned()
-    }
-
-    /// Reports the lane idle after a whole exchange, closed otherwise.
-    fn settle(&self, key: LaneKey, whole: bool) {
-        if whole {
-            self.leaf.tell(Event::Opened(key));
-        } else {
-            self.close(key);
-            self.leaf.tell(Event::Closed(key));
-        }
-    }
 }
 
 /// A client that holds one connection at most.
--- a/src/options.rs
+++ b/src/options.rs
@@ -6,9 +6,10 @@
 pub mod arguments;
 pub mod file;
 
+use std::path::PathBuf;
 use std::time::Duration;
 
-use ladder_schema::settings::{Instance, Placement, Selection, Switch, Timing};
+use ladder_schema::settings::{Instance, Listing, Placement, Selection, Switch, Timing};
 
 use arguments::Arguments;
 
@@ -27,9 +28,16 @@
 /// Default of `timing.watch_ms`.
 pub const WATCH_MS: u32 = 5000;
 
+/// Default of `timing.backoff_ms`.
+pub const BACKOFF_MS: u32 = 15_000;
+/// Kept of `timing.grace_s` for the end of the process itself.
+const LAST: Duration = Duration::from_millis(1300);
+
 /// What the daemon runs with.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// The file that the settings come from, if any; it is read again when it changes.
+    pub source: Option<PathBuf>,
     /// The checked settings, as written.
     pub instance: Instance,
     /// How work reaches servers, defaults filled in.
@@ -49,6 +57,8 @@
     pub hedging: bool,
     /// Hold work beyond the servers' slots in a queue.
     pub queueing: bool,
+    /// Where the number of instances comes from.
+    pub listing: Listing,
 }
 
 /// Times of the daemon.
@@ -68,6 +78,8 @@
     pub drain: Duration,
     /// How long a watch of the platform may wait.
     pub watch: Duration,
+    /// Longest wait after failed reads of the platform.
+    pub backoff: Duration,
 }
 
 impl Options {
@@ -81,7 +93,7 @@
         if let Some(level) = arguments.log_level {
             instance.log.get_or_insert_default().set_level(level);
         }
-        Ok(Self::new(instance))
+        Ok(Self { source: Some(arguments.settings.clone()), ..Self::new(instance) })
     }
 
     /// Fills in the defaults of checked settings.
@@ -98,9 +110,13 @@
             },
             hedging: strategy.hedging() != Switch::Off,
             queueing: strategy.queueing() != Switch::Off,
+            listing: match strategy.listing() {
+                Listing::Unspecified => Listing::Published,
+                chosen => chosen,
+            },
         };
         let times = Times::new(&instance.timing.unwrap_or_default());
-        Self { instance, strategy, times }
+        Self { source: None, instance, strategy, times }
     }
 }
 
@@ -113,12 +129,22 @@
             dead: millis(timing.dead_ms, DEAD_MS),
             digest: millis(timing.digest_ms, DIGEST_MS),
             pause: millis(timing.pause_ms, PAUSE_MS),
-            drain: millis(timing.drain_ms, DRAIN_MS),
+            drain: drain(timing),
+            backoff: millis(timing.backoff_ms, BACKOFF_MS),
             watch: millis(timing.watch_ms, WATCH_MS),
         }
     }
 }
 
+/// How long a stop may wait for work in flight.
+fn drain(timing: &Timing) -> Duration {
+    if timing.grace_s > 0.0 {
+        let grace = Duration::from_secs_f64(timing.grace_s);
+        return grace.saturating_sub(LAST).max(grace / 4);
+    }
+    millis(timing.drain_ms, DRAIN_MS)
+}
+
 /// `value` in milliseconds, `default` when it is 0.
 fn millis(value: u32, default: u32) -> Duration {
     let value = if value == 0 { default } else { value };
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -6,7 +6,10 @@
 use std::path::{Path, PathBuf};
 
 use ladder_schema::bounds;
-use ladder_schema::settings::{Instance, Timing};
+use ladder_schema::settings::{Allowance, Instance, Timing};
+
+/// Allowed bounds of a stop in seconds.
+const GRACE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
 
 /// Why settings are not usable.
 #[derive(Debug)]
@@ -98,6 +101,10 @@
     for (index, seed) in instance.seeds.iter().enumerate() {
         check_address(&format!("seeds[{index}]"), seed, &mut mistakes);
     }
+    if !instance.ready_address.is_empty() {
+        check_address("readyAddress", &instance.ready_address, &mut mistakes);
+    }
+    check_allowance(&instance.allowance.unwrap_or_default(), &mut mistakes);
     check_timing(&instance.timing.unwrap_or_default(), &mut mistakes);
     mistakes
 }
@@ -125,8 +132,31 @@
     }
 }
 
+/// The share of extra calls is one.
+fn check_allowance(allowance: &Allowance, mistakes: &mut Vec<Mistake>) {
+    if !(0.0..=1.0).contains(&allowance.extra_ratio) {
+        mistakes.push(Mistake {
+            field: "allowance.extraRatio".to_owned(),
+            value: allowance.extra_ratio.to_string(),
+            allowed: "0 to 1".to_owned(),
+        });
+    }
+}
+
+/// The bound of a stop is 0 for none or long enough to answer what is open.
+fn check_grace(grace_s: f64, mistakes: &mut Vec<Mistake>) {
+    if grace_s != 0.0 && !GRACE_S.contains(&grace_s) {
+        mistakes.push(Mistake {
+            field: "timing.graceS".to_owned(),
+            value: grace_s.to_string(),
+            allowed: format!("{} to {} s, or 0 for none", GRACE_S.start(), GRACE_S.end()),
+        });
+    }
+}
+
 /// Times are 0 for the default or within their range.
 fn check_timing(timing: &Timing, mistakes: &mut Vec<Mistake>) {
+    check_grace(timing.grace_s, mistakes);
     let range = |field, value, least, most| Range { field, value, least, most };
     for Range { field, value, least, most } in [
         range("timing.probeMs", timing.probe_ms, 50, 10_000),
@@ -136,6 +166,7 @@
         range("timing.pauseMs", timing.pause_ms, 200, 60_000),
         range("timing.drainMs", timing.drain_ms, 100, 600_000),
         range("timing.watchMs", timing.watch_ms, 100, 60_000),
+        range("timing.backoffMs", timing.backoff_ms, 100, 60_000),
     ] {
         if value != 0 && !(least..=most).contains(&value) {
             mistakes.push(Mistake {
--- a/tests/integration/catalogue.rs
+++ b/tests/integration/catalogue.rs
@@ -101,7 +101,7 @@
 /// Publishes an entry under a revision of the operator's own; gives the status of the answer.
 fn publish(fleet: &Fleet, revision: u64, operation: &str) -> thread::JoinHandle<u16> {
     let body = Some(Body::Entry(fleet.entry("report-desk", operation)));
-    let page = Page { head: 0, records: vec![Record { revision, body }] };
+    let page = Page { head: 0, records: vec![Record { revision, body }], ..Page::default() };
     let address = fleet.run.platform_address.clone();
     thread::spawn(move || {
         let response = http::post(&address, "/admin/publish", &page);
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -12,7 +12,7 @@
 use ladder_schema::wire::Frame;
 use ladder_schema::{bounds, check};
 use prost::Message;
-use sycamoreladder::entry::{callers, lanes};
+use sycamoreladder::entry::native;
 use sycamoreladder::link::inbound;
 use sycamoreladder::options::file;
 
@@ -31,7 +31,7 @@
 #[test]
 fn any_body_is_a_request_or_is_refused_as_not_run() {
     bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
-        if let Err(answer) = callers::decode(Ok(Bytes::copy_from_slice(bytes))) {
+        if let Err(answer) = native::decode(Ok(Bytes::copy_from_slice(bytes))) {
             assert_eq!(answer.verdict(), Verdict::NotRun);
             assert_eq!(answer.reason(), Reason::Malformed);
             assert!(!answer.detail.is_empty());
@@ -44,7 +44,7 @@
     bolero::check!().with_iterations(RUNS).with_type::<(u16, Vec<u8>)>().for_each(
         |(code, body)| {
             if let Ok(status) = awc::http::StatusCode::from_u16(*code) {
-                let outcome = lanes::outcome(status, body, "a1");
+                let outcome = native::outcome(status, body, "a1");
                 assert_ne!(outcome, leaf::event::Outcome::Unsent, "something was written");
             }
         },
@@ -65,7 +65,7 @@
     use ladder_schema::call::Part;
     use ladder_schema::wire::{Cancel, Digest, Portion, Probe, Reply, Rumour, Work};
     let portion = Portion { service: "s".into(), shards: vec!["a".into(), "b".into()] };
-    let part = Part { shard: "a".into(), body: "x".into() };
+    let part = Part { shard: "a".into(), body: "x".into(), response: None };
     Frame {
         protocol: bounds::PROTOCOL,
         fleet: FLEET.into(),
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -52,6 +52,8 @@
     pause_ms: 500,
     drain_ms: 20_000,
     watch_ms: 1000,
+    grace_s: 0.0,
+    backoff_ms: 0,
 };
 
 /// A run of real processes.
--- a/tests/integration/fleet/outside.rs
+++ b/tests/integration/fleet/outside.rs
@@ -27,7 +27,7 @@
     /// Publishes bodies in order, with the next revisions; gives the highest.
     pub(crate) fn publish(&self, bodies: Vec<Body>) -> u64 {
         let records = bodies.into_iter().map(|body| Record { revision: 0, body: Some(body) });
-        let page = Page { head: 0, records: records.collect() };
+        let page = Page { head: 0, records: records.collect(), ..Page::default() };
         self.posted(&self.run.platform_address, "/admin/publish", &page).json::<Page>().head
     }
 
--- a/tests/integration/lanes.rs
+++ b/tests/integration/lanes.rs
@@ -9,7 +9,7 @@
 use ladder_core::leaf::event::Outcome;
 use ladder_schema::outcome::Reason;
 use ladder_schema::target;
-use sycamoreladder::entry::lanes::{broken, outcome};
+use sycamoreladder::entry::native::{broken, outcome};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
