--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -34,7 +35,7 @@
 use crate::link::{Cut, Identity, Inbound, Outbound};
 use crate::log;
 use crate::metrics::Metrics;
-use crate::options::Options;
+use crate::options::{Options, arguments};
 
 /// Why the daemon could not start or go on.
 #[derive(Debug)]
@@ -142,6 +143,32 @@
     }
 }
 
+/// Exit code for settings that cannot be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// A daemon's whole main function: reads the command line and the settings, and runs.
+pub fn main(dialect: Arc<dyn Dialect>) -> ExitCode {
+    let arguments = arguments::arguments().run();
+    let options = match Options::load(&arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("ladder-entry: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if arguments.check_settings {
+        println!("{}: sound", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(&options, dialect) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ladder-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs the daemon until it is told to stop, speaking `dialect`.
 ///
 /// # Errors
