Read settings again at SIGHUP and when their file changes, log to standard output

A file changed without a signal was never seen. Change: reload.rs reads the file at the signal and when its stamp differs, takes seeds over, says what needs a restart, refuses what is not usable and keeps the old settings. Logs go to standard output from a thread of their own with a bounded queue, so that a reader that stands still stops nobody.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -28,6 +28,8 @@
         /// Its incarnation.
         incarnation: u64,
     },
+    /// Other peer addresses to ask at start and when no peer is known.
+    Seeds(Vec<Arc<str>>),
     /// The process was suspended for about this long.
     Paused(Duration),
     /// The instance starts its graceful stop: tell the peers.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -125,6 +125,7 @@
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(&server, incarnation, out);
             }
+            Event::Seeds(seeds) => self.settings.seeds = seeds,
             Event::Paused(_) => self.paused(now, out),
             Event::Drain => self.drain(now, out),
             Event::Tick => {}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,6 +14,7 @@
 pub mod leaf;
 pub mod native;
 pub mod peer;
+mod reload;
 pub mod status;
 pub mod stop;
 
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep};
 
-use super::{Error, Shared};
+use super::{Error, Shared, reload};
 
 /// How long callers are still taken after `/ready` says no, so that the balancer notices first.
 const NOTICE: Duration = Duration::from_millis(1500);
@@ -30,6 +30,7 @@
             _ = terminate.recv() => request(shared),
             _ = interrupt.recv() => request(shared),
             () = requested(shared) => {}
+            ended = reload::watch(shared) => ended?,
         }
         drain(shared).await;
         Ok(())
--- a/src/log.rs
+++ b/src/log.rs
@@ -3,7 +3,7 @@
 use ladder_schema::settings::{Format, Level, Log};
 use slog::{Drain, Logger, o};
 
-/// A logger to standard error as `settings` ask: JSON lines or text for people.
+/// A logger to standard output as `settings` ask: JSON lines or text for people.
 pub fn logger(settings: &Log, instance: &str) -> Logger {
     let level = match settings.level() {
         Level::Error => slog::Level::Error,
@@ -14,15 +14,25 @@
     let values = o!("instance" => instance.to_owned());
     match settings.format() {
         Format::Human => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
-            Logger::root(drain, values)
+            Logger::root(detached(drain).filter_level(level).fuse(), values)
         }
         Format::Json | Format::Unspecified => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
-            Logger::root(drain, values)
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
+            Logger::root(detached(drain).filter_level(level).fuse(), values)
         }
     }
 }
+
+/// Lines that wait for whoever reads the log; beyond it lines are dropped and counted in the log.
+const WAITING: usize = 1024;
+
+/// Writes from a thread of its own: a reader of the log that stands still would otherwise stop all
+/// threads that have something to say, and with them every request.
+fn detached<D>(drain: D) -> slog_async::Async
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain).chan_size(WAITING).build()
+}
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -158,6 +158,11 @@
         child.expect("the instance runs").signal(signal);
     }
 
+    /// Whether a running instance wrote a line with this in it.
+    pub(crate) fn logged(&self, at: usize, text: &str) -> bool {
+        self.instances[at].as_ref().is_some_and(|child| child.logged(text))
+    }
+
     /// Waits until an instance that was told to stop has ended; gives its exit code.
     pub(crate) fn until_ended(&mut self, at: usize) -> Option<i32> {
         let mut child = self.instances[at].take().expect("the instance runs");
--- a/tests/integration/fleet/child.rs
+++ b/tests/integration/fleet/child.rs
@@ -51,6 +51,11 @@
         self.process.try_wait().expect("the process is a child")
     }
 
+    /// Whether it wrote a line with this in it.
+    pub(crate) fn logged(&self, text: &str) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text))
+    }
+
     /// The end of what it wrote.
     pub(crate) fn tail(&self) -> String {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod partition;
 mod path;
 mod pause;
+mod reload;
 mod settings;
 mod stop;
 mod twofold;
