Serve again sooner after all instances were lost; one thread for traffic on one core

Cause: servers do not notice that a powered-off instance is gone and still count its connections. Besides, an instance waited up to a second for peers that were starting too, and each reply crossed two threads on a machine of one core. Ruled out: load (the processes used 0.05 of 0.25 cores).

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -48,8 +48,9 @@
 /// # Start
 ///
 /// An instance that starts with nothing reads the platform once and asks seeds and listed peers. It
-/// is ready when it knows a catalogue entry and an index, the platform has answered or failed, and
-/// a peer has answered, none is known, or a second has passed; and its shares of connections do
+/// is ready when it knows a catalogue entry and an index or the routes, the platform has answered or
+/// failed, and either that answer was a whole listing, a peer has answered, none is known, or a
+/// second has passed; and its shares of connections do
 /// not grow any more. If no source answers, it never
 /// becomes ready and callers are refused with `REASON_NOT_READY`; it goes on asking.
 #[derive(Debug)]
@@ -68,6 +69,8 @@
     probe: u64,
     /// Numbers of probes sent with a digest before the first answer.
     asked: Set<u64>,
+    /// The platform has listed all that it publishes: no peer can know better.
+    listed: bool,
     /// A peer has answered a digest.
     peer_answered: bool,
     /// The store has changed since the last view.
@@ -101,6 +104,7 @@
             next_digest: now,
             probe: 0,
             asked: Set::default(),
+            listed: false,
             peer_answered: false,
             store_changed: true,
             store_changed_at: now,
@@ -272,7 +276,7 @@
         let known = indexed || self.store.routing().is_some();
         let alone = self.settings.seeds.is_empty() && self.membership.members().next().is_none();
         let waited = now.since(self.started);
-        let heard = self.peer_answered || alone || waited >= START_WAIT;
+        let heard = self.listed || self.peer_answered || alone || waited >= START_WAIT;
         known && self.reader.tried() && heard && self.has_shares(waited)
     }
 
@@ -296,6 +300,7 @@
             let last = page.records.iter().map(|record| record.revision).max();
             self.reader.answered(now, last, page.head);
         }
+        self.listed |= page.whole;
         let mut records = page.records.clone();
         records.extend(self.left_out(page));
         let records = self.believed(now, records);
--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -116,6 +116,18 @@
     }
 }
 
+/// Connections that each of `instances` may hold to a server with this limit when the instances are
+/// counted and not published; at least one.
+///
+/// A server does not notice that the other end of a connection has lost its power. After a loss of
+/// all instances it still counts their connections while the same instances open new ones, and
+/// resets what goes beyond its limit. Shares that fill half of the limit leave room for the new.
+pub fn observed_share(limit: u32, instances: usize) -> u32 {
+    let instances = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
+    let half = limit / 2;
+    ((half + instances / 2) / instances).max(1)
+}
+
 /// Connections that each of `instances` may hold to a server with this limit when every instance
 /// asks the servers itself.
 ///
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -58,8 +58,9 @@
 }
 
 /// Connections to a server that an instance takes at its start, before it can know how many others
-/// share them: it has to serve at once, and two leave room for a fleet of half a server's limit.
-const FIRST_SHARE: u32 = 2;
+/// share them: it has to serve at once, and one from each finds room beside what the server still
+/// holds of a fleet that lost its power.
+const FIRST_SHARE: u32 = 1;
 
 /// A service by name; none if it has no entry.
 type Built = (Arc<str>, Option<Service>);
@@ -240,7 +241,7 @@
     fn share(&self, source: &Source<'_>, ranked: &ranks::Ranked, limit: u32) -> u32 {
         let own = &source.settings.name;
         if source.settings.listing == Listing::Observed {
-            return placement::direct_share(limit, source.membership.size()).max(1);
+            return placement::observed_share(limit, source.membership.size());
         }
         if source.settings.placement == Placement::Direct {
             let listed = self.ranks.is_listed(own);
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -8,7 +8,10 @@
 
 /// Advice of an instance that stops.
 const ELSEWHERE_MS: u32 = 10;
-/// Advice of an instance that knows too little or holds too much.
+/// Advice of an instance that knows too little: it learns what it needs within moments, and the
+/// next attempt most likely reaches one that knows.
+const SOON_MS: u32 = 50;
+/// Advice of an instance that holds too much.
 const LATER_MS: u32 = 500;
 
 /// The HTTP status of an answer.
@@ -62,7 +65,8 @@
     match reason {
         // The balancer sends the next attempt to another instance.
         Reason::Draining => ELSEWHERE_MS,
-        Reason::NotReady | Reason::QueueFull => LATER_MS,
+        Reason::NotReady => SOON_MS,
+        Reason::QueueFull => LATER_MS,
         _ => 0,
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,7 @@
 //!
 //! - `control` thread: the control machine, the watch of the platform, operators' HTTP;
 //! - `gather` thread: the gathering machine, callers' HTTP;
-//! - `leaf` thread: the leaf machine, connections to servers;
+//! - `leaf` thread: the leaf machine, connections to servers; on one core both share a thread;
 //! - `peer` thread: decodes frames of peers and hands their parts to the three.
 
 pub mod admin;
@@ -29,10 +29,12 @@
 use ladder_schema::publication::Bounds;
 use slog::{Logger, info};
 
+use futures_util::future;
+
 use dialect::{Dialect, Listeners};
 
 use crate::clock::{self, Clock};
-use crate::driver::{self, Handle};
+use crate::driver::{self, Handle, Inbox};
 use crate::link::{Cut, Identity, Inbound, Outbound};
 use crate::log;
 use crate::metrics::Metrics;
@@ -221,10 +223,7 @@
         leaf,
     };
     info!(shared.log, "starts"; "incarnation" => incarnation, "zone" => &settings.zone);
-    spawn("leaf", &shared, move |shared| leaf::run(shared, leaf_inbox))?;
-    spawn("gather", &shared, move |shared| {
-        gather::run(shared, gather_inbox, listeners);
-    })?;
+    spawn_traffic(&shared, leaf_inbox, gather_inbox, listeners)?;
     spawn("control", &shared, move |shared| {
         control::run(shared, control_inbox, operators);
     })?;
@@ -234,6 +233,32 @@
     stop::wait(&shared)
 }
 
+/// Starts the threads of the leaf and the gathering machine.
+fn spawn_traffic(
+    shared: &Shared,
+    leaf_inbox: Inbox<ladder_core::leaf::Machine>,
+    gather_inbox: Inbox<ladder_core::gather::Machine>,
+    listeners: Listeners,
+) -> Result<(), Error> {
+    let leaf = |shared| leaf::run(shared, leaf_inbox);
+    let gather = |shared| gather::run(shared, gather_inbox, listeners);
+    if has_one_core() {
+        spawn("traffic", shared, move |shared: Shared| {
+            let both = future::join(leaf(shared.clone()), gather(shared));
+            actix_rt::System::new().block_on(both);
+        })?;
+    } else {
+        spawn("leaf", shared, move |shared| actix_rt::System::new().block_on(leaf(shared)))?;
+        spawn("gather", shared, move |shared| actix_rt::System::new().block_on(gather(shared)))?;
+    }
+    Ok(())
+}
+
+/// On one core two threads for traffic gain nothing, and each reply would cost two wake-ups more.
+fn has_one_core() -> bool {
+    thread::available_parallelism().is_ok_and(|cores| cores.get() == 1)
+}
+
 /// Who this process is to its peers.
 fn identity(options: &Options, incarnation: u64) -> Identity {
     let settings = &options.instance;
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -87,21 +87,19 @@
     }
 }
 
-/// Runs the thread until the process ends.
-pub fn run(shared: Shared, inbox: Inbox<Machine>, listeners: Listeners) {
-    actix_rt::System::new().block_on(async move {
-        let waiting = Rc::new(RefCell::new(Waiting::default()));
-        let door = Door::new(shared.clone(), Rc::clone(&waiting));
-        actix_rt::spawn(shared.dialect.callers(door, listeners));
-        let settings = Settings::builder(&shared.me.name, shared.incarnation)
-            .hedging(shared.options.strategy.hedging)
-            .build();
-        let driver = Driver {
-            machine: Machine::new(settings),
-            clock: shared.clock,
-            pause: shared.options.times.pause,
-            performer: Performing { shared, waiting, frames: Map::default() },
-        };
-        driver.run(inbox).await;
-    });
+/// Runs the machine and serves callers until the process ends.
+pub async fn run(shared: Shared, inbox: Inbox<Machine>, listeners: Listeners) {
+    let waiting = Rc::new(RefCell::new(Waiting::default()));
+    let door = Door::new(shared.clone(), Rc::clone(&waiting));
+    actix_rt::spawn(shared.dialect.callers(door, listeners));
+    let settings = Settings::builder(&shared.me.name, shared.incarnation)
+        .hedging(shared.options.strategy.hedging)
+        .build();
+    let driver = Driver {
+        machine: Machine::new(settings),
+        clock: shared.clock,
+        pause: shared.options.times.pause,
+        performer: Performing { shared, waiting, frames: Map::default() },
+    };
+    driver.run(inbox).await;
 }
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -89,31 +89,26 @@
     }
 }
 
-/// Runs the thread until the process ends.
-pub fn run(shared: Shared, inbox: Inbox<Machine>) {
-    actix_rt::System::new().block_on(async move {
-        let strategy = shared.options.strategy;
-        let settings = Settings::builder(&shared.me.name, shared.incarnation)
-            .selection(strategy.selection)
-            .hedging(strategy.hedging)
-            .queueing(strategy.queueing)
-            .probing(shared.dialect.probes())
-            .linger(shared.dialect.linger())
-            .zone(&shared.options.instance.zone)
-            .seed(shared.incarnation)
-            .build();
-        let reports = Reports {
-            leaf: shared.leaf.clone(),
-            control: shared.control.clone(),
-            clock: shared.clock,
-        };
-        let servers = shared.dialect.servers(reports);
-        let driver = Driver {
-            machine: Machine::new(settings),
-            clock: shared.clock,
-            pause: shared.options.times.pause,
-            performer: Performing { shared, servers, local: Vec::new(), frames: Map::default() },
-        };
-        driver.run(inbox).await;
-    });
+/// Runs the machine until the process ends.
+pub async fn run(shared: Shared, inbox: Inbox<Machine>) {
+    let strategy = shared.options.strategy;
+    let settings = Settings::builder(&shared.me.name, shared.incarnation)
+        .selection(strategy.selection)
+        .hedging(strategy.hedging)
+        .queueing(strategy.queueing)
+        .probing(shared.dialect.probes())
+        .linger(shared.dialect.linger())
+        .zone(&shared.options.instance.zone)
+        .seed(shared.incarnation)
+        .build();
+    let reports =
+        Reports { leaf: shared.leaf.clone(), control: shared.control.clone(), clock: shared.clock };
+    let servers = shared.dialect.servers(reports);
+    let driver = Driver {
+        machine: Machine::new(settings),
+        clock: shared.clock,
+        pause: shared.options.times.pause,
+        performer: Performing { shared, servers, local: Vec::new(), frames: Map::default() },
+    };
+    driver.run(inbox).await;
 }
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -9,8 +9,9 @@
 
 use super::{Error, Shared, reload};
 
-/// How long callers are still taken after `/ready` says no, so that the balancer notices first.
-const NOTICE: Duration = Duration::from_millis(1500);
+/// How long callers are still taken after the balancer is told, so that it notices first: most ask
+/// every second and believe the second answer.
+const NOTICE: Duration = Duration::from_millis(3000);
 /// Between looks at what is still open.
 const LOOK: Duration = Duration::from_millis(20);
 /// How long new callers are still refused as not run before the process ends: a broken connection
@@ -57,7 +58,7 @@
     info!(shared.log, "stop begins");
     let bound = Instant::now() + shared.options.times.drain;
     shared.control.tell(control::Event::Drain);
-    sleep(NOTICE.min(shared.options.times.drain / 4)).await;
+    sleep(NOTICE.min(shared.options.times.drain * 5 / 8)).await;
     shared.leaf.tell(leaf::Event::Drain);
     shared.gather.tell(gather::Event::Drain);
     loop {
--- a/tests/integration/reload.rs
+++ b/tests/integration/reload.rs
@@ -1,5 +1,6 @@
 //! Settings that are read again while an instance runs.
 
+use ladder_schema::settings::Level;
 use ladder_standin::layout::user::User;
 use rustix::process::Signal;
 
@@ -11,7 +12,7 @@
 /// file instead, takes over what may change, and goes on answering.
 #[test]
 fn hangup_reads_the_settings() {
-    let fleet = Fleet::start(layout(User::Bagmati, 2));
+    let fleet = Fleet::start(layout(User::Bagmati, 2).level(Level::Info));
     fleet.signal(0, Signal::HUP);
     until("the settings are read", || fleet.logged(0, r#""seeds_changed":false"#));
     fleet.edit(0, |settings| settings.seeds = vec!["127.0.0.1:9".to_owned()]);
@@ -25,7 +26,7 @@
 /// with it, and the instance must not fall back to anything but the settings it has.
 #[test]
 fn unusable_settings_are_refused() {
-    let fleet = Fleet::start(layout(User::Bagmati, 2));
+    let fleet = Fleet::start(layout(User::Bagmati, 2).level(Level::Info));
     fleet.edit(0, |settings| settings.zone = "a zone".to_owned());
     until("the settings are refused", || {
         fleet.logged(0, "settings refused") && fleet.logged(0, "a zone")
