Avoid servers that shed, send second copies early, prefer the own zone more

Half of the calls crossed zones. Change: the share of calls that a server sheds raises its cost like failures do; with a target a call counts as slow after 30% of it at the latest; the factor of another zone is 2.

--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -228,6 +228,7 @@
         urgency: route.spec.urgency,
         attempts: route.spec.attempts,
         part: route.is_sweep(),
+        target_ms: route.spec.target_ms,
     }))
 }
 
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -27,7 +27,7 @@
 const FAILURE_COST: f64 = 4.0;
 /// How much a server of another zone is avoided: bytes between zones are paid for, and a server
 /// nearby that is as free as one far away answers a little sooner.
-const FAR: f64 = 1.5;
+const FAR: f64 = 2.0;
 
 impl Machine {
     /// Dispatches for all services that changed in the event at hand.
@@ -197,7 +197,8 @@
         let seen = server.health.mean(self.now).unwrap_or(usual);
         let expected = seen.max(usual / 2).max(self.oldest_call(server)).as_secs_f64();
         let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
-        let failures = FAILURE_COST * server.health.failure_rate(self.now);
+        let health = &server.health;
+        let failures = FAILURE_COST * (health.failure_rate(self.now) + health.shed_rate(self.now));
         let again = if tried { 4.0 } else { 1.0 };
         let near = self.settings.zone.is_empty() || self.settings.zone == server.zone;
         let way = if near { 1.0 } else { FAR };
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -44,6 +44,8 @@
     shed_until: Instant,
     /// It has shed since its last answer.
     sheds: bool,
+    /// Share of calls that it shed, at the time of the last answer or shedding.
+    shed_rate: f64,
 }
 
 impl Health {
@@ -55,6 +57,7 @@
         }
         self.row = 0;
         self.sheds = false;
+        self.shed_rate = self.shed_rate(now) * (1.0 - WEIGHT);
         self.pauses = 0;
         self.sample(span);
     }
@@ -82,6 +85,9 @@
 
     pub(super) fn shed(&mut self, now: Instant, advice: Duration, random: &mut Random) -> Instant {
         self.sheds = true;
+        let rate = self.shed_rate(now);
+        self.shed_rate = rate + WEIGHT * (1.0 - rate);
+        self.seen = now;
         let pause = advice.clamp(SHED_PAUSE, LONGEST_SHED_PAUSE);
         let until = now + pause + random.jitter(pause / 4);
         self.shed_until = self.shed_until.max(until);
@@ -114,6 +120,15 @@
         self.failure_rate * (-idle).exp2()
     }
 
+    /// Share of calls that it sheds, halved for every [`FADE`] without an outcome.
+    ///
+    /// A server that sheds part of its calls answers the others as fast as ever and looks free. Each
+    /// call that it sheds costs an extra call elsewhere, and those are few.
+    pub(super) fn shed_rate(&self, now: Instant) -> f64 {
+        let idle = now.since(self.seen).as_secs_f64() / FADE.as_secs_f64();
+        self.shed_rate * (-idle).exp2()
+    }
+
     /// Mean call time of answers; `None` before the first and when the last is too long ago.
     pub(super) fn mean(&self, now: Instant) -> Option<Duration> {
         let known = self.mean_us > 0.0 && now.since(self.seen) < FADE;
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -1,5 +1,7 @@
 //! Second copies of slow repeatable calls.
 
+use std::time::Duration;
+
 use super::ending::QUERY_EXTRA;
 use super::event::Action;
 use super::machine::Machine;
@@ -12,6 +14,8 @@
 
 /// Overdue portions looked at beyond those that the budget pays, when the first ones find no server.
 const SCAN: usize = 8;
+/// Part of a message's target time after which a call counts as slow whatever is learned.
+const TARGET_PERCENT: u32 = 30;
 
 impl Machine {
     /// Sets the time at which a portion's call counts as slow.
@@ -20,7 +24,7 @@
         if !self.settings.hedging || portion.unrepeatable || portion.hedged {
             return;
         }
-        let Some(delay) = self.services[portion.service].hedge_delay() else {
+        let Some(delay) = self.patience(key) else {
             return;
         };
         let at = self.now + delay;
@@ -29,6 +33,23 @@
         }
     }
 
+    /// How long a portion's call may take before it counts as slow.
+    ///
+    /// A second copy that goes out when most of the target time has passed comes too late, and
+    /// before call times are learned there would be none at all: with a target, a call counts as
+    /// slow after a part of it at the latest.
+    fn patience(&self, key: PortionKey) -> Option<Duration> {
+        let portion = &self.portions[key];
+        let learned = self.services[portion.service].hedge_delay();
+        let forward = portion.job.work.forward.as_ref();
+        let target = forward.map_or(0, |forward| forward.target_ms);
+        if target == 0 {
+            return learned;
+        }
+        let most = Duration::from_millis(target.into()) * TARGET_PERCENT / 100;
+        Some(learned.map_or(most, |learned| learned.min(most)))
+    }
+
     /// A portion's call is slow: it gets a second copy as soon as a slot and a token are free.
     pub(super) fn hedge_due(&mut self, key: PortionKey) {
         let Some(portion) = self.portions.get(key) else {
