--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -13,7 +13,8 @@
 pub const READERS_PER_ZONE: usize = 2;
 /// First wait after a failed read.
 const BACKOFF: Duration = Duration::from_millis(500);
-/// Least time after an answer without news, in case the platform does not hold watches.
+/// Least time after an answer without news, in case the platform does not hold watches, and after
+/// one that leaves nothing out.
 const PACE: Duration = Duration::from_millis(250);
 /// Digest periods without any digest after which an instance that is no reader reads itself.
 const SILENT_DIGESTS: u32 = 5;
@@ -98,9 +99,13 @@
     }
 
     /// Takes in an answer that leaves out no record up to `head`.
+    ///
+    /// The next read waits a little also after news: servers that start together are published one
+    /// by one, and each would cost every reader a read of its own.
     pub fn caught_up(&mut self, now: Instant, head: u64) {
-        let news = head > self.cursor;
-        self.answered(now, news.then_some(head), head);
+        self.answered(now, None, head);
+        self.cursor = self.cursor.max(head);
+        self.not_before = now + PACE;
     }
 
     /// The platform has forgotten what followed the last record: all is read again.
