Log each decision for requests that did not end plainly, and each change of belief

Cause: no line told a request's story; on-call engineers have only logs and metrics. Change: the machines emit what they decided as typed actions: the account of a query (route, times, plan, replies, answer), the calls of a portion with what each was decided on (cause, open calls, failure and shed rate and their age, budget, time left, end), servers held back, the platform lost and regained, records, routes, doubted withdrawals, members.

--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -185,7 +185,10 @@
                         sends.push((attempt, request));
                     }
                     Action::Reply { .. } => self.replies += 1,
-                    Action::Close(_) | Action::Count(_) => {}
+                    Action::Close(_)
+                    | Action::Log(_)
+                    | Action::Server { .. }
+                    | Action::Count(_) => {}
                 }
             }
             next = opened.pop().map(Event::Opened);
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -7,6 +7,7 @@
 //! - [`placement`]: which instances may work on a service, and with how many connections;
 //! - [`reader`]: which instances watch the platform.
 
+pub mod belief;
 pub mod event;
 pub mod hash;
 mod machine;
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -5,6 +5,7 @@
 
 use ladder_schema::{publication, wire};
 
+use super::belief::Belief;
 use crate::count::Count;
 use crate::view::View;
 
@@ -67,6 +68,8 @@
         /// What is wrong with it.
         detail: String,
     },
+    /// Log a change of what this instance believes.
+    Log(Belief),
     /// Step a counter.
     Count(Count),
 }
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -11,6 +11,7 @@
 
 use exchange::send;
 
+use super::belief::Belief;
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
@@ -122,6 +123,10 @@
             Event::Frame(frame) => self.frame(now, *frame, out),
             Event::Page(page) => self.page(now, &page, out),
             Event::WatchFailed => {
+                if !self.reader.is_failing() {
+                    let revision = self.store.revision();
+                    out.push(Action::Log(Belief::PlatformLost { revision }));
+                }
                 self.reader.failed(now, self.settings.timing.backoff, &mut self.random);
             }
             Event::WatchExpired => self.reader.expired(now),
@@ -209,6 +214,7 @@
         let withdrawn = self.withdrawals.due(now);
         if !withdrawn.is_empty() {
             let news = self.apply(now, &withdrawn, out);
+            self.note(&news, "", out);
             self.tell(&news, "", out);
         }
         if self.membership.has_changed() {
@@ -231,6 +237,9 @@
             return;
         }
         let changes = self.store.take_changes();
+        if members_changed {
+            self.note_members(now, out);
+        }
         let source = Source {
             standings: self.standings(now, members_changed || due),
             store: &self.store,
@@ -247,6 +256,22 @@
         self.next_view = [growth, order, settled].into_iter().flatten().min();
     }
 
+    /// Logs the instances whose standing differs from the last view.
+    fn note_members(&self, now: Instant, out: &mut Vec<Action>) {
+        let before = self.projection.standings();
+        let present = self.membership.standings(now);
+        let names = before.keys().chain(present.keys().filter(|name| !before.contains_key(*name)));
+        let of = |map: &Standings, name| map.get(name).copied().unwrap_or(Standing::Gone);
+        let mut turned: Vec<_> = names
+            .map(|name| (name, of(before, name), of(&present, name)))
+            .filter(|(_, before, now)| before != now)
+            .collect();
+        turned.sort_unstable();
+        out.extend(turned.into_iter().map(|(name, before, now)| {
+            Action::Log(Belief::Member { name: Arc::clone(name), before, now })
+        }));
+    }
+
     /// Whether work may be given to each instance. It changes with the members and with time, and
     /// whenever time changes it the view is due.
     fn standings(&self, now: Instant, may_differ: bool) -> Arc<Standings> {
@@ -293,6 +318,7 @@
     fn page(&mut self, now: Instant, page: &Page, out: &mut Vec<Action>) {
         if self.reader.is_failing() {
             self.withdrawals.regained(now);
+            out.push(Action::Log(Belief::PlatformRegained { revision: page.head }));
         }
         if page.whole || page.current {
             self.reader.caught_up(now, page.head);
@@ -303,11 +329,32 @@
         self.listed |= page.whole;
         let mut records = page.records.clone();
         records.extend(self.left_out(page));
-        let records = self.believed(now, records);
+        let records = self.believed(now, records, out);
         let news = self.apply(now, &records, out);
+        self.note(&news, "", out);
         self.tell(&news, "", out);
     }
 
+    /// Logs what came into force.
+    fn note(&self, news: &News, from: &str, out: &mut Vec<Action>) {
+        let Some(newest) = news.records.iter().map(|record| record.revision).max() else {
+            return;
+        };
+        let withdrawn = news.records.iter().filter(|record| is_tombstone(record)).count();
+        out.push(Action::Log(Belief::Records {
+            from: from.into(),
+            revision: newest,
+            count: news.records.len(),
+            withdrawn,
+        }));
+        for record in &news.records {
+            if let Some(Body::Routing(routing)) = &record.body {
+                let (version, revision) = (routing.version, record.revision);
+                out.push(Action::Log(Belief::Routes { version, revision }));
+            }
+        }
+    }
+
     /// Tombstones of what a page that holds all that is published does not hold.
     fn left_out(&self, page: &Page) -> Vec<Record> {
         if !page.whole {
@@ -323,13 +370,19 @@
     }
 
     /// Takes out the withdrawals of live servers that are doubted; they wait.
-    fn believed(&mut self, now: Instant, records: Vec<Record>) -> Vec<Record> {
+    fn believed(
+        &mut self,
+        now: Instant,
+        records: Vec<Record>,
+        out: &mut Vec<Action>,
+    ) -> Vec<Record> {
         let live = self.store.servers().filter(|server| !self.store.departed(server)).count();
         let concerns = |record: &Record| is_tombstone(record) && self.is_live(&Key::of(record));
         let count = records.iter().filter(|record| concerns(record)).count();
         if count == 0 || !self.withdrawals.doubts(now, count, live) {
             return records;
         }
+        out.push(Action::Log(Belief::Doubted { count, live }));
         let (doubted, believed): (Vec<_>, Vec<_>) = records.into_iter().partition(concerns);
         for tombstone in doubted {
             self.withdrawals.wait(now, Key::of(&tombstone), tombstone);
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -26,6 +26,7 @@
         self.acknowledged(&frame.acknowledgements);
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
+        self.note(&news, &frame.from, out);
         self.tell(&news, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.heard_digest(now);
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -5,6 +5,7 @@
 
 use ladder_schema::{call, wire};
 
+use super::history::Explanation;
 use crate::count::Count;
 use crate::view::{Peer, View};
 
@@ -69,6 +70,8 @@
         /// The query.
         cancel: wire::Cancel,
     },
+    /// Log what happened to a query.
+    Log(Box<Explanation>),
     /// Step a counter.
     Count(Count),
 }
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::outcome::{Reason, Verdict};
 
@@ -18,6 +19,15 @@
         /// Its attempt number.
         attempt: u32,
     },
+    /// The route of a forwarded message was found.
+    Routed {
+        /// Its name.
+        route: Arc<str>,
+        /// Time that the message has.
+        deadline: Duration,
+        /// Time within which its answer is worth its full price; zero: none.
+        target: Duration,
+    },
     /// An index version was pinned.
     Pinned {
         /// The version.
@@ -93,6 +103,27 @@
     pub omitted: u32,
 }
 
+impl Explanation {
+    /// All shards were covered at the first attempt and within the target time.
+    pub fn is_plain(&self) -> bool {
+        let first = self.steps.first().map(|stamp| stamp.at).unwrap_or_default();
+        let mut target = Duration::ZERO;
+        self.steps.iter().all(|stamp| match &stamp.step {
+            Step::Routed { target: of_route, .. } => {
+                target = *of_route;
+                true
+            }
+            Step::Sent { again, .. } => again.is_none(),
+            Step::Lost { .. } | Step::Gone => false,
+            Step::Answered { reason, missing, .. } => {
+                let late = !target.is_zero() && stamp.at.since(first) > target;
+                *reason == Reason::Unspecified && *missing == 0 && !late
+            }
+            Step::Arrived { .. } | Step::Pinned { .. } | Step::Replied { .. } => true,
+        })
+    }
+}
+
 /// A ring of the accounts of the last queries.
 #[derive(Debug)]
 pub(crate) struct History {
@@ -141,6 +172,11 @@
         account.steps.push(Stamp { at, step });
     }
 
+    /// An account that has not left the ring.
+    pub(crate) fn get(&self, account: u64) -> Option<&Explanation> {
+        self.ring.get(account.checked_sub(self.oldest)? as usize)
+    }
+
     /// The account of the last query with this key.
     pub(crate) fn find(&self, key: &str) -> Option<&Explanation> {
         self.ring.iter().rev().find(|account| account.key == key)
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -1,6 +1,7 @@
 //! The gathering machine.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::call;
 use ladder_schema::outcome::{Reason, Verdict};
@@ -18,6 +19,7 @@
 use super::{answer, settings::Settings};
 use crate::collections::Map;
 use crate::count::{self, Count};
+use crate::sample;
 use crate::time::Instant;
 use crate::view::View;
 
@@ -183,6 +185,14 @@
         if plan.terms.unrepeatable {
             self.keys.start(&request.key);
         }
+        if let Some(route) = &plan.route {
+            let step = Step::Routed {
+                route: route.spec.name.as_str().into(),
+                deadline: plan.terms.deadline,
+                target: Duration::from_millis(route.spec.target_ms.into()),
+            };
+            self.history.add(account, now, step);
+        }
         let query = Query::new(now, caller, request, (number, account), plan);
         let timer = query.timer;
         let key = self.queries.insert(query);
@@ -202,6 +212,7 @@
             return;
         };
         self.history.add(query.account, now, Step::Gone);
+        self.log(query.account, out);
         if query.terms.unrepeatable {
             self.keys.end(&query.request.key, answer::verdict(&query));
         }
@@ -224,8 +235,19 @@
             missing: answer.missing.len() as u32,
         };
         self.history.add(account, now, step);
+        self.log(account, out);
         out.push(Action::Answer { caller, answer });
     }
+
+    /// Logs an account that tells of anything but a plain answer, and of the others those that the
+    /// sample names.
+    fn log(&self, account: u64, out: &mut Vec<Action>) {
+        let account = self.history.get(account);
+        let worth = |account: &&Explanation| !account.is_plain() || sample::contains(&account.key);
+        if let Some(account) = account.filter(worth) {
+            out.push(Action::Log(Box::new(account.clone())));
+        }
+    }
 }
 
 /// Asks for a step of a counter.
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -25,9 +25,11 @@
 mod settings;
 pub mod status;
 mod timer;
+mod trace;
 mod verdict;
 
 pub use event::{Action, Event};
 pub use machine::Machine;
 pub use service::Rank;
 pub use settings::{Builder, Settings};
+pub use trace::{Cause, End, Trace, Trial};
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -332,6 +332,9 @@
             record: portion.unrepeatable.then(|| portion.record()),
             given_up: false,
         });
+        let trial = self.trial(key, to, attempt);
+        let portion = &mut self.portions[key];
+        portion.trials.push(trial);
         portion.attempts.push(attempt);
         portion.tried.push(to);
         portion.calls += 1;
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -1,5 +1,6 @@
 //! The end of a call: what is learned, what is retried, what is replied.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ladder_schema::outcome::{Reason, Verdict};
@@ -11,6 +12,8 @@
 use super::portion::PortionKey;
 use super::record;
 use super::reply::Refused;
+use super::server::ServerKey;
+use super::trace::End;
 use super::verdict;
 use crate::count;
 
@@ -55,8 +58,10 @@
         };
         let (outcome, mismatched) = Self::checked(&attempt, outcome, out);
         let (outcome, answered) = judged(&attempt, outcome);
+        let suspect = self.servers[attempt.server].health.suspect();
         self.release(&attempt, answered || is_whole(&outcome), mismatched, out);
         self.learn(&attempt, &outcome, out);
+        self.note_suspicion(attempt.server, suspect, out);
         match attempt.portion {
             Some(portion) => self.conclude(portion, key, &attempt, outcome, out),
             None => self.settle(&attempt, &outcome, out),
@@ -96,6 +101,19 @@
         self.maintain_server(attempt.server, out);
     }
 
+    /// Logs that a server is held back from now on, or not any more.
+    fn note_suspicion(&self, key: ServerKey, before: bool, out: &mut Vec<Action>) {
+        let server = &self.servers[key];
+        let suspect = server.health.suspect();
+        if suspect != before {
+            out.push(Action::Server {
+                name: Arc::clone(&server.name),
+                suspect,
+                failure_rate: server.health.failure_rate(self.now),
+            });
+        }
+    }
+
     /// Takes what the call's end says of the server.
     fn learn(&mut self, attempt: &Attempt, outcome: &Outcome, out: &mut Vec<Action>) {
         let elapsed = self.now.since(attempt.sent);
@@ -162,6 +180,10 @@
         let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
         let reason = verdict::reason(&outcome, timed_out);
         let portion = &mut self.portions[key];
+        let took = self.now.since(attempt.sent);
+        if let Some(trial) = portion.trials.iter_mut().find(|trial| trial.attempt == ended) {
+            trial.end = Some(End { took, verdict, reason });
+        }
         portion.attempts.retain(|other| *other != ended);
         let service = &mut self.services[attempt.service];
         service.overdue.remove(&(attempt.sent, key));
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -6,6 +6,7 @@
 use ladder_schema::{target, wire};
 use slotmap::new_key_type;
 
+use super::trace::Trace;
 use crate::count::Count;
 use crate::view::{Peer, View};
 
@@ -124,6 +125,17 @@
         /// The reply.
         reply: wire::Reply,
     },
+    /// Log what was decided for a portion.
+    Log(Box<Trace>),
+    /// Log that a server is held back because of its outcomes, or not any more.
+    Server {
+        /// Its name.
+        name: Arc<str>,
+        /// Whether it is held back from now on.
+        suspect: bool,
+        /// Its failure rate as this instance saw it.
+        failure_rate: f64,
+    },
     /// Step a counter.
     Count(Count),
 }
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -99,6 +99,11 @@
         self.row >= ROW || self.failure_rate > RATE
     }
 
+    /// Time of the last outcome.
+    pub(super) const fn seen(&self) -> Instant {
+        self.seen
+    }
+
     pub(super) fn paused_until(&self) -> Instant {
         self.paused_until
     }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -195,6 +195,7 @@
             class: class(service, &job.work),
             attempts: Vec::new(),
             tried: Vec::new(),
+            trials: Vec::new(),
             calls: 0,
             failures: 0,
             spared: 0,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -11,6 +11,7 @@
 use super::record;
 use super::server::ServerKey;
 use super::service::ServiceId;
+use super::trace::Trial;
 use crate::time::Instant;
 use crate::view::Peer;
 
@@ -58,6 +59,8 @@
     pub(super) attempts: Vec<AttemptKey>,
     /// Servers it was sent to, for choosing another one.
     pub(super) tried: Vec<ServerKey>,
+    /// Calls with what they were decided on, oldest first.
+    pub(super) trials: Vec<Trial>,
     /// Calls made at targets.
     pub(super) calls: u32,
     /// Calls that ended without an answer.
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -84,6 +84,7 @@
             return;
         };
         self.unlink(key, &portion);
+        self.log(&portion, refused, out);
         for attempt in &portion.attempts {
             self.orphan(*attempt, slow, out);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gather;
 pub mod leaf;
 pub mod route;
+pub mod sample;
 pub mod time;
 pub mod view;
 
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -193,7 +193,7 @@
                 self.node(name).views.push((now, view));
                 self.sum_shares();
             }
-            Action::Refused { .. } | Action::Count(_) => {}
+            Action::Refused { .. } | Action::Log(_) | Action::Count(_) => {}
         }
     }
 
--- a/crates/core/tests/fleet/session.rs
+++ b/crates/core/tests/fleet/session.rs
@@ -20,6 +20,7 @@
         }
         Action::Watch { after, wait } => Some(format!("watch after {after} for {wait:?}")),
         Action::View(view) => Some(describe(view)),
+        Action::Log(belief) => Some(format!("log {belief:?}")),
         Action::Refused { record, detail, .. } => Some(format!("refused {record}: {detail}")),
         Action::Count(_) => None,
     }
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -52,6 +52,15 @@
                 let rest = format!("{parts} parts, {calls} calls, come back {retry_after_ms} ms");
                 format!("reply to {}: {said}, {rest}", to.name)
             }
+            Action::Log(trace) => {
+                let ends = trace.trials.iter().map(|trial| match trial.end {
+                    Some(end) => format!("{:?} at {} {:?}", trial.cause, trial.server, end.verdict),
+                    None => format!("{:?} at {} open", trial.cause, trial.server),
+                });
+                let calls = ends.collect::<Vec<_>>().join(", ");
+                format!("log {} {:?} {:?}: {calls}", trace.id, trace.verdict, trace.reason)
+            }
+            Action::Server { name, suspect, .. } => format!("log {name} suspect {suspect}"),
             Action::Count(count) => format!("count {:?} {:?}", count.event, count.reason),
         }
     }
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -111,7 +111,7 @@
                 }
                 Action::Cancel { lane, .. } | Action::Probe { lane, .. } => self.take(*lane),
                 Action::Reply { reply, .. } => self.check_reply(reply),
-                Action::Count(_) => {}
+                Action::Log(_) | Action::Server { .. } | Action::Count(_) => {}
             }
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,7 +36,7 @@
 use crate::clock::{self, Clock};
 use crate::driver::{self, Handle, Inbox};
 use crate::link::{Cut, Identity, Inbound, Outbound};
-use crate::log;
+use crate::log::{self, Lines};
 use crate::metrics::Metrics;
 use crate::options::{Options, arguments};
 
@@ -81,6 +81,8 @@
     pub clock: Clock,
     /// Log of this instance.
     pub log: Logger,
+    /// Lines about requests, within a budget.
+    pub lines: Lines,
     /// Instruments of this instance.
     pub metrics: Metrics,
     /// The sending half of the link.
@@ -203,7 +205,9 @@
         cut.clone(),
         peer::on_down(names.clone(), control.clone(), gather.clone()),
     );
+    let log = log::logger(&settings.log.unwrap_or_default(), &settings.name);
     let shared = Shared {
+        lines: Lines::new(log.clone(), clock),
         options: Arc::new(options.clone()),
         me: Peer {
             name: Arc::from(settings.name.as_str()),
@@ -211,7 +215,7 @@
         },
         incarnation,
         clock,
-        log: log::logger(&settings.log.unwrap_or_default(), &settings.name),
+        log,
         metrics,
         outbound,
         cut,
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -10,12 +10,12 @@
 use ladder_core::view::View;
 use ladder_core::{gather, leaf};
 use ladder_schema::settings;
-use slog::{error, info, warn};
+use slog::{debug, error, warn};
 
 use super::dialect::Publication;
 use super::{Shared, admin};
 use crate::driver::{self, Driver, Inbox, Performer};
-use crate::http;
+use crate::{http, log};
 
 impl driver::Machine for Machine {
     type Event = Event;
@@ -65,7 +65,7 @@
                 Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
                 Action::Watch { after, wait } => self.publication.read(after, wait),
                 Action::View(view) => {
-                    info!(self.shared.log, "view in force"; "generation" => view.generation,
+                    debug!(self.shared.log, "view in force"; "generation" => view.generation,
                         "revision" => view.revision, "ready" => view.ready);
                     self.publish(view);
                 }
@@ -73,6 +73,7 @@
                     warn!(self.shared.log, "published record refused"; "record" => record,
                         "revision" => revision, "detail" => detail);
                 }
+                Action::Log(belief) => log::belief(&self.shared.log, &belief),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -78,6 +78,7 @@
                 }
                 Action::Send { to, work } => self.send(&to.address, work),
                 Action::Cancel { to, cancel } => self.cancel(&to.address, cancel),
+                Action::Log(account) => self.shared.lines.request(&account),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -13,6 +13,7 @@
 use super::Shared;
 use super::dialect::{Reports, Servers};
 use crate::driver::{self, Driver, Inbox, Performer};
+use crate::log;
 
 impl driver::Machine for Machine {
     type Event = Event;
@@ -82,6 +83,10 @@
                 Action::Cancel { lane, id } => self.servers.cancel(lane, &id),
                 Action::Probe { lane, server } => self.servers.probe(lane, server),
                 Action::Reply { to, reply } => self.reply(&to, reply),
+                Action::Log(trace) => self.shared.lines.trace(&trace),
+                Action::Server { name, suspect, failure_rate } => {
+                    log::server(&self.shared.log, &name, suspect, failure_rate);
+                }
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -122,6 +122,9 @@
     let mut shown = status::Step::default();
     shown.what = match step {
         Step::Arrived { attempt } => format!("arrived, attempt {attempt}"),
+        Step::Routed { route, deadline, target } => {
+            format!("route {route}, deadline {deadline:?}, target {target:?}")
+        }
         Step::Pinned { version, portions, missing } => {
             format!("pinned version {version}: {portions} portions, {missing} shards missing")
         }
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,7 +1,12 @@
-//! Loggers by settings.
+//! Loggers by settings, and the lines about decisions.
 
+mod lines;
+
+use ladder_core::control::belief::Belief;
 use ladder_schema::settings::{Format, Level, Log};
-use slog::{Drain, Logger, o};
+use slog::{Drain, Logger, info, o, warn};
+
+pub use lines::Lines;
 
 /// A logger to standard output as `settings` ask: JSON lines or text for people.
 pub fn logger(settings: &Log, instance: &str) -> Logger {
@@ -36,3 +41,36 @@
 {
     slog_async::Async::new(drain).chan_size(WAITING).build()
 }
+
+/// Writes a change of what an instance believes.
+pub fn belief(log: &Logger, belief: &Belief) {
+    match belief {
+        Belief::PlatformLost { revision } => {
+            warn!(log, "platform lost"; "revision" => revision);
+        }
+        Belief::PlatformRegained { revision } => {
+            info!(log, "platform regained"; "revision" => revision);
+        }
+        Belief::Records { from, revision, count, withdrawn } => {
+            let from = if from.is_empty() { "platform" } else { from };
+            info!(log, "records in force"; "from" => from, "revision" => revision,
+                "records" => count, "withdrawn" => withdrawn);
+        }
+        Belief::Doubted { count, live } => {
+            warn!(log, "withdrawals doubted"; "servers" => count, "live" => live);
+        }
+        Belief::Routes { version, revision } => {
+            info!(log, "routes in force"; "version" => version, "revision" => revision);
+        }
+        Belief::Member { name, before, now } => {
+            info!(log, "member turned"; "member" => &**name, "before" => ?before, "now" => ?now);
+        }
+    }
+}
+
+/// Writes that a server is held back because of its outcomes, or not any more.
+pub fn server(log: &Logger, name: &str, suspect: bool, failure_rate: f64) {
+    let standing = if suspect { "held back" } else { "trusted again" };
+    info!(log, "server turned"; "server" => name, "standing" => standing,
+        "failure_rate" => format!("{failure_rate:.2}"));
+}
