--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -27,7 +27,7 @@
 const FAILURE_COST: f64 = 4.0;
 /// How much a server of another zone is avoided: bytes between zones are paid for, and a server
 /// nearby that is as free as one far away answers a little sooner.
-const FAR: f64 = 3.0;
+const FAR: f64 = 2.0;
 
 impl Machine {
     /// Dispatches for all services that changed in the event at hand.
