--- /dev/null
+++ b/crates/core/tests/fleet/listing.rs
@@ -0,0 +1,238 @@
+//! Listings of all that is published, and withdrawals that are doubted.
+
+use std::time::Duration;
+
+use ladder_core::control::settings::{Listing, Placement, Timing};
+use ladder_core::control::{Action, Event, Machine, Settings};
+use ladder_core::schema::bounds::PROTOCOL;
+use ladder_core::schema::publication::{Kind, Page, Record, Routing, State, record::Body};
+use ladder_core::schema::wire::Frame;
+use ladder_core::time::Instant;
+
+use crate::publish;
+
+/// Servers of the service.
+const SERVERS: u64 = 20;
+
+/// One instance that counts its fleet by itself.
+struct Lone {
+    machine: Machine,
+    now: Instant,
+    log: Vec<Action>,
+}
+
+fn server(number: u64) -> Body {
+    publish::server(&format!("docks-{number}"), "docks", 1, State::Live)
+}
+
+/// Routes of one version that lead to one service.
+fn routes(version: u64) -> Body {
+    let Body::Entry(entry) = publish::entry("docks", 10) else {
+        unreachable!("an entry");
+    };
+    Body::Routing(Routing {
+        version,
+        entries: vec![entry],
+        bounds: Some(ladder_core::schema::publication::Bounds {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_ms: 1,
+            idle_ms: 1,
+        }),
+        ..Routing::default()
+    })
+}
+
+/// Routes and all servers, one revision each.
+fn all() -> Vec<Record> {
+    let servers = (1..=SERVERS).map(|number| publish::record(number + 1, server(number)));
+    [publish::record(1, routes(1))].into_iter().chain(servers).collect()
+}
+
+fn withdrawn(number: u64, revision: u64) -> Record {
+    publish::record(revision, publish::tombstone(Kind::Server, &format!("docks-{number}")))
+}
+
+impl Lone {
+    fn new() -> Self {
+        let now = Instant::from_millis(0);
+        let settings = Settings::builder("entry-1", &publish::address("entry-1"))
+            .fleet("porto")
+            .placement(Placement::Direct)
+            .listing(Listing::Observed)
+            .seeds(["127.0.0.1:10007"])
+            .timing(Timing { backoff: Duration::from_secs(2), ..Timing::default() })
+            .build();
+        let mut lone = Self { machine: Machine::new(settings, now), now, log: Vec::new() };
+        lone.give(Event::Tick);
+        lone
+    }
+
+    /// One that has read all that is published.
+    fn informed() -> Self {
+        let mut lone = Self::new();
+        lone.list(all());
+        lone
+    }
+
+    fn give(&mut self, event: Event) {
+        self.machine.handle(self.now, event, &mut self.log);
+    }
+
+    /// The platform lists these records as all there are.
+    fn list(&mut self, records: Vec<Record>) {
+        let head = records.iter().map(|record| record.revision).max().unwrap_or(0);
+        self.give(Event::Page(Page { head, records, whole: true, ..Page::default() }));
+    }
+
+    /// The platform answers a watch.
+    fn news(&mut self, records: Vec<Record>) {
+        let head = records.iter().map(|record| record.revision).max().unwrap_or(0);
+        self.give(Event::Page(Page { head, records, current: true, ..Page::default() }));
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.machine.next_wake() <= end {
+            self.now = self.now.max(self.machine.next_wake());
+            self.give(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    fn servers(&self) -> usize {
+        self.machine.view().service("docks").map_or(0, |service| service.servers.len())
+    }
+
+    /// Connections that it may hold to the first server.
+    fn share(&self) -> u32 {
+        let view = self.machine.view();
+        view.service("docks").map_or(0, |service| service.servers[0].share)
+    }
+
+    /// Another instance makes itself known.
+    fn hear(&mut self, name: &str) {
+        self.give(Event::Frame(Box::new(Frame {
+            protocol: PROTOCOL,
+            fleet: "porto".to_owned(),
+            from: name.to_owned(),
+            incarnation: 1,
+            address: publish::address(name),
+            ..Frame::default()
+        })));
+    }
+
+    /// The last revision asked for.
+    fn asked_after(&self) -> u64 {
+        let asked = self.log.iter().filter_map(|action| match action {
+            Action::Watch { after, .. } => Some(*after),
+            _ => None,
+        });
+        asked.last().expect("a read")
+    }
+}
+
+/// An instance starts, and so do all others. What the platform lists is all there is to know, so it
+/// serves at once and does not wait for peers that wait for it.
+#[test]
+fn whole_listing_makes_ready() {
+    let mut lone = Lone::new();
+    assert!(!lone.machine.view().ready);
+    lone.list(all());
+    assert!(lone.machine.view().ready);
+    assert_eq!(lone.servers(), 20);
+}
+
+/// The platform has forgotten its history while an instance did not listen. What left meanwhile
+/// shows only by not being listed; work sent there would be lost.
+#[test]
+fn unlisted_server_is_gone() {
+    let mut lone = Lone::informed();
+    lone.give(Event::WatchExpired);
+    assert_eq!(lone.asked_after(), 0, "all is read again");
+    let mut records = all();
+    records.remove(5);
+    records.push(publish::record(90, routes(2)));
+    lone.list(records);
+    assert_eq!(lone.servers(), 19);
+}
+
+/// What is withdrawn, in which situation, and how many servers are left at once and later.
+struct Case {
+    name: &'static str,
+    /// The platform did not answer before.
+    outage: bool,
+    withdrawn: u64,
+    /// Servers that register again half a second later.
+    back: u64,
+    at_once: usize,
+    later: usize,
+}
+
+/// The platform was away and withdraws servers that could not reach it, or withdraws many at one
+/// stroke. All sweeps would fail although the servers are well. They stay in use for the moments in
+/// which they register again; one that does not is gone. A single one in quiet times is gone at once.
+#[test]
+fn doubted_withdrawals() {
+    let case = |name, outage, withdrawn, back, at_once, later| Case {
+        name,
+        outage,
+        withdrawn,
+        back,
+        at_once,
+        later,
+    };
+    let cases = [
+        case("a single one", false, 1, 0, 19, 19),
+        case("some", false, 3, 0, 17, 17),
+        case("many that come back", false, 18, 18, 20, 20),
+        case("many of which some come back", false, 18, 10, 20, 12),
+        case("a single one after an outage", true, 1, 0, 20, 19),
+        case("all after an outage", true, 20, 20, 20, 20),
+    ];
+    for case in cases {
+        let mut lone = Lone::informed();
+        if case.outage {
+            lone.pass(1000);
+            lone.give(Event::WatchFailed);
+            lone.pass(1000);
+        }
+        lone.news((1..=case.withdrawn).map(|number| withdrawn(number, 100 + number)).collect());
+        assert_eq!(lone.servers(), case.at_once, "{}: at once", case.name);
+        lone.pass(500);
+        if case.back > 0 {
+            let back = (1..=case.back).map(|number| publish::record(200 + number, server(number)));
+            lone.news(back.collect());
+        }
+        lone.pass(2500);
+        assert_eq!(lone.servers(), case.later, "{}: later", case.name);
+    }
+}
+
+/// Nobody publishes the instances. Each counts those that it has heard of lately and takes its part
+/// of half of a server's connections, and only one at its start: after a loss of all instances the
+/// servers still count the connections of the dead, and reset what goes beyond their limit.
+#[test]
+fn observed_shares() {
+    let mut lone = Lone::informed();
+    assert_eq!(lone.share(), 1, "at the start");
+    for number in 2..=4 {
+        lone.hear(&format!("entry-{number}"));
+    }
+    lone.pass(3000);
+    assert_eq!(lone.share(), 3, "half of 25 among four");
+    lone.pass(10_000);
+    assert_eq!(lone.share(), 3, "those that fell silent still count");
+}
+
+/// Settings name other seeds while the instance runs: it asks them.
+#[test]
+fn other_seeds_are_asked() {
+    let mut lone = Lone::informed();
+    lone.log.clear();
+    lone.give(Event::Seeds(vec!["127.0.0.1:10009".into()]));
+    lone.pass(2000);
+    let asked =
+        |action: &Action| matches!(action, Action::Send { to, .. } if **to == *"127.0.0.1:10009");
+    assert!(lone.log.iter().any(asked));
+}
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod concert;
 mod disorder;
 mod harness;
+mod listing;
 mod membership;
 mod parts;
 mod placement;
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -2,6 +2,7 @@
 
 mod any_order;
 mod fleet;
+mod forward;
 mod full;
 mod oracle;
 mod owners;
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -2,6 +2,7 @@
 
 mod bed;
 mod dispatch;
+mod forward;
 mod hedge;
 mod lanes;
 mod once;
