--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -309,12 +309,15 @@
         standings.iter().map(candidate).collect()
     }
 
+    /// This instance, for services that every instance asks by itself.
+    ///
+    /// It is live also while it leaves. Nobody else takes over the work of its own callers, who come
+    /// until the balancer has noticed: without a live candidate it would refuse them all.
     fn own_candidate(&self, source: &Source<'_>) -> Vec<Candidate> {
         let own = source.membership.own();
-        let standing = source.standing(&own.name);
         let candidate = Candidate {
             peer: Peer { name: Arc::clone(&own.name), address: Arc::clone(&own.address) },
-            live: standing > Standing::Gone,
+            live: true,
             local: true,
         };
         let observed = source.settings.listing == Listing::Observed;
--- a/crates/core/tests/fleet/listing.rs
+++ b/crates/core/tests/fleet/listing.rs
@@ -124,11 +124,11 @@
 
     /// The last revision asked for.
     fn asked_after(&self) -> u64 {
-        let asked = self.log.iter().filter_map(|action| match action {
+        let mut asked = self.log.iter().rev().filter_map(|action| match action {
             Action::Watch { after, .. } => Some(*after),
             _ => None,
         });
-        asked.last().expect("a read")
+        asked.next().expect("a read")
     }
 }
 
@@ -225,6 +225,18 @@
     assert_eq!(lone.share(), 3, "those that fell silent still count");
 }
 
+/// An instance is told to stop. Its callers come until the balancer has noticed, some seconds later;
+/// they would all be refused if it no longer held itself for one that may work on their requests.
+#[test]
+fn leaving_instance_works_for_its_own_callers() {
+    let mut lone = Lone::informed();
+    lone.give(Event::Drain);
+    lone.pass(3000);
+    let view = lone.machine.view();
+    let service = view.service("docks").expect("the service");
+    assert!(service.owner().is_some_and(|owner| owner.local));
+}
+
 /// Settings name other seeds while the instance runs: it asks them.
 #[test]
 fn other_seeds_are_asked() {
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -57,8 +57,8 @@
 
 /// A session in which this instance may work on all services itself.
 fn session(routing: Option<Routing>) -> Session {
-    let mut fleet = Fleet::default();
-    fleet.sites = ["s1", "s2", "s3"].map(|name| site(name, [SELF, "e2", "e3"])).to_vec();
+    let sites = ["s1", "s2", "s3"].map(|name| site(name, [SELF, "e2", "e3"])).to_vec();
+    let fleet = Fleet { sites, ..Fleet::default() };
     let mut session = Session::new(&fleet);
     let routing = routing.map(|routing| Arc::new(Table::new(&routing)));
     let view = View { routing, generation: 2, ..View::clone(&fleet.view()) };
