--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -173,7 +173,7 @@
 ///
 /// Nobody says how far away a caller is. Some milliseconds lie in every way through a balancer, and
 /// operators who grant more time mostly do so because callers are further away.
-const WAY_BACK: (Duration, u32) = (Duration::from_millis(5), 8);
+const WAY_BACK: (Duration, u32) = (Duration::from_millis(9), 8);
 
 /// Time kept for an answer's way to its caller out of the time that the caller has.
 fn way_back(span: Duration) -> Duration {
