Tell a request's story from logs, and name the version that knows no route

Change: ladderctl story KEY [LOG...] prints what all instances' logs say of one request in order of time; a whole refusal is a step of its own with its detail.

--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -64,7 +64,8 @@
             return Err(Refusal::new(Reason::NotReady, "no routes are known yet"));
         };
         let Some(route) = table.find(&message.host, &message.target) else {
-            let detail = format!("{}{}; no route leads there", message.host, message.target);
+            let (host, target, version) = (&message.host, &message.target, table.version);
+            let detail = format!("{host}{target}; no route of version {version} leads there");
             return Err(Refusal::new(Reason::UnknownRoute, detail));
         };
         let destination = self.choose(route);
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -66,6 +66,11 @@
         /// Number of portions.
         portions: u32,
     },
+    /// The request was refused whole.
+    Refused {
+        /// Names the field or the version that it was refused by.
+        detail: Arc<str>,
+    },
     /// The caller closed its connection.
     Gone,
     /// The caller was answered.
@@ -114,7 +119,7 @@
                 true
             }
             Step::Sent { again, .. } => again.is_none(),
-            Step::Lost { .. } | Step::Gone => false,
+            Step::Lost { .. } | Step::Refused { .. } | Step::Gone => false,
             Step::Answered { reason, missing, .. } => {
                 let late = !target.is_zero() && stamp.at.since(first) > target;
                 *reason == Reason::Unspecified && *missing == 0 && !late
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -137,6 +137,8 @@
             Ok(plan) => self.start(now, caller, request, (number, account), plan, out),
             Err((refusal, verdict)) => {
                 count(out, count::Event::Refusal, refusal.reason);
+                let detail = refusal.detail.as_str().into();
+                self.history.add(account, now, Step::Refused { detail });
                 let answer = answer::refusal(&request.key, &request.index, refusal, verdict);
                 self.answer(now, caller, account, answer, out);
             }
--- a/src/ctl/arguments.rs
+++ b/src/ctl/arguments.rs
@@ -31,6 +31,13 @@
         /// Operators' addresses of the instances.
         instances: Vec<String>,
     },
+    /// Show what the instances' logs say of one request.
+    Story {
+        /// The request key.
+        key: String,
+        /// Files of log lines; none: standard input.
+        logs: Vec<PathBuf>,
+    },
     /// Stop an instance gracefully.
     Drain {
         /// Operators' address of the instance.
@@ -47,7 +54,7 @@
 
 /// Parser of the command line.
 pub fn arguments() -> OptionParser<Command> {
-    construct!([check(), status(), owners(), explain(), drain(), cut()])
+    construct!([check(), status(), owners(), explain(), story(), drain(), cut()])
         .to_options()
         .descr("Checks what is to be published and shows and stops instances.")
         .footer("Exit codes: 0 done, 1 an instance does not answer or a record is refused.")
@@ -105,6 +112,17 @@
         .command("explain")
 }
 
+/// `story KEY LOG...`.
+fn story() -> impl Parser<Command> {
+    let key = positional::<String>("KEY").help("The request key");
+    let logs =
+        positional::<PathBuf>("LOG").help("Log lines of instances; none: standard input").many();
+    construct!(Command::Story { key, logs })
+        .to_options()
+        .descr("Shows what the logs of all instances say of one request, in order of time.")
+        .command("story")
+}
+
 /// `drain ADMIN`.
 fn drain() -> impl Parser<Command> {
     let instance = instance();
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -42,6 +42,8 @@
     },
     /// {0}
     Check(super::check::Error),
+    /// {0}
+    Story(super::story::Error),
 }
 
 impl std::error::Error for Error {}
@@ -122,7 +124,7 @@
 }
 
 /// Writes a line to standard output; a reader that has seen enough is no failure.
-fn say(line: &str) {
+pub(super) fn say(line: &str) {
     let _ = writeln!(io::stdout(), "{line}");
 }
 
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -138,6 +138,7 @@
             format!("{from} replied for {service}")
         }
         Step::Lost { owner, portions } => format!("gave up {portions} portions at {owner}"),
+        Step::Refused { detail } => format!("refused: {detail}"),
         Step::Gone => "the caller left".to_owned(),
         Step::Answered { verdict, reason, covered, missing } => {
             shown.verdict = (*verdict).into();
--- a/src/log/lines.rs
+++ b/src/log/lines.rs
@@ -83,6 +83,9 @@
                 info!(self.log, "given up"; "id" => id, "at_us" => at, "owner" => &**owner,
                     "portions" => portions);
             }
+            Step::Refused { detail } => {
+                info!(self.log, "refused"; "id" => id, "at_us" => at, "detail" => &**detail);
+            }
             Step::Gone => info!(self.log, "caller left"; "id" => id, "at_us" => at),
             Step::Answered { verdict, reason, covered, missing } => {
                 info!(self.log, "answered"; "id" => id, "at_us" => at,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod reload;
 mod settings;
 mod stop;
+mod story;
 mod twofold;
 mod vanish;
 mod version;
