--- a/src/entry.rs
+++ b/src/entry.rs
@@ -226,7 +226,11 @@
         gather,
         leaf,
     };
-    info!(shared.log, "starts"; "incarnation" => incarnation, "zone" => &settings.zone);
+    info!(shared.log, "starts"; "version" => env!("CARGO_PKG_VERSION"),
+        "incarnation" => incarnation, "zone" => &settings.zone,
+        "callers" => &settings.caller_address, "operators" => &settings.admin_address,
+        "peers" => &settings.peer_address, "platform" => &settings.platform_address,
+        "seeds" => settings.seeds.join(","));
     spawn_traffic(&shared, leaf_inbox, gather_inbox, listeners)?;
     spawn("control", &shared, move |shared| {
         control::run(shared, control_inbox, operators);
