Make the log reader's test see a queue that blocks

The 1,205 lines that the budget lets through in one second fit into the pipe and the queue of 1,024. Change: the queue holds 512 lines, so that pipe and queue are full within the test. Figures: with a queue that blocks when full the test fails (panicked); as it stands it passes.

--- a/src/log.rs
+++ b/src/log.rs
@@ -31,7 +31,7 @@
 }
 
 /// Lines that wait for whoever reads the log; beyond it lines are dropped and counted in the log.
-const WAITING: usize = 1024;
+const WAITING: usize = 512;
 
 /// Writes from a thread of its own: a reader of the log that stands still would otherwise stop all
 /// threads that have something to say, and with them every request.
