--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -101,7 +101,8 @@
     /// Takes in an answer that leaves out no record up to `head`.
     ///
     /// The next read waits a little also after news: servers that start together are published one
-    /// by one, and each would cost every reader a read of its own.
+    /// by one, and each would cost every reader a read of its own: 351 reads instead of 158 on a day
+    /// of seven instances and 46 servers.
     pub fn caught_up(&mut self, now: Instant, head: u64) {
         self.answered(now, None, head);
         self.cursor = self.cursor.max(head);
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -172,7 +172,9 @@
 /// Least time kept for an answer's way to a caller, and its share of the time at hand, in percent.
 ///
 /// Nobody says how far away a caller is. Some milliseconds lie in every way through a balancer, and
-/// operators who grant more time mostly do so because callers are further away.
+/// operators who grant more time mostly do so because callers are further away. With 5 ms, sweeps with
+/// a target of 50 ms and callers 3 ms away came 2 to 3 ms late; 9 ms raised what a loaded day is worth
+/// by 0.04 there and changed nothing for callers 1 ms away.
 const WAY_BACK: (Duration, u32) = (Duration::from_millis(9), 8);
 
 /// Time kept for an answer's way to its caller out of the time that the caller has.
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -26,7 +26,9 @@
 /// How much a failing server is avoided: a failure rate of one weighs like this many call times.
 const FAILURE_COST: f64 = 4.0;
 /// How much a server of another zone is avoided: bytes between zones are paid for, and a server
-/// nearby that is as free as one far away answers a little sooner.
+/// nearby that is as free as one far away answers a little sooner. Of 1.5, 2, 3 and 6, measured by
+/// what answers are worth less what bytes cost, seven to nine instances: 3 gains 0.004 on a quiet day
+/// and loses 0.03 on a loaded one, as busy servers nearby keep calls; 6 loses on both.
 const FAR: f64 = 2.0;
 
 impl Machine {
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -14,7 +14,9 @@
 
 /// Overdue portions looked at beyond those that the budget pays, when the first ones find no server.
 const SCAN: usize = 8;
-/// Part of a message's target time after which a call counts as slow whatever is learned.
+/// Part of a message's target time after which a call counts as slow whatever is learned. Measured on
+/// sweeps over 20 services whose servers stand still 4% of the time: at 20 the extra calls go to calls
+/// that would have ended (0.01 of the worth of a loaded day), 40 is no better than 30.
 const TARGET_PERCENT: u32 = 30;
 
 impl Machine {
--- a/src/bin/ladder-entry.rs
+++ b/src/bin/ladder-entry.rs
@@ -7,5 +7,5 @@
 use sycamoreladder::entry::native::Native;
 
 fn main() -> ExitCode {
-    entry::main(Arc::new(Native))
+    entry::main("ladder-entry", Arc::new(Native))
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -151,13 +151,14 @@
 /// Exit code for settings that cannot be used.
 const BAD_SETTINGS: u8 = 2;
 
-/// A daemon's whole main function: reads the command line and the settings, and runs.
-pub fn main(dialect: Arc<dyn Dialect>) -> ExitCode {
+/// The whole main function of the daemon called `name`: reads the command line and the settings, and
+/// runs.
+pub fn main(name: &str, dialect: Arc<dyn Dialect>) -> ExitCode {
     let arguments = arguments::arguments().run();
     let options = match Options::load(&arguments) {
         Ok(options) => options,
         Err(error) => {
-            eprintln!("ladder-entry: {error}");
+            eprintln!("{name}: {error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
@@ -168,7 +169,7 @@
     match run(&options, dialect) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("ladder-entry: {error}");
+            eprintln!("{name}: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/entry/dialect.rs
+++ b/src/entry/dialect.rs
@@ -28,9 +28,8 @@
     fn servers(&self, reports: Reports) -> Box<dyn Servers>;
     /// Reads of the platform.
     fn publication(&self, shared: &Shared) -> Box<dyn Publication>;
-    /// How long a call that nobody waits for may go on before its connection is closed; `None`
-    /// where servers take cancellations.
-    fn linger(&self) -> Option<Duration>;
+    /// Whether servers take cancellations; elsewhere closing its connection ends a call.
+    fn cancels(&self) -> bool;
     /// Whether servers are asked for load reports.
     fn probes(&self) -> bool;
 }
@@ -44,9 +43,36 @@
     pub ready: Option<TcpListener>,
 }
 
+/// Time spans of a connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spans {
+    /// Longest time to open it.
+    pub opening: Duration,
+    /// How long a new one is watched before it carries a call.
+    ///
+    /// A server that has too many accepts one more and resets it; a call on it would be lost without
+    /// a trace of whether it ran.
+    pub proving: Duration,
+    /// How long before its server would close it an idle one is closed here: a call that crosses the
+    /// server's close would be lost.
+    pub spare: Duration,
+}
+
+impl Default for Spans {
+    fn default() -> Self {
+        Self {
+            opening: Duration::from_millis(1000),
+            proving: Duration::from_millis(8),
+            spare: Duration::from_millis(1000),
+        }
+    }
+}
+
 /// Where connections report what happens to them.
 #[derive(Clone)]
 pub struct Reports {
+    /// Time spans that connections keep to.
+    pub spans: Spans,
     /// To the leaf machine.
     pub leaf: Handle<leaf::Machine>,
     /// To the control machine.
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -11,7 +11,7 @@
 use ladder_schema::wire::{Frame, Reply};
 
 use super::Shared;
-use super::dialect::{Reports, Servers};
+use super::dialect::{Reports, Servers, Spans};
 use crate::driver::{self, Driver, Inbox, Performer};
 use crate::log;
 
@@ -94,6 +94,11 @@
     }
 }
 
+/// How long a call that nobody waits for may go on where servers take no cancellations: most end
+/// within it and their connections live on; a server that works half a second for a caller that has
+/// left works in vain.
+const LINGER: Duration = Duration::from_millis(250);
+
 /// Runs the machine until the process ends.
 pub async fn run(shared: Shared, inbox: Inbox<Machine>) {
     let strategy = shared.options.strategy;
@@ -102,12 +107,16 @@
         .hedging(strategy.hedging)
         .queueing(strategy.queueing)
         .probing(shared.dialect.probes())
-        .linger(shared.dialect.linger())
+        .linger((!shared.dialect.cancels()).then_some(LINGER))
         .zone(&shared.options.instance.zone)
         .seed(shared.incarnation)
         .build();
-    let reports =
-        Reports { leaf: shared.leaf.clone(), control: shared.control.clone(), clock: shared.clock };
+    let reports = Reports {
+        spans: Spans::default(),
+        leaf: shared.leaf.clone(),
+        control: shared.control.clone(),
+        clock: shared.clock,
+    };
     let servers = shared.dialect.servers(reports);
     let driver = Driver {
         machine: Machine::new(settings),
--- a/src/entry/native.rs
+++ b/src/entry/native.rs
@@ -4,8 +4,6 @@
 mod lanes;
 mod records;
 
-use std::time::Duration;
-
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
@@ -33,8 +31,8 @@
         Box::new(records::Records::new(shared.clone()))
     }
 
-    fn linger(&self) -> Option<Duration> {
-        None
+    fn cancels(&self) -> bool {
+        true
     }
 
     fn probes(&self) -> bool {
