--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -213,9 +213,7 @@
         }
         let withdrawn = self.withdrawals.due(now);
         if !withdrawn.is_empty() {
-            let news = self.apply(now, &withdrawn, out);
-            self.note(&news, "", out);
-            self.tell(&news, "", out);
+            self.adopt(now, &withdrawn, out);
         }
         if self.membership.has_changed() {
             self.is_reader = self.is_chosen();
@@ -237,11 +235,12 @@
             return;
         }
         let changes = self.store.take_changes();
+        let standings = self.standings(now, members_changed || due);
         if members_changed {
-            self.note_members(now, out);
+            self.note_members(&standings, out);
         }
         let source = Source {
-            standings: self.standings(now, members_changed || due),
+            standings,
             store: &self.store,
             membership: &self.membership,
             settings: &self.settings,
@@ -257,13 +256,12 @@
     }
 
     /// Logs the instances whose standing differs from the last view.
-    fn note_members(&self, now: Instant, out: &mut Vec<Action>) {
+    fn note_members(&self, present: &Standings, out: &mut Vec<Action>) {
         let before = self.projection.standings();
-        let present = self.membership.standings(now);
         let names = before.keys().chain(present.keys().filter(|name| !before.contains_key(*name)));
         let of = |map: &Standings, name| map.get(name).copied().unwrap_or(Standing::Gone);
         let mut turned: Vec<_> = names
-            .map(|name| (name, of(before, name), of(&present, name)))
+            .map(|name| (name, of(before, name), of(present, name)))
             .filter(|(_, before, now)| before != now)
             .collect();
         turned.sort_unstable();
@@ -330,7 +328,12 @@
         let mut records = page.records.clone();
         records.extend(self.left_out(page));
         let records = self.believed(now, records, out);
-        let news = self.apply(now, &records, out);
+        self.adopt(now, &records, out);
+    }
+
+    /// Takes in what the platform says, logs what is news and passes it on.
+    fn adopt(&mut self, now: Instant, records: &[Record], out: &mut Vec<Action>) {
+        let news = self.apply(now, records, out);
         self.note(&news, "", out);
         self.tell(&news, "", out);
     }
--- a/src/entry/door.rs
+++ b/src/entry/door.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use ladder_core::collections::Map;
 use ladder_core::gather::Event;
@@ -94,14 +93,9 @@
             Err(_) => refusal(key, Reason::Draining, Verdict::MayHaveRun, "the instance ended"),
         };
         drop(presence);
-        self.answered(&answer, self.shared.clock.now().since(arrived));
+        self.shared.metrics.answered(&answer, self.shared.clock.now().since(arrived));
         answer
     }
-
-    /// Counts an answer that was given after `elapsed`.
-    fn answered(&self, answer: &call::Answer, elapsed: Duration) {
-        self.shared.metrics.answered(answer, elapsed);
-    }
 }
 
 /// An answer that refuses a whole request.
