Know a query by its entry's name too

Incarnations are microseconds since 1970; two instances that start in the same one have equal incarnations and count queries alike, and what one gave up was refused to the other, queued, sent or still to come.

Looking there showed a second fault all the same: a target's own "cancelled" was passed on, and the record of the key said withdrawn by the entry, so that a second attempt might have run although the entry had sent the first to another owner. It is a timeout now.

Conclusion: an incarnation orders the lives of one name and identifies nothing without it.

--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -46,7 +46,12 @@
         work: wire::Work,
     },
     /// An entry gives a query up.
-    Cancel(wire::Cancel),
+    Cancel {
+        /// Name of the entry's instance.
+        from: Arc<str>,
+        /// The query.
+        cancel: wire::Cancel,
+    },
     /// A lane asked for by [`Action::Open`] is connected and idle.
     Opened(LaneKey),
     /// A lane failed or was closed by the target while idle, or could not be opened; while it
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -71,8 +71,7 @@
         if finding == Some(Finding::Repeated) {
             return Err(Refused::repeated());
         }
-        let query = Query { incarnation: job.incarnation, number: job.work.query };
-        if self.cancelled.contains(&query) {
+        if self.cancelled.contains(&job.query()) {
             return Err(Refused::because(Reason::Cancelled));
         }
         if self.draining {
@@ -208,8 +207,7 @@
         let fast = service.fast();
         let key = self.portions.insert(portion);
         self.queue(key);
-        let query = Query { incarnation: job.incarnation, number: job.work.query };
-        self.queries.entry(query).or_default().push(key);
+        self.queries.entry(job.query()).or_default().push(key);
         self.timers.push(deadline, Timer::Deadline(key));
         if self.settings.queueing && !fast.is_zero() {
             self.timers.push(deadline - fast, Timer::Late(key));
@@ -241,10 +239,10 @@
     }
 
     /// An entry gives a query up. Queued portions are proved not to run.
-    pub(super) fn cancel(&mut self, cancel: &wire::Cancel, out: &mut Vec<Action>) {
-        let query = Query { incarnation: cancel.incarnation, number: cancel.query };
-        self.cancelled.insert(self.now, query);
+    pub(super) fn cancel(&mut self, from: Arc<str>, cancel: &wire::Cancel, out: &mut Vec<Action>) {
+        let query = Query { from, incarnation: cancel.incarnation, number: cancel.query };
         let keys = self.queries.remove(&query).unwrap_or_default();
+        self.cancelled.insert(self.now, query);
         for key in keys {
             let verdict = self.standing(key);
             self.finish(key, Refused::with(verdict, Reason::Cancelled), out);
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -36,8 +36,13 @@
 }
 
 /// A query of one entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+///
+/// The entry's name belongs to it: entries that start in the same microsecond, as after a loss of
+/// power or under a stopped clock, have equal incarnations and count their queries alike. Without
+/// the name, what one of them gave up was refused to the other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Query {
+    pub(super) from: Arc<str>,
     pub(super) incarnation: u64,
     pub(super) number: u64,
 }
@@ -141,7 +146,7 @@
     fn take(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Work { from, incarnation, work } => self.work(from, incarnation, work, out),
-            Event::Cancel(cancel) => self.cancel(&cancel, out),
+            Event::Cancel { from, cancel } => self.cancel(from, &cancel, out),
             Event::Opened(lane) => self.opened(lane, out),
             Event::Closed(lane) => self.closed(lane, out),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, out),
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 
 use super::event::AttemptKey;
+use super::machine::Query;
 use super::queue;
 use super::record;
 use super::server::ServerKey;
@@ -33,6 +34,17 @@
     pub(super) work: wire::Work,
 }
 
+impl Job {
+    /// The query that the work belongs to.
+    pub(super) fn query(&self) -> Query {
+        Query {
+            from: Arc::clone(&self.from.name),
+            incarnation: self.incarnation,
+            number: self.work.query,
+        }
+    }
+}
+
 /// A portion that has not been replied to.
 #[derive(Clone, Debug)]
 pub(super) struct Portion {
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -7,7 +7,7 @@
 use ladder_schema::wire;
 
 use super::event::{Action, AttemptKey};
-use super::machine::{Machine, Query};
+use super::machine::Machine;
 use super::portion::{Job, Portion, PortionKey};
 use super::record::State;
 use super::timer::Timer;
@@ -109,7 +109,7 @@
             let sent = self.attempts[*attempt].sent;
             service.overdue.remove(&(sent, key));
         }
-        let query = Query { incarnation: portion.job.incarnation, number: portion.job.work.query };
+        let query = portion.job.query();
         let Some(keys) = self.queries.get_mut(&query) else {
             return;
         };
--- a/crates/core/src/leaf/verdict.rs
+++ b/crates/core/src/leaf/verdict.rs
@@ -28,9 +28,14 @@
 }
 
 /// Reads a target's reason; one that the schema does not allow here counts as shedding.
+///
+/// Nobody cancelled what is still waited for: a target that says so gave it up because of the
+/// timeout it was told. Passed on as it is, the reason would tell the caller of a cancellation, and
+/// the record of its key of a withdrawal by the entry.
 fn refusal_reason(reason: Reason) -> Reason {
     match reason {
-        Reason::TargetLeaving | Reason::VersionRetired | Reason::Cancelled => reason,
+        Reason::TargetLeaving | Reason::VersionRetired => reason,
+        Reason::Cancelled => Reason::TargetTimeout,
         _ => Reason::TargetShed,
     }
 }
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -154,6 +154,11 @@
     }
 }
 
+/// The entry of [`Bed::work`] gives a query up.
+pub(crate) fn cancel(query: u64) -> Event {
+    Event::Cancel { from: "porto-2".into(), cancel: wire::Cancel { query, incarnation: 9 } }
+}
+
 impl Bed {
     /// A machine that owns the service, without connections yet.
     pub(crate) fn cold(settings: Settings, service: Service) -> Self {
--- a/crates/core/tests/leaf/forward.rs
+++ b/crates/core/tests/leaf/forward.rs
@@ -11,7 +11,7 @@
 use ladder_core::schema::{target, wire};
 use ladder_core::view;
 
-use crate::bed::{Bed, Sent, limited, server, settings, work};
+use crate::bed::{Bed, Sent, cancel, limited, server, settings, work};
 
 /// How long a call that nobody waits for may go on.
 const LINGER: Duration = Duration::from_millis(200);
@@ -194,7 +194,7 @@
 fn unwanted_call_ends_with_its_connection() {
     let mut bed = bed(lingering(), limits(100, true));
     let sent = first(&mut bed, 1, "check");
-    bed.handle(Event::Cancel(wire::Cancel { query: 1, incarnation: 9 }));
+    bed.handle(cancel(1));
     bed.advance(199);
     assert!(!bed.log.contains(&Action::Close(sent.lane)));
     bed.advance(2);
@@ -208,7 +208,7 @@
 fn unwanted_call_that_ends_keeps_its_connection() {
     let mut bed = bed(lingering(), limits(100, true));
     let sent = first(&mut bed, 1, "check");
-    bed.handle(Event::Cancel(wire::Cancel { query: 1, incarnation: 9 }));
+    bed.handle(cancel(1));
     bed.advance(50);
     bed.end(sent.attempt, response(&sent, 200));
     bed.advance(300);
--- a/crates/core/tests/leaf/once.rs
+++ b/crates/core/tests/leaf/once.rs
@@ -5,7 +5,7 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::wire;
 
-use crate::bed::{Bed, Sent, server, service, settings, work};
+use crate::bed::{Bed, Sent, cancel, peer, server, service, settings, work};
 
 /// What becomes of the first delivery before the second arrives.
 #[derive(Clone, Copy, Debug)]
@@ -30,10 +30,6 @@
     wire::Work { key: "booking".into(), attempt, ..work(query, "book") }
 }
 
-fn cancel(query: u64) -> Event {
-    Event::Cancel(wire::Cancel { query, incarnation: 9 })
-}
-
 /// Fills all slots, so that what comes next waits.
 fn fill(bed: &mut Bed) -> Vec<Sent> {
     bed.sweeps(100..104);
@@ -124,6 +120,23 @@
     assert_eq!(bed.sent().len(), 1);
 }
 
+/// Both servers refuse a booking as cancelled, which nobody did: they give up what waits too long.
+/// The caller must not hear of a cancellation, and the owner must not remember the key as withdrawn
+/// by its entry: that entry may have had it run elsewhere since.
+#[test]
+fn refused_as_cancelled_by_the_servers_alone() {
+    let mut bed = Bed::new();
+    bed.work(booking(1, 1));
+    let calls = bed.each_sent(|bed, sent| {
+        bed.end(sent.attempt, sent.refusal(Reason::Cancelled, 0));
+    });
+    assert!(calls > 1, "another server is asked");
+    assert_eq!(bed.replies(), [(Verdict::NotRun, Reason::TargetTimeout)]);
+    bed.log.clear();
+    bed.work(booking(2, 2));
+    assert_eq!(bed.replies(), [(Verdict::MayHaveRun, Reason::RepeatedKey)]);
+}
+
 /// A cancellation overtakes its work. The entry has told its caller that the request was given up;
 /// the copy that arrives later must not run.
 #[test]
@@ -137,6 +150,35 @@
     }
 }
 
+/// Two entries start in the same microsecond: a whole site comes back after a loss of power. Their
+/// incarnations are equal and both count their queries from one. What one of them gives up must
+/// end nothing of the other's, queued, sent or still to come.
+#[test]
+fn entries_of_equal_incarnation() {
+    let other = |query| Event::Work {
+        from: peer("porto-3"),
+        incarnation: 9,
+        work: wire::Work { key: format!("other-{query}"), ..work(query, "sweep") },
+    };
+    let mut bed = Bed::new();
+    for query in [1, 2] {
+        bed.work(work(query, "sweep"));
+        bed.handle(other(query));
+        // The first two are sent; what follows these waits.
+        bed.sweeps(query * 100..query * 100 + 2);
+    }
+    for query in 1..=3 {
+        bed.handle(cancel(query));
+    }
+    bed.handle(other(3));
+    let cancelled =
+        [(Verdict::MayHaveRun, Reason::Cancelled), (Verdict::NotRun, Reason::Cancelled)];
+    assert_eq!(bed.replies(), cancelled, "only porto-2's");
+    bed.each_sent(Bed::answer);
+    let ran = bed.replies().split_off(cancelled.len());
+    assert_eq!(ran, [(Verdict::Ran, Reason::Unspecified); 7]);
+}
+
 /// The caller has gone. A sweep is cancelled at its server; a booking is not, since a booking cut
 /// halfway would leave its outcome unknown for good.
 #[test]
--- a/crates/core/tests/leaf/property.rs
+++ b/crates/core/tests/leaf/property.rs
@@ -89,10 +89,7 @@
             Step::Work { query, round, operation, attempt, budget } => {
                 self.work(query, round, operation, attempt, budget);
             }
-            Step::Cancel { query } => self.handle(Event::Cancel(wire::Cancel {
-                query: u64::from(query % 16),
-                incarnation: 9,
-            })),
+            Step::Cancel { query } => self.handle(bed::cancel(u64::from(query % 16))),
             Step::Connect(which) => self.connect(which),
             Step::Drop(which) => self.drop_lane(which),
             Step::End(which, end) => self.end(which, end),
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -62,7 +62,8 @@
     /// Hands a cancellation to the local leaf or adds it to its peer's frame.
     fn cancel(&mut self, to: &Arc<str>, cancel: Cancel) {
         if *to == self.shared.me.address {
-            self.shared.leaf.tell(leaf::Event::Cancel(cancel));
+            let from = Arc::clone(&self.shared.me.name);
+            self.shared.leaf.tell(leaf::Event::Cancel { from, cancel });
         } else {
             self.frames.entry(Arc::clone(to)).or_default().cancels.push(cancel);
         }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -71,7 +71,7 @@
         shared.leaf.tell(leaf::Event::Work { from, incarnation, work });
     }
     for cancel in frame.cancels.drain(..) {
-        shared.leaf.tell(leaf::Event::Cancel(cancel));
+        shared.leaf.tell(leaf::Event::Cancel { from: Arc::clone(&from.name), cancel });
     }
     if !frame.replies.is_empty() {
         let replies = std::mem::take(&mut frame.replies);
