Order the lives of an instance by a generation that peers can push up

Cause: incarnations are the time of day. An instance whose host's clock was set back restarts with a lower one than its peers still know; they took its frames for late ones of its predecessor and held it dead until they forgot that, 20 s later.

Now a frame also names the sender's generation. A peer answers one that is too low with what it knows of the name; the sender goes one above it, provided the rumour names its own address (under another the name has been given away), and says so in a line. Incarnations only tell processes apart, seeds of random choices take the name in too.

Ruled out: taking a lower incarnation for a successor's after a silence. Peers that still hold the old one would spread it and win, since rumours are ordered by that very number.

Conclusion: costs one field a frame; the gain shows only where peers must push to the successor.

--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -138,7 +138,7 @@
                 self.spent.views += 1;
                 self.view = Some(view);
             }
-            Action::Log(_) => {}
+            Action::Log(_) | Action::Generation(_) => {}
             Action::Refused { record, detail, .. } => panic!("{record} was refused: {detail}"),
             Action::Count(_) => {}
         }
--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -145,7 +145,7 @@
 fn rumour(size: &Size, number: usize, liveness: Liveness) -> Rumour {
     Rumour {
         name: instance_name(number),
-        incarnation: 1,
+        generation: 1,
         refutation: 0,
         liveness: liveness as i32,
         address: instance_address(number),
--- a/crates/core/examples/scale/spread.rs
+++ b/crates/core/examples/scale/spread.rs
@@ -220,7 +220,7 @@
                     *reached = Some(self.now);
                 }
             }
-            Action::Refused { .. } | Action::Log(_) | Action::Count(_) => {}
+            Action::Refused { .. } | Action::Log(_) | Action::Generation(_) | Action::Count(_) => {}
         }
     }
 
--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -42,6 +42,13 @@
         /// Its revision.
         revision: u64,
     },
+    /// Peers knew an earlier life of this instance under a higher generation than its own.
+    Outlived {
+        /// Its generation until now.
+        before: u64,
+        /// From now on.
+        now: u64,
+    },
     /// Work may be given to an instance, or not any more.
     Member {
         /// Its name.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -57,6 +57,8 @@
         /// How long the platform may wait for news; zero: it answers at once.
         wait: Duration,
     },
+    /// Name this generation of the instance in every frame from now on.
+    Generation(u64),
     /// Publish a new view to the traffic threads.
     View(Arc<View>),
     /// A record was refused; operators see it until a newer one of the same key is in force.
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -7,6 +7,7 @@
 
 use super::{DEFERRALS, FANOUT, FEW_BUCKETS, GOSSIP, Machine, START_PEERS, UNDER_WAY};
 use crate::control::Action;
+use crate::control::belief::Belief;
 use crate::control::membership::Life;
 use crate::control::spread::{self, News};
 use crate::time::Instant;
@@ -18,11 +19,17 @@
             Life::Ignored if frame.from == *self.settings.name => return,
             Life::Ignored | Life::Known => {}
             Life::Joined => reply.rumours = self.membership.doubts(),
-            Life::Doubted(rumour) => reply.rumours.push(rumour),
+            Life::Doubted(rumour) | Life::Outlived(rumour) => reply.rumours.push(rumour),
         }
+        let generation = self.membership.own().generation;
         for rumour in &frame.rumours {
             self.membership.rumour(now, rumour);
         }
+        let raised = self.membership.own().generation;
+        if raised != generation {
+            out.push(Action::Log(Belief::Outlived { before: generation, now: raised }));
+            out.push(Action::Generation(raised));
+        }
         self.acknowledged(&frame.acknowledgements);
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
@@ -128,8 +135,7 @@
             || !reply.wanted_parts.is_empty();
         if worth && !to.is_empty() {
             reply.rumours.extend(self.membership.take_rumours());
-            let reply = spread::signed(&self.settings, reply);
-            send(&to.into(), reply, out);
+            send(&to.into(), self.signed(reply), out);
         }
     }
 
@@ -224,7 +230,11 @@
     }
 
     pub(super) fn blank(&self) -> Frame {
-        spread::signed(&self.settings, Frame::default())
+        self.signed(Frame::default())
+    }
+
+    fn signed(&self, frame: Frame) -> Frame {
+        spread::signed(&self.settings, self.membership.own().generation, frame)
     }
 }
 
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -37,7 +37,7 @@
     /// Suspected. When no candidate of a service is better, the suspicion is more likely wrong
     /// than not, and a suspect asked in vain costs no more than no owner at all.
     Suspect,
-    /// Alive, but of an incarnation so new that it may not have its shares yet.
+    /// Alive, but of a generation so new that it may not have its shares yet.
     Fresh,
     /// Alive.
     Settled,
@@ -48,11 +48,14 @@
 pub enum Life {
     /// Nothing new.
     Known,
-    /// A member or incarnation that was not known.
+    /// A member or generation that was not known.
     Joined,
     /// It was suspected or held dead: tell it, so that it refutes.
     Doubted(Rumour),
-    /// Not from a member: this instance itself, or an earlier incarnation.
+    /// From an earlier life of a member, or from a later one whose host's clock was set back: this
+    /// is what the sender must hear of itself.
+    Outlived(Rumour),
+    /// Not from a member: this instance itself, or nobody that could be answered.
     Ignored,
 }
 
@@ -78,7 +81,7 @@
         let mut own = Member::new(&settings.name, now, Why::Own);
         own.address = Arc::clone(&settings.address);
         own.zone = Arc::clone(&settings.zone);
-        own.incarnation = settings.incarnation;
+        own.generation = settings.incarnation;
         let mut rumours = queue::Queue::default();
         rumours.push(&own.name);
         Self {
@@ -161,7 +164,7 @@
         let listed = || Member::new(&name, now, Why::Published);
         let member = self.members.entry(Arc::clone(&name)).or_insert_with(listed);
         member.published = Some(state);
-        if member.incarnation == 0 || member.address.is_empty() {
+        if member.generation == 0 || member.address.is_empty() {
             member.address = instance.peer_address.as_str().into();
         }
         member.zone = instance.zone.as_str().into();
@@ -179,12 +182,12 @@
         }
         self.watch.answered();
         let known = self.members.get_mut(frame.from.as_str());
-        let Some(member) = known.filter(|member| frame.incarnation <= member.incarnation) else {
+        let Some(member) = known.filter(|member| frame.generation <= member.generation) else {
             self.join(now, frame);
             return Life::Joined;
         };
-        if frame.incarnation < member.incarnation {
-            return Life::Ignored;
+        if frame.generation < member.generation {
+            return Life::Outlived(member.as_rumour());
         }
         member.heard = Some(now);
         self.returned(now, &frame.from)
@@ -196,13 +199,13 @@
         let mut member = Member::new(&name, now, Why::Heard);
         member.address = frame.address.as_str().into();
         member.zone = frame.zone.as_str().into();
-        member.incarnation = frame.incarnation;
+        member.generation = frame.generation;
         member.heard = Some(now);
         member.published = old.and_then(|old| old.published);
-        if let Some(old) = old.filter(|old| old.incarnation == 0) {
+        if let Some(old) = old.filter(|old| old.generation == 0) {
             member.joined = old.joined;
         }
-        let is_news = old.is_none_or(|old| old.incarnation > 0 || !old.is_reachable());
+        let is_news = old.is_none_or(|old| old.generation > 0 || !old.is_reachable());
         if is_news {
             self.rumours.push(&name);
         }
@@ -228,7 +231,7 @@
         Life::Doubted(doubt)
     }
 
-    /// This instance leaves; final for its incarnation.
+    /// This instance leaves; final for its generation.
     pub fn leave(&mut self, now: Instant) {
         self.own.turn(now, Liveness::Leaving, Why::Own);
         self.rumours.push(&self.own.name);
--- a/crates/core/src/control/membership/hearsay.rs
+++ b/crates/core/src/control/membership/hearsay.rs
@@ -21,10 +21,10 @@
         if !member.is_beaten_by(rumour) {
             return;
         }
-        let was = (member.liveness, member.incarnation);
+        let was = (member.liveness, member.generation);
         member.accept(now, rumour);
         let is_news = was.0 != member.liveness || was.1 > 0;
-        if was != (member.liveness, member.incarnation) {
+        if was != (member.liveness, member.generation) {
             self.note_change();
         }
         if is_news {
@@ -47,14 +47,36 @@
     /// A member that hears itself suspected or held dead says with a raised refutation that it is
     /// not, which beats every rumour of the suspicion.
     fn refute(&mut self, rumour: &Rumour) {
-        let doubted = matches!(rumour.liveness(), Liveness::Suspect | Liveness::Dead);
-        if !doubted || rumour.incarnation > self.own.incarnation {
+        if rumour.generation > self.own.generation {
+            self.outlive(rumour);
             return;
         }
-        let same = rumour.incarnation == self.own.incarnation;
+        if !matches!(rumour.liveness(), Liveness::Suspect | Liveness::Dead) {
+            return;
+        }
+        let same = rumour.generation == self.own.generation;
         if same && rumour.refutation >= self.own.refutation {
             self.own.refutation = rumour.refutation.saturating_add(1);
         }
         self.rumours.push(&self.own.name);
     }
+
+    /// Puts this life above an earlier one of its name.
+    ///
+    /// The failure: the time of day is set back and the instance restarts. Its incarnation is lower
+    /// than its predecessor's; peers that still know that one would hold this one dead and tell it
+    /// nothing until they forget it. Only the process that listens at the address can be the
+    /// successor: under another address the name has been given to another instance.
+    fn outlive(&mut self, rumour: &Rumour) {
+        if *rumour.address != *self.own.address {
+            return;
+        }
+        let Some(generation) = rumour.generation.checked_add(1) else {
+            return;
+        };
+        self.own.generation = generation;
+        self.own.refutation = 0;
+        self.rumours.push(&self.own.name);
+        self.note_change();
+    }
 }
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -40,23 +40,24 @@
     pub address: Arc<str>,
     /// Availability zone.
     pub zone: Arc<str>,
-    /// Grows with every start; 0 while nothing was heard of it.
+    /// Orders its lives; 0 while nothing was heard of it. It is the incarnation of its process,
+    /// unless peers knew a higher one of its name when it started.
     ///
     /// Invariant: never shrinks.
-    pub incarnation: u64,
+    pub generation: u64,
     /// Raised by the member itself to refute a suspicion.
     ///
-    /// Invariant: never shrinks within an incarnation.
+    /// Invariant: never shrinks within a generation.
     pub refutation: u32,
     /// Whether it is held alive.
     ///
-    /// Invariant: leaving is final for an incarnation.
+    /// Invariant: leaving is final for a generation.
     pub liveness: Liveness,
     /// When the liveness last changed.
     pub since: Instant,
     /// What the liveness rests on.
     pub why: Why,
-    /// When this incarnation became known.
+    /// When this generation became known.
     pub joined: Instant,
     /// When the last frame of it came.
     pub heard: Option<Instant>,
@@ -71,7 +72,7 @@
             name: Arc::clone(name),
             address: "".into(),
             zone: "".into(),
-            incarnation: 0,
+            generation: 0,
             refutation: 0,
             liveness: Liveness::Alive,
             since: now,
@@ -103,7 +104,7 @@
     pub fn as_rumour(&self) -> Rumour {
         Rumour {
             name: self.name.to_string(),
-            incarnation: self.incarnation,
+            generation: self.generation,
             refutation: self.refutation,
             liveness: self.liveness as i32,
             address: self.address.to_string(),
@@ -111,26 +112,26 @@
         }
     }
 
-    /// Whether a rumour says something newer: a higher incarnation, then leaving, then a higher
+    /// Whether a rumour says something newer: a higher generation, then leaving, then a higher
     /// refutation, then the worse liveness.
     pub(super) fn is_beaten_by(&self, rumour: &Rumour) -> bool {
         let heard = (
-            rumour.incarnation,
+            rumour.generation,
             rumour.liveness() == Liveness::Leaving,
             rumour.refutation,
             rumour.liveness(),
         );
         let held =
-            (self.incarnation, self.liveness == Liveness::Leaving, self.refutation, self.liveness);
+            (self.generation, self.liveness == Liveness::Leaving, self.refutation, self.liveness);
         rumour.liveness() != Liveness::Unspecified && heard > held
     }
 
     /// Takes a rumour over.
     pub(super) fn accept(&mut self, now: Instant, rumour: &Rumour) {
-        if self.incarnation > 0 && self.incarnation < rumour.incarnation {
+        if self.generation > 0 && self.generation < rumour.generation {
             self.joined = now;
         }
-        self.incarnation = rumour.incarnation;
+        self.generation = rumour.generation;
         self.refutation = rumour.refutation;
         if !rumour.address.is_empty() {
             self.address = rumour.address.as_str().into();
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -56,12 +56,13 @@
 }
 
 /// The frame with its sender named.
-pub(super) fn signed(settings: &Settings, frame: Frame) -> Frame {
+pub(super) fn signed(settings: &Settings, generation: u64, frame: Frame) -> Frame {
     Frame {
         protocol: PROTOCOL,
         fleet: settings.fleet.to_string(),
         from: settings.name.to_string(),
         incarnation: settings.incarnation,
+        generation,
         address: settings.address.to_string(),
         zone: settings.zone.to_string(),
         ..frame
--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -264,6 +264,27 @@
     }
 }
 
+/// The clock of a host is set back and its instance restarts, so that its incarnation is lower than
+/// the last one its peers knew. They must take it back as soon as any other newcomer, and not only
+/// when they have forgotten the predecessor.
+#[test]
+fn restart_under_a_clock_set_back() {
+    let mut fleet = fleet(9, 4);
+    fleet.seeds = vec![publish::address(&name(0))];
+    for incarnation in [9, 2] {
+        fleet.kill(&name(2), true);
+        fleet.incarnation = incarnation;
+        fleet.start(&name(2), zone(2));
+        fleet.run(Duration::from_secs(4));
+        for at in (0..9).filter(|at| *at != 2) {
+            let mut members = fleet.nodes[&name(at)].machine.members();
+            let member = members.find(|member| *member.name == *name(2));
+            let held = member.map(|member| member.liveness);
+            assert_eq!(held, Some(Liveness::Alive), "incarnation {incarnation}, at {at}");
+        }
+    }
+}
+
 /// A new process finds the platform down. Its peers give it everything.
 #[test]
 fn newcomer_learns_from_peers_alone() {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -38,10 +38,10 @@
     seconds * 1_000_000 + nanos / 1000
 }
 
-/// An incarnation for a process that starts now: later starts get higher ones.
+/// An incarnation for a process that starts now: no other process of its name has the same.
 ///
-/// Microseconds since 1970. A host clock set back makes a replacement look older than its
-/// predecessor; its peers then take it for the predecessor until the suspicion of that one ends.
+/// Microseconds since 1970. Later starts get higher ones unless the host's clock was set back;
+/// peers order the lives of a name by their generations, which start from it.
 pub fn incarnation() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,6 +18,7 @@
 pub mod status;
 pub mod stop;
 
+use std::hash::BuildHasher;
 use std::io;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
+use ladder_core::collections::Hasher;
 use ladder_core::view::Peer;
 use ladder_schema::publication::Bounds;
 use slog::{Logger, info};
@@ -103,6 +105,14 @@
     pub leaf: Handle<ladder_core::leaf::Machine>,
 }
 
+impl Shared {
+    /// Seed of this process's random choices. The name belongs to it: instances that start in the
+    /// same microsecond would all draw the same waits.
+    fn seed(&self) -> u64 {
+        Hasher::default().hash_one((&*self.me.name, self.incarnation))
+    }
+}
+
 /// What a caller may send, by the routes in force.
 #[derive(Clone, Debug, Default)]
 pub struct Limits(Arc<Mutex<Bounds>>);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -63,6 +63,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
+                Action::Generation(generation) => self.shared.outbound.set_generation(generation),
                 Action::Watch { after, wait } => self.publication.read(after, wait),
                 Action::View(view) => {
                     debug!(self.shared.log, "view in force"; "generation" => view.generation,
@@ -133,6 +134,6 @@
         .placement(placement)
         .listing(listing)
         .timing(timing)
-        .seed(shared.incarnation)
+        .seed(shared.seed())
         .build()
 }
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -109,7 +109,7 @@
         .probing(shared.dialect.probes())
         .linger((!shared.dialect.cancels()).then_some(LINGER))
         .zone(&shared.options.instance.zone)
-        .seed(shared.incarnation)
+        .seed(shared.seed())
         .build();
     let reports = Reports {
         spans: Spans::default(),
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -67,7 +67,7 @@
         name: member.name.to_string(),
         zone: member.zone.to_string(),
         address: member.address.to_string(),
-        incarnation: member.incarnation,
+        incarnation: member.generation,
         liveness: member.liveness.into(),
         why: member.why.to_string(),
     }
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -1,6 +1,6 @@
 //! Sends frames to peers.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -31,6 +31,8 @@
 #[derive(Clone)]
 pub struct Outbound {
     identity: Arc<Identity>,
+    /// The generation that frames name. Only the control thread changes it.
+    generation: Arc<AtomicU64>,
     clock: Clock,
     metrics: Metrics,
     cut: Cut,
@@ -57,7 +59,14 @@
         cut: Cut,
         on_down: OnDown,
     ) -> Self {
-        Self { identity: Arc::new(identity), clock, metrics, cut, on_down, lines: Arc::default() }
+        let generation = Arc::new(AtomicU64::new(identity.incarnation));
+        let identity = Arc::new(identity);
+        Self { identity, generation, clock, metrics, cut, on_down, lines: Arc::default() }
+    }
+
+    /// Names this generation in every frame from now on.
+    pub fn set_generation(&self, generation: u64) {
+        self.generation.store(generation, Ordering::Relaxed);
     }
 
     /// Fills in the sender and hands the frame to the connection; it may be lost.
@@ -82,6 +91,7 @@
         frame.fleet.clone_from(&self.identity.fleet);
         frame.from.clone_from(&self.identity.name);
         frame.incarnation = self.identity.incarnation;
+        frame.generation = self.generation.load(Ordering::Relaxed);
         frame.address.clone_from(&self.identity.address);
         frame.zone.clone_from(&self.identity.zone);
         frame.sent_us = self.clock.now().as_micros();
--- a/src/log.rs
+++ b/src/log.rs
@@ -62,6 +62,9 @@
         Belief::Routes { version, revision } => {
             info!(log, "routes in force"; "version" => version, "revision" => revision);
         }
+        Belief::Outlived { before, now } => {
+            warn!(log, "generation raised"; "before" => before, "now" => now);
+        }
         Belief::Member { name, before, now } => {
             info!(log, "member turned"; "member" => &**name, "before" => ?before, "now" => ?now);
         }
