--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -187,6 +187,7 @@
                     Action::Reply { .. } => self.replies += 1,
                     Action::Close(_)
                     | Action::Log(_)
+                    | Action::Pending { .. }
                     | Action::Server { .. }
                     | Action::Count(_) => {}
                 }
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -10,14 +10,14 @@
 use ladder_schema::catalogue;
 use ladder_schema::publication;
 
-use super::membership::{Membership, Standing};
+use super::membership::{Member, Membership, Standing};
 use super::placement;
 use super::settings::{Listing, Placement, Settings};
 use super::store::{Changes, Store};
 use crate::collections::{Map, Set};
 use crate::route::Table;
 use crate::time::Instant;
-use crate::view::{Candidate, Peer, Server, Service, View};
+use crate::view::{Candidate, Neighbour, Peer, Server, Service, View};
 
 /// Whether work may be given to each instance.
 pub(super) type Standings = Map<Arc<str>, Standing>;
@@ -102,13 +102,17 @@
             self.cache.index_lists()
         });
         let routing = changes.routing.then(|| source.store.routing().map(Table::new).map(Arc::new));
+        let moved = !Arc::ptr_eq(&self.standings, &source.standings);
         let stale = self.stale(source, changes);
         let built = self.build(source, &stale);
         let revision = source.store.revision();
         let old = &self.view;
         let indexes = indexes.filter(|lists| *lists != old.indexes);
         let routing = routing.filter(|routing| *routing != old.routing);
-        let is_same = built.is_empty() && indexes.is_none() && routing.is_none();
+        let neighbours = moved.then(|| neighbours(source));
+        let neighbours = neighbours.filter(|list| **list != *old.neighbours);
+        let lists_same = indexes.is_none() && routing.is_none() && neighbours.is_none();
+        let is_same = built.is_empty() && lists_same;
         if is_same && old.ready == ready && old.revision == revision {
             return None;
         }
@@ -118,6 +122,7 @@
         view.ready = ready;
         view.indexes = indexes.unwrap_or(view.indexes);
         view.routing = routing.unwrap_or(view.routing);
+        view.neighbours = neighbours.unwrap_or(view.neighbours);
         for (name, service) in built {
             match service {
                 Some(service) => drop(view.insert(service)),
@@ -133,12 +138,7 @@
     pub(super) fn whole(&self, source: &Source<'_>, ready: bool) -> View {
         let mut ranks = self.ranks.clone();
         ranks.doubt();
-        let mut new = Self {
-            ranks,
-            grants: self.grants.clone(),
-            standings: source.standings.clone(),
-            ..Self::default()
-        };
+        let mut new = Self { ranks, grants: self.grants.clone(), ..Self::default() };
         let mut changes =
             Changes { indexes: true, instances: true, routing: true, ..Changes::default() };
         let names = source.store.entries().map(|entry| entry.service.as_str());
@@ -326,6 +326,22 @@
     }
 }
 
+/// Settled instances besides this one. Under owner placement the candidates of each service take
+/// their place.
+fn neighbours(source: &Source<'_>) -> Arc<[Neighbour]> {
+    if source.settings.placement != Placement::Direct {
+        return Arc::default();
+    }
+    let members = source.membership.members().filter(|member| {
+        source.standing(&member.name) == Standing::Settled && !member.address.is_empty()
+    });
+    let neighbour = |member: &Member| Neighbour {
+        peer: Peer { name: Arc::clone(&member.name), address: Arc::clone(&member.address) },
+        zone: Arc::clone(&member.zone),
+    };
+    members.map(neighbour).collect()
+}
+
 /// Instances that share what an entry grants the fleet: with one owner for each service nobody does.
 fn sharers(source: &Source<'_>) -> u32 {
     match source.settings.listing {
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -5,9 +5,13 @@
 //! to the service's owner and takes the replies that [`reply`] finds valid, [`answer`] builds the
 //! answer. [`peers`] learns how fast each peer replies and notices one that fell silent, [`keys`]
 //! remembers the keys of unrepeatable requests, [`history`] keeps what operators ask about.
+//!
+//! Parts of a forwarded sweep may go to peers that stand nearer their servers: [`near`] divides
+//! them, [`collect`] takes the merged replies and notices a peer that does not speak.
 
 mod answer;
 mod check;
+mod collect;
 mod failover;
 mod finish;
 mod forward;
@@ -15,6 +19,7 @@
 mod keys;
 mod machine;
 mod merge;
+mod near;
 mod peers;
 mod plan;
 mod quantile;
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -32,6 +32,13 @@
         /// The replies.
         replies: Vec<wire::Reply>,
     },
+    /// A peer still collects parts whose time has come.
+    Pending {
+        /// Name of the instance that sent it.
+        from: Arc<str>,
+        /// Which parts.
+        pending: wire::Pending,
+    },
     /// The link to a peer broke: what was sent to it may or may not have arrived.
     LinkDown(Arc<str>),
     /// A new view is in force.
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -12,14 +12,14 @@
 use super::query::{Portion, Progress, Query, QueryKey, Sending};
 use super::take::may_send_again;
 use super::timers::Timer;
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 use crate::count;
 use crate::time::Instant;
 use crate::view::{Peer, View};
 
 /// A silence timer served later than this after its time says nothing of the peer: this process
 /// itself did not run, and replies may wait unread.
-const LATE: Duration = Duration::from_millis(10);
+pub(super) const LATE: Duration = Duration::from_millis(10);
 /// Work that has been out for less than this share of its query's deadline is not moved because of
 /// silence: before reply times are learned, an operation that takes seconds would else be sent to
 /// every candidate within its first fractions of a second.
@@ -50,6 +50,7 @@
     pub(crate) fn adopt(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
         self.view = view;
         self.planner.forget();
+        self.near.forget();
         let view = Arc::clone(&self.view);
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view.services.values().flat_map(|service| &service.candidates);
@@ -64,7 +65,9 @@
                 self.leave(now, peer, Loss::Unlisted, out);
             }
         }
-        self.peers.prune(|name| live.contains_key(name));
+        let neighbours = view.neighbours.iter();
+        let near: Set<&str> = neighbours.map(|neighbour| &*neighbour.peer.name).collect();
+        self.peers.prune(|name| live.contains_key(name) || near.contains(name));
     }
 
     /// A peer may have been silent for too long.
@@ -141,6 +144,18 @@
         portions.filter(|(_, portion)| held(portion)).map(|(position, _)| position).collect()
     }
 
+    /// Moves portions of one query that a peer was silent about.
+    pub(super) fn leave_silent(
+        &mut self,
+        now: Instant,
+        key: QueryKey,
+        peer: PeerKey,
+        portions: &[usize],
+        out: &mut Vec<Action>,
+    ) {
+        self.leave_query(now, key, peer, portions, Loss::Silent, out);
+    }
+
     fn leave_query(
         &mut self,
         now: Instant,
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -5,6 +5,7 @@
 
 use super::answer;
 use super::event::Action;
+use super::failover::LATE;
 use super::machine::{Machine, count};
 use super::merge;
 use super::query::{Progress, Query, QueryKey, State};
@@ -58,8 +59,14 @@
             self.finish(now, key, Reason::Deadline, out);
             return;
         }
-        query.timer = query.answer_at;
-        self.timers.add(query.timer, Timer::Query(key));
+        let (due, answer_at) = (query.timer, query.answer_at);
+        let speak_at = self.speak_at(&self.queries[key]);
+        let next = match speak_at {
+            Some(at) if due < at => at,
+            Some(_) if !self.unspoken(now, due, key, out) => (now + LATE).min(answer_at),
+            _ => answer_at,
+        };
+        self.set_timer(key, next);
     }
 
     /// Answers a query that waits for nothing more, or has enough for its time.
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -12,6 +12,7 @@
 use super::forward::Forwarder;
 use super::history::{Explanation, History, Step};
 use super::keys::Keys;
+use super::near::Near;
 use super::peers::Peers;
 use super::plan::{Plan, Planner};
 use super::query::{Query, QueryKey};
@@ -39,6 +40,7 @@
     pub(crate) view: Arc<View>,
     draining: bool,
     pub(crate) planner: Planner,
+    pub(crate) near: Near,
     forwarder: Forwarder,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     /// Invariant: holds exactly the present numbers of `queries`.
@@ -63,6 +65,7 @@
             view: Arc::default(),
             draining: false,
             planner: Planner::default(),
+            near: Near::default(),
             forwarder: Forwarder::default(),
             queries: SlotMap::default(),
             numbers: Map::default(),
@@ -88,6 +91,7 @@
         match event {
             Event::Call { caller, request } => self.call(now, caller, request, out),
             Event::Replies { from, replies } => self.replies(now, &from, replies, out),
+            Event::Pending { from, pending } => self.pending(now, &from, &pending),
             Event::LinkDown(name) => self.link_down(now, &name, out),
             Event::View(view) => self.adopt(now, view, out),
             Event::Paused(_) => self.peers.restart_clocks(now),
--- a/crates/core/src/gather/merge.rs
+++ b/crates/core/src/gather/merge.rs
@@ -1,14 +1,10 @@
 //! Builds the response to a forwarded message from the parts of its servers.
 
-use std::cmp::Reverse;
-
-use bytes::{Bytes, BytesMut};
 use ladder_schema::call::{Answer, Part, Response};
 
+use crate::records;
 use crate::route::Route;
 
-/// Bytes of one record in a part.
-const RECORD: usize = 16;
 /// Status of a merged response.
 const OK: u32 = 200;
 
@@ -29,20 +25,7 @@
     }
     let responses = || parts.iter().filter_map(|part: &Part| part.response.as_ref());
     let top = route.spec.top as usize;
-    let body = greatest(responses().map(|response| &response.body), top);
+    let body = records::greatest(responses().map(|response| &response.body), top);
     answer.stamps = responses().map(|response| response.stamp.clone()).collect();
     answer.response = Some(Response { status: OK, body, ..Response::default() });
 }
-
-/// The greatest `top` records of all parts, falling; a rest shorter than a record is left out.
-fn greatest<'a>(parts: impl Iterator<Item = &'a Bytes>, top: usize) -> Bytes {
-    let mut records: Vec<&[u8]> = parts.flat_map(|part| part.chunks_exact(RECORD)).collect();
-    if top < records.len() {
-        records.select_nth_unstable_by_key(top, |&record| Reverse(record));
-        records.truncate(top);
-    }
-    records.sort_unstable_by_key(|&record| Reverse(record));
-    let mut body = BytesMut::with_capacity(records.len() * RECORD);
-    records.iter().for_each(|record| body.extend_from_slice(record));
-    body.freeze()
-}
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -43,6 +43,10 @@
     pub(crate) at: Instant,
     /// How far it has come.
     pub(crate) progress: Progress,
+    /// A peer is to collect it with others.
+    pub(crate) collected: bool,
+    /// That peer said that it still collects.
+    pub(crate) spoke: bool,
 }
 
 /// What became of a portion.
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -1,8 +1,11 @@
 //! Sends portions to owners.
 
+use std::sync::Arc;
+
 use ladder_schema::outcome::Reason;
 use ladder_schema::wire;
 
+use super::collect;
 use super::event::Action;
 use super::history::Step;
 use super::machine::{Machine, count};
@@ -17,7 +20,7 @@
 pub(crate) const SENDINGS: usize = 3;
 /// Time that a reply takes to come back from an owner, in microseconds: kept from the owner's
 /// budget so that its refusal or answer arrives before this instance has to answer.
-const RETURN_US: u64 = 2_000;
+pub(super) const RETURN_US: u64 = 2_000;
 
 impl Machine {
     /// The instance that a portion of `service` goes to next: the first live candidate that it was
@@ -55,12 +58,14 @@
             missing: query.missing.len() as u32,
         };
         self.history.add(query.account, now, step);
-        let owners: Vec<Option<Peer>> = query
-            .portions
-            .iter()
-            .map(|portion| self.choose(now, &portion.share.service, &[]))
-            .map(|candidate| candidate.map(|candidate| candidate.peer.clone()))
-            .collect();
+        let mut collectors = self.collectors(now, key);
+        let query = &self.queries[key];
+        let services = query.portions.iter().map(|portion| &portion.share.service);
+        let owner = |service: &Arc<str>| {
+            let owner = || self.choose(now, service, &[]).map(|candidate| candidate.peer.clone());
+            collectors.remove(service).or_else(owner)
+        };
+        let owners: Vec<Option<Peer>> = services.map(owner).collect();
         let lacking = !query.missing.is_empty() || owners.iter().any(Option::is_none);
         if query.terms.unrepeatable && lacking {
             self.withhold(key, &owners, out);
@@ -151,7 +156,12 @@
         out: &mut Vec<Action>,
     ) {
         let peer_key = self.peers.key(peer);
+        let local = self.peers.get(peer_key).is_some_and(|state| state.local);
         let query = &mut self.queries[key];
+        let collect = match &self.settings.zone {
+            Some(_) if !local => collect::terms(now, query),
+            _ => None,
+        };
         query.rounds += 1;
         let round = query.rounds;
         for &portion in portions {
@@ -160,12 +170,14 @@
                 peer: peer_key,
                 at: now,
                 progress: Progress::Open,
+                collected: collect.is_some(),
+                spoke: false,
             });
         }
         let step =
             Step::Sent { to: peer.name.clone(), round, portions: portions.len() as u32, again };
         self.history.add(query.account, now, step);
-        out.push(Action::Send { to: peer.clone(), work: work(now, query, portions) });
+        out.push(Action::Send { to: peer.clone(), work: work(now, query, portions, collect) });
         self.peers.sent(peer_key, now, portions.len() as u32);
         self.watch(now, peer_key);
     }
@@ -198,7 +210,12 @@
 }
 
 /// The work message for some portions of a query.
-fn work(now: Instant, query: &Query, portions: &[usize]) -> wire::Work {
+fn work(
+    now: Instant,
+    query: &Query,
+    portions: &[usize],
+    collect: Option<wire::Collect>,
+) -> wire::Work {
     let left = micros(query.answer_at.since(now));
     wire::Work {
         query: query.number,
@@ -217,6 +234,7 @@
             .collect(),
         extra_calls: query.extra_calls,
         forward: forward(query),
+        collect,
     }
 }
 
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -9,12 +9,15 @@
     pub(crate) incarnation: u64,
     pub(crate) hedging: bool,
     pub(crate) history: usize,
+    /// Where this instance stands, when parts of sweeps are collected near their servers.
+    pub(crate) zone: Option<Arc<str>>,
 }
 
 impl Settings {
     /// Starts from the defaults for the instance `name` in its `incarnation`.
     pub fn builder(name: &str, incarnation: u64) -> Builder {
-        Builder { settings: Self { name: name.into(), incarnation, hedging: true, history: 512 } }
+        let name = name.into();
+        Builder { settings: Self { name, incarnation, hedging: true, history: 512, zone: None } }
     }
 }
 
@@ -39,6 +42,14 @@
         self
     }
 
+    /// Has parts of sweeps collected near their servers; this instance stands in `zone`. Default:
+    /// it asks all servers itself.
+    #[must_use]
+    pub fn near(mut self, zone: &str) -> Self {
+        self.settings.zone = Some(zone.into());
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -66,8 +66,17 @@
             return;
         };
         self.peers.heard(peer, now);
-        for reply in replies {
-            if let Err(reason) = self.reply(now, peer, reply, out) {
+        let mut replies = replies.into_iter();
+        while let Some(reply) = replies.next() {
+            let taken = match reply.merged as usize {
+                0 | 1 => self.reply(now, peer, reply, out),
+                count => {
+                    let rest = replies.by_ref().take(count - 1);
+                    let group = std::iter::once(reply).chain(rest).collect();
+                    self.collected(now, peer, group, out)
+                }
+            };
+            if let Err(reason) = taken {
                 count(out, count::Event::Drop, reason);
             }
         }
@@ -104,7 +113,7 @@
     }
 
     /// Notes that a sending is answered.
-    fn close(&mut self, now: Instant, key: QueryKey, place: Place, reply: &wire::Reply) {
+    pub(super) fn close(&mut self, now: Instant, key: QueryKey, place: Place, reply: &wire::Reply) {
         let query = &mut self.queries[key];
         let portion = &mut query.portions[place.portion];
         let sending = &mut portion.sendings[place.sending];
@@ -124,7 +133,7 @@
     }
 
     /// Decides what follows when an owner did not answer a portion.
-    fn refused(
+    pub(super) fn refused(
         &mut self,
         now: Instant,
         key: QueryKey,
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod budget;
+mod collect;
 mod dispatch;
 mod ending;
 mod estimate;
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -130,6 +130,13 @@
         /// The reply.
         reply: wire::Reply,
     },
+    /// Tell an entry that some of the portions that it wants collected are still open.
+    Pending {
+        /// The entry's instance.
+        to: Peer,
+        /// Which portions.
+        pending: wire::Pending,
+    },
     /// Log what was decided for a portion.
     Log(Box<Trace>),
     /// Log that a server is held back because of its outcomes, or not any more.
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -35,7 +35,10 @@
         out: &mut Vec<Action>,
     ) {
         let portions = std::mem::take(&mut work.portions);
-        let job = Arc::new(Job { from, incarnation, key: work.key.as_str().into(), work });
+        let key = work.key.as_str().into();
+        let mut job = Job { from, incarnation, key, work, collection: None };
+        job.collection = self.begin_collection(&job, portions.len());
+        let job = Arc::new(job);
         for portion in portions {
             self.arrive(&job, portion, out);
         }
@@ -51,12 +54,13 @@
         };
         if !self.deliveries.insert(self.now, delivery) {
             Self::count(count::Event::Drop, Reason::RepeatedKey, out);
+            self.settle_collected(job, out);
             return;
         }
         let admitted = self.admit(job, &portion);
         match admitted {
             Ok((service, deadline)) => self.enqueue(job, portion, service, deadline),
-            Err(refused) => Self::refuse(job, portion.service, refused, out),
+            Err(refused) => self.refuse(job, portion.service, refused, out),
         }
     }
 
@@ -241,6 +245,7 @@
     /// An entry gives a query up. Queued portions are proved not to run.
     pub(super) fn cancel(&mut self, from: Arc<str>, cancel: &wire::Cancel, out: &mut Vec<Action>) {
         let query = Query { from, incarnation: cancel.incarnation, number: cancel.query };
+        self.drop_collections(&query);
         let keys = self.queries.remove(&query).unwrap_or_default();
         self.cancelled.insert(self.now, query);
         for key in keys {
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 
 use super::attempt::Attempt;
+use super::collect::{Collection, CollectionKey};
 use super::event::{Action, AttemptKey, Event, LaneKey};
 use super::lane::Lane;
 use super::portion::{Portion, PortionKey};
@@ -81,6 +82,7 @@
     /// while the work would still run; the tombstone refuses it.
     pub(super) cancelled: Recent<Query>,
     pub(super) records: Records,
+    pub(super) collections: SlotMap<CollectionKey, Collection>,
     pub(super) timers: Timers,
     pub(super) random: Random,
     /// Number of the last target request.
@@ -110,6 +112,7 @@
             deliveries: Recent::default(),
             cancelled: Recent::default(),
             records: Records::default(),
+            collections: SlotMap::default(),
             timers: Timers::default(),
             random: Random::new(settings.seed),
             sequence: 0,
@@ -172,6 +175,7 @@
                 Timer::Pump(service) => self.resume(service, out),
                 Timer::Upkeep(service) => self.upkeep(service, out),
                 Timer::Abandon(attempt) => self.abandon(attempt, out),
+                Timer::Collection(key) => self.collection_due(key, out),
             }
         }
     }
@@ -184,6 +188,7 @@
                 Timer::Late(portion) => !self.waits(portion),
                 Timer::Hedge(portion) => !self.portions.contains_key(portion),
                 Timer::Abandon(attempt) => !self.attempts.contains_key(attempt),
+                Timer::Collection(key) => !self.collections.contains_key(key),
                 Timer::Pump(service) | Timer::Upkeep(service) => {
                     !self.services.contains_key(service)
                 }
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -6,6 +6,7 @@
 use ladder_schema::wire;
 use slotmap::new_key_type;
 
+use super::collect::CollectionKey;
 use super::event::AttemptKey;
 use super::machine::Query;
 use super::queue;
@@ -32,6 +33,8 @@
     pub(super) key: Arc<str>,
     /// The work without its portions.
     pub(super) work: wire::Work,
+    /// What its replies are collected in.
+    pub(super) collection: Option<CollectionKey>,
 }
 
 impl Job {
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -46,10 +46,16 @@
 
 impl Machine {
     /// Replies to a portion that was never queued.
-    pub(super) fn refuse(job: &Job, service: String, refused: Refused, out: &mut Vec<Action>) {
+    pub(super) fn refuse(
+        &mut self,
+        job: &Job,
+        service: String,
+        refused: Refused,
+        out: &mut Vec<Action>,
+    ) {
         Self::count(count::Event::Refusal, refused.reason, out);
         let reply = reply(job, service, refused, 0, Vec::new());
-        out.push(Action::Reply { to: job.from.clone(), reply });
+        self.reply(job, reply, out);
     }
 
     /// Replies to a portion that is given up.
@@ -94,10 +100,8 @@
         }
         let service = self.services[portion.service].name.to_string();
         self.mark(portion.service);
-        out.push(Action::Reply {
-            to: portion.job.from.clone(),
-            reply: reply(&portion.job, service, refused, portion.calls, parts),
-        });
+        let reply = reply(&portion.job, service, refused, portion.calls, parts);
+        self.reply(&portion.job, reply, out);
     }
 
     fn unlink(&mut self, key: PortionKey, portion: &Portion) {
@@ -193,5 +197,6 @@
         parts,
         retry_after_ms: u32::try_from(millis).unwrap_or(u32::MAX),
         calls,
+        merged: 0,
     }
 }
--- a/crates/core/src/leaf/timer.rs
+++ b/crates/core/src/leaf/timer.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use super::collect::CollectionKey;
 use super::event::AttemptKey;
 use super::portion::PortionKey;
 use super::service::ServiceId;
@@ -23,6 +24,8 @@
     Upkeep(ServiceId),
     /// A call that nobody waits for is given up.
     Abandon(AttemptKey),
+    /// What a collection has must go back.
+    Collection(CollectionKey),
 }
 
 /// Timers in order of time. Timers of closed portions stay until they reach the top.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod count;
 pub mod gather;
 pub mod leaf;
+mod records;
 pub mod route;
 pub mod sample;
 pub mod time;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -26,6 +26,15 @@
     pub address: Arc<str>,
 }
 
+/// Another instance with its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Neighbour {
+    /// The instance.
+    pub peer: Peer,
+    /// Availability zone.
+    pub zone: Arc<str>,
+}
+
 /// An instance that may work on a service, in order of preference.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -114,6 +123,8 @@
     pub indexes: Map<Arc<str>, Vec<Arc<publication::Index>>>,
     /// The routes in force.
     pub routing: Option<Arc<route::Table>>,
+    /// Other instances that have settled, in order of name; kept under direct placement only.
+    pub neighbours: Arc<[Neighbour]>,
 }
 
 impl View {
--- a/crates/core/tests/fleet/listing.rs
+++ b/crates/core/tests/fleet/listing.rs
@@ -248,3 +248,23 @@
         |action: &Action| matches!(action, Action::Send { to, .. } if **to == *"127.0.0.1:10009");
     assert!(lone.log.iter().any(asked));
 }
+
+/// Sweeps are handed over to settled instances only: one that has just started may not know the
+/// routes, and one that has died answers nothing.
+#[test]
+fn settled_instances_are_neighbours() {
+    let mut lone = Lone::informed();
+    let names = |lone: &Lone| -> Vec<String> {
+        let neighbours = lone.machine.view().neighbours.iter();
+        neighbours.map(|neighbour| neighbour.peer.name.to_string()).collect()
+    };
+    lone.hear("entry-7");
+    lone.pass(100);
+    lone.hear("entry-2");
+    assert_eq!(names(&lone), ["entry-2", "entry-7"], "older than itself, as far as it knows");
+    lone.pass(5000);
+    assert!(names(&lone).is_empty(), "silent for 5 s");
+    lone.hear("entry-9");
+    lone.pass(500);
+    assert!(names(&lone).is_empty(), "just started");
+}
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -124,6 +124,7 @@
         assert_eq!(by_name(kept), by_name(&whole));
         assert_eq!(kept.service_keys.len(), kept.services.len());
         assert_eq!(kept.indexes, whole.indexes);
+        assert_eq!(kept.neighbours, whole.neighbours);
         assert_eq!(kept.revision, whole.revision);
     }
 }
--- /dev/null
+++ b/crates/core/tests/gather/near.rs
@@ -0,0 +1,483 @@
+//! Parts of sweeps that peers collect near their servers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ladder_core::gather::{Action, Event, Settings};
+use ladder_core::route::Table;
+use ladder_core::schema::call::{Message, Part, Request, Response};
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::schema::publication::{Branch, Route, Routing};
+use ladder_core::schema::wire::{Pending, Reply, Work};
+use ladder_core::view::{Candidate, Neighbour, Server, Service, View};
+
+use crate::fleet::{SELF, peer};
+use crate::session::{INCARNATION, Session, answer, answers, dropped, works};
+
+/// Zone of the instance under test.
+const HERE: &str = "trindade";
+/// Version of the routes.
+const VERSION: u64 = 7;
+
+/// What a case's view holds.
+#[derive(Clone)]
+struct Place {
+    /// Zones of the servers of each part.
+    parts: Vec<Vec<&'static str>>,
+    /// Settled peers with their zones.
+    peers: Vec<(&'static str, &'static str)>,
+    version: u64,
+    unrepeatable: bool,
+}
+
+impl Default for Place {
+    /// Six parts, three of them without a server here, and a peer in each zone.
+    fn default() -> Self {
+        let near = vec![vec!["campanha", HERE]; 3];
+        let far = vec![vec!["campanha", "sao-bento"]; 3];
+        Self {
+            parts: [near, far].concat(),
+            peers: vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", HERE)],
+            version: VERSION,
+            unrepeatable: false,
+        }
+    }
+}
+
+fn names(parts: usize) -> Vec<String> {
+    (1..=parts).map(|number| format!("s{number}")).collect()
+}
+
+fn service(name: &str, zones: &[&str]) -> Service {
+    let server = |(number, zone): (usize, &&str)| Server {
+        name: format!("{name}-{number}").into(),
+        address: "127.0.0.1:9".into(),
+        zone: (*zone).into(),
+        incarnation: 1,
+        leaving: false,
+        slots: 2,
+        share: 4,
+        holdings: Vec::new(),
+    };
+    Service {
+        name: name.into(),
+        entry: Arc::default(),
+        servers: zones.iter().enumerate().map(server).collect(),
+        candidates: vec![Candidate { peer: peer(SELF), live: true, local: true }],
+        sharers: 1,
+    }
+}
+
+impl Place {
+    fn view(&self) -> Event {
+        let mut view = View { generation: 1, ready: true, ..View::default() };
+        let parts = names(self.parts.len());
+        for (name, zones) in parts.iter().zip(&self.parts) {
+            view.insert(service(name, zones));
+        }
+        let base = |name: &str, prefix: &str| Route {
+            name: name.to_owned(),
+            host: "porto.example".to_owned(),
+            prefix: prefix.to_owned(),
+            timeout_ms: 600,
+            target_ms: 100,
+            attempts: 2,
+            unrepeatable: self.unrepeatable,
+            ..Route::default()
+        };
+        let single = vec![Branch { service: "s1".to_owned(), weight: 1.0 }];
+        let routing = Routing {
+            version: self.version,
+            routes: vec![
+                Route { parts, top: 3, floor_permille: 500, ..base("sweep", "/docks/") },
+                Route { branches: single, ..base("single", "/permit/") },
+            ],
+            ..Routing::default()
+        };
+        view.routing = Some(Arc::new(Table::new(&routing)));
+        let neighbour =
+            |&(name, zone): &(&str, &str)| Neighbour { peer: peer(name), zone: zone.into() };
+        view.neighbours = self.peers.iter().map(neighbour).collect();
+        Event::View(Arc::new(view))
+    }
+
+    fn session(&self) -> Session {
+        let settings = Settings::builder(SELF, INCARNATION).near(HERE).build();
+        let mut session = Session::with(settings);
+        session.give(self.view());
+        session
+    }
+}
+
+fn message(key: &str, target: &str, body: usize) -> Request {
+    let message = Message {
+        method: "GET".to_owned(),
+        host: "porto.example".to_owned(),
+        target: target.to_owned(),
+        body: Bytes::from(vec![b'x'; body]),
+        ..Message::default()
+    };
+    let message = Some(Box::new(message));
+    Request { key: key.to_owned(), deadline_ms: 400, message, ..Request::default() }
+}
+
+fn sweep(key: &str) -> Request {
+    message(key, "/docks/all", 0)
+}
+
+/// Parts that go to peers, by peer, for one sweep.
+fn collectors(actions: &[Action]) -> Vec<(Arc<str>, Vec<String>)> {
+    let works = works(actions).into_iter().filter(|(to, _)| **to != *SELF);
+    let parts = works.map(|(to, work)| {
+        assert!(work.collect.is_some(), "what goes to {to} is collected");
+        (to, work.portions.into_iter().map(|portion| portion.service).collect())
+    });
+    parts.collect()
+}
+
+/// A sweep under way: what goes to the peer, and what stays.
+fn started(session: &mut Session, key: &str) -> (Arc<str>, Work, Work) {
+    let works = works(&session.call(sweep(key)));
+    let (near, far): (Vec<_>, Vec<_>) = works.into_iter().partition(|(to, _)| **to == *SELF);
+    let [(_, here)] = &near[..] else {
+        panic!("one message to itself: {near:?}");
+    };
+    let [(to, there)] = &far[..] else {
+        panic!("one message to a peer: {far:?}");
+    };
+    (Arc::clone(to), there.clone(), here.clone())
+}
+
+/// The reply that covers a part with records of these bytes.
+fn reply(work: &Work, service: &str, bytes: &[u8]) -> Reply {
+    let body: Vec<u8> = bytes.iter().flat_map(|byte| [*byte; 16]).collect();
+    let response = Response {
+        status: 200,
+        body: Bytes::from(body),
+        stamp: format!("signed by {service}"),
+        ..Response::default()
+    };
+    let part = Part { shard: service.to_owned(), response: Some(response), ..Part::default() };
+    Reply {
+        query: work.query,
+        round: work.round,
+        incarnation: INCARNATION,
+        service: service.to_owned(),
+        verdict: Verdict::Ran.into(),
+        version: work.version,
+        parts: vec![part],
+        ..Reply::default()
+    }
+}
+
+/// The replies to all portions of the work, merged into the first.
+fn merged(work: &Work, bytes: &[u8]) -> Vec<Reply> {
+    let count = work.portions.len() as u32;
+    let replies = work.portions.iter().enumerate().map(|(at, portion)| {
+        let bytes = if at == 0 { bytes } else { &[] };
+        let merged = if at == 0 { count } else { 0 };
+        Reply { merged, ..reply(work, &portion.service, bytes) }
+    });
+    replies.collect()
+}
+
+fn refused(work: &Work, service: &str, reason: Reason) -> Reply {
+    let (verdict, reason) = (Verdict::NotRun.into(), reason.into());
+    Reply { verdict, reason, parts: Vec::new(), ..reply(work, service, &[]) }
+}
+
+fn tell(session: &mut Session, from: &str, replies: Vec<Reply>) -> Vec<Action> {
+    session.give(Event::Replies { from: from.into(), replies })
+}
+
+/// Each near part answers with one record of this byte.
+fn tell_near(session: &mut Session, work: &Work, byte: u8) -> Vec<Action> {
+    let replies = work.portions.iter().map(|portion| reply(work, &portion.service, &[byte]));
+    let replies = replies.collect();
+    tell(session, SELF, replies)
+}
+
+/// The first byte of each record of an answer.
+fn records(response: Option<Response>) -> Vec<u8> {
+    let body = response.expect("a response").body;
+    body.chunks_exact(16).map(|record| record[0]).collect()
+}
+
+/// Who is to collect what.
+struct Division {
+    story: &'static str,
+    place: Place,
+    request: Request,
+    /// Parts that go to peers, of three sweeps one after the other.
+    parts: &'static [(&'static str, &'static [&'static str])],
+}
+
+fn parts(parts: Vec<Vec<&'static str>>) -> Place {
+    Place { parts, ..Place::default() }
+}
+
+fn divided(
+    story: &'static str,
+    place: Place,
+    parts: &'static [(&'static str, &'static [&'static str])],
+) -> Division {
+    Division { story, place, request: sweep("k"), parts }
+}
+
+fn divisions() -> Vec<Division> {
+    const FIRST: &[&str] = &["s1", "s2", "s3"];
+    const FAR: &[&str] = &["s4", "s5", "s6"];
+    const ALL: &[&str] = &["s1", "s2", "s3", "s4", "s5", "s6"];
+    const FOUR: &[&str] = &["s1", "s2", "s3", "s4"];
+    let all_far = vec![vec!["campanha"]; 6];
+    let split = [vec![vec!["campanha"]; 3], vec![vec!["sao-bento"]; 3]].concat();
+    let uneven = [vec![vec!["campanha"]; 4], vec![vec!["sao-bento"]; 2]].concat();
+    let two = vec![("e2", "campanha"), ("e3", "campanha")];
+    let one_zone = Place { peers: two, ..Place::default() };
+    vec![
+        divided("zones take turns", Place::default(), &[("e2", FAR), ("e3", FAR), ("e2", FAR)]),
+        divided("peers take turns", one_zone, &[("e2", FAR), ("e3", FAR), ("e2", FAR)]),
+        divided("no server here", parts(all_far), &[("e2", ALL); 3]),
+        divided(
+            "two zones have three each",
+            parts(split),
+            &[("e2", FIRST), ("e3", FAR), ("e2", FIRST), ("e3", FAR), ("e2", FIRST), ("e3", FAR)],
+        ),
+        divided("the rest is too little", parts(uneven), &[("e2", FOUR); 3]),
+    ]
+}
+
+/// What stays with the instance that the caller reached.
+fn undivided() -> Vec<Division> {
+    let near = parts(vec![vec![HERE, "campanha"]; 6]);
+    let few = parts(vec![vec!["campanha"]; 2]);
+    let alone = Place { peers: vec![("e4", HERE)], ..Place::default() };
+    let once = Place { unrepeatable: true, ..Place::default() };
+    let asks = |story, request| Division { request, ..divided(story, Place::default(), &[]) };
+    vec![
+        divided("all here", near, &[]),
+        divided("few parts", few, &[]),
+        divided("nobody there", alone, &[]),
+        divided("may not be repeated", once, &[]),
+        asks("one server", message("k", "/permit/1", 0)),
+        asks("a long body", message("k", "/docks/all", 16 * 1024 + 1)),
+    ]
+}
+
+/// Requests and responses of the parts without a server in the caller's zone all cross between
+/// zones. One peer that stands near their servers collects them, in turn with others that stand as
+/// well; what gains nothing is asked for from here.
+#[test]
+fn who_collects() {
+    for case in divisions().into_iter().chain(undivided()) {
+        let mut session = case.place.session();
+        let mut parts = Vec::new();
+        for number in 0..3 {
+            let request = Request { key: format!("k{number}"), ..case.request.clone() };
+            let mut collected = collectors(&session.call(request));
+            collected.sort();
+            parts.extend(collected);
+        }
+        let parts = parts.iter().map(|(to, parts)| (&**to, parts.iter().map(String::as_str)));
+        let parts = parts.map(|(to, parts)| (to, parts.collect()));
+        let parts: Vec<(&str, Vec<&str>)> = parts.collect();
+        let expected = case.parts.iter().map(|(to, parts)| (*to, parts.to_vec()));
+        assert_eq!(parts, expected.collect::<Vec<_>>(), "{}", case.story);
+    }
+}
+
+/// Without the setting everything is asked for from here.
+#[test]
+fn nothing_is_collected_unasked() {
+    let mut session = Session::with(Settings::builder(SELF, INCARNATION).build());
+    session.give(Place::default().view());
+    assert!(collectors(&session.call(sweep("k"))).is_empty());
+}
+
+/// The answer holds the greatest records of all parts, those of a collection from its first reply,
+/// and names all parts' signatures.
+#[test]
+fn collection_enters_the_answer() {
+    let mut session = Place::default().session();
+    let (to, there, here) = started(&mut session, "k");
+    let collect = there.collect.expect("terms");
+    assert_eq!(collect.top, 3);
+    // Target 100 ms, of which the way to the caller and the way back from the peer are kept.
+    assert!((70_000..86_000).contains(&collect.timely_us), "{collect:?}");
+    assert!(here.collect.is_none());
+    assert!(answers(&tell(&mut session, &to, merged(&there, &[9, 5, 4]))).is_empty());
+    let answer = answer(&tell_near(&mut session, &here, 6));
+    assert_eq!((answer.stamps.len(), answer.missing.len()), (6, 0));
+    assert_eq!(records(answer.response), [9, 6, 6]);
+}
+
+/// The target comes while a collection enters: all its parts count, or an answer would name some
+/// parts and hold the records of others.
+#[test]
+fn collection_enters_whole() {
+    let mut session = Place::default().session();
+    let (to, there, here) = started(&mut session, "k");
+    let near = here.portions.iter().take(2);
+    let near = near.map(|portion| reply(&here, &portion.service, &[1])).collect();
+    tell(&mut session, SELF, near);
+    session.pass(90);
+    let answer = answer(&tell(&mut session, &to, merged(&there, &[9, 8, 7])));
+    assert_eq!((answer.stamps.len(), answer.missing.len()), (5, 1));
+    assert_eq!(records(answer.response), [9, 8, 7]);
+}
+
+/// One part of a collection was answered from here meanwhile. The collection's records cannot be
+/// told apart: it must not enter, and its other parts are asked for again.
+#[test]
+fn collection_that_does_not_fit_is_dropped_whole() {
+    struct Case {
+        story: &'static str,
+        spoil: fn(&mut Vec<Reply>),
+        asked_again: usize,
+    }
+    let cases = [
+        Case { story: "as it is", spoil: |_| {}, asked_again: 2 },
+        Case { story: "cut short", spoil: |replies| drop(replies.pop()), asked_again: 1 },
+        Case {
+            story: "a part twice",
+            spoil: |replies| replies[2] = replies[1].clone(),
+            asked_again: 1,
+        },
+        Case { story: "another version", spoil: |replies| replies[1].version += 1, asked_again: 1 },
+    ];
+    for case in cases {
+        let mut session = Place::default().session();
+        let (to, there, _) = started(&mut session, "k");
+        // The peer refuses one part, which is then answered from here.
+        let first = there.portions[0].service.clone();
+        let refusal = refused(&there, &first, Reason::NoServer);
+        let (_, again) = works(&tell(&mut session, &to, vec![refusal])).remove(0);
+        tell(&mut session, SELF, vec![reply(&again, &first, &[2])]);
+        let mut replies = merged(&there, &[9, 8, 7]);
+        (case.spoil)(&mut replies);
+        let actions = tell(&mut session, &to, replies);
+        let again: usize = works(&actions).iter().map(|(_, work)| work.portions.len()).sum();
+        assert_eq!(again, case.asked_again, "{}", case.story);
+        assert!(actions.contains(&dropped(Reason::StaleAnswer)), "{}", case.story);
+        assert!(answers(&actions).is_empty(), "{}", case.story);
+    }
+}
+
+/// What ends a peer's part in a sweep.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Refuses(Reason),
+    LinkDown,
+    Silent,
+}
+
+/// A peer refuses, dies, or stands still. Its parts are asked for from here, so that the sweep has
+/// its floor soon after its target at the latest.
+#[test]
+fn parts_at_a_lost_peer_are_asked_for_from_here() {
+    let cases = [
+        End::Refuses(Reason::Draining),
+        End::Refuses(Reason::NotReady),
+        End::Refuses(Reason::NoServer),
+        End::LinkDown,
+        End::Silent,
+    ];
+    for end in cases {
+        let mut session = Place::default().session();
+        let (to, there, here) = started(&mut session, "k");
+        // Two of three near parts are there: below the floor of three.
+        let near = here.portions.iter().take(2);
+        let near = near.map(|portion| reply(&here, &portion.service, &[1])).collect();
+        tell(&mut session, SELF, near);
+        let actions = match end {
+            End::Refuses(reason) => {
+                let portions = there.portions.iter();
+                let refusals = portions.map(|portion| refused(&there, &portion.service, reason));
+                let refusals = refusals.collect();
+                tell(&mut session, &to, refusals)
+            }
+            End::LinkDown => session.link_down(&to),
+            End::Silent => session.pass(95),
+        };
+        let again = works(&actions);
+        assert!(again.iter().all(|(to, work)| **to == *SELF && work.collect.is_none()), "{end:?}");
+        let services = again.iter().flat_map(|(_, work)| &work.portions);
+        assert_eq!(services.count(), 3, "{end:?}");
+        for (_, work) in &again {
+            let portions = work.portions.iter();
+            let replies = portions.map(|portion| reply(work, &portion.service, &[5])).collect();
+            tell(&mut session, SELF, replies);
+        }
+        session.pass(100);
+        assert_eq!(session.machine.open(), 0, "{end:?}");
+    }
+}
+
+/// A peer that was silent collects nothing for a while; with all of them silent nobody does.
+#[test]
+fn silent_peers_are_passed_over() {
+    let mut session = Place::default().session();
+    let first = started(&mut session, "k1").0;
+    session.pass(95);
+    for key in ["k2", "k3"] {
+        assert_ne!(started(&mut session, key).0, first);
+    }
+    session.pass(95);
+    assert!(collectors(&session.call(sweep("k4"))).is_empty());
+    session.pass(2500);
+    assert!(!collectors(&session.call(sweep("k5"))).is_empty());
+}
+
+/// Many servers are down and a peer says that it still collects: it lives. To ask the servers from
+/// here too would cost each of them a second call.
+#[test]
+fn peer_that_still_collects_is_waited_for() {
+    let mut session = Place::default().session();
+    let (to, there, _) = started(&mut session, "k");
+    session.pass(80);
+    let (query, round) = (there.query, there.round);
+    let pending = Pending { query, round, incarnation: INCARNATION };
+    session.give(Event::Pending { from: to, pending });
+    assert!(works(&session.pass(100)).is_empty());
+}
+
+/// Words of another peer, of another life or of another round do not count for it.
+#[test]
+fn word_of_another_does_not_count() {
+    struct Case {
+        story: &'static str,
+        from: Option<&'static str>,
+        change: fn(&mut Pending),
+    }
+    let cases = [
+        Case { story: "another peer", from: Some("e4"), change: |_| {} },
+        Case { story: "another life", from: None, change: |pending| pending.incarnation += 1 },
+        Case { story: "another round", from: None, change: |pending| pending.round += 1 },
+        Case { story: "another query", from: None, change: |pending| pending.query += 1 },
+    ];
+    for case in cases {
+        let mut session = Place::default().session();
+        let (to, there, _) = started(&mut session, "k");
+        session.pass(80);
+        let (query, round) = (there.query, there.round);
+        let mut pending = Pending { query, round, incarnation: INCARNATION };
+        (case.change)(&mut pending);
+        let from = case.from.map_or(to, Arc::from);
+        session.give(Event::Pending { from, pending });
+        assert!(!works(&session.pass(20)).is_empty(), "{}", case.story);
+    }
+}
+
+/// This process itself stood still over the target: the peer's word may wait unread, and proves
+/// nothing against it until there was time to read it.
+#[test]
+fn own_pause_is_not_held_against_a_peer() {
+    let mut session = Place::default().session();
+    let (to, there, here) = started(&mut session, "k");
+    session.now = session.now + std::time::Duration::from_millis(150);
+    assert!(works(&session.give(Event::Tick)).is_empty());
+    tell_near(&mut session, &here, 1);
+    let late = tell(&mut session, &to, merged(&there, &[9]));
+    assert!(works(&late).is_empty());
+    assert_eq!(session.machine.open(), 0);
+}
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -29,14 +29,19 @@
 impl Session {
     /// A machine that has taken the view of `fleet`.
     pub(crate) fn new(fleet: &Fleet) -> Self {
-        let mut session = Self {
-            machine: Machine::new(Settings::builder(SELF, INCARNATION).build()),
+        let mut session = Self::with(Settings::builder(SELF, INCARNATION).build());
+        session.give(Event::View(fleet.view()));
+        session
+    }
+
+    /// A machine without a view.
+    pub(crate) fn with(settings: Settings) -> Self {
+        Self {
+            machine: Machine::new(settings),
             now: Instant::from_millis(1000),
             log: String::new(),
             callers: 0,
-        };
-        session.give(Event::View(fleet.view()));
-        session
+        }
     }
 
     /// Hands in an event now.
@@ -192,6 +197,9 @@
             let replies = replies.iter().map(reply_text);
             format!("from {from}: {}", replies.collect::<Vec<_>>().join("; "))
         }
+        Event::Pending { from, pending } => {
+            format!("{from} still collects q{} r{}", pending.query, pending.round)
+        }
         Event::LinkDown(name) => format!("link down {name}"),
         Event::View(view) => format!("view, {} services", view.services.len()),
         Event::Paused(gap) => format!("paused {gap:?}"),
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the leaf machine.
 
 mod bed;
+mod collect;
 mod dispatch;
 mod forward;
 mod hedge;
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -45,6 +45,9 @@
             Action::Probe { lane, server } => {
                 format!("ask {server} for its load on lane {}", self.number(*lane))
             }
+            Action::Pending { to, pending } => {
+                format!("tell {} that q{} r{} is open", to.name, pending.query, pending.round)
+            }
             Action::Reply { to, reply } => {
                 let wire::Reply { query, round, calls, retry_after_ms, .. } = reply;
                 let (verdict, reason, parts) = (reply.verdict(), reply.reason(), reply.parts.len());
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -111,7 +111,10 @@
                 }
                 Action::Cancel { lane, .. } | Action::Probe { lane, .. } => self.take(*lane),
                 Action::Reply { reply, .. } => self.check_reply(reply),
-                Action::Log(_) | Action::Server { .. } | Action::Count(_) => {}
+                Action::Log(_)
+                | Action::Pending { .. }
+                | Action::Server { .. }
+                | Action::Count(_) => {}
             }
         }
     }
--- a/crates/standin/src/bin/standin-layout.rs
+++ b/crates/standin/src/bin/standin-layout.rs
@@ -133,7 +133,8 @@
     let hedging = choice("hedging", "on|off", "Second copies of slow requests", switch);
     let queueing = choice("queueing", "on|off", "Queue in front of the servers", switch);
     let listing = bpaf::pure(0);
-    construct!(Strategy { placement, selection, hedging, queueing, listing })
+    let gathering = bpaf::pure(0);
+    construct!(Strategy { placement, selection, hedging, queueing, listing, gathering })
 }
 
 fn switch(name: &str) -> Option<i32> {
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -94,11 +94,14 @@
     let waiting = Rc::new(RefCell::new(Waiting::default()));
     let door = Door::new(shared.clone(), Rc::clone(&waiting));
     actix_rt::spawn(shared.dialect.callers(door, listeners));
-    let settings = Settings::builder(&shared.me.name, shared.incarnation)
-        .hedging(shared.options.strategy.hedging)
-        .build();
+    let strategy = shared.options.strategy;
+    let mut settings =
+        Settings::builder(&shared.me.name, shared.incarnation).hedging(strategy.hedging);
+    if strategy.near {
+        settings = settings.near(&shared.options.instance.zone);
+    }
     let driver = Driver {
-        machine: Machine::new(settings),
+        machine: Machine::new(settings.build()),
         clock: shared.clock,
         pause: shared.options.times.pause,
         performer: Performing { shared, waiting, frames: Map::default() },
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -83,6 +83,9 @@
                 Action::Cancel { lane, id } => self.servers.cancel(lane, &id),
                 Action::Probe { lane, server } => self.servers.probe(lane, server),
                 Action::Reply { to, reply } => self.reply(&to, reply),
+                Action::Pending { to, pending } => {
+                    self.frames.entry(to.address).or_default().pending.push(pending);
+                }
                 Action::Log(trace) => self.shared.lines.trace(&trace),
                 Action::Server { name, suspect, failure_rate } => {
                     log::server(&self.shared.log, &name, suspect, failure_rate);
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -77,5 +77,8 @@
         let replies = std::mem::take(&mut frame.replies);
         shared.gather.tell(gather::Event::Replies { from: Arc::clone(&from.name), replies });
     }
+    for pending in frame.pending.drain(..) {
+        shared.gather.tell(gather::Event::Pending { from: Arc::clone(&from.name), pending });
+    }
     shared.control.tell(control::Event::Frame(Box::new(frame)));
 }
--- a/src/link/inbound.rs
+++ b/src/link/inbound.rs
@@ -80,6 +80,9 @@
         let age = gauges.age(sender, frame.incarnation, sent, self.clock.now());
         for work in &mut frame.work {
             work.budget_us = work.budget_us.saturating_sub(age);
+            if let Some(collect) = &mut work.collect {
+                collect.timely_us = collect.timely_us.saturating_sub(age);
+            }
         }
     }
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use ladder_schema::settings::{Instance, Listing, Placement, Selection, Switch, Timing};
+use ladder_schema::settings::{Gathering, Instance, Listing, Placement, Selection, Switch, Timing};
 
 use arguments::Arguments;
 
@@ -59,6 +59,8 @@
     pub queueing: bool,
     /// Where the number of instances comes from.
     pub listing: Listing,
+    /// Parts of sweeps are collected near their servers.
+    pub near: bool,
 }
 
 /// Times of the daemon.
@@ -114,6 +116,7 @@
                 Listing::Unspecified => Listing::Published,
                 chosen => chosen,
             },
+            near: strategy.gathering() == Gathering::Near,
         };
         let times = Times::new(&instance.timing.unwrap_or_default());
         Self { source: None, instance, strategy, times }
