Learn the way to collecting peers and want collections early enough for it

Now a collection says how long it was held, the rest of its time is the way, and its mean over the last ones is kept with 2 ms for queues.

Conclusion: a constant less that was fitted to two deployments.

--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -21,8 +21,10 @@
 use crate::time::{Instant, micros};
 use crate::view::Peer;
 
-/// Time kept for a collection's way back, with what a busy peer takes to send it, in microseconds.
-const WAY_US: u64 = 4_000;
+/// Taken for the time on the ways to a peer and back until it is learned.
+const ASSUMED_WAY: Duration = Duration::from_millis(2);
+/// Kept beside it for the peer's own queues.
+const QUEUES: Duration = Duration::from_millis(2);
 /// How long after a sweep's target the word of a peer may still come that had to speak before it.
 ///
 /// Only a lost peer says nothing, and what it holds is late by then anyway. With 4 ms, peers on a
@@ -193,9 +195,10 @@
     }
 }
 
-/// How a peer is to collect the parts of a query.
-pub(super) fn terms(now: Instant, query: &Query) -> Option<Collect> {
+/// How a peer is to collect the parts of a query; `way` is what the ways to it and back take.
+pub(super) fn terms(now: Instant, query: &Query, way: Option<Duration>) -> Option<Collect> {
     let top = query.route.as_ref()?.spec.top;
-    let left = micros(query.timely_at.since(now));
-    Some(Collect { top, timely_us: left - WAY_US.min(left / 4) })
+    let left = query.timely_at.since(now);
+    let kept = way.unwrap_or(ASSUMED_WAY) + QUEUES;
+    Some(Collect { top, timely_us: micros(left - kept.min(left / 2)) })
 }
--- a/crates/core/src/gather/peers.rs
+++ b/crates/core/src/gather/peers.rs
@@ -48,6 +48,8 @@
     /// Its timer in the machine's set, if one is there.
     pub(crate) timer: Option<Instant>,
     times: Quantile,
+    /// Mean time on the ways there and back, queues included; `None` until something was collected.
+    pub(crate) way: Option<Duration>,
 }
 
 impl State {
@@ -104,6 +106,7 @@
             probe_at: Instant::default(),
             timer: None,
             times: Quantile::default(),
+            way: None,
         });
         self.keys.insert(Arc::clone(&peer.name), key);
         key
@@ -156,6 +159,12 @@
         self.states[key].times.add(time);
     }
 
+    /// The ways there and back took `time` together.
+    pub(crate) fn learn_way(&mut self, key: PeerKey, time: Duration) {
+        let way = &mut self.states[key].way;
+        *way = Some(way.map_or(time, |mean| (mean * 7 + time) / 8));
+    }
+
     /// It gets no work but probes for a while.
     pub(crate) fn silence(&mut self, key: PeerKey, now: Instant) {
         let state = &mut self.states[key];
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -156,10 +156,12 @@
         out: &mut Vec<Action>,
     ) {
         let peer_key = self.peers.key(peer);
-        let local = self.peers.get(peer_key).is_some_and(|state| state.local);
+        let state = self.peers.get(peer_key);
+        let local = state.is_some_and(|state| state.local);
+        let way = state.and_then(|state| state.way);
         let query = &mut self.queries[key];
         let collect = match &self.settings.zone {
-            Some(_) if !local => collect::terms(now, query),
+            Some(_) if !local => collect::terms(now, query, way),
             _ => None,
         };
         query.rounds += 1;
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -1,5 +1,7 @@
 //! Takes replies in and decides what a refusal leads to.
 
+use std::time::Duration;
+
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::wire;
 
@@ -125,6 +127,10 @@
         if collected {
             self.spoke(key, peer, reply.round);
         }
+        if reply.held_us > 0 {
+            let held = Duration::from_micros(reply.held_us);
+            self.peers.learn_way(peer, now.since(at).saturating_sub(held));
+        }
         self.peers.learn(peer, now.since(at));
         let query = &self.queries[key];
         let portion = &query.portions[place.portion];
--- a/crates/core/src/leaf/collect.rs
+++ b/crates/core/src/leaf/collect.rs
@@ -15,6 +15,7 @@
 use super::portion::Job;
 use super::timer::Timer;
 use crate::records;
+use crate::time::{Instant, micros};
 use crate::view::Peer;
 
 new_key_type! {
@@ -28,6 +29,8 @@
     to: Peer,
     query: Query,
     round: u32,
+    /// When the work arrived.
+    since: Instant,
     /// Records that are wanted of all of them.
     top: usize,
     /// Portions without a reply.
@@ -52,6 +55,7 @@
             to: job.from.clone(),
             query: job.query(),
             round: job.work.round,
+            since: self.now,
             top: collect.top as usize,
             open: portions,
             replies: Vec::new(),
@@ -118,6 +122,9 @@
         if replies.len() > 1 {
             merge(&mut replies, collection.top);
         }
+        if let Some(first) = replies.first_mut() {
+            first.held_us = micros(self.now.since(collection.since));
+        }
         let to = &collection.to;
         out.extend(replies.into_iter().map(|reply| Action::Reply { to: to.clone(), reply }));
     }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -198,5 +198,6 @@
         retry_after_ms: u32::try_from(millis).unwrap_or(u32::MAX),
         calls,
         merged: 0,
+        held_us: 0,
     }
 }
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -363,6 +363,25 @@
     }
 }
 
+/// Zones far apart: a collection sent back just before the target would arrive after it. How long
+/// the way takes is learned from what peers say they held it for.
+#[test]
+fn collection_is_wanted_early_enough_for_its_way() {
+    let one = Place { peers: vec![("e2", "campanha")], ..Place::default() };
+    let mut session = one.session();
+    let timely = |work: &Work| work.collect.expect("terms").timely_us;
+    let (to, there, here) = started(&mut session, "k0");
+    let unknown = timely(&there);
+    session.pass(30);
+    let mut replies = merged(&there, &[9]);
+    replies[0].held_us = 16_000;
+    tell(&mut session, &to, replies);
+    tell_near(&mut session, &here, 1);
+    let known = timely(&started(&mut session, "k1").1);
+    // 14 ms on the way in place of the 4 assumed, and 2 for queues.
+    assert_eq!((unknown, known), (79_000, 67_000));
+}
+
 /// What ends a peer's part in a sweep.
 #[derive(Clone, Copy, Debug)]
 enum End {
--- a/crates/core/tests/leaf/collect.rs
+++ b/crates/core/tests/leaf/collect.rs
@@ -154,6 +154,22 @@
     assert_eq!(pending(&bed), 0);
 }
 
+/// Both ways between the instances are what a collection took beside the time that it was held for.
+#[test]
+fn collection_says_how_long_it_was_held() {
+    let mut bed = bed();
+    let sent = started(&mut bed, 1);
+    bed.advance(25);
+    for call in &sent {
+        bed.end(call.attempt, response(call, &[1]));
+    }
+    let held = bed.log.iter().filter_map(|action| match action {
+        Action::Reply { reply, .. } => Some(reply.held_us),
+        _ => None,
+    });
+    assert_eq!(held.collect::<Vec<_>>(), [25_000, 0, 0, 0]);
+}
+
 /// Some servers are slow. When the entry's time comes it gets what is there and hears that the rest
 /// is still awaited; the rest goes back as it comes.
 #[test]
