--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -27,12 +27,16 @@
     peers: Arc<[Peer]>,
 }
 
-/// What is known of one index: ways to divide its far parts, each as good as the others.
+/// Groups that have no part in common.
+type Division = Vec<Group>;
+
+/// What is known of one index.
 #[derive(Debug)]
 struct Known {
     /// Keeps the address alive by which it is known.
     _index: Arc<Index>,
-    ways: Vec<Vec<Group>>,
+    /// Divisions of its far parts, each as good as the others.
+    divisions: Vec<Division>,
 }
 
 /// Remembers who may collect what; valid for one view.
@@ -61,16 +65,16 @@
         peers: &Peers,
     ) -> Vec<(Peer, Arc<Set<Arc<str>>>)> {
         let place = Arc::as_ptr(index).addr();
-        let known = self
-            .known
-            .entry(place)
-            .or_insert_with(|| Known { _index: Arc::clone(index), ways: ways(view, zone, index) });
-        let ways = &known.ways;
-        if ways.is_empty() {
+        let known = self.known.entry(place).or_insert_with(|| Known {
+            _index: Arc::clone(index),
+            divisions: divisions(view, zone, index),
+        });
+        let divisions = &known.divisions;
+        if divisions.is_empty() {
             return Vec::new();
         }
         // Zones change with every sweep and peers of a zone with every round of the zones.
-        let (round, first) = (self.turn / ways.len(), self.turn % ways.len());
+        let (round, first) = (self.turn / divisions.len(), self.turn % divisions.len());
         self.turn = self.turn.wrapping_add(1);
         let collector = |group: &Group| {
             let start = round % group.peers.len();
@@ -78,7 +82,7 @@
             let peer = turns.find(|peer| !peers.is_silent(&peer.name, now))?;
             Some((peer.clone(), Arc::clone(&group.services)))
         };
-        let mut turns = ways[first..].iter().chain(&ways[..first]);
+        let mut turns = divisions[first..].iter().chain(&divisions[..first]);
         let collectors = turns.find_map(|groups| {
             let collectors: Vec<_> = groups.iter().filter_map(collector).collect();
             (!collectors.is_empty()).then_some(collectors)
@@ -87,8 +91,8 @@
     }
 }
 
-/// The ways to divide the far parts of an index, one for each zone that has most of them.
-fn ways(view: &View, zone: &str, index: &Index) -> Vec<Vec<Group>> {
+/// Divisions of the far parts of an index, one for each zone that has most of them.
+fn divisions(view: &View, zone: &str, index: &Index) -> Vec<Division> {
     let mut peers: Map<&str, Vec<Peer>> = Map::default();
     for neighbour in view.neighbours.iter().filter(|neighbour| *neighbour.zone != *zone) {
         peers.entry(&neighbour.zone).or_default().push(neighbour.peer.clone());
@@ -98,7 +102,7 @@
     let far = far_parts(view, zone, index);
     let first = most(&zones, &far);
     let firsts = zones.iter().filter(|zone| first > 0 && served(zone, &far) == first);
-    let ways = firsts.map(|first| {
+    let divisions = firsts.map(|first| {
         let mut left = far.clone();
         let mut groups = Vec::new();
         let mut next = Some(*first);
@@ -109,7 +113,7 @@
         }
         groups
     });
-    ways.collect()
+    divisions.collect()
 }
 
 /// Takes the parts with a server in `zone` out of `left`, for the peers there.
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -20,7 +20,7 @@
 pub(crate) const SENDINGS: usize = 3;
 /// Time that a reply takes to come back from an owner, in microseconds: kept from the owner's
 /// budget so that its refusal or answer arrives before this instance has to answer.
-pub(super) const RETURN_US: u64 = 2_000;
+const RETURN_US: u64 = 2_000;
 
 impl Machine {
     /// The instance that a portion of `service` goes to next: the first live candidate that it was
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use ladder_schema::bounds;
-use ladder_schema::settings::{Allowance, Instance, Timing};
+use ladder_schema::settings::{Allowance, Gathering, Instance, Placement, Strategy, Timing};
 
 /// Allowed bounds of a stop in seconds.
 const GRACE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
@@ -105,6 +105,7 @@
         check_address("readyAddress", &instance.ready_address, &mut mistakes);
     }
     check_allowance(&instance.allowance.unwrap_or_default(), &mut mistakes);
+    check_strategy(&instance.strategy.unwrap_or_default(), &mut mistakes);
     check_timing(&instance.timing.unwrap_or_default(), &mut mistakes);
     mistakes
 }
@@ -143,6 +144,22 @@
     }
 }
 
+/// Parts are collected for instances that ask servers themselves; an owner asks its own already.
+fn check_strategy(strategy: &Strategy, mistakes: &mut Vec<Mistake>) {
+    let near = strategy.gathering() == Gathering::Near;
+    if near && strategy.placement() != Placement::Direct {
+        mistakes.push(Mistake {
+            field: "strategy.gathering".to_owned(),
+            value: Gathering::Near.as_str_name().to_owned(),
+            allowed: format!(
+                "{} without {}",
+                Gathering::Own.as_str_name(),
+                Placement::Direct.as_str_name()
+            ),
+        });
+    }
+}
+
 /// The bound of a stop is 0 for none or long enough to answer what is open.
 fn check_grace(grace_s: f64, mistakes: &mut Vec<Mistake>) {
     if grace_s != 0.0 && !GRACE_S.contains(&grace_s) {
