--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -4,22 +4,21 @@
 //! part. What it costs is a dependence on one more instance for those parts, so a peer has to speak
 //! when the sweep's target comes, and what it holds is asked for from here if it does not.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::wire::{Collect, Pending, Reply};
 
 use super::event::Action;
-use super::failover::LATE;
+use super::failover::{LATE, Loss};
 use super::machine::Machine;
+use super::near::Collector;
 use super::peers::PeerKey;
-use super::query::{Progress, Query, QueryKey, Sending, State};
+use super::query::{Query, QueryKey, State};
 use super::reply::{self, Place};
-use super::timers::Timer;
-use crate::collections::{Map, Set};
+use crate::collections::Set;
 use crate::time::{Instant, micros};
-use crate::view::Peer;
 
 /// Taken for the time on the ways to a peer and back until it is learned.
 const ASSUMED_WAY: Duration = Duration::from_millis(2);
@@ -36,22 +35,17 @@
 
 impl Machine {
     /// Who collects which services of a query in place of this instance.
-    pub(super) fn collectors(&mut self, now: Instant, key: QueryKey) -> Map<Arc<str>, Peer> {
+    pub(super) fn collectors(&mut self, now: Instant, key: QueryKey) -> Vec<Collector> {
         let query = &self.queries[key];
         let (Some(zone), Some(route)) = (&self.settings.zone, &query.route) else {
-            return Map::default();
+            return Vec::new();
         };
         let message = query.request.message.as_ref();
         let small = message.is_some_and(|message| message.body.len() <= BODY_BYTES);
         if !small || !route.is_sweep() || query.terms.unrepeatable {
-            return Map::default();
+            return Vec::new();
         }
-        let found = self.near.collectors(now, &self.view, zone, &query.index, &self.peers);
-        let by_service = |(peer, services): (Peer, Arc<Set<Arc<str>>>)| {
-            let services: Vec<Arc<str>> = services.iter().cloned().collect();
-            services.into_iter().map(move |service| (service, peer.clone()))
-        };
-        found.into_iter().flat_map(by_service).collect()
+        self.near.collectors(now, &self.view, zone, &query.index, &self.peers)
     }
 
     /// Takes replies that enter together: their records are merged into the first one's part.
@@ -140,59 +134,47 @@
         }
     }
 
-    /// When peers that collect parts of a query must have spoken.
-    pub(super) fn speak_at(&self, query: &Query) -> Option<Instant> {
-        let at = (query.timely_at + SPEAK).min(query.answer_at);
-        let mut portions = query.portions.iter().filter(|portion| portion.is_open());
-        let awaited = portions.any(|portion| portion.sendings.iter().any(|one| self.owes(one)));
-        awaited.then_some(at)
-    }
-
-    /// A peer holds what was sent and has not said that it still collects.
-    fn owes(&self, sending: &Sending) -> bool {
-        let remote = self.peers.get(sending.peer).is_some_and(|state| !state.local);
-        sending.collected && remote && sending.progress == Progress::Open && !sending.spoke
+    /// Peers that collect open parts of a query and have not spoken, with these parts.
+    fn unspoken(&self, key: QueryKey) -> BTreeMap<PeerKey, Vec<usize>> {
+        let mut peers: BTreeMap<PeerKey, Vec<usize>> = BTreeMap::new();
+        let portions = self.queries[key].portions.iter().enumerate();
+        for (position, portion) in portions.filter(|(_, portion)| portion.is_open()) {
+            for sending in portion.sendings.iter().filter(|sending| sending.owes_word()) {
+                peers.entry(sending.peer).or_default().push(position);
+            }
+        }
+        peers
     }
 
-    /// Asks from here for what peers hold that did not speak in time; `at` is when they had to.
+    /// Asks from here for what peers hold that had to speak by now; says when to look again.
     ///
     /// It must not wait for the silence that is learned from reply times: those of sweeps are near
     /// the target themselves, and four of them are beyond many a deadline.
-    pub(super) fn unspoken(
+    pub(super) fn hear_collectors(
         &mut self,
         now: Instant,
-        at: Instant,
         key: QueryKey,
         out: &mut Vec<Action>,
-    ) -> bool {
+    ) -> Instant {
         let query = &self.queries[key];
-        let mut peers: Map<PeerKey, Vec<usize>> = Map::default();
-        for (position, portion) in query.portions.iter().enumerate() {
-            let open = portion.sendings.iter().filter(|one| portion.is_open() && self.owes(one));
-            open.for_each(|sending| peers.entry(sending.peer).or_default().push(position));
+        let (due, answer_at) = (query.timer, query.answer_at);
+        let speak_at = (query.timely_at + SPEAK).min(answer_at);
+        let unspoken = self.unspoken(key);
+        if unspoken.is_empty() {
+            return answer_at;
         }
-        if peers.is_empty() {
-            return true;
+        if due < speak_at {
+            return speak_at;
         }
-        if now.since(at) > LATE {
+        if now.since(due) > LATE {
             // This process itself did not run: the peers' words may wait unread.
-            return false;
+            return (now + LATE).min(answer_at);
         }
-        let mut peers: Vec<(PeerKey, Vec<usize>)> = peers.into_iter().collect();
-        peers.sort_unstable();
-        for (peer, portions) in peers {
+        for (peer, portions) in unspoken {
             self.peers.silence(peer, now);
-            self.leave_silent(now, key, peer, &portions, out);
+            self.leave_query(now, key, peer, &portions, Loss::Silent, out);
         }
-        true
-    }
-
-    /// Wakes a query at another time.
-    pub(super) fn set_timer(&mut self, key: QueryKey, at: Instant) {
-        let query = &mut self.queries[key];
-        self.timers.remove(query.timer, Timer::Query(key));
-        query.timer = at;
-        self.timers.add(at, Timer::Query(key));
+        answer_at
     }
 }
 
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -27,7 +27,7 @@
 
 /// How sure it is that an owner is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
+pub(super) enum Loss {
     /// Nothing arrived from it for too long; it may still answer.
     Silent,
     /// The membership does not hold it live: it is dead, or leaves and finishes what it has.
@@ -144,19 +144,8 @@
         portions.filter(|(_, portion)| held(portion)).map(|(position, _)| position).collect()
     }
 
-    /// Moves portions of one query that a peer was silent about.
-    pub(super) fn leave_silent(
-        &mut self,
-        now: Instant,
-        key: QueryKey,
-        peer: PeerKey,
-        portions: &[usize],
-        out: &mut Vec<Action>,
-    ) {
-        self.leave_query(now, key, peer, portions, Loss::Silent, out);
-    }
-
-    fn leave_query(
+    /// Moves portions of one query to the next candidates, where they may be moved.
+    pub(super) fn leave_query(
         &mut self,
         now: Instant,
         key: QueryKey,
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -5,7 +5,6 @@
 
 use super::answer;
 use super::event::Action;
-use super::failover::LATE;
 use super::machine::{Machine, count};
 use super::merge;
 use super::query::{Progress, Query, QueryKey, State};
@@ -52,21 +51,16 @@
     }
 
     fn query_due(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) {
-        let Some(query) = self.queries.get_mut(key) else {
+        let Some(query) = self.queries.get(key) else {
             return;
         };
         if now >= query.answer_at || query.is_enough(now) {
             self.finish(now, key, Reason::Deadline, out);
             return;
         }
-        let (due, answer_at) = (query.timer, query.answer_at);
-        let speak_at = self.speak_at(&self.queries[key]);
-        let next = match speak_at {
-            Some(at) if due < at => at,
-            Some(_) if !self.unspoken(now, due, key, out) => (now + LATE).min(answer_at),
-            _ => answer_at,
-        };
-        self.set_timer(key, next);
+        let next = self.hear_collectors(now, key, out);
+        self.queries[key].timer = next;
+        self.timers.add(next, Timer::Query(key));
     }
 
     /// Answers a query that waits for nothing more, or has enough for its time.
--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -18,6 +18,15 @@
 /// as two parts.
 const PARTS: usize = 3;
 
+/// A peer with the parts that it is to collect.
+#[derive(Clone, Debug)]
+pub(crate) struct Collector {
+    /// The peer.
+    pub(crate) peer: Peer,
+    /// Names of their services.
+    pub(crate) services: Arc<Set<Arc<str>>>,
+}
+
 /// Parts for one peer.
 #[derive(Clone, Debug)]
 struct Group {
@@ -42,7 +51,7 @@
 /// Remembers who may collect what; valid for one view.
 #[derive(Debug, Default)]
 pub(crate) struct Near {
-    /// By the address of the index.
+    /// By the address of the index: routes of one version may have equal names.
     known: Map<usize, Known>,
     /// Counts the sweeps, so that zones and peers take turns.
     turn: usize,
@@ -63,9 +72,8 @@
         zone: &str,
         index: &Arc<Index>,
         peers: &Peers,
-    ) -> Vec<(Peer, Arc<Set<Arc<str>>>)> {
-        let place = Arc::as_ptr(index).addr();
-        let known = self.known.entry(place).or_insert_with(|| Known {
+    ) -> Vec<Collector> {
+        let known = self.known.entry(Arc::as_ptr(index).addr()).or_insert_with(|| Known {
             _index: Arc::clone(index),
             divisions: divisions(view, zone, index),
         });
@@ -80,7 +88,7 @@
             let start = round % group.peers.len();
             let mut turns = group.peers[start..].iter().chain(&group.peers[..start]);
             let peer = turns.find(|peer| !peers.is_silent(&peer.name, now))?;
-            Some((peer.clone(), Arc::clone(&group.services)))
+            Some(Collector { peer: peer.clone(), services: Arc::clone(&group.services) })
         };
         let mut turns = divisions[first..].iter().chain(&divisions[..first]);
         let collectors = turns.find_map(|groups| {
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -49,6 +49,13 @@
     pub(crate) spoke: bool,
 }
 
+impl Sending {
+    /// A peer holds it with others and has not said that it still collects.
+    pub(crate) fn owes_word(&self) -> bool {
+        self.collected && self.progress == Progress::Open && !self.spoke
+    }
+}
+
 /// What became of a portion.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum State {
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -58,13 +58,14 @@
             missing: query.missing.len() as u32,
         };
         self.history.add(query.account, now, step);
-        let mut collectors = self.collectors(now, key);
+        let collectors = self.collectors(now, key);
         let query = &self.queries[key];
-        let services = query.portions.iter().map(|portion| &portion.share.service);
         let owner = |service: &Arc<str>| {
-            let owner = || self.choose(now, service, &[]).map(|candidate| candidate.peer.clone());
-            collectors.remove(service).or_else(owner)
+            let collector = collectors.iter().find(|one| one.services.contains(service));
+            let owner = || self.choose(now, service, &[]).map(|candidate| &candidate.peer);
+            collector.map(|collector| &collector.peer).or_else(owner).cloned()
         };
+        let services = query.portions.iter().map(|portion| &portion.share.service);
         let owners: Vec<Option<Peer>> = services.map(owner).collect();
         let lacking = !query.missing.is_empty() || owners.iter().any(Option::is_none);
         if query.terms.unrepeatable && lacking {
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -123,8 +123,8 @@
             self.peers.ended(sending.peer);
         }
         sending.progress = Progress::Ended;
-        let (peer, collected, at) = (sending.peer, sending.collected, sending.at);
-        if collected {
+        let (peer, at) = (sending.peer, sending.at);
+        if sending.collected && !sending.spoke {
             self.spoke(key, peer, reply.round);
         }
         if reply.held_us > 0 {
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -82,7 +82,7 @@
 }
 
 /// The reply that covers the portion of `service` with this body.
-fn reply(work: &Work, service: &str, body: &[u8]) -> Reply {
+pub(crate) fn reply(work: &Work, service: &str, body: &[u8]) -> Reply {
     let response = Response {
         status: 200,
         body: Bytes::copy_from_slice(body),
@@ -112,8 +112,8 @@
     Reply { verdict, reason, parts: Vec::new(), ..reply(work, service, b"") }
 }
 
-/// A record of one kind of byte.
-fn records(bytes: &[u8]) -> Vec<u8> {
+/// Records, each of one kind of byte.
+pub(crate) fn records(bytes: &[u8]) -> Vec<u8> {
     bytes.iter().flat_map(|byte| [*byte; 16]).collect()
 }
 
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use ladder_core::gather::{Action, Event, Settings};
 use ladder_core::route::Table;
-use ladder_core::schema::call::{Message, Part, Request, Response};
+use ladder_core::schema::call::{Message, Request, Response};
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::publication::{Branch, Route, Routing};
 use ladder_core::schema::wire::{Pending, Reply, Work};
 use ladder_core::view::{Candidate, Neighbour, Server, Service, View};
 
 use crate::fleet::{SELF, peer};
+use crate::forward;
 use crate::session::{INCARNATION, Session, answer, answers, dropped, works};
 
 /// Zone of the instance under test.
@@ -150,24 +151,7 @@
 
 /// The reply that covers a part with records of these bytes.
 fn reply(work: &Work, service: &str, bytes: &[u8]) -> Reply {
-    let body: Vec<u8> = bytes.iter().flat_map(|byte| [*byte; 16]).collect();
-    let response = Response {
-        status: 200,
-        body: Bytes::from(body),
-        stamp: format!("signed by {service}"),
-        ..Response::default()
-    };
-    let part = Part { shard: service.to_owned(), response: Some(response), ..Part::default() };
-    Reply {
-        query: work.query,
-        round: work.round,
-        incarnation: INCARNATION,
-        service: service.to_owned(),
-        verdict: Verdict::Ran.into(),
-        version: work.version,
-        parts: vec![part],
-        ..Reply::default()
-    }
+    forward::reply(work, service, &forward::records(bytes))
 }
 
 /// The replies to all portions of the work, merged into the first.
