Let one instance ask for a group of parts where servers are busy; earliest target first

Cause: nine instances each saw a ninth of a server's work.

Change: parts are cut into groups by the zones of their servers, and where servers are busy (their own figures, as heard in replies) one instance near them, by rendezvous, asks for a group on behalf of all. A queue serves first what has the earliest target, and last what can't meet it any more. Work waits for a good server rather than go to one that would be late. Times are learned by kind of work.

--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -210,6 +210,7 @@
         index: request.index.clone(),
         version: request.version,
         parts: request.shards.iter().map(part).collect(),
+        occupancy: None,
     }
 }
 
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -22,6 +22,7 @@
         index: request.index.clone(),
         version: request.version,
         parts: request.shards.iter().map(part).collect(),
+        occupancy: None,
     })
 }
 
--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -13,7 +13,7 @@
 use super::event::Action;
 use super::failover::{LATE, Loss};
 use super::machine::Machine;
-use super::near::Collector;
+use super::near::{Collector, Own};
 use super::peers::PeerKey;
 use super::query::{Query, QueryKey, State};
 use super::reply::{self, Place};
@@ -45,7 +45,8 @@
         if !small || !route.is_sweep() || query.terms.unrepeatable {
             return Vec::new();
         }
-        self.near.collectors(now, &self.view, zone, &query.index, &self.peers)
+        let own = Own { name: &self.settings.name, zone };
+        self.near.collectors(now, &self.view, own, &query.index, &self.peers)
     }
 
     /// Takes replies that enter together: their records are merged into the first one's part.
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -50,8 +50,8 @@
     pub(crate) fn adopt(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
         self.view = view;
         self.planner.forget();
-        self.near.forget();
         let view = Arc::clone(&self.view);
+        self.near.forget(&view);
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view.services.values().flat_map(|service| &service.candidates);
         for candidate in candidates {
--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -1,24 +1,36 @@
-//! Finds parts of a sweep that a peer should collect.
+//! Chooses who asks the servers of each part of a sweep.
 //!
-//! A sweep asks one server for each of its parts and keeps the greatest records of all. Where the
-//! servers of a part stand in other zones, request and response cross between zones, and most of
-//! what crosses is thrown away by the merge. A peer that stands near them asks the servers of many
-//! such parts and sends their merged records: one message crosses each way.
-
+//! Were every instance to ask every server, each would see a fraction of a server's work: the
+//! server's queue would fill unseen while its sibling is free, and every instance would learn of a
+//! standing server by a call of its own. The parts of an index are therefore cut into groups, and
+//! each group is asked for by one instance near its servers for all sweeps of the fleet. It sees
+//! nearly all of their work, and sends the merged records of a group in one message.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::publication::Index;
 
 use super::peers::Peers;
 use crate::collections::{Map, Set};
+use crate::control::hash;
 use crate::time::Instant;
 use crate::view::{Peer, View};
 
-/// Parts below which a peer is not asked: two messages between instances cost about as many bytes
-/// as two parts.
+/// Weight of one reply in what is held of a service's load.
+const BUSY_WEIGHT: f64 = 0.2;
+/// Between two decisions who asks.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Work over slots below which every instance asks for itself again, and above which one asks for all.
+const BUSY: (f64, f64) = (0.3, 0.38);
+
+/// Parts below which a peer is not asked where servers are idle: two messages between instances cost
+/// about as many bytes as two parts.
 const PARTS: usize = 3;
 
-/// A peer with the parts that it is to collect.
+/// Parts with the peer that is to collect them.
 #[derive(Clone, Debug)]
 pub(crate) struct Collector {
     /// The peer.
@@ -27,136 +39,213 @@
     pub(crate) services: Arc<Set<Arc<str>>>,
 }
 
-/// Parts for one peer.
+/// Parts that are asked for together.
 #[derive(Clone, Debug)]
 struct Group {
     /// Names of their services.
     services: Arc<Set<Arc<str>>>,
-    /// Instances that may collect them; not empty.
-    peers: Arc<[Peer]>,
+    /// Instances that may collect them, the preferred one first; `None` is this instance.
+    askers: Arc<[Option<Peer>]>,
+    /// One instance asks for them on behalf of all.
+    steady: bool,
+    /// When `steady` is decided anew.
+    look_at: Instant,
 }
 
-/// Groups that have no part in common.
-type Division = Vec<Group>;
+impl Group {
+    fn decide(&mut self, now: Instant, busy: &Map<Arc<str>, f64>) {
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + LOOK_EVERY;
+        let known = self.services.iter().filter_map(|service| busy.get(service));
+        let (count, sum) = known.fold((0, 0.0), |(count, sum), busy| (count + 1, sum + busy));
+        let mean = if count == 0 { 0.0 } else { sum / f64::from(count) };
+        self.steady = mean > if self.steady { BUSY.0 } else { BUSY.1 };
+    }
+
+    /// Who collects its parts; `None` if this instance asks itself.
+    fn asker(&self, now: Instant, peers: &Peers) -> Option<&Peer> {
+        let heard = |peer: &&Option<Peer>| {
+            peer.as_ref().is_none_or(|peer| !peers.is_silent(&peer.name, now))
+        };
+        self.askers.iter().find(heard)?.as_ref()
+    }
+}
+
+/// The parts whose servers stand in the same zones.
+#[derive(Debug)]
+struct Block {
+    groups: Vec<Group>,
+    /// One of the zones is this instance's.
+    here: bool,
+}
+
+impl Block {
+    /// Who collects the parts; `turn` lets peers take turns.
+    ///
+    /// Where the servers have much to do, each group goes to its own asker. Elsewhere few messages
+    /// are worth more than one view of each server: what has a server in this zone is asked for from
+    /// here, and the rest goes to one peer together.
+    fn collectors(&self, now: Instant, turn: usize, peers: &Peers, out: &mut Vec<Collector>) {
+        let idle: Vec<&Group> = self.groups.iter().filter(|group| !group.steady).collect();
+        let parts: usize = idle.iter().map(|group| group.services.len()).sum();
+        let is_far = !self.here && parts >= PARTS;
+        let shared = is_far.then(|| idle[turn % idle.len()].asker(now, peers)).flatten();
+        out.extend(self.groups.iter().filter_map(|group| {
+            let peer = if group.steady { group.asker(now, peers) } else { shared };
+            Some(Collector { peer: peer?.clone(), services: Arc::clone(&group.services) })
+        }));
+    }
+}
 
 /// What is known of one index.
 #[derive(Debug)]
 struct Known {
     /// Keeps the address alive by which it is known.
     _index: Arc<Index>,
-    /// Divisions of its far parts, each as good as the others.
-    divisions: Vec<Division>,
+    blocks: Vec<Block>,
 }
 
-/// Remembers who may collect what; valid for one view.
+/// Remembers who collects what; valid for one view.
 #[derive(Debug, Default)]
 pub(crate) struct Near {
     /// By the address of the index: routes of one version may have equal names.
     known: Map<usize, Known>,
-    /// Counts the sweeps, so that zones and peers take turns.
+    /// Counts the sweeps, so that peers take turns.
     turn: usize,
+    /// Work that services' servers held of late over their slots.
+    busy: Map<Arc<str>, f64>,
+}
+
+/// This instance, as the one that chooses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Own<'a> {
+    /// Its name.
+    pub(crate) name: &'a str,
+    /// Its availability zone.
+    pub(crate) zone: &'a str,
 }
 
 impl Near {
     /// Forgets what another view has changed.
-    pub(crate) fn forget(&mut self) {
+    pub(crate) fn forget(&mut self, view: &View) {
         self.known.clear();
+        self.busy.retain(|service, _| view.service(service).is_some());
     }
 
-    /// Who collects which services of a sweep over `index` for an instance in `zone`. What is named
-    /// by none, the instance asks itself.
+    /// Takes in how much work the servers of a service held.
+    pub(crate) fn heard_of(&mut self, service: &Arc<str>, permille: u32) {
+        let busy = f64::from(permille) / 1000.0;
+        match self.busy.get_mut(service) {
+            Some(known) => *known += BUSY_WEIGHT * (busy - *known),
+            None => drop(self.busy.insert(Arc::clone(service), busy)),
+        }
+    }
+
+    /// Who collects which services of a sweep over `index`. What is named by none, the instance
+    /// asks itself.
     pub(crate) fn collectors(
         &mut self,
         now: Instant,
         view: &View,
-        zone: &str,
+        own: Own<'_>,
         index: &Arc<Index>,
         peers: &Peers,
     ) -> Vec<Collector> {
         let known = self.known.entry(Arc::as_ptr(index).addr()).or_insert_with(|| Known {
             _index: Arc::clone(index),
-            divisions: divisions(view, zone, index),
+            blocks: blocks(view, own, index),
         });
-        let divisions = &known.divisions;
-        if divisions.is_empty() {
-            return Vec::new();
-        }
-        // Zones change with every sweep and peers of a zone with every round of the zones.
-        let (round, first) = (self.turn / divisions.len(), self.turn % divisions.len());
         self.turn = self.turn.wrapping_add(1);
-        let collector = |group: &Group| {
-            let start = round % group.peers.len();
-            let mut turns = group.peers[start..].iter().chain(&group.peers[..start]);
-            let peer = turns.find(|peer| !peers.is_silent(&peer.name, now))?;
-            Some(Collector { peer: peer.clone(), services: Arc::clone(&group.services) })
-        };
-        let mut turns = divisions[first..].iter().chain(&divisions[..first]);
-        let collectors = turns.find_map(|groups| {
-            let collectors: Vec<_> = groups.iter().filter_map(collector).collect();
-            (!collectors.is_empty()).then_some(collectors)
-        });
-        collectors.unwrap_or_default()
-    }
-}
-
-/// Divisions of the far parts of an index, one for each zone that has most of them.
-fn divisions(view: &View, zone: &str, index: &Index) -> Vec<Division> {
-    let mut peers: Map<&str, Vec<Peer>> = Map::default();
-    for neighbour in view.neighbours.iter().filter(|neighbour| *neighbour.zone != *zone) {
-        peers.entry(&neighbour.zone).or_default().push(neighbour.peer.clone());
-    }
-    let mut zones: Vec<&str> = peers.keys().copied().collect();
-    zones.sort_unstable();
-    let far = far_parts(view, zone, index);
-    let first = most(&zones, &far);
-    let firsts = zones.iter().filter(|zone| first > 0 && served(zone, &far) == first);
-    let divisions = firsts.map(|first| {
-        let mut left = far.clone();
-        let mut groups = Vec::new();
-        let mut next = Some(*first);
-        while let Some(zone) = next {
-            groups.push(group(zone, &mut left, &peers));
-            let count = most(&zones, &left);
-            next = zones.iter().copied().find(|zone| count > 0 && served(zone, &left) == count);
+        let mut collectors = Vec::new();
+        for block in &mut known.blocks {
+            block.groups.iter_mut().for_each(|group| group.decide(now, &self.busy));
+            block.collectors(now, self.turn, peers, &mut collectors);
         }
-        groups
-    });
-    divisions.collect()
+        collectors
+    }
 }
 
-/// Takes the parts with a server in `zone` out of `left`, for the peers there.
-fn group(zone: &str, left: &mut Vec<Part<'_>>, peers: &Map<&str, Vec<Peer>>) -> Group {
-    let near = |part: &Part<'_>| part.zones.contains(zone);
-    let services = left.iter().filter(|part| near(part)).map(|part| Arc::clone(part.service));
-    let services = Arc::new(services.collect());
-    left.retain(|part| !near(part));
-    Group { services, peers: peers.get(zone).into_iter().flatten().cloned().collect() }
+/// An instance that may collect.
+#[derive(Clone, Copy, Debug)]
+struct Asker<'a> {
+    name: &'a str,
+    zone: &'a str,
+    /// `None` for this instance.
+    peer: Option<&'a Peer>,
 }
 
-/// A part with the zones of its servers.
-#[derive(Clone, Debug)]
-struct Part<'a> {
-    service: &'a Arc<str>,
-    zones: Set<&'a str>,
+/// The parts of an index in blocks and groups.
+fn blocks(view: &View, own: Own<'_>, index: &Index) -> Vec<Block> {
+    let mut askers = vec![Asker { name: own.name, zone: own.zone, peer: None }];
+    askers.extend(view.neighbours.iter().map(|neighbour| Asker {
+        name: &neighbour.peer.name,
+        zone: &neighbour.zone,
+        peer: Some(&neighbour.peer),
+    }));
+    let mut taken: Map<&str, usize> = Map::default();
+    let mut group = |zones: &[&str], services: &[Arc<str>]| {
+        let order = order(&askers, zones, &services[0], &taken);
+        if let Some(first) = order.first() {
+            *taken.entry(first.name).or_default() += 1;
+        }
+        Group {
+            services: Arc::new(services.iter().cloned().collect()),
+            askers: order.iter().map(|asker| asker.peer.cloned()).collect(),
+            steady: false,
+            look_at: Instant::default(),
+        }
+    };
+    let sets = by_zones(view, index).into_iter();
+    let block = |(zones, services): (Vec<&str>, Vec<Arc<str>>)| {
+        let size = group_size(index.shards.len(), services.len());
+        let groups = services.chunks(size).map(|services| group(&zones, services)).collect();
+        Block { groups, here: zones.contains(&own.zone) }
+    };
+    sets.map(block).collect()
 }
 
-/// Parts of which no server stands in `zone`.
-fn far_parts<'a>(view: &'a View, zone: &str, index: &Index) -> Vec<Part<'a>> {
+/// Services of an index by the zones of their servers, in order of name.
+fn by_zones<'a>(view: &'a View, index: &Index) -> BTreeMap<Vec<&'a str>, Vec<Arc<str>>> {
+    let mut sets: BTreeMap<Vec<&str>, Vec<Arc<str>>> = BTreeMap::new();
     let services = index.shards.iter().filter_map(|shard| view.service(&shard.service));
-    let parts = services.map(|known| {
-        let usable = known.servers.iter().filter(|server| !server.leaving);
-        Part { service: &known.name, zones: usable.map(|server| &*server.zone).collect() }
-    });
-    parts.filter(|part| !part.zones.contains(zone)).collect()
+    for service in services {
+        let usable = service.servers.iter().filter(|server| !server.leaving);
+        let mut zones: Vec<&str> = usable.map(|server| &*server.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        sets.entry(zones).or_default().push(Arc::clone(&service.name));
+    }
+    for services in sets.values_mut() {
+        services.sort_unstable();
+        services.dedup();
+    }
+    sets
 }
 
-/// How many of the parts have a server in a zone.
-fn served(zone: &str, parts: &[Part<'_>]) -> usize {
-    parts.iter().filter(|part| part.zones.contains(zone)).count()
+/// Parts that go into one group: about as many as there are groups, so that neither the messages of
+/// a sweep nor the parts of one message grow with the number of parts alone.
+fn group_size(all: usize, same_zones: usize) -> usize {
+    let size = (all as f64).sqrt().ceil().max(1.0) as usize;
+    same_zones.div_ceil(same_zones.div_ceil(size).max(1)).max(1)
 }
 
-/// The most that any zone serves; zero if that is too few for a peer.
-fn most(zones: &[&str], parts: &[Part<'_>]) -> usize {
-    let most = zones.iter().map(|zone| served(zone, parts)).max();
-    most.filter(|most| *most >= PARTS).unwrap_or(0)
+/// Instances in some of these zones, or all if there is none: those that have the fewest groups
+/// first, then by rendezvous.
+fn order<'a>(
+    askers: &[Asker<'a>],
+    zones: &[&str],
+    group: &str,
+    taken: &Map<&str, usize>,
+) -> Vec<Asker<'a>> {
+    let near = |asker: &&Asker<'_>| zones.contains(&asker.zone);
+    let mut order: Vec<Asker<'_>> = askers.iter().filter(near).copied().collect();
+    if order.is_empty() {
+        order = askers.to_vec();
+    }
+    let load = |asker: &Asker<'_>| taken.get(asker.name).copied().unwrap_or(0);
+    let score = |asker: &Asker<'_>| hash::of(&[group.as_bytes(), asker.name.as_bytes()]);
+    order.sort_by_cached_key(|asker| (load(asker), Reverse(score(asker))));
+    order
 }
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -243,13 +243,13 @@
             .map(|&portion| wire_portion(query, &query.portions[portion]))
             .collect(),
         extra_calls: query.extra_calls,
-        forward: forward(query),
+        forward: forward(now, query),
         collect,
     }
 }
 
 /// How a message is to be forwarded; `None` for a query of the product's own.
-fn forward(query: &Query) -> Option<Box<wire::Forward>> {
+fn forward(now: Instant, query: &Query) -> Option<Box<wire::Forward>> {
     let route = query.route.as_ref()?;
     Some(Box::new(wire::Forward {
         message: query.request.message.as_deref().cloned(),
@@ -257,6 +257,11 @@
         attempts: route.spec.attempts,
         part: route.is_sweep(),
         target_ms: route.spec.target_ms,
+        timely_us: match route.spec.target_ms {
+            0 => 0,
+            _ => micros(query.timely_at.since(now)).max(1),
+        },
+        kind: route.kind,
     }))
 }
 
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -123,6 +123,9 @@
             self.peers.ended(sending.peer);
         }
         sending.progress = Progress::Ended;
+        if reply.busy_permille > 0 {
+            self.near.heard_of(&portion.share.service, reply.busy_permille);
+        }
         let (peer, at) = (sending.peer, sending.at);
         if sending.collected && !sending.spoke {
             self.spoke(key, peer, reply.round);
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -11,6 +11,7 @@
 mod health;
 mod hedge;
 mod intake;
+mod kinds;
 mod lane;
 mod lanes;
 mod machine;
--- a/crates/core/src/leaf/attempt.rs
+++ b/crates/core/src/leaf/attempt.rs
@@ -6,6 +6,7 @@
 use ladder_schema::target;
 
 use super::event::LaneKey;
+use super::kinds::Kind;
 use super::portion::{Job, PortionKey};
 use super::record;
 use super::server::ServerKey;
@@ -20,6 +21,8 @@
     /// The portion; `None` once it was replied to.
     pub(super) portion: Option<PortionKey>,
     pub(super) service: ServiceId,
+    /// Its kind of work.
+    pub(super) kind: Kind,
     pub(super) server: ServerKey,
     pub(super) lane: LaneKey,
     /// The target request's identifier.
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -10,9 +10,11 @@
 use super::attempt::Attempt;
 use super::event::{Action, LaneKey};
 use super::intake::UNLEARNED;
+use super::kinds::Kind;
 use super::lane;
 use super::machine::Machine;
 use super::portion::PortionKey;
+use super::queue::Class;
 use super::reply::Refused;
 use super::server::{Server, ServerKey};
 use super::service::ServiceId;
@@ -63,6 +65,10 @@
                 self.finish(key, refused, out);
                 return true;
             }
+            if self.misses(key) {
+                self.put_last(key);
+                return true;
+            }
             if let Some(server) = self.choose(id, key) {
                 self.dispatch(key, server, out);
                 return true;
@@ -97,12 +103,32 @@
     fn too_late(&self, key: PortionKey) -> bool {
         let portion = &self.portions[key];
         let fast = match self.settings.queueing {
-            true => self.services[portion.service].fast(),
+            true => self.fast(portion.service, portion.kind),
             false => Duration::ZERO,
         };
         self.now + fast >= portion.deadline
     }
 
+    /// Whether a portion that has a time to be there by can't be there any more, even if it is sent
+    /// now; it then goes behind those that can.
+    ///
+    /// In overload every portion would wait a little too long, and hardly any be in time.
+    fn misses(&self, key: PortionKey) -> bool {
+        let portion = &self.portions[key];
+        let fast = self.fast(portion.service, portion.kind);
+        let timely = portion.place.is_some_and(|place| !place.is_late());
+        timely && portion.timely_at.is_some_and(|at| self.now + fast >= at)
+    }
+
+    fn put_last(&mut self, key: PortionKey) {
+        let portion = &mut self.portions[key];
+        let queue = &mut self.services[portion.service].queue;
+        if let Some(place) = portion.place.take() {
+            queue.remove(place);
+        }
+        portion.place = Some(queue.push(Class::LATE, portion.arrived, key));
+    }
+
     /// The server for a portion's next call.
     fn choose(&mut self, id: ServiceId, key: PortionKey) -> Option<ServerKey> {
         match self.settings.selection {
@@ -147,7 +173,10 @@
                 }
                 continue;
             }
-            let cost = self.cost(id, server, portion.tried.contains(&candidate));
+            if self.is_too_slow(key, candidate) {
+                continue;
+            }
+            let cost = self.cost(id, portion.kind, server, portion.tried.contains(&candidate));
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate));
             }
@@ -194,10 +223,8 @@
     }
 
     /// Expected call time in microseconds, made longer by load, failures and an earlier failed try.
-    fn cost(&self, id: ServiceId, server: &Server, tried: bool) -> f64 {
-        let usual = self.services[id].times.mean().unwrap_or(UNLEARNED);
-        let seen = server.health.mean(self.now).unwrap_or(usual);
-        let expected = seen.max(usual / 2).max(self.oldest_call(server)).as_secs_f64();
+    fn cost(&self, id: ServiceId, kind: Kind, server: &Server, tried: bool) -> f64 {
+        let expected = self.expected(id, kind, server).as_secs_f64();
         let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
         let health = &server.health;
         let failures = FAILURE_COST * (health.failure_rate(self.now) + health.shed_rate(self.now));
@@ -207,6 +234,34 @@
         expected * (1.0 + load) * (1.0 + failures) * again * way
     }
 
+    /// Whether a portion would come late from a server, but could still be in time from another one
+    /// that is busy just now.
+    ///
+    /// A slow server is always free. Work sent there because the good one is busy is late, needs a
+    /// second copy, and takes the good server's slot for that in the end.
+    fn is_too_slow(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let portion = &self.portions[key];
+        let Some(timely_at) = portion.timely_at.filter(|at| *at > self.now) else {
+            return false;
+        };
+        let expected =
+            |key: ServerKey| self.expected(portion.service, portion.kind, &self.servers[key]);
+        let in_time = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            let usable = server.accepts() && !server.health.suspect() && !server.lanes.is_empty();
+            usable && !portion.tried.contains(key) && self.now + expected(*key) < timely_at
+        };
+        let late = self.now + expected(candidate) >= timely_at;
+        late && self.services[portion.service].servers.iter().any(in_time)
+    }
+
+    /// Call time to expect of a server, without what waits there.
+    fn expected(&self, id: ServiceId, kind: Kind, server: &Server) -> Duration {
+        let usual = self.mean(id, kind).unwrap_or(UNLEARNED);
+        let pace = server.health.pace(self.now).unwrap_or(1.0).max(0.5);
+        usual.mul_f64(pace).max(self.oldest_call(server))
+    }
+
     /// Age of the oldest call that a server has not answered: it takes at least as long now.
     ///
     /// A server that stands still for a moment shows it by nothing else, and the calls that go to it
@@ -324,6 +379,7 @@
         let attempt = self.attempts.insert(Attempt {
             portion: Some(key),
             service: portion.service,
+            kind: portion.kind,
             server: to,
             lane,
             id: id.clone(),
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -117,12 +117,16 @@
     /// Takes what the call's end says of the server.
     fn learn(&mut self, attempt: &Attempt, outcome: &Outcome, out: &mut Vec<Action>) {
         let elapsed = self.now.since(attempt.sent);
-        let server = &mut self.servers[attempt.server];
         match outcome {
-            Outcome::Answer(_) => {
-                server.health.answered(self.now, elapsed);
+            Outcome::Answer(answer) => {
+                let usual = self.mean(attempt.service, attempt.kind);
+                if let Some(occupancy) = answer.occupancy {
+                    self.services[attempt.service].occupied(occupancy);
+                }
+                let server = &mut self.servers[attempt.server];
+                server.health.answered(self.now, elapsed, usual);
                 if !attempt.given_up {
-                    self.services[attempt.service].learn(elapsed);
+                    self.learn_time(attempt.service, attempt.kind, elapsed);
                 }
             }
             Outcome::Refusal(refusal) => {
@@ -131,6 +135,7 @@
                 self.learn_refusal(attempt, reason, advice, out);
             }
             Outcome::Error | Outcome::Lost if !attempt.given_up => {
+                let server = &mut self.servers[attempt.server];
                 server.health.failed(self.now, &mut self.random);
                 let until = server.health.paused_until();
                 self.pump_at(attempt.service, until);
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -34,8 +34,8 @@
     seen: Instant,
     /// Failures since the last answer.
     row: u32,
-    /// Mean call time of answers in microseconds, zero before the first.
-    mean_us: f64,
+    /// Mean of call times over the usual ones of their kind of work, zero before the first.
+    pace: f64,
     /// Pauses since the last answer.
     pauses: u32,
     /// End of the pause of a suspect server; after it one call at a time tries the server.
@@ -49,7 +49,8 @@
 }
 
 impl Health {
-    pub(super) fn answered(&mut self, now: Instant, span: Duration) {
+    /// A call was answered; `usual` is what calls of its kind take.
+    pub(super) fn answered(&mut self, now: Instant, span: Duration, usual: Option<Duration>) {
         self.failure_rate = self.failure_rate(now) * (1.0 - WEIGHT);
         self.seen = now;
         if self.row >= ROW {
@@ -59,13 +60,14 @@
         self.sheds = false;
         self.shed_rate = self.shed_rate(now) * (1.0 - WEIGHT);
         self.pauses = 0;
-        self.sample(span);
+        self.sample(span, usual);
     }
 
     /// Takes in that a call took at least this long without an answer.
-    pub(super) fn slow(&mut self, span: Duration) {
-        if micros(span) as f64 > self.mean_us {
-            self.sample(span);
+    pub(super) fn slow(&mut self, span: Duration, usual: Option<Duration>) {
+        let usual_us = usual.map_or(0.0, |usual| micros(usual) as f64);
+        if micros(span) as f64 > self.pace * usual_us {
+            self.sample(span, usual);
         }
     }
 
@@ -134,17 +136,21 @@
         self.shed_rate * (-idle).exp2()
     }
 
-    /// Mean call time of answers; `None` before the first and when the last is too long ago.
-    pub(super) fn mean(&self, now: Instant) -> Option<Duration> {
-        let known = self.mean_us > 0.0 && now.since(self.seen) < FADE;
-        known.then(|| Duration::from_micros(self.mean_us as u64))
+    /// How many times the usual time its calls take; `None` before the first answer and when the last
+    /// is too long ago.
+    pub(super) fn pace(&self, now: Instant) -> Option<f64> {
+        let known = self.pace > 0.0 && now.since(self.seen) < FADE;
+        known.then_some(self.pace)
     }
 
-    fn sample(&mut self, span: Duration) {
-        let us = micros(span) as f64;
-        if self.mean_us == 0.0 {
-            self.mean_us = us;
+    fn sample(&mut self, span: Duration, usual: Option<Duration>) {
+        let Some(usual) = usual.filter(|usual| !usual.is_zero()) else {
+            return;
+        };
+        let pace = span.as_secs_f64() / usual.as_secs_f64();
+        if self.pace == 0.0 {
+            self.pace = pace;
         }
-        self.mean_us += TIME_WEIGHT * (us - self.mean_us);
+        self.pace += TIME_WEIGHT * (pace - self.pace);
     }
 }
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -42,7 +42,7 @@
     /// slow after a part of it at the latest.
     fn patience(&self, key: PortionKey) -> Option<Duration> {
         let portion = &self.portions[key];
-        let learned = self.services[portion.service].hedge_delay();
+        let learned = self.slow(portion.service, portion.kind);
         let forward = portion.job.work.forward.as_ref();
         let target = forward.map_or(0, |forward| forward.target_ms);
         if target == 0 {
@@ -99,7 +99,7 @@
     /// Whether a second copy may still help and the query has not spent its extra calls.
     fn worth_copying(&self, key: PortionKey) -> bool {
         let portion = &self.portions[key];
-        let mean = self.services[portion.service].mean().unwrap_or_default();
+        let mean = self.mean(portion.service, portion.kind).unwrap_or_default();
         let in_time = self.now + mean / 2 < portion.deadline && portion.may_go_out();
         in_time && portion.job.work.extra_calls + portion.calls <= QUERY_EXTRA
     }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -8,6 +8,7 @@
 
 use super::admission;
 use super::event::Action;
+use super::kinds::Kind;
 use super::machine::{Delivery, Machine, Query};
 use super::portion::{Job, Portion, PortionKey};
 use super::queue::{self, Class};
@@ -15,6 +16,7 @@
 use super::reply::Refused;
 use super::service::{Rank, Service, ServiceId};
 use super::timer::Timer;
+use crate::control::hash;
 use crate::count;
 use crate::time::Instant;
 use crate::view::Peer;
@@ -142,7 +144,7 @@
         if !self.settings.queueing {
             return Ok(());
         }
-        let Some(mean) = service.mean() else {
+        let Some(mean) = self.mean(id, kind(&job.work)) else {
             return Ok(());
         };
         let wait = self.wait(id, service.queue.ahead(class));
@@ -171,7 +173,7 @@
     pub(super) fn wait(&self, id: ServiceId, ahead: usize) -> Duration {
         let service = &self.services[id];
         let slots = self.usable_slots(id).max(1);
-        let mean = service.mean().unwrap_or(UNLEARNED);
+        let mean = service.kinds.all().mean().unwrap_or(UNLEARNED);
         if ahead == 0 && service.in_flight < slots {
             return Duration::ZERO;
         }
@@ -196,6 +198,8 @@
             place: None,
             unrepeatable: unrepeatable(service, &job.work),
             class: class(service, &job.work),
+            kind: kind(&job.work),
+            timely_at: timely(self.now, &job.work),
             attempts: Vec::new(),
             tried: Vec::new(),
             trials: Vec::new(),
@@ -208,7 +212,7 @@
         if portion.unrepeatable {
             self.records.start(self.now, portion.record(), job.work.attempt);
         }
-        let fast = service.fast();
+        let fast = self.fast(id, kind(&job.work));
         let key = self.portions.insert(portion);
         self.queue(key);
         self.queries.entry(job.query()).or_default().push(key);
@@ -235,9 +239,13 @@
     /// Puts a portion without an open call into its service's queue.
     pub(super) fn queue(&mut self, key: PortionKey) {
         let portion = &mut self.portions[key];
-        let turn = queue::turn(portion.arrived, portion.deadline);
+        let (class, turn) = match portion.timely_at {
+            Some(timely_at) if self.now < timely_at => (Class::TIMED, timely_at),
+            Some(_) => (Class::LATE, portion.arrived),
+            None => (portion.class, queue::turn(portion.arrived, portion.deadline)),
+        };
         let service = &mut self.services[portion.service];
-        portion.place = Some(service.queue.push(portion.class, turn, key));
+        portion.place = Some(service.queue.push(class, turn, key));
         let id = portion.service;
         self.mark(id);
     }
@@ -273,6 +281,21 @@
     }
 }
 
+fn kind(work: &wire::Work) -> Kind {
+    match &work.forward {
+        Some(forward) => Kind(forward.kind),
+        None => Kind(hash::of(&[work.operation.as_bytes()])),
+    }
+}
+
+/// When the answer to work that arrives now must be there to be worth its full price.
+fn timely(now: Instant, work: &wire::Work) -> Option<Instant> {
+    let collect = work.collect.map(|collect| collect.timely_us);
+    let forward = work.forward.as_ref().map(|forward| forward.timely_us);
+    let span = collect.or(forward).filter(|span| *span > 0)?;
+    Some(now + Duration::from_micros(span))
+}
+
 fn unrepeatable(service: &Service, work: &wire::Work) -> bool {
     let listed = service.entry.operations.iter();
     work.unrepeatable
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -8,6 +8,7 @@
 use super::attempt::Attempt;
 use super::collect::{Collection, CollectionKey};
 use super::event::{Action, AttemptKey, Event, LaneKey};
+use super::kinds::Kinds;
 use super::lane::Lane;
 use super::portion::{Portion, PortionKey};
 use super::random::Random;
@@ -82,6 +83,8 @@
     /// while the work would still run; the tombstone refuses it.
     pub(super) cancelled: Recent<Query>,
     pub(super) records: Records,
+    /// Call times by kind of work over all services: what a service that is new here starts with.
+    pub(super) kinds: Kinds,
     pub(super) collections: SlotMap<CollectionKey, Collection>,
     pub(super) timers: Timers,
     pub(super) random: Random,
@@ -112,6 +115,7 @@
             deliveries: Recent::default(),
             cancelled: Recent::default(),
             records: Records::default(),
+            kinds: Kinds::default(),
             collections: SlotMap::default(),
             timers: Timers::default(),
             random: Random::new(settings.seed),
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -8,6 +8,7 @@
 
 use super::collect::CollectionKey;
 use super::event::AttemptKey;
+use super::kinds::Kind;
 use super::machine::Query;
 use super::queue;
 use super::record;
@@ -70,6 +71,10 @@
     pub(super) unrepeatable: bool,
     /// Its urgency class.
     pub(super) class: queue::Class,
+    /// Its kind of work.
+    pub(super) kind: Kind,
+    /// When its answer must be there to be worth its full price.
+    pub(super) timely_at: Option<Instant>,
     /// Open calls.
     pub(super) attempts: Vec<AttemptKey>,
     /// Servers it was sent to, for choosing another one.
--- a/crates/core/src/leaf/queue.rs
+++ b/crates/core/src/leaf/queue.rs
@@ -9,7 +9,7 @@
 use crate::time::Instant;
 
 /// Urgency classes.
-pub(super) const CLASSES: usize = 3;
+pub(super) const CLASSES: usize = 4;
 
 /// Dispatches in a row that may pass over a waiting lower class.
 ///
@@ -34,6 +34,11 @@
 pub(super) struct Class(usize);
 
 impl Class {
+    /// Work whose answer has a time by which it must be there, earliest first.
+    pub(super) const TIMED: Self = Self(1);
+    /// Work that can't be there in time any more: it waits for idle servers.
+    pub(super) const LATE: Self = Self(3);
+
     /// Its place in an array over all classes.
     pub(super) fn place(self) -> usize {
         self.0
@@ -58,6 +63,13 @@
     sequence: u64,
 }
 
+impl Place {
+    /// Whether it is behind all that can be in time.
+    pub(super) fn is_late(&self) -> bool {
+        self.class == Class::LATE
+    }
+}
+
 /// Waiting portions of one service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
@@ -126,7 +138,9 @@
 
     /// The class whose head goes next.
     fn first_class(&self) -> usize {
-        let highest = self.waiting(0).unwrap_or(0);
+        let Some(highest) = self.waiting(0) else {
+            return Class::LATE.0;
+        };
         if self.passes < PASSES {
             return highest;
         }
@@ -137,6 +151,6 @@
 
     /// The first class from `from` on that has waiting portions.
     fn waiting(&self, from: usize) -> Option<usize> {
-        (from..CLASSES).find(|class| !self.classes[*class].is_empty())
+        (from..Class::LATE.0).find(|class| !self.classes[*class].is_empty())
     }
 }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -98,9 +98,11 @@
             let state = state(refused);
             self.records.settle(self.now, &portion.record(), state);
         }
-        let service = self.services[portion.service].name.to_string();
+        let service = &self.services[portion.service];
+        let (name, busy) = (service.name.to_string(), service.busy);
         self.mark(portion.service);
-        let reply = reply(&portion.job, service, refused, portion.calls, parts);
+        let mut reply = reply(&portion.job, name, refused, portion.calls, parts);
+        reply.busy_permille = (busy * 1000.0) as u32;
         self.reply(&portion.job, reply, out);
     }
 
@@ -132,13 +134,13 @@
         }
         attempt.given_up = true;
         let elapsed = self.now.since(attempt.sent);
-        let (service, server) = (attempt.service, attempt.server);
-        let service = &mut self.services[service];
-        let usual = service.hedge_delay();
-        if slow && usual.is_some_and(|usual| elapsed >= usual) {
-            service.learn(elapsed);
+        let (service, server, kind) = (attempt.service, attempt.server, attempt.kind);
+        let limit = self.slow(service, kind);
+        if slow && limit.is_some_and(|limit| elapsed >= limit) {
+            let usual = self.mean(service, kind);
+            self.learn_time(service, kind, elapsed);
             let health = &mut self.servers[server].health;
-            health.slow(elapsed);
+            health.slow(elapsed, usual);
             health.failed(self.now, &mut self.random);
         }
         if let Some(linger) = self.settings.linger {
@@ -199,5 +201,6 @@
         calls,
         merged: 0,
         held_us: 0,
+        busy_permille: 0,
     }
 }
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ladder_schema::catalogue;
+use ladder_schema::{catalogue, target};
 use slotmap::new_key_type;
 
 use super::admission::Admission;
 use super::budget::Budget;
-use super::estimate::Estimate;
+use super::kinds::{Kind, Kinds};
 use super::portion::PortionKey;
 use super::queue::Queue;
 use super::server::ServerKey;
@@ -21,15 +21,12 @@
     pub(super) struct ServiceId;
 }
 
-/// Samples before the learned call times are used.
-pub(super) const LEARNED: u64 = 50;
-/// Samples between two computations of the quantiles.
-const REFRESH: u64 = 25;
 /// Extra calls that may be saved up where the entry does not say, so that a quiet hour does not pay
 /// for a burst.
 const BURST: u32 = 10;
-/// Least and greatest share of calls that are not held slow.
-const SLOW: (f64, f64) = (0.8, 0.99);
+
+/// Weight of one answer in what is held of a service's load.
+const BUSY_WEIGHT: f64 = 0.05;
 
 /// What this instance is to a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,11 +68,9 @@
     /// Open calls, also those whose portion was replied to.
     pub(super) in_flight: u32,
     /// Call times over all servers.
-    pub(super) times: Estimate,
-    /// Call time that few calls exceed, `None` until it is learned.
-    slow: Option<Duration>,
-    /// Call time that most calls exceed, `None` until it is learned.
-    fast: Option<Duration>,
+    pub(super) kinds: Kinds,
+    /// Work that its servers held of late over their slots; zero while none said.
+    pub(super) busy: f64,
     /// Its queue or servers changed in the event at hand.
     pub(super) marked: bool,
     pub(super) budget: Budget,
@@ -98,9 +93,8 @@
             servers: Vec::new(),
             queue: Queue::default(),
             in_flight: 0,
-            times: Estimate::default(),
-            slow: None,
-            fast: None,
+            kinds: Kinds::default(),
+            busy: 0.0,
             marked: false,
             budget: Budget::new(listed.entry.limits.unwrap_or_default().extra_percent),
             sharers: listed.sharers,
@@ -123,36 +117,16 @@
         }
     }
 
-    /// Mean call time once it is learned.
-    pub(super) fn mean(&self) -> Option<Duration> {
-        self.times.mean().filter(|_| self.times.samples() >= LEARNED)
+    /// Takes in what a server said that it works on as it answered a call, which is among it.
+    pub(super) fn occupied(&mut self, occupancy: target::Occupancy) {
+        let work = occupancy.running.saturating_add(occupancy.waiting).saturating_sub(1);
+        let busy = f64::from(work) / f64::from(occupancy.slots.max(1));
+        self.busy += BUSY_WEIGHT * (busy - self.busy);
     }
 
     /// Takes a call time in.
-    pub(super) fn learn(&mut self, span: Duration) {
-        self.times.add(span);
-        let samples = self.times.samples();
-        if samples >= LEARNED && samples.is_multiple_of(REFRESH) {
-            self.refresh_quantiles();
-        }
-    }
-
-    /// The share of calls that are slower than the hedge delay is a little less than the share of
-    /// extra calls that the budget pays, so that the tokens are there when a straggler shows.
-    fn refresh_quantiles(&mut self) {
-        let extra = f64::from(self.limits().extra_percent) / 100.0;
-        let slow = (1.0 - 0.8 * extra).clamp(SLOW.0, SLOW.1);
-        self.slow = self.times.quantile(slow);
-        self.fast = self.times.quantile(0.25);
-    }
-
-    /// The call time after which a second copy is due, once it is learned.
-    pub(super) fn hedge_delay(&self) -> Option<Duration> {
-        self.slow
-    }
-
-    /// The call time below which work is not worth starting; zero until it is learned.
-    pub(super) fn fast(&self) -> Duration {
-        self.fast.unwrap_or_default()
+    pub(super) fn learn(&mut self, kind: Kind, span: Duration) {
+        let extra = self.limits().extra_percent;
+        self.kinds.learn(kind, span, extra);
     }
 }
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -87,25 +87,31 @@
     fn service_status(&self, id: super::service::ServiceId, now: Instant) -> Service {
         let service = &self.services[id];
         let suspects = self.suspects(id);
+        let times = service.kinds.all().estimate();
         let servers = service.servers.iter().map(|key| {
             let server = &self.servers[*key];
-            server_status(server, suspects.contains(key), now)
+            server_status(server, suspects.contains(key), times.mean(), now)
         });
         Service {
             name: Arc::clone(&service.name),
             rank: service.rank,
             queued: service.queue.len(),
             in_flight: service.in_flight,
-            median: service.times.quantile(0.5),
-            p99: service.times.quantile(0.99),
-            hedge_delay: service.hedge_delay(),
+            median: times.quantile(0.5),
+            p99: times.quantile(0.99),
+            hedge_delay: service.kinds.all().slow(),
             budget: service.budget.calls(),
             servers: servers.collect(),
         }
     }
 }
 
-fn server_status(server: &server::Server, held: bool, now: Instant) -> Server {
+fn server_status(
+    server: &server::Server,
+    held: bool,
+    usual: Option<Duration>,
+    now: Instant,
+) -> Server {
     Server {
         name: Arc::clone(&server.name),
         state: state(server, held, now),
@@ -114,7 +120,7 @@
         connections: server.lanes.len(),
         share: server.share,
         failure_rate: server.health.failure_rate(now),
-        mean: server.health.mean(now),
+        mean: server.health.pace(now).zip(usual).map(|(pace, usual)| usual.mul_f64(pace)),
         report_age: server.report_age(now),
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,6 +5,7 @@
 use ladder_schema::publication::{self, Bounds, Index, Routing, Shard};
 
 use crate::collections::Map;
+use crate::control::hash;
 
 /// One set of services that a message goes to together.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,9 @@
     ///
     /// Invariant: not empty; more than one only if `spec.branches` has more than one.
     pub destinations: Vec<Destination>,
+    /// Stands for the kind of work that its messages are: the same at all instances and in all versions
+    /// that name the route alike.
+    pub kind: u64,
 }
 
 impl Route {
@@ -45,7 +49,8 @@
             let parts: Vec<&str> = spec.parts.iter().map(String::as_str).collect();
             destinations.push(destination(&parts, 1.0));
         }
-        Self { spec: spec.clone(), destinations }
+        let kind = hash::of(&[spec.name.as_bytes()]);
+        Self { spec: spec.clone(), destinations, kind }
     }
 
     /// Whether its messages go to many services whose parts are merged.
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -46,6 +46,7 @@
         index: request.index.clone(),
         version: request.version,
         parts: request.shards.iter().map(part).collect(),
+        occupancy: None,
     }
 }
 
--- a/crates/core/tests/leaf/collect.rs
+++ b/crates/core/tests/leaf/collect.rs
@@ -78,6 +78,7 @@
         index: sent.request.index.clone(),
         version: sent.request.version,
         parts: vec![Part { shard, response: Some(response), ..Part::default() }],
+        occupancy: None,
     })
 }
 
--- a/crates/core/tests/leaf/forward.rs
+++ b/crates/core/tests/leaf/forward.rs
@@ -32,6 +32,8 @@
         attempts: 2,
         part: operation == "sweep",
         target_ms: 100,
+        timely_us: 0,
+        kind: 0,
     };
     wire::Work { forward: Some(Box::new(forward)), version: 99, ..work(query, operation) }
 }
@@ -62,6 +64,7 @@
         index: request.index.clone(),
         version: request.version,
         parts: request.shards.iter().map(part).collect(),
+        occupancy: None,
     })
 }
 
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -186,7 +186,13 @@
         Part { shard, body, response: None }
     });
     let parts = parts.collect();
-    Answer { id: request.id, index: request.index, version: request.version, parts }
+    Answer {
+        id: request.id,
+        index: request.index,
+        version: request.version,
+        parts,
+        occupancy: None,
+    }
 }
 
 fn refuse(server: &Server, request: Request, reason: Reason) -> Outcome {
