--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -79,6 +79,8 @@
     groups: Vec<Group>,
     /// One of the zones is this instance's.
     here: bool,
+    /// Some peer stands in one of the zones.
+    there: bool,
 }
 
 impl Block {
@@ -90,7 +92,7 @@
     fn collectors(&self, now: Instant, turn: usize, peers: &Peers, out: &mut Vec<Collector>) {
         let idle: Vec<&Group> = self.groups.iter().filter(|group| !group.steady).collect();
         let parts: usize = idle.iter().map(|group| group.services.len()).sum();
-        let is_far = !self.here && parts >= PARTS;
+        let is_far = !self.here && self.there && parts >= PARTS;
         let shared = is_far.then(|| idle[turn % idle.len()].asker(now, peers)).flatten();
         out.extend(self.groups.iter().filter_map(|group| {
             let peer = if group.steady { group.asker(now, peers) } else { shared };
@@ -201,7 +203,8 @@
     let block = |(zones, services): (Vec<&str>, Vec<Arc<str>>)| {
         let size = group_size(index.shards.len(), services.len());
         let groups = services.chunks(size).map(|services| group(&zones, services)).collect();
-        Block { groups, here: zones.contains(&own.zone) }
+        let there = view.neighbours.iter().any(|neighbour| zones.contains(&&*neighbour.zone));
+        Block { groups, here: zones.contains(&own.zone), there }
     };
     sets.map(block).collect()
 }
