--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -139,11 +139,13 @@
 ///
 /// A server does not notice that the other end of a connection has lost its power. After a loss of
 /// all instances it still counts their connections while the same instances open new ones, and
-/// resets what goes beyond its limit. Shares that fill half of the limit leave room for the new.
+/// resets what goes beyond its limit. Shares that fill three quarters of the limit leave room for the
+/// new, as connections are opened only as work needs them. With half of it an instance that asks for
+/// all others had a connection for each slot and none for the call after it.
 pub fn observed_share(limit: u32, instances: usize) -> u32 {
     let instances = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
-    let half = limit / 2;
-    ((half + instances / 2) / instances).max(1)
+    let most = limit * 3 / 4;
+    ((most + instances / 2) / instances).max(1)
 }
 
 /// Connections that each of `instances` may hold to a server with this limit when every instance
--- a/crates/core/tests/leaf/load.rs
+++ b/crates/core/tests/leaf/load.rs
@@ -180,6 +180,29 @@
     assert_eq!(bed.opened.len(), 2, "and no longer than that");
 }
 
+/// With as many calls as it has slots, each slot of a server stands idle for the way there and back
+/// after every call: a tenth of what it can do with calls of ten milliseconds, and in overload a tenth
+/// of the sweeps. While work waits, a server that moves on holds one call more; one that stands still
+/// doesn't, as the call would wait with the others.
+#[test]
+fn one_call_more_while_work_waits() {
+    let settings = Settings::builder("porto-1", 7).seed(1).by_need(true).hedging(false).build();
+    let mut bed = Bed::with(settings, service(vec![server(1)]));
+    bed.teach(100, 10);
+    for query in 1000..1006 {
+        bed.work(work(query, "sweep"));
+    }
+    bed.connect();
+    let calls = bed.sent();
+    assert_eq!(calls.len(), 3, "two slots and one more");
+    bed.advance(11);
+    bed.log.clear();
+    bed.answer(&calls[0]);
+    assert_eq!(bed.sent().len(), 0, "the oldest call is older than calls are: no more than slots");
+    bed.answer(&calls[1]);
+    assert_eq!(bed.sent().len(), 1, "but the slots are used");
+}
+
 /// A server starts again under its name. Its old process had lost its power, so nothing on the old
 /// connections ever says that it is gone: calls waited there to their deadline, and a late entry of
 /// the old start must not bring back what was known of it.
