Tests of who asks busy servers and of unanswered seeds

Seen red: without groups asked by one instance the first, with the usual pause between asks the second (one ask in the first second).

--- a/crates/core/tests/fleet/listing.rs
+++ b/crates/core/tests/fleet/listing.rs
@@ -323,6 +323,29 @@
     assert!(lone.log.iter().any(asked));
 }
 
+/// All instances lose their power. Whoever is back first finds no seed that is back, and knew of no
+/// other instance for the second until it asked again: it opened connections to all servers by itself.
+/// Seeds that do not answer are asked sooner, and less and less often.
+#[test]
+fn silent_seeds_are_asked_sooner() {
+    let mut lone = Lone::new();
+    lone.give(Event::Seeds(vec!["127.0.0.1:10009".into()]));
+    let mut asked = Vec::new();
+    for _ in 0..40 {
+        lone.log.clear();
+        lone.pass(100);
+        let to_seed = |action: &&Action| {
+            matches!(action, Action::Send { to, frame }
+                if **to == *"127.0.0.1:10009" && frame.digest.is_some())
+        };
+        asked.push(lone.log.iter().filter(to_seed).count());
+    }
+    let first: usize = asked[..10].iter().sum();
+    let later: usize = asked[20..].iter().sum();
+    assert!((3..=4).contains(&first), "in the first second: {asked:?}");
+    assert!((2..=3).contains(&later), "in two seconds after two: {asked:?}");
+}
+
 /// Sweeps are handed over to settled instances only: one that has just started may not know the
 /// routes, and one that has died answers nothing.
 #[test]
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -276,6 +276,35 @@
     }
 }
 
+/// Every instance asks for itself and sees a part of what the servers hold: their queues fill unseen
+/// while others are free. Where servers say that they are busy, each group of parts is asked for by one
+/// instance near them for all sweeps, whoever else could; once they are idle, everyone asks again.
+#[test]
+fn busy_servers_are_asked_by_one_instance() {
+    let mut session = parts(vec![vec![HERE, "campanha"]; 6]).session();
+    let mut hear = |permille: u32, id: &str| {
+        for number in 0..40 {
+            let actions = session.call(sweep(&format!("{id}-{number}")));
+            for (to, work) in works(&actions) {
+                let replies = work.portions.iter().map(|portion| Reply {
+                    busy_permille: permille,
+                    ..reply(&work, &portion.service, &[1])
+                });
+                let replies = replies.collect();
+                tell(&mut session, &to, replies);
+            }
+            session.pass(10);
+        }
+        let ask = |number| collectors(&session.call(sweep(&format!("{id}-then-{number}"))));
+        let asked: Vec<_> = (0..3).map(ask).collect();
+        assert!(asked.iter().all(|one| *one == asked[0]), "the same for all sweeps: {asked:?}");
+        asked[0].iter().map(|(_, parts)| parts.len()).collect::<Vec<_>>()
+    };
+    assert_eq!(hear(150, "idle"), [0; 0], "all have servers here");
+    assert_eq!(hear(900, "busy"), [3, 3], "each group at one peer");
+    assert_eq!(hear(150, "idle again"), [0; 0]);
+}
+
 /// Without the setting everything is asked for from here.
 #[test]
 fn nothing_is_collected_unasked() {
