One place tells a call's portion or record how the call ended

Reading the change again: the end of a call on a connection that is closed from here repeated the last lines of every other call's end. Both call close_call now.

--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -62,9 +62,20 @@
         self.release(&attempt, answered || is_whole(&outcome), mismatched, out);
         self.learn(&attempt, &outcome, out);
         self.note_suspicion(attempt.server, suspect, out);
+        self.close_call(key, &attempt, outcome, out);
+    }
+
+    /// Tells a call's portion, or its record if it was replied to before, how the call ended.
+    fn close_call(
+        &mut self,
+        key: AttemptKey,
+        attempt: &Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
         match attempt.portion {
-            Some(portion) => self.conclude(portion, key, &attempt, outcome, out),
-            None => self.settle(&attempt, &outcome, out),
+            Some(portion) => self.conclude(portion, key, attempt, outcome, out),
+            None => self.settle(attempt, &outcome, out),
         }
         self.mark(attempt.service);
     }
@@ -76,11 +87,7 @@
         };
         self.services[attempt.service].in_flight -= 1;
         self.servers[attempt.server].in_flight -= 1;
-        match attempt.portion {
-            Some(portion) => self.conclude(portion, key, &attempt, Outcome::Lost, out),
-            None => self.settle(&attempt, &Outcome::Lost, out),
-        }
-        self.mark(attempt.service);
+        self.close_call(key, &attempt, Outcome::Lost, out);
     }
 
     /// Treats an answer to something else as an error.
