--- a/crates/core/src/control/membership/hearsay.rs
+++ b/crates/core/src/control/membership/hearsay.rs
@@ -21,10 +21,11 @@
         if !member.is_beaten_by(rumour) {
             return;
         }
-        let was = (member.liveness, member.generation);
+        let was = member.clone();
         member.accept(now, rumour);
-        let is_news = was.0 != member.liveness || was.1 > 0;
-        if was != (member.liveness, member.generation) {
+        let is_news = was.liveness != member.liveness || was.generation > 0;
+        // A refutation may tell of another address or zone too, which views list.
+        if !was.stands_as(member) {
             self.note_change();
         }
         if is_news {
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -93,6 +93,14 @@
         matches!(self.liveness, Liveness::Alive | Liveness::Suspect)
     }
 
+    /// Whether views and the ring of probes take both alike.
+    pub(super) fn stands_as(&self, other: &Self) -> bool {
+        let standing = |member: &Self| (member.liveness, member.generation);
+        standing(self) == standing(other)
+            && self.address == other.address
+            && self.zone == other.zone
+    }
+
     /// Changes the liveness.
     pub(super) fn turn(&mut self, now: Instant, liveness: Liveness, why: Why) {
         self.liveness = liveness;
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -149,3 +149,17 @@
             }
         });
 }
+
+/// Sweeps are collected in the wrong zone: a member says anew that it is alive, in the same life but
+/// from another zone, and the list of neighbours kept the old one until something else changed it.
+#[test]
+fn a_refutation_from_another_zone_moves_the_neighbour() {
+    let mut session = Session::new(Placement::Direct);
+    // Both name the same member: the life's first refutation from one zone, its second from another.
+    for (which, detail) in [(1, 0), (1 + INSTANCES, 16)] {
+        session.step((4, which, detail));
+    }
+    let view = session.machine.view();
+    let moved = view.neighbours.iter().find(|neighbour| *neighbour.peer.name == *name(1));
+    assert_eq!(moved.map(|neighbour| &*neighbour.zone), Some(zone(1 + INSTANCES)));
+}
