--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -150,6 +150,7 @@
         let portion = |number| wire::Portion {
             service: service_name(number),
             shards: (0..self.shards).map(shard).collect(),
+            repeated: false,
         };
         wire::Work {
             query: self.query,
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -43,6 +43,7 @@
     let portion = |step| wire::Portion {
         service: format!("service-{}", (first + step) % SERVICES),
         shards: vec!["shard".into()],
+        repeated: false,
     };
     wire::Work {
         query,
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -82,11 +82,20 @@
     pub(crate) exposed: bool,
     /// An owner said that it ran without giving the parts.
     pub(crate) ran: bool,
+    /// A reply does not rule out that a server got it, whether it ran there or not.
+    pub(crate) reached: bool,
 }
 
 impl Portion {
     fn new(share: Arc<Share>) -> Self {
-        Self { share, state: State::Open, sendings: Vec::new(), exposed: false, ran: false }
+        Self {
+            share,
+            state: State::Open,
+            sendings: Vec::new(),
+            exposed: false,
+            ran: false,
+            reached: false,
+        }
     }
 
     pub(crate) fn is_open(&self) -> bool {
@@ -106,6 +115,12 @@
             .any(|sending| matches!(sending.progress, Progress::Open | Progress::Overdue))
     }
 
+    /// Whether a sending before the one of this round may have reached a server.
+    pub(crate) fn is_repeated(&self, round: u32) -> bool {
+        let mut before = self.sendings.iter().filter(|sending| sending.round != round);
+        self.reached || before.any(|sending| sending.progress != Progress::Ended)
+    }
+
     /// Whether the portion ran, as far as is proved.
     pub(crate) fn verdict(&self) -> Verdict {
         if self.ran || matches!(self.state, State::Covered(_)) {
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// Whether an owner gives this reason only before it has sent the portion to any server.
+const fn is_before_servers(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NotReady
+            | Reason::NotOwner
+            | Reason::UnknownIndex
+            | Reason::UnknownOperation
+            | Reason::UnknownShard
+            | Reason::LinkFull
+            | Reason::LinkCut
+    )
+}
+
 impl Machine {
     pub(crate) fn replies(
         &mut self,
@@ -162,6 +176,7 @@
         let portion = &mut query.portions[position];
         portion.exposed |= verdict != Verdict::NotRun;
         portion.ran |= verdict == Verdict::Ran;
+        portion.reached |= verdict != Verdict::NotRun || !is_before_servers(reason);
         if !portion.is_open() || portion.is_awaited() {
             return;
         }
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -351,10 +351,8 @@
             service.queue.dispatch(place);
         }
         if first {
-            let percent = service.limits().extra_percent;
-            let burst = service.burst();
-            if portion.job.work.extra_calls == 0 {
-                service.budget.earn(percent, burst);
+            if !portion.repeated {
+                service.budget.earn();
             }
             service.admission.dispatched(self.now, portion.class);
         }
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -255,7 +255,7 @@
             return Ok(());
         }
         let spent = work.extra_calls + portion.calls;
-        let budget = &mut self.services[portion.service].budget;
+        let budget = self.services[portion.service].budget.at(self.now);
         match spent <= QUERY_EXTRA && budget.spend() {
             true => Ok(()),
             false => Err(Refused::with(standing, Reason::RetryBudget)),
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -71,11 +71,11 @@
 
     /// Sends second copies, the longest-waiting portion first, while slots and tokens last.
     pub(super) fn hedge_overdue(&mut self, id: ServiceId, out: &mut Vec<Action>) {
-        let service = &self.services[id];
+        let service = &mut self.services[id];
         if service.overdue.is_empty() {
             return;
         }
-        let most = SCAN + service.budget.calls() as usize;
+        let most = SCAN + service.budget.at(self.now).calls() as usize;
         let overdue: Vec<_> = service.overdue.iter().take(most).copied().collect();
         for (sent, key) in overdue {
             if !self.services[id].budget.affords_copy() || !self.has_room(id) {
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -91,19 +91,21 @@
         let deadline = self.deadline_of(job)?;
         self.outlook(id, &job.work, deadline)?;
         self.room(id, job, deadline)?;
-        self.pay_again(id, &job.work)?;
+        self.pay_again(id, portion)?;
         Ok((id, deadline))
     }
 
-    /// Pays for work that is sent again because a peer was lost or silent: servers may have it already.
+    /// Pays for a portion that a server may have got already, through a peer that was lost or silent.
     ///
     /// Where arrivals count and not runs, each such call is an extra one. Taken for first calls they
     /// earned extra calls in place of costing them: on a day of slow instances a service got 256 extra
-    /// arrivals of 241 that it may have.
-    fn pay_again(&mut self, id: ServiceId, work: &wire::Work) -> Result<(), Refused> {
+    /// arrivals of 241 that it may have. What a peer refused before any server got it costs nothing:
+    /// else the first requests after a change, which peers do not know yet, spend what the next loss
+    /// of a peer needs.
+    fn pay_again(&mut self, id: ServiceId, portion: &wire::Portion) -> Result<(), Refused> {
         let service = &mut self.services[id];
-        let counts = work.extra_calls > 0 && service.limits().count_refused;
-        if counts && !service.budget.spend() {
+        let counts = portion.repeated && service.limits().count_refused;
+        if counts && !service.budget.at(self.now).spend() {
             return Err(Refused::because(Reason::RetryBudget));
         }
         Ok(())
@@ -206,6 +208,7 @@
         service.last_work = self.now;
         let portion = Portion {
             job: Arc::clone(job),
+            repeated: portion.repeated,
             service: id,
             shards: portion.shards.into(),
             arrived: self.now,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -56,6 +56,8 @@
     pub(super) job: Arc<Job>,
     /// Its service.
     pub(super) service: ServiceId,
+    /// A server may have got it already through another instance.
+    pub(super) repeated: bool,
     /// The shards asked for.
     pub(super) shards: Arc<[String]>,
     /// When it arrived.
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -51,9 +51,7 @@
             None => self.insert_service(listed),
         };
         let service = &mut self.services[id];
-        service.rank = Rank::of(listed);
-        service.entry = Arc::clone(&listed.entry);
-        service.sharers = listed.sharers;
+        service.list(listed, &self.settings.name);
         let servers = service.servers.clone();
         for key in servers {
             self.servers[key].listed = false;
@@ -68,7 +66,7 @@
     }
 
     fn insert_service(&mut self, listed: &view::Service) -> ServiceId {
-        let id = self.services.insert(Service::new(listed));
+        let id = self.services.insert(Service::new(listed, &self.settings.name, self.now));
         self.service_ids.insert(Arc::clone(&listed.name), id);
         let first = self.now + self.random.jitter(UPKEEP);
         self.timers.push(first, Timer::Upkeep(id));
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -8,7 +8,7 @@
 use slotmap::new_key_type;
 
 use super::admission::Admission;
-use super::budget::Budget;
+use super::budget::{Allowance, Budget};
 use super::kinds::{Kind, Kinds};
 use super::peak::Peak;
 use super::portion::PortionKey;
@@ -22,10 +22,6 @@
     pub(super) struct ServiceId;
 }
 
-/// Extra calls that may be saved up where the entry does not say, so that a quiet hour does not pay
-/// for a burst.
-const BURST: u32 = 10;
-
 /// Weight of one answer in what is held of a service's load.
 const BUSY_WEIGHT: f64 = 0.05;
 
@@ -75,8 +71,6 @@
     /// Its queue or servers changed in the event at hand.
     pub(super) marked: bool,
     pub(super) budget: Budget,
-    /// Instances that share the fleet's limits.
-    pub(super) sharers: u32,
     pub(super) admission: Admission,
     /// Portions whose hedge is due but has found no slot or no token yet, by time of sending.
     pub(super) overdue: BTreeSet<(Instant, PortionKey)>,
@@ -88,7 +82,8 @@
 }
 
 impl Service {
-    pub(super) fn new(listed: &view::Service) -> Self {
+    /// A service as listed, at the instance of this name.
+    pub(super) fn new(listed: &view::Service, own: &str, now: Instant) -> Self {
         Self {
             name: Arc::clone(&listed.name),
             entry: Arc::clone(&listed.entry),
@@ -99,8 +94,7 @@
             kinds: Kinds::default(),
             busy: 0.0,
             marked: false,
-            budget: Budget::new(listed.entry.limits.unwrap_or_default().extra_percent),
-            sharers: listed.sharers,
+            budget: Budget::new(allowance(listed, own), now),
             admission: Admission::default(),
             overdue: BTreeSet::new(),
             peak: Peak::default(),
@@ -113,12 +107,11 @@
         self.entry.limits.unwrap_or_default()
     }
 
-    /// Extra calls that this instance may save up: its part of what the fleet may.
-    pub(super) fn burst(&self) -> u32 {
-        match self.limits().extra_burst {
-            0 => BURST,
-            burst => burst / self.sharers.max(1),
-        }
+    /// Takes a listing of the service in, at the instance of this name.
+    pub(super) fn list(&mut self, listed: &view::Service, own: &str) {
+        self.rank = Rank::of(listed);
+        self.entry = Arc::clone(&listed.entry);
+        self.budget.allow(allowance(listed, own));
     }
 
     /// Takes in what a server said that it works on as it answered a call, which is among it.
@@ -134,3 +127,8 @@
         self.kinds.learn(kind, span, extra);
     }
 }
+
+fn allowance(listed: &view::Service, own: &str) -> Allowance {
+    let limits = listed.entry.limits.unwrap_or_default();
+    Allowance::of(&limits, listed.sharers, [&listed.name, own])
+}
--- a/crates/core/tests/gather/owners.rs
+++ b/crates/core/tests/gather/owners.rs
@@ -34,6 +34,7 @@
     let again = works(&session.link_down("e2"));
     assert_eq!(&*again[0].0, "e3");
     assert_eq!(again[0].1.extra_calls, 1);
+    assert!(again[0].1.portions[0].repeated, "the lost owner's server may have it");
     let answer = answer(&session.reply("e3", covered(&again[0].1, "s2")));
     assert_eq!(answer.covered, ["c", "d"]);
     let next = session.call(request("k2", "sweep", &["c"]));
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -66,6 +66,18 @@
         let event = match &case.then {
             Then::Sent(to) => {
                 assert_eq!(&*sent[0].0, *to, "{name}");
+                let unsent = matches!(
+                    case.reason,
+                    Reason::NotOwner
+                        | Reason::NotReady
+                        | Reason::UnknownIndex
+                        | Reason::UnknownOperation
+                        | Reason::UnknownShard
+                        | Reason::LinkFull
+                        | Reason::LinkCut
+                );
+                let proved = unsent && case.verdict == Verdict::NotRun;
+                assert_eq!(sent[0].1.portions[0].repeated, !proved, "{name}");
                 count::Event::Retry
             }
             Then::Answered(verdict) => {
@@ -91,6 +103,7 @@
     for extra in 0..3 {
         let (to, work) = works(&out).remove(0);
         assert_eq!(work.extra_calls, extra);
+        assert!(!work.portions[0].repeated, "no server has got it");
         out = session.reply(&to, refused(&work, "s2", Reason::NotOwner));
     }
     assert_eq!(answer(&out).reason(), Reason::NotOwner);
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -150,6 +150,7 @@
         portions: vec![wire::Portion {
             service: SERVICE.into(),
             shards: vec!["s1".into(), "s2".into()],
+            repeated: false,
         }],
         ..wire::Work::default()
     }
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -10,6 +10,8 @@
 
 /// Allowed bounds of a stop in seconds.
 const GRACE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
+/// Longest window over which operators count extra calls, in seconds.
+const LONGEST_WINDOW_S: u32 = 3600;
 
 /// Why settings are not usable.
 #[derive(Debug)]
@@ -142,6 +144,13 @@
             allowed: "0 to 1".to_owned(),
         });
     }
+    if allowance.extra_window_s > LONGEST_WINDOW_S {
+        mistakes.push(Mistake {
+            field: "allowance.extraWindowS".to_owned(),
+            value: allowance.extra_window_s.to_string(),
+            allowed: format!("0 to {LONGEST_WINDOW_S}"),
+        });
+    }
 }
 
 /// Parts are collected for instances that ask servers themselves; an owner asks its own already.
