A sixth of the burst comes back with time

Hypothesis: a third of the fleet's extra calls set aside to come back with time leaves too little to save up for a server that stands still.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -41,7 +41,7 @@
 impl Allowance {
     /// The part of one of `sharers` instances; `names` are the service's and the instance's.
     ///
-    /// Where the fleet's burst comes back with time, a third of it does. An instance that only hands
+    /// Where the fleet's burst comes back with time, a sixth of it does. An instance that only hands
     /// its parts to the one that asks for all makes no first calls and so earned nothing: after the
     /// first two losses of an asker it refused the parts that it had to send again, for ever.
     pub(super) fn of(limits: &Limits, sharers: u32, names: [&str; 2]) -> Self {
@@ -52,7 +52,7 @@
             return Self { per_call, most: BURST * CALL, ..Self::default() };
         };
         let timed = !window.is_zero() && per_call > 0;
-        let per_window = if timed { burst / 3 / sharers } else { 0 };
+        let per_window = if timed { burst / 6 / sharers } else { 0 };
         let most = rounded((burst / sharers).saturating_sub(per_window), names);
         Self { per_call, most, per_window, window }
     }
