--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -21,7 +21,7 @@
 const SEND_BUFFER: i32 = 512;
 /// A connection without a frame for this long is closed when the next one is opened.
 const IDLE: Duration = Duration::from_secs(60);
-/// First and longest wait before a broken connection is opened again.
+/// First and longest wait before a connection that was refused is tried again.
 const RECONNECT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(1000));
 
 /// First and longest wait for a connection before it is dialled anew.
