One phase in place of three flags at a link's socket

Cause: since a broken connection is replaced together with its socket, the flag for a connection was never read after a break, the wait that began anew with every connection was dead, and its comment untrue; two atomics and a gate said in three places what one phase says. Ruled out: merging the generated code's twins, which come from the schema. scripts/capacity calls stop_all itself.

--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -99,8 +99,7 @@
     /// As many as it has slots; one more while work waits and the server moves on. With the slots alone
     /// each slot stands idle for the way there and back after every call, a tenth of the time with calls
     /// of ten milliseconds: one more raised the worth of days of slow and of shedding servers by 0.02 to
-    /// 0.05. A server that stands still gets no more, as what it holds would wait with
-    /// it.
+    /// 0.05. A server that stands still gets no more, as what it holds would wait with it.
     fn room_at(&self, server: &Server) -> u32 {
         let slots = server.capacity(self.now);
         let service = &self.services[server.service];
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -1,7 +1,7 @@
 //! Sends frames to peers.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use ladder_core::collections::Map;
@@ -48,29 +48,67 @@
     lines: Arc<Mutex<Map<Arc<str>, Line>>>,
 }
 
-/// Whether a socket may still be sent on: not after its connection has broken.
+/// How far a socket's only connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It is dialled.
+    Dialled,
+    /// It is there.
+    Connected,
+    /// It broke. The socket is replaced.
+    Broken,
+    /// This side closes the socket; that its connection ends then is no loss.
+    Closed,
+}
+
+/// The phase of a socket, and that nothing is sent on it after its connection has broken.
 ///
 /// The library puts a connection that breaks while a frame leaves back among those that are free, and
 /// a later frame is handed to it when it has been freed: the process aborts. Seen as answers that
 /// callers never got, at one in forty losses of a peer. It calls back before it frees the connection;
 /// whoever sends holds the gate, so that nothing is sent after.
-#[derive(Clone, Default)]
-struct Gate(Arc<Mutex<bool>>);
+#[derive(Clone)]
+struct Gate(Arc<Mutex<Phase>>);
 
 impl Gate {
-    /// Waits for a frame that is being handed over.
-    fn shut(&self) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = true;
+    fn new() -> Self {
+        Self(Arc::new(Mutex::new(Phase::Dialled)))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Phase> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn phase(&self) -> Phase {
+        *self.lock()
     }
 
-    fn is_shut(&self) -> bool {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn connected(&self) {
+        let mut phase = self.lock();
+        if *phase == Phase::Dialled {
+            *phase = Phase::Connected;
+        }
+    }
+
+    /// The connection has ended, and no frame is being handed over any more. Says whether that is a
+    /// loss.
+    fn broke(&self) -> bool {
+        let mut phase = self.lock();
+        let lost = *phase != Phase::Closed;
+        if lost {
+            *phase = Phase::Broken;
+        }
+        lost
+    }
+
+    fn close(&self) {
+        *self.lock() = Phase::Closed;
     }
 
-    /// Hands a frame over unless the gate is shut.
+    /// Hands a frame over while the socket may be sent on.
     fn send(&self, socket: &Socket, bytes: &[u8]) -> bool {
-        let shut = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        !*shut && socket.try_send(bytes).is_ok()
+        let phase = self.lock();
+        matches!(*phase, Phase::Dialled | Phase::Connected) && socket.try_send(bytes).is_ok()
     }
 }
 
@@ -80,10 +118,6 @@
     gate: Gate,
     /// When a frame was last handed to it.
     used: Instant,
-    /// Set before this side closes the socket, so that the closing is not taken for a loss.
-    closing: Arc<AtomicBool>,
-    /// It has a connection.
-    connected: Arc<AtomicBool>,
     /// When a connection that is not there by then is dialled anew.
     redial_at: Instant,
     /// How long it is waited for.
@@ -91,19 +125,17 @@
 }
 
 impl Line {
-    /// Whether its connection has been waited for too long. The wait begins anew with every
-    /// connection, so that a break leaves time to dial again.
-    fn is_stuck(&mut self, now: Instant) -> bool {
-        if self.connected.load(Ordering::Acquire) {
-            self.patience = PATIENCE.0;
-            self.redial_at = now + self.patience;
-            return false;
+    /// How long its successor waits for a connection; `None` while this one may be used.
+    fn replaced(&self, now: Instant) -> Option<Duration> {
+        match self.gate.phase() {
+            Phase::Dialled if now >= self.redial_at => Some((self.patience * 2).min(PATIENCE.1)),
+            Phase::Dialled | Phase::Connected => None,
+            Phase::Broken | Phase::Closed => Some(PATIENCE.0),
         }
-        now >= self.redial_at
     }
 
     fn close(&self) {
-        self.closing.store(true, Ordering::Release);
+        self.gate.close();
         self.socket.close();
     }
 }
@@ -163,14 +195,11 @@
         let mut patience = PATIENCE.0;
         if let Some(line) = lines.get_mut(address) {
             line.used = now;
-            let broken = line.gate.is_shut();
-            if !broken && !line.is_stuck(now) {
+            let Some(longer) = line.replaced(now) else {
                 return Some((line.socket.clone(), line.gate.clone()));
-            }
+            };
             line.close();
-            if !broken {
-                patience = (line.patience * 2).min(PATIENCE.1);
-            }
+            patience = longer;
         }
         close_idle(&mut lines, now);
         let line = self.open(address, now, patience).ok()?;
@@ -185,28 +214,18 @@
         socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
         socket.set_opt::<ReconnectMinTime>(Some(RECONNECT.0))?;
         socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT.1))?;
-        let closing = Arc::new(AtomicBool::new(false));
-        let closes = Arc::clone(&closing);
+        let gate = Gate::new();
+        let watch = gate.clone();
         let on_down = Arc::clone(&self.on_down);
         let peer: Arc<str> = Arc::from(address);
-        let connected = Arc::new(AtomicBool::new(false));
-        let connects = Arc::clone(&connected);
-        let gate = Gate::default();
-        let breaks = gate.clone();
         socket.pipe_notify(move |_, event| match event {
-            PipeEvent::AddPost => connects.store(true, Ordering::Release),
-            PipeEvent::RemovePost => {
-                breaks.shut();
-                connects.store(false, Ordering::Release);
-                if !closes.load(Ordering::Acquire) {
-                    on_down(&peer);
-                }
-            }
+            PipeEvent::AddPost => watch.connected(),
+            PipeEvent::RemovePost if watch.broke() => on_down(&peer),
             _ => {}
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
         let redial_at = now + patience;
-        Ok(Line { socket, gate, used: now, closing, connected, redial_at, patience })
+        Ok(Line { socket, gate, used: now, redial_at, patience })
     }
 }
 
