Each failed read of the platform says how long it was waited for and what follows

Each failure now has its line (at most one for each pause), the return says how long the platform had not answered, and ladder_platform_reads_total counts how reads end.

--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -1,21 +1,27 @@
 //! Changes of what an instance believes, for the log.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::membership::Standing;
+use super::reader::Failure;
 
 /// A change of what this instance believes, with what it rests on.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Belief {
-    /// The platform does not answer any more.
+    /// A read of the platform gave nothing.
     PlatformLost {
-        /// Highest revision that it had delivered.
+        /// Highest revision known.
         revision: u64,
+        /// How the read ended and what follows.
+        failure: Failure,
     },
     /// The platform answers again.
     PlatformRegained {
         /// The revision that it names.
         revision: u64,
+        /// Since its last answer.
+        silence: Duration,
     },
     /// Records of the platform or a peer came into force.
     Records {
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -128,11 +128,10 @@
             Event::Frame(frame) => self.frame(now, *frame, out),
             Event::Page(page) => self.page(now, &page, out),
             Event::WatchFailed => {
-                if !self.reader.is_failing() {
-                    let revision = self.store.revision();
-                    out.push(Action::Log(Belief::PlatformLost { revision }));
-                }
-                self.reader.failed(now, self.settings.timing.backoff, &mut self.random);
+                let longest = self.settings.timing.backoff;
+                let failure = self.reader.failed(now, longest, &mut self.random);
+                let revision = self.store.revision();
+                out.push(Action::Log(Belief::PlatformLost { revision, failure }));
             }
             Event::WatchExpired => self.reader.expired(now),
             Event::LinkDown(name) => self.membership.link_down(now, &name),
@@ -336,7 +335,8 @@
     fn page(&mut self, now: Instant, page: &Page, out: &mut Vec<Action>) {
         if self.reader.is_failing() {
             self.withdrawals.regained(now);
-            out.push(Action::Log(Belief::PlatformRegained { revision: page.head }));
+            let silence = self.reader.silence(now);
+            out.push(Action::Log(Belief::PlatformRegained { revision: page.head, silence }));
         }
         if page.whole || page.current {
             self.reader.caught_up(now, page.head);
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -39,6 +39,17 @@
     pub wait: Duration,
 }
 
+/// A read that gave nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Failed reads since the last answer, with this one.
+    pub failures: u32,
+    /// How long its answer was waited for.
+    pub waited: Duration,
+    /// Until the next read may start.
+    pub pause: Duration,
+}
+
 /// Reads of the platform by one instance.
 #[derive(Clone, Debug)]
 pub struct Reader {
@@ -46,6 +57,10 @@
     ///
     /// Invariant: at most one read is open at any time.
     open: bool,
+    /// When the last read started.
+    started: Instant,
+    /// When the platform last answered; before the first answer, the start of the instance.
+    answered: Instant,
     /// Highest revision that the platform itself has delivered. Revisions learnt from peers do not
     /// count: a lower one could still be missing, and would never be read.
     cursor: u64,
@@ -71,6 +86,8 @@
     pub fn new(now: Instant, digest: Duration, random: &mut Random) -> Self {
         Self {
             open: false,
+            started: now,
+            answered: now,
             cursor: 0,
             failures: 0,
             not_before: now,
@@ -92,6 +109,7 @@
     pub fn answered(&mut self, now: Instant, last: Option<u64>, head: u64) {
         self.open = false;
         self.tried = true;
+        self.answered = now;
         self.failures = 0;
         self.not_before = if last.is_some() { now } else { now + PACE };
         self.cursor = self.cursor.max(last.unwrap_or(0));
@@ -123,15 +141,22 @@
         self.failures > 0
     }
 
+    /// How long the platform has not answered.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.since(self.answered)
+    }
+
     /// Takes in a failure: the next read waits twice as long, with jitter, so that the instances
     /// do not all come back at once when the platform does.
-    pub fn failed(&mut self, now: Instant, longest: Duration, random: &mut Random) {
+    pub fn failed(&mut self, now: Instant, longest: Duration, random: &mut Random) -> Failure {
         self.open = false;
         self.tried = true;
         let wait = BACKOFF * 2_u32.saturating_pow(self.failures.min(10));
         self.failures = self.failures.saturating_add(1);
         let half = wait.min(longest.max(BACKOFF)) / 2;
-        self.not_before = now + half + jitter(half, random);
+        let pause = half + jitter(half, random);
+        self.not_before = now + pause;
+        Failure { failures: self.failures, waited: now.since(self.started), pause }
     }
 
     /// Takes in that a peer's digest came.
@@ -167,6 +192,7 @@
             return None;
         }
         self.open = true;
+        self.started = now;
         let wait = if self.urgent || !reader { Duration::ZERO } else { timing.watch };
         if !reader {
             self.digest_seen = now;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,6 +27,7 @@
 use std::thread;
 
 use ladder_core::collections::Hasher;
+use ladder_core::control::Event;
 use ladder_core::view::Peer;
 use ladder_schema::publication::Bounds;
 use slog::{Logger, info};
@@ -111,6 +112,17 @@
     fn seed(&self) -> u64 {
         Hasher::default().hash_one((&*self.me.name, self.incarnation))
     }
+
+    /// Counts how a read of the platform ended and tells the control machine.
+    pub fn platform_read(&self, end: Event) {
+        let outcome = match end {
+            Event::Page(_) => "answered",
+            Event::WatchExpired => "expired",
+            _ => "failed",
+        };
+        self.metrics.platform_read(outcome);
+        self.control.tell(end);
+    }
 }
 
 /// What a caller may send, by the routes in force.
--- a/src/entry/native/records.rs
+++ b/src/entry/native/records.rs
@@ -33,10 +33,10 @@
         let wait_ms = wait.as_millis();
         let url = format!("http://{platform}/v1/records?after={after}&wait_ms={wait_ms}");
         let request = self.client.get(url).timeout(wait + GRACE).send();
-        let control = self.shared.control.clone();
-        self.shared.metrics.platform_call();
+        let shared = self.shared.clone();
+        shared.metrics.platform_call();
         actix_rt::spawn(async move {
-            control.tell(match page(request).await {
+            shared.platform_read(match page(request).await {
                 Some(page) => Event::Page(page),
                 None => Event::WatchFailed,
             });
--- a/src/log.rs
+++ b/src/log.rs
@@ -2,6 +2,8 @@
 
 mod lines;
 
+use std::time::Duration;
+
 use ladder_core::control::belief::Belief;
 use ladder_schema::settings::{Format, Level, Log};
 use slog::{Drain, Logger, info, o, warn};
@@ -45,11 +47,13 @@
 /// Writes a change of what an instance believes.
 pub fn belief(log: &Logger, belief: &Belief) {
     match belief {
-        Belief::PlatformLost { revision } => {
-            warn!(log, "platform lost"; "revision" => revision);
+        Belief::PlatformLost { revision, failure } => {
+            warn!(log, "platform lost"; "revision" => revision, "failures" => failure.failures,
+                "waited_ms" => millis(failure.waited), "again_in_ms" => millis(failure.pause));
         }
-        Belief::PlatformRegained { revision } => {
-            info!(log, "platform regained"; "revision" => revision);
+        Belief::PlatformRegained { revision, silence } => {
+            info!(log, "platform regained"; "revision" => revision,
+                "silent_ms" => millis(*silence));
         }
         Belief::Records { from, revision, count, withdrawn } => {
             let from = if from.is_empty() { "platform" } else { from };
@@ -71,6 +75,10 @@
     }
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Writes that a server is held back because of its outcomes, or not any more.
 pub fn server(log: &Logger, name: &str, suspect: bool, failure_rate: f64) {
     let standing = if suspect { "held back" } else { "trusted again" };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,6 +26,7 @@
     peer_bytes: Counter<u64>,
     peer_frames: Counter<u64>,
     platform_calls: Counter<u64>,
+    platform_reads: Counter<u64>,
 }
 
 impl Metrics {
@@ -56,6 +57,10 @@
             peer_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
             peer_frames: counter("ladder_peer_frames", "Frames sent to peers, by part"),
             platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
+            platform_reads: counter(
+                "ladder_platform_reads",
+                "Reads of the platform that ended, by outcome",
+            ),
             registry,
             _provider: provider,
         })
@@ -104,6 +109,11 @@
         self.platform_calls.add(1, &[]);
     }
 
+    /// Counts how a read of the platform ended: `answered`, `expired` or `failed`.
+    pub fn platform_read(&self, outcome: &'static str) {
+        self.platform_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// All instruments in the text format of scrapers.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
