--- a/crates/core/tests/fleet/concert.rs
+++ b/crates/core/tests/fleet/concert.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::control::Event;
+use ladder_core::control::settings::Timing;
 use ladder_core::schema::publication::{Kind, Page, Record, State};
 use ladder_core::schema::wire::Liveness;
 
@@ -43,7 +44,13 @@
 
 /// The same with all instances running and ready.
 pub(crate) fn fleet(count: usize, services: usize) -> Fleet {
+    fleet_of(count, services, Timing::default())
+}
+
+/// The same with these time spans.
+pub(crate) fn fleet_of(count: usize, services: usize, timing: Timing) -> Fleet {
     let mut fleet = platform(count, services);
+    fleet.timing = timing;
     for at in 0..count {
         fleet.start(&name(at), zone(at));
     }
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::settings::Timing;
 use ladder_core::control::{Action, Event, Machine, Settings};
 use ladder_core::schema::publication::{Page, Record, record::Body};
 use ladder_core::schema::wire::Frame;
@@ -14,9 +15,21 @@
 
 const HOP: Duration = Duration::from_millis(1);
 
+/// How long after its wait a read whose answer is lost fails, as the platform's dialect has it.
+const PATIENCE: Duration = Duration::from_secs(1);
+
 struct Watch {
     after: u64,
     until: Instant,
+    /// Its answer never comes, and nothing says so.
+    lost: bool,
+}
+
+impl Watch {
+    /// When it is answered at the latest, or fails.
+    fn due(&self) -> Instant {
+        if self.lost { self.until + PATIENCE } else { self.until }
+    }
 }
 
 pub(crate) struct Node {
@@ -37,6 +50,10 @@
     sequence: u64,
     records: Vec<Record>,
     platform_up: bool,
+    /// The platform's answers are lost.
+    answers_lost: bool,
+    /// Time spans of the instances that start from now on.
+    pub timing: Timing,
     /// Names of the instances on one side of a cut.
     pub island: BTreeSet<String>,
     /// Names of the instances whose watches the platform leaves waiting.
@@ -60,6 +77,7 @@
             .zone(zone)
             .fleet("porto")
             .incarnation(self.incarnation)
+            .timing(self.timing)
             .seeds(self.seeds.iter().map(String::as_str))
             .seed(publish::address(name).len() as u64 + self.sequence)
             .build();
@@ -136,6 +154,19 @@
         }
     }
 
+    /// The answers to all reads that are open, or that start before the answers return, are lost.
+    pub(crate) fn lose_answers(&mut self) {
+        self.answers_lost = true;
+        for watch in self.nodes.values_mut().filter_map(|node| node.watch.as_mut()) {
+            watch.lost = true;
+        }
+    }
+
+    /// Reads that start from now on are answered.
+    pub(crate) fn return_answers(&mut self) {
+        self.answers_lost = false;
+    }
+
     fn page(&self, after: u64) -> Page {
         let newer = self.records.iter().filter(|record| record.revision > after);
         let mut records: Vec<Record> = newer.cloned().collect();
@@ -150,6 +181,13 @@
         let Some(watch) = &self.node(name).watch else {
             return;
         };
+        if watch.lost {
+            if now >= watch.until + PATIENCE {
+                self.node(name).watch = None;
+                self.push(name, Event::WatchFailed);
+            }
+            return;
+        }
         let (after, due) = (watch.after, now >= watch.until);
         let page = self.page(if reached { after } else { u64::MAX });
         if due || !page.records.is_empty() {
@@ -179,11 +217,11 @@
         match action {
             Action::Send { to, frame } => self.send(name, &to, frame),
             Action::Watch { after, wait } => {
-                let up = self.platform_up;
+                let (up, lost) = (self.platform_up, self.answers_lost);
                 let node = self.node(name);
                 node.reads += 1;
                 if up {
-                    node.watch = Some(Watch { after, until: now + wait });
+                    node.watch = Some(Watch { after, until: now + wait, lost });
                     self.answer_watch(name);
                 } else {
                     self.push(name, Event::WatchFailed);
@@ -235,7 +273,7 @@
         let queued = self.queue.keys().next().map(|&(at, _)| at);
         let awake = || self.nodes.values().filter(|node| !node.frozen);
         let wakes = awake().map(|node| node.machine.next_wake());
-        let watches = awake().filter_map(|node| Some(node.watch.as_ref()?.until));
+        let watches = awake().filter_map(|node| Some(node.watch.as_ref()?.due()));
         let next = wakes.chain(watches).chain(queued).min();
         next.unwrap_or(self.now + HOP).max(self.now)
     }
@@ -258,7 +296,7 @@
                 continue;
             }
             let watch = self.node(&name).watch.as_ref();
-            if watch.is_some_and(|watch| watch.until <= now) && self.platform_up {
+            if watch.is_some_and(|watch| watch.due() <= now) && self.platform_up {
                 self.answer_watch(&name);
             }
             if self.node(&name).machine.next_wake() <= now {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -12,4 +12,5 @@
 mod repair;
 mod replacement;
 mod session;
+mod silence;
 mod store;
--- /dev/null
+++ b/crates/core/tests/fleet/silence.rs
@@ -0,0 +1,60 @@
+//! The platform's answers are lost for a while; what it acknowledges afterwards comes into force.
+
+use std::time::Duration;
+
+use ladder_core::control::settings::Timing;
+
+use crate::concert::{fleet_of, in_force};
+use crate::publish;
+
+/// From the return of the platform's answers until its readers have to know what it holds.
+const CONTACT: Duration = Duration::from_secs(4);
+/// From the acknowledgement of a change until it has to be in force everywhere.
+const APPLY: Duration = Duration::from_secs(3);
+
+struct Case {
+    name: &'static str,
+    /// How long answers are lost.
+    silence: Duration,
+    /// From the answers' return to the change.
+    change: Duration,
+}
+
+/// Callers were refused with 404 on a route that had been in force for 3 s by the platform's own
+/// acknowledgement. The platform had answered nobody for six seconds. After its first failed read each
+/// reader asked again for news, to wait up to 4 s, and that answer was lost with the others; until the
+/// wait and a second of patience were over nobody asked the platform, which had been back for 4 s.
+/// Proved by the platform's account of calls: one of each reader early in the silence, none after it
+/// until all readers came back within half a second.
+///
+/// Each case plays with the silence beginning at any moment of a reader's wait.
+#[test]
+fn lost_answers_are_found_out_in_time() {
+    let cases = [
+        Case { name: "connections fall silent", silence: ms(1), change: ms(10) },
+        Case { name: "half a second", silence: ms(500), change: ms(900) },
+        Case { name: "one wait", silence: ms(5800), change: ms(500) },
+        Case { name: "longer than any pause grows", silence: ms(30_000), change: ms(10) },
+    ];
+    let mut late = Vec::new();
+    for Case { name, silence, change } in cases {
+        let timing = Timing { watch: ms(4000), backoff: ms(2000), ..Timing::default() };
+        let phases = (0..10).filter(|phase| {
+            let mut fleet = fleet_of(9, 4, timing);
+            fleet.run(ms(phase * 500));
+            fleet.lose_answers();
+            fleet.run(silence);
+            fleet.return_answers();
+            fleet.run(change);
+            fleet.put(1000, publish::entry("gate-3", 7));
+            fleet.run(CONTACT.saturating_sub(change).max(APPLY));
+            !in_force(&fleet, "gate-3", 7)
+        });
+        late.extend(phases.map(|phase| format!("{name}, phase {phase}")));
+    }
+    assert!(late.is_empty(), "changes not in force in time: {late:#?}");
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
