A reader of the platform finds out in time that an answer was lost

Cause: after its first failed read a reader asked again for news, to wait up to 4 s. That answer was lost with the others of the silence, and only after wait and patience, 5 s, did anybody ask the platform, which was long back. Evidence: the platform's account has one call of each of the seven readers within 0.5 s of the first failure, none in the 4 s after its return; the call counters of our own stand still from 10.0 to 15.0 s; no instance had the version before 15.267 s. Ruled out: a pause that grew (the second call came within half a second), an instance that was not told by its peers, an older version that came back.

Change: one setting, contactMs, bounds how long an instance may be blind; wait, patience and pauses are shares of it (three quarters in all), and a failing reader asks without waiting for news. It holds as every read that can be lost is given up, and the next one started, within the bound, wherever in it the platform or a connection falls silent. The product's own dialect had the same fault.

--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -129,10 +129,10 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { to, frame } => self.sent(&to, *frame),
-            Action::Watch { wait, .. } => {
+            Action::Watch(read) => {
                 let head = self.peers.revision();
                 let page = Page { head, records: Vec::new(), ..Page::default() };
-                self.at(wait.max(HOP), Event::Page(page));
+                self.at(read.wait.max(HOP), Event::Page(page));
             }
             Action::View(view) => {
                 self.spent.views += 1;
--- a/crates/core/examples/scale/spread.rs
+++ b/crates/core/examples/scale/spread.rs
@@ -207,11 +207,11 @@
                 self.window.asked += f64::from(u8::from(!frame.wanted.is_empty()));
                 self.at(to, self.hop, Event::Frame(frame));
             }
-            Action::Watch { after, wait } => {
-                let first = after == 0;
+            Action::Watch(read) => {
+                let first = read.after == 0;
                 let records = if first { self.records.clone() } else { Vec::new() };
                 let page = Page { head: self.publisher.revision, records, ..Page::default() };
-                let delay = if first { self.hop } else { wait.max(self.hop) };
+                let delay = if first { self.hop } else { read.wait.max(self.hop) };
                 self.at(number, delay, Event::Page(page));
             }
             Action::View(view) => {
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,6 +6,7 @@
 use ladder_schema::{publication, wire};
 
 use super::belief::Belief;
+use super::reader::Read;
 use crate::count::Count;
 use crate::view::View;
 
@@ -51,12 +52,7 @@
     },
     /// Start a read of the platform, answered by exactly one [`Event::Page`] or
     /// [`Event::WatchFailed`].
-    Watch {
-        /// Only records above this revision; 0: all that is published.
-        after: u64,
-        /// How long the platform may wait for news; zero: it answers at once.
-        wait: Duration,
-    },
+    Watch(Read),
     /// Name this generation of the instance in every frame from now on.
     Generation(u64),
     /// Publish a new view to the traffic threads.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -128,8 +128,8 @@
             Event::Frame(frame) => self.frame(now, *frame, out),
             Event::Page(page) => self.page(now, &page, out),
             Event::WatchFailed => {
-                let longest = self.settings.timing.backoff;
-                let failure = self.reader.failed(now, longest, &mut self.random);
+                let timing = self.read_timing();
+                let failure = self.reader.failed(now, timing, &mut self.random);
                 let revision = self.store.revision();
                 out.push(Action::Log(Belief::PlatformLost { revision, failure }));
             }
@@ -201,7 +201,10 @@
     }
 
     const fn read_timing(&self) -> reader::Timing {
-        reader::Timing { digest: self.settings.timing.digest, watch: self.settings.timing.watch }
+        reader::Timing {
+            digest: self.settings.timing.digest,
+            contact: self.settings.timing.contact,
+        }
     }
 
     /// Between two digests.
@@ -239,7 +242,7 @@
         }
         let timing = self.read_timing();
         if let Some(read) = self.reader.poll(now, self.is_reader, timing, &mut self.random) {
-            out.push(Action::Watch { after: read.after, wait: read.wait });
+            out.push(Action::Watch(read));
         }
         self.project(now, out);
     }
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -11,8 +11,6 @@
 
 /// Live instances of a zone that watch the platform.
 pub const READERS_PER_ZONE: usize = 2;
-/// First wait after a failed read.
-const BACKOFF: Duration = Duration::from_millis(500);
 /// Least time after an answer without news, in case the platform does not hold watches, and after
 /// one that leaves nothing out.
 const PACE: Duration = Duration::from_millis(250);
@@ -33,10 +31,12 @@
 /// A read to start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Read {
-    /// Only records above this revision.
+    /// Only records above this revision; 0: all that is published.
     pub after: u64,
-    /// How long the platform may wait for news.
+    /// How long the platform may wait for news; zero: it answers at once.
     pub wait: Duration,
+    /// How long after that its answer may take before it counts as lost.
+    pub patience: Duration,
 }
 
 /// A read that gave nothing.
@@ -146,14 +146,13 @@
         now.since(self.answered)
     }
 
-    /// Takes in a failure: the next read waits twice as long, with jitter, so that the instances
-    /// do not all come back at once when the platform does.
-    pub fn failed(&mut self, now: Instant, longest: Duration, random: &mut Random) -> Failure {
+    /// Takes in a failure: the next read waits longer, with jitter, so that the instances do not
+    /// all come back at once when the platform does.
+    pub fn failed(&mut self, now: Instant, timing: Timing, random: &mut Random) -> Failure {
         self.open = false;
         self.tried = true;
-        let wait = BACKOFF * 2_u32.saturating_pow(self.failures.min(10));
+        let half = timing.pause(self.failures) / 2;
         self.failures = self.failures.saturating_add(1);
-        let half = wait.min(longest.max(BACKOFF)) / 2;
         let pause = half + jitter(half, random);
         self.not_before = now + pause;
         Failure { failures: self.failures, waited: now.since(self.started), pause }
@@ -186,27 +185,31 @@
         timing: Timing,
         random: &mut Random,
     ) -> Option<Read> {
-        self.elect(now, reader, random);
+        self.elect(now, reader, timing, random);
         let wants = reader || !self.tried || self.is_cut_off(now, timing.digest);
         if self.open || !wants || now < self.not_before {
             return None;
         }
         self.open = true;
         self.started = now;
-        let wait = if self.urgent || !reader { Duration::ZERO } else { timing.watch };
+        // While the platform is silent the answer of a read may be lost, and a read that waits for
+        // news would be found out only after its wait: for that time nobody would ask the platform,
+        // though it is back.
+        let watches = reader && !self.urgent && !self.is_failing();
+        let wait = if watches { timing.watch() } else { Duration::ZERO };
         if !reader {
             self.digest_seen = now;
         }
-        Some(Read { after: self.cursor, wait })
+        Some(Read { after: self.cursor, wait, patience: timing.patience() })
     }
 
     /// Waits a little when the rule first chooses this instance: after the loss of many readers,
     /// their successors do not all ask at once.
-    fn elect(&mut self, now: Instant, reader: bool, random: &mut Random) {
+    fn elect(&mut self, now: Instant, reader: bool, timing: Timing, random: &mut Random) {
         let elected = reader && !self.chosen;
         self.chosen = reader;
         if elected && self.tried {
-            self.not_before = self.not_before.max(now + jitter(BACKOFF, random));
+            self.not_before = self.not_before.max(now + jitter(timing.pause(0), random));
         }
     }
 
@@ -227,8 +230,30 @@
 pub struct Timing {
     /// Between digests of a peer.
     pub digest: Duration,
+    /// From the moment at which the platform can be reached, until this instance has heard from it
+    /// and told its peers.
+    ///
+    /// The answer to an open watch may be lost without a trace, by the platform or by a connection that
+    /// has gone silent. So a watch, the patience for its answer and the pause after it take three
+    /// quarters of this together, and the rest is left for the next answer and its spread.
+    pub contact: Duration,
+}
+
+impl Timing {
     /// How long a watch may wait.
-    pub watch: Duration,
+    fn watch(self) -> Duration {
+        self.contact * 3 / 8
+    }
+
+    /// How long the answer may take beyond that.
+    fn patience(self) -> Duration {
+        self.contact / 4
+    }
+
+    /// Longest pause after a failed read that follows `failures` others.
+    fn pause(self, failures: u32) -> Duration {
+        if failures == 0 { self.contact / 8 } else { self.contact / 4 }
+    }
 }
 
 fn jitter(longest: Duration, random: &mut Random) -> Duration {
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -34,10 +34,8 @@
     pub dead: Duration,
     /// Between digests to a random peer.
     pub digest: Duration,
-    /// How long a watch of the platform may wait.
-    pub watch: Duration,
-    /// Longest wait after failed reads of the platform.
-    pub backoff: Duration,
+    /// From the moment at which the platform can be reached, until this instance has heard from it.
+    pub contact: Duration,
     /// How long other instances may take to learn of a new list of instances. Shares of
     /// connections grow only after it, and a new incarnation becomes an owner only after it unless
     /// there is no other.
@@ -51,8 +49,7 @@
             suspect: Duration::from_millis(1000),
             dead: Duration::from_millis(1000),
             digest: Duration::from_millis(1000),
-            watch: Duration::from_millis(5000),
-            backoff: Duration::from_secs(15),
+            contact: Duration::from_millis(4000),
             grace: Duration::from_millis(2000),
         }
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -64,7 +64,7 @@
             match action {
                 Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
                 Action::Generation(generation) => self.shared.outbound.set_generation(generation),
-                Action::Watch { after, wait } => self.publication.read(after, wait),
+                Action::Watch(read) => self.publication.read(read),
                 Action::View(view) => {
                     debug!(self.shared.log, "view in force"; "generation" => view.generation,
                         "revision" => view.revision, "ready" => view.ready);
@@ -122,8 +122,7 @@
         suspect: times.suspect,
         dead: times.dead,
         digest: times.digest,
-        watch: times.watch,
-        backoff: times.backoff,
+        contact: times.contact,
         ..Timing::default()
     };
     Settings::builder(&instance.name, &instance.peer_address)
--- a/src/entry/dialect.rs
+++ b/src/entry/dialect.rs
@@ -10,6 +10,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use ladder_core::control;
+use ladder_core::control::reader::Read;
 use ladder_core::leaf;
 use ladder_core::leaf::event::{AttemptKey, LaneKey};
 use ladder_core::time::Instant;
@@ -99,6 +100,6 @@
 /// Reads of the platform, each answered by exactly one page, failure or expiry to the control
 /// machine.
 pub trait Publication {
-    /// Reads what came after a revision, waiting up to `wait` for news; 0: all there is.
-    fn read(&self, after: u64, wait: Duration);
+    /// Starts a read. What takes several calls may be patient with each.
+    fn read(&self, read: Read);
 }
--- a/src/entry/native/records.rs
+++ b/src/entry/native/records.rs
@@ -1,16 +1,13 @@
 //! Reads of the platform's records.
 
-use std::time::Duration;
-
 use awc::Client;
 use ladder_core::control::Event;
+use ladder_core::control::reader::Read;
 use ladder_schema::publication::Page;
 
 use crate::entry::Shared;
 use crate::entry::dialect::Publication;
 
-/// Added to a watch's wait before the platform counts as silent.
-const GRACE: Duration = Duration::from_millis(2000);
 /// Bytes of one page.
 const PAGE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -28,11 +25,12 @@
 }
 
 impl Publication for Records {
-    fn read(&self, after: u64, wait: Duration) {
+    fn read(&self, read: Read) {
+        let Read { after, wait, patience } = read;
         let platform = &self.shared.options.instance.platform_address;
         let wait_ms = wait.as_millis();
         let url = format!("http://{platform}/v1/records?after={after}&wait_ms={wait_ms}");
-        let request = self.client.get(url).timeout(wait + GRACE).send();
+        let request = self.client.get(url).timeout(wait + patience).send();
         let shared = self.shared.clone();
         shared.metrics.platform_call();
         actix_rt::spawn(async move {
--- a/src/options.rs
+++ b/src/options.rs
@@ -25,11 +25,8 @@
 pub const PAUSE_MS: u32 = 1000;
 /// Default of `timing.drain_ms`.
 pub const DRAIN_MS: u32 = 20_000;
-/// Default of `timing.watch_ms`.
-pub const WATCH_MS: u32 = 5000;
-
-/// Default of `timing.backoff_ms`.
-pub const BACKOFF_MS: u32 = 15_000;
+/// Default of `timing.contact_ms`.
+pub const CONTACT_MS: u32 = 4000;
 /// Kept of `timing.grace_s` for the end of the process itself.
 const LAST: Duration = Duration::from_millis(1300);
 
@@ -78,10 +75,8 @@
     pub pause: Duration,
     /// How long a stop waits for work in flight.
     pub drain: Duration,
-    /// How long a watch of the platform may wait.
-    pub watch: Duration,
-    /// Longest wait after failed reads of the platform.
-    pub backoff: Duration,
+    /// From the moment at which the platform can be reached, until this instance has heard from it.
+    pub contact: Duration,
 }
 
 impl Options {
@@ -133,8 +128,7 @@
             digest: millis(timing.digest_ms, DIGEST_MS),
             pause: millis(timing.pause_ms, PAUSE_MS),
             drain: drain(timing),
-            backoff: millis(timing.backoff_ms, BACKOFF_MS),
-            watch: millis(timing.watch_ms, WATCH_MS),
+            contact: millis(timing.contact_ms, CONTACT_MS),
         }
     }
 }
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -191,8 +191,7 @@
         range("timing.digestMs", timing.digest_ms, 50, 60_000),
         range("timing.pauseMs", timing.pause_ms, 200, 60_000),
         range("timing.drainMs", timing.drain_ms, 100, 600_000),
-        range("timing.watchMs", timing.watch_ms, 100, 60_000),
-        range("timing.backoffMs", timing.backoff_ms, 100, 60_000),
+        range("timing.contactMs", timing.contact_ms, 800, 60_000),
     ] {
         if value != 0 && !(least..=most).contains(&value) {
             mistakes.push(Mistake {
