--- a/crates/core/tests/fleet/listing.rs
+++ b/crates/core/tests/fleet/listing.rs
@@ -18,9 +18,9 @@
 const SERVERS: u64 = 20;
 
 /// One instance that counts its fleet by itself.
-struct Lone {
-    machine: Machine,
-    now: Instant,
+pub(crate) struct Lone {
+    pub(crate) machine: Machine,
+    pub(crate) now: Instant,
     log: Vec<Action>,
 }
 
@@ -62,9 +62,14 @@
     }
 
     /// One that stands in `zone`; with `near`, peers collect the parts of sweeps.
-    fn within(zone: &str, near: bool) -> Self {
+    pub(crate) fn within(zone: &str, near: bool) -> Self {
+        Self::named("entry-1", zone, near)
+    }
+
+    /// The same under another name.
+    pub(crate) fn named(name: &str, zone: &str, near: bool) -> Self {
         let now = Instant::from_millis(0);
-        let settings = Settings::builder("entry-1", &publish::address("entry-1"))
+        let settings = Settings::builder(name, &publish::address(name))
             .fleet("porto")
             .zone(zone)
             .near(near)
@@ -90,7 +95,7 @@
     }
 
     /// The platform lists these records as all there are.
-    fn list(&mut self, records: Vec<Record>) {
+    pub(crate) fn list(&mut self, records: Vec<Record>) {
         let head = records.iter().map(|record| record.revision).max().unwrap_or(0);
         self.give(Event::Page(Page { head, records, whole: true, ..Page::default() }));
     }
@@ -101,7 +106,7 @@
         self.give(Event::Page(Page { head, records, current: true, ..Page::default() }));
     }
 
-    fn pass(&mut self, millis: u64) {
+    pub(crate) fn pass(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
         while self.machine.next_wake() <= end {
             self.now = self.now.max(self.machine.next_wake());
@@ -125,7 +130,7 @@
         self.hear_from(name, "trindade");
     }
 
-    fn hear_from(&mut self, name: &str, zone: &str) {
+    pub(crate) fn hear_from(&mut self, name: &str, zone: &str) {
         self.give(Event::Frame(Box::new(Frame {
             protocol: PROTOCOL,
             fleet: "porto".to_owned(),
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod disorder;
 mod harness;
 mod listing;
+mod many;
 mod membership;
 mod parts;
 mod placement;
