Parts of a lost asker go to the next one where few ask for all

The next asker in the order, which all instances share, gets them. Test red before (asked for from here).

--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -19,6 +19,7 @@
 use super::reply::{self, Place};
 use crate::collections::Set;
 use crate::time::{Instant, micros};
+use crate::view::Peer;
 
 /// Taken for the time on the ways to a peer and back until it is learned.
 const ASSUMED_WAY: Duration = Duration::from_millis(2);
@@ -49,6 +50,33 @@
         self.near.collectors(now, &self.view, own, &query.index, &self.peers)
     }
 
+    /// Where a portion goes after whoever had it is lost or refuses.
+    ///
+    /// Where few ask a service's servers for all, that is the next of them. Asked for from here, the
+    /// parts of a lost asker would make every instance open connections that the servers don't have.
+    pub(super) fn next_peer(&mut self, now: Instant, key: QueryKey, at: usize) -> Option<Peer> {
+        let query = &self.queries[key];
+        let portion = &query.portions[at];
+        let peers = &self.peers;
+        let passed = |name: &str| {
+            let peer = peers.find(name);
+            let tried = portion.sendings.iter().any(|sending| Some(sending.peer) == peer);
+            tried || peers.is_silent(name, now)
+        };
+        if let (Some(zone), Some(route)) = (&self.settings.zone, &query.route)
+            && route.is_sweep()
+        {
+            let own = Own { name: &self.settings.name, zone };
+            let service = &portion.share.service;
+            let next = self.near.next(&self.view, own, &query.index, service, passed);
+            if let Some(next) = next {
+                return Some(next.clone());
+            }
+        }
+        self.choose(now, &portion.share.service, &portion.sendings)
+            .map(|candidate| candidate.peer.clone())
+    }
+
     /// Takes replies that enter together: their records are merged into the first one's part.
     ///
     /// If one of them does not enter, its records cannot be told from the others', and an answer
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -187,14 +187,13 @@
     }
 
     /// Where a portion goes after its owner is lost; `None` if it may not go or has nowhere to.
-    fn next_after_loss(&self, now: Instant, key: QueryKey, position: usize) -> Option<Peer> {
+    fn next_after_loss(&mut self, now: Instant, key: QueryKey, position: usize) -> Option<Peer> {
         let query = &self.queries[key];
         let portion = &query.portions[position];
         if now >= query.answer_at || !may_send_again(query.terms.unrepeatable, portion) {
             return None;
         }
-        let next = self.choose(now, &portion.share.service, &portion.sendings)?;
-        Some(next.peer.clone())
+        self.next_peer(now, key, position)
     }
 
     /// Stops relying on the sendings of a portion to `peer`.
--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -157,18 +157,45 @@
         index: &Arc<Index>,
         peers: &Peers,
     ) -> Vec<Collector> {
-        let known = self.known.entry(Arc::as_ptr(index).addr()).or_insert_with(|| Known {
-            _index: Arc::clone(index),
-            blocks: blocks(view, own, index),
-        });
         self.turn = self.turn.wrapping_add(1);
+        let (turn, busy) = (self.turn, &self.busy);
+        let known = known(&mut self.known, view, own, index);
         let mut collectors = Vec::new();
         for block in &mut known.blocks {
-            block.groups.iter_mut().for_each(|group| group.decide(now, &self.busy));
-            block.collectors(now, self.turn, peers, &mut collectors);
+            block.groups.iter_mut().for_each(|group| group.decide(now, busy));
+            block.collectors(now, turn, peers, &mut collectors);
         }
         collectors
     }
+
+    /// The peer that asks for a service next, where few are to ask for all; `passed` says who can't.
+    /// `None`: that is this instance, or everyone asks for itself.
+    pub(crate) fn next(
+        &mut self,
+        view: &View,
+        own: Own<'_>,
+        index: &Arc<Index>,
+        service: &Arc<str>,
+        passed: impl Fn(&str) -> bool,
+    ) -> Option<&Peer> {
+        let known = known(&mut self.known, view, own, index);
+        let mut groups = known.blocks.iter().flat_map(|block| &block.groups);
+        let group = groups.find(|group| group.scarce && group.services.contains(service))?;
+        let usable =
+            |asker: &&Option<Peer>| !passed(asker.as_ref().map_or(own.name, |peer| &*peer.name));
+        group.askers.iter().find(usable)?.as_ref()
+    }
+}
+
+/// Blocks and groups of an index, made when it is first asked about in a view.
+fn known<'a>(
+    all: &'a mut Map<usize, Known>,
+    view: &View,
+    own: Own<'_>,
+    index: &Arc<Index>,
+) -> &'a mut Known {
+    all.entry(Arc::as_ptr(index).addr())
+        .or_insert_with(|| Known { _index: Arc::clone(index), blocks: blocks(view, own, index) })
 }
 
 /// An instance that may collect.
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -205,8 +205,7 @@
         if now >= query.answer_at || !may_send_again(query.terms.unrepeatable, portion) {
             return false;
         }
-        let next = self.choose(now, &portion.share.service, &portion.sendings);
-        let Some(peer) = next.map(|candidate| candidate.peer.clone()) else {
+        let Some(peer) = self.next_peer(now, key, position) else {
             return false;
         };
         count(out, count::Event::Retry, reason);
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -29,6 +29,8 @@
     peers: Vec<(&'static str, &'static str)>,
     version: u64,
     unrepeatable: bool,
+    /// The servers' connections don't suffice for every instance.
+    scarce: bool,
 }
 
 impl Default for Place {
@@ -41,6 +43,7 @@
             peers: vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", HERE)],
             version: VERSION,
             unrepeatable: false,
+            scarce: false,
         }
     }
 }
@@ -49,7 +52,7 @@
     (1..=parts).map(|number| format!("s{number}")).collect()
 }
 
-fn service(name: &str, zones: &[&str]) -> Service {
+fn service(name: &str, zones: &[&str], scarce: bool) -> Service {
     let server = |(number, zone): (usize, &&str)| Server {
         name: format!("{name}-{number}").into(),
         address: "127.0.0.1:9".into(),
@@ -66,7 +69,7 @@
         servers: zones.iter().enumerate().map(server).collect(),
         candidates: vec![Candidate { peer: peer(SELF), live: true, local: true }],
         sharers: 1,
-        scarce: false,
+        scarce,
     }
 }
 
@@ -75,7 +78,7 @@
         let mut view = View { generation: 1, ready: true, ..View::default() };
         let parts = names(self.parts.len());
         for (name, zones) in parts.iter().zip(&self.parts) {
-            view.insert(service(name, zones));
+            view.insert(service(name, zones, self.scarce));
         }
         let base = |name: &str, prefix: &str| Route {
             name: name.to_owned(),
@@ -459,6 +462,37 @@
     }
 }
 
+/// Servers take fewer connections than there are instances, and the one that asks them for all is lost
+/// or leaves. Were every instance to ask from here then, each would open connections that only the
+/// next asker needs; all of them give the parts to that one.
+#[test]
+fn next_asker_follows_where_connections_are_few() {
+    for end in [End::Refuses(Reason::Draining), End::LinkDown, End::Silent] {
+        let parts = vec![vec!["campanha", "sao-bento"]; 3];
+        let peers = vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", "campanha")];
+        let place = Place { parts, peers, scarce: true, ..Place::default() };
+        let mut session = place.session();
+        let works = works(&session.call(sweep("k")));
+        assert!(works.iter().all(|(to, _)| **to != *SELF), "the servers stand elsewhere");
+        let (first, work) = &works[0];
+        let lost = match end {
+            End::Refuses(reason) => {
+                let portions = work.portions.iter();
+                let refusals = portions.map(|portion| refused(work, &portion.service, reason));
+                let refusals = refusals.collect();
+                tell(&mut session, first, refusals)
+            }
+            End::LinkDown => session.link_down(first),
+            End::Silent => session.pass(99),
+        };
+        let again = self::works(&lost);
+        let services = again.iter().flat_map(|(_, work)| &work.portions);
+        assert!(services.count() >= work.portions.len(), "{end:?}: asked for again");
+        let next = |to: &Arc<str>| **to != *SELF && to != first;
+        assert!(again.iter().all(|(to, _)| next(to)), "{end:?}: by the next asker");
+    }
+}
+
 /// A peer that was silent collects nothing for a while; with all of them silent nobody does.
 #[test]
 fn silent_peers_are_passed_over() {
