A lost asker and its successor ask the same servers for a part

Cause: a part goes to another instance when its asker is lost, slow or passed over. Neither knows which servers the other asked; each kept to the route's number (the second to one less), together they asked more wherever a service has more servers than the route allows. Ruled out: a count wrong within one instance (leaf::forward::attempts_of_a_route).

Change: the servers that may get a part are the first of an order by the zone of who asked first and a hash of request and server; the entry names that zone when it sends a part again. It holds as both compute the same order from the message and the published servers, whatever either did.

--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -17,7 +17,7 @@
 use crate::collections::{Map, Set};
 use crate::control::hash;
 use crate::time::Instant;
-use crate::view::{Peer, View};
+use crate::view::{Neighbour, Peer, View};
 
 /// Weight of one reply in what is held of a service's load.
 const BUSY_WEIGHT: f64 = 0.2;
@@ -120,6 +120,8 @@
     turn: usize,
     /// Work that services' servers held of late over their slots.
     busy: Map<Arc<str>, f64>,
+    /// Zones of the other instances.
+    zones: Map<Arc<str>, Arc<str>>,
 }
 
 /// This instance, as the one that chooses.
@@ -135,9 +137,16 @@
     /// Forgets what another view has changed.
     pub(crate) fn forget(&mut self, view: &View) {
         self.known.clear();
+        let zone = |one: &Neighbour| (Arc::clone(&one.peer.name), Arc::clone(&one.zone));
+        self.zones = view.neighbours.iter().map(zone).collect();
         self.busy.retain(|service, _| view.service(service).is_some());
     }
 
+    /// Zone of another instance.
+    pub(crate) fn zone(&self, name: &str) -> Option<&Arc<str>> {
+        self.zones.get(name)
+    }
+
     /// Takes in how much work the servers of a service held.
     pub(crate) fn heard_of(&mut self, service: &Arc<str>, permille: u32) {
         let busy = f64::from(permille) / 1000.0;
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -78,6 +78,8 @@
     ///
     /// Invariant: of an unrepeatable query all but the last ended with proof that they did not run.
     pub(crate) sendings: Vec<Sending>,
+    /// Zone of the peer that it was sent to first; `None` before.
+    pub(crate) home: Option<Arc<str>>,
     /// Some sending ended without proof that it did not run.
     pub(crate) exposed: bool,
     /// An owner said that it ran without giving the parts.
@@ -92,6 +94,7 @@
             share,
             state: State::Open,
             sendings: Vec::new(),
+            home: None,
             exposed: false,
             ran: false,
             reached: false,
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -160,6 +160,7 @@
         let state = self.peers.get(peer_key);
         let local = state.is_some_and(|state| state.local);
         let way = state.and_then(|state| state.way);
+        let zone = self.zone_of(peer, local);
         let query = &mut self.queries[key];
         let collect = match &self.settings.zone {
             Some(_) if !local => collect::terms(now, query, way),
@@ -168,7 +169,9 @@
         query.rounds += 1;
         let round = query.rounds;
         for &portion in portions {
-            query.portions[portion].sendings.push(Sending {
+            let portion = &mut query.portions[portion];
+            portion.home.get_or_insert_with(|| Arc::clone(&zone));
+            portion.sendings.push(Sending {
                 round,
                 peer: peer_key,
                 at: now,
@@ -180,18 +183,21 @@
         let step =
             Step::Sent { to: peer.name.clone(), round, portions: portions.len() as u32, again };
         self.history.add(query.account, now, step);
-        let mut work = work(now, query, portions, collect);
-        if let Some(forward) = work.forward.as_mut().filter(|_| self.settings.zone.is_some())
-            && again == Some(Reason::OwnerLost)
-        {
-            // A lost peer may have asked some of the servers that the route allows.
-            forward.attempts = forward.attempts.saturating_sub(1).max(1);
-        }
+        let work = work(now, query, portions, collect);
         out.push(Action::Send { to: peer.clone(), work });
         self.peers.sent(peer_key, now, portions.len() as u32);
         self.watch(now, peer_key);
     }
 
+    /// Zone of a peer; empty if it is not known.
+    fn zone_of(&self, peer: &Peer, local: bool) -> Arc<str> {
+        let zone = match local {
+            true => self.settings.zone.as_ref(),
+            false => self.near.zone(&peer.name),
+        };
+        zone.cloned().unwrap_or_default()
+    }
+
     /// Sees to it that the silence of a peer that owes something is noticed.
     pub(crate) fn watch(&mut self, now: Instant, key: PeerKey) {
         if !self.settings.hedging {
@@ -272,6 +278,10 @@
         service: portion.share.service.to_string(),
         shards: portion.share.shards.iter().map(name).collect(),
         repeated: query.exposed || portion.is_repeated(query.rounds),
-        home: String::new(),
+        home: match portion.sendings[..] {
+            // Whoever is asked first takes its own zone.
+            [_] => String::new(),
+            _ => portion.home.as_deref().unwrap_or_default().to_owned(),
+        },
     }
 }
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -19,6 +19,7 @@
 use super::server::{Server, ServerKey};
 use super::service::ServiceId;
 use super::timer::Timer;
+use crate::control::hash;
 use crate::time::Instant;
 
 /// Queued portions looked at when the first ones find no server.
@@ -158,9 +159,9 @@
         let service = &self.services[id];
         let count = service.servers.len();
         let turn = (0..count).map(|step| (service.cursor + step) % count);
-        let found = turn
-            .map(|place| (place, service.servers[place]))
-            .find(|(_, server)| self.can_send(*server) && self.holds(*server, work));
+        let found = turn.map(|place| (place, service.servers[place])).find(|(_, server)| {
+            self.may_run(key, *server) && self.can_send(*server) && self.holds(*server, work)
+        });
         let (place, server) = found?;
         self.services[id].cursor = place + 1;
         Some(server)
@@ -178,7 +179,9 @@
         let count = service.servers.len();
         for step in 0..count {
             let candidate = service.servers[(service.cursor + step) % count];
-            if !self.may_send(candidate, &portion.job.work) || self.shed_back(key, candidate) {
+            let may_go =
+                self.may_run(key, candidate) && self.may_send(candidate, &portion.job.work);
+            if !may_go || self.shed_back(key, candidate) {
                 continue;
             }
             let server = &self.servers[candidate];
@@ -221,11 +224,40 @@
             let reachable = server.in_flight > 0 || server.open_failures < UNREACHABLE;
             let usable = server.accepts() && reachable && !server.health.suspect();
             let in_time = server.health.shed_until() < portion.deadline;
-            usable && in_time && !sheds(*key) && self.holds(*key, &portion.job.work)
+            let holds = self.holds(*key, &portion.job.work);
+            usable && in_time && holds && !sheds(*key)
         };
+        let takes = |server: &ServerKey| takes(server) && self.may_run(key, *server);
         sheds(candidate) && self.services[portion.service].servers.iter().any(takes)
     }
 
+    /// Whether a server is one of those that a part of a sweep may run on.
+    ///
+    /// A part goes to another instance when the one that asked for it is lost, and neither knows which
+    /// servers the other asked: each keeping to the route's number, together they asked more. So the
+    /// servers follow from the request and from who asked first, alike at both: the first of an order by
+    /// zone and hash, as many as the route allows. Servers that take no work don't count; instances that
+    /// differ on these for a moment differ on the order.
+    pub(super) fn may_run(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let portion = &self.portions[key];
+        let forward = portion.job.work.forward.as_ref();
+        let Some(forward) = forward.filter(|forward| forward.part) else {
+            return true;
+        };
+        let servers = &self.services[portion.service].servers;
+        if servers.len() <= forward.attempts as usize {
+            return true;
+        }
+        let place = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            let hash = hash::of(&[portion.job.key.as_bytes(), server.name.as_bytes()]);
+            (server.zone != portion.home, hash)
+        };
+        let own = place(&candidate);
+        let accepting = servers.iter().filter(|key| self.servers[**key].accepts());
+        accepting.filter(|key| place(key) < own).count() < forward.attempts as usize
+    }
+
     pub(super) fn holds(&self, key: ServerKey, work: &wire::Work) -> bool {
         // The routes name the services of a version; their servers answer for every version.
         work.forward.is_some() || self.servers[key].holds(self.now, &work.index, work.version)
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -125,6 +125,7 @@
             calm && free
                 && !server.cold(self.now)
                 && !portion.tried.contains(candidate)
+                && self.may_run(key, *candidate)
                 && self.can_send(*candidate)
                 && self.holds(*candidate, work)
         };
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -206,7 +206,12 @@
     ) {
         let service = &mut self.services[id];
         service.last_work = self.now;
+        let home = match portion.home.is_empty() {
+            true => Arc::clone(&self.settings.zone),
+            false => portion.home.into(),
+        };
         let portion = Portion {
+            home,
             job: Arc::clone(job),
             repeated: portion.repeated,
             service: id,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -58,6 +58,8 @@
     pub(super) service: ServiceId,
     /// A server may have got it already through another instance.
     pub(super) repeated: bool,
+    /// Zone of the instance that was first to ask for it.
+    pub(super) home: Arc<str>,
     /// The shards asked for.
     pub(super) shards: Arc<[String]>,
     /// When it arrived.
