--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -51,6 +51,8 @@
     platform_up: bool,
     /// The platform's answers are lost.
     answers_lost: bool,
+    /// Names of the instances that the platform refuses.
+    pub refused: BTreeSet<String>,
     /// Time spans of the instances that start from now on.
     pub timing: Timing,
     /// Names of the instances on one side of a cut.
@@ -166,6 +168,16 @@
         self.answers_lost = false;
     }
 
+    /// The platform refuses these instances and fails what they have open; it serves all others.
+    pub(crate) fn refuse(&mut self, names: &[String]) {
+        self.refused.extend(names.iter().cloned());
+        for name in names {
+            if self.node(name).watch.take().is_some() {
+                self.push(name, Event::WatchFailed);
+            }
+        }
+    }
+
     fn page(&self, after: u64) -> Page {
         let newer = self.records.iter().filter(|record| record.revision > after);
         let mut records: Vec<Record> = newer.cloned().collect();
@@ -216,7 +228,8 @@
         match action {
             Action::Send { to, frame } => self.send(name, &to, frame),
             Action::Watch(read) => {
-                let (up, lost) = (self.platform_up, self.answers_lost);
+                let up = self.platform_up && !self.refused.contains(name);
+                let lost = self.answers_lost;
                 let node = self.node(name);
                 node.reads += 1;
                 if up {
--- a/crates/core/tests/fleet/silence.rs
+++ b/crates/core/tests/fleet/silence.rs
@@ -5,6 +5,7 @@
 use ladder_core::control::settings::Timing;
 
 use crate::concert::{fleet_of, in_force};
+use crate::harness::Fleet;
 use crate::publish;
 
 /// From the return of the platform's answers until its readers have to know what it holds.
@@ -55,6 +56,39 @@
     assert!(late.is_empty(), "changes not in force in time: {late:#?}");
 }
 
+/// The platform turns all of its readers away and serves whoever else asks, as it may. The others heard
+/// from their peers, who had nothing to tell, and asked nothing: a change was in force nowhere until the
+/// platform took its readers back. Found by asking where else nobody asks a platform that answers.
+#[test]
+fn others_ask_when_the_readers_are_refused() {
+    for phase in 0..8 {
+        let mut fleet = fleet_of(24, 4, Timing::default());
+        fleet.run(ms(phase * 250));
+        let readers = fleet.nodes.iter().filter(|(_, node)| node.machine.is_reader());
+        let readers: Vec<String> = readers.map(|(name, _)| name.clone()).collect();
+        assert_eq!(readers.len(), 6, "two in each of three zones");
+        fleet.refuse(&readers);
+        fleet.put(1000, publish::entry("gate-3", 7));
+        let what = format!("phase {phase}: a change while all readers are refused");
+        fleet.until(&what, APPLY, |fleet| in_force(fleet, "gate-3", 7));
+    }
+}
+
+/// The same must not make all instances ask while the platform answers nobody.
+#[test]
+fn few_ask_a_platform_that_is_down() {
+    let mut fleet = fleet_of(72, 4, Timing::default());
+    let reads = |fleet: &Fleet| fleet.nodes.values().map(|node| node.reads).sum::<usize>();
+    fleet.silence_platform();
+    fleet.run(ms(10_000));
+    let before = reads(&fleet);
+    fleet.run(ms(10_000));
+    // Eight in each of three zones, each at most once in half of the longest pause, an eighth of 4 s.
+    let most = 8 * 3 * 20;
+    let asked = reads(&fleet) - before;
+    assert!(asked <= most, "{asked} reads in 10 s, at most {most}");
+}
+
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
