Others ask a platform that turns its readers away

An instance that is no reader asked only when it heard no peer for 5 to 10 s; peers that know nothing new sufficed to keep it quiet. Frames of control now carry how long ago the platform last answered anybody; beyond five eighths of contactMs the next two of each zone ask, four more an eighth later, and no more, so that one that is down is asked by eight of each zone at most. It holds as the age is known through any peer and grows by itself.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -15,7 +15,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
-use super::reader::{self, Reader};
+use super::reader::{self, Place, Reader};
 use super::settings::{Listing, Settings};
 use super::spread::News;
 use super::store::{Key, Outcome, Refusal, Store};
@@ -84,8 +84,8 @@
     store_changed_at: Instant,
     /// Digests left unanswered in a row.
     deferred: u32,
-    /// This instance is one of those that watch the platform.
-    is_reader: bool,
+    /// How soon this instance is to ask the platform among those of its zone.
+    place: Place,
     /// When the view must be built anew because time has passed.
     next_view: Option<Instant>,
 }
@@ -115,7 +115,7 @@
             store_changed: true,
             store_changed_at: now,
             deferred: 0,
-            is_reader: false,
+            place: Place::LAST,
             next_view: None,
             random,
             settings,
@@ -124,6 +124,18 @@
 
     /// Takes in an event and appends what follows from it.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let before = out.len();
+        self.take(now, event, out);
+        self.advance(now, out);
+        let age = self.reader.age_ms(now);
+        for action in &mut out[before..] {
+            if let Action::Send { frame, .. } = action {
+                frame.platform_age_ms = age;
+            }
+        }
+    }
+
+    fn take(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Frame(frame) => self.frame(now, *frame, out),
             Event::Page(page) => self.page(now, &page, out),
@@ -143,13 +155,12 @@
             Event::Drain => self.drain(now, out),
             Event::Tick => {}
         }
-        self.advance(now, out);
     }
 
     /// When the machine wants an [`Event::Tick`], unless another event comes first.
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_probe.min(self.next_digest);
-        let read = self.reader.next_wake(self.is_reader, self.read_timing());
+        let read = self.reader.next_wake(self.place, self.read_timing());
         for other in [read, self.next_view, self.withdrawals.next()].into_iter().flatten() {
             wake = wake.min(other);
         }
@@ -188,16 +199,18 @@
 
     /// Whether this instance is one of those that watch the platform.
     pub const fn is_reader(&self) -> bool {
-        self.is_reader
+        self.place.is_reader()
     }
 
-    fn is_chosen(&self) -> bool {
+    fn reading_place(&self) -> Place {
         let own = self.membership.own();
         let zone = &own.zone;
         let alive = |member: &&Member| member.liveness == Liveness::Alive && member.zone == *zone;
         let others = self.membership.members().filter(alive);
-        own.liveness == Liveness::Alive
-            && reader::chosen(&own.name, others.map(|member| &*member.name))
+        match own.liveness {
+            Liveness::Alive => reader::place(&own.name, others.map(|member| &*member.name)),
+            _ => Place::LAST,
+        }
     }
 
     const fn read_timing(&self) -> reader::Timing {
@@ -238,10 +251,10 @@
             self.adopt(now, &withdrawn, out);
         }
         if self.membership.has_changed() {
-            self.is_reader = self.is_chosen();
+            self.place = self.reading_place();
         }
         let timing = self.read_timing();
-        if let Some(read) = self.reader.poll(now, self.is_reader, timing, &mut self.random) {
+        if let Some(read) = self.reader.poll(now, self.place, timing, &mut self.random) {
             out.push(Action::Watch(read));
         }
         self.project(now, out);
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -30,6 +30,7 @@
             out.push(Action::Log(Belief::Outlived { before: generation, now: raised }));
             out.push(Action::Generation(raised));
         }
+        self.reader.heard_age(now, frame.platform_age_ms);
         self.acknowledged(&frame.acknowledgements);
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -11,17 +11,45 @@
 
 /// Live instances of a zone that watch the platform.
 pub const READERS_PER_ZONE: usize = 2;
+/// Live instances of a zone that ask a platform which answers none of the readers.
+const STANDBY_PER_ZONE: usize = 8;
 /// Least time after an answer without news, in case the platform does not hold watches, and after
 /// one that leaves nothing out.
 const PACE: Duration = Duration::from_millis(250);
 /// Digest periods without any digest after which an instance that is no reader reads itself.
 const SILENT_DIGESTS: u32 = 5;
 
-/// Whether the instance is among the readers of its zone; `live` are the names of the zone's other
-/// live instances.
-pub fn chosen<'a>(name: &str, live: impl Iterator<Item = &'a str>) -> bool {
+/// Place of the instance in its zone; `live` are the names of the zone's other live instances.
+pub fn place<'a>(name: &str, live: impl Iterator<Item = &'a str>) -> Place {
     let own = rank(name);
-    live.filter(|other| rank(other) < own).count() < READERS_PER_ZONE
+    Place(live.filter(|other| rank(other) < own).count())
+}
+
+/// How many live instances of its zone come before an instance when the platform is to be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place(usize);
+
+impl Place {
+    /// Of an instance that is to ask nothing, as it leaves.
+    pub const LAST: Self = Self(usize::MAX);
+
+    /// It watches the platform.
+    pub const fn is_reader(self) -> bool {
+        self.0 < READERS_PER_ZONE
+    }
+
+    /// After how long without an answer to anybody it asks too; `None`: never.
+    ///
+    /// The platform may turn its readers away and serve others. Then those next in the zone ask, twice
+    /// as many an eighth of the time of contact later, and only so many when it answers nobody. What is
+    /// waited for before is what a watch and its news take at most, when all is well.
+    fn stands_in_after(self, timing: Timing) -> Option<Duration> {
+        match self.0 {
+            STANDBY_PER_ZONE.. => None,
+            place if place < 2 * READERS_PER_ZONE => Some(timing.contact * 5 / 8),
+            _ => Some(timing.contact * 3 / 4),
+        }
+    }
 }
 
 fn rank(name: &str) -> (Reverse<u64>, &str) {
@@ -61,6 +89,8 @@
     started: Instant,
     /// When the platform last answered; before the first answer, the start of the instance.
     answered: Instant,
+    /// When it last answered anybody that this instance heard of; `None` before.
+    answered_any: Option<Instant>,
     /// Highest revision that the platform itself has delivered. Revisions learnt from peers do not
     /// count: a lower one could still be missing, and would never be read.
     cursor: u64,
@@ -88,6 +118,7 @@
             open: false,
             started: now,
             answered: now,
+            answered_any: None,
             cursor: 0,
             failures: 0,
             not_before: now,
@@ -110,6 +141,7 @@
         self.open = false;
         self.tried = true;
         self.answered = now;
+        self.answered_any = Some(now);
         self.failures = 0;
         self.not_before = if last.is_some() { now } else { now + PACE };
         self.cursor = self.cursor.max(last.unwrap_or(0));
@@ -146,6 +178,22 @@
         now.since(self.answered)
     }
 
+    /// How long it has not answered anybody that this instance heard of, in milliseconds and one more;
+    /// 0 if that is not known.
+    pub fn age_ms(&self, now: Instant) -> u32 {
+        let millis = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        self.answered_any.map_or(0, |at| millis(at).saturating_add(1))
+    }
+
+    /// Takes in what a peer says of the same.
+    pub fn heard_age(&mut self, now: Instant, age_ms: u32) {
+        if age_ms == 0 {
+            return;
+        }
+        let at = now - Duration::from_millis(u64::from(age_ms - 1));
+        self.answered_any = self.answered_any.max(Some(at));
+    }
+
     /// Takes in a failure: the next read waits longer, with jitter, so that the instances do not
     /// all come back at once when the platform does.
     pub fn failed(&mut self, now: Instant, timing: Timing, random: &mut Random) -> Failure {
@@ -177,16 +225,23 @@
         self.digest_seen + digest * SILENT_DIGESTS + self.spread
     }
 
-    /// The read to start now, if any; `reader` says whether the rule chose this instance.
+    /// When this instance asks in place of the readers, who get no answers.
+    fn stands_in_at(&self, place: Place, timing: Timing) -> Option<Instant> {
+        Some(self.answered_any? + place.stands_in_after(timing)?)
+    }
+
+    /// The read to start now, if any, by an instance with this place.
     pub fn poll(
         &mut self,
         now: Instant,
-        reader: bool,
+        place: Place,
         timing: Timing,
         random: &mut Random,
     ) -> Option<Read> {
+        let reader = place.is_reader();
         self.elect(now, reader, timing, random);
-        let wants = reader || !self.tried || self.is_cut_off(now, timing.digest);
+        let stands_in = self.stands_in_at(place, timing).is_some_and(|at| now >= at);
+        let wants = reader || !self.tried || stands_in || self.is_cut_off(now, timing.digest);
         if self.open || !wants || now < self.not_before {
             return None;
         }
@@ -214,14 +269,16 @@
     }
 
     /// When [`Reader::poll`] may next start a read.
-    pub fn next_wake(&self, reader: bool, timing: Timing) -> Option<Instant> {
+    pub fn next_wake(&self, place: Place, timing: Timing) -> Option<Instant> {
         if self.open {
             return None;
         }
-        if reader || !self.tried {
+        if place.is_reader() || !self.tried {
             return Some(self.not_before);
         }
-        Some(self.cut_off_at(timing.digest).max(self.not_before))
+        let cut_off = self.cut_off_at(timing.digest);
+        let next = self.stands_in_at(place, timing).map_or(cut_off, |at| at.min(cut_off));
+        Some(next.max(self.not_before))
     }
 }
 
--- a/crates/core/tests/fleet/reader.rs
+++ b/crates/core/tests/fleet/reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ladder_core::control::hash::Random;
-use ladder_core::control::reader::{Reader, Timing, chosen};
+use ladder_core::control::reader::{Place, Reader, Timing, place};
 use ladder_core::time::Instant;
 
 const TIMING: Timing = Timing { digest: Duration::from_secs(1), contact: Duration::from_secs(4) };
@@ -12,6 +12,11 @@
     Instant::from_millis(millis)
 }
 
+/// Place of the first reader of its zone.
+fn first() -> Place {
+    place("entry-1", std::iter::empty())
+}
+
 fn reader(random: &mut Random) -> Reader {
     Reader::new(at(0), TIMING.digest, random)
 }
@@ -24,7 +29,7 @@
     let readers = (0..3700).filter(|&own| {
         let names: Vec<String> =
             (0..3700).filter(|&other| other != own && zone(other) == zone(own)).map(name).collect();
-        chosen(&name(own), names.iter().map(String::as_str))
+        place(&name(own), names.iter().map(String::as_str)).is_reader()
     });
     assert_eq!(readers.count(), 60);
 }
@@ -41,11 +46,11 @@
         let mut now = at(0);
         let mut last = Duration::ZERO;
         for failure in 0..10 {
-            let read = reader.poll(now, true, TIMING, &mut random).expect("a read");
+            let read = reader.poll(now, first(), TIMING, &mut random).expect("a read");
             assert_eq!(read.wait, Duration::ZERO, "failure {failure}");
-            assert!(reader.poll(now, true, TIMING, &mut random).is_none(), "one read at a time");
+            assert!(reader.poll(now, first(), TIMING, &mut random).is_none(), "one read at a time");
             reader.failed(now, TIMING, &mut random);
-            let next = reader.next_wake(true, TIMING).expect("a retry");
+            let next = reader.next_wake(first(), TIMING).expect("a retry");
             last = next.since(now);
             assert!(last >= TIMING.contact / 16 && last <= TIMING.contact / 4);
             assert!(failure > 0 || last <= TIMING.contact / 8, "the first pause is short");
@@ -65,16 +70,16 @@
 fn cursor_follows_the_platform_alone() {
     let mut random = Random::new(1);
     let mut reader = reader(&mut random);
-    let read = reader.poll(at(0), true, TIMING, &mut random).expect("at once");
+    let read = reader.poll(at(0), first(), TIMING, &mut random).expect("at once");
     assert_eq!((read.after, read.wait), (0, Duration::ZERO));
     reader.answered(at(1), Some(40), 90);
-    let read = reader.poll(at(1), true, TIMING, &mut random).expect("the rest");
+    let read = reader.poll(at(1), first(), TIMING, &mut random).expect("the rest");
     assert_eq!((read.after, read.wait), (40, Duration::ZERO));
     reader.answered(at(2), Some(90), 90);
-    let read = reader.poll(at(2), true, TIMING, &mut random).expect("a watch");
+    let read = reader.poll(at(2), first(), TIMING, &mut random).expect("a watch");
     assert_eq!((read.after, read.wait), (90, TIMING.contact * 3 / 8));
     reader.answered(at(9), None, 30);
-    let read = reader.poll(at(500), true, TIMING, &mut random).expect("a watch");
+    let read = reader.poll(at(500), first(), TIMING, &mut random).expect("a watch");
     assert_eq!(read.after, 90, "a stale replica does not move the cursor back");
 }
 
@@ -84,15 +89,15 @@
 fn cut_off_instance_reads_itself() {
     let mut random = Random::new(3);
     let mut reader = reader(&mut random);
-    assert!(reader.poll(at(0), false, TIMING, &mut random).is_some(), "the start");
+    assert!(reader.poll(at(0), Place::LAST, TIMING, &mut random).is_some(), "the start");
     reader.answered(at(1), Some(10), 10);
     for second in 1..60 {
         reader.heard_digest(at(second * 1000));
-        let read = reader.poll(at(second * 1000 + 500), false, TIMING, &mut random);
+        let read = reader.poll(at(second * 1000 + 500), Place::LAST, TIMING, &mut random);
         assert!(read.is_none(), "digests come");
     }
-    let wake = reader.next_wake(false, TIMING).expect("a later read");
+    let wake = reader.next_wake(Place::LAST, TIMING).expect("a later read");
     let silence = wake.since(at(59_000));
     assert!(silence >= TIMING.digest * 5 && silence <= TIMING.digest * 10);
-    assert!(reader.poll(wake, false, TIMING, &mut random).is_some());
+    assert!(reader.poll(wake, Place::LAST, TIMING, &mut random).is_some());
 }
