--- a/crates/core/tests/leaf/load.rs
+++ b/crates/core/tests/leaf/load.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ladder_core::leaf::Settings;
-use ladder_core::leaf::event::{Action, Outcome};
+use ladder_core::leaf::event::{Action, Event, Outcome};
 use ladder_core::schema::call::Message;
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
@@ -18,7 +18,7 @@
 use ladder_core::time::Instant;
 use ladder_core::view::{Server, Service};
 
-use crate::bed::{Bed, Sent, limited, server, service, settings, view, work};
+use crate::bed::{Bed, Sent, limited, peer, server, service, settings, view, work};
 
 /// A kind of sweep.
 #[derive(Clone, Copy)]
@@ -262,6 +262,52 @@
     assert!(bed.replies().is_empty(), "nothing of the old process counts any more");
 }
 
+/// Sweeps over 90 shards ended at their target with one or two parts missing: a server stood still for a
+/// moment and its call got no second copy. By the lines of those calls their asker had two extra calls
+/// left, the part of one of sixty instances, and two are kept for retries: it could never send a copy,
+/// though it made all calls of the service. Who asks for all has the part of one of few.
+#[test]
+fn asker_of_many_affords_second_copies() {
+    struct Case {
+        scarce: bool,
+        /// Who hands the work over.
+        from: &'static str,
+        calls: usize,
+    }
+    let cases = [
+        Case { scarce: true, from: "porto-2", calls: 2 },
+        Case { scarce: true, from: "porto-1", calls: 1 },
+        Case { scarce: false, from: "porto-2", calls: 1 },
+    ];
+    for Case { scarce, from, calls } in cases {
+        let limits = Limits {
+            queue: 1000,
+            extra_percent: 20,
+            count_refused: true,
+            extra_burst: 166,
+            extra_window_ms: 10_000,
+            ..Limits::default()
+        };
+        let listed = limited(limits, vec![server(1), server(2)]);
+        let mut bed = Bed::with(settings(), Service { sharers: 60, scarce, ..listed });
+        let give = |bed: &mut Bed, query: u64| {
+            let work = LARGE.work(query);
+            bed.handle(Event::Work { from: peer(from), incarnation: 9, work });
+        };
+        for query in 0..60 {
+            bed.log.clear();
+            give(&mut bed, query);
+            bed.advance(10);
+            let sent = bed.sent();
+            bed.answer(&sent[0]);
+        }
+        bed.log.clear();
+        give(&mut bed, 100);
+        bed.advance(100);
+        assert_eq!(bed.sent().len(), calls, "scarce {scarce}, from {from}");
+    }
+}
+
 /// An instance hands its parts to the one that asks for all; that one is lost, again and again. What
 /// it takes back must be paid for, but it makes no first calls that would earn it: with what it
 /// started with it stood two losses, and refused the parts of every later one.
