Who asks for all affords second copies

Cause: extra calls were divided by all instances, while one makes nearly all calls of a service: two each of sixty, which are kept for retries. Evidence: call lines of the missing parts, budget 2, one call of 83 ms without a copy.

Change: where few ask for all, one who is asked by others has a sixteenth of the fleet's extra calls, and half of them is divided among all. It holds as eight askers together spend half of the whole and the others the other half, and as who is asked no more has the usual part again after 5 s.

--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -206,6 +206,9 @@
     ) {
         let service = &mut self.services[id];
         service.last_work = self.now;
+        if job.from.name != self.settings.name {
+            service.asked(self.now);
+        }
         let home = match portion.home.is_empty() {
             true => Arc::clone(&self.settings.zone),
             false => portion.home.into(),
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -198,6 +198,7 @@
             return;
         }
         self.records.expire(self.now);
+        self.services[id].expire(self.now);
         self.maintain(id, out);
         self.probe(id, out);
         self.mark(id);
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -15,6 +15,7 @@
 use super::queue::Queue;
 use super::server::ServerKey;
 use crate::average::Average;
+use crate::control::placement::CANDIDATES;
 use crate::time::Instant;
 use crate::view;
 
@@ -23,6 +24,8 @@
     pub(super) struct ServiceId;
 }
 
+/// How long an instance counts as one that asks for others after it got work of them.
+const ASKED: Duration = Duration::from_secs(5);
 /// Weight of one answer in what is held of a service's load.
 const BUSY_WEIGHT: f64 = 0.05;
 
@@ -81,6 +84,10 @@
     pub(super) cursor: usize,
     /// One instance asks its servers for all.
     pub(super) scarce: bool,
+    /// What this instance may spend of what the fleet may.
+    parts: Parts,
+    /// When another instance last handed work over.
+    asked: Option<Instant>,
     pub(super) last_work: Instant,
 }
 
@@ -97,12 +104,14 @@
             kinds: Kinds::default(),
             busy: Average::default(),
             marked: false,
-            budget: Budget::new(allowance(listed, own), now),
+            budget: Budget::new(Parts::of(listed, own).usual, now),
             admission: Admission::default(),
             overdue: BTreeSet::new(),
             peak: Peak::default(),
             cursor: 0,
             scarce: listed.scarce,
+            parts: Parts::of(listed, own),
+            asked: None,
             last_work: Instant::default(),
         }
     }
@@ -116,7 +125,28 @@
         self.rank = Rank::of(listed);
         self.scarce = listed.scarce;
         self.entry = Arc::clone(&listed.entry);
-        self.budget.allow(allowance(listed, own));
+        self.parts = Parts::of(listed, own);
+        self.divide();
+    }
+
+    /// Another instance hands work over.
+    pub(super) fn asked(&mut self, now: Instant) {
+        if self.asked.replace(now).is_none() {
+            self.divide();
+        }
+    }
+
+    /// Notes that nobody has handed work over for a while.
+    pub(super) fn expire(&mut self, now: Instant) {
+        if self.asked.is_some_and(|at| now.since(at) >= ASKED) {
+            self.asked = None;
+            self.divide();
+        }
+    }
+
+    fn divide(&mut self) {
+        let asker = self.scarce && self.asked.is_some();
+        self.budget.allow(if asker { self.parts.asker } else { self.parts.usual });
     }
 
     /// Takes in what a server said that it works on as it answered a call, which is among it.
@@ -133,7 +163,25 @@
     }
 }
 
-fn allowance(listed: &view::Service, own: &str) -> Allowance {
-    let limits = listed.entry.limits.unwrap_or_default();
-    Allowance::of(&limits, listed.sharers, [&listed.name, own])
+/// What an instance may spend of the fleet's extra calls.
+#[derive(Clone, Copy, Debug)]
+struct Parts {
+    /// As one of all instances.
+    usual: Allowance,
+    /// As one of the few that ask for all.
+    asker: Allowance,
+}
+
+impl Parts {
+    /// Where few ask for all, half of the fleet's extra calls is theirs and the other half is divided
+    /// among all, so that together they spend no more than the whole.
+    ///
+    /// An asker makes nearly all calls of a service. With the part of one of sixty it had two extra calls,
+    /// which are kept for retries: no slow call ever got a second copy.
+    fn of(listed: &view::Service, own: &str) -> Self {
+        let limits = listed.entry.limits.unwrap_or_default();
+        let part = |sharers: u32| Allowance::of(&limits, sharers, [&listed.name, own]);
+        let all = listed.sharers.saturating_mul(if listed.scarce { 2 } else { 1 });
+        Self { usual: part(all), asker: part(2 * CANDIDATES as u32) }
+    }
 }
