--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -188,6 +188,11 @@
         frame.sent_us = self.clock.now().as_micros();
     }
 
+    /// Takes in that a frame of the peer at `address` came.
+    pub fn heard(&self, address: &str) {
+        let _ = address;
+    }
+
     /// The socket to `address`, opened when there is none or its connection broke.
     fn line(&self, address: &str) -> Option<(Socket, Gate)> {
         let now = self.clock.now();
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod lanes;
 mod leaving;
+mod link;
 mod partition;
 mod path;
 mod pause;
