A peer that must answer and is not heard of is dialled anew

Change: the time of the first unanswered frame that has to be answered is kept; after 2 s without any frame of that peer the next one opens a new connection.

--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -57,6 +57,7 @@
     };
     inbound.run(socket, |frame| {
         names.learn(&frame.address, &frame.from);
+        shared.outbound.heard(&frame.address);
         deliver(shared, frame);
     });
 }
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -31,6 +31,14 @@
 /// that were not back yet, and knew of no other instance for a second.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1600));
 
+/// How long a peer that has to answer may say nothing before its connection is dialled anew.
+///
+/// A connection may go silent without either end being told; the system takes what is sent on it for a
+/// quarter of an hour. Its peer would be held dead and asked again on that connection, so that neither
+/// ever heard of the other. Beyond a suspicion by the membership, so that a peer that only stood still
+/// keeps its connection.
+const UNHEARD: Duration = Duration::from_secs(2);
+
 /// Told the address of a peer whose connection broke.
 pub type OnDown = Arc<dyn Fn(&str) + Send + Sync>;
 
@@ -122,6 +130,8 @@
     redial_at: Instant,
     /// How long it is waited for.
     patience: Duration,
+    /// When the first frame went out that the peer has to answer, of those since it was last heard.
+    asked: Option<Instant>,
 }
 
 impl Line {
@@ -129,11 +139,17 @@
     fn replaced(&self, now: Instant) -> Option<Duration> {
         match self.gate.phase() {
             Phase::Dialled if now >= self.redial_at => Some((self.patience * 2).min(PATIENCE.1)),
+            Phase::Connected if self.is_silent(now) => Some(PATIENCE.0),
             Phase::Dialled | Phase::Connected => None,
             Phase::Broken | Phase::Closed => Some(PATIENCE.0),
         }
     }
 
+    /// The peer was asked and said nothing for long.
+    fn is_silent(&self, now: Instant) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked) >= UNHEARD)
+    }
+
     fn close(&self) {
         self.gate.close();
         self.socket.close();
@@ -169,7 +185,8 @@
         self.sign(&mut frame);
         let bytes = frame.encode_to_vec();
         self.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
-        let line = self.line(address);
+        let asks = !(frame.probes.is_empty() && frame.work.is_empty());
+        let line = self.line(address, asks);
         let sent = line.is_some_and(|(socket, gate)| gate.send(&socket, &bytes));
         if !sent {
             self.metrics.dropped(Reason::LinkFull);
@@ -190,24 +207,31 @@
 
     /// Takes in that a frame of the peer at `address` came.
     pub fn heard(&self, address: &str) {
-        let _ = address;
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(line) = lines.get_mut(address) {
+            line.asked = None;
+        }
     }
 
     /// The socket to `address`, opened when there is none or its connection broke.
-    fn line(&self, address: &str) -> Option<(Socket, Gate)> {
+    fn line(&self, address: &str, asks: bool) -> Option<(Socket, Gate)> {
         let now = self.clock.now();
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let mut patience = PATIENCE.0;
         if let Some(line) = lines.get_mut(address) {
             line.used = now;
             let Some(longer) = line.replaced(now) else {
+                if asks {
+                    line.asked.get_or_insert(now);
+                }
                 return Some((line.socket.clone(), line.gate.clone()));
             };
             line.close();
             patience = longer;
         }
         close_idle(&mut lines, now);
-        let line = self.open(address, now, patience).ok()?;
+        let mut line = self.open(address, now, patience).ok()?;
+        line.asked = asks.then_some(now);
         let usable = (line.socket.clone(), line.gate.clone());
         lines.insert(Arc::from(address), line);
         Some(usable)
@@ -230,7 +254,7 @@
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
         let redial_at = now + patience;
-        Ok(Line { socket, gate, used: now, redial_at, patience })
+        Ok(Line { socket, gate, used: now, redial_at, patience, asked: None })
     }
 }
 
