--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -88,8 +88,8 @@
 impl Block {
     /// Who collects the parts; `turn` lets peers take turns.
     ///
-    /// Where the servers have much to do or few connections, each group goes to its own asker. Elsewhere few messages
-    /// are worth more than one view of each server: what has a server in this zone is asked for from
+    /// Where the servers have much to do or few connections, each group goes to its own asker.
+    /// Elsewhere few messages are worth more than one view of each server: what has a server in this zone is asked for from
     /// here, and the rest goes to one peer together.
     fn collectors(&self, now: Instant, turn: usize, peers: &Peers, out: &mut Vec<Collector>) {
         let idle: Vec<&Group> = self.groups.iter().filter(|group| !group.steady).collect();
