Failing test: askers that differ on who leaves ask three servers where two are allowed

The test shows that it can happen: a server that one of them knows to leave shifts the order of the others. Not mended: leaving servers counted in the order would cost parts whose two servers leave, and that was not measured.

--- a/crates/core/tests/leaf/forward.rs
+++ b/crates/core/tests/leaf/forward.rs
@@ -166,6 +166,35 @@
     }
 }
 
+/// One server of three leaves, and of an asker and its successor only one knows it yet. The other counts it
+/// in the order that says which two may get a part, so that their pairs differ and all three are asked.
+/// Suspected behind a run in which five requests ran on three servers while 41 were leaving.
+#[test]
+fn askers_that_differ_on_who_leaves_ask_the_same_servers() {
+    let asked = |leaving: Option<u8>, home: &str, query: u64| -> BTreeSet<Arc<str>> {
+        let servers =
+            (1..=3).map(|number| Server { leaving: leaving == Some(number), ..server(number) });
+        let settings = Settings::builder("porto-1", 7).seed(query).zone("trindade").build();
+        let mut bed = Bed::with(settings, limited(limits(100, false), servers.collect()));
+        let mut work = forwarded(query, "sweep");
+        work.portions[0].home = home.to_owned();
+        bed.work(work);
+        let mut asked = BTreeSet::new();
+        bed.each_sent(|bed, sent| {
+            asked.insert(Arc::clone(&sent.address));
+            bed.end(sent.attempt, Outcome::Error);
+        });
+        asked
+    };
+    for query in 0..30 {
+        for leaving in 1..=3 {
+            let mut all = asked(Some(leaving), "", query);
+            all.extend(asked(None, "trindade", query));
+            assert!(all.len() <= 2, "query {query}, {leaving} leaves: {all:?}");
+        }
+    }
+}
+
 /// Operators count a call that a server refused like any other. Sent again without being paid for,
 /// the refusals of one overloaded server would break the bound that all instances share.
 #[test]
