Failing test: any order of events and of views, one part runs on three servers

The asker of a part and whoever takes it over choose servers by their own views. Red on the code as it is: (key-4, docks-a) ran on three servers of two allowed.

--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the leaf machine.
 
+mod attempts;
 mod bed;
 mod collect;
 mod dispatch;
