News, rumours and probes stay in their zones; starts don't carry the publication

Hypothesis: most of what crosses between zones on the large deployment is control, not answers.

Cause, by the core's own fleet of 40 to 60 instances in five zones: an instance that starts pushed the whole listing to four peers and got it from each seed that it had told that it holds nothing; each record of news went to four random peers of any zone; each rumour was told two dozen times by everybody to anybody; a digest of 512 bytes a second.

Change: news goes to peers of the own zone where there are enough of them; a first listing is told to nobody, and peers hear the digest of an instance that starts once the platform has answered or had 200 ms to; the instances of a zone share the tellings of a rumour to other zones; one of three probed members is of the own zone; the digest is one hash, and the buckets' follow if it differs.

Ruled out: one probed member in any zone and two of the own (idle 4.4 in place of 6.4 KB in 5 s): a lost zone was not found out within 5 s (concert::services_survive_a_zone).

Tests red on the code as it was: volume::starts_do_not_carry_the_publication_between_zones (47,401 bytes an instance of a publication of 12,182), volume::news_stays_in_its_zone (459,492 bytes, 17,900 allowed). listing::silent_seeds_are_asked_sooner counts asks by their probe, as the first ones carry no digest now; its bounds stand.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -9,8 +9,6 @@
 use ladder_schema::publication::{Kind, Page, Record, record::Body};
 use ladder_schema::wire::{Departure, Frame, Liveness};
 
-use exchange::send;
-
 use super::belief::Belief;
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
@@ -36,6 +34,9 @@
 const START_PEERS: usize = 2;
 /// First pause between two asks of seeds that have not answered.
 const START_PAUSE: Duration = Duration::from_millis(100);
+/// How long an instance that starts waits for the platform before it tells peers that it holds nothing;
+/// the platform answers in milliseconds.
+const FIRST_READ: Duration = Duration::from_millis(200);
 /// How long a start waits for a peer's answer once the platform has answered or failed.
 const START_WAIT: Duration = Duration::from_secs(1);
 
@@ -148,7 +149,7 @@
             Event::WatchExpired => self.reader.expired(now),
             Event::LinkDown(name) => self.membership.link_down(now, &name),
             Event::ServerLeaving { server, incarnation } => {
-                self.server_leaving(&server, incarnation, out);
+                self.server_leaving(now, &server, incarnation, out);
             }
             Event::Seeds(seeds) => self.settings.seeds = seeds,
             Event::Paused(_) => self.paused(now, out),
@@ -244,7 +245,7 @@
         }
         if now >= self.next_digest {
             self.next_digest = now + self.digest_pause();
-            self.exchange(out);
+            self.exchange(now, out);
         }
         let withdrawn = self.withdrawals.due(now);
         if !withdrawn.is_empty() {
@@ -360,18 +361,31 @@
             let last = page.records.iter().map(|record| record.revision).max();
             self.reader.answered(now, last, page.head);
         }
+        let first = page.whole && !self.listed;
         self.listed |= page.whole;
         let mut records = page.records.clone();
         records.extend(self.left_out(page));
         let records = self.believed(now, records, out);
-        self.adopt(now, &records, out);
+        if first {
+            self.adopt_first(now, &records, out);
+        } else {
+            self.adopt(now, &records, out);
+        }
+    }
+
+    /// Takes in the first listing, which is no news to a fleet that runs: the digests that follow at
+    /// once find out if some of it is.
+    fn adopt_first(&mut self, now: Instant, records: &[Record], out: &mut Vec<Action>) {
+        let news = self.apply(now, records, out);
+        self.note(&news, "", out);
+        self.next_digest = now;
     }
 
     /// Takes in what the platform says, logs what is news and passes it on.
     fn adopt(&mut self, now: Instant, records: &[Record], out: &mut Vec<Action>) {
         let news = self.apply(now, records, out);
         self.note(&news, "", out);
-        self.tell(&news, "", out);
+        self.tell(now, &news, "", out);
     }
 
     /// Logs what came into force.
@@ -468,10 +482,10 @@
         news
     }
 
-    fn server_leaving(&mut self, name: &str, at: u64, out: &mut Vec<Action>) {
+    fn server_leaving(&mut self, now: Instant, name: &str, at: u64, out: &mut Vec<Action>) {
         let departure = Departure { server: name.to_owned(), incarnation: at };
         let news = self.depart(vec![departure]);
-        self.tell(&news, "", out);
+        self.tell(now, &news, "", out);
     }
 
     fn depart(&mut self, seen: Vec<Departure>) -> News {
@@ -489,16 +503,16 @@
         self.membership.resumed(now);
         self.reader.resumed(now);
         for to in self.peers(FANOUT) {
-            self.ask(&to, out);
+            self.ask(now, &to, out);
         }
     }
 
     fn drain(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.membership.leave(now);
+        let rumours = vec![self.membership.own().as_rumour()];
         for to in self.peers(FAREWELLS) {
             let frame = self.blank();
-            let rumours = vec![self.membership.own().as_rumour()];
-            send(&to, Frame { rumours, ..frame }, out);
+            to.send(Frame { rumours: rumours.clone(), ..frame }, out);
         }
     }
 }
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -5,13 +5,27 @@
 use ladder_schema::publication::Record;
 use ladder_schema::wire::{Departure, Digest, Frame, Probe, Rumour};
 
-use super::{DEFERRALS, FANOUT, FEW_BUCKETS, GOSSIP, Machine, START_PEERS, UNDER_WAY};
+use super::{DEFERRALS, FANOUT, FEW_BUCKETS, FIRST_READ, GOSSIP, Machine, START_PEERS, UNDER_WAY};
 use crate::control::Action;
 use crate::control::belief::Belief;
-use crate::control::membership::Life;
+use crate::control::membership::{Life, Member};
 use crate::control::spread::{self, News};
 use crate::time::Instant;
 
+/// Where a peer is reached.
+#[derive(Clone, Debug)]
+pub(super) struct Contact {
+    address: Arc<str>,
+    /// It stands in another zone, as far as is known.
+    far: bool,
+}
+
+impl Contact {
+    pub(super) fn send(&self, frame: Frame, out: &mut Vec<Action>) {
+        send(&self.address, frame, out);
+    }
+}
+
 impl Machine {
     pub(super) fn frame(&mut self, now: Instant, frame: Frame, out: &mut Vec<Action>) {
         let mut reply = Frame::default();
@@ -35,9 +49,10 @@
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
         self.note(&news, &frame.from, out);
-        self.tell(&news, &frame.address, out);
+        self.tell(now, &news, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.heard_digest(now);
+            reply.digest = self.store.is_vague(digest).then(|| self.store.digest());
             self.compare(now, &frame.address, digest, &mut reply, out);
         }
         self.supply(&frame.address, &frame.wanted, out);
@@ -47,7 +62,8 @@
         }
         self.supply_parts(&frame.address, &frame.wanted_parts, out);
         reply.acknowledgements = frame.probes;
-        self.answer(&frame.address, reply, out);
+        let far = self.membership.is_far(&frame.zone);
+        self.answer(&frame.address, far, reply, out);
     }
 
     fn acknowledged(&mut self, acknowledgements: &[Probe]) {
@@ -128,106 +144,148 @@
         }
     }
 
-    pub(super) fn answer(&mut self, to: &str, mut reply: Frame, out: &mut Vec<Action>) {
+    fn answer(&mut self, to: &str, far: bool, mut reply: Frame, out: &mut Vec<Action>) {
         let worth = !reply.acknowledgements.is_empty()
             || !reply.rumours.is_empty()
             || !reply.wanted.is_empty()
             || !reply.details.is_empty()
-            || !reply.wanted_parts.is_empty();
+            || !reply.wanted_parts.is_empty()
+            || reply.digest.is_some();
         if worth && !to.is_empty() {
-            reply.rumours.extend(self.membership.take_rumours());
+            reply.rumours.extend(self.membership.take_rumours(far));
             send(&to.into(), self.signed(reply), out);
         }
     }
 
     pub(super) fn probe_neighbours(&mut self, out: &mut Vec<Action>) {
         let neighbours = self.membership.neighbours();
-        let addresses: Vec<Arc<str>> = neighbours.map(|member| member.address.clone()).collect();
-        for to in addresses {
+        let contacts: Vec<Contact> = neighbours.map(|member| self.contact(member)).collect();
+        for to in contacts {
             self.probe += 1;
             let frame = Frame {
                 probes: vec![Probe { number: self.probe }],
-                rumours: self.membership.take_rumours(),
+                rumours: self.membership.take_rumours(to.far),
                 ..self.blank()
             };
-            send(&to, frame, out);
+            to.send(frame, out);
         }
     }
 
     /// Neighbours alone would pass a rumour on only a few places of the ring at a time.
     pub(super) fn gossip(&mut self, out: &mut Vec<Action>) {
-        if !self.membership.has_rumours() {
-            return;
+        if self.membership.has_rumours(false) {
+            let targets = self.near_peers(GOSSIP);
+            self.tell_rumours(&targets, out);
+        }
+        if self.membership.has_rumours(true) {
+            let targets = self.peers(1);
+            self.tell_rumours(&targets, out);
         }
-        for to in self.peers(GOSSIP) {
-            let rumours: Vec<Rumour> = self.membership.take_rumours();
+    }
+
+    fn tell_rumours(&mut self, targets: &[Contact], out: &mut Vec<Action>) {
+        for to in targets {
+            let rumours: Vec<Rumour> = self.membership.take_rumours(to.far);
             if !rumours.is_empty() {
                 let frame = self.blank();
-                send(&to, Frame { rumours, ..frame }, out);
+                to.send(Frame { rumours, ..frame }, out);
             }
         }
     }
 
     /// Compares digests with a random peer, with a lost one and, while unanswered, with seeds.
-    pub(super) fn exchange(&mut self, out: &mut Vec<Action>) {
-        let count = if self.peer_answered { 1 } else { START_PEERS };
-        let mut targets = self.peers(count);
-        let lost = self.membership.lost().map(|member| member.address.clone());
-        let lost: Vec<Arc<str>> = lost.collect();
+    pub(super) fn exchange(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut targets = match self.peer_answered {
+            true => self.peers(1),
+            false => self.near_peers(START_PEERS),
+        };
+        let lost: Vec<Contact> =
+            self.membership.lost().map(|member| self.contact(member)).collect();
         targets.extend(self.random.pick(&lost, 1));
         if !self.peer_answered || targets.is_empty() {
             let seeds = self.settings.seeds.iter();
             let seeds: Vec<_> = seeds.filter(|seed| **seed != self.settings.address).collect();
             let picked = self.random.pick(&seeds, START_PEERS);
-            targets.extend(picked.into_iter().map(Arc::clone));
+            let contact = |seed: &Arc<str>| Contact { address: Arc::clone(seed), far: true };
+            targets.extend(picked.into_iter().map(contact));
         }
-        targets.sort();
-        targets.dedup();
+        targets.sort_by(|one, other| one.address.cmp(&other.address));
+        targets.dedup_by(|one, other| one.address == other.address);
         for to in targets {
-            self.ask(&to, out);
+            self.ask(now, &to, out);
         }
     }
 
-    pub(super) fn ask(&mut self, to: &Arc<str>, out: &mut Vec<Action>) {
+    /// Tells a peer what this instance holds, so that both learn what the other holds more.
+    ///
+    /// An instance that starts asks the platform and peers at the same moment. Had peers heard from it
+    /// before the platform's answer is there, each would have sent it the whole publication.
+    pub(super) fn ask(&mut self, now: Instant, to: &Contact, out: &mut Vec<Action>) {
         self.probe += 1;
-        if !self.peer_answered {
-            self.asked.insert(self.probe);
-        }
+        let digest = match self.peer_answered {
+            true => Some(self.store.summary()),
+            false if self.reader.tried() || now.since(self.started) >= FIRST_READ => {
+                self.asked.insert(self.probe);
+                Some(self.store.digest())
+            }
+            false => None,
+        };
         let frame = Frame {
             probes: vec![Probe { number: self.probe }],
-            rumours: self.membership.take_rumours(),
-            digest: Some(self.store.digest()),
+            rumours: self.membership.take_rumours(to.far),
+            digest,
             ..self.blank()
         };
-        send(to, frame, out);
+        to.send(frame, out);
     }
 
     /// Sends news to a few peers, who pass on what is news to them. More than one frame of it is
     /// left to digests, as most of it is known to most peers.
-    pub(super) fn tell(&mut self, news: &News, except: &str, out: &mut Vec<Action>) {
+    pub(super) fn tell(&mut self, now: Instant, news: &News, except: &str, out: &mut Vec<Action>) {
         if news.is_empty() {
             return;
         }
         let mut parts = news.parts();
         let small = parts.len() == 1;
-        let mut targets = self.peers(FANOUT + 1);
-        targets.retain(|to| **to != *except);
+        let mut targets = self.near_peers(FANOUT + 1);
+        targets.retain(|to| *to.address != *except);
         targets.truncate(FANOUT);
         let Some(part) = parts.pop().filter(|_| small) else {
-            targets.iter().for_each(|to| self.ask(to, out));
+            targets.iter().for_each(|to| self.ask(now, to, out));
             return;
         };
         for to in targets {
-            send(&to, part.clone().into_frame(self.blank()), out);
+            to.send(part.clone().into_frame(self.blank()), out);
         }
     }
 
-    /// Addresses of random members that may be sent to.
-    pub(super) fn peers(&mut self, count: usize) -> Vec<Arc<str>> {
+    /// Random members that may be sent to.
+    pub(super) fn peers(&mut self, count: usize) -> Vec<Contact> {
+        let contacts: Vec<Contact> = self.contacts().collect();
+        self.random.pick(&contacts, count)
+    }
+
+    /// The same, of this instance's zone as far as there are that many.
+    ///
+    /// Each zone has readers of its own, so news rarely has to cross, and what crosses is paid for by
+    /// the byte. Told to random peers, each version of the routes went to other zones several times for
+    /// each instance. A zone whose readers hear nothing learns of it by digests.
+    pub(super) fn near_peers(&mut self, count: usize) -> Vec<Contact> {
+        let (far, near): (Vec<_>, Vec<_>) = self.contacts().partition(|contact| contact.far);
+        let mut picked = self.random.pick(&near, count);
+        let left = count - picked.len();
+        picked.extend(self.random.pick(&far, left));
+        picked
+    }
+
+    fn contacts(&self) -> impl Iterator<Item = Contact> {
         let reachable = self.membership.reachable();
-        let addresses = reachable.map(|member| Arc::clone(&member.address));
-        let addresses: Vec<_> = addresses.filter(|to| !to.is_empty()).collect();
-        self.random.pick(&addresses, count)
+        reachable.filter(|member| !member.address.is_empty()).map(|member| self.contact(member))
+    }
+
+    fn contact(&self, member: &Member) -> Contact {
+        let far = self.membership.is_far(&member.zone);
+        Contact { address: Arc::clone(&member.address), far }
     }
 
     pub(super) fn blank(&self) -> Frame {
@@ -239,6 +297,6 @@
     }
 }
 
-pub(super) fn send(to: &Arc<str>, frame: Frame, out: &mut Vec<Action>) {
+fn send(to: &Arc<str>, frame: Frame, out: &mut Vec<Action>) {
     out.push(Action::Send { to: Arc::clone(to), frame: Box::new(frame) });
 }
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -25,6 +25,9 @@
 
 /// Ring successors that an instance probes.
 pub const NEIGHBOURS: usize = 3;
+/// Those of them that may stand in any zone. With one of them a lost zone was found out a member after
+/// the other, as the next one on the ring was often lost with it.
+const ANYWHERE: usize = 2;
 /// How long a dead or leaving member that is not published is remembered, in dead periods, so that
 /// rumours still on their way do not bring it back.
 const FORGET: u32 = 20;
@@ -73,6 +76,8 @@
     changed: bool,
     /// A member came, went, died or returned since the ring was computed.
     ring_stale: bool,
+    /// Other members of this instance's zone that may be sent to, when the ring was computed.
+    near: usize,
 }
 
 impl Membership {
@@ -92,6 +97,7 @@
             timing: settings.timing,
             changed: true,
             ring_stale: true,
+            near: 0,
         }
     }
 
@@ -252,8 +258,9 @@
 
     fn refresh_ring(&mut self, now: Instant) {
         if std::mem::take(&mut self.ring_stale) {
-            let names = self.reachable().map(|member| &member.name);
-            let successors = successors(&self.own.name, names);
+            let near = |member: &&Member| member.zone == self.own.zone;
+            self.near = self.reachable().filter(near).count();
+            let successors = successors(&self.own, self.reachable());
             self.watch.set_neighbours(now, successors);
         }
     }
@@ -264,9 +271,9 @@
         names.filter_map(|name| self.members.get(name))
     }
 
-    /// Rumours for one frame, counted as told.
-    pub fn take_rumours(&mut self) -> Vec<Rumour> {
-        let names = self.rumours.take(self.members.len() + 1);
+    /// Rumours for one frame to a peer, which may be in another zone, counted as told.
+    pub fn take_rumours(&mut self, far: bool) -> Vec<Rumour> {
+        let names = self.rumours.take(self.told_to(), far);
         let mut rumours: Vec<Rumour> = Vec::with_capacity(names.len() + 1);
         let leaving = self.own.liveness == Liveness::Leaving;
         if leaving && !names.contains(&self.own.name) {
@@ -276,9 +283,18 @@
         rumours
     }
 
-    /// Some rumour has not been told often enough.
-    pub fn has_rumours(&self) -> bool {
-        !self.rumours.is_empty()
+    /// Some rumour has not been told often enough in the own zone, or in others.
+    pub fn has_rumours(&self, far: bool) -> bool {
+        if far { self.rumours.has_far(self.told_to()) } else { !self.rumours.is_empty() }
+    }
+
+    fn told_to(&self) -> queue::Size {
+        queue::Size { fleet: self.size(), zone: self.near + 1 }
+    }
+
+    /// Whether a zone is another one than this instance's.
+    pub fn is_far(&self, zone: &str) -> bool {
+        *self.own.zone != *zone
     }
 
     /// What a newcomer cannot know: members that are not alive.
@@ -331,12 +347,24 @@
     }
 }
 
-/// The next [`NEIGHBOURS`] names after `own` on the ring of hashes.
-fn successors<'a>(own: &str, names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
+/// The members that an instance probes: the next [`ANYWHERE`] after it on the ring of hashes, and then
+/// the next ones of its own zone.
+///
+/// Probes are the larger part of what an idle fleet sends, and those to other zones are paid for by the
+/// byte. Those on the ring of all may stand anywhere: the loss of a whole zone is found out from the
+/// others.
+fn successors<'a>(own: &Member, members: impl Iterator<Item = &'a Member>) -> Vec<Arc<str>> {
     let place = |name: &str| hash::of(&[b"ring", name.as_bytes()]);
-    let start = place(own);
-    let mut ring: Vec<_> = names.map(|name| (place(name).wrapping_sub(start), name)).collect();
-    ring.sort_unstable();
-    let first = ring.into_iter().take(NEIGHBOURS);
-    first.map(|(_, name)| Arc::clone(name)).collect()
+    let start = place(&own.name);
+    let mut ring: Vec<_> =
+        members.map(|member| (place(&member.name).wrapping_sub(start), member)).collect();
+    ring.sort_unstable_by_key(|(place, member)| (*place, &member.name));
+    let near = ring.iter().map(|(_, member)| *member).filter(|member| member.zone == own.zone);
+    let mut chosen: Vec<&Member> = ring.iter().take(ANYWHERE).map(|(_, member)| *member).collect();
+    for member in near.chain(ring.iter().map(|(_, member)| *member)) {
+        if chosen.len() < NEIGHBOURS && !chosen.iter().any(|other| other.name == member.name) {
+            chosen.push(member);
+        }
+    }
+    chosen.into_iter().map(|member| Arc::clone(&member.name)).collect()
 }
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -252,11 +252,32 @@
 
     /// One hash per bucket over keys, revisions and departures.
     pub fn digest(&self) -> wire::Digest {
-        wire::Digest { buckets: self.buckets.to_vec() }
+        wire::Digest { buckets: self.buckets.to_vec(), whole: self.whole() }
     }
 
-    /// Buckets in which a peer's digest differs; all for a digest of another size.
+    /// The hash of all buckets together alone.
+    ///
+    /// Nearly always it is equal to the peer's, and the buckets' hashes were most of what an idle fleet
+    /// sent.
+    pub fn summary(&self) -> wire::Digest {
+        wire::Digest { buckets: Vec::new(), whole: self.whole() }
+    }
+
+    /// Whether a peer's digest tells only that something differs.
+    pub fn is_vague(&self, digest: &wire::Digest) -> bool {
+        digest.buckets.is_empty() && digest.whole != self.whole()
+    }
+
+    fn whole(&self) -> u64 {
+        self.buckets.iter().fold(0, |whole, bucket| whole ^ bucket)
+    }
+
+    /// Buckets in which a peer's digest differs; all for a digest of another size, none that are known
+    /// for a vague one.
     pub fn differing(&self, digest: &wire::Digest) -> Vec<u32> {
+        if digest.buckets.is_empty() {
+            return Vec::new();
+        }
         let differs = |at: &usize| digest.buckets.get(*at) != Some(&self.buckets[*at]);
         (0..BUCKETS).filter(differs).map(|at| at as u32).collect()
     }
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ladder_core::control::settings::Timing;
+use ladder_core::control::settings::{Listing, Placement, Timing};
 use ladder_core::control::{Action, Event, Machine, Settings};
 use ladder_core::schema::publication::{Page, Record, record::Body};
 use ladder_core::schema::wire::Frame;
 use ladder_core::time::Instant;
 use ladder_core::view::View;
+use prost::Message;
 
 use crate::{publish, session};
 
@@ -38,6 +39,7 @@
     inbox: Vec<Event>,
     pub reads: usize,
     pub sent: usize,
+    zone: String,
     pub views: Vec<(Instant, Arc<View>)>,
 }
 
@@ -55,6 +57,12 @@
     pub refused: BTreeSet<String>,
     /// Time spans of the instances that start from now on.
     pub timing: Timing,
+    /// Where they learn of each other.
+    pub listing: Listing,
+    /// A first read answers with all that is published and says so.
+    pub lists_whole: bool,
+    /// Bytes of frames that were sent to another zone.
+    pub crossed: usize,
     /// Names of the instances on one side of a cut.
     pub island: BTreeSet<String>,
     /// Names of the instances whose watches the platform leaves waiting.
@@ -79,6 +87,11 @@
             .fleet("porto")
             .incarnation(self.incarnation)
             .timing(self.timing)
+            .listing(self.listing)
+            .placement(match self.listing {
+                Listing::Published => Placement::Owner,
+                Listing::Observed => Placement::Direct,
+            })
             .seeds(self.seeds.iter().map(String::as_str))
             .seed(publish::address(name).len() as u64 + self.sequence)
             .build();
@@ -89,6 +102,7 @@
             inbox: Vec::new(),
             reads: 0,
             sent: 0,
+            zone: zone.to_owned(),
             views: Vec::new(),
         };
         self.nodes.insert(name.to_owned(), node);
@@ -183,7 +197,8 @@
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
         let head = self.records.iter().map(|record| record.revision).max();
-        Page { head: head.unwrap_or(0), records, ..Page::default() }
+        let whole = self.lists_whole && after == 0;
+        Page { head: head.unwrap_or(0), records, whole, ..Page::default() }
     }
 
     fn answer_watch(&mut self, name: &str) {
@@ -243,7 +258,9 @@
             }
             Action::View(view) => {
                 self.node(name).views.push((now, view));
-                self.sum_shares();
+                if self.listing == Listing::Published {
+                    self.sum_shares();
+                }
             }
             Action::Refused { .. } | Action::Log(_) | Action::Generation(_) | Action::Count(_) => {}
         }
@@ -253,6 +270,9 @@
         self.node(from).sent += 1;
         let target = self.names().into_iter().find(|name| publish::address(name) == to);
         let Some(target) = target else { return };
+        if self.nodes[from].zone != self.nodes[&target].zone {
+            self.crossed += frame.encoded_len();
+        }
         if self.island.contains(from) == self.island.contains(&target) {
             self.push(&target, Event::Frame(frame));
         }
--- a/crates/core/tests/fleet/listing.rs
+++ b/crates/core/tests/fleet/listing.rs
@@ -341,7 +341,7 @@
         lone.pass(100);
         let to_seed = |action: &&Action| {
             matches!(action, Action::Send { to, frame }
-                if **to == *"127.0.0.1:10009" && frame.digest.is_some())
+                if **to == *"127.0.0.1:10009" && !frame.probes.is_empty())
         };
         asked.push(lone.log.iter().filter(to_seed).count());
     }
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -15,3 +15,4 @@
 mod session;
 mod silence;
 mod store;
+mod volume;
--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -65,7 +65,7 @@
     }
 
     fn own_rumour(&mut self) -> Option<Rumour> {
-        let rumours = self.membership.take_rumours();
+        let rumours = self.membership.take_rumours(false);
         rumours.into_iter().find(|rumour| rumour.name == OWN)
     }
 }
