Askers are chosen by their processors; a part is copied when it lags behind its siblings

Change 1: instances say in their settings (`cores`) which processor they have, tell it in frames and rumours, and groups of parts go to those with the fewest groups for it. Change 2: of four parts or more that are asked for together, one is slow when it lags by half behind the call that made it half of them; while most have not answered copies wait for twice the patience.

Tests red before: near::askers_are_chosen_by_their_processors, siblings::parts_are_copied_that_lag_behind _the_others (9 copies for a heavy request), siblings::stragglers_of_light_requests_are_found_out_early.

--- a/crates/core/examples/scale/control.rs
+++ b/crates/core/examples/scale/control.rs
@@ -150,6 +150,7 @@
         liveness: liveness as i32,
         address: instance_address(number),
         zone: size.zone(number),
+        millicores: 1000,
     }
 }
 
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -86,6 +86,7 @@
         let mut own = Member::new(&settings.name, now, Why::Own);
         own.address = Arc::clone(&settings.address);
         own.zone = Arc::clone(&settings.zone);
+        own.millicores = settings.millicores;
         own.generation = settings.incarnation;
         let mut rumours = queue::Queue::default();
         rumours.push(&own.name);
@@ -205,6 +206,7 @@
         let mut member = Member::new(&name, now, Why::Heard);
         member.address = frame.address.as_str().into();
         member.zone = frame.zone.as_str().into();
+        member.millicores = frame.millicores;
         member.generation = frame.generation;
         member.heard = Some(now);
         member.published = old.and_then(|old| old.published);
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -40,6 +40,8 @@
     pub address: Arc<str>,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// Thousandths of a processor core that it may use; 0 while that is not known.
+    pub millicores: u32,
     /// Orders its lives; 0 while nothing was heard of it. It is the incarnation of its process,
     /// unless peers knew a higher one of its name when it started.
     ///
@@ -72,6 +74,7 @@
             name: Arc::clone(name),
             address: "".into(),
             zone: "".into(),
+            millicores: 0,
             generation: 0,
             refutation: 0,
             liveness: Liveness::Alive,
@@ -99,6 +102,7 @@
         standing(self) == standing(other)
             && self.address == other.address
             && self.zone == other.zone
+            && self.millicores == other.millicores
     }
 
     /// Changes the liveness.
@@ -117,6 +121,7 @@
             liveness: self.liveness as i32,
             address: self.address.to_string(),
             zone: self.zone.to_string(),
+            millicores: self.millicores,
         }
     }
 
@@ -144,6 +149,7 @@
         if !rumour.address.is_empty() {
             self.address = rumour.address.as_str().into();
             self.zone = rumour.zone.as_str().into();
+            self.millicores = rumour.millicores;
         }
         if self.liveness != rumour.liveness() {
             self.turn(now, rumour.liveness(), Why::Rumour);
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -412,6 +412,7 @@
     let neighbour = |member: &Member| Neighbour {
         peer: Peer { name: Arc::clone(&member.name), address: Arc::clone(&member.address) },
         zone: Arc::clone(&member.zone),
+        millicores: member.millicores,
     };
     members.map(neighbour).collect()
 }
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -62,6 +62,7 @@
     pub(super) name: Arc<str>,
     pub(super) incarnation: u64,
     pub(super) zone: Arc<str>,
+    pub(super) millicores: u32,
     pub(super) address: Arc<str>,
     pub(super) seeds: Vec<Arc<str>>,
     pub(super) placement: Placement,
@@ -81,6 +82,7 @@
                 name: name.into(),
                 incarnation: 1,
                 zone: "".into(),
+                millicores: 1000,
                 address: address.into(),
                 seeds: Vec::new(),
                 placement: Placement::default(),
@@ -126,6 +128,13 @@
         self
     }
 
+    /// Thousandths of a processor core that this instance may use. Default: 1000.
+    #[must_use]
+    pub const fn millicores(mut self, millicores: u32) -> Self {
+        self.settings.millicores = millicores;
+        self
+    }
+
     /// Peer addresses asked at start, when the platform may be silent.
     #[must_use]
     pub fn seeds<'a>(mut self, seeds: impl IntoIterator<Item = &'a str>) -> Self {
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -65,6 +65,7 @@
         generation,
         address: settings.address.to_string(),
         zone: settings.zone.to_string(),
+        millicores: settings.millicores,
         ..frame
     }
 }
--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -13,7 +13,7 @@
 use super::event::Action;
 use super::failover::{LATE, Loss};
 use super::machine::Machine;
-use super::near::{Collector, Own};
+use super::near::Collector;
 use super::peers::PeerKey;
 use super::query::{Query, QueryKey, State};
 use super::reply::{self, Place};
@@ -46,7 +46,7 @@
         if !small || !route.is_sweep() || query.terms.unrepeatable {
             return Vec::new();
         }
-        let own = Own { name: &self.settings.name, zone };
+        let own = self.settings.own(zone);
         self.near.collectors(now, &self.view, own, &query.index, &self.peers)
     }
 
@@ -66,7 +66,7 @@
         if let (Some(zone), Some(route)) = (&self.settings.zone, &query.route)
             && route.is_sweep()
         {
-            let own = Own { name: &self.settings.name, zone };
+            let own = self.settings.own(zone);
             let service = &portion.share.service;
             let next = self.near.next(&self.view, own, &query.index, service, passed);
             if let Some(next) = next {
--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -30,6 +30,11 @@
 /// about as many bytes as two parts.
 const PARTS: usize = 3;
 
+/// Taken for the processor of an instance that does not say what it has, in thousandths of a core.
+const ONE_CORE: u32 = 1000;
+/// So that loads of different processors differ as whole numbers.
+const LOAD_SCALE: u64 = 1 << 32;
+
 /// Parts with the peer that is to collect them.
 #[derive(Clone, Debug)]
 pub(crate) struct Collector {
@@ -131,6 +136,8 @@
     pub(crate) name: &'a str,
     /// Its availability zone.
     pub(crate) zone: &'a str,
+    /// Thousandths of a processor core that it may use.
+    pub(crate) millicores: u32,
 }
 
 impl Near {
@@ -212,16 +219,19 @@
 struct Asker<'a> {
     name: &'a str,
     zone: &'a str,
+    millicores: u32,
     /// `None` for this instance.
     peer: Option<&'a Peer>,
 }
 
 /// The parts of an index in blocks and groups.
 fn blocks(view: &View, own: Own<'_>, index: &Index) -> Vec<Block> {
-    let mut askers = vec![Asker { name: own.name, zone: own.zone, peer: None }];
+    let Own { name, zone, millicores } = own;
+    let mut askers = vec![Asker { name, zone, millicores, peer: None }];
     askers.extend(view.neighbours.iter().map(|neighbour| Asker {
         name: &neighbour.peer.name,
         zone: &neighbour.zone,
+        millicores: neighbour.millicores,
         peer: Some(&neighbour.peer),
     }));
     let is_scarce = |name: &Arc<str>| view.service(name).is_some_and(|known| known.scarce);
@@ -274,8 +284,11 @@
     same_zones.div_ceil(same_zones.div_ceil(size).max(1)).max(1)
 }
 
-/// Instances in some of these zones, or all if there is none: those that have the fewest groups
-/// first, then by rendezvous.
+/// Instances in some of these zones, or all if there is none: those first that would have the fewest
+/// groups for their processors with this one, then by rendezvous.
+///
+/// An asker sends and reads a call for each part of its group. On an eighth of a core that takes as long
+/// as the servers' work: answers lie unread, and servers that had answered get second copies.
 fn order<'a>(
     askers: &[Asker<'a>],
     zones: &[&str],
@@ -287,7 +300,11 @@
     if order.is_empty() {
         order = askers.to_vec();
     }
-    let load = |asker: &Asker<'_>| taken.get(asker.name).copied().unwrap_or(0);
+    let load = |asker: &Asker<'_>| {
+        let groups = taken.get(asker.name).copied().unwrap_or(0) as u64 + 1;
+        let millicores = if asker.millicores == 0 { ONE_CORE } else { asker.millicores };
+        groups * LOAD_SCALE / u64::from(millicores)
+    };
     let score = |asker: &Asker<'_>| hash::of(&[group.as_bytes(), asker.name.as_bytes()]);
     order.sort_by_cached_key(|asker| (load(asker), Reverse(score(asker))));
     order
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use super::near::Own;
+
 /// Settings of the gathering machine.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -11,13 +13,30 @@
     pub(crate) history: usize,
     /// Where this instance stands, when parts of sweeps are collected near their servers.
     pub(crate) zone: Option<Arc<str>>,
+    /// Thousandths of a processor core that this instance may use.
+    pub(crate) millicores: u32,
 }
 
 impl Settings {
     /// Starts from the defaults for the instance `name` in its `incarnation`.
     pub fn builder(name: &str, incarnation: u64) -> Builder {
         let name = name.into();
-        Builder { settings: Self { name, incarnation, hedging: true, history: 256, zone: None } }
+        let zone = None;
+        Builder {
+            settings: Self {
+                name,
+                incarnation,
+                hedging: true,
+                history: 256,
+                zone,
+                millicores: 1000,
+            },
+        }
+    }
+
+    /// This instance, which stands in `zone`, among those that may collect.
+    pub(crate) fn own<'a>(&'a self, zone: &'a str) -> Own<'a> {
+        Own { name: &self.name, zone, millicores: self.millicores }
     }
 }
 
@@ -53,6 +72,13 @@
         self
     }
 
+    /// Thousandths of a processor core that this instance may use. Default: 1000.
+    #[must_use]
+    pub fn millicores(mut self, millicores: u32) -> Self {
+        self.settings.millicores = millicores;
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -26,6 +26,7 @@
 mod server;
 mod service;
 mod settings;
+mod siblings;
 pub mod status;
 mod timer;
 mod trace;
--- a/crates/core/src/leaf/collect.rs
+++ b/crates/core/src/leaf/collect.rs
@@ -79,6 +79,7 @@
 
     /// One portion less is awaited: it got its reply, or was delivered before and gets none.
     pub(super) fn settle_collected(&mut self, job: &Job, out: &mut Vec<Action>) {
+        self.settle_sibling(job);
         let Some(key) = job.collection else {
             return;
         };
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -214,6 +214,7 @@
         let service = &mut self.services[attempt.service];
         service.overdue.remove(&(attempt.sent, key));
         if let Outcome::Answer(answer) = outcome {
+            self.sibling_answered(&attempt.job, took);
             self.answer(key, answer.parts, out);
             return;
         }
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -48,7 +48,7 @@
     /// A second copy that goes out when most of the target time has passed comes too late, and
     /// before call times are learned there would be none at all: with a target, a call counts as
     /// slow after a part of it at the latest.
-    fn patience(&self, key: PortionKey) -> Option<Duration> {
+    pub(super) fn patience(&self, key: PortionKey) -> Option<Duration> {
         let portion = &self.portions[key];
         let learned = self.slow(portion.service, portion.kind);
         let forward = portion.job.work.forward.as_ref();
@@ -71,6 +71,10 @@
         if portion.hedged {
             return;
         }
+        if let Some(at) = self.early_until(key) {
+            self.timers.push(at, Timer::Hedge(key));
+            return;
+        }
         let id = portion.service;
         let sent = self.attempts[attempt].sent;
         self.services[id].overdue.insert((sent, key));
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -39,8 +39,9 @@
     ) {
         let portions = std::mem::take(&mut work.portions);
         let key = work.key.as_str().into();
-        let mut job = Job { from, incarnation, key, work, collection: None };
+        let mut job = Job { from, incarnation, key, work, collection: None, siblings: None };
         job.collection = self.begin_collection(&job, portions.len());
+        job.siblings = self.begin_siblings(&job, portions.len());
         let job = Arc::new(job);
         for portion in portions {
             self.arrive(&job, portion, out);
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -17,6 +17,7 @@
 use super::server::{Server, ServerKey};
 use super::service::{Service, ServiceId};
 use super::settings::Settings;
+use super::siblings::{Siblings, SiblingsKey};
 use super::timer::{Timer, Timers};
 use crate::collections::Map;
 use crate::count::{self, Count};
@@ -86,6 +87,7 @@
     /// Call times by kind of work over all services: what a service that is new here starts with.
     pub(super) kinds: Kinds,
     pub(super) collections: SlotMap<CollectionKey, Collection>,
+    pub(super) siblings: SlotMap<SiblingsKey, Siblings>,
     pub(super) timers: Timers,
     pub(super) random: Random,
     /// Number of the last target request.
@@ -117,6 +119,7 @@
             records: Records::default(),
             kinds: Kinds::default(),
             collections: SlotMap::default(),
+            siblings: SlotMap::default(),
             timers: Timers::default(),
             random: Random::new(settings.seed),
             sequence: 0,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -14,6 +14,7 @@
 use super::record;
 use super::server::ServerKey;
 use super::service::ServiceId;
+use super::siblings::SiblingsKey;
 use super::trace::Trial;
 use crate::eligible::Mark;
 use crate::time::Instant;
@@ -37,6 +38,8 @@
     pub(super) work: wire::Work,
     /// What its replies are collected in.
     pub(super) collection: Option<CollectionKey>,
+    /// What its parts are compared in.
+    pub(super) siblings: Option<SiblingsKey>,
 }
 
 impl Job {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -33,6 +33,8 @@
     pub peer: Peer,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// Thousandths of a processor core that it may use; 0 if that is not known.
+    pub millicores: u32,
 }
 
 /// An instance that may work on a service, in order of preference.
--- a/crates/core/tests/fleet/publish.rs
+++ b/crates/core/tests/fleet/publish.rs
@@ -94,6 +94,7 @@
         liveness: liveness as i32,
         address: address(name),
         zone: zone.to_owned(),
+        ..Rumour::default()
     }
 }
 
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use ladder_core::collections::Map;
 use ladder_core::eligible::Mark;
 use ladder_core::gather::{Action, Event, Settings};
 use ladder_core::route::Table;
@@ -28,6 +29,8 @@
     parts: Vec<Vec<&'static str>>,
     /// Settled peers with their zones.
     peers: Vec<(&'static str, &'static str)>,
+    /// Thousandths of a processor core of each of them, and of this instance.
+    millicores: Map<&'static str, u32>,
     version: u64,
     unrepeatable: bool,
     /// The servers' connections don't suffice for every instance.
@@ -42,6 +45,7 @@
         Self {
             parts: [near, far].concat(),
             peers: vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", HERE)],
+            millicores: Map::default(),
             version: VERSION,
             unrepeatable: false,
             scarce: false,
@@ -101,14 +105,18 @@
             ..Routing::default()
         };
         view.routing = Some(Arc::new(Table::new(&routing)));
-        let neighbour =
-            |&(name, zone): &(&str, &str)| Neighbour { peer: peer(name), zone: zone.into() };
+        let neighbour = |&(name, zone): &(&str, &str)| Neighbour {
+            peer: peer(name),
+            zone: zone.into(),
+            millicores: self.millicores.get(name).copied().unwrap_or(0),
+        };
         view.neighbours = self.peers.iter().map(neighbour).collect();
         Event::View(Arc::new(view))
     }
 
     fn session(&self) -> Session {
-        let settings = Settings::builder(SELF, INCARNATION).near(HERE).build();
+        let own = self.millicores.get(SELF).copied().unwrap_or(1000);
+        let settings = Settings::builder(SELF, INCARNATION).near(HERE).millicores(own).build();
         let mut session = Session::with(settings);
         session.give(self.view());
         session
@@ -468,6 +476,30 @@
     }
 }
 
+/// Instances differ in their processors, and the hash gave most parts of every sweep to those with an
+/// eighth of a core: its answers lay unread there, the calls counted as slow and got second copies, and
+/// small sweeps came late. Who has a whole core asks for what four others could, and only then they.
+#[test]
+fn askers_are_chosen_by_their_processors() {
+    let weak = ["e2", "e3", "e5", "e6", "e7", "e8"];
+    let zone = |at: usize| ["campanha", "sao-bento"][at % 2];
+    let mut peers: Vec<_> = weak.iter().enumerate().map(|(at, name)| (*name, zone(at))).collect();
+    peers.push(("e9", "campanha"));
+    let mut millicores: Map<&str, u32> = weak.iter().map(|name| (*name, 250)).collect();
+    millicores.extend([("e9", 1000), (SELF, 250)]);
+    // 36 parts in groups of six.
+    let parts = vec![vec!["campanha", "sao-bento"]; 36];
+    let place = Place { parts, peers, millicores, scarce: true, ..Place::default() };
+    let mut session = place.session();
+    let mut groups: Map<Arc<str>, usize> = Map::default();
+    for (to, work) in works(&session.call(sweep("k"))) {
+        *groups.entry(to).or_default() += work.portions.len() / 6;
+    }
+    let strong = groups.remove("e9").unwrap_or_default();
+    assert!((3..=4).contains(&strong), "{strong} of six groups at the strong one, {groups:?}");
+    assert!(groups.values().all(|groups| *groups == 1), "{groups:?}");
+}
+
 /// Whether a part's servers are chosen anew after its first asker is done with it.
 struct Again {
     name: &'static str,
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -385,6 +385,7 @@
     let neighbour = |(_, (name, zone)): (usize, &(&str, &str))| Neighbour {
         peer: peer(name),
         zone: (*zone).into(),
+        millicores: 0,
     };
     view.neighbours = others.map(neighbour).collect();
     view
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -13,5 +13,6 @@
 mod queue;
 mod servers;
 mod session;
+mod siblings;
 mod stop;
 mod world;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -129,6 +129,7 @@
         .fleet(&instance.fleet)
         .incarnation(shared.incarnation)
         .zone(&instance.zone)
+        .millicores(shared.options.millicores())
         .seeds(instance.seeds.iter().map(String::as_str))
         .placement(placement)
         .listing(listing)
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -97,6 +97,7 @@
     let strategy = shared.options.strategy;
     let mut settings =
         Settings::builder(&shared.me.name, shared.incarnation).hedging(strategy.hedging);
+    settings = settings.millicores(shared.options.millicores());
     if strategy.near {
         settings = settings.near(&shared.options.instance.zone);
     }
--- a/src/options.rs
+++ b/src/options.rs
@@ -93,6 +93,14 @@
         Ok(Self { source: Some(arguments.settings.clone()), ..Self::new(instance) })
     }
 
+    /// Thousandths of a processor core that the process may use; at least 1.
+    pub fn millicores(&self) -> u32 {
+        match self.instance.cores {
+            0.0 => 1000,
+            cores => (cores * 1000.0).round().max(1.0) as u32,
+        }
+    }
+
     /// Fills in the defaults of checked settings.
     pub fn new(instance: Instance) -> Self {
         let strategy = instance.strategy.unwrap_or_default();
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -10,6 +10,8 @@
 
 /// Allowed bounds of a stop in seconds.
 const GRACE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
+/// Allowed processor cores.
+const CORES: std::ops::RangeInclusive<f64> = 0.001..=1024.0;
 /// Longest window over which operators count extra calls, in seconds.
 const LONGEST_WINDOW_S: u32 = 3600;
 
@@ -106,6 +108,7 @@
     if !instance.ready_address.is_empty() {
         check_address("readyAddress", &instance.ready_address, &mut mistakes);
     }
+    check_cores(instance.cores, &mut mistakes);
     check_allowance(&instance.allowance.unwrap_or_default(), &mut mistakes);
     check_strategy(&instance.strategy.unwrap_or_default(), &mut mistakes);
     check_timing(&instance.timing.unwrap_or_default(), &mut mistakes);
@@ -135,6 +138,17 @@
     }
 }
 
+/// Cores are 0 for the default or within their range.
+fn check_cores(cores: f64, mistakes: &mut Vec<Mistake>) {
+    if cores != 0.0 && !CORES.contains(&cores) {
+        mistakes.push(Mistake {
+            field: "cores".to_owned(),
+            value: cores.to_string(),
+            allowed: format!("{} to {}, or 0 for the default", CORES.start(), CORES.end()),
+        });
+    }
+}
+
 /// The share of extra calls is one.
 fn check_allowance(allowance: &Allowance, mistakes: &mut Vec<Mistake>) {
     if !(0.0..=1.0).contains(&allowance.extra_ratio) {
