--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -218,8 +218,8 @@
 
     /// Tells a peer what this instance holds, so that both learn what the other holds more.
     ///
-    /// An instance that starts asks the platform and peers at the same moment. Had peers heard from it
-    /// before the platform's answer is there, each would have sent it the whole publication.
+    /// An instance that starts asks the platform and peers at the same moment. It tells peers what it
+    /// holds when the platform has answered: before, each would send it the whole publication.
     pub(super) fn ask(&mut self, now: Instant, to: &Contact, out: &mut Vec<Action>) {
         self.probe += 1;
         let digest = match self.peer_answered {
@@ -268,8 +268,7 @@
     /// The same, of this instance's zone as far as there are that many.
     ///
     /// Each zone has readers of its own, so news rarely has to cross, and what crosses is paid for by
-    /// the byte. Told to random peers, each version of the routes went to other zones several times for
-    /// each instance. A zone whose readers hear nothing learns of it by digests.
+    /// the byte. A zone whose readers hear nothing learns of it by digests.
     pub(super) fn near_peers(&mut self, count: usize) -> Vec<Contact> {
         let (far, near): (Vec<_>, Vec<_>) = self.contacts().partition(|contact| contact.far);
         let mut picked = self.random.pick(&near, count);
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -25,8 +25,8 @@
 
 /// Ring successors that an instance probes.
 pub const NEIGHBOURS: usize = 3;
-/// Those of them that may stand in any zone. With one of them a lost zone was found out a member after
-/// the other, as the next one on the ring was often lost with it.
+/// Those of them that may stand in any zone. With a single one a lost zone is found out a member after the
+/// other, as the next one on the ring is often lost with it.
 const ANYWHERE: usize = 2;
 /// How long a dead or leaving member that is not published is remembered, in dead periods, so that
 /// rumours still on their way do not bring it back.
--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -158,8 +158,8 @@
 
 /// Whether three quarters of a server's connections are enough for each of `instances` to hold one.
 ///
-/// Where they are not, a connection that is kept without work is missing to whoever has some: a share of
-/// one at the least is no share of anything. What is reset for it is opened again and again.
+/// Where they are not, connections that are kept without work take those of whoever has some: the servers
+/// reset what is beyond their limit, and it is opened again and again.
 pub fn is_enough(limit: u32, instances: usize) -> bool {
     u64::from(limit) * 3 / 4 >= instances as u64
 }
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -257,8 +257,8 @@
 
     /// The hash of all buckets together alone.
     ///
-    /// Nearly always it is equal to the peer's, and the buckets' hashes were most of what an idle fleet
-    /// sent.
+    /// Nearly always it equals the peer's, and with the buckets' hashes digests would be most of what an
+    /// idle fleet sends.
     pub fn summary(&self) -> wire::Digest {
         wire::Digest { buckets: Vec::new(), whole: self.whole() }
     }
@@ -272,8 +272,8 @@
         self.buckets.iter().fold(0, |whole, bucket| whole ^ bucket)
     }
 
-    /// Buckets in which a peer's digest differs; all for a digest of another size, none that are known
-    /// for a vague one.
+    /// Buckets in which a peer's digest differs; all for a digest of another size. One that tells only
+    /// the hash of all names none.
     pub fn differing(&self, digest: &wire::Digest) -> Vec<u32> {
         if digest.buckets.is_empty() {
             return Vec::new();
