Capacity: bytes of control since digests tell one hash first; played peers name their generation

The example's peers sent frames of generation 0 after rumours of generation 1, so that each of them was answered with what it must hear of itself: 46 frames/s and 6.7 KB/s idle at 100 instances, where 26 and 1.7 are right.

--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -80,6 +80,7 @@
             fleet: "fleet".to_owned(),
             from: instance_name(number),
             incarnation: 1,
+            generation: 1,
             address: instance_address(number),
             zone: self.size.zone(number),
             ..Frame::default()
