Servers that reset are tried again within a second while they are asked for

After a loss of all power servers count the connections of the dead for ten seconds. Since only those try on who are asked, one asker's pause of up to 5 s was everybody's.

Change: the longest pause is a second while the service is asked for, refused or not; 5 s else.

--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -16,6 +16,10 @@
 /// Pauses before a connection is opened again.
 const REOPEN: Duration = Duration::from_millis(50);
 const LONGEST_REOPEN: Duration = Duration::from_secs(5);
+/// Longest pause while the server's service is asked for. Few are, and callers wait for them: after a loss
+/// of all instances servers go on counting the connections of the dead, and whoever is asked for their
+/// parts has paused ever longer when they take new ones again.
+const LONGEST_WANTED: Duration = Duration::from_secs(1);
 /// How long an instance that is not the owner keeps the connections that work made it open.
 const KEEP: Duration = Duration::from_secs(5);
 
@@ -49,8 +53,12 @@
             server.open_failures += 1;
         }
         let exponent = server.open_failures.saturating_sub(1).min(8);
-        let pause = REOPEN.saturating_mul(1 << exponent).min(LONGEST_REOPEN);
         let service = server.service;
+        let longest = match self.services[service].is_wanted(self.now) {
+            true => LONGEST_WANTED,
+            false => LONGEST_REOPEN,
+        };
+        let pause = REOPEN.saturating_mul(1 << exponent).min(longest);
         server.reopen_at = self.now + self.random.jitter(pause);
         let at = server.reopen_at;
         self.pump_at(service, at);
@@ -154,8 +162,8 @@
         let service = &self.services[server.service];
         let waiting = service.queue.len().div_ceil(service.servers.len().max(1));
         let now = server.in_flight as usize + waiting;
-        let wanted = service.wanted.is_some_and(|at| self.now.since(at) < KEEP);
-        let least = service.spare || (wanted && server.open_failures > 0);
+        let tried_on = service.is_wanted(self.now) && server.open_failures > 0;
+        let least = service.spare || tried_on;
         now.max(service.peak.get(self.now)).max(usize::from(least))
     }
 
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -26,6 +26,8 @@
 
 /// How long an instance counts as one that asks for others after it got work of them.
 const ASKED: Duration = Duration::from_secs(5);
+/// How long a service counts as asked for after work arrived.
+const WANTED: Duration = Duration::from_secs(5);
 /// Weight of one answer in what is held of a service's load.
 const BUSY_WEIGHT: f64 = 0.05;
 
@@ -137,6 +139,11 @@
         self.divide();
     }
 
+    /// Whether work arrived of late, refused or not.
+    pub(super) fn is_wanted(&self, now: Instant) -> bool {
+        self.wanted.is_some_and(|at| now.since(at) < WANTED)
+    }
+
     /// Another instance hands work over.
     pub(super) fn asked(&mut self, now: Instant) {
         if self.asked.replace(now).is_none() {
--- a/crates/core/tests/fleet/many.rs
+++ b/crates/core/tests/fleet/many.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::settings::Listing;
 use ladder_core::gather;
 use ladder_core::leaf;
 use ladder_core::schema::call::{Message, Request};
@@ -12,6 +13,7 @@
 use ladder_core::time::Instant;
 use ladder_core::view::View;
 
+use crate::harness::{Fleet, Node};
 use crate::listing::Lone;
 use crate::publish;
 
@@ -226,6 +228,31 @@
     assert_eq!(share(Routed::ToCome), share(Routed::Swept));
 }
 
+/// Work for others goes by what instances say of their processors. Those that have met only by hearsay
+/// must know it too: else some hold the weak ones for strong, and name other askers than the rest.
+#[test]
+fn processors_are_known_everywhere() {
+    let millicores = |at: usize| if at.is_multiple_of(4) { 500 } else { 120 };
+    let mut fleet = Fleet::new();
+    fleet.listing = Listing::Observed;
+    fleet.seeds = vec![publish::address(&name(0))];
+    fleet.publish([publish::record(1, published(Routed::Swept).remove(0))]);
+    for at in 0..24 {
+        fleet.millicores = millicores(at);
+        fleet.start(&name(at), zone(at));
+    }
+    fleet.run(Duration::from_secs(10));
+    let known = |node: &Node| -> BTreeMap<String, u32> {
+        let neighbours = node.machine.view().neighbours.iter();
+        neighbours.map(|other| (other.peer.name.to_string(), other.millicores)).collect()
+    };
+    for (own, node) in &fleet.nodes {
+        let others = (0..24).filter(|at| name(*at) != *own);
+        let expected: BTreeMap<_, _> = others.map(|at| (name(at), millicores(at))).collect();
+        assert_eq!(known(node), expected, "at {own}");
+    }
+}
+
 /// The same day: each part is asked for by the same instance, whoever the sweep comes to, so that
 /// together they hold a few connections to a server. An instance counts itself and all others alike.
 #[test]
--- a/crates/core/tests/leaf/lanes.rs
+++ b/crates/core/tests/leaf/lanes.rs
@@ -1,5 +1,7 @@
 //! Connections: how many, when opened, when closed.
 
+use std::time::Duration;
+
 use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::{Action, Event, Settings};
 use ladder_core::schema::outcome::{Reason, Verdict};
@@ -175,3 +177,39 @@
     }
     assert_eq!(opened, 0, "after ten seconds without work");
 }
+
+/// All instances lose their power at once. Servers go on counting the connections of the dead for ten
+/// seconds and reset the new ones. The one that asks them for all had paused ever longer by then, and its
+/// sweeps failed for five more seconds although the servers took connections again.
+#[test]
+fn servers_that_take_connections_again_are_found_out_in_time() {
+    let few = Service { scarce: true, spare: false, ..service(vec![server(1), server(2)]) };
+    let mut late = Vec::new();
+    for seed in 0..20 {
+        let asker = Settings::builder("porto-1", 7).seed(seed).by_need(true).probing(false).build();
+        let mut bed = Bed::cold(asker, few.clone());
+        let mut asked = 0;
+        let mut ask = |bed: &mut Bed| {
+            asked += 1;
+            bed.log.clear();
+            bed.work(work(asked, "sweep"));
+        };
+        for _ in 0..200 {
+            ask(&mut bed);
+            bed.close_all();
+            bed.advance(50);
+            bed.close_all();
+        }
+        let back = bed.now;
+        while bed.sent().is_empty() {
+            ask(&mut bed);
+            bed.advance(50);
+            bed.connect();
+        }
+        let after = bed.now.since(back);
+        if after > Duration::from_millis(1500) {
+            late.push((seed, after));
+        }
+    }
+    assert!(late.is_empty(), "seed, served after: {late:?}");
+}
