Log lines name what is asked, and the requests at servers that end

Two requests of the same content looked like any others, and a call that broke off did not say whether its server had ended: of the three hypotheses on the servers that ended under a request none could be excluded by our lines.

Each request has a fingerprint, a digest of method, host, path, body and the fields by which servers know a caller (for the product's own queries index, operation, shards and payload); the line of its arrival and /explain show it and it travels with the work. A line says that a server ended and which unanswered requests were there. A broken connection alone is no end: answers are lost, connections beyond a limit are closed, links are cut.

Nothing is decided by it yet.

--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -191,6 +191,7 @@
                     | Action::Log(_)
                     | Action::Pending { .. }
                     | Action::Server { .. }
+                    | Action::Crashed { .. }
                     | Action::Count(_) => {}
                 }
             }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -268,7 +268,11 @@
             }
             Action::Probe { lane, .. } => self.at(2 * HOP_US, Step::Ready(lane)),
             Action::Reply { reply, .. } => self.reply(&reply),
-            Action::Log(_) | Action::Pending { .. } | Action::Server { .. } | Action::Count(_) => {}
+            Action::Log(_)
+            | Action::Pending { .. }
+            | Action::Server { .. }
+            | Action::Crashed { .. }
+            | Action::Count(_) => {}
         }
     }
 
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -6,6 +6,7 @@
 
 use ladder_schema::outcome::{Reason, Verdict};
 
+use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 
 /// Steps kept of one query; a wide sweep has more and keeps its first ones and its answer.
@@ -18,6 +19,8 @@
     Arrived {
         /// Its attempt number.
         attempt: u32,
+        /// What is asked and by whom.
+        fingerprint: Fingerprint,
     },
     /// The route of a forwarded message was found.
     Routed {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -15,11 +15,12 @@
 use super::near::Near;
 use super::peers::Peers;
 use super::plan::{Plan, Planner};
-use super::query::{Query, QueryKey};
+use super::query::{Name, Query, QueryKey};
 use super::timers::{Timer, Timers};
 use super::{answer, settings::Settings};
 use crate::collections::Map;
 use crate::count::{self, Count};
+use crate::fingerprint::Fingerprint;
 use crate::sample;
 use crate::time::Instant;
 use crate::view::View;
@@ -136,9 +137,13 @@
         let number = self.number();
         let account = self.history.begin(&request.key, number);
         let attempt = request.attempt.max(1);
-        self.history.add(account, now, Step::Arrived { attempt });
+        let fingerprint = Fingerprint::of(&request);
+        self.history.add(account, now, Step::Arrived { attempt, fingerprint });
         match self.admit(&request) {
-            Ok(plan) => self.start(now, caller, request, (number, account), plan, out),
+            Ok(plan) => {
+                let name = Name { number, account, fingerprint };
+                self.start(now, caller, request, name, plan, out);
+            }
             Err((refusal, verdict)) => {
                 count(out, count::Event::Refusal, refusal.reason);
                 let detail = refusal.detail.as_str().into();
@@ -184,7 +189,7 @@
         now: Instant,
         caller: Caller,
         request: call::Request,
-        (number, account): (u64, u64),
+        name: Name,
         plan: Plan,
         out: &mut Vec<Action>,
     ) {
@@ -197,12 +202,12 @@
                 deadline: plan.terms.deadline,
                 target: Duration::from_millis(route.spec.target_ms.into()),
             };
-            self.history.add(account, now, step);
+            self.history.add(name.account, now, step);
         }
-        let query = Query::new(now, caller, request, (number, account), plan);
+        let query = Query::new(now, caller, request, name, plan);
         let timer = query.timer;
         let key = self.queries.insert(query);
-        self.numbers.insert(number, key);
+        self.numbers.insert(name.number, key);
         self.callers.insert(caller, key);
         self.timers.add(timer, Timer::Query(key));
         self.send_all(now, key, None, out);
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -12,6 +12,7 @@
 use super::peers::PeerKey;
 use super::plan::{Plan, Share, Terms};
 use crate::eligible::Mark;
+use crate::fingerprint::Fingerprint;
 use crate::route::Route;
 use crate::time::{Instant, micros};
 
@@ -143,6 +144,17 @@
     }
 }
 
+/// How a query is named.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Name {
+    /// In messages to owners.
+    pub(crate) number: u64,
+    /// In the history.
+    pub(crate) account: u64,
+    /// By what is asked and by whom.
+    pub(crate) fingerprint: Fingerprint,
+}
+
 /// An open query.
 #[derive(Debug)]
 pub(crate) struct Query {
@@ -154,6 +166,8 @@
     pub(crate) number: u64,
     /// Number of its account.
     pub(crate) account: u64,
+    /// What is asked and by whom.
+    pub(crate) fingerprint: Fingerprint,
     /// The pinned version. Every part is drawn from it.
     pub(crate) index: Arc<Index>,
     /// The terms.
@@ -227,12 +241,12 @@
 }
 
 impl Query {
-    /// A query that has sent nothing yet; `number` and `account` name it in messages and history.
+    /// A query that has sent nothing yet.
     pub(crate) fn new(
         now: Instant,
         caller: Caller,
         request: call::Request,
-        (number, account): (u64, u64),
+        name: Name,
         plan: Plan,
     ) -> Self {
         let terms = plan.terms;
@@ -245,8 +259,9 @@
         let mut query = Self {
             caller,
             request,
-            number,
-            account,
+            number: name.number,
+            account: name.account,
+            fingerprint: name.fingerprint,
             index: Arc::clone(&plan.index),
             terms,
             route: plan.route.clone(),
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -274,6 +274,7 @@
         extra_calls: query.extra_calls,
         forward: forward(now, query),
         collect,
+        fingerprint: query.fingerprint.bytes().into(),
     }
 }
 
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod budget;
 mod collect;
+mod crash;
 mod dispatch;
 mod ending;
 mod estimate;
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -386,7 +386,7 @@
         let id = format!("{}.{}.{}", self.settings.name, self.settings.incarnation, self.sequence);
         let portion = &mut self.portions[key];
         let timeout = portion.deadline.since(self.now);
-        let attempt = self.attempts.insert(Attempt {
+        let call = Attempt {
             portion: Some(key),
             service: portion.service,
             kind: portion.kind,
@@ -399,7 +399,9 @@
             timeout,
             record: portion.unrepeatable.then(|| portion.record()),
             given_up: false,
-        });
+        };
+        self.call_began(&call);
+        let attempt = self.attempts.insert(call);
         let trial = self.trial(key, to, attempt);
         let portion = &mut self.portions[key];
         portion.trials.push(trial);
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -59,6 +59,7 @@
         let (outcome, mismatched) = Self::checked(&attempt, outcome, out);
         let (outcome, answered) = judged(&attempt, outcome);
         let suspect = self.servers[attempt.server].health.suspect();
+        self.call_ended(&attempt, &outcome, answered, out);
         self.release(&attempt, answered || is_whole(&outcome), mismatched, out);
         self.learn(&attempt, &outcome, out);
         self.note_suspicion(attempt.server, suspect, out);
@@ -87,6 +88,7 @@
         };
         self.services[attempt.service].in_flight -= 1;
         self.servers[attempt.server].in_flight -= 1;
+        self.call_ended(&attempt, &Outcome::Lost, false, out);
         self.close_call(key, &attempt, Outcome::Lost, out);
     }
 
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -8,6 +8,7 @@
 
 use super::trace::Trace;
 use crate::count::Count;
+use crate::fingerprint::Fingerprint;
 use crate::view::{Peer, View};
 
 new_key_type! {
@@ -57,6 +58,8 @@
     /// A lane failed or was closed by the target while idle, or could not be opened; while it
     /// carries a call: the target will close it after the call's end.
     Closed(LaneKey),
+    /// A lane could not be opened, as nothing listens at the server's address.
+    Refused(LaneKey),
     /// A call ended. After anything but an answer or a refusal the shell has closed the lane, and
     /// no further event names it.
     Ended {
@@ -148,6 +151,15 @@
         /// Its failure rate as this instance saw it.
         failure_rate: f64,
     },
+    /// A server ended while requests were there that no server has answered.
+    Crashed {
+        /// Its name.
+        server: Arc<str>,
+        /// The incarnation that ended.
+        incarnation: u64,
+        /// The requests, each once.
+        requests: Vec<Fingerprint>,
+    },
     /// Step a counter.
     Count(Count),
 }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -19,6 +19,7 @@
 use crate::control::hash;
 use crate::count;
 use crate::eligible::Mark;
+use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 use crate::view::Peer;
 
@@ -39,7 +40,9 @@
     ) {
         let portions = std::mem::take(&mut work.portions);
         let key = work.key.as_str().into();
-        let mut job = Job { from, incarnation, key, work, collection: None, siblings: None };
+        let fingerprint = Fingerprint::read(&work.fingerprint);
+        let (collection, siblings) = (None, None);
+        let mut job = Job { from, incarnation, key, fingerprint, work, collection, siblings };
         job.collection = self.begin_collection(&job, portions.len());
         job.siblings = self.begin_siblings(&job, portions.len());
         let job = Arc::new(job);
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -7,6 +7,7 @@
 
 use super::attempt::Attempt;
 use super::collect::{Collection, CollectionKey};
+use super::crash::Crashes;
 use super::event::{Action, AttemptKey, Event, LaneKey};
 use super::kinds::Kinds;
 use super::lane::Lane;
@@ -88,6 +89,7 @@
     pub(super) kinds: Kinds,
     pub(super) collections: SlotMap<CollectionKey, Collection>,
     pub(super) siblings: SlotMap<SiblingsKey, Siblings>,
+    pub(super) crashes: Crashes,
     pub(super) timers: Timers,
     pub(super) random: Random,
     /// Number of the last target request.
@@ -120,6 +122,7 @@
             kinds: Kinds::default(),
             collections: SlotMap::default(),
             siblings: SlotMap::default(),
+            crashes: Crashes::default(),
             timers: Timers::default(),
             random: Random::new(settings.seed),
             sequence: 0,
@@ -159,6 +162,7 @@
             Event::Cancel { from, cancel } => self.cancel(from, &cancel, out),
             Event::Opened(lane) => self.opened(lane, out),
             Event::Closed(lane) => self.closed(lane, out),
+            Event::Refused(lane) => self.refused(lane, out),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, out),
             Event::Load { server, load } => self.load(&server, load, out),
             Event::View(view) => self.refresh(&view, out),
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -17,6 +17,7 @@
 use super::siblings::SiblingsKey;
 use super::trace::Trial;
 use crate::eligible::Mark;
+use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 use crate::view::Peer;
 
@@ -34,6 +35,8 @@
     pub(super) incarnation: u64,
     /// The caller's request key.
     pub(super) key: Arc<str>,
+    /// What is asked and by whom; `None` when the entry does not tell.
+    pub(super) fingerprint: Option<Fingerprint>,
     /// The work without its portions.
     pub(super) work: wire::Work,
     /// What its replies are collected in.
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -81,10 +81,11 @@
             server.service == id && server.address == listed.address
         });
         if let Some(key) = same {
-            let restarted = self.servers[key].incarnation < listed.incarnation;
+            let before = self.servers[key].incarnation;
             self.servers[key].list(listed);
-            if restarted {
+            if before < listed.incarnation {
                 self.cut_off(key, out);
+                self.server_ended(key, before, out);
             }
             return;
         }
@@ -180,9 +181,13 @@
             return;
         };
         let server = &mut self.servers[key];
+        let before = server.incarnation;
         server.report(self.now, load);
         let id = server.service;
-        if server.leaving() {
+        if before < server.incarnation {
+            self.server_ended(key, before, out);
+        }
+        if self.servers[key].leaving() {
             self.maintain_server(key, out);
             self.recheck(id, out);
         }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -163,6 +163,7 @@
         };
         self.services[attempt.service].in_flight -= 1;
         self.servers[attempt.server].in_flight -= 1;
+        self.call_abandoned(&attempt, out);
         self.remove_lane(attempt.lane);
         out.push(Action::Close(attempt.lane));
         self.maintain_server(attempt.server, out);
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -8,6 +8,7 @@
 use ladder_schema::target;
 use slotmap::new_key_type;
 
+use super::crash::Loss;
 use super::event::{AttemptKey, LaneKey};
 use super::health::Health;
 use super::service::ServiceId;
@@ -64,6 +65,8 @@
     pub(super) probe_lane: Option<LaneKey>,
     /// Calls to cancel as soon as a lane is idle.
     pub(super) cancels: VecDeque<AttemptKey>,
+    /// Calls that broke off lately, each request once, oldest first.
+    pub(super) losses: Vec<Loss>,
 }
 
 impl Server {
@@ -90,6 +93,7 @@
             probe_at: Instant::default(),
             probe_lane: None,
             cancels: VecDeque::new(),
+            losses: Vec::new(),
         };
         server.list(listed);
         server
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 pub mod count;
 pub mod eligible;
+pub mod fingerprint;
 pub mod gather;
 pub mod leaf;
 mod records;
--- /dev/null
+++ b/crates/core/tests/leaf/crash.rs
@@ -0,0 +1,177 @@
+//! Servers that end while requests are there.
+//!
+//! The pattern: a request ends each server that begins to run it. A sweep of it is at a server of every
+//! shard at once, beside requests that have nothing to do with it.
+
+use std::sync::Arc;
+
+use ladder_core::fingerprint::Fingerprint;
+use ladder_core::leaf::event::Outcome;
+use ladder_core::leaf::{Action, Event, Settings};
+use ladder_core::schema::call::{Message, Request};
+use ladder_core::schema::catalogue::Limits;
+use ladder_core::schema::wire;
+use ladder_core::view::{Service, View};
+
+use crate::bed::{Bed, Sent, limited, server, work};
+
+/// Services of a sweep.
+const PARTS: usize = 5;
+
+fn name(part: usize) -> String {
+    format!("docks-{part}")
+}
+
+/// A machine that asks two servers for each part, with these incarnations.
+fn view(incarnation: u64) -> Event {
+    let mut view = View { generation: incarnation, ready: true, ..View::default() };
+    for part in 0..PARTS {
+        let replica = |number: u8| {
+            let mut replica = server(number);
+            replica.name = format!("{}-{number}", name(part)).into();
+            replica.address = Arc::clone(&replica.name);
+            replica.incarnation = incarnation;
+            replica
+        };
+        let limits = Limits { queue: 100, extra_percent: 20, ..Limits::default() };
+        let servers = vec![replica(1), replica(2)];
+        view.insert(Service { name: name(part).as_str().into(), ..limited(limits, servers) });
+    }
+    Event::View(Arc::new(view))
+}
+
+fn bed() -> Bed {
+    let settings = Settings::builder("porto-1", 7).seed(1).build();
+    let mut bed = Bed::cold(settings, limited(Limits::default(), Vec::new()));
+    bed.handle(view(1));
+    bed.connect();
+    bed.log.clear();
+    bed
+}
+
+fn fingerprint(asked: &str) -> Fingerprint {
+    let message = Message { target: asked.to_owned(), ..Message::default() };
+    Fingerprint::of(&Request { message: Some(Box::new(message)), ..Request::default() })
+}
+
+/// Hands over a sweep; gives its calls.
+fn sweep(bed: &mut Bed, query: u64, asked: &str) -> Vec<Sent> {
+    let forward = wire::Forward {
+        message: Some(Message { target: asked.to_owned(), ..Message::default() }),
+        attempts: 2,
+        part: true,
+        target_ms: 100,
+        ..wire::Forward::default()
+    };
+    let portion = |part| wire::Portion {
+        service: name(part),
+        shards: vec![name(part)],
+        ..wire::Portion::default()
+    };
+    let before = bed.sent().len();
+    bed.work(wire::Work {
+        forward: Some(Box::new(forward)),
+        portions: (0..PARTS).map(portion).collect(),
+        fingerprint: fingerprint(asked).bytes().into(),
+        ..work(query, "sweep")
+    });
+    bed.sent().split_off(before)
+}
+
+fn lose(bed: &mut Bed, sent: &Sent) {
+    bed.end(sent.attempt, Outcome::Lost);
+}
+
+/// Fails all connections that are being opened at a server.
+fn refuse(bed: &mut Bed, address: &str) {
+    let opening = |action: &Action| match action {
+        Action::Open { lane, address: to, .. } if **to == *address => Some(*lane),
+        _ => None,
+    };
+    let lanes: Vec<_> = bed.log.iter().filter_map(opening).collect();
+    for lane in lanes {
+        bed.handle(Event::Refused(lane));
+    }
+}
+
+/// What was told of ends: the requests that were at each server.
+fn told(bed: &Bed) -> Vec<Vec<Fingerprint>> {
+    let requests = |action: &Action| match action {
+        Action::Crashed { requests, .. } => Some(requests.clone()),
+        _ => None,
+    };
+    bed.log.iter().filter_map(requests).collect()
+}
+
+/// A call broke off; what shows then whether its server has ended.
+struct Case {
+    name: &'static str,
+    then: fn(&mut Bed, &Sent),
+    /// Whether it counts as an end.
+    ended: bool,
+}
+
+/// A connection breaks for many reasons: the answer was lost, the server closes what is beyond its limit,
+/// the link is cut. Taken for the end of a server, each would make the request look as if it had caused it.
+#[test]
+fn broken_connection_alone_is_no_end_of_a_server() {
+    let cases = [
+        Case { name: "nothing", then: |_, _| {}, ended: false },
+        Case { name: "listens", then: |bed, _| bed.connect(), ended: false },
+        Case {
+            name: "closes all",
+            then: |bed, _| {
+                bed.close_all();
+            },
+            ended: false,
+        },
+        Case { name: "refuses", then: |bed, sent| refuse(bed, &sent.address), ended: true },
+        Case { name: "started again", then: |bed, _| bed.handle(view(2)), ended: true },
+        Case {
+            name: "refuses much later",
+            then: |bed, sent| {
+                bed.advance(6000);
+                refuse(bed, &sent.address);
+            },
+            ended: false,
+        },
+    ];
+    for Case { name, then, ended } in cases {
+        let mut bed = bed();
+        let calls = sweep(&mut bed, 1, "/docks/1");
+        bed.log.clear();
+        calls.iter().for_each(|sent| lose(&mut bed, sent));
+        then(&mut bed, &calls[0]);
+        bed.each_sent(lose);
+        let told = told(&bed).contains(&vec![fingerprint("/docks/1")]);
+        assert_eq!(told, ended, "{name}");
+    }
+}
+
+/// Two sweeps are at a server that ends. One of them is answered elsewhere a moment later and has nothing to
+/// do with it.
+#[test]
+fn answered_request_is_not_told_among_those_at_a_server_that_ended() {
+    let mut bed = bed();
+    let guilty = sweep(&mut bed, 1, "/docks/1");
+    let other = sweep(&mut bed, 2, "/docks/2");
+    lose(&mut bed, &guilty[0]);
+    let same = other.iter().find(|sent| sent.address == guilty[0].address);
+    let also = same.unwrap_or(&other[0]).clone();
+    lose(&mut bed, &also);
+    for address in [&guilty[0].address, &also.address] {
+        refuse(&mut bed, address);
+    }
+    assert!(told(&bed).is_empty(), "siblings are open");
+    let rest = other.iter().filter(|sent| sent.attempt != also.attempt);
+    bed.answer_all(rest.cloned());
+    guilty[1..].iter().for_each(|sent| lose(&mut bed, sent));
+    bed.each_sent(|bed, sent| {
+        if !guilty.iter().chain(&other).any(|first| first.attempt == sent.attempt) {
+            lose(bed, sent);
+        }
+    });
+    let told = told(&bed);
+    assert!(!told.is_empty());
+    assert!(told.iter().all(|requests| *requests == [fingerprint("/docks/1")]), "{told:?}");
+}
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod bed;
 mod collect;
+mod crash;
 mod dispatch;
 mod forward;
 mod hedge;
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -112,6 +112,7 @@
                 Action::Cancel { lane, .. } | Action::Probe { lane, .. } => self.take(*lane),
                 Action::Reply { reply, .. } => self.check_reply(reply),
                 Action::Log(_)
+                | Action::Crashed { .. }
                 | Action::Pending { .. }
                 | Action::Server { .. }
                 | Action::Count(_) => {}
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -91,6 +91,9 @@
                 Action::Server { name, suspect, failure_rate } => {
                     log::server(&self.shared.log, &name, suspect, failure_rate);
                 }
+                Action::Crashed { server, incarnation, requests } => {
+                    self.shared.lines.crashed(&server, incarnation, &requests);
+                }
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
--- a/src/entry/native/lanes.rs
+++ b/src/entry/native/lanes.rs
@@ -1,6 +1,7 @@
 //! Connections to servers. Each lane is one HTTP client that holds one connection at most.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,8 +70,14 @@
         self.lanes.borrow_mut().insert(key, lane.clone());
         let lanes = self.clone();
         actix_rt::spawn(async move {
-            let loaded = load(&lane).await;
-            lanes.settle(key, loaded.is_some());
+            match ask_load(&lane).await {
+                Ok(report) => lanes.settle(key, report.is_some()),
+                Err(error) if is_refused(&error) => {
+                    lanes.close(key);
+                    lanes.reports.leaf.tell(Event::Refused(key));
+                }
+                Err(_) => lanes.settle(key, false),
+            }
         });
     }
 
@@ -215,8 +222,21 @@
 
 /// Asks for a load report.
 async fn load(lane: &Lane) -> Option<target::Load> {
+    ask_load(lane).await.ok()?
+}
+
+/// The same; an error when nothing answers, nothing when the answer is no report.
+async fn ask_load(lane: &Lane) -> Result<Option<target::Load>, SendRequestError> {
     let url = format!("http://{}/load", lane.address);
-    let mut response = lane.client.get(url).timeout(SHORT).send().await.ok()?;
+    let mut response = lane.client.get(url).timeout(SHORT).send().await?;
     let report: Result<target::Load, JsonPayloadError> = response.json().await;
-    report.ok()
+    Ok(report.ok())
+}
+
+/// Whether nothing listens at the server's address.
+fn is_refused(error: &SendRequestError) -> bool {
+    let SendRequestError::Connect(ConnectError::Io(error)) = error else {
+        return false;
+    };
+    error.kind() == ErrorKind::ConnectionRefused
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -121,7 +121,9 @@
     use gather::Step;
     let mut shown = status::Step::default();
     shown.what = match step {
-        Step::Arrived { attempt } => format!("arrived, attempt {attempt}"),
+        Step::Arrived { attempt, fingerprint } => {
+            format!("arrived, attempt {attempt}, fingerprint {fingerprint}")
+        }
         Step::Routed { route, deadline, target } => {
             format!("route {route}, deadline {deadline:?}, target {target:?}")
         }
--- a/src/log/lines.rs
+++ b/src/log/lines.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::{Explanation, Step};
 use ladder_core::leaf::{Trace, Trial};
 use ladder_core::time::Instant;
@@ -58,8 +59,9 @@
     fn step(&self, id: &str, after: Duration, step: &Step) {
         let at = micros(after);
         match step {
-            Step::Arrived { attempt } => {
-                info!(self.log, "request"; "id" => id, "at_us" => at, "attempt" => attempt);
+            Step::Arrived { attempt, fingerprint } => {
+                info!(self.log, "request"; "id" => id, "at_us" => at, "attempt" => attempt,
+                    "fingerprint" => %fingerprint);
             }
             Step::Routed { route, deadline, target } => {
                 info!(self.log, "routed"; "id" => id, "at_us" => at, "route" => &**route,
@@ -109,6 +111,15 @@
             "retry_after_us" => micros(trace.retry_after), "calls" => trace.trials.len());
     }
 
+    /// Writes that a server ended while requests were there.
+    pub fn crashed(&self, server: &str, incarnation: u64, requests: &[Fingerprint]) {
+        if self.pay(1) {
+            let requests: Vec<String> = requests.iter().map(Fingerprint::to_string).collect();
+            warn!(self.log, "server ended"; "server" => server, "incarnation" => incarnation,
+                "requests" => requests.join(" "));
+        }
+    }
+
     fn trial(&self, trace: &Trace, trial: &Trial) {
         let end = trial.end;
         info!(self.log, "call"; "id" => &*trace.id, "service" => &*trace.service,
