Tests that fail: requests under which servers end are sent on, and sent again by every instance

The tests beside them pass and stay: parts of a harmless request are sent on. The stand-in target ends at a marked request, and starts again as another incarnation.

--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -175,3 +175,50 @@
     assert!(!told.is_empty());
     assert!(told.iter().all(|requests| *requests == [fingerprint("/docks/1")]), "{told:?}");
 }
+
+/// All calls of a sweep break off at once. Its parts went to the next server of each shard before anything
+/// was known, and ended the rest of the servers.
+#[test]
+fn parts_are_not_sent_on_while_all_their_servers_seem_to_end() {
+    let mut bed = bed();
+    let calls = sweep(&mut bed, 1, "/docks/1");
+    calls.iter().for_each(|sent| lose(&mut bed, sent));
+    assert_eq!(bed.sent().len(), PARTS, "sent on before anything is known");
+    calls.iter().for_each(|sent| refuse(&mut bed, &sent.address));
+    bed.advance(1000);
+    assert_eq!(bed.sent().len(), PARTS, "sent on although the servers ended");
+}
+
+/// What becomes of the other calls of a sweep of which some broke off at the same moment.
+struct Harmless {
+    name: &'static str,
+    lost: usize,
+    /// What shows that the request is not what ended the servers, or that they have not ended.
+    then: fn(&mut Bed, &[Sent]),
+}
+
+/// A rack of servers goes dark, links are cut or answers are lost under a sweep that harms nobody. Its parts are
+/// sent on as soon as that shows, and all are answered.
+#[test]
+fn parts_of_a_harmless_request_are_sent_on() {
+    let cases = [
+        Harmless { name: "two ended", lost: 2, then: |bed, lost| refuse_all(bed, lost) },
+        Harmless { name: "a sibling is answered", lost: 3, then: |_, _| {} },
+        Harmless { name: "and they ended", lost: 4, then: |bed, lost| refuse_all(bed, lost) },
+        Harmless { name: "they take connections", lost: PARTS, then: |bed, _| bed.connect() },
+    ];
+    for Harmless { name, lost, then } in cases {
+        let mut bed = bed();
+        let calls = sweep(&mut bed, 1, "/docks/1");
+        let (broken, whole) = calls.split_at(lost);
+        broken.iter().for_each(|sent| lose(&mut bed, sent));
+        bed.answer_all(whole.iter().cloned());
+        then(&mut bed, broken);
+        bed.advance(20);
+        assert_eq!(bed.sent().len(), PARTS + lost, "{name}");
+    }
+}
+
+fn refuse_all(bed: &mut Bed, calls: &[Sent]) {
+    calls.iter().for_each(|sent| refuse(bed, &sent.address));
+}
--- a/crates/load/src/fault.rs
+++ b/crates/load/src/fault.rs
@@ -95,7 +95,7 @@
         lying: kind == Kind::Lying,
         slowdown: if matches!(kind, Kind::Lying | Kind::Slowdown) { SLOWDOWN } else { 0 },
         silent: kind == Kind::Silent,
-        holdings: Vec::new(),
+        ..standin::Fault::default()
     }
 }
 
--- a/crates/standin/src/target/api.rs
+++ b/crates/standin/src/target/api.rs
@@ -71,7 +71,7 @@
     })
 }
 
-async fn query(server: &Server, request: &mut Request) -> Reply {
+async fn query(server: &Arc<Server>, request: &mut Request) -> Reply {
     let query = match http::decode(request).await {
         Ok(query) => query,
         Err(refusal) => return refusal,
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -134,6 +134,24 @@
         state.fault = fault;
     }
 
+    /// How long the server is gone when it begins to run such a request; `None`: it runs it.
+    pub(super) fn ends_at(&self, request: &Request) -> Option<Duration> {
+        let fault = &self.state().fault;
+        let ends = !fault.ends_at.is_empty() && fault.ends_at == request.payload;
+        ends.then(|| Duration::from_millis(fault.down_ms.into()))
+    }
+
+    /// Ends, and starts again later with the same faults.
+    pub(super) fn end_for(self: &Arc<Self>, down: Duration) {
+        let fault = self.state().fault.clone();
+        self.set_fault(Fault { dead: true, ..fault.clone() });
+        let server = Arc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(down).await;
+            server.set_fault(Fault { dead: false, ..fault });
+        });
+    }
+
     /// Why the server takes no such request in its present state.
     pub(super) fn refusal(&self, request: &Request) -> Option<Reason> {
         let state = self.state();
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -26,7 +26,7 @@
 
 /// Answers a request. Dropping the future, as when the client closes the connection, gives slot
 /// and queue place back.
-pub(super) async fn serve(server: &Server, request: Request) -> Outcome {
+pub(super) async fn serve(server: &Arc<Server>, request: Request) -> Outcome {
     if request.id.is_empty() {
         return Outcome::Malformed("id: is empty");
     }
@@ -159,12 +159,17 @@
 }
 
 async fn run(
-    server: &Server,
+    server: &Arc<Server>,
     request: Request,
     open: &Open<'_>,
     slot: SemaphorePermit<'_>,
 ) -> Outcome {
     let (work, time) = Work::new(server, &request, slot);
+    if let Some(down) = server.ends_at(&request) {
+        server.end_for(down);
+        // Its connections end with it, before anything is answered.
+        return std::future::pending().await;
+    }
     tokio::select! {
         biased;
         () = open.cancelled.notified() => return Outcome::Failure("cancelled in service"),
--- /dev/null
+++ b/tests/integration/crash.rs
@@ -0,0 +1,61 @@
+//! Requests under which servers end.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use ladder_schema::call::Request;
+use ladder_schema::standin::Fault;
+use ladder_standin::layout::user::User;
+
+use crate::fleet::call::{BAGMATI, ask};
+use crate::fleet::{Fleet, layout, until};
+
+/// What ends the servers.
+const PAYLOAD: &str = "ward 7, every season since the first";
+/// How long a server that ended is gone.
+const DOWN_MS: u32 = 300;
+/// Longer than instances take to ask a server that is back for its load.
+const ASKED: Duration = Duration::from_millis(1500);
+/// Times that the request comes.
+const TIMES: usize = 6;
+
+fn deadly(number: usize) -> Request {
+    Request { payload: PAYLOAD.to_owned(), ..BAGMATI.sweep(&format!("deadly-{number}")) }
+}
+
+/// Waits until all servers serve again, as each instance sees it.
+fn until_served(fleet: &Fleet, number: usize) {
+    for (at, door) in fleet.doors().iter().enumerate() {
+        until("a plain check is answered whole", || {
+            let check = ask(door, BAGMATI.sweep(&format!("plain-{number}-{at}")));
+            check.answer().missing.is_empty()
+        });
+    }
+    sleep(ASKED);
+}
+
+/// A clerk's check ends every server that begins to run it. The clerk asks again, and again, through one
+/// instance after the other, and each time the servers of all wards are gone for everyone.
+#[test]
+fn request_that_ends_servers_is_stopped_at_every_instance() {
+    let fleet = Fleet::start(layout(User::Bagmati, 3));
+    let ends = Fault { ends_at: PAYLOAD.to_owned(), down_ms: DOWN_MS, ..Fault::default() };
+    for shard in fleet.shards(BAGMATI.index) {
+        fleet.servers_of(&shard).for_each(|server| fleet.fault(&server.name, &ends));
+    }
+    let doors = fleet.doors();
+    let last = (0..TIMES).find(|&number| {
+        ask(&doors[number % doors.len()], deadly(number));
+        let reached = fleet.executed().of_key(&format!("deadly-{number}"));
+        until_served(&fleet, number);
+        reached == 0
+    });
+    let first_stopped = last.expect("the request still reaches servers");
+    for (at, door) in doors.iter().enumerate() {
+        let number = TIMES + at;
+        let refused = ask(door, deadly(number));
+        assert_eq!(refused.status(), 503, "{refused:?}");
+        assert_eq!(fleet.executed().of_key(&format!("deadly-{number}")), 0);
+    }
+    assert!(first_stopped <= doors.len(), "stopped at its repetition {first_stopped}");
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the processes and of what joins them.
 
 mod catalogue;
+mod crash;
 mod decoders;
 mod fleet;
 mod lanes;
