--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -46,6 +46,7 @@
     }
 
     fn pump(&mut self, id: ServiceId, out: &mut Vec<Action>) {
+        self.refuse_waiting(out);
         self.hedge_overdue(id, out);
         while self.dispatch_one(id, out) {}
         if !self.services[id].queue.is_empty() {
@@ -59,7 +60,8 @@
         if service.queue.is_empty() || !self.has_room(id) {
             return false;
         }
-        let head: Vec<PortionKey> = service.queue.order().take(SCAN).collect();
+        let order = service.queue.order().filter(|key| !self.waits_for_news(*key));
+        let head: Vec<PortionKey> = order.take(SCAN).collect();
         for key in head {
             if self.too_late(key) {
                 let refused = Refused::with(self.standing(key), Reason::WouldMissDeadline);
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -93,6 +93,9 @@
             if !self.services[id].budget.affords_copy() || !self.has_room(id) {
                 return;
             }
+            if self.stalls(key) {
+                continue;
+            }
             if !self.worth_copying(key) {
                 self.services[id].overdue.remove(&(sent, key));
                 continue;
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -29,12 +29,16 @@
         let Some(lane) = self.lanes.get_mut(key) else {
             return;
         };
-        if lane.state == State::Opening {
-            self.servers[lane.server].open_failures = 0;
-        } else if lane.state != State::Control {
+        let opening = lane.state == State::Opening;
+        if !opening && lane.state != State::Control {
             return;
         }
         lane.state = State::Idle;
+        let server = lane.server;
+        if opening {
+            self.servers[server].open_failures = 0;
+            self.server_listens(server);
+        }
         self.idle(key, out);
     }
 
