--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -192,6 +192,8 @@
                     | Action::Pending { .. }
                     | Action::Server { .. }
                     | Action::Crashed { .. }
+                    | Action::Refuted { .. }
+                    | Action::Cleared(_)
                     | Action::Count(_) => {}
                 }
             }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -272,6 +272,8 @@
             | Action::Pending { .. }
             | Action::Server { .. }
             | Action::Crashed { .. }
+            | Action::Refuted { .. }
+            | Action::Cleared(_)
             | Action::Count(_) => {}
         }
     }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -5,7 +5,8 @@
 //! - [`store`]: the newest good record of each published key;
 //! - [`membership`]: who is alive;
 //! - [`placement`]: which instances may work on a service, and with how many connections;
-//! - [`reader`]: which instances watch the platform.
+//! - [`reader`]: which instances watch the platform;
+//! - [`quarantine`]: requests that end the servers that run them.
 
 pub mod belief;
 pub mod event;
@@ -14,6 +15,7 @@
 pub mod membership;
 pub mod placement;
 mod project;
+pub mod quarantine;
 pub mod reader;
 pub mod settings;
 mod spread;
--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::membership::Standing;
+use super::quarantine::{self, Life};
 use super::reader::Failure;
+use crate::fingerprint::Fingerprint;
 
 /// A change of what this instance believes, with what it rests on.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +57,17 @@
         /// From now on.
         now: u64,
     },
+    /// A request under which servers ended is refused from now on, or not any more.
+    Ruled {
+        /// The request.
+        request: Fingerprint,
+        /// What is held of it.
+        standing: quarantine::Standing,
+        /// Servers that it ended.
+        lives: Vec<Life>,
+        /// Name of the peer that said so; empty for this instance.
+        from: Arc<str>,
+    },
     /// Work may be given to an instance, or not any more.
     Member {
         /// Its name.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,8 +6,10 @@
 use ladder_schema::{publication, wire};
 
 use super::belief::Belief;
+use super::quarantine::Life;
 use super::reader::Read;
 use crate::count::Count;
+use crate::fingerprint::Fingerprint;
 use crate::view::View;
 
 /// What the machine is told.
@@ -30,6 +32,19 @@
         /// Its incarnation.
         incarnation: u64,
     },
+    /// A server ended while requests were there that no server has answered.
+    Crashed {
+        /// The life that ended.
+        life: Life,
+        /// The requests.
+        requests: Vec<Fingerprint>,
+    },
+    /// A server has answered after it was said that this life of it had ended.
+    Refuted(Life),
+    /// A request under which servers ended was answered, or an operator releases it.
+    Cleared(Fingerprint),
+    /// A request that is refused came again.
+    Asked(Fingerprint),
     /// Other peer addresses to ask at start and when no peer is known.
     Seeds(Vec<Arc<str>>),
     /// The process was suspended for about this long.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -13,6 +13,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
+use super::quarantine::{Quarantine, Ruling, Turn};
 use super::reader::{self, Place, Reader};
 use super::settings::{Listing, Settings};
 use super::spread::News;
@@ -21,6 +22,7 @@
 use super::{Action, Event};
 use crate::collections::Set;
 use crate::count::{self, Count};
+use crate::fingerprint::Fingerprint;
 use crate::time::{Instant, micros};
 use crate::view::View;
 
@@ -65,6 +67,7 @@
     reader: Reader,
     projection: Projection,
     withdrawals: Withdrawals,
+    quarantine: Quarantine,
     random: Random,
     started: Instant,
     next_probe: Instant,
@@ -105,6 +108,7 @@
             reader: Reader::new(now, settings.timing.digest, &mut random),
             projection: Projection::default(),
             withdrawals: Withdrawals::default(),
+            quarantine: Quarantine::default(),
             started: now,
             next_probe: offset(settings.timing.probe, &mut random),
             next_digest: now,
@@ -151,6 +155,14 @@
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(now, &server, incarnation, out);
             }
+            Event::Crashed { life, requests } => {
+                self.rule(now, "", out, |held| held.crashed(now, life, &requests));
+            }
+            Event::Refuted(life) => self.rule(now, "", out, |held| held.refuted(now, &life)),
+            Event::Cleared(request) => {
+                self.rule(now, "", out, |held| held.cleared(now, request));
+            }
+            Event::Asked(request) => self.quarantine.asked(now, request),
             Event::Seeds(seeds) => self.settings.seeds = seeds,
             Event::Paused(_) => self.paused(now, out),
             Event::Drain => self.drain(now, out),
@@ -162,7 +174,8 @@
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_probe.min(self.next_digest);
         let read = self.reader.next_wake(self.place, self.read_timing());
-        for other in [read, self.next_view, self.withdrawals.next()].into_iter().flatten() {
+        let later = [self.next_view, self.withdrawals.next(), self.quarantine.next_expiry()];
+        for other in later.into_iter().chain([read]).flatten() {
             wake = wake.min(other);
         }
         wake
@@ -193,6 +206,11 @@
         self.store.refused()
     }
 
+    /// What is held of requests under which servers ended.
+    pub fn rulings(&self) -> impl Iterator<Item = (&Fingerprint, &Ruling)> {
+        self.quarantine.rulings()
+    }
+
     /// The last view, with owner and candidates of each service.
     pub const fn view(&self) -> &Arc<View> {
         self.projection.view()
@@ -247,6 +265,7 @@
             self.next_digest = now + self.digest_pause();
             self.exchange(now, out);
         }
+        self.quarantine.expire(now);
         let withdrawn = self.withdrawals.due(now);
         if !withdrawn.is_empty() {
             self.adopt(now, &withdrawn, out);
@@ -267,7 +286,8 @@
         let due = self.next_view.is_some_and(|at| now >= at);
         let members_changed = self.membership.take_changed();
         let store_changed = std::mem::take(&mut self.store_changed);
-        if !(store_changed || members_changed || became_ready || due) {
+        let ruled = *self.quarantine.view() != self.projection.view().quarantine;
+        if !(store_changed || members_changed || became_ready || due || ruled) {
             return;
         }
         let changes = self.store.take_changes();
@@ -277,6 +297,7 @@
         }
         let source = Source {
             standings,
+            quarantine: self.quarantine.view(),
             store: &self.store,
             membership: &self.membership,
             settings: &self.settings,
@@ -321,6 +342,7 @@
         let store = self.store.rebuilt();
         let source = Source {
             standings: self.standings(now, true),
+            quarantine: self.quarantine.view(),
             store: &store,
             membership: &self.membership,
             settings: &self.settings,
@@ -499,6 +521,37 @@
         news
     }
 
+    /// Takes in what is said of requests under which servers ended; logs the rulings that change, and tells
+    /// some peers all that is held if it is news.
+    ///
+    /// Random peers of all zones: such a request comes again anywhere within milliseconds.
+    fn rule(
+        &mut self,
+        now: Instant,
+        from: &str,
+        out: &mut Vec<Action>,
+        take: impl FnOnce(&mut Quarantine) -> Vec<Turn>,
+    ) {
+        let before = self.quarantine.digest();
+        let turns = take(&mut self.quarantine);
+        if self.quarantine.digest() == before {
+            return;
+        }
+        out.extend(turns.into_iter().map(|turn| {
+            Action::Log(Belief::Ruled {
+                request: turn.request,
+                standing: turn.standing,
+                lives: turn.lives,
+                from: from.into(),
+            })
+        }));
+        let mut frame = self.blank();
+        self.quarantine.write(now, &mut frame);
+        for to in self.peers(FANOUT) {
+            to.send(frame.clone(), out);
+        }
+    }
+
     fn paused(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.membership.resumed(now);
         self.reader.resumed(now);
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -46,13 +46,25 @@
         }
         self.reader.heard_age(now, frame.platform_age_ms);
         self.acknowledged(&frame.acknowledgements);
+        let tells = !(frame.crashes.is_empty() && frame.rulings.is_empty());
+        if tells {
+            self.rule(now, &frame.from, out, |held| held.merge(now, &frame));
+        }
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
         self.note(&news, &frame.from, out);
         self.tell(now, &news, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.heard_digest(now);
-            reply.digest = self.store.is_vague(digest).then(|| self.store.digest());
+            reply.digest = self.store.is_vague(digest).then(|| self.digest());
+            if digest.quarantine != self.quarantine.digest() {
+                // By the digest the peer finds out whether it holds more. One that has told all that it holds
+                // needs none: full, both would answer each other without end.
+                if !tells {
+                    reply.digest.get_or_insert_with(|| self.summary());
+                }
+                self.quarantine.write(now, &mut reply);
+            }
             self.compare(now, &frame.address, digest, &mut reply, out);
         }
         self.supply(&frame.address, &frame.wanted, out);
@@ -66,6 +78,16 @@
         self.answer(&frame.address, far, reply, out);
     }
 
+    /// Hashes of all that this instance holds.
+    fn digest(&self) -> Digest {
+        Digest { quarantine: self.quarantine.digest(), ..self.store.digest() }
+    }
+
+    /// One hash of all records beside that of the rulings.
+    fn summary(&self) -> Digest {
+        Digest { quarantine: self.quarantine.digest(), ..self.store.summary() }
+    }
+
     fn acknowledged(&mut self, acknowledgements: &[Probe]) {
         if acknowledgements.iter().any(|probe| self.asked.contains(&probe.number)) {
             self.peer_answered = true;
@@ -150,6 +172,8 @@
             || !reply.wanted.is_empty()
             || !reply.details.is_empty()
             || !reply.wanted_parts.is_empty()
+            || !reply.rulings.is_empty()
+            || !reply.crashes.is_empty()
             || reply.digest.is_some();
         if worth && !to.is_empty() {
             reply.rumours.extend(self.membership.take_rumours(far));
@@ -223,10 +247,10 @@
     pub(super) fn ask(&mut self, now: Instant, to: &Contact, out: &mut Vec<Action>) {
         self.probe += 1;
         let digest = match self.peer_answered {
-            true => Some(self.store.summary()),
+            true => Some(self.summary()),
             false if self.reader.tried() || now.since(self.started) >= FIRST_READ => {
                 self.asked.insert(self.probe);
-                Some(self.store.digest())
+                Some(self.digest())
             }
             false => None,
         };
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -17,7 +17,7 @@
 use crate::collections::{Map, Set};
 use crate::route::Table;
 use crate::time::Instant;
-use crate::view::{Candidate, Neighbour, Peer, Server, Service, View};
+use crate::view::{self, Candidate, Neighbour, Peer, Server, Service, View};
 
 /// Whether work may be given to each instance.
 pub(super) type Standings = Map<Arc<str>, Standing>;
@@ -48,6 +48,8 @@
     pub(super) store: &'a Store,
     /// Who is alive.
     pub(super) membership: &'a Membership,
+    /// Requests under which servers ended.
+    pub(super) quarantine: &'a Arc<view::Quarantine>,
     /// Whether work may be given to an instance; one that is missing is gone.
     pub(super) standings: Arc<Standings>,
     /// The instance's settings.
@@ -119,7 +121,8 @@
         // Also where no standing has changed: an instance may come back in another zone.
         let neighbours = Some(neighbours(source)).filter(|list| **list != *old.neighbours);
         let lists_same = indexes.is_none() && routing.is_none() && neighbours.is_none();
-        let is_same = built.is_empty() && lists_same;
+        let same_requests = *source.quarantine == old.quarantine;
+        let is_same = built.is_empty() && lists_same && same_requests;
         if is_same && old.ready == ready && old.revision == revision {
             return None;
         }
@@ -130,6 +133,7 @@
         view.indexes = indexes.unwrap_or(view.indexes);
         view.routing = routing.unwrap_or(view.routing);
         view.neighbours = neighbours.unwrap_or(view.neighbours);
+        view.quarantine = Arc::clone(source.quarantine);
         for (name, service) in built {
             match service {
                 Some(service) => drop(view.insert(service)),
--- /dev/null
+++ b/crates/core/src/control/quarantine.rs
@@ -0,0 +1,411 @@
+//! Requests that end the servers that run them.
+//!
+//! Instances tell each other which requests were at a server that ended. A request is held to have ended it
+//! when it is the only one of them that no server has answered, and is refused everywhere once it has
+//! ended [`ENDS`] servers. What is held merges in any order: ends only gain requests, an end that is refuted
+//! stays so, and a cleared request stays cleared.
+//!
+//! # Bounds
+//!
+//! A request that nobody asks for any more is forgotten after [`MEMORY`]; if it comes again then, it ends up to
+//! one server of each of its shards before it is refused anew. The same holds for what every instance has
+//! forgotten because all were lost at once, and for what is beyond [`REQUESTS`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladder_schema::wire::{self, Frame};
+
+use super::hash;
+use crate::collections::{Map, Set};
+use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
+use crate::view;
+
+/// Servers that a request has to end to be refused.
+const ENDS: usize = 3;
+/// How long an end counts, and how long a ruling lasts without being asked for.
+pub const MEMORY: Duration = Duration::from_secs(15 * 60);
+/// Ends kept at once.
+const KEPT_ENDS: usize = 64;
+/// Requests kept of one end.
+const KEPT_REQUESTS: usize = 16;
+/// Requests refused at once, and cleared ones remembered.
+pub const REQUESTS: usize = 64;
+/// A refused request that was not asked for so long makes room for another.
+const IDLE: Duration = Duration::from_secs(60);
+/// How much younger than the oldest known end one of a peer is to take its place.
+const YOUNGER: Duration = Duration::from_secs(1);
+/// Lives of servers kept of one ruling.
+const KEPT_LIVES: usize = 4;
+
+/// One life of a server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life {
+    /// The server.
+    pub server: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+impl Life {
+    fn read(life: &wire::Life) -> Self {
+        Self { server: life.server.as_str().into(), incarnation: life.incarnation }
+    }
+
+    fn written(&self) -> wire::Life {
+        wire::Life { server: self.server.to_string(), incarnation: self.incarnation }
+    }
+}
+
+/// A life of a server that is said to have ended.
+#[derive(Clone, Debug)]
+struct End {
+    /// Requests that were there.
+    ///
+    /// Invariant: sorted, each once.
+    requests: Vec<Fingerprint>,
+    /// It has answered since.
+    refuted: bool,
+    at: Instant,
+}
+
+/// What is held of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It is refused.
+    Quarantined,
+    /// It was answered or released.
+    Cleared,
+}
+
+/// What is held of a request, and why.
+#[derive(Clone, Debug)]
+pub struct Ruling {
+    /// What is held.
+    pub standing: Standing,
+    /// Servers that it ended.
+    ///
+    /// Invariant: sorted, each once; none of them is refuted.
+    pub lives: Vec<Life>,
+    /// When it was last asked for or cleared.
+    pub seen: Instant,
+}
+
+/// A ruling that has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Turn {
+    pub(super) request: Fingerprint,
+    pub(super) standing: Standing,
+    pub(super) lives: Vec<Life>,
+}
+
+/// All that is held of requests under which servers ended.
+#[derive(Debug, Default)]
+pub(super) struct Quarantine {
+    ends: Map<Life, End>,
+    rulings: Map<Fingerprint, Ruling>,
+    /// What the traffic has to know of it.
+    view: Arc<view::Quarantine>,
+}
+
+impl Quarantine {
+    /// What the traffic has to know.
+    pub(super) const fn view(&self) -> &Arc<view::Quarantine> {
+        &self.view
+    }
+
+    /// The rulings.
+    pub(super) fn rulings(&self) -> impl Iterator<Item = (&Fingerprint, &Ruling)> {
+        self.rulings.iter()
+    }
+
+    /// Takes in that a server ended while requests were there.
+    pub(super) fn crashed(
+        &mut self,
+        now: Instant,
+        life: Life,
+        requests: &[Fingerprint],
+    ) -> Vec<Turn> {
+        self.add_end(life, requests, now);
+        self.judge(now)
+    }
+
+    /// Takes in that a life that is said to have ended goes on.
+    pub(super) fn refuted(&mut self, now: Instant, life: &Life) -> Vec<Turn> {
+        if let Some(end) = self.ends.get_mut(life) {
+            end.refuted = true;
+        }
+        self.judge(now)
+    }
+
+    /// Takes in that a request was answered, or that an operator releases it.
+    pub(super) fn cleared(&mut self, now: Instant, request: Fingerprint) -> Vec<Turn> {
+        let cleared = Ruling { standing: Standing::Cleared, lives: Vec::new(), seen: now };
+        let before = self.rulings.insert(request, cleared);
+        let turned = before.is_none_or(|ruling| ruling.standing != Standing::Cleared);
+        let mut turns = self.judge(now);
+        if turned {
+            turns.insert(0, Turn { request, standing: Standing::Cleared, lives: Vec::new() });
+        }
+        turns
+    }
+
+    /// Takes in that a request that is refused came again.
+    pub(super) fn asked(&mut self, now: Instant, request: Fingerprint) {
+        let ruling = self.rulings.get_mut(&request);
+        if let Some(ruling) = ruling.filter(|ruling| ruling.standing == Standing::Quarantined) {
+            ruling.seen = now;
+        }
+    }
+
+    /// Takes in what a peer holds, as far as there is room.
+    ///
+    /// Instances that hold as much as they may would otherwise drop what they have just told each other, and
+    /// hear it again, without end.
+    pub(super) fn merge(&mut self, now: Instant, frame: &Frame) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for crash in &frame.crashes {
+            self.merge_end(now, crash);
+        }
+        for ruling in &frame.rulings {
+            turns.extend(self.merge_ruling(now, ruling));
+        }
+        turns.extend(self.judge(now));
+        turns
+    }
+
+    fn merge_end(&mut self, now: Instant, crash: &wire::Crash) {
+        let age = Duration::from_millis(crash.age_ms.into());
+        if age >= MEMORY {
+            return;
+        }
+        let life = Life { server: crash.server.as_str().into(), incarnation: crash.incarnation };
+        if !self.ends.contains_key(&life) && !self.has_room(now - age) {
+            return;
+        }
+        let requests: Vec<Fingerprint> =
+            crash.requests.iter().filter_map(|bytes| Fingerprint::read(bytes)).collect();
+        self.add_end(life.clone(), &requests, now - age);
+        if let Some(end) = self.ends.get_mut(&life) {
+            end.refuted |= crash.refuted;
+        }
+    }
+
+    fn merge_ruling(&mut self, now: Instant, ruling: &wire::Ruling) -> Option<Turn> {
+        let idle = Duration::from_millis(ruling.idle_ms.into());
+        let request = Fingerprint::read(&ruling.request).filter(|_| idle < MEMORY)?;
+        let standing = match ruling.standing() {
+            wire::Standing::Quarantined => Standing::Quarantined,
+            wire::Standing::Cleared => Standing::Cleared,
+            wire::Standing::Unspecified => return None,
+        };
+        let before = self.rulings.get(&request).map(|known| known.standing);
+        if before.is_none() && self.count(standing) >= REQUESTS {
+            return None;
+        }
+        let known = self.rulings.entry(request).or_insert_with(|| Ruling {
+            standing,
+            lives: Vec::new(),
+            seen: now - idle,
+        });
+        known.standing = known.standing.max(standing);
+        known.seen = known.seen.max(now - idle);
+        known.lives.extend(ruling.lives.iter().map(Life::read));
+        tidy(&mut known.lives, KEPT_LIVES);
+        let (standing, lives) = (known.standing, known.lives.clone());
+        (before != Some(standing)).then_some(Turn { request, standing, lives })
+    }
+
+    /// Whether an end of this time would be kept.
+    fn has_room(&self, at: Instant) -> bool {
+        let oldest = self.ends.values().map(|end| end.at).min().unwrap_or_default();
+        self.ends.len() < KEPT_ENDS || at.since(oldest) > YOUNGER
+    }
+
+    fn count(&self, standing: Standing) -> usize {
+        self.rulings.values().filter(|ruling| ruling.standing == standing).count()
+    }
+
+    fn add_end(&mut self, life: Life, requests: &[Fingerprint], at: Instant) {
+        let new = || End { requests: Vec::new(), refuted: false, at };
+        let end = self.ends.entry(life).or_insert_with(new);
+        end.requests.extend(requests);
+        tidy(&mut end.requests, KEPT_REQUESTS);
+    }
+
+    /// Rules on requests by what is known now; returns the rulings that changed.
+    fn judge(&mut self, now: Instant) -> Vec<Turn> {
+        self.shrink(now);
+        let mut turns = self.reconsider(now);
+        for (request, mut lives) in self.ended_alone() {
+            let known = self.rulings.contains_key(&request);
+            if lives.len() < ENDS || known || !self.makes_room(now) {
+                continue;
+            }
+            tidy(&mut lives, KEPT_LIVES);
+            let standing = Standing::Quarantined;
+            turns.push(Turn { request, standing, lives: lives.clone() });
+            self.rulings.insert(request, Ruling { standing, lives, seen: now });
+        }
+        self.renew_view();
+        turns
+    }
+
+    /// Whether one more request can be refused; one that nobody has asked for lately makes room.
+    fn makes_room(&mut self, now: Instant) -> bool {
+        if self.count(Standing::Quarantined) < REQUESTS {
+            return true;
+        }
+        let oldest = self.oldest(Standing::Quarantined);
+        let idle = oldest.filter(|request| now.since(self.rulings[request].seen) >= IDLE);
+        idle.inspect(|request| self.forget(*request)).is_some()
+    }
+
+    /// The request of this standing that was seen least lately.
+    fn oldest(&self, standing: Standing) -> Option<Fingerprint> {
+        let rulings = self.rulings.iter().filter(|(_, ruling)| ruling.standing == standing);
+        rulings.min_by_key(|(request, ruling)| (ruling.seen, **request)).map(|(one, _)| *one)
+    }
+
+    /// Forgets a request with what it ended: it would be ruled on again by that.
+    fn forget(&mut self, request: Fingerprint) {
+        self.rulings.remove(&request);
+        self.ends.retain(|_, end| {
+            end.requests.retain(|other| *other != request);
+            !end.requests.is_empty()
+        });
+    }
+
+    /// Clears requests whose ends are refuted.
+    fn reconsider(&mut self, now: Instant) -> Vec<Turn> {
+        let refuted = |life: &Life| self.ends.get(life).is_some_and(|end| end.refuted);
+        let mut turns = Vec::new();
+        for (request, ruling) in &mut self.rulings {
+            let before = ruling.lives.len();
+            ruling.lives.retain(|life| !refuted(life));
+            let lost = ruling.lives.len() < before && ruling.lives.len() < ENDS;
+            if lost && ruling.standing == Standing::Quarantined {
+                ruling.standing = Standing::Cleared;
+                ruling.seen = now;
+                turns.push(Turn {
+                    request: *request,
+                    standing: Standing::Cleared,
+                    lives: Vec::new(),
+                });
+            }
+        }
+        turns
+    }
+
+    /// The servers that ended under each request while no other was there that may have ended them.
+    ///
+    /// Requests that happen to be beside a guilty one end with it each time. Whatever a request ended that is
+    /// refused already is not held against the others.
+    fn ended_alone(&self) -> Map<Fingerprint, Vec<Life>> {
+        let standing = |request: &Fingerprint| self.rulings.get(request).map(|one| one.standing);
+        let mut alone: Map<Fingerprint, Vec<Life>> = Map::default();
+        for (life, end) in self.ends.iter().filter(|(_, end)| !end.refuted) {
+            let suspects = end.requests.iter();
+            let mut suspects = suspects.filter(|one| standing(one) != Some(Standing::Cleared));
+            if let (Some(request), None) = (suspects.next(), suspects.next()) {
+                alone.entry(*request).or_default().push(life.clone());
+            }
+        }
+        alone
+    }
+
+    /// Forgets what is old or beyond the bounds.
+    fn shrink(&mut self, now: Instant) {
+        self.ends.retain(|_, end| now.since(end.at) < MEMORY);
+        self.rulings.retain(|_, ruling| now.since(ruling.seen) < MEMORY);
+        while self.ends.len() > KEPT_ENDS {
+            let oldest = self.ends.iter().min_by_key(|(life, end)| (end.at, *life));
+            let oldest = oldest.map(|(life, _)| life.clone());
+            oldest.inspect(|life| drop(self.ends.remove(life)));
+        }
+        while self.count(Standing::Cleared) > REQUESTS {
+            self.oldest(Standing::Cleared).inspect(|request| self.forget(*request));
+        }
+    }
+
+    /// Forgets what is old.
+    pub(super) fn expire(&mut self, now: Instant) {
+        if self.next_expiry().is_some_and(|at| at <= now) {
+            self.shrink(now);
+            self.renew_view();
+        }
+    }
+
+    /// When something is forgotten.
+    pub(super) fn next_expiry(&self) -> Option<Instant> {
+        let ends = self.ends.values().map(|end| end.at);
+        let rulings = self.rulings.values().map(|ruling| ruling.seen);
+        ends.chain(rulings).min().map(|at| at + MEMORY)
+    }
+
+    fn renew_view(&mut self) {
+        let rulings = self.rulings.iter();
+        let refused = rulings.filter(|(_, ruling)| ruling.standing == Standing::Quarantined);
+        let unrefuted = || self.ends.iter().filter(|(_, end)| !end.refuted);
+        let requests: Set<Fingerprint> =
+            unrefuted().flat_map(|(_, end)| end.requests.iter().copied()).collect();
+        let undecided = |request: &Fingerprint| !self.rulings.contains_key(request);
+        let view = view::Quarantine {
+            refused: refused.map(|(request, _)| *request).collect(),
+            suspected: requests.into_iter().filter(undecided).collect(),
+            ended: unrefuted()
+                .map(|(life, _)| (Arc::clone(&life.server), life.incarnation))
+                .collect(),
+        };
+        if view != *self.view {
+            self.view = Arc::new(view);
+        }
+    }
+
+    /// Stands for all that is held; 0 for nothing.
+    pub(super) fn digest(&self) -> u64 {
+        let ends = self.ends.iter().map(|(life, end)| {
+            let requests: Vec<u8> = end.requests.iter().flat_map(|one| one.bytes()).collect();
+            let incarnation = life.incarnation.to_be_bytes();
+            hash::of(&[life.server.as_bytes(), &incarnation, &requests, &[end.refuted.into()]])
+        });
+        let rulings = self.rulings.iter().map(|(request, ruling)| {
+            hash::of(&[&request.bytes(), &[u8::from(ruling.standing == Standing::Cleared)]])
+        });
+        ends.chain(rulings).fold(0, |all, one| all ^ one)
+    }
+
+    /// Adds all that is held to a frame.
+    pub(super) fn write(&self, now: Instant, frame: &mut Frame) {
+        let crashes = self.ends.iter().map(|(life, end)| wire::Crash {
+            server: life.server.to_string(),
+            incarnation: life.incarnation,
+            requests: end.requests.iter().map(|one| one.bytes().into()).collect(),
+            refuted: end.refuted,
+            age_ms: millis(now.since(end.at)),
+        });
+        let rulings = self.rulings.iter().map(|(request, ruling)| wire::Ruling {
+            request: request.bytes().into(),
+            standing: match ruling.standing {
+                Standing::Quarantined => wire::Standing::Quarantined.into(),
+                Standing::Cleared => wire::Standing::Cleared.into(),
+            },
+            idle_ms: millis(now.since(ruling.seen)),
+            lives: ruling.lives.iter().map(Life::written).collect(),
+        });
+        frame.crashes = crashes.collect();
+        frame.rulings = rulings.collect();
+    }
+}
+
+/// Sorts, and keeps each once and no more than `most`.
+fn tidy<T: Ord>(list: &mut Vec<T>, most: usize) {
+    list.sort_unstable();
+    list.dedup();
+    list.truncate(most);
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -252,7 +252,7 @@
 
     /// One hash per bucket over keys, revisions and departures.
     pub fn digest(&self) -> wire::Digest {
-        wire::Digest { buckets: self.buckets.to_vec(), whole: self.whole() }
+        wire::Digest { buckets: self.buckets.to_vec(), whole: self.whole(), quarantine: 0 }
     }
 
     /// The hash of all buckets together alone.
@@ -260,7 +260,7 @@
     /// Nearly always it equals the peer's, and with the buckets' hashes digests would be most of what an
     /// idle fleet sends.
     pub fn summary(&self) -> wire::Digest {
-        wire::Digest { buckets: Vec::new(), whole: self.whole() }
+        wire::Digest { whole: self.whole(), ..wire::Digest::default() }
     }
 
     /// Whether a peer's digest tells only that something differs.
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -7,6 +7,7 @@
 
 use super::history::Explanation;
 use crate::count::Count;
+use crate::fingerprint::Fingerprint;
 use crate::view::{Peer, View};
 
 /// A caller's open HTTP request; the shell numbers them.
@@ -77,6 +78,8 @@
         /// The query.
         cancel: wire::Cancel,
     },
+    /// A request that is refused because servers ended under it came again.
+    Refused(Fingerprint),
     /// Log what happened to a query.
     Log(Box<Explanation>),
     /// Step a counter.
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -48,9 +48,12 @@
 
     /// A new view is in force.
     pub(crate) fn adopt(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
-        self.view = view;
+        let before = std::mem::replace(&mut self.view, view);
         self.planner.forget();
         let view = Arc::clone(&self.view);
+        if !Arc::ptr_eq(&before.quarantine, &view.quarantine) {
+            self.stop_refused(now, out);
+        }
         self.near.forget(&view);
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view.services.values().flat_map(|service| &service.candidates);
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -1,5 +1,7 @@
 //! Ends queries: when all is settled, when the time has come, when enough is there.
 
+use std::sync::Arc;
+
 use ladder_schema::outcome::Reason;
 use ladder_schema::wire;
 
@@ -40,6 +42,17 @@
         }
     }
 
+    /// Answers the open queries that are refused from now on.
+    pub(crate) fn stop_refused(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let refused = Arc::clone(&self.view.quarantine);
+        let is_refused = |query: &Query| refused.refused.contains(&query.fingerprint);
+        let open = self.queries.iter().filter(|(_, query)| is_refused(query));
+        let open: Vec<QueryKey> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.finish(now, key, Reason::Quarantined, out);
+        }
+    }
+
     /// Serves the timers that are due.
     pub(crate) fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((at, timer)) = self.timers.due(now) {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -139,13 +139,16 @@
         let attempt = request.attempt.max(1);
         let fingerprint = Fingerprint::of(&request);
         self.history.add(account, now, Step::Arrived { attempt, fingerprint });
-        match self.admit(&request) {
+        match self.admit(&request, fingerprint) {
             Ok(plan) => {
                 let name = Name { number, account, fingerprint };
                 self.start(now, caller, request, name, plan, out);
             }
             Err((refusal, verdict)) => {
                 count(out, count::Event::Refusal, refusal.reason);
+                if refusal.reason == Reason::Quarantined {
+                    out.push(Action::Refused(fingerprint));
+                }
                 let detail = refusal.detail.as_str().into();
                 self.history.add(account, now, Step::Refused { detail });
                 let answer = answer::refusal(&request.key, &request.index, refusal, verdict);
@@ -155,7 +158,11 @@
     }
 
     /// Plans a request, or says why it is refused and whether an earlier one with its key ran.
-    fn admit(&mut self, request: &call::Request) -> Result<Plan, (Refusal, Verdict)> {
+    fn admit(
+        &mut self,
+        request: &call::Request,
+        fingerprint: Fingerprint,
+    ) -> Result<Plan, (Refusal, Verdict)> {
         let refuse = |refusal| (refusal, Verdict::NotRun);
         check::check(request).map_err(refuse)?;
         if self.draining {
@@ -170,6 +177,10 @@
             let detail = format!("{OPEN_QUERIES} requests are open here");
             return Err(refuse(Refusal::new(Reason::QueueFull, detail)));
         }
+        if self.view.quarantine.refused.contains(&fingerprint) {
+            let detail = format!("fingerprint: {fingerprint}; servers ended under such requests");
+            return Err(refuse(Refusal::new(Reason::Quarantined, detail)));
+        }
         let plan = match &request.message {
             Some(message) => self.forwarder.plan(&self.view, request, message),
             None => self.planner.first(&self.view, request),
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -64,6 +64,7 @@
             | Reason::UnknownShard
             | Reason::LinkFull
             | Reason::LinkCut
+            | Reason::Quarantined
     )
 }
 
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -10,16 +10,17 @@
 use ladder_schema::outcome::Reason;
 
 use super::attempt::Attempt;
-use super::event::{Action, LaneKey, Outcome};
+use super::event::{Action, AttemptKey, LaneKey, Outcome};
 use super::machine::Machine;
-use super::portion::{Portion, PortionKey};
+use super::portion::{Job, Portion, PortionKey};
 use super::recent::Recent;
 use super::reply::Refused;
 use super::server::ServerKey;
 use super::service::ServiceId;
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
+use crate::view;
 
 /// How long after a call broke off its server's end is still taken for the cause.
 const PROOF: Duration = Duration::from_secs(5);
@@ -57,13 +58,21 @@
     at: Instant,
 }
 
+/// What is open of a request.
+///
+/// Invariant: kept as long as one of them is not zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct Open {
+    calls: u32,
+    /// Portions without a reply.
+    portions: u32,
+}
+
 /// What is known of the requests at servers.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
-    /// Open calls of each request.
-    ///
-    /// Invariant: none of them is zero.
-    open: Map<Fingerprint, u32>,
+    /// Requests that are open here.
+    open: Map<Fingerprint, Open>,
     /// Requests that servers answered.
     answered: Recent<Fingerprint>,
     /// Servers that seem to have ended under each request that no server has answered.
@@ -73,21 +82,25 @@
 }
 
 impl Crashes {
-    /// A call of a request was sent.
-    fn begin(&mut self, request: Fingerprint) {
-        *self.open.entry(request).or_default() += 1;
+    /// A call or a portion of a request begins.
+    fn begin(&mut self, request: Fingerprint, begin: impl FnOnce(&mut Open)) {
+        begin(self.open.entry(request).or_default());
     }
 
-    /// A call of a request has ended.
-    fn end(&mut self, request: Fingerprint) {
+    /// A call or a portion of a request has ended.
+    fn end(&mut self, request: Fingerprint, end: impl FnOnce(&mut Open)) {
         if let Some(open) = self.open.get_mut(&request) {
-            *open -= 1;
-            if *open == 0 {
+            end(open);
+            if open.calls == 0 && open.portions == 0 {
                 self.open.remove(&request);
             }
         }
     }
 
+    fn calls(&self, request: Fingerprint) -> usize {
+        self.open.get(&request).map_or(0, |open| open.calls as usize)
+    }
+
     /// A call of a request broke off at a server.
     fn doubt(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
         self.doubts.retain(|_, doubts| {
@@ -120,9 +133,9 @@
 
     /// The same, or so many may have within a moment.
     fn waits(&self, now: Instant, request: Fingerprint) -> bool {
-        let open = self.open.get(&request).map_or(0, |open| *open as usize);
         let lately = self.fresh(now, request, MOMENT);
-        self.stalls(now, request) || (lately > 0 && lately + open >= WAITS)
+        let many = lately + self.calls(request) >= WAITS;
+        self.stalls(now, request) || (lately > 0 && many)
     }
 
     /// Servers that seem to have ended under a request in a span of time.
@@ -134,8 +147,8 @@
     /// Requests without an open call under which so many servers are known to have ended.
     fn failed(&self) -> Vec<Fingerprint> {
         let ended = |doubts: &[Doubt]| doubts.iter().filter(|doubt| doubt.ended).count() >= WAITS;
-        let open = |request| self.open.contains_key(request);
-        let failed = self.doubts.iter().filter(|(request, doubts)| ended(doubts) && !open(request));
+        let doubts = self.doubts.iter();
+        let failed = doubts.filter(|(request, doubts)| ended(doubts) && self.calls(**request) == 0);
         failed.map(|(request, _)| *request).collect()
     }
 
@@ -152,9 +165,22 @@
 }
 
 impl Machine {
+    pub(super) fn portion_began(&mut self, job: &Job) {
+        if let Some(request) = job.fingerprint {
+            self.crashes.begin(request, |open| open.portions += 1);
+        }
+    }
+
+    pub(super) fn portion_ended(&mut self, job: &Job, out: &mut Vec<Action>) {
+        if let Some(request) = job.fingerprint {
+            self.crashes.end(request, |open| open.portions -= 1);
+            self.tell_ends(out);
+        }
+    }
+
     pub(super) fn call_began(&mut self, attempt: &Attempt) {
         if let Some(request) = attempt.job.fingerprint {
-            self.crashes.begin(request);
+            self.crashes.begin(request, |open| open.calls += 1);
         }
     }
 
@@ -169,11 +195,14 @@
         let Some(request) = attempt.job.fingerprint else {
             return;
         };
-        self.crashes.end(request);
+        self.crashes.end(request, |open| open.calls -= 1);
         let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
+        if whole || matches!(outcome, Outcome::Answer(_) | Outcome::Refusal(_)) {
+            self.refute_end(attempt, out);
+        }
         match outcome {
-            Outcome::Answer(_) => self.request_answered(request),
-            Outcome::Error if whole => self.request_answered(request),
+            Outcome::Answer(_) => self.request_answered(request, out),
+            Outcome::Error if whole => self.request_answered(request, out),
             Outcome::Lost if !timed_out => self.broke_off(attempt.server, request),
             _ => {}
         }
@@ -181,13 +210,70 @@
     }
 
     /// A server answered a request, which therefore ends none.
-    fn request_answered(&mut self, request: Fingerprint) {
+    fn request_answered(&mut self, request: Fingerprint, out: &mut Vec<Action>) {
         self.crashes.answered.insert(self.now, request);
+        if self.view.quarantine.concerns(request) {
+            out.push(Action::Cleared(request));
+        }
         if self.crashes.doubts.remove(&request).is_some() {
             self.look_at_parts();
         }
     }
 
+    /// A server has answered a call; if it is said to have ended, it did not.
+    ///
+    /// Whoever is cut off takes all servers for ended. Only a connection that was there before counts: a new
+    /// one may lead to the next process at the same address.
+    fn refute_end(&mut self, attempt: &Attempt, out: &mut Vec<Action>) {
+        let server = &mut self.servers[attempt.server];
+        let Some(said) = server.said_ended else {
+            return;
+        };
+        let older = self.lanes.get(attempt.lane).is_some_and(|lane| lane.since < said);
+        if older && attempt.sent >= said {
+            server.said_ended = None;
+            let (server, incarnation) = (Arc::clone(&server.name), server.incarnation);
+            out.push(Action::Refuted { server, incarnation });
+        }
+    }
+
+    /// Takes over which requests are refused, and which servers are said to have ended.
+    pub(super) fn take_quarantine(
+        &mut self,
+        before: &Arc<view::Quarantine>,
+        out: &mut Vec<Action>,
+    ) {
+        let now = Arc::clone(&self.view.quarantine);
+        if Arc::ptr_eq(before, &now) {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            let said = now.ended.get(&server.name) == Some(&server.incarnation);
+            server.said_ended = said.then(|| server.said_ended.unwrap_or(self.now));
+        }
+        let known = now.refused.iter().chain(&now.suspected);
+        let answered = known.filter(|request| self.crashes.answered.contains(request));
+        out.extend(answered.map(|request| Action::Cleared(*request)));
+        if !now.refused.is_empty() {
+            self.stop_refused(&now.refused, out);
+        }
+    }
+
+    /// Ends what is open of refused requests. Calls that wait at servers end with their connections.
+    fn stop_refused(&mut self, refused: &Set<Fingerprint>, out: &mut Vec<Action>) {
+        let is_refused = |job: &Job| job.fingerprint.is_some_and(|one| refused.contains(&one));
+        let open = self.portions.iter().filter(|(_, portion)| is_refused(&portion.job));
+        let open: Vec<PortionKey> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.finish(key, Refused::with(self.standing(key), Reason::Quarantined), out);
+        }
+        let calls = self.attempts.iter().filter(|(_, attempt)| is_refused(&attempt.job));
+        let calls: Vec<AttemptKey> = calls.map(|(key, _)| key).collect();
+        for key in calls {
+            self.abandon(key, out);
+        }
+    }
+
     /// Parts that waited for news of a server may go on.
     fn look_at_parts(&mut self) {
         let ids: Vec<ServiceId> = self.services.keys().collect();
@@ -245,7 +331,7 @@
     /// A call was given up here: nothing is known of its end.
     pub(super) fn call_abandoned(&mut self, attempt: &Attempt, out: &mut Vec<Action>) {
         if let Some(request) = attempt.job.fingerprint {
-            self.crashes.end(request);
+            self.crashes.end(request, |open| open.calls -= 1);
             self.tell_ends(out);
         }
     }
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -160,6 +160,15 @@
         /// The requests, each once.
         requests: Vec<Fingerprint>,
     },
+    /// A server has answered after it was said that this incarnation of it had ended.
+    Refuted {
+        /// Its name.
+        server: Arc<str>,
+        /// The incarnation.
+        incarnation: u64,
+    },
+    /// A request under which servers ended was answered.
+    Cleared(Fingerprint),
     /// Step a counter.
     Count(Count),
 }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -88,6 +88,9 @@
         if self.draining {
             return Err(Refused::because(Reason::Draining));
         }
+        if job.fingerprint.is_some_and(|one| self.view.quarantine.refused.contains(&one)) {
+            return Err(Refused::because(Reason::Quarantined));
+        }
         let id = id.filter(|id| self.services[*id].rank != Rank::None);
         let id = id.ok_or_else(|| Refused::because(self.unknown()))?;
         self.services[id].wanted = Some(self.now);
@@ -241,6 +244,7 @@
             self.records.start(self.now, portion.record(), job.work.attempt);
         }
         let fast = self.fast(id, kind(&job.work));
+        self.portion_began(job);
         let key = self.portions.insert(portion);
         self.queue(key);
         self.queries.entry(job.query()).or_default().push(key);
--- a/crates/core/src/leaf/lane.rs
+++ b/crates/core/src/leaf/lane.rs
@@ -2,6 +2,7 @@
 
 use super::event::AttemptKey;
 use super::server::ServerKey;
+use crate::time::Instant;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,4 +24,6 @@
     pub(super) state: State,
     /// The server ends it after the call at hand.
     pub(super) closing: bool,
+    /// When it was asked for.
+    pub(super) since: Instant,
 }
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -190,7 +190,8 @@
     }
 
     fn open_lane(&mut self, key: ServerKey, out: &mut Vec<Action>) {
-        let lane = self.lanes.insert(Lane { server: key, state: State::Opening, closing: false });
+        let lane = Lane { server: key, state: State::Opening, closing: false, since: self.now };
+        let lane = self.lanes.insert(lane);
         let server = &mut self.servers[key];
         server.lanes.push(lane);
         let name = Arc::clone(&server.name);
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -42,6 +42,7 @@
             self.maintain(id, out);
             self.mark(id);
         }
+        self.take_quarantine(&before.quarantine, out);
     }
 
     /// Takes one service of a view in.
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -104,6 +104,7 @@
         let mut reply = reply(&portion.job, name, refused, portion.calls, parts);
         reply.busy_permille = (busy * 1000.0) as u32;
         self.reply(&portion.job, reply, out);
+        self.portion_ended(&portion.job, out);
     }
 
     fn unlink(&mut self, key: PortionKey, portion: &Portion) {
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -67,6 +67,8 @@
     pub(super) cancels: VecDeque<AttemptKey>,
     /// Calls that broke off lately, each request once, oldest first.
     pub(super) losses: Vec<Loss>,
+    /// Since when it is said that its incarnation has ended.
+    pub(super) said_ended: Option<Instant>,
 }
 
 impl Server {
@@ -94,6 +96,7 @@
             probe_lane: None,
             cancels: VecDeque::new(),
             losses: Vec::new(),
+            said_ended: None,
         };
         server.list(listed);
         server
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -9,7 +9,8 @@
 use ladder_schema::publication;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::collections::Map;
+use crate::collections::{Map, Set};
+use crate::fingerprint::Fingerprint;
 use crate::route;
 
 new_key_type! {
@@ -109,6 +110,24 @@
     }
 }
 
+/// Requests under which servers ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Quarantine {
+    /// Requests that are refused.
+    pub refused: Set<Fingerprint>,
+    /// Requests that were at servers that ended, as long as nothing clears them.
+    pub suspected: Set<Fingerprint>,
+    /// Servers that are said to have ended, with the incarnation that did.
+    pub ended: Map<Arc<str>, u64>,
+}
+
+impl Quarantine {
+    /// Whether it matters to others that a request is answered.
+    pub fn concerns(&self, request: Fingerprint) -> bool {
+        self.refused.contains(&request) || self.suspected.contains(&request)
+    }
+}
+
 /// What one instance holds true at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -132,6 +151,8 @@
     pub routing: Option<Arc<route::Table>>,
     /// Other instances that have settled, in order of name; kept under direct placement only.
     pub neighbours: Arc<[Neighbour]>,
+    /// Requests under which servers ended.
+    pub quarantine: Arc<Quarantine>,
 }
 
 impl View {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod parts;
 mod placement;
 mod publish;
+mod quarantine;
 mod reader;
 mod repair;
 mod replacement;
--- /dev/null
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -0,0 +1,275 @@
+//! Requests that end the servers that run them: what instances together hold of them.
+//!
+//! The pattern: one request is at every server that ends; others happen to be beside it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use ladder_core::collections::Set;
+use ladder_core::control::Event;
+use ladder_core::control::quarantine::{Life, MEMORY, REQUESTS, Standing};
+use ladder_core::control::settings::Timing;
+use ladder_core::fingerprint::Fingerprint;
+
+use crate::concert::fleet_of;
+use crate::harness::Fleet;
+
+/// From the third end until the request has to be refused everywhere.
+const CONTACT: Duration = Duration::from_secs(4);
+
+const GUILTY: Fingerprint = Fingerprint(1);
+const BESIDE: Fingerprint = Fingerprint(2);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
+fn life(number: u64) -> Life {
+    Life { server: format!("docks-{number}").into(), incarnation: 1 }
+}
+
+fn crashed(number: u64, requests: &[Fingerprint]) -> Event {
+    Event::Crashed { life: life(number), requests: requests.to_vec() }
+}
+
+fn refuses(fleet: &Fleet, name: &str, request: Fingerprint) -> bool {
+    fleet.nodes[name].machine.view().quarantine.refused.contains(&request)
+}
+
+fn refused_everywhere(fleet: &Fleet, request: Fingerprint) -> bool {
+    fleet.nodes.keys().all(|name| refuses(fleet, name, request))
+}
+
+fn refused_nowhere(fleet: &Fleet, request: Fingerprint) -> bool {
+    !fleet.nodes.keys().any(|name| refuses(fleet, name, request))
+}
+
+/// A fleet that has settled.
+fn fleet(instances: usize) -> Fleet {
+    let mut fleet = fleet_of(instances, 4, Timing { contact: CONTACT, ..Timing::default() });
+    fleet.run(ms(2000));
+    fleet
+}
+
+/// Ends three servers under the guilty request, each seen by another instance.
+fn end_three(fleet: &mut Fleet, seen_by: [usize; 3]) {
+    for (number, at) in (0..).zip(seen_by) {
+        fleet.give(&name(at), crashed(number, &[GUILTY]));
+    }
+}
+
+/// A request ended three servers, and came again at instances that had not seen it. Each of them sent it to
+/// servers of all shards: 167 servers ended under one request.
+#[test]
+fn request_that_ended_three_servers_is_refused_at_all_instances() {
+    for instances in [3, 9, 60] {
+        for seen_by in [[0, 0, 0], [0, 1, 2]] {
+            let mut fleet = fleet(instances);
+            end_three(&mut fleet, seen_by);
+            let what = format!("{instances} instances refuse what {seen_by:?} saw");
+            fleet.until(&what, CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+        }
+    }
+}
+
+/// The instances that saw it are killed or cut off, the rest starts anew, and some come later: who knows
+/// tells who doesn't.
+#[test]
+fn instances_that_start_or_return_learn_what_is_refused() {
+    let mut fleet = fleet(9);
+    fleet.island = [name(7), name(8)].into();
+    end_three(&mut fleet, [0, 1, 2]);
+    fleet.until("the others refuse it", CONTACT, |fleet| {
+        (0..7).all(|at| refuses(fleet, &name(at), GUILTY))
+    });
+    assert!((7..9).all(|at| !refuses(&fleet, &name(at), GUILTY)), "the cut holds");
+    fleet.island.clear();
+    fleet.until("those that were cut off too", CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+    for at in 0..8 {
+        fleet.kill(&name(at), true);
+    }
+    fleet.seeds = vec![crate::publish::address(&name(8))];
+    fleet.incarnation = 2;
+    for at in 0..4 {
+        fleet.start(&name(at), "trindade");
+    }
+    fleet.until("those that start learn it", CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+}
+
+/// What is said of some ends, and whether the guilty request is refused then; the one beside it never is.
+struct Case {
+    name: &'static str,
+    events: Vec<Event>,
+    guilty: bool,
+}
+
+fn alone(range: std::ops::Range<u64>) -> impl Iterator<Item = Event> {
+    range.map(|number| crashed(number, &[GUILTY]))
+}
+
+fn together(range: std::ops::Range<u64>) -> impl Iterator<Item = Event> {
+    range.map(|number| crashed(number, &[GUILTY, BESIDE]))
+}
+
+fn case(name: &'static str, events: impl IntoIterator<Item = Event>, guilty: bool) -> Case {
+    Case { name, events: events.into_iter().collect(), guilty }
+}
+
+fn cases() -> Vec<Case> {
+    let cleared = |request| [Event::Cleared(request)];
+    vec![
+        case("two servers only", alone(0..2), false),
+        case("the same server seen by all", (0..5).flat_map(|_| alone(0..1)), false),
+        case("both at each", together(0..9), false),
+        case("both, and one is answered", together(0..9).chain(cleared(BESIDE)), true),
+        case("three alone, others together", alone(0..3).chain(together(3..9)), true),
+        case("the other is said to be there later", alone(0..2).chain(together(0..3)), false),
+        case("answered before", cleared(GUILTY).into_iter().chain(alone(0..9)), false),
+        case("answered after", alone(0..9).chain(cleared(GUILTY)), false),
+        case("a server lives", alone(0..3).chain([Event::Refuted(life(1))]), false),
+    ]
+}
+
+/// Whatever is at a server that ends goes down with it. Taken for guilty, a request that many callers send would be
+/// refused to all of them: an outage that the guard itself makes.
+#[test]
+fn only_what_ended_servers_alone_is_refused() {
+    for Case { name: case, events, guilty } in cases() {
+        let mut fleet = fleet(3);
+        for (at, event) in events.into_iter().enumerate() {
+            fleet.give(&name(at % 3), event);
+            fleet.run(ms(20));
+        }
+        fleet.run(CONTACT);
+        let expected = match guilty {
+            true => refused_everywhere(&fleet, GUILTY),
+            false => refused_nowhere(&fleet, GUILTY),
+        };
+        assert!(expected, "{case}: the guilty one");
+        assert!(refused_nowhere(&fleet, BESIDE), "{case}: the one beside it");
+    }
+}
+
+/// A request that is not asked for any more is forgotten; one that keeps coming is not.
+#[test]
+fn refusals_end_when_nobody_asks_any_more() {
+    let mut fleet = fleet(3);
+    end_three(&mut fleet, [0, 1, 2]);
+    for _ in 0..3 {
+        fleet.run(MEMORY / 2);
+        fleet.give(&name(1), Event::Asked(GUILTY));
+        assert!(refuses(&fleet, &name(1), GUILTY), "while it is asked for");
+    }
+    fleet.run(MEMORY * 2);
+    assert!(refused_nowhere(&fleet, GUILTY));
+}
+
+/// Somebody floods the fleet with requests that each end servers. What is kept and told stays bounded: instances that
+/// made room for each other's news told each other the same without end.
+#[test]
+fn what_is_held_is_bounded() {
+    let mut fleet = fleet(3);
+    let sent = |fleet: &Fleet| fleet.nodes.values().map(|node| node.sent).sum::<usize>();
+    let before = sent(&fleet);
+    fleet.run(ms(5000));
+    let quiet = sent(&fleet) - before;
+    for request in 0..2 * REQUESTS as u64 {
+        for number in 0..3 {
+            let requests = [Fingerprint(u128::from(request) + 10)];
+            fleet.give(&name(0), crashed(request * 3 + number, &requests));
+        }
+        fleet.run(ms(5));
+    }
+    fleet.run(ms(1000));
+    let before = sent(&fleet);
+    fleet.run(ms(5000));
+    let told = sent(&fleet) - before;
+    assert!(told <= 2 * quiet, "{told} frames in 5 s, {quiet} before");
+    for node in fleet.nodes.values() {
+        assert!(node.machine.rulings().count() <= 2 * REQUESTS);
+        assert!(node.machine.view().quarantine.ended.len() <= 64);
+    }
+}
+
+/// Something that an instance sees. Numbers choose among what there is.
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
+enum Seen {
+    Crashed {
+        server: u8,
+        first: u8,
+        second: u8,
+    },
+    Refuted {
+        server: u8,
+    },
+    Cleared {
+        request: u8,
+    },
+    Asked {
+        request: u8,
+    },
+    /// Nobody hears this instance until the next one.
+    Alone,
+    Wait(u8),
+}
+
+fn request(number: u8) -> Fingerprint {
+    Fingerprint(u128::from(number % 4))
+}
+
+/// Instances hear of ends, answers and refutations in different orders, some of them late. They come to hold the same,
+/// and no request that was answered is refused.
+#[test]
+fn any_order_of_news_leads_to_the_same_rulings() {
+    bolero::check!()
+        .with_iterations(60)
+        .with_generator(bolero::produce::<Vec<(u8, Seen)>>().with().len(0_usize..=40))
+        .for_each(|seen| {
+            let mut fleet = fleet(3);
+            let mut cleared: Set<Fingerprint> = Set::default();
+            for (at, seen) in seen {
+                let at = name(usize::from(at % 3));
+                let event = match *seen {
+                    Seen::Crashed { server, first, second } => {
+                        let requests = [request(first), request(second)];
+                        let life = life(u64::from(server % 8));
+                        Event::Crashed { life, requests: requests.to_vec() }
+                    }
+                    Seen::Refuted { server } => Event::Refuted(life(u64::from(server % 8))),
+                    Seen::Cleared { request: number } => {
+                        cleared.insert(request(number));
+                        Event::Cleared(request(number))
+                    }
+                    Seen::Asked { request: number } => Event::Asked(request(number)),
+                    Seen::Alone => {
+                        fleet.island = [at].into();
+                        continue;
+                    }
+                    Seen::Wait(steps) => {
+                        fleet.run(ms(u64::from(steps)));
+                        continue;
+                    }
+                };
+                fleet.give(&at, event);
+            }
+            fleet.island.clear();
+            fleet.run(ms(20_000));
+            let held = |at: usize| {
+                let view = fleet.nodes[&name(at)].machine.view();
+                Arc::clone(&view.quarantine)
+            };
+            for at in 0..3 {
+                assert_eq!(held(at), held(0), "instance {at}");
+                assert!(held(at).refused.is_disjoint(&cleared), "an answered request is refused");
+            }
+            let rulings = fleet.nodes[&name(0)].machine.rulings();
+            let standing = rulings.filter(|(_, ruling)| ruling.standing == Standing::Quarantined);
+            assert_eq!(standing.count(), held(0).refused.len());
+        });
+}
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -1,10 +1,14 @@
 //! What each refusal of a portion leads to.
 
+use std::sync::Arc;
+
 use ladder_core::count::{self, Count};
+use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::{Action, Event, status};
 use ladder_core::schema::call::{Answer, Request};
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::wire::Reply;
+use ladder_core::view::{Quarantine, View};
 
 use crate::fleet::Fleet;
 use crate::session::{Session, answer, answers, asked, covered, refused, request, works};
@@ -207,3 +211,46 @@
         }
     }
 }
+
+/// The view of a fleet in which a request is refused because servers ended under it.
+fn view_without(fleet: &Fleet, request: &Request) -> Event {
+    let mut view = View::clone(&fleet.view());
+    let refused = [Fingerprint::of(request)].into_iter().collect();
+    view.quarantine = Arc::new(Quarantine { refused, ..Quarantine::default() });
+    Event::View(Arc::new(view))
+}
+
+/// A request that ends servers comes again under another key. It is refused before anything is sent, truly not run, and
+/// its caller is told no time to come back: at no time would it be served.
+#[test]
+fn quarantined_request_is_refused_at_once() {
+    let fleet = Fleet::default();
+    let mut session = Session::new(&fleet);
+    session.give(view_without(&fleet, &request("first", "check", &[])));
+    let again = session.call(request("second", "check", &[]));
+    assert!(works(&again).is_empty());
+    let refusal = answer(&again);
+    assert_eq!((refusal.verdict(), refusal.reason()), (NOT, Reason::Quarantined));
+    assert_eq!((refusal.retry_after_ms, status(&refusal)), (0, 503));
+    let fingerprint = Fingerprint::of(&request("third", "check", &[]));
+    assert!(refusal.detail.contains(&fingerprint.to_string()), "{}", refusal.detail);
+    assert!(again.contains(&Action::Refused(fingerprint)), "it counts as asked for");
+    let other = session.call(request("other", "sweep", &[]));
+    assert!(!works(&other).is_empty(), "another request");
+}
+
+/// It is refused from the moment at which a request of it is open here: its caller hears at once that it may have run.
+#[test]
+fn quarantined_request_that_is_open_is_answered_at_once() {
+    let fleet = Fleet::default();
+    let mut session = Session::new(&fleet);
+    session.call(request("first", "check", &[]));
+    session.call(request("other", "sweep", &[]));
+    let out = session.give(view_without(&fleet, &request("first", "check", &[])));
+    let answers = answers(&out);
+    assert_eq!(answers.len(), 1);
+    assert_eq!(answers[0].key, "first");
+    assert_eq!(answers[0].verdict(), MAY);
+    let cancelled = out.iter().filter(|action| matches!(action, Action::Cancel { .. })).count();
+    assert!(cancelled > 0, "its owners are told");
+}
--- a/crates/core/tests/gather/session.rs
+++ b/crates/core/tests/gather/session.rs
@@ -229,6 +229,7 @@
         Action::Send { to, work } => format!("send {} {}", to.name, work_text(work)),
         Action::Cancel { to, cancel } => format!("cancel {} q{}", to.name, cancel.query),
         Action::Log(account) => format!("log {} steps of {}", account.steps.len(), account.key),
+        Action::Refused(request) => format!("refuse {request}"),
         Action::Count(count) => format!("count {:?} {}", count.event, short(count.reason)),
     }
 }
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -10,8 +10,9 @@
 use ladder_core::leaf::{Action, Event, Settings};
 use ladder_core::schema::call::{Message, Request};
 use ladder_core::schema::catalogue::Limits;
+use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::wire;
-use ladder_core::view::{Service, View};
+use ladder_core::view::{Quarantine, Service, View};
 
 use crate::bed::{Bed, Sent, limited, server, work};
 
@@ -24,7 +25,12 @@
 
 /// A machine that asks two servers for each part, with these incarnations.
 fn view(incarnation: u64) -> Event {
-    let mut view = View { generation: incarnation, ready: true, ..View::default() };
+    view_with(incarnation, Quarantine::default())
+}
+
+fn view_with(incarnation: u64, quarantine: Quarantine) -> Event {
+    let quarantine = Arc::new(quarantine);
+    let mut view = View { generation: incarnation, ready: true, quarantine, ..View::default() };
     for part in 0..PARTS {
         let replica = |number: u8| {
             let mut replica = server(number);
@@ -143,6 +149,7 @@
         calls.iter().for_each(|sent| lose(&mut bed, sent));
         then(&mut bed, &calls[0]);
         bed.each_sent(lose);
+        bed.advance(1000);
         let told = told(&bed).contains(&vec![fingerprint("/docks/1")]);
         assert_eq!(told, ended, "{name}");
     }
@@ -171,6 +178,7 @@
             lose(bed, sent);
         }
     });
+    bed.advance(1000);
     let told = told(&bed);
     assert!(!told.is_empty());
     assert!(told.iter().all(|requests| *requests == [fingerprint("/docks/1")]), "{told:?}");
@@ -222,3 +230,85 @@
 fn refuse_all(bed: &mut Bed, calls: &[Sent]) {
     calls.iter().for_each(|sent| refuse(bed, &sent.address));
 }
+
+fn refused(asked: &str) -> Quarantine {
+    Quarantine { refused: [fingerprint(asked)].into_iter().collect(), ..Quarantine::default() }
+}
+
+/// A request is refused everywhere while a sweep of it is open here: calls that wait at busy servers would end those
+/// too as soon as they run.
+#[test]
+fn refused_request_is_stopped_where_it_is_open() {
+    let mut bed = bed();
+    sweep(&mut bed, 1, "/docks/1");
+    sweep(&mut bed, 2, "/docks/2");
+    bed.log.clear();
+    bed.handle(view_with(1, refused("/docks/1")));
+    let closed = bed.log.iter().filter(|action| matches!(action, Action::Close(_))).count();
+    assert_eq!(closed, PARTS, "its connections are closed");
+    assert_eq!(bed.replies(), vec![(Verdict::MayHaveRun, Reason::Quarantined); PARTS]);
+    bed.log.clear();
+    sweep(&mut bed, 3, "/docks/1");
+    assert!(bed.sent().is_empty(), "sent again");
+    assert_eq!(bed.replies(), vec![(Verdict::NotRun, Reason::Quarantined); PARTS]);
+}
+
+/// A request that many callers send is said to end servers, as it was at some that went dark. Whoever gets an answer to it
+/// says so, also when that was before.
+#[test]
+fn answered_request_is_cleared() {
+    let cleared = |bed: &Bed| bed.log.contains(&Action::Cleared(fingerprint("/docks/1")));
+    let suspected = || Quarantine {
+        suspected: [fingerprint("/docks/1")].into_iter().collect(),
+        ..Quarantine::default()
+    };
+    for (name, quarantine) in [("refused", refused("/docks/1")), ("suspected", suspected())] {
+        let mut bed = bed();
+        let calls = sweep(&mut bed, 1, "/docks/1");
+        bed.answer(&calls[0]);
+        assert!(!cleared(&bed), "{name}: nobody suspects it");
+        bed.handle(view_with(1, quarantine));
+        assert!(cleared(&bed), "{name}: answered before");
+    }
+    let mut bed = bed();
+    bed.handle(view_with(1, suspected()));
+    let calls = sweep(&mut bed, 1, "/docks/1");
+    assert!(!cleared(&bed));
+    bed.answer(&calls[0]);
+    assert!(cleared(&bed), "answered after");
+}
+
+/// An instance that is cut off takes all servers for ended. One that goes on with a server over a connection of before
+/// knows better; an answer over a new connection may come from the next process at that address.
+#[test]
+fn server_that_answers_has_not_ended() {
+    let refuted = |bed: &Bed| {
+        let refuted = |action: &&Action| matches!(action, Action::Refuted { .. });
+        bed.log.iter().filter(refuted).count()
+    };
+    let ended = |sent: &Sent| Quarantine {
+        ended: [(Arc::clone(&sent.address), 1)].into_iter().collect(),
+        ..Quarantine::default()
+    };
+    let mut bed = bed();
+    let before = sweep(&mut bed, 1, "/docks/1");
+    bed.advance(5);
+    bed.handle(view_with(1, ended(&before[0])));
+    bed.answer_all(before.iter().cloned());
+    assert_eq!(refuted(&bed), 0, "asked before it is said to have ended");
+    bed.advance(5);
+    let after = sweep(&mut bed, 2, "/docks/2");
+    bed.answer_all(after);
+    let next = sweep(&mut bed, 3, "/docks/3");
+    bed.answer_all(next);
+    assert_eq!(refuted(&bed), 1, "asked since, over a connection of before");
+    bed.handle(view_with(1, Quarantine::default()));
+    bed.handle(view_with(1, ended(&before[0])));
+    bed.close_all();
+    bed.advance(100);
+    bed.connect();
+    bed.log.clear();
+    let anew = sweep(&mut bed, 4, "/docks/4");
+    bed.answer_all(anew);
+    assert_eq!(refuted(&bed), 0, "over a new connection");
+}
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -67,6 +67,10 @@
             Action::Crashed { server, incarnation, requests } => {
                 format!("server {server}, incarnation {incarnation}, ended under {requests:?}")
             }
+            Action::Refuted { server, incarnation } => {
+                format!("server {server}, incarnation {incarnation}, lives")
+            }
+            Action::Cleared(request) => format!("clear {request}"),
             Action::Count(count) => format!("count {:?} {:?}", count.event, count.reason),
         }
     }
--- a/crates/core/tests/leaf/world.rs
+++ b/crates/core/tests/leaf/world.rs
@@ -113,6 +113,8 @@
                 Action::Reply { reply, .. } => self.check_reply(reply),
                 Action::Log(_)
                 | Action::Crashed { .. }
+                | Action::Refuted { .. }
+                | Action::Cleared(_)
                 | Action::Pending { .. }
                 | Action::Server { .. }
                 | Action::Count(_) => {}
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -7,8 +7,8 @@
 
 use ladder_core::collections::Map;
 use ladder_core::gather::{Action, Event, Machine, Settings};
-use ladder_core::leaf;
 use ladder_core::time::Instant;
+use ladder_core::{control, leaf};
 use ladder_schema::wire::{Cancel, Frame, Work};
 
 use super::Shared;
@@ -79,6 +79,9 @@
                 }
                 Action::Send { to, work } => self.send(&to.address, work),
                 Action::Cancel { to, cancel } => self.cancel(&to.address, cancel),
+                Action::Refused(request) => {
+                    self.shared.control.tell(control::Event::Asked(request));
+                }
                 Action::Log(account) => self.shared.lines.request(&account),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use ladder_core::collections::Map;
-use ladder_core::gather;
+use ladder_core::control::quarantine::Life;
 use ladder_core::leaf::{Action, Event, Machine, Settings};
 use ladder_core::time::Instant;
 use ladder_core::view::Peer;
+use ladder_core::{control, gather};
 use ladder_schema::settings;
 use ladder_schema::wire::{Frame, Reply};
 
@@ -93,6 +94,15 @@
                 }
                 Action::Crashed { server, incarnation, requests } => {
                     self.shared.lines.crashed(&server, incarnation, &requests);
+                    let life = Life { server, incarnation };
+                    self.shared.control.tell(control::Event::Crashed { life, requests });
+                }
+                Action::Refuted { server, incarnation } => {
+                    let life = Life { server, incarnation };
+                    self.shared.control.tell(control::Event::Refuted(life));
+                }
+                Action::Cleared(request) => {
+                    self.shared.control.tell(control::Event::Cleared(request));
                 }
                 Action::Count(count) => self.shared.metrics.count(count),
             }
--- a/src/log.rs
+++ b/src/log.rs
@@ -69,6 +69,12 @@
         Belief::Outlived { before, now } => {
             warn!(log, "generation raised"; "before" => before, "now" => now);
         }
+        Belief::Ruled { request, standing, lives, from } => {
+            let from = if from.is_empty() { "here" } else { from };
+            let lives = lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
+            warn!(log, "request ruled on"; "fingerprint" => %request, "standing" => ?standing,
+                "servers" => lives.collect::<Vec<_>>().join(" "), "from" => from);
+        }
         Belief::Member { name, before, now } => {
             info!(log, "member turned"; "member" => &**name, "before" => ?before, "now" => ?now);
         }
--- a/tests/integration/crash.rs
+++ b/tests/integration/crash.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use ladder_schema::call::Request;
+use ladder_schema::outcome::Reason;
 use ladder_schema::standin::Fault;
 use ladder_standin::layout::user::User;
 
-use crate::fleet::call::{BAGMATI, ask};
+use crate::fleet::call::{BAGMATI, Exchange, ask};
+use crate::fleet::load::Load;
 use crate::fleet::{Fleet, layout, until};
 
 /// What ends the servers.
@@ -23,6 +25,10 @@
     Request { payload: PAYLOAD.to_owned(), ..BAGMATI.sweep(&format!("deadly-{number}")) }
 }
 
+fn popular(key: &str) -> Request {
+    Request { payload: POPULAR.to_owned(), ..BAGMATI.sweep(key) }
+}
+
 /// Waits until all servers serve again, as each instance sees it.
 fn until_served(fleet: &Fleet, number: usize) {
     for (at, door) in fleet.doors().iter().enumerate() {
@@ -59,3 +65,38 @@
     }
     assert!(first_stopped <= doors.len(), "stopped at its repetition {first_stopped}");
 }
+
+/// What everybody asks.
+const POPULAR: &str = "wards open today";
+
+/// A check that all clerks send is open at a third of the servers each time that these go dark. It is answered by the
+/// others: taken for what ended them, it would be refused to everybody.
+#[test]
+fn popular_request_is_served_while_servers_end() {
+    let fleet = Fleet::start(layout(User::Bagmati, 3));
+    let shards = fleet.shards(BAGMATI.index);
+    let servers: Vec<String> = shards
+        .iter()
+        .flat_map(|shard| fleet.servers_of(shard))
+        .map(|server| server.name.clone())
+        .collect();
+    let load =
+        Load::start(&fleet.doors(), 6, |caller, number| popular(&format!("{caller}-{number}")));
+    for dark in 0..3 {
+        load.until_more(60);
+        let third: Vec<&String> = servers.iter().skip(dark).step_by(3).collect();
+        for dead in [true, false] {
+            third.iter().for_each(|name| fleet.fault(name, &Fault { dead, ..Fault::default() }));
+            load.until_more(60);
+        }
+    }
+    let exchanges = load.finish();
+    let refused = |exchange: &&Exchange| exchange.answer().reason() == Reason::Quarantined;
+    assert_eq!(exchanges.iter().filter(refused).count(), 0);
+    for (at, door) in fleet.doors().iter().enumerate() {
+        until("it is answered whole", || {
+            let check = ask(door, popular(&format!("last-{at}")));
+            check.answer().missing.is_empty()
+        });
+    }
+}
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -84,7 +84,7 @@
         probes: vec![Probe { number: 3 }],
         acknowledgements: vec![Probe { number: 4 }],
         rumours: vec![Rumour { name: "porto-3".into(), generation: 2, ..Rumour::default() }],
-        digest: Some(Digest { buckets: vec![1; 64], whole: 1 }),
+        digest: Some(Digest { buckets: vec![1; 64], whole: 1, quarantine: 1 }),
         wanted: vec![0, 63, 64, u32::MAX],
         sent_us: 5,
         ..Frame::default()
