ladderctl shows what is refused because servers ended under it, and releases it

Operators could see a refused request only by its id in the logs. GET /status lists what an instance holds of such requests, with the servers that each ended; POST /release clears one for all instances (a text that is no fingerprint: 400 with the reason). The process test checks both.

--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -56,10 +56,13 @@
     }
 }
 
-/// A text that is not 32 hexadecimal digits.
+/// is not a fingerprint of 32 hexadecimal digits
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(displaydoc::Display)]
 pub struct Unreadable;
 
+impl std::error::Error for Unreadable {}
+
 impl std::str::FromStr for Fingerprint {
     type Err = Unreadable;
 
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -21,6 +21,7 @@
         Command::Owners { service, instances } => client::owners(service.as_deref(), &instances),
         Command::Explain { key, instances } => client::explain(&key, &instances),
         Command::Story { key, logs } => story::run(&key, &logs),
+        Command::Quarantine { release, instances } => client::quarantine(release, &instances),
         Command::Drain { instance } => client::drain(&instance),
         Command::Cut { instance, peers } => client::cut(&instance, peers),
     };
--- a/src/ctl/arguments.rs
+++ b/src/ctl/arguments.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, positional};
+use ladder_core::fingerprint::Fingerprint;
 
 /// What the operator asks for.
 #[derive(Clone, Debug)]
@@ -38,6 +39,13 @@
         /// Files of log lines; none: standard input.
         logs: Vec<PathBuf>,
     },
+    /// Show the requests that are refused because servers ended under them, or release one.
+    Quarantine {
+        /// The request to release.
+        release: Option<Fingerprint>,
+        /// Operators' addresses of the instances.
+        instances: Vec<String>,
+    },
     /// Stop an instance gracefully.
     Drain {
         /// Operators' address of the instance.
@@ -54,7 +62,7 @@
 
 /// Parser of the command line.
 pub fn arguments() -> OptionParser<Command> {
-    construct!([check(), status(), owners(), explain(), story(), drain(), cut()])
+    construct!([check(), status(), owners(), explain(), story(), quarantine(), drain(), cut()])
         .to_options()
         .descr("Checks what is to be published and shows and stops instances.")
         .footer("Exit codes: 0 done, 1 an instance does not answer or a record is refused.")
@@ -123,6 +131,19 @@
         .command("story")
 }
 
+/// `quarantine [--release FINGERPRINT] ADMIN...`.
+fn quarantine() -> impl Parser<Command> {
+    let release = bpaf::long("release")
+        .help("Let this request be served again, at all instances")
+        .argument::<Fingerprint>("FINGERPRINT")
+        .optional();
+    let instances = instances();
+    construct!(Command::Quarantine { release, instances })
+        .to_options()
+        .descr("Shows the requests that are refused because servers ended under them.")
+        .command("quarantine")
+}
+
 /// `drain ADMIN`.
 fn drain() -> impl Parser<Command> {
     let instance = instance();
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -5,6 +5,7 @@
 
 use awc::Client;
 use awc::error::SendRequestError;
+use ladder_core::fingerprint::Fingerprint;
 use ladder_schema::status;
 use serde::de::DeserializeOwned;
 
@@ -75,6 +76,23 @@
     each(instances, &format!("explain?key={key}"), print::explanation)
 }
 
+/// Prints the requests that each instance refuses because servers ended under them; releases one first.
+///
+/// # Errors
+///
+/// As [`status`].
+pub fn quarantine(release: Option<Fingerprint>, instances: &[String]) -> Result<(), Error> {
+    if let (Some(request), Some(instance)) = (release, instances.first()) {
+        actix_rt::System::new().block_on(async {
+            let path = format!("release?request={request}");
+            post(instance, &path, &status::Cut::default()).await?;
+            say(&format!("{instance}: released {request}"));
+            Ok(())
+        })?;
+    }
+    each(instances, "status", print::quarantine)
+}
+
 /// Stops an instance gracefully.
 ///
 /// # Errors
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -1,7 +1,7 @@
 //! What instances answer, as text for people.
 
 use ladder_schema::outcome::{Reason, Verdict};
-use ladder_schema::status::{Explanation, Instance, Member, Refused, Service, Step};
+use ladder_schema::status::{Explanation, Instance, Member, Refused, Ruling, Service, Step};
 
 /// The status of one instance.
 pub fn status(address: &str, status: &Instance) -> String {
@@ -54,6 +54,25 @@
     lines.join("\n")
 }
 
+/// What one instance holds of requests under which servers ended.
+pub fn quarantine(address: &str, status: &Instance) -> String {
+    let mut lines = vec![format!("{} ({address}):", status.name)];
+    lines.extend(status.rulings.iter().map(ruling));
+    lines.join("\n")
+}
+
+/// One line on a request.
+fn ruling(ruling: &Ruling) -> String {
+    let lives = ruling.lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
+    format!(
+        "  {} {}, idle for {} s; servers that ended: {}",
+        ruling.fingerprint,
+        ruling.standing().as_str_name(),
+        ruling.idle_ms / 1000,
+        lives.collect::<Vec<_>>().join(" ")
+    )
+}
+
 /// One line on a service.
 fn service(service: &Service) -> String {
     let owner = if service.owner.is_empty() { "nobody" } else { &service.owner };
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -2,6 +2,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
+use ladder_core::control::Event;
 use ladder_schema::bounds;
 use ladder_schema::status::Cut;
 
@@ -9,8 +10,8 @@
 use crate::http;
 
 /// What the operators' interface offers.
-const PATHS: &str =
-    "GET /metrics, GET /status, GET /revision, GET /explain?key=KEY, POST /drain, POST /cut\n";
+const PATHS: &str = "GET /metrics, GET /status, GET /revision, GET /explain?key=KEY, POST /drain, \
+     POST /release?request=FINGERPRINT, POST /cut\n";
 
 /// Takes operators' requests.
 #[derive(Clone)]
@@ -40,6 +41,7 @@
                 super::stop::request(&self.shared);
                 http::text(StatusCode::ACCEPTED, "draining\n")
             }
+            (&Method::POST, "/release") => self.release(&request),
             (&Method::POST, "/cut") => self.cut(&mut request).await,
             _ => http::text(StatusCode::NOT_FOUND, PATHS),
         }
@@ -56,6 +58,18 @@
         }
     }
 
+    /// Lets requests be served again that are refused because servers ended under them.
+    fn release(&self, request: &Request) -> Response<BoxBody> {
+        let named = http::parameter(request, "request").unwrap_or_default();
+        match named.parse() {
+            Ok(fingerprint) => {
+                self.shared.control.tell(Event::Cleared(fingerprint));
+                http::text(StatusCode::ACCEPTED, "released\n")
+            }
+            Err(error) => http::text(StatusCode::BAD_REQUEST, format!("request: {error}\n")),
+        }
+    }
+
     /// Replaces the cut links, where the settings allow it.
     async fn cut(&self, request: &mut Request) -> Response<BoxBody> {
         if !self.shared.options.instance.fault_injection {
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -1,11 +1,14 @@
 //! What operators see of the machines.
 
 use ladder_core::control::membership::Member;
+use ladder_core::control::quarantine::{Ruling, Standing};
 use ladder_core::control::store::{Key, Refusal};
+use ladder_core::fingerprint::Fingerprint;
+use ladder_core::time::{Instant, micros};
 use ladder_core::view::{Service, View};
 use ladder_core::{control, gather, leaf};
 use ladder_schema::publication::Kind;
-use ladder_schema::status;
+use ladder_schema::{status, wire};
 
 use super::Shared;
 
@@ -13,8 +16,8 @@
 ///
 /// Each machine is asked by itself: the parts may be some milliseconds apart.
 pub async fn instance(shared: &Shared) -> status::Instance {
-    let known = shared.control.ask(known).await.unwrap_or_default();
     let now = shared.clock.now();
+    let known = shared.control.ask(move |machine| known(machine, now)).await.unwrap_or_default();
     let queues = shared.leaf.ask(move |machine| machine.status(now)).await.unwrap_or_default();
     let mut services = known.services;
     for service in &mut services {
@@ -49,7 +52,7 @@
 }
 
 /// The control machine's part.
-fn known(machine: &control::Machine) -> status::Instance {
+fn known(machine: &control::Machine, now: Instant) -> status::Instance {
     let view = machine.view();
     status::Instance {
         revision: view.revision,
@@ -57,6 +60,7 @@
         members: machine.members().map(member).collect(),
         services: services(machine, view),
         refused: machine.refused().map(refused).collect(),
+        rulings: rulings(machine, now),
         ..status::Instance::default()
     }
 }
@@ -95,6 +99,31 @@
     }
 }
 
+/// What is held of requests under which servers ended, in order of fingerprint.
+fn rulings(machine: &control::Machine, now: Instant) -> Vec<status::Ruling> {
+    let mut rulings: Vec<_> =
+        machine.rulings().map(|(request, ruling)| self::ruling(*request, ruling, now)).collect();
+    rulings.sort_by(|one, other| one.fingerprint.cmp(&other.fingerprint));
+    rulings
+}
+
+/// One of them.
+fn ruling(request: Fingerprint, ruling: &Ruling, now: Instant) -> status::Ruling {
+    let lives = ruling
+        .lives
+        .iter()
+        .map(|life| wire::Life { server: life.server.to_string(), incarnation: life.incarnation });
+    status::Ruling {
+        fingerprint: request.to_string(),
+        standing: match ruling.standing {
+            Standing::Quarantined => wire::Standing::Quarantined.into(),
+            Standing::Cleared => wire::Standing::Cleared.into(),
+        },
+        idle_ms: micros(now.since(ruling.seen)) / 1000,
+        lives: lives.collect(),
+    }
+}
+
 /// One refused record.
 fn refused(refusal: &Refusal) -> status::Refused {
     status::Refused {
--- a/tests/integration/crash.rs
+++ b/tests/integration/crash.rs
@@ -3,12 +3,16 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use ladder_core::fingerprint::Fingerprint;
 use ladder_schema::call::Request;
 use ladder_schema::outcome::Reason;
 use ladder_schema::standin::Fault;
+use ladder_schema::status::Ruling;
+use ladder_schema::wire::Standing;
 use ladder_standin::layout::user::User;
 
 use crate::fleet::call::{BAGMATI, Exchange, ask};
+use crate::fleet::http;
 use crate::fleet::load::Load;
 use crate::fleet::{Fleet, layout, until};
 
@@ -64,6 +68,31 @@
         assert_eq!(fleet.executed().of_key(&format!("deadly-{number}")), 0);
     }
     assert!(first_stopped <= doors.len(), "stopped at its repetition {first_stopped}");
+    check_release(&fleet);
+}
+
+/// What each instance holds of the request.
+fn standings(fleet: &Fleet) -> Vec<Option<Standing>> {
+    let fingerprint = Fingerprint::of(&deadly(0)).to_string();
+    let standing = |at| {
+        let status = fleet.view(at);
+        let ruling = status.rulings.iter().find(|ruling| ruling.fingerprint == fingerprint);
+        ruling.map(Ruling::standing)
+    };
+    fleet.running().into_iter().map(standing).collect()
+}
+
+/// Operators see what is refused, and release it at one instance for all.
+fn check_release(fleet: &Fleet) {
+    assert_eq!(standings(fleet), [Some(Standing::Quarantined); 3]);
+    let admin = &fleet.run.instances[1].admin_address;
+    let release = |request: &str| {
+        let path = format!("/release?request={request}");
+        http::post(admin, &path, &()).expect("it answers").status
+    };
+    assert_eq!(release("wards"), 400);
+    assert_eq!(release(&Fingerprint::of(&deadly(0)).to_string()), 202);
+    until("it is released everywhere", || standings(fleet) == [Some(Standing::Cleared); 3]);
 }
 
 /// What everybody asks.
