--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -302,13 +302,16 @@
     let next = sweep(&mut bed, 3, "/docks/3");
     bed.answer_all(next);
     assert_eq!(refuted(&bed), 1, "asked since, over a connection of before");
-    bed.handle(view_with(1, Quarantine::default()));
-    bed.handle(view_with(1, ended(&before[0])));
+    let servers = (0..PARTS).flat_map(|part| [1, 2].map(|number| (part, number)));
+    let all = servers.map(|(part, number)| (format!("{}-{number}", name(part)).into(), 1));
+    bed.handle(view_with(1, Quarantine { ended: all.collect(), ..Quarantine::default() }));
+    bed.advance(5);
     bed.close_all();
     bed.advance(100);
     bed.connect();
     bed.log.clear();
     let anew = sweep(&mut bed, 4, "/docks/4");
+    assert_eq!(anew.len(), PARTS);
     bed.answer_all(anew);
     assert_eq!(refuted(&bed), 0, "over a new connection");
 }
