All inputs of a property test follow from one seed

Change: an engine of bolero's own interface in crates/property, for tests only, whose seeds follow from each other; a failure names the seed that brings its input back as the first one, and is made smaller as before.

--- a/crates/core/tests/age.rs
+++ b/crates/core/tests/age.rs
@@ -53,7 +53,7 @@
 
 #[test]
 fn clocks_of_any_value_give_an_age() {
-    bolero::check!().with_iterations(20_000).with_type::<(u64, u64, u64, u64)>().for_each(
+    ladder_property::check(20_000).with_type::<(u64, u64, u64, u64)>().for_each(
         |(sent, received, sent_later, received_later)| {
             let mut gauges = Gauges::default();
             gauges.age(Arc::from("a"), 1, *sent, Instant::from_micros(*received));
--- a/crates/core/tests/fleet/disorder.rs
+++ b/crates/core/tests/fleet/disorder.rs
@@ -126,20 +126,18 @@
 /// everything.
 #[test]
 fn any_failures_hold_caps_and_converge() {
-    bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(40).with_max_len(60).for_each(
-        |steps| {
-            let mut session = Session::new();
-            for &(choice, which) in steps.iter().take(20) {
-                session.step(choice, which);
-            }
-            session.heal();
-            let queue = session.queue;
-            let done = |fleet: &Fleet| has_converged(fleet, queue);
-            session.fleet.until("converged", SETTLED, done);
-            let most = session.fleet.most_shares.values().max();
-            assert!(most.is_none_or(|&most| most <= LIMIT), "{most:?}");
-        },
-    );
+    ladder_property::check_short(40, 60).with_type::<Vec<(u8, u8)>>().for_each(|steps| {
+        let mut session = Session::new();
+        for &(choice, which) in steps.iter().take(20) {
+            session.step(choice, which);
+        }
+        session.heal();
+        let queue = session.queue;
+        let done = |fleet: &Fleet| has_converged(fleet, queue);
+        session.fleet.until("converged", SETTLED, done);
+        let most = session.fleet.most_shares.values().max();
+        assert!(most.is_none_or(|&most| most <= LIMIT), "{most:?}");
+    });
 }
 
 /// A racing withdrawal: the tombstone of an instance and its return are published while half of
--- a/crates/core/tests/fleet/parts.rs
+++ b/crates/core/tests/fleet/parts.rs
@@ -134,11 +134,8 @@
 /// published changes, rumours, leaving servers and waits the view equals one built whole.
 #[test]
 fn a_view_kept_in_parts_equals_one_built_whole() {
-    bolero::check!()
-        .with_type::<(bool, Vec<(u8, u8, u8)>)>()
-        .with_iterations(20)
-        .with_max_len(150)
-        .for_each(|(direct, steps)| {
+    ladder_property::check_short(20, 150).with_type::<(bool, Vec<(u8, u8, u8)>)>().for_each(
+        |(direct, steps)| {
             let placement = match direct {
                 true => Placement::Direct,
                 false => Placement::Owner,
@@ -147,7 +144,8 @@
             for &step in steps.iter().take(40) {
                 session.step(step);
             }
-        });
+        },
+    );
 }
 
 /// Sweeps are collected in the wrong zone: a member says anew that it is alive, in the same life but
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -47,7 +47,7 @@
 /// instances compute alone must not exceed the limit in the sum, and reach must stay bounded.
 #[test]
 fn shares_stay_below_the_limit() {
-    bolero::check!().with_type::<(Vec<u8>, u8, u8)>().with_iterations(2000).for_each(
+    ladder_property::check(2000).with_type::<(Vec<u8>, u8, u8)>().for_each(
         |(zones, service, limit)| {
             let fleet = fleet_of(zones);
             let limit = u32::from(*limit).max(2);
@@ -64,7 +64,7 @@
 
 /// Lists before and after a change to one instance, whose name is given, hold the limit together.
 fn hold_the_limit_together(change: fn(&mut Fleet, &str)) {
-    bolero::check!().with_type::<(Vec<u8>, u8, u8, u8)>().with_iterations(4000).for_each(
+    ladder_property::check(4000).with_type::<(Vec<u8>, u8, u8, u8)>().for_each(
         |(zones, service, limit, which)| {
             let limit = u32::from(*limit).max(2);
             let service = format!("gate-{service}");
@@ -173,7 +173,7 @@
 /// its candidates are those of a machine that ranks the whole list anew.
 #[test]
 fn followed_rankings_equal_new_ones() {
-    bolero::check!().with_type::<Vec<(u8, u8)>>().with_iterations(300).for_each(|changes| {
+    ladder_property::check(300).with_type::<Vec<(u8, u8)>>().for_each(|changes| {
         let mut machine = machine();
         let mut fleet = Fleet::new();
         let services: Vec<String> = (0..5).map(|at| format!("gate-{at}")).collect();
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -227,8 +227,7 @@
 /// and no request that was answered is refused.
 #[test]
 fn any_order_of_news_leads_to_the_same_rulings() {
-    bolero::check!()
-        .with_iterations(60)
+    ladder_property::check(60)
         .with_generator(bolero::produce::<Vec<(u8, Seen)>>().with().len(0_usize..=40))
         .for_each(|seen| {
             let mut fleet = fleet(3);
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -246,10 +246,8 @@
 /// makes both equal.
 #[test]
 fn any_order_loss_and_repetition_converges() {
-    bolero::check!()
-        .with_type::<(Vec<(u8, u8, u8)>, Vec<u8>, Vec<u8>)>()
-        .with_iterations(1500)
-        .for_each(|(seed, first, second)| {
+    ladder_property::check(1500).with_type::<(Vec<(u8, u8, u8)>, Vec<u8>, Vec<u8>)>().for_each(
+        |(seed, first, second)| {
             let records = arbitrary(seed);
             let mut stores = [Store::default(), Store::default()];
             for (store, order) in stores.iter_mut().zip([first, second]) {
@@ -261,7 +259,8 @@
             reconcile(one, other);
             assert_eq!(contents(one), contents(other));
             assert_eq!(one.digest(), other.digest());
-        });
+        },
+    );
 }
 
 fn deliver(store: &mut Store, records: &[Record], at: u8) {
--- a/crates/core/tests/gather/any_order.rs
+++ b/crates/core/tests/gather/any_order.rs
@@ -215,16 +215,14 @@
 #[test]
 fn promises_hold_in_any_order_of_events() {
     let steps = bolero::generator::produce::<Vec<[u8; 4]>>().with().len(0usize..160);
-    bolero::check!().with_generator(steps).with_iterations(1500).for_each(
-        |steps: &Vec<[u8; 4]>| {
-            let mut world = World::new();
-            for &step in steps {
-                world.step(step);
-            }
-            // Left alone, everything is answered.
-            world.wake(255);
-            world.wake(255);
-            assert_eq!(world.machine.open(), 0);
-        },
-    );
+    ladder_property::check(1500).with_generator(steps).for_each(|steps: &Vec<[u8; 4]>| {
+        let mut world = World::new();
+        for &step in steps {
+            world.step(step);
+        }
+        // Left alone, everything is answered.
+        world.wake(255);
+        world.wake(255);
+        assert_eq!(world.machine.open(), 0);
+    });
 }
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -394,9 +394,7 @@
 /// where the route allows two.
 #[test]
 fn any_order_of_events_and_views_keeps_to_the_attempts_of_the_route() {
-    bolero::check!()
-        .with_iterations(2000)
-        .with_max_len(4096)
+    ladder_property::check_short(2000, 4096)
         .with_generator((
             bolero::produce::<bool>(),
             bolero::produce::<Vec<Step>>().with().len(0_usize..=200),
--- a/crates/core/tests/leaf/collect.rs
+++ b/crates/core/tests/leaf/collect.rs
@@ -388,5 +388,5 @@
 /// the greatest of exactly the parts that it names.
 #[test]
 fn any_order_of_ends_keeps_collections_whole() {
-    bolero::check!().with_iterations(3000).with_type::<Vec<Step>>().for_each(|steps| run(steps));
+    ladder_property::check(3000).with_type::<Vec<Step>>().for_each(|steps| run(steps));
 }
--- a/crates/core/tests/leaf/property.rs
+++ b/crates/core/tests/leaf/property.rs
@@ -205,9 +205,7 @@
 
 #[test]
 fn any_order_of_events_keeps_the_promises() {
-    bolero::check!()
-        .with_iterations(500)
-        .with_max_len(4096)
+    ladder_property::check_short(500, 4096)
         .with_generator(bolero::produce::<Vec<Step>>().with().len(0_usize..=400))
         .for_each(|steps| {
             let mut run = Run::new();
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn any_text_is_settings_or_a_clear_error() {
-    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+    ladder_property::check(RUNS).for_each(|bytes: &[u8]| {
         if let Err(error) = file::parse(&String::from_utf8_lossy(bytes)) {
             assert!(error.to_string().len() > 10);
         }
@@ -30,7 +30,7 @@
 
 #[test]
 fn any_body_is_a_request_or_is_refused_as_not_run() {
-    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+    ladder_property::check(RUNS).for_each(|bytes: &[u8]| {
         if let Err(answer) = native::decode(Ok(Bytes::copy_from_slice(bytes))) {
             assert_eq!(answer.verdict(), Verdict::NotRun);
             assert_eq!(answer.reason(), Reason::Malformed);
@@ -41,19 +41,17 @@
 
 #[test]
 fn any_response_of_a_target_has_an_outcome() {
-    bolero::check!().with_iterations(RUNS).with_type::<(u16, Vec<u8>)>().for_each(
-        |(code, body)| {
-            if let Ok(status) = awc::http::StatusCode::from_u16(*code) {
-                let outcome = native::outcome(status, body, "a1");
-                assert_ne!(outcome, leaf::event::Outcome::Unsent, "something was written");
-            }
-        },
-    );
+    ladder_property::check(RUNS).with_type::<(u16, Vec<u8>)>().for_each(|(code, body)| {
+        if let Ok(status) = awc::http::StatusCode::from_u16(*code) {
+            let outcome = native::outcome(status, body, "a1");
+            assert_ne!(outcome, leaf::event::Outcome::Unsent, "something was written");
+        }
+    });
 }
 
 #[test]
 fn any_page_is_checked_record_by_record() {
-    bolero::check!().with_iterations(RUNS).for_each(|bytes: &[u8]| {
+    ladder_property::check(RUNS).for_each(|bytes: &[u8]| {
         for record in Page::decode(bytes).unwrap_or_default().records {
             let _ = check::record(&record);
         }
@@ -98,7 +96,7 @@
 #[test]
 fn damaged_frames_are_refused_or_harmless() {
     let sound = frame().encode_to_vec();
-    let damage = bolero::check!().with_iterations(4 * RUNS).with_type::<Vec<(u16, u8)>>();
+    let damage = ladder_property::check(4 * RUNS).with_type::<Vec<(u16, u8)>>();
     damage.for_each(|places| {
         let mut bytes = sound.clone();
         for (place, value) in places {
