The book of open requests and broken calls is read without the machine

Damaged frames of the decoders' property hold ends and rulings too. Tests as before, green; no change of logic.

--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -4,8 +4,9 @@
 //! connection proves nothing: the server has ended when nothing listens at its address any more, or when
 //! it is known to have started again.
 
+mod book;
+
 use std::sync::Arc;
-use std::time::Duration;
 
 use ladder_schema::outcome::Reason;
 
@@ -13,156 +14,15 @@
 use super::event::{Action, AttemptKey, LaneKey, Outcome};
 use super::machine::Machine;
 use super::portion::{Job, Portion, PortionKey};
-use super::recent::Recent;
 use super::reply::Refused;
 use super::server::ServerKey;
 use super::service::ServiceId;
-use crate::collections::{Map, Set};
+use crate::collections::Set;
 use crate::fingerprint::Fingerprint;
-use crate::time::Instant;
 use crate::view;
 
-/// How long after a call broke off its server's end is still taken for the cause.
-const PROOF: Duration = Duration::from_secs(5);
-/// Broken calls kept of one server. Servers work on a few requests at once.
-const LOSSES: usize = 16;
-
-/// Servers that seem to have ended under a request from which on its parts wait.
-const WAITS: usize = 3;
-/// How long a part whose call broke off waits for its siblings, while so many of them may do the same.
-const MOMENT: Duration = Duration::from_millis(5);
-
-/// A call that broke off without an answer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Loss {
-    request: Fingerprint,
-    at: Instant,
-}
-
-/// A server that seems to have ended under a request.
-#[derive(Clone, Copy, Debug)]
-struct Doubt {
-    server: ServerKey,
-    /// It is known to have ended.
-    ended: bool,
-    at: Instant,
-}
-
-/// A life of a server that has ended.
-#[derive(Debug)]
-struct End {
-    server: Arc<str>,
-    incarnation: u64,
-    /// Requests at the server when it ended, each once.
-    requests: Vec<Fingerprint>,
-    at: Instant,
-}
-
-/// What is open of a request.
-///
-/// Invariant: kept as long as one of them is not zero.
-#[derive(Clone, Copy, Debug, Default)]
-struct Open {
-    calls: u32,
-    /// Portions without a reply.
-    portions: u32,
-}
-
-/// What is known of the requests at servers.
-#[derive(Debug, Default)]
-pub(super) struct Crashes {
-    /// Requests that are open here.
-    open: Map<Fingerprint, Open>,
-    /// Requests that servers answered.
-    answered: Recent<Fingerprint>,
-    /// Servers that seem to have ended under each request that no server has answered.
-    doubts: Map<Fingerprint, Vec<Doubt>>,
-    /// Ends that are not told yet, as a request of theirs may still be answered by another server.
-    ends: Vec<End>,
-}
-
-impl Crashes {
-    /// A call or a portion of a request begins.
-    fn begin(&mut self, request: Fingerprint, begin: impl FnOnce(&mut Open)) {
-        begin(self.open.entry(request).or_default());
-    }
-
-    /// A call or a portion of a request has ended.
-    fn end(&mut self, request: Fingerprint, end: impl FnOnce(&mut Open)) {
-        if let Some(open) = self.open.get_mut(&request) {
-            end(open);
-            if open.calls == 0 && open.portions == 0 {
-                self.open.remove(&request);
-            }
-        }
-    }
-
-    fn calls(&self, request: Fingerprint) -> usize {
-        self.open.get(&request).map_or(0, |open| open.calls as usize)
-    }
-
-    /// A call of a request broke off at a server.
-    fn doubt(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
-        self.doubts.retain(|_, doubts| {
-            doubts.retain(|doubt| now.since(doubt.at) < PROOF);
-            !doubts.is_empty()
-        });
-        if self.answered.contains(&request) {
-            return;
-        }
-        let doubts = self.doubts.entry(request).or_default();
-        doubts.retain(|doubt| doubt.server != server);
-        doubts.push(Doubt { server, ended: false, at: now });
-    }
-
-    /// A server takes connections.
-    fn trust(&mut self, server: ServerKey) {
-        let lives = |doubt: &Doubt| doubt.server == server && !doubt.ended;
-        self.doubts.values_mut().for_each(|doubts| doubts.retain(|doubt| !lives(doubt)));
-    }
-
-    fn ended(&mut self, server: ServerKey) {
-        let doubts = self.doubts.values_mut().flatten();
-        doubts.filter(|doubt| doubt.server == server).for_each(|doubt| doubt.ended = true);
-    }
-
-    /// Whether so many servers seem to have ended under a request that no other is to get it.
-    fn stalls(&self, now: Instant, request: Fingerprint) -> bool {
-        self.fresh(now, request, PROOF) >= WAITS
-    }
-
-    /// The same, or so many may have within a moment.
-    fn waits(&self, now: Instant, request: Fingerprint) -> bool {
-        let lately = self.fresh(now, request, MOMENT);
-        let many = lately + self.calls(request) >= WAITS;
-        self.stalls(now, request) || (lately > 0 && many)
-    }
-
-    /// Servers that seem to have ended under a request in a span of time.
-    fn fresh(&self, now: Instant, request: Fingerprint, span: Duration) -> usize {
-        let fresh = |doubt: &&Doubt| now.since(doubt.at) < span;
-        self.doubts.get(&request).map_or(0, |doubts| doubts.iter().filter(fresh).count())
-    }
-
-    /// Requests without an open call under which so many servers are known to have ended.
-    fn failed(&self) -> Vec<Fingerprint> {
-        let ended = |doubts: &[Doubt]| doubts.iter().filter(|doubt| doubt.ended).count() >= WAITS;
-        let doubts = self.doubts.iter();
-        let failed = doubts.filter(|(request, doubts)| ended(doubts) && self.calls(**request) == 0);
-        failed.map(|(request, _)| *request).collect()
-    }
-
-    /// Ends whose requests are all settled; requests that were answered don't count among them.
-    fn take_settled(&mut self, now: Instant) -> Vec<End> {
-        for end in &mut self.ends {
-            end.requests.retain(|request| !self.answered.contains(request));
-        }
-        self.ends.retain(|end| !end.requests.is_empty() && now.since(end.at) < PROOF);
-        let open = &self.open;
-        let settled = |end: &mut End| !end.requests.iter().any(|one| open.contains_key(one));
-        self.ends.extract_if(.., settled).collect()
-    }
-}
+pub(super) use book::{Crashes, Loss};
+use book::{LOSSES, MOMENT, PROOF};
 
 impl Machine {
     pub(super) fn portion_began(&mut self, job: &Job) {
@@ -211,11 +71,11 @@
 
     /// A server answered a request, which therefore ends none.
     fn request_answered(&mut self, request: Fingerprint, out: &mut Vec<Action>) {
-        self.crashes.answered.insert(self.now, request);
+        let doubted = self.crashes.answered(self.now, request);
         if self.view.quarantine.concerns(request) {
             out.push(Action::Cleared(request));
         }
-        if self.crashes.doubts.remove(&request).is_some() {
+        if doubted {
             self.look_at_parts();
         }
     }
@@ -252,7 +112,7 @@
             server.said_ended = said.then(|| server.said_ended.unwrap_or(self.now));
         }
         let known = now.refused.iter().chain(&now.suspected);
-        let answered = known.filter(|request| self.crashes.answered.contains(request));
+        let answered = known.filter(|request| self.crashes.was_answered(**request));
         out.extend(answered.map(|request| Action::Cleared(*request)));
         if !now.refused.is_empty() {
             self.stop_refused(&now.refused, out);
@@ -293,19 +153,19 @@
     pub(super) fn waits_for_news(&self, key: PortionKey) -> bool {
         let request = self.portions[key].job.fingerprint;
         let waits = |request| self.crashes.waits(self.now, request);
-        !self.crashes.doubts.is_empty() && request.is_some_and(waits)
+        self.crashes.has_doubts() && request.is_some_and(waits)
     }
 
     /// Whether a portion gets no second copy now.
     pub(super) fn stalls(&self, key: PortionKey) -> bool {
         let request = self.portions[key].job.fingerprint;
         let stalls = |request| self.crashes.stalls(self.now, request);
-        !self.crashes.doubts.is_empty() && request.is_some_and(stalls)
+        self.crashes.has_doubts() && request.is_some_and(stalls)
     }
 
     /// A connection to a server is open.
     pub(super) fn server_listens(&mut self, key: ServerKey) {
-        if !self.crashes.doubts.is_empty() {
+        if self.crashes.has_doubts() {
             self.crashes.trust(key);
             self.look_at_parts();
         }
@@ -313,7 +173,7 @@
 
     /// Refuses the waiting parts of requests under which servers are known to have ended.
     pub(super) fn refuse_waiting(&mut self, out: &mut Vec<Action>) {
-        if self.crashes.doubts.is_empty() {
+        if !self.crashes.has_doubts() {
             return;
         }
         let failed = self.crashes.failed();
@@ -348,7 +208,7 @@
     }
 
     /// Nothing listens at a server's address.
-    pub(super) fn refused(&mut self, key: LaneKey, out: &mut Vec<Action>) {
+    pub(super) fn lane_refused(&mut self, key: LaneKey, out: &mut Vec<Action>) {
         if let Some(lane) = self.lanes.get(key) {
             let server = lane.server;
             self.server_ended(server, self.servers[server].incarnation, out);
@@ -365,19 +225,15 @@
             return;
         }
         let requests = losses.iter().map(|loss| loss.request).collect();
-        self.crashes.ended(key);
         let server = Arc::clone(&server.name);
-        self.crashes.ends.push(End { server, incarnation, requests, at: self.now });
+        self.crashes.server_ended(self.now, key, (server, incarnation), requests);
         self.tell_ends(out);
     }
 
     fn tell_ends(&mut self, out: &mut Vec<Action>) {
-        if !self.crashes.doubts.is_empty() {
+        if self.crashes.has_doubts() {
             self.look_at_parts();
         }
-        if self.crashes.ends.is_empty() {
-            return;
-        }
         let ends = self.crashes.take_settled(self.now).into_iter();
         out.extend(ends.map(|end| Action::Crashed {
             server: end.server,
--- /dev/null
+++ b/crates/core/src/leaf/crash/book.rs
@@ -0,0 +1,177 @@
+//! The requests that are open, and the servers that seem to have ended under them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::collections::Map;
+use crate::fingerprint::Fingerprint;
+use crate::leaf::recent::Recent;
+use crate::leaf::server::ServerKey;
+use crate::time::Instant;
+
+/// How long after a call broke off its server's end is still taken for the cause.
+pub(super) const PROOF: Duration = Duration::from_secs(5);
+/// Broken calls kept of one server. Servers work on a few requests at once.
+pub(super) const LOSSES: usize = 16;
+
+/// Servers that seem to have ended under a request from which on its parts wait.
+const WAITS: usize = 3;
+/// How long a part whose call broke off waits for its siblings, while so many of them may do the same.
+pub(super) const MOMENT: Duration = Duration::from_millis(5);
+
+/// A call that broke off without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::leaf) struct Loss {
+    pub(super) request: Fingerprint,
+    pub(super) at: Instant,
+}
+
+/// A server that seems to have ended under a request.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    server: ServerKey,
+    /// It is known to have ended.
+    ended: bool,
+    at: Instant,
+}
+
+/// A life of a server that has ended.
+#[derive(Debug)]
+pub(super) struct End {
+    pub(super) server: Arc<str>,
+    pub(super) incarnation: u64,
+    /// Requests at the server when it ended, each once.
+    pub(super) requests: Vec<Fingerprint>,
+    at: Instant,
+}
+
+/// What is open of a request.
+///
+/// Invariant: kept as long as one of them is not zero.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Open {
+    pub(super) calls: u32,
+    /// Portions without a reply.
+    pub(super) portions: u32,
+}
+
+/// What is known of the requests at servers.
+#[derive(Debug, Default)]
+pub(in crate::leaf) struct Crashes {
+    /// Requests that are open here.
+    open: Map<Fingerprint, Open>,
+    /// Requests that servers answered.
+    answered: Recent<Fingerprint>,
+    /// Servers that seem to have ended under each request that no server has answered.
+    doubts: Map<Fingerprint, Vec<Doubt>>,
+    /// Ends that are not told yet, as a request of theirs may still be answered by another server.
+    ends: Vec<End>,
+}
+
+impl Crashes {
+    /// A call or a portion of a request begins.
+    pub(super) fn begin(&mut self, request: Fingerprint, begin: impl FnOnce(&mut Open)) {
+        begin(self.open.entry(request).or_default());
+    }
+
+    /// A call or a portion of a request has ended.
+    pub(super) fn end(&mut self, request: Fingerprint, end: impl FnOnce(&mut Open)) {
+        if let Some(open) = self.open.get_mut(&request) {
+            end(open);
+            if open.calls == 0 && open.portions == 0 {
+                self.open.remove(&request);
+            }
+        }
+    }
+
+    fn calls(&self, request: Fingerprint) -> usize {
+        self.open.get(&request).map_or(0, |open| open.calls as usize)
+    }
+
+    /// A call of a request broke off at a server.
+    pub(super) fn doubt(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
+        self.doubts.retain(|_, doubts| {
+            doubts.retain(|doubt| now.since(doubt.at) < PROOF);
+            !doubts.is_empty()
+        });
+        if self.answered.contains(&request) {
+            return;
+        }
+        let doubts = self.doubts.entry(request).or_default();
+        doubts.retain(|doubt| doubt.server != server);
+        doubts.push(Doubt { server, ended: false, at: now });
+    }
+
+    /// A server takes connections.
+    pub(super) fn trust(&mut self, server: ServerKey) {
+        let lives = |doubt: &Doubt| doubt.server == server && !doubt.ended;
+        self.doubts.values_mut().for_each(|doubts| doubts.retain(|doubt| !lives(doubt)));
+    }
+
+    /// A life of a server, by name and incarnation, has ended while these requests were there.
+    pub(super) fn server_ended(
+        &mut self,
+        now: Instant,
+        key: ServerKey,
+        (server, incarnation): (Arc<str>, u64),
+        requests: Vec<Fingerprint>,
+    ) {
+        let doubts = self.doubts.values_mut().flatten();
+        doubts.filter(|doubt| doubt.server == key).for_each(|doubt| doubt.ended = true);
+        self.ends.push(End { server, incarnation, requests, at: now });
+    }
+
+    /// A server answered a request; whether servers seemed to have ended under it.
+    pub(super) fn answered(&mut self, now: Instant, request: Fingerprint) -> bool {
+        self.answered.insert(now, request);
+        self.doubts.remove(&request).is_some()
+    }
+
+    pub(super) fn was_answered(&self, request: Fingerprint) -> bool {
+        self.answered.contains(&request)
+    }
+
+    pub(super) fn has_doubts(&self) -> bool {
+        !self.doubts.is_empty()
+    }
+
+    /// Whether so many servers seem to have ended under a request that no other is to get it.
+    pub(super) fn stalls(&self, now: Instant, request: Fingerprint) -> bool {
+        self.fresh(now, request, PROOF) >= WAITS
+    }
+
+    /// The same, or so many may have within a moment.
+    pub(super) fn waits(&self, now: Instant, request: Fingerprint) -> bool {
+        let lately = self.fresh(now, request, MOMENT);
+        let many = lately + self.calls(request) >= WAITS;
+        self.stalls(now, request) || (lately > 0 && many)
+    }
+
+    /// Servers that seem to have ended under a request in a span of time.
+    fn fresh(&self, now: Instant, request: Fingerprint, span: Duration) -> usize {
+        let fresh = |doubt: &&Doubt| now.since(doubt.at) < span;
+        self.doubts.get(&request).map_or(0, |doubts| doubts.iter().filter(fresh).count())
+    }
+
+    /// Requests without an open call under which so many servers are known to have ended.
+    pub(super) fn failed(&self) -> Vec<Fingerprint> {
+        let ended = |doubts: &[Doubt]| doubts.iter().filter(|doubt| doubt.ended).count() >= WAITS;
+        let doubts = self.doubts.iter();
+        let failed = doubts.filter(|(request, doubts)| ended(doubts) && self.calls(**request) == 0);
+        failed.map(|(request, _)| *request).collect()
+    }
+
+    /// Ends whose requests are all settled; requests that were answered don't count among them.
+    pub(super) fn take_settled(&mut self, now: Instant) -> Vec<End> {
+        if self.ends.is_empty() {
+            return Vec::new();
+        }
+        for end in &mut self.ends {
+            end.requests.retain(|request| !self.answered.contains(request));
+        }
+        self.ends.retain(|end| !end.requests.is_empty() && now.since(end.at) < PROOF);
+        let open = &self.open;
+        let settled = |end: &mut End| !end.requests.iter().any(|one| open.contains_key(one));
+        self.ends.extract_if(.., settled).collect()
+    }
+}
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -162,7 +162,7 @@
             Event::Cancel { from, cancel } => self.cancel(from, &cancel, out),
             Event::Opened(lane) => self.opened(lane, out),
             Event::Closed(lane) => self.closed(lane, out),
-            Event::Refused(lane) => self.refused(lane, out),
+            Event::Refused(lane) => self.lane_refused(lane, out),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, out),
             Event::Load { server, load } => self.load(&server, load, out),
             Event::View(view) => self.refresh(&view, out),
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ladder_core::control::settings::Settings;
+use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::Instant;
 use ladder_core::view::Peer;
 use ladder_core::{control, gather, leaf};
@@ -61,7 +62,9 @@
 /// A frame of this fleet with everything in it that a peer may say.
 fn frame() -> Frame {
     use ladder_schema::call::Part;
-    use ladder_schema::wire::{Cancel, Digest, Portion, Probe, Reply, Rumour, Work};
+    use ladder_schema::wire::{Cancel, Crash, Digest, Life, Portion, Probe, Reply, Ruling};
+    use ladder_schema::wire::{Rumour, Work};
+    let request = Fingerprint(7).bytes();
     let portion = Portion {
         service: "s".into(),
         shards: vec!["a".into(), "b".into()],
@@ -84,6 +87,16 @@
         rumours: vec![Rumour { name: "porto-3".into(), generation: 2, ..Rumour::default() }],
         digest: Some(Digest { buckets: vec![1; 64], whole: 1, quarantine: 1 }),
         wanted: vec![0, 63, 64, u32::MAX],
+        crashes: vec![Crash {
+            server: "i-1".into(),
+            requests: vec![request.clone().into()],
+            ..Crash::default()
+        }],
+        rulings: vec![Ruling {
+            request: request.into(),
+            lives: vec![Life::default()],
+            ..Ruling::default()
+        }],
         sent_us: 5,
         ..Frame::default()
     }
