Names of the quarantine: entries, changes, poison requests

The words of the first writing (rulings, turns, the guilty one) were metaphors; the field says quarantine, entry, change and poison request. Tests of the quarantine, of the leaf, of the processes and of the platform's dialect run again: green.

--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -58,7 +58,7 @@
         now: u64,
     },
     /// A request under which servers ended is refused from now on, or not any more.
-    Ruled {
+    Quarantine {
         /// The request.
         request: Fingerprint,
         /// What is held of it.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -13,7 +13,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
-use super::quarantine::{Quarantine, Ruling, Turn};
+use super::quarantine::{Change, Entry, Quarantine};
 use super::reader::{self, Place, Reader};
 use super::settings::{Listing, Settings};
 use super::spread::News;
@@ -156,11 +156,13 @@
                 self.server_leaving(now, &server, incarnation, out);
             }
             Event::Crashed { life, requests } => {
-                self.rule(now, "", out, |held| held.crashed(now, life, &requests));
+                self.update_quarantine(now, "", out, |held| held.crashed(now, life, &requests));
+            }
+            Event::Refuted(life) => {
+                self.update_quarantine(now, "", out, |held| held.refuted(now, &life));
             }
-            Event::Refuted(life) => self.rule(now, "", out, |held| held.refuted(now, &life)),
             Event::Cleared(request) => {
-                self.rule(now, "", out, |held| held.cleared(now, request));
+                self.update_quarantine(now, "", out, |held| held.cleared(now, request));
             }
             Event::Asked(request) => self.quarantine.asked(now, request),
             Event::Seeds(seeds) => self.settings.seeds = seeds,
@@ -207,8 +209,8 @@
     }
 
     /// What is held of requests under which servers ended.
-    pub fn rulings(&self) -> impl Iterator<Item = (&Fingerprint, &Ruling)> {
-        self.quarantine.rulings()
+    pub fn quarantined(&self) -> impl Iterator<Item = (&Fingerprint, &Entry)> {
+        self.quarantine.entries()
     }
 
     /// The last view, with owner and candidates of each service.
@@ -286,8 +288,8 @@
         let due = self.next_view.is_some_and(|at| now >= at);
         let members_changed = self.membership.take_changed();
         let store_changed = std::mem::take(&mut self.store_changed);
-        let ruled = *self.quarantine.view() != self.projection.view().quarantine;
-        if !(store_changed || members_changed || became_ready || due || ruled) {
+        let quarantine_changed = *self.quarantine.view() != self.projection.view().quarantine;
+        if !(store_changed || members_changed || became_ready || due || quarantine_changed) {
             return;
         }
         let changes = self.store.take_changes();
@@ -521,27 +523,27 @@
         news
     }
 
-    /// Takes in what is said of requests under which servers ended; logs the rulings that change, and tells
+    /// Takes in what is said of requests under which servers ended; logs what changes, and tells
     /// some peers all that is held if it is news.
     ///
     /// Random peers of all zones: such a request comes again anywhere within milliseconds.
-    fn rule(
+    fn update_quarantine(
         &mut self,
         now: Instant,
         from: &str,
         out: &mut Vec<Action>,
-        take: impl FnOnce(&mut Quarantine) -> Vec<Turn>,
+        take: impl FnOnce(&mut Quarantine) -> Vec<Change>,
     ) {
         let before = self.quarantine.digest();
-        let turns = take(&mut self.quarantine);
+        let changes = take(&mut self.quarantine);
         if self.quarantine.digest() == before {
             return;
         }
-        out.extend(turns.into_iter().map(|turn| {
-            Action::Log(Belief::Ruled {
-                request: turn.request,
-                standing: turn.standing,
-                lives: turn.lives,
+        out.extend(changes.into_iter().map(|change| {
+            Action::Log(Belief::Quarantine {
+                request: change.request,
+                standing: change.standing,
+                lives: change.lives,
                 from: from.into(),
             })
         }));
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -46,9 +46,9 @@
         }
         self.reader.heard_age(now, frame.platform_age_ms);
         self.acknowledged(&frame.acknowledgements);
-        let tells = !(frame.crashes.is_empty() && frame.rulings.is_empty());
+        let tells = !(frame.crashes.is_empty() && frame.quarantines.is_empty());
         if tells {
-            self.rule(now, &frame.from, out, |held| held.merge(now, &frame));
+            self.update_quarantine(now, &frame.from, out, |held| held.merge(now, &frame));
         }
         let mut news = self.apply(now, &frame.records, out);
         news.departures = self.depart(frame.departures).departures;
@@ -83,7 +83,7 @@
         Digest { quarantine: self.quarantine.digest(), ..self.store.digest() }
     }
 
-    /// One hash of all records beside that of the rulings.
+    /// One hash of all records beside that of the quarantine.
     fn summary(&self) -> Digest {
         Digest { quarantine: self.quarantine.digest(), ..self.store.summary() }
     }
@@ -172,7 +172,7 @@
             || !reply.wanted.is_empty()
             || !reply.details.is_empty()
             || !reply.wanted_parts.is_empty()
-            || !reply.rulings.is_empty()
+            || !reply.quarantines.is_empty()
             || !reply.crashes.is_empty()
             || reply.digest.is_some();
         if worth && !to.is_empty() {
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -24,7 +24,7 @@
 
 /// Servers that a request has to end to be refused.
 const ENDS: usize = 3;
-/// How long an end counts, and how long a ruling lasts without being asked for.
+/// How long an end counts, and how long an entry lasts without being asked for.
 pub const MEMORY: Duration = Duration::from_secs(15 * 60);
 /// Ends kept at once.
 const KEPT_ENDS: usize = 64;
@@ -36,7 +36,7 @@
 const IDLE: Duration = Duration::from_secs(60);
 /// How much younger than the oldest known end one of a peer is to take its place.
 const YOUNGER: Duration = Duration::from_secs(1);
-/// Lives of servers kept of one ruling.
+/// Lives of servers kept of one entry.
 const KEPT_LIVES: usize = 4;
 
 /// One life of a server.
@@ -81,7 +81,7 @@
 
 /// What is held of a request, and why.
 #[derive(Clone, Debug)]
-pub struct Ruling {
+pub struct Entry {
     /// What is held.
     pub standing: Standing,
     /// Servers that it ended.
@@ -92,9 +92,9 @@
     pub seen: Instant,
 }
 
-/// A ruling that has changed.
+/// A entry that has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Turn {
+pub(super) struct Change {
     pub(super) request: Fingerprint,
     pub(super) standing: Standing,
     pub(super) lives: Vec<Life>,
@@ -104,7 +104,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     ends: Map<Life, End>,
-    rulings: Map<Fingerprint, Ruling>,
+    entries: Map<Fingerprint, Entry>,
     /// What the traffic has to know of it.
     view: Arc<view::Quarantine>,
 }
@@ -115,9 +115,9 @@
         &self.view
     }
 
-    /// The rulings.
-    pub(super) fn rulings(&self) -> impl Iterator<Item = (&Fingerprint, &Ruling)> {
-        self.rulings.iter()
+    /// The entries.
+    pub(super) fn entries(&self) -> impl Iterator<Item = (&Fingerprint, &Entry)> {
+        self.entries.iter()
     }
 
     /// Takes in that a server ended while requests were there.
@@ -126,36 +126,36 @@
         now: Instant,
         life: Life,
         requests: &[Fingerprint],
-    ) -> Vec<Turn> {
+    ) -> Vec<Change> {
         self.add_end(life, requests, now);
-        self.judge(now)
+        self.evaluate(now)
     }
 
     /// Takes in that a life that is said to have ended goes on.
-    pub(super) fn refuted(&mut self, now: Instant, life: &Life) -> Vec<Turn> {
+    pub(super) fn refuted(&mut self, now: Instant, life: &Life) -> Vec<Change> {
         if let Some(end) = self.ends.get_mut(life) {
             end.refuted = true;
         }
-        self.judge(now)
+        self.evaluate(now)
     }
 
     /// Takes in that a request was answered, or that an operator releases it.
-    pub(super) fn cleared(&mut self, now: Instant, request: Fingerprint) -> Vec<Turn> {
-        let cleared = Ruling { standing: Standing::Cleared, lives: Vec::new(), seen: now };
-        let before = self.rulings.insert(request, cleared);
-        let turned = before.is_none_or(|ruling| ruling.standing != Standing::Cleared);
-        let mut turns = self.judge(now);
+    pub(super) fn cleared(&mut self, now: Instant, request: Fingerprint) -> Vec<Change> {
+        let cleared = Entry { standing: Standing::Cleared, lives: Vec::new(), seen: now };
+        let before = self.entries.insert(request, cleared);
+        let turned = before.is_none_or(|entry| entry.standing != Standing::Cleared);
+        let mut changes = self.evaluate(now);
         if turned {
-            turns.insert(0, Turn { request, standing: Standing::Cleared, lives: Vec::new() });
+            changes.insert(0, Change { request, standing: Standing::Cleared, lives: Vec::new() });
         }
-        turns
+        changes
     }
 
     /// Takes in that a request that is refused came again.
     pub(super) fn asked(&mut self, now: Instant, request: Fingerprint) {
-        let ruling = self.rulings.get_mut(&request);
-        if let Some(ruling) = ruling.filter(|ruling| ruling.standing == Standing::Quarantined) {
-            ruling.seen = now;
+        let entry = self.entries.get_mut(&request);
+        if let Some(entry) = entry.filter(|entry| entry.standing == Standing::Quarantined) {
+            entry.seen = now;
         }
     }
 
@@ -163,16 +163,16 @@
     ///
     /// Instances that hold as much as they may would otherwise drop what they have just told each other, and
     /// hear it again, without end.
-    pub(super) fn merge(&mut self, now: Instant, frame: &Frame) -> Vec<Turn> {
-        let mut turns = Vec::new();
+    pub(super) fn merge(&mut self, now: Instant, frame: &Frame) -> Vec<Change> {
+        let mut changes = Vec::new();
         for crash in &frame.crashes {
             self.merge_end(now, crash);
         }
-        for ruling in &frame.rulings {
-            turns.extend(self.merge_ruling(now, ruling));
+        for entry in &frame.quarantines {
+            changes.extend(self.merge_entry(now, entry));
         }
-        turns.extend(self.judge(now));
-        turns
+        changes.extend(self.evaluate(now));
+        changes
     }
 
     fn merge_end(&mut self, now: Instant, crash: &wire::Crash) {
@@ -192,29 +192,29 @@
         }
     }
 
-    fn merge_ruling(&mut self, now: Instant, ruling: &wire::Ruling) -> Option<Turn> {
-        let idle = Duration::from_millis(ruling.idle_ms.into());
-        let request = Fingerprint::read(&ruling.request).filter(|_| idle < MEMORY)?;
-        let standing = match ruling.standing() {
+    fn merge_entry(&mut self, now: Instant, entry: &wire::Quarantine) -> Option<Change> {
+        let idle = Duration::from_millis(entry.idle_ms.into());
+        let request = Fingerprint::read(&entry.request).filter(|_| idle < MEMORY)?;
+        let standing = match entry.standing() {
             wire::Standing::Quarantined => Standing::Quarantined,
             wire::Standing::Cleared => Standing::Cleared,
             wire::Standing::Unspecified => return None,
         };
-        let before = self.rulings.get(&request).map(|known| known.standing);
+        let before = self.entries.get(&request).map(|known| known.standing);
         if before.is_none() && self.count(standing) >= REQUESTS {
             return None;
         }
-        let known = self.rulings.entry(request).or_insert_with(|| Ruling {
+        let known = self.entries.entry(request).or_insert_with(|| Entry {
             standing,
             lives: Vec::new(),
             seen: now - idle,
         });
         known.standing = known.standing.max(standing);
         known.seen = known.seen.max(now - idle);
-        known.lives.extend(ruling.lives.iter().map(Life::read));
+        known.lives.extend(entry.lives.iter().map(Life::read));
         tidy(&mut known.lives, KEPT_LIVES);
         let (standing, lives) = (known.standing, known.lives.clone());
-        (before != Some(standing)).then_some(Turn { request, standing, lives })
+        (before != Some(standing)).then_some(Change { request, standing, lives })
     }
 
     /// Whether an end of this time would be kept.
@@ -224,7 +224,7 @@
     }
 
     fn count(&self, standing: Standing) -> usize {
-        self.rulings.values().filter(|ruling| ruling.standing == standing).count()
+        self.entries.values().filter(|entry| entry.standing == standing).count()
     }
 
     fn add_end(&mut self, life: Life, requests: &[Fingerprint], at: Instant) {
@@ -234,22 +234,22 @@
         tidy(&mut end.requests, KEPT_REQUESTS);
     }
 
-    /// Rules on requests by what is known now; returns the rulings that changed.
-    fn judge(&mut self, now: Instant) -> Vec<Turn> {
+    /// Evaluates all ends; returns the entries that changed.
+    fn evaluate(&mut self, now: Instant) -> Vec<Change> {
         self.shrink(now);
-        let mut turns = self.reconsider(now);
-        for (request, mut lives) in self.ended_alone() {
-            let known = self.rulings.contains_key(&request);
+        let mut changes = self.reconsider(now);
+        for (request, mut lives) in self.sole_suspects() {
+            let known = self.entries.contains_key(&request);
             if lives.len() < ENDS || known || !self.makes_room(now) {
                 continue;
             }
             tidy(&mut lives, KEPT_LIVES);
             let standing = Standing::Quarantined;
-            turns.push(Turn { request, standing, lives: lives.clone() });
-            self.rulings.insert(request, Ruling { standing, lives, seen: now });
+            changes.push(Change { request, standing, lives: lives.clone() });
+            self.entries.insert(request, Entry { standing, lives, seen: now });
         }
         self.renew_view();
-        turns
+        changes
     }
 
     /// Whether one more request can be refused; one that nobody has asked for lately makes room.
@@ -258,19 +258,19 @@
             return true;
         }
         let oldest = self.oldest(Standing::Quarantined);
-        let idle = oldest.filter(|request| now.since(self.rulings[request].seen) >= IDLE);
+        let idle = oldest.filter(|request| now.since(self.entries[request].seen) >= IDLE);
         idle.inspect(|request| self.forget(*request)).is_some()
     }
 
     /// The request of this standing that was seen least lately.
     fn oldest(&self, standing: Standing) -> Option<Fingerprint> {
-        let rulings = self.rulings.iter().filter(|(_, ruling)| ruling.standing == standing);
-        rulings.min_by_key(|(request, ruling)| (ruling.seen, **request)).map(|(one, _)| *one)
+        let entries = self.entries.iter().filter(|(_, entry)| entry.standing == standing);
+        entries.min_by_key(|(request, entry)| (entry.seen, **request)).map(|(one, _)| *one)
     }
 
-    /// Forgets a request with what it ended: it would be ruled on again by that.
+    /// Forgets a request with what it ended: it would be quarantined again by that.
     fn forget(&mut self, request: Fingerprint) {
-        self.rulings.remove(&request);
+        self.entries.remove(&request);
         self.ends.retain(|_, end| {
             end.requests.retain(|other| *other != request);
             !end.requests.is_empty()
@@ -278,32 +278,32 @@
     }
 
     /// Clears requests whose ends are refuted.
-    fn reconsider(&mut self, now: Instant) -> Vec<Turn> {
+    fn reconsider(&mut self, now: Instant) -> Vec<Change> {
         let refuted = |life: &Life| self.ends.get(life).is_some_and(|end| end.refuted);
-        let mut turns = Vec::new();
-        for (request, ruling) in &mut self.rulings {
-            let before = ruling.lives.len();
-            ruling.lives.retain(|life| !refuted(life));
-            let lost = ruling.lives.len() < before && ruling.lives.len() < ENDS;
-            if lost && ruling.standing == Standing::Quarantined {
-                ruling.standing = Standing::Cleared;
-                ruling.seen = now;
-                turns.push(Turn {
+        let mut changes = Vec::new();
+        for (request, entry) in &mut self.entries {
+            let before = entry.lives.len();
+            entry.lives.retain(|life| !refuted(life));
+            let lost = entry.lives.len() < before && entry.lives.len() < ENDS;
+            if lost && entry.standing == Standing::Quarantined {
+                entry.standing = Standing::Cleared;
+                entry.seen = now;
+                changes.push(Change {
                     request: *request,
                     standing: Standing::Cleared,
                     lives: Vec::new(),
                 });
             }
         }
-        turns
+        changes
     }
 
     /// The servers that ended under each request while no other was there that may have ended them.
     ///
-    /// Requests that happen to be beside a guilty one end with it each time. Whatever a request ended that is
+    /// Requests that happen to be beside a poison one end with it each time. Whatever a request ended that is
     /// refused already is not held against the others.
-    fn ended_alone(&self) -> Map<Fingerprint, Vec<Life>> {
-        let standing = |request: &Fingerprint| self.rulings.get(request).map(|one| one.standing);
+    fn sole_suspects(&self) -> Map<Fingerprint, Vec<Life>> {
+        let standing = |request: &Fingerprint| self.entries.get(request).map(|one| one.standing);
         let mut alone: Map<Fingerprint, Vec<Life>> = Map::default();
         for (life, end) in self.ends.iter().filter(|(_, end)| !end.refuted) {
             let suspects = end.requests.iter();
@@ -318,7 +318,7 @@
     /// Forgets what is old or beyond the bounds.
     fn shrink(&mut self, now: Instant) {
         self.ends.retain(|_, end| now.since(end.at) < MEMORY);
-        self.rulings.retain(|_, ruling| now.since(ruling.seen) < MEMORY);
+        self.entries.retain(|_, entry| now.since(entry.seen) < MEMORY);
         while self.ends.len() > KEPT_ENDS {
             let oldest = self.ends.iter().min_by_key(|(life, end)| (end.at, *life));
             let oldest = oldest.map(|(life, _)| life.clone());
@@ -340,17 +340,17 @@
     /// When something is forgotten.
     pub(super) fn next_expiry(&self) -> Option<Instant> {
         let ends = self.ends.values().map(|end| end.at);
-        let rulings = self.rulings.values().map(|ruling| ruling.seen);
-        ends.chain(rulings).min().map(|at| at + MEMORY)
+        let entries = self.entries.values().map(|entry| entry.seen);
+        ends.chain(entries).min().map(|at| at + MEMORY)
     }
 
     fn renew_view(&mut self) {
-        let rulings = self.rulings.iter();
-        let refused = rulings.filter(|(_, ruling)| ruling.standing == Standing::Quarantined);
+        let entries = self.entries.iter();
+        let refused = entries.filter(|(_, entry)| entry.standing == Standing::Quarantined);
         let unrefuted = || self.ends.iter().filter(|(_, end)| !end.refuted);
         let requests: Set<Fingerprint> =
             unrefuted().flat_map(|(_, end)| end.requests.iter().copied()).collect();
-        let undecided = |request: &Fingerprint| !self.rulings.contains_key(request);
+        let undecided = |request: &Fingerprint| !self.entries.contains_key(request);
         let view = view::Quarantine {
             refused: refused.map(|(request, _)| *request).collect(),
             suspected: requests.into_iter().filter(undecided).collect(),
@@ -370,10 +370,10 @@
             let incarnation = life.incarnation.to_be_bytes();
             hash::of(&[life.server.as_bytes(), &incarnation, &requests, &[end.refuted.into()]])
         });
-        let rulings = self.rulings.iter().map(|(request, ruling)| {
-            hash::of(&[&request.bytes(), &[u8::from(ruling.standing == Standing::Cleared)]])
+        let entries = self.entries.iter().map(|(request, entry)| {
+            hash::of(&[&request.bytes(), &[u8::from(entry.standing == Standing::Cleared)]])
         });
-        ends.chain(rulings).fold(0, |all, one| all ^ one)
+        ends.chain(entries).fold(0, |all, one| all ^ one)
     }
 
     /// Adds all that is held to a frame.
@@ -385,17 +385,17 @@
             refuted: end.refuted,
             age_ms: millis(now.since(end.at)),
         });
-        let rulings = self.rulings.iter().map(|(request, ruling)| wire::Ruling {
+        let entries = self.entries.iter().map(|(request, entry)| wire::Quarantine {
             request: request.bytes().into(),
-            standing: match ruling.standing {
+            standing: match entry.standing {
                 Standing::Quarantined => wire::Standing::Quarantined.into(),
                 Standing::Cleared => wire::Standing::Cleared.into(),
             },
-            idle_ms: millis(now.since(ruling.seen)),
-            lives: ruling.lives.iter().map(Life::written).collect(),
+            idle_ms: millis(now.since(entry.seen)),
+            lives: entry.lives.iter().map(Life::written).collect(),
         });
         frame.crashes = crashes.collect();
-        frame.rulings = rulings.collect();
+        frame.quarantines = entries.collect();
     }
 }
 
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -18,7 +18,7 @@
 /// From the third end until the request has to be refused everywhere.
 const CONTACT: Duration = Duration::from_secs(4);
 
-const GUILTY: Fingerprint = Fingerprint(1);
+const POISON: Fingerprint = Fingerprint(1);
 const BESIDE: Fingerprint = Fingerprint(2);
 
 fn ms(millis: u64) -> Duration {
@@ -56,10 +56,10 @@
     fleet
 }
 
-/// Ends three servers under the guilty request, each seen by another instance.
+/// Ends three servers under the poison request, each seen by another instance.
 fn end_three(fleet: &mut Fleet, seen_by: [usize; 3]) {
     for (number, at) in (0..).zip(seen_by) {
-        fleet.give(&name(at), crashed(number, &[GUILTY]));
+        fleet.give(&name(at), crashed(number, &[POISON]));
     }
 }
 
@@ -72,7 +72,7 @@
             let mut fleet = fleet(instances);
             end_three(&mut fleet, seen_by);
             let what = format!("{instances} instances refuse what {seen_by:?} saw");
-            fleet.until(&what, CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+            fleet.until(&what, CONTACT, |fleet| refused_everywhere(fleet, POISON));
         }
     }
 }
@@ -85,11 +85,11 @@
     fleet.island = [name(7), name(8)].into();
     end_three(&mut fleet, [0, 1, 2]);
     fleet.until("the others refuse it", CONTACT, |fleet| {
-        (0..7).all(|at| refuses(fleet, &name(at), GUILTY))
+        (0..7).all(|at| refuses(fleet, &name(at), POISON))
     });
-    assert!((7..9).all(|at| !refuses(&fleet, &name(at), GUILTY)), "the cut holds");
+    assert!((7..9).all(|at| !refuses(&fleet, &name(at), POISON)), "the cut holds");
     fleet.island.clear();
-    fleet.until("those that were cut off too", CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+    fleet.until("those that were cut off too", CONTACT, |fleet| refused_everywhere(fleet, POISON));
     for at in 0..8 {
         fleet.kill(&name(at), true);
     }
@@ -98,26 +98,26 @@
     for at in 0..4 {
         fleet.start(&name(at), "trindade");
     }
-    fleet.until("those that start learn it", CONTACT, |fleet| refused_everywhere(fleet, GUILTY));
+    fleet.until("those that start learn it", CONTACT, |fleet| refused_everywhere(fleet, POISON));
 }
 
-/// What is said of some ends, and whether the guilty request is refused then; the one beside it never is.
+/// What is said of some ends, and whether the poison request is refused then; the one beside it never is.
 struct Case {
     name: &'static str,
     events: Vec<Event>,
-    guilty: bool,
+    poison: bool,
 }
 
 fn alone(range: std::ops::Range<u64>) -> impl Iterator<Item = Event> {
-    range.map(|number| crashed(number, &[GUILTY]))
+    range.map(|number| crashed(number, &[POISON]))
 }
 
 fn together(range: std::ops::Range<u64>) -> impl Iterator<Item = Event> {
-    range.map(|number| crashed(number, &[GUILTY, BESIDE]))
+    range.map(|number| crashed(number, &[POISON, BESIDE]))
 }
 
-fn case(name: &'static str, events: impl IntoIterator<Item = Event>, guilty: bool) -> Case {
-    Case { name, events: events.into_iter().collect(), guilty }
+fn case(name: &'static str, events: impl IntoIterator<Item = Event>, poison: bool) -> Case {
+    Case { name, events: events.into_iter().collect(), poison }
 }
 
 fn cases() -> Vec<Case> {
@@ -129,28 +129,28 @@
         case("both, and one is answered", together(0..9).chain(cleared(BESIDE)), true),
         case("three alone, others together", alone(0..3).chain(together(3..9)), true),
         case("the other is said to be there later", alone(0..2).chain(together(0..3)), false),
-        case("answered before", cleared(GUILTY).into_iter().chain(alone(0..9)), false),
-        case("answered after", alone(0..9).chain(cleared(GUILTY)), false),
+        case("answered before", cleared(POISON).into_iter().chain(alone(0..9)), false),
+        case("answered after", alone(0..9).chain(cleared(POISON)), false),
         case("a server lives", alone(0..3).chain([Event::Refuted(life(1))]), false),
     ]
 }
 
-/// Whatever is at a server that ends goes down with it. Taken for guilty, a request that many callers send would be
+/// Whatever is at a server that ends goes down with it. Taken for poison, a request that many callers send would be
 /// refused to all of them: an outage that the guard itself makes.
 #[test]
 fn only_what_ended_servers_alone_is_refused() {
-    for Case { name: case, events, guilty } in cases() {
+    for Case { name: case, events, poison } in cases() {
         let mut fleet = fleet(3);
         for (at, event) in events.into_iter().enumerate() {
             fleet.give(&name(at % 3), event);
             fleet.run(ms(20));
         }
         fleet.run(CONTACT);
-        let expected = match guilty {
-            true => refused_everywhere(&fleet, GUILTY),
-            false => refused_nowhere(&fleet, GUILTY),
+        let expected = match poison {
+            true => refused_everywhere(&fleet, POISON),
+            false => refused_nowhere(&fleet, POISON),
         };
-        assert!(expected, "{case}: the guilty one");
+        assert!(expected, "{case}: the poison one");
         assert!(refused_nowhere(&fleet, BESIDE), "{case}: the one beside it");
     }
 }
@@ -162,11 +162,11 @@
     end_three(&mut fleet, [0, 1, 2]);
     for _ in 0..3 {
         fleet.run(MEMORY / 2);
-        fleet.give(&name(1), Event::Asked(GUILTY));
-        assert!(refuses(&fleet, &name(1), GUILTY), "while it is asked for");
+        fleet.give(&name(1), Event::Asked(POISON));
+        assert!(refuses(&fleet, &name(1), POISON), "while it is asked for");
     }
     fleet.run(MEMORY * 2);
-    assert!(refused_nowhere(&fleet, GUILTY));
+    assert!(refused_nowhere(&fleet, POISON));
 }
 
 /// Somebody floods the fleet with requests that each end servers. What is kept and told stays bounded: instances that
@@ -191,7 +191,7 @@
     let told = sent(&fleet) - before;
     assert!(told <= 2 * quiet, "{told} frames in 5 s, {quiet} before");
     for node in fleet.nodes.values() {
-        assert!(node.machine.rulings().count() <= 2 * REQUESTS);
+        assert!(node.machine.quarantined().count() <= 2 * REQUESTS);
         assert!(node.machine.view().quarantine.ended.len() <= 64);
     }
 }
@@ -226,7 +226,7 @@
 /// Instances hear of ends, answers and refutations in different orders, some of them late. They come to hold the same,
 /// and no request that was answered is refused.
 #[test]
-fn any_order_of_news_leads_to_the_same_rulings() {
+fn any_order_of_news_leads_to_the_same_quarantine() {
     ladder_property::check(60)
         .with_generator(bolero::produce::<Vec<(u8, Seen)>>().with().len(0_usize..=40))
         .for_each(|seen| {
@@ -267,8 +267,8 @@
                 assert_eq!(held(at), held(0), "instance {at}");
                 assert!(held(at).refused.is_disjoint(&cleared), "an answered request is refused");
             }
-            let rulings = fleet.nodes[&name(0)].machine.rulings();
-            let standing = rulings.filter(|(_, ruling)| ruling.standing == Standing::Quarantined);
+            let entries = fleet.nodes[&name(0)].machine.quarantined();
+            let standing = entries.filter(|(_, entry)| entry.standing == Standing::Quarantined);
             assert_eq!(standing.count(), held(0).refused.len());
         });
 }
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -160,21 +160,21 @@
 #[test]
 fn answered_request_is_not_told_among_those_at_a_server_that_ended() {
     let mut bed = bed();
-    let guilty = sweep(&mut bed, 1, "/docks/1");
+    let poison = sweep(&mut bed, 1, "/docks/1");
     let other = sweep(&mut bed, 2, "/docks/2");
-    lose(&mut bed, &guilty[0]);
-    let same = other.iter().find(|sent| sent.address == guilty[0].address);
+    lose(&mut bed, &poison[0]);
+    let same = other.iter().find(|sent| sent.address == poison[0].address);
     let also = same.unwrap_or(&other[0]).clone();
     lose(&mut bed, &also);
-    for address in [&guilty[0].address, &also.address] {
+    for address in [&poison[0].address, &also.address] {
         refuse(&mut bed, address);
     }
     assert!(told(&bed).is_empty(), "siblings are open");
     let rest = other.iter().filter(|sent| sent.attempt != also.attempt);
     bed.answer_all(rest.cloned());
-    guilty[1..].iter().for_each(|sent| lose(&mut bed, sent));
+    poison[1..].iter().for_each(|sent| lose(&mut bed, sent));
     bed.each_sent(|bed, sent| {
-        if !guilty.iter().chain(&other).any(|first| first.attempt == sent.attempt) {
+        if !poison.iter().chain(&other).any(|first| first.attempt == sent.attempt) {
             lose(bed, sent);
         }
     });
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -1,7 +1,7 @@
 //! What instances answer, as text for people.
 
 use ladder_schema::outcome::{Reason, Verdict};
-use ladder_schema::status::{Explanation, Instance, Member, Refused, Ruling, Service, Step};
+use ladder_schema::status::{Explanation, Instance, Member, Quarantine, Refused, Service, Step};
 
 /// The status of one instance.
 pub fn status(address: &str, status: &Instance) -> String {
@@ -57,18 +57,18 @@
 /// What one instance holds of requests under which servers ended.
 pub fn quarantine(address: &str, status: &Instance) -> String {
     let mut lines = vec![format!("{} ({address}):", status.name)];
-    lines.extend(status.rulings.iter().map(ruling));
+    lines.extend(status.quarantines.iter().map(quarantined));
     lines.join("\n")
 }
 
 /// One line on a request.
-fn ruling(ruling: &Ruling) -> String {
-    let lives = ruling.lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
+fn quarantined(entry: &Quarantine) -> String {
+    let lives = entry.lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
     format!(
         "  {} {}, idle for {} s; servers that ended: {}",
-        ruling.fingerprint,
-        ruling.standing().as_str_name(),
-        ruling.idle_ms / 1000,
+        entry.fingerprint,
+        entry.standing().as_str_name(),
+        entry.idle_ms / 1000,
         lives.collect::<Vec<_>>().join(" ")
     )
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -1,7 +1,7 @@
 //! What operators see of the machines.
 
 use ladder_core::control::membership::Member;
-use ladder_core::control::quarantine::{Ruling, Standing};
+use ladder_core::control::quarantine::{Entry, Standing};
 use ladder_core::control::store::{Key, Refusal};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::{Instant, micros};
@@ -60,7 +60,7 @@
         members: machine.members().map(member).collect(),
         services: services(machine, view),
         refused: machine.refused().map(refused).collect(),
-        rulings: rulings(machine, now),
+        quarantines: quarantines(machine, now),
         ..status::Instance::default()
     }
 }
@@ -100,26 +100,26 @@
 }
 
 /// What is held of requests under which servers ended, in order of fingerprint.
-fn rulings(machine: &control::Machine, now: Instant) -> Vec<status::Ruling> {
-    let mut rulings: Vec<_> =
-        machine.rulings().map(|(request, ruling)| self::ruling(*request, ruling, now)).collect();
-    rulings.sort_by(|one, other| one.fingerprint.cmp(&other.fingerprint));
-    rulings
+fn quarantines(machine: &control::Machine, now: Instant) -> Vec<status::Quarantine> {
+    let mut entries: Vec<_> =
+        machine.quarantined().map(|(request, entry)| quarantine(*request, entry, now)).collect();
+    entries.sort_by(|one, other| one.fingerprint.cmp(&other.fingerprint));
+    entries
 }
 
 /// One of them.
-fn ruling(request: Fingerprint, ruling: &Ruling, now: Instant) -> status::Ruling {
-    let lives = ruling
+fn quarantine(request: Fingerprint, entry: &Entry, now: Instant) -> status::Quarantine {
+    let lives = entry
         .lives
         .iter()
         .map(|life| wire::Life { server: life.server.to_string(), incarnation: life.incarnation });
-    status::Ruling {
+    status::Quarantine {
         fingerprint: request.to_string(),
-        standing: match ruling.standing {
+        standing: match entry.standing {
             Standing::Quarantined => wire::Standing::Quarantined.into(),
             Standing::Cleared => wire::Standing::Cleared.into(),
         },
-        idle_ms: micros(now.since(ruling.seen)) / 1000,
+        idle_ms: micros(now.since(entry.seen)) / 1000,
         lives: lives.collect(),
     }
 }
--- a/tests/integration/crash.rs
+++ b/tests/integration/crash.rs
@@ -7,7 +7,7 @@
 use ladder_schema::call::Request;
 use ladder_schema::outcome::Reason;
 use ladder_schema::standin::Fault;
-use ladder_schema::status::Ruling;
+use ladder_schema::status::Quarantine;
 use ladder_schema::wire::Standing;
 use ladder_standin::layout::user::User;
 
@@ -76,8 +76,8 @@
     let fingerprint = Fingerprint::of(&deadly(0)).to_string();
     let standing = |at| {
         let status = fleet.view(at);
-        let ruling = status.rulings.iter().find(|ruling| ruling.fingerprint == fingerprint);
-        ruling.map(Ruling::standing)
+        let entry = status.quarantines.iter().find(|entry| entry.fingerprint == fingerprint);
+        entry.map(Quarantine::standing)
     };
     fleet.running().into_iter().map(standing).collect()
 }
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -62,7 +62,7 @@
 /// A frame of this fleet with everything in it that a peer may say.
 fn frame() -> Frame {
     use ladder_schema::call::Part;
-    use ladder_schema::wire::{Cancel, Crash, Digest, Life, Portion, Probe, Reply, Ruling};
+    use ladder_schema::wire::{Cancel, Crash, Digest, Life, Portion, Probe, Quarantine, Reply};
     use ladder_schema::wire::{Rumour, Work};
     let request = Fingerprint(7).bytes();
     let portion = Portion {
@@ -92,10 +92,10 @@
             requests: vec![request.clone().into()],
             ..Crash::default()
         }],
-        rulings: vec![Ruling {
+        quarantines: vec![Quarantine {
             request: request.into(),
             lives: vec![Life::default()],
-            ..Ruling::default()
+            ..Quarantine::default()
         }],
         sent_us: 5,
         ..Frame::default()
