--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -92,7 +92,7 @@
     pub seen: Instant,
 }
 
-/// A entry that has changed.
+/// An entry that has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Change {
     pub(super) request: Fingerprint,
