--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -63,8 +63,7 @@
     }
 }
 
-/// A request ended three servers, and came again at instances that had not seen it. Each of them sent it to
-/// servers of all shards: 167 servers ended under one request.
+/// Guards against a request that ends servers and comes again at instances that have not seen it.
 #[test]
 fn request_that_ended_three_servers_is_refused_at_all_instances() {
     for instances in [3, 9, 60] {
@@ -77,8 +76,7 @@
     }
 }
 
-/// The instances that saw it are killed or cut off, the rest starts anew, and some come later: who knows
-/// tells who doesn't.
+/// Guards against a poison request that comes to instances that were cut off or have just started.
 #[test]
 fn instances_that_start_or_return_learn_what_is_refused() {
     let mut fleet = fleet(9);
@@ -135,8 +133,7 @@
     ]
 }
 
-/// Whatever is at a server that ends goes down with it. Taken for poison, a request that many callers send would be
-/// refused to all of them: an outage that the guard itself makes.
+/// Guards against refusing what was only beside a poison request.
 #[test]
 fn only_what_ended_servers_alone_is_refused() {
     for Case { name: case, events, poison } in cases() {
@@ -155,7 +152,7 @@
     }
 }
 
-/// A request that is not asked for any more is forgotten; one that keeps coming is not.
+/// Guards against refusals that never end, and against such that end while the request keeps coming.
 #[test]
 fn refusals_end_when_nobody_asks_any_more() {
     let mut fleet = fleet(3);
@@ -169,8 +166,7 @@
     assert!(refused_nowhere(&fleet, POISON));
 }
 
-/// Somebody floods the fleet with requests that each end servers. What is kept and told stays bounded: instances that
-/// made room for each other's news told each other the same without end.
+/// Guards against a flood of poison requests: unbounded tables, and peers that tell each other the same for ever.
 #[test]
 fn what_is_held_is_bounded() {
     let mut fleet = fleet(3);
@@ -223,8 +219,7 @@
     Fingerprint(u128::from(number % 4))
 }
 
-/// Instances hear of ends, answers and refutations in different orders, some of them late. They come to hold the same,
-/// and no request that was answered is refused.
+/// Guards against instances that hold different requests refused, and against refusing answered ones.
 #[test]
 fn any_order_of_news_leads_to_the_same_quarantine() {
     ladder_property::check(60)
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -220,8 +220,7 @@
     Event::View(Arc::new(view))
 }
 
-/// A request that ends servers comes again under another key. It is refused before anything is sent, truly not run, and
-/// its caller is told no time to come back: at no time would it be served.
+/// Guards against sending a poison request on, and against a time to come back that would be untrue.
 #[test]
 fn quarantined_request_is_refused_at_once() {
     let fleet = Fleet::default();
@@ -239,7 +238,7 @@
     assert!(!works(&other).is_empty(), "another request");
 }
 
-/// It is refused from the moment at which a request of it is open here: its caller hears at once that it may have run.
+/// Guards against a caller who waits for a request that is refused while it is open.
 #[test]
 fn quarantined_request_that_is_open_is_answered_at_once() {
     let fleet = Fleet::default();
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -412,8 +412,7 @@
     check_attempts(ladder_property::check_short(2000, 4096));
 }
 
-/// The closing of one connection was taken for the end of a call on another one, which then was not sent
-/// at all: of three servers two had run the part.
+/// Guards against counting a call as run because another connection to its server was closed.
 #[test]
 fn closing_one_connection_leaves_calls_on_others_open() {
     check_attempts(ladder_property::replay(201458332655969138968375834196252162833));
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -117,8 +117,7 @@
     ended: bool,
 }
 
-/// A connection breaks for many reasons: the answer was lost, the server closes what is beyond its limit,
-/// the link is cut. Taken for the end of a server, each would make the request look as if it had caused it.
+/// Guards against taking lost answers, closed connections and cut links for the end of a server.
 #[test]
 fn broken_connection_alone_is_no_end_of_a_server() {
     let cases = [
@@ -155,8 +154,7 @@
     }
 }
 
-/// Two sweeps are at a server that ends. One of them is answered elsewhere a moment later and has nothing to
-/// do with it.
+/// Guards against suspecting a request that another server answered.
 #[test]
 fn answered_request_is_not_told_among_those_at_a_server_that_ended() {
     let mut bed = bed();
@@ -184,8 +182,7 @@
     assert!(told.iter().all(|requests| *requests == [fingerprint("/docks/1")]), "{told:?}");
 }
 
-/// All calls of a sweep break off at once. Its parts went to the next server of each shard before anything
-/// was known, and ended the rest of the servers.
+/// Guards against ending the second server of each shard before the first calls tell anything.
 #[test]
 fn parts_are_not_sent_on_while_all_their_servers_seem_to_end() {
     let mut bed = bed();
@@ -205,8 +202,7 @@
     then: fn(&mut Bed, &[Sent]),
 }
 
-/// A rack of servers goes dark, links are cut or answers are lost under a sweep that harms nobody. Its parts are
-/// sent on as soon as that shows, and all are answered.
+/// Guards against holding back a harmless sweep whose servers end or whose links break.
 #[test]
 fn parts_of_a_harmless_request_are_sent_on() {
     let cases = [
@@ -235,8 +231,7 @@
     Quarantine { refused: [fingerprint(asked)].into_iter().collect(), ..Quarantine::default() }
 }
 
-/// A request is refused everywhere while a sweep of it is open here: calls that wait at busy servers would end those
-/// too as soon as they run.
+/// Guards against ending the servers at which calls of a refused request still wait.
 #[test]
 fn refused_request_is_stopped_where_it_is_open() {
     let mut bed = bed();
@@ -253,8 +248,7 @@
     assert_eq!(bed.replies(), vec![(Verdict::NotRun, Reason::Quarantined); PARTS]);
 }
 
-/// A request that many callers send is said to end servers, as it was at some that went dark. Whoever gets an answer to it
-/// says so, also when that was before.
+/// Guards against refusing a popular request that was at servers that ended.
 #[test]
 fn answered_request_is_cleared() {
     let cleared = |bed: &Bed| bed.log.contains(&Action::Cleared(fingerprint("/docks/1")));
@@ -278,8 +272,7 @@
     assert!(cleared(&bed), "answered after");
 }
 
-/// An instance that is cut off takes all servers for ended. One that goes on with a server over a connection of before
-/// knows better; an answer over a new connection may come from the next process at that address.
+/// Guards against believing an instance that is cut off and takes all servers for ended.
 #[test]
 fn server_that_answers_has_not_ended() {
     let refuted = |bed: &Bed| {
--- a/crates/property/tests/repeat.rs
+++ b/crates/property/tests/repeat.rs
@@ -15,7 +15,7 @@
     seen.0.into_inner()
 }
 
-/// CI was green and red on the same code: all inputs but a run's first were drawn anew.
+/// Guards against inputs that are drawn anew in each run.
 #[test]
 fn runs_of_one_seed_try_the_same() {
     let run = inputs(7, 200);
@@ -24,7 +24,7 @@
     assert!(run.into_iter().collect::<BTreeSet<_>>().len() > 150, "few inputs are the same");
 }
 
-/// A failure was recorded with a seed that didn't bring it back.
+/// Guards against failures that can't be brought back.
 #[test]
 fn failure_names_the_seed_that_brings_it_back() {
     let fail = |first, count| {
--- a/tests/integration/crash.rs
+++ b/tests/integration/crash.rs
@@ -44,8 +44,7 @@
     sleep(ASKED);
 }
 
-/// A clerk's check ends every server that begins to run it. The clerk asks again, and again, through one
-/// instance after the other, and each time the servers of all wards are gone for everyone.
+/// Guards against a request that ends servers each time that it comes, at one instance after the other.
 #[test]
 fn request_that_ends_servers_is_stopped_at_every_instance() {
     let fleet = Fleet::start(layout(User::Bagmati, 3));
@@ -98,8 +97,7 @@
 /// What everybody asks.
 const POPULAR: &str = "wards open today";
 
-/// A check that all clerks send is open at a third of the servers each time that these go dark. It is answered by the
-/// others: taken for what ended them, it would be refused to everybody.
+/// Guards against refusing what everybody asks because it is open at servers that end.
 #[test]
 fn popular_request_is_served_while_servers_end() {
     let fleet = Fleet::start(layout(User::Bagmati, 3));
