A request that is answered all the time stays known

Found by reading: the set of answered requests renewed nothing that it held, so that after each change of generations (a minute) a member was unknown until its next answer. A request could be suspected in that moment although it was answered seconds before.

--- a/crates/core/src/leaf/recent.rs
+++ b/crates/core/src/leaf/recent.rs
@@ -26,10 +26,11 @@
 }
 
 impl<T: Eq + Hash> Recent<T> {
-    /// Adds a member; `false` when it was there.
+    /// Adds a member, or renews it; `false` when it was there.
     pub(super) fn insert(&mut self, now: Instant, member: T) -> bool {
         self.rotate(now);
-        !self.previous.contains(&member) && self.current.insert(member)
+        let known = self.previous.contains(&member);
+        self.current.insert(member) && !known
     }
 
     pub(super) fn contains(&self, member: &T) -> bool {
