A poison request is not cleared by a connection younger than the end

Cause: an instance took a server's answer for proof that it had not ended if the connection was older than the news of the end. News comes a few tenths of a second after the end, so a connection to the process that was started again in between counted; so did a refusal by another server that has taken the address.

Evidence: the line of a change names its cause now (Ends, Answer, Refutation, Operator, Peer). One printed case: connection open at 12.017 s, calls broke off at 11.681 s, news at 12.022 s.

Ruled out: an answer to the request itself (no line says so), an operator's release.

Change: what is told of an end has the time at which its calls broke off; only a connection that was open a second before it refutes it, and no refusal that another server may have given. Test of the core, red without each guard: connection_younger_than_the_end_refutes_nothing.

Not explained: in other runs the connection was 39 to 140 ms older than the time at which the first call is said to have broken off. The second of margin covers them; whose call broke off there is not traced.

--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -63,6 +63,8 @@
         request: Fingerprint,
         /// What is held of it.
         standing: quarantine::Standing,
+        /// What changed it.
+        cause: quarantine::Cause,
         /// Servers that it ended.
         lives: Vec<Life>,
         /// Name of the peer that said so; empty for this instance.
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -10,6 +10,7 @@
 use super::reader::Read;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
 use crate::view::View;
 
 /// What the machine is told.
@@ -34,15 +35,19 @@
     },
     /// A server ended while requests were there that no server has answered.
     Crashed {
-        /// The life that ended.
+        /// The incarnation that ended.
         life: Life,
+        /// When the first of its calls broke off.
+        at: Instant,
         /// The requests.
         requests: Vec<Fingerprint>,
     },
     /// A server has answered after it was said that this life of it had ended.
     Refuted(Life),
-    /// A request under which servers ended was answered, or an operator releases it.
+    /// A request under which servers ended was answered.
     Cleared(Fingerprint),
+    /// An operator releases a request.
+    Released(Fingerprint),
     /// A request that is refused came again.
     Asked(Fingerprint),
     /// Other peer addresses to ask at start and when no peer is known.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -13,7 +13,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Source, Standings};
-use super::quarantine::{Change, Entry, Quarantine};
+use super::quarantine::{Cause, Change, Entry, Quarantine};
 use super::reader::{self, Place, Reader};
 use super::settings::{Listing, Settings};
 use super::spread::News;
@@ -155,14 +155,19 @@
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(now, &server, incarnation, out);
             }
-            Event::Crashed { life, requests } => {
-                self.update_quarantine(now, "", out, |held| held.crashed(now, life, &requests));
+            Event::Crashed { life, at, requests } => {
+                self.update_quarantine(now, "", out, |held| held.crashed(now, life, at, &requests));
             }
             Event::Refuted(life) => {
                 self.update_quarantine(now, "", out, |held| held.refuted(now, &life));
             }
             Event::Cleared(request) => {
-                self.update_quarantine(now, "", out, |held| held.cleared(now, request));
+                let by = Cause::Answer;
+                self.update_quarantine(now, "", out, |held| held.cleared(now, request, by));
+            }
+            Event::Released(request) => {
+                let by = Cause::Operator;
+                self.update_quarantine(now, "", out, |held| held.cleared(now, request, by));
             }
             Event::Asked(request) => self.quarantine.asked(now, request),
             Event::Seeds(seeds) => self.settings.seeds = seeds,
@@ -543,6 +548,7 @@
             Action::Log(Belief::Quarantine {
                 request: change.request,
                 standing: change.standing,
+                cause: change.cause,
                 lives: change.lives,
                 from: from.into(),
             })
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -67,6 +67,7 @@
     requests: Vec<Fingerprint>,
     /// It has answered since.
     refuted: bool,
+    /// When the first of its calls broke off.
     at: Instant,
 }
 
@@ -79,6 +80,21 @@
     Cleared,
 }
 
+/// What changed an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// So many servers ended under the request.
+    Ends,
+    /// A server answered it.
+    Answer,
+    /// A server that it was said to have ended goes on.
+    Refutation,
+    /// An operator released it.
+    Operator,
+    /// A peer holds it so.
+    Peer,
+}
+
 /// What is held of a request, and why.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -97,6 +113,7 @@
 pub(super) struct Change {
     pub(super) request: Fingerprint,
     pub(super) standing: Standing,
+    pub(super) cause: Cause,
     pub(super) lives: Vec<Life>,
 }
 
@@ -120,14 +137,15 @@
         self.entries.iter()
     }
 
-    /// Takes in that a server ended while requests were there.
+    /// Takes in that the calls of these requests broke off as their server ended.
     pub(super) fn crashed(
         &mut self,
         now: Instant,
         life: Life,
+        at: Instant,
         requests: &[Fingerprint],
     ) -> Vec<Change> {
-        self.add_end(life, requests, now);
+        self.add_end(life, requests, at);
         self.evaluate(now)
     }
 
@@ -140,13 +158,19 @@
     }
 
     /// Takes in that a request was answered, or that an operator releases it.
-    pub(super) fn cleared(&mut self, now: Instant, request: Fingerprint) -> Vec<Change> {
+    pub(super) fn cleared(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        cause: Cause,
+    ) -> Vec<Change> {
         let cleared = Entry { standing: Standing::Cleared, lives: Vec::new(), seen: now };
         let before = self.entries.insert(request, cleared);
         let turned = before.is_none_or(|entry| entry.standing != Standing::Cleared);
         let mut changes = self.evaluate(now);
         if turned {
-            changes.insert(0, Change { request, standing: Standing::Cleared, lives: Vec::new() });
+            let (standing, lives) = (Standing::Cleared, Vec::new());
+            changes.insert(0, Change { request, standing, cause, lives });
         }
         changes
     }
@@ -214,7 +238,8 @@
         known.lives.extend(entry.lives.iter().map(Life::read));
         tidy(&mut known.lives, KEPT_LIVES);
         let (standing, lives) = (known.standing, known.lives.clone());
-        (before != Some(standing)).then_some(Change { request, standing, lives })
+        let cause = Cause::Peer;
+        (before != Some(standing)).then_some(Change { request, standing, cause, lives })
     }
 
     /// Whether an end of this time would be kept.
@@ -230,6 +255,7 @@
     fn add_end(&mut self, life: Life, requests: &[Fingerprint], at: Instant) {
         let new = || End { requests: Vec::new(), refuted: false, at };
         let end = self.ends.entry(life).or_insert_with(new);
+        end.at = end.at.min(at);
         end.requests.extend(requests);
         tidy(&mut end.requests, KEPT_REQUESTS);
     }
@@ -245,7 +271,8 @@
             }
             tidy(&mut lives, KEPT_LIVES);
             let standing = Standing::Quarantined;
-            changes.push(Change { request, standing, lives: lives.clone() });
+            let cause = Cause::Ends;
+            changes.push(Change { request, standing, cause, lives: lives.clone() });
             self.entries.insert(request, Entry { standing, lives, seen: now });
         }
         self.renew_view();
@@ -291,6 +318,7 @@
                 changes.push(Change {
                     request: *request,
                     standing: Standing::Cleared,
+                    cause: Cause::Refutation,
                     lives: Vec::new(),
                 });
             }
@@ -355,7 +383,7 @@
             refused: refused.map(|(request, _)| *request).collect(),
             suspected: requests.into_iter().filter(undecided).collect(),
             ended: unrefuted()
-                .map(|(life, _)| (Arc::clone(&life.server), life.incarnation))
+                .map(|(life, end)| (Arc::clone(&life.server), ended(life, end)))
                 .collect(),
         };
         if view != *self.view {
@@ -399,6 +427,10 @@
     }
 }
 
+fn ended(life: &Life, end: &End) -> view::End {
+    view::End { incarnation: life.incarnation, at: end.at }
+}
+
 /// Sorts, and keeps each once and no more than `most`.
 fn tidy<T: Ord>(list: &mut Vec<T>, most: usize) {
     list.sort_unstable();
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -7,6 +7,7 @@
 mod book;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::outcome::Reason;
 
@@ -18,12 +19,26 @@
 use super::server::ServerKey;
 use super::service::ServiceId;
 use crate::collections::Set;
+use crate::control::quarantine::Life;
 use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
 use crate::view;
 
 pub(super) use book::{Crashes, Loss};
 use book::{LOSSES, MOMENT, PROOF};
 
+/// How much later than it happened an end may be dated by news that came through peers.
+const DATING_ERROR: Duration = Duration::from_secs(1);
+
+/// An end of a server that somebody reported.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Suspicion {
+    /// When calls broke off.
+    ended: Instant,
+    /// When this instance heard of it.
+    heard: Instant,
+}
+
 impl Machine {
     pub(super) fn portion_began(&mut self, job: &Job) {
         if let Some(request) = job.fingerprint {
@@ -57,7 +72,7 @@
         };
         self.crashes.end(request, |open| open.calls -= 1);
         let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
-        if whole || matches!(outcome, Outcome::Answer(_) | Outcome::Refusal(_)) {
+        if whole || is_of_server(outcome) {
             self.refute_end(attempt, out);
         }
         match outcome {
@@ -82,16 +97,18 @@
 
     /// A server has answered a call; if it is said to have ended, it did not.
     ///
-    /// Whoever is cut off takes all servers for ended. Only a connection that was there before counts: a new
-    /// one may lead to the next process at the same address.
+    /// Whoever is cut off takes all servers for ended. Only a connection counts that was open when the calls
+    /// of others broke off: a later one may lead to the next process at the same address, also when it is
+    /// older than the news.
     fn refute_end(&mut self, attempt: &Attempt, out: &mut Vec<Action>) {
         let server = &mut self.servers[attempt.server];
-        let Some(said) = server.said_ended else {
+        let Some(suspicion) = server.suspicion else {
             return;
         };
-        let older = self.lanes.get(attempt.lane).is_some_and(|lane| lane.since < said);
-        if older && attempt.sent >= said {
-            server.said_ended = None;
+        let older = |since: Instant| since + DATING_ERROR < suspicion.ended;
+        let older = self.lanes.get(attempt.lane).is_some_and(|lane| older(lane.since));
+        if older && attempt.sent >= suspicion.heard {
+            server.suspicion = None;
             let (server, incarnation) = (Arc::clone(&server.name), server.incarnation);
             out.push(Action::Refuted { server, incarnation });
         }
@@ -108,8 +125,10 @@
             return;
         }
         for server in self.servers.values_mut() {
-            let said = now.ended.get(&server.name) == Some(&server.incarnation);
-            server.said_ended = said.then(|| server.said_ended.unwrap_or(self.now));
+            let end = now.ended.get(&server.name);
+            let end = end.filter(|end| end.incarnation == server.incarnation);
+            let heard = server.suspicion.map_or(self.now, |suspicion| suspicion.heard);
+            server.suspicion = end.map(|end| Suspicion { ended: end.at, heard });
         }
         let known = now.refused.iter().chain(&now.suspected);
         let answered = known.filter(|request| self.crashes.was_answered(**request));
@@ -216,7 +235,7 @@
         self.closed(key, out);
     }
 
-    /// A life of a server is known to have ended.
+    /// An incarnation of a server is known to have ended.
     pub(super) fn server_ended(&mut self, key: ServerKey, incarnation: u64, out: &mut Vec<Action>) {
         let server = &mut self.servers[key];
         let mut losses = std::mem::take(&mut server.losses);
@@ -224,9 +243,8 @@
         if losses.is_empty() {
             return;
         }
-        let requests = losses.iter().map(|loss| loss.request).collect();
-        let server = Arc::clone(&server.name);
-        self.crashes.server_ended(self.now, key, (server, incarnation), requests);
+        let life = Life { server: Arc::clone(&server.name), incarnation };
+        self.crashes.server_ended(self.now, key, life, &losses);
         self.tell_ends(out);
     }
 
@@ -236,9 +254,20 @@
         }
         let ends = self.crashes.take_settled(self.now).into_iter();
         out.extend(ends.map(|end| Action::Crashed {
-            server: end.server,
-            incarnation: end.incarnation,
+            server: end.life.server,
+            incarnation: end.life.incarnation,
+            at: end.broke_off,
             requests: end.requests,
         }));
     }
 }
+
+/// Whether a call's end was the word of the server that it was sent to: another one may have its address and
+/// refuse what is not for it.
+fn is_of_server(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Answer(_) => true,
+        Outcome::Refusal(refusal) => refusal.reason() != Reason::TargetLeaving,
+        Outcome::Error | Outcome::Lost | Outcome::Unsent => false,
+    }
+}
--- a/crates/core/src/leaf/crash/book.rs
+++ b/crates/core/src/leaf/crash/book.rs
@@ -1,9 +1,9 @@
 //! The requests that are open, and the servers that seem to have ended under them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::collections::Map;
+use crate::control::quarantine::Life;
 use crate::fingerprint::Fingerprint;
 use crate::leaf::recent::Recent;
 use crate::leaf::server::ServerKey;
@@ -35,11 +35,12 @@
     at: Instant,
 }
 
-/// A life of a server that has ended.
+/// An incarnation of a server that has ended.
 #[derive(Debug)]
 pub(super) struct End {
-    pub(super) server: Arc<str>,
-    pub(super) incarnation: u64,
+    pub(super) life: Life,
+    /// When the first of its calls broke off.
+    pub(super) broke_off: Instant,
     /// Requests at the server when it ended, each once.
     pub(super) requests: Vec<Fingerprint>,
     at: Instant,
@@ -108,17 +109,19 @@
         self.doubts.values_mut().for_each(|doubts| doubts.retain(|doubt| !lives(doubt)));
     }
 
-    /// A life of a server, by name and incarnation, has ended while these requests were there.
+    /// An incarnation of a server has ended; these calls broke off there.
     pub(super) fn server_ended(
         &mut self,
         now: Instant,
         key: ServerKey,
-        (server, incarnation): (Arc<str>, u64),
-        requests: Vec<Fingerprint>,
+        life: Life,
+        losses: &[Loss],
     ) {
         let doubts = self.doubts.values_mut().flatten();
         doubts.filter(|doubt| doubt.server == key).for_each(|doubt| doubt.ended = true);
-        self.ends.push(End { server, incarnation, requests, at: now });
+        let broke_off = losses.iter().map(|loss| loss.at).min().unwrap_or(now);
+        let requests = losses.iter().map(|loss| loss.request).collect();
+        self.ends.push(End { life, broke_off, requests, at: now });
     }
 
     /// A server answered a request; whether servers seemed to have ended under it.
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -9,6 +9,7 @@
 use super::trace::Trace;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
 use crate::view::{Peer, View};
 
 new_key_type! {
@@ -157,6 +158,8 @@
         server: Arc<str>,
         /// The incarnation that ended.
         incarnation: u64,
+        /// When the first of its calls broke off.
+        at: Instant,
         /// The requests, each once.
         requests: Vec<Fingerprint>,
     },
--- a/crates/core/src/leaf/lane.rs
+++ b/crates/core/src/leaf/lane.rs
@@ -24,6 +24,6 @@
     pub(super) state: State,
     /// The server ends it after the call at hand.
     pub(super) closing: bool,
-    /// When it was asked for.
+    /// When it was asked for, and from when it is open, when it was opened.
     pub(super) since: Instant,
 }
--- a/crates/core/src/leaf/lanes.rs
+++ b/crates/core/src/leaf/lanes.rs
@@ -36,6 +36,7 @@
         lane.state = State::Idle;
         let server = lane.server;
         if opening {
+            lane.since = self.now;
             self.servers[server].open_failures = 0;
             self.server_listens(server);
         }
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -8,7 +8,7 @@
 use ladder_schema::target;
 use slotmap::new_key_type;
 
-use super::crash::Loss;
+use super::crash::{Loss, Suspicion};
 use super::event::{AttemptKey, LaneKey};
 use super::health::Health;
 use super::service::ServiceId;
@@ -67,8 +67,8 @@
     pub(super) cancels: VecDeque<AttemptKey>,
     /// Calls that broke off lately, each request once, oldest first.
     pub(super) losses: Vec<Loss>,
-    /// Since when it is said that its incarnation has ended.
-    pub(super) said_ended: Option<Instant>,
+    /// What is said of the end of its incarnation.
+    pub(super) suspicion: Option<Suspicion>,
 }
 
 impl Server {
@@ -96,7 +96,7 @@
             probe_lane: None,
             cancels: VecDeque::new(),
             losses: Vec::new(),
-            said_ended: None,
+            suspicion: None,
         };
         server.list(listed);
         server
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -12,6 +12,7 @@
 use crate::collections::{Map, Set};
 use crate::fingerprint::Fingerprint;
 use crate::route;
+use crate::time::Instant;
 
 new_key_type! {
     /// A service in one view; keys of different views do not mix.
@@ -110,6 +111,15 @@
     }
 }
 
+/// An incarnation of a server that is said to have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// The incarnation.
+    pub incarnation: u64,
+    /// When its calls broke off, as far as this instance knows.
+    pub at: Instant,
+}
+
 /// Requests under which servers ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Quarantine {
@@ -117,8 +127,8 @@
     pub refused: Set<Fingerprint>,
     /// Requests that were at servers that ended, as long as nothing clears them.
     pub suspected: Set<Fingerprint>,
-    /// Servers that are said to have ended, with the incarnation that did.
-    pub ended: Map<Arc<str>, u64>,
+    /// Servers that are said to have ended.
+    pub ended: Map<Arc<str>, End>,
 }
 
 impl Quarantine {
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -2,7 +2,6 @@
 //!
 //! The pattern: one request is at every server that ends; others happen to be beside it.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bolero::TypeGenerator;
@@ -11,8 +10,11 @@
 use ladder_core::control::quarantine::{Life, MEMORY, REQUESTS, Standing};
 use ladder_core::control::settings::Timing;
 use ladder_core::fingerprint::Fingerprint;
+use ladder_core::view::Quarantine;
 
 use crate::concert::fleet_of;
+use ladder_core::time::Instant;
+
 use crate::harness::Fleet;
 
 /// From the third end until the request has to be refused everywhere.
@@ -34,7 +36,7 @@
 }
 
 fn crashed(number: u64, requests: &[Fingerprint]) -> Event {
-    Event::Crashed { life: life(number), requests: requests.to_vec() }
+    Event::Crashed { life: life(number), at: Instant::default(), requests: requests.to_vec() }
 }
 
 fn refuses(fleet: &Fleet, name: &str, request: Fingerprint) -> bool {
@@ -233,7 +235,7 @@
                     Seen::Crashed { server, first, second } => {
                         let requests = [request(first), request(second)];
                         let life = life(u64::from(server % 8));
-                        Event::Crashed { life, requests: requests.to_vec() }
+                        Event::Crashed { life, at: fleet.now, requests: requests.to_vec() }
                     }
                     Seen::Refuted { server } => Event::Refuted(life(u64::from(server % 8))),
                     Seen::Cleared { request: number } => {
@@ -256,7 +258,10 @@
             fleet.run(ms(20_000));
             let held = |at: usize| {
                 let view = fleet.nodes[&name(at)].machine.view();
-                Arc::clone(&view.quarantine)
+                let mut held = Quarantine::clone(&view.quarantine);
+                // Each instance dates an end by the age at which it heard of it.
+                held.ended.values_mut().for_each(|end| end.at = Instant::default());
+                held
             };
             for at in 0..3 {
                 assert_eq!(held(at), held(0), "instance {at}");
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -4,6 +4,7 @@
 //! shard at once, beside requests that have nothing to do with it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::leaf::event::Outcome;
@@ -11,8 +12,9 @@
 use ladder_core::schema::call::{Message, Request};
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
-use ladder_core::schema::wire;
-use ladder_core::view::{Quarantine, Service, View};
+use ladder_core::schema::{target, wire};
+use ladder_core::time::Instant;
+use ladder_core::view::{End, Quarantine, Service, View};
 
 use crate::bed::{Bed, Sent, limited, server, work};
 
@@ -272,6 +274,27 @@
     assert!(cleared(&bed), "answered after");
 }
 
+/// Guards against forgetting for a moment that a request is answered all the time.
+#[test]
+fn request_that_is_answered_all_the_time_stays_known() {
+    let asked = ["/docks/1", "/docks/2"];
+    let mut bed = bed();
+    for step in 0..40 {
+        let calls = sweep(&mut bed, step as u64, asked[step % 2]);
+        bed.answer_all(calls);
+        bed.log.clear();
+        let suspected = asked.iter().take(step + 1).map(|asked| fingerprint(asked)).collect();
+        bed.handle(view_with(1, Quarantine { suspected, ..Quarantine::default() }));
+        for asked in asked.iter().take(step + 1) {
+            let cleared = bed.log.contains(&Action::Cleared(fingerprint(asked)));
+            assert!(cleared, "{asked} in step {step}: answered seven seconds before at most");
+        }
+        bed.handle(view(1));
+        bed.advance(7_000);
+        bed.connect();
+    }
+}
+
 /// Guards against believing an instance that is cut off and takes all servers for ended.
 #[test]
 fn server_that_answers_has_not_ended() {
@@ -279,14 +302,12 @@
         let refuted = |action: &&Action| matches!(action, Action::Refuted { .. });
         bed.log.iter().filter(refuted).count()
     };
-    let ended = |sent: &Sent| Quarantine {
-        ended: [(Arc::clone(&sent.address), 1)].into_iter().collect(),
-        ..Quarantine::default()
-    };
     let mut bed = bed();
+    bed.advance(2000);
     let before = sweep(&mut bed, 1, "/docks/1");
     bed.advance(5);
-    bed.handle(view_with(1, ended(&before[0])));
+    let ended = ended([&before[0]], bed.now);
+    bed.handle(view_with(1, ended));
     bed.answer_all(before.iter().cloned());
     assert_eq!(refuted(&bed), 0, "asked before it is said to have ended");
     bed.advance(5);
@@ -295,16 +316,94 @@
     let next = sweep(&mut bed, 3, "/docks/3");
     bed.answer_all(next);
     assert_eq!(refuted(&bed), 1, "asked since, over a connection of before");
-    let servers = (0..PARTS).flat_map(|part| [1, 2].map(|number| (part, number)));
-    let all = servers.map(|(part, number)| (format!("{}-{number}", name(part)).into(), 1));
-    bed.handle(view_with(1, Quarantine { ended: all.collect(), ..Quarantine::default() }));
-    bed.advance(5);
-    bed.close_all();
-    bed.advance(100);
-    bed.connect();
-    bed.log.clear();
-    let anew = sweep(&mut bed, 4, "/docks/4");
-    assert_eq!(anew.len(), PARTS);
-    bed.answer_all(anew);
-    assert_eq!(refuted(&bed), 0, "over a new connection");
+}
+
+/// Servers that are said to have ended at this time.
+fn ended<'a>(sent: impl IntoIterator<Item = &'a Sent>, at: Instant) -> Quarantine {
+    let end = End { incarnation: 1, at };
+    let ended = sent.into_iter().map(|sent| (Arc::clone(&sent.address), end)).collect();
+    Quarantine { ended, ..Quarantine::default() }
+}
+
+/// Milliseconds before closed connections are open again.
+const PAUSE: u64 = 100;
+
+/// When the connection was opened over which a server answers, against its end and the news of it.
+struct Reopened {
+    name: &'static str,
+    /// Milliseconds after the start at which all connections are opened anew.
+    opened: u64,
+    /// At which the calls of others broke off.
+    ended: u64,
+    /// At which this instance hears of it.
+    heard: u64,
+    /// A call is answered with a refusal because another server has the address.
+    taken: bool,
+    refuted: bool,
+}
+
+/// Guards against clearing a poison request because its server answers after it has started again.
+#[test]
+fn connection_younger_than_the_end_refutes_nothing() {
+    let case = |name, [opened, ended, heard]: [u64; 3], taken, refuted| Reopened {
+        name,
+        opened,
+        ended,
+        heard,
+        taken,
+        refuted,
+    };
+    let cases = [
+        case("open before", [200, 3000, 3005], false, true),
+        case("open before, but not the server's word", [200, 3000, 3005], true, false),
+        case("open after the news", [5000, 3000, 3005], false, false),
+        case("open between the end and the news", [3300, 3000, 3500], false, false),
+        case("news that took long", [7000, 3000, 9000], false, false),
+        case("open within the error of dating", [2900, 3000, 3005], false, false),
+    ];
+    for case in cases {
+        let mut bed = bed();
+        let start = bed.now;
+        let mut now = 0;
+        let mut to = |bed: &mut Bed, at: u64| {
+            bed.advance(at - now);
+            now = at;
+        };
+        let hear = |bed: &mut Bed| {
+            let servers = (0..PARTS).flat_map(|part| [1, 2].map(|number| (part, number)));
+            let end = End { incarnation: 1, at: start + Duration::from_millis(case.ended) };
+            let ended =
+                servers.map(|(part, number)| (format!("{}-{number}", name(part)).into(), end));
+            let quarantine = Quarantine { ended: ended.collect(), ..Quarantine::default() };
+            bed.handle(view_with(1, quarantine));
+        };
+        let mut steps = [(case.opened - PAUSE, 0), (case.opened, 1), (case.heard, 2)];
+        steps.sort_unstable();
+        for (at, step) in steps {
+            to(&mut bed, at);
+            match step {
+                0 => drop(bed.close_all()),
+                1 => bed.connect(),
+                _ => hear(&mut bed),
+            }
+        }
+        to(&mut bed, case.opened.max(case.heard) + 1000);
+        bed.log.clear();
+        let calls = sweep(&mut bed, 4, "/docks/4");
+        assert_eq!(calls.len(), PARTS, "{}", case.name);
+        for sent in calls {
+            match case.taken {
+                true => bed.end(sent.attempt, Outcome::Refusal(leaving(&sent))),
+                false => bed.answer(&sent),
+            }
+        }
+        let refuted = bed.log.iter().any(|action| matches!(action, Action::Refuted { .. }));
+        assert_eq!(refuted, case.refuted, "{}", case.name);
+    }
+}
+
+/// The refusal of another server that has the address.
+fn leaving(sent: &Sent) -> target::Refusal {
+    let id = sent.request.id.clone();
+    target::Refusal { id, reason: Reason::TargetLeaving.into(), retry_after_ms: 0 }
 }
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -64,7 +64,7 @@
                 format!("log {} {:?} {:?}: {calls}", trace.id, trace.verdict, trace.reason)
             }
             Action::Server { name, suspect, .. } => format!("log {name} suspect {suspect}"),
-            Action::Crashed { server, incarnation, requests } => {
+            Action::Crashed { server, incarnation, requests, .. } => {
                 format!("server {server}, incarnation {incarnation}, ended under {requests:?}")
             }
             Action::Refuted { server, incarnation } => {
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -63,7 +63,7 @@
         let named = http::parameter(request, "request").unwrap_or_default();
         match named.parse() {
             Ok(fingerprint) => {
-                self.shared.control.tell(Event::Cleared(fingerprint));
+                self.shared.control.tell(Event::Released(fingerprint));
                 http::text(StatusCode::ACCEPTED, "released\n")
             }
             Err(error) => http::text(StatusCode::BAD_REQUEST, format!("request: {error}\n")),
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -92,10 +92,10 @@
                 Action::Server { name, suspect, failure_rate } => {
                     log::server(&self.shared.log, &name, suspect, failure_rate);
                 }
-                Action::Crashed { server, incarnation, requests } => {
+                Action::Crashed { server, incarnation, at, requests } => {
                     self.shared.lines.crashed(&server, incarnation, &requests);
                     let life = Life { server, incarnation };
-                    self.shared.control.tell(control::Event::Crashed { life, requests });
+                    self.shared.control.tell(control::Event::Crashed { life, at, requests });
                 }
                 Action::Refuted { server, incarnation } => {
                     let life = Life { server, incarnation };
--- a/src/log.rs
+++ b/src/log.rs
@@ -69,10 +69,11 @@
         Belief::Outlived { before, now } => {
             warn!(log, "generation raised"; "before" => before, "now" => now);
         }
-        Belief::Quarantine { request, standing, lives, from } => {
+        Belief::Quarantine { request, standing, cause, lives, from } => {
             let from = if from.is_empty() { "here" } else { from };
             let lives = lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
             warn!(log, "quarantine changed"; "fingerprint" => %request, "standing" => ?standing,
+                "cause" => ?cause,
                 "servers" => lives.collect::<Vec<_>>().join(" "), "from" => from);
         }
         Belief::Member { name, before, now } => {
