Nothing new is sent to the servers of an evacuated zone

Cause: the adapter read the configuration and the servers' entries only.

Change: an evacuation is a record like the routes. It is read with the configuration in one call, published to peers, withdrawn by removal or by a listing that lacks it, never taken back by an older record. Views mark the servers of the zone; one rule (leaf/exclusion.rs) says why a server gets no new work, and every path to a server asks it. Parts are collected by peers near the servers that may be used. New reason REASON_EVACUATED; a line, the status and ladderctl name zone, revision and servers.

Ruled out: sending evacuations ahead of other records to an instance that starts. Its peer's acknowledgement comes after all records and it serves callers only then; the test with 1,600 services is green without.

Tests, red without their guard: the rule's table, five paths and any order of events (leaf), spread, refused readers, start, older records, listings (fleet), collecting peers (gather), the adapter.

--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -197,6 +197,7 @@
         zone: "zone-0".into(),
         incarnation: 1,
         leaving: false,
+        evacuated: false,
         slots: 2,
         share: 4,
         holdings: vec![ladder_core::schema::publication::Holding {
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -68,6 +68,7 @@
         zone: "zone".into(),
         incarnation: 1,
         leaving: false,
+        evacuated: false,
         slots: SLOTS as u32,
         share: 12,
         holdings: vec![Holding { index: "index".into(), version: 1 }],
--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -50,6 +50,17 @@
         /// Its revision.
         revision: u64,
     },
+    /// Nothing may be sent to the servers of an availability zone from now on, or it may again.
+    Evacuation {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether it is evacuated.
+        evacuated: bool,
+        /// Revision of the order or of its withdrawal.
+        revision: u64,
+        /// Servers known there.
+        servers: usize,
+    },
     /// Peers knew an earlier life of this instance under a higher generation than its own.
     Outlived {
         /// Its generation until now.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -430,13 +430,33 @@
             withdrawn,
         }));
         for record in &news.records {
-            if let Some(Body::Routing(routing)) = &record.body {
-                let (version, revision) = (routing.version, record.revision);
-                out.push(Action::Log(Belief::Routes { version, revision }));
-            }
+            out.extend(self.noted(record).map(Action::Log));
         }
     }
 
+    /// What is logged of a record apart from the others.
+    fn noted(&self, record: &Record) -> Option<Belief> {
+        let revision = record.revision;
+        let (zone, evacuated) = match &record.body {
+            Some(Body::Routing(routing)) => {
+                return Some(Belief::Routes { version: routing.version, revision });
+            }
+            Some(Body::Evacuation(evacuation)) => (&evacuation.zone, true),
+            Some(Body::Tombstone(gone)) if gone.kind() == Kind::Evacuation => (&gone.name, false),
+            _ => return None,
+        };
+        let servers = self.store.servers().filter(|server| server.zone == *zone).count();
+        Some(Belief::Evacuation { zone: zone.as_str().into(), evacuated, revision, servers })
+    }
+
+    /// Availability zones that are evacuated: name, revision of the order, servers known there.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&str, u64, usize)> {
+        self.store.evacuations().map(|(zone, revision)| {
+            let servers = self.store.servers().filter(|server| server.zone == zone).count();
+            (zone, revision, servers)
+        })
+    }
+
     /// Tombstones of what a page that holds all that is published does not hold.
     fn left_out(&self, page: &Page) -> Vec<Record> {
         if !page.whole {
@@ -444,7 +464,7 @@
         }
         let listed: Set<Key> = page.records.iter().map(Key::of).collect();
         let gone = |(key, record): &(&Key, &Arc<Record>)| {
-            let kind = matches!(key.kind, Kind::Server | Kind::Routing);
+            let kind = matches!(key.kind, Kind::Server | Kind::Routing | Kind::Evacuation);
             kind && !is_tombstone(record) && record.revision <= page.head && !listed.contains(*key)
         };
         let gone = self.store.records().filter(gone);
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -164,6 +164,9 @@
         if changes.instances {
             stale.extend(self.ranks.refresh(source.store.instances()));
         }
+        if changes.evacuations {
+            stale.extend(self.view.service_keys.keys().cloned());
+        }
         let settings = source.settings;
         stale.extend(self.ranks.due(source.now, period(settings)).cloned());
         for server in self.grants.due(source.now, settings.timing.grace) {
@@ -361,6 +364,7 @@
             zone: self.zone(&target.zone),
             incarnation: target.incarnation,
             leaving: source.store.departed(target),
+            evacuated: source.store.is_evacuated(&target.zone),
             slots: target.slots,
             holdings: target.holdings.clone(),
         }
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -385,6 +385,19 @@
         })
     }
 
+    /// Availability zones that are evacuated, with the revision of the order.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.of_kind(Kind::Evacuation).filter_map(|record| match &record.body {
+            Some(Body::Evacuation(evacuation)) => Some((&*evacuation.zone, record.revision)),
+            _ => None,
+        })
+    }
+
+    /// Whether nothing may be sent to the servers of this availability zone.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations().any(|(evacuated, _)| evacuated == zone)
+    }
+
     /// The published server of this name.
     pub fn server(&self, name: &str) -> Option<&Server> {
         match &self.records.get(&Key::new(Kind::Server, name))?.body {
@@ -394,10 +407,14 @@
     }
 
     fn bodies(&self, kind: Kind) -> impl Iterator<Item = &Body> {
+        self.of_kind(kind).filter_map(|record| record.body.as_ref())
+    }
+
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Arc<Record>> {
         let from = Key::new(kind, "");
         let records = self.records.range(from..);
         let same = records.take_while(move |(key, _)| key.kind == kind);
-        same.filter_map(|(_, record)| record.body.as_ref())
+        same.map(|(_, record)| record)
     }
 }
 
--- a/crates/core/src/control/store/changes.rs
+++ b/crates/core/src/control/store/changes.rs
@@ -18,6 +18,8 @@
     pub instances: bool,
     /// Another version of the routes is in force.
     pub routing: bool,
+    /// Some availability zone is evacuated, or not any more.
+    pub evacuations: bool,
 }
 
 /// Records of the servers of each service.
@@ -93,6 +95,7 @@
             Kind::Index => self.indexes = true,
             Kind::Instance => self.instances = true,
             Kind::Routing => self.routing = true,
+            Kind::Evacuation => self.evacuations = true,
             Kind::Server | Kind::Unspecified => {}
         }
     }
--- a/crates/core/src/control/store/key.rs
+++ b/crates/core/src/control/store/key.rs
@@ -14,7 +14,7 @@
 pub struct Key {
     /// What the record describes.
     pub kind: Kind,
-    /// Service of an entry, `name@version` of an index, name of a server or instance.
+    /// Service of an entry, `name@version` of an index, name of a server, instance or zone.
     pub name: Arc<str>,
 }
 
@@ -34,6 +34,7 @@
             Some(Body::Server(server)) => (Kind::Server, server.name.clone()),
             Some(Body::Instance(instance)) => (Kind::Instance, instance.name.clone()),
             Some(Body::Routing(_)) => (Kind::Routing, String::new()),
+            Some(Body::Evacuation(evacuation)) => (Kind::Evacuation, evacuation.zone.clone()),
             Some(Body::Tombstone(tombstone)) => (tombstone.kind(), tombstone.name.clone()),
         };
         let longest = bounds::NAME_BYTES * 2;
@@ -77,6 +78,7 @@
             Kind::Server => "server",
             Kind::Instance => "instance",
             Kind::Routing => "routing",
+            Kind::Evacuation => "evacuation",
         };
         write!(f, "{kind} {}", self.name)
     }
--- a/crates/core/src/eligible.rs
+++ b/crates/core/src/eligible.rs
@@ -41,7 +41,7 @@
     if marks.len() > terms.attempts {
         marks.sort_by_cached_key(|(server, mark)| {
             let hash = hash::of(&[terms.key.as_bytes(), server.name.as_bytes()]);
-            (terms.passed.contains(mark), server.leaving, *server.zone != *terms.home, hash)
+            (terms.passed.contains(mark), !server.takes_work(), *server.zone != *terms.home, hash)
         });
     }
     marks.into_iter().take(terms.attempts).map(|(_, mark)| mark).collect()
--- a/crates/core/src/gather/near.rs
+++ b/crates/core/src/gather/near.rs
@@ -264,7 +264,7 @@
     let mut sets: BTreeMap<Vec<&str>, Vec<Arc<str>>> = BTreeMap::new();
     let services = index.shards.iter().filter_map(|shard| view.service(&shard.service));
     for service in services {
-        let usable = service.servers.iter().filter(|server| !server.leaving);
+        let usable = service.servers.iter().filter(|server| server.takes_work());
         let mut zones: Vec<&str> = usable.map(|server| &*server.zone).collect();
         zones.sort_unstable();
         zones.dedup();
--- a/crates/core/src/gather/snapshot.rs
+++ b/crates/core/src/gather/snapshot.rs
@@ -84,7 +84,7 @@
         // A shard map may name a service whose entry was withdrawn.
         return Some(Reason::UnknownOperation);
     };
-    let mut usable = service.servers.iter().filter(|server| !server.leaving);
+    let mut usable = service.servers.iter().filter(|server| server.takes_work());
     let mut any = false;
     let held = usable.any(|server| {
         any = true;
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -39,6 +39,7 @@
         | Reason::NoOwner
         | Reason::OwnerLost
         | Reason::NoServer
+        | Reason::Evacuated
         | Reason::ConnectFailed
         | Reason::Paused
         | Reason::UnknownIndex
@@ -178,7 +179,7 @@
         portion.exposed |= verdict != Verdict::NotRun;
         portion.ran |= verdict == Verdict::Ran;
         portion.reached |= verdict != Verdict::NotRun || !is_before_servers(reason);
-        if matches!(reason, Reason::NoServer | Reason::ConnectFailed) {
+        if matches!(reason, Reason::NoServer | Reason::Evacuated | Reason::ConnectFailed) {
             portion.passed.extend(&portion.eligible);
         }
         if !portion.is_open() || portion.is_awaited() {
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -9,6 +9,7 @@
 mod ending;
 mod estimate;
 pub mod event;
+pub mod exclusion;
 mod health;
 mod hedge;
 mod intake;
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::Attempt;
 use super::event::{Action, LaneKey};
+use super::exclusion::Exclusion;
 use super::intake::UNLEARNED;
 use super::kinds::Kind;
 use super::lane;
@@ -330,7 +331,7 @@
             .filter(|key| self.servers[*key].accepts() && self.is_eligible(eligible, *key))
             .collect();
         if accepting.is_empty() {
-            return Err(Refused::because(Reason::NoServer));
+            return Err(Refused::because(self.excluded_for(id)));
         }
         let holders: Vec<&Server> = accepting
             .iter()
@@ -355,6 +356,16 @@
         }
     }
 
+    /// Why none of a service's servers may get work.
+    fn excluded_for(&self, id: ServiceId) -> Reason {
+        let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
+        let mut exclusions = servers.filter_map(Server::exclusion);
+        match exclusions.any(|exclusion| exclusion == Exclusion::Evacuated) {
+            true => Reason::Evacuated,
+            false => Reason::NoServer,
+        }
+    }
+
     fn selects_by_outcome(&self) -> bool {
         self.settings.selection != Selection::RoundRobin
     }
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -10,6 +10,7 @@
 
 use super::crash::{Loss, Suspicion};
 use super::event::{AttemptKey, LaneKey};
+use super::exclusion::{Exclusion, Facts};
 use super::health::Health;
 use super::service::ServiceId;
 use crate::eligible::Mark;
@@ -37,6 +38,8 @@
     pub(super) mark: Mark,
     /// In the view with this address. New work goes to listed servers only.
     pub(super) listed: bool,
+    /// Its availability zone is evacuated.
+    evacuated: bool,
     /// Highest incarnation any source named.
     pub(super) incarnation: u64,
     /// Highest incarnation that some source called leaving.
@@ -80,6 +83,7 @@
             zone: Arc::clone(&listed.zone),
             mark: Mark::of(&listed.name),
             listed: true,
+            evacuated: false,
             incarnation: 0,
             leaving: None,
             slots: 0,
@@ -107,6 +111,7 @@
         self.listed = true;
         self.slots = listed.slots;
         self.share = listed.share;
+        self.evacuated = listed.evacuated;
         self.holdings.clone_from(&listed.holdings);
         self.start(listed.incarnation);
         if listed.leaving {
@@ -146,9 +151,20 @@
         self.leaving.is_some_and(|leaving| leaving >= self.incarnation)
     }
 
+    /// Why it gets no new work; `None` if it may.
+    pub(super) fn exclusion(&self) -> Option<Exclusion> {
+        let facts = Facts {
+            listed: self.listed,
+            share: self.share,
+            leaving: self.leaving(),
+            evacuated: self.evacuated,
+        };
+        facts.exclusion()
+    }
+
     /// Whether it may get new work at all.
     pub(super) fn accepts(&self) -> bool {
-        self.listed && self.share > 0 && !self.leaving()
+        self.exclusion().is_none()
     }
 
     /// The server refused this version as retired.
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::exclusion::Exclusion;
 use super::machine::Machine;
 use super::server;
 use super::service::Rank;
@@ -46,6 +47,8 @@
     Tolerated,
     /// Some source says that it leaves.
     Leaving,
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// No connection to it can be opened.
     Unreachable,
     /// The view lists it no more or allows no connection.
@@ -126,11 +129,11 @@
 }
 
 fn state(server: &server::Server, held: bool, now: Instant) -> State {
-    if server.leaving() {
-        return State::Leaving;
-    }
-    if !server.accepts() {
-        return State::Unlisted;
+    match server.exclusion() {
+        Some(Exclusion::Leaving) => return State::Leaving,
+        Some(Exclusion::Evacuated) => return State::Evacuated,
+        Some(Exclusion::Unlisted | Exclusion::NoShare) => return State::Unlisted,
+        None => {}
     }
     if server.open_failures > 0 && server.in_flight == 0 {
         return State::Unreachable;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -63,6 +63,8 @@
     pub incarnation: u64,
     /// Some source says that it leaves; it must receive no new work.
     pub leaving: bool,
+    /// An operator wants nothing sent to the servers of its zone.
+    pub evacuated: bool,
     /// Requests it works on at once.
     pub slots: u32,
     /// Connections this instance may hold to it.
@@ -74,6 +76,13 @@
     pub holdings: Vec<publication::Holding>,
 }
 
+impl Server {
+    /// Whether it may receive new work, by what is published.
+    pub const fn takes_work(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+}
+
 /// A search service with its catalogue entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod concert;
 mod disorder;
+mod evacuation;
 mod harness;
 mod listing;
 mod many;
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -148,6 +148,7 @@
         zone: "Trindade".into(),
         incarnation: 1,
         leaving,
+        evacuated: false,
         slots: 2,
         share: 4,
         holdings: holdings.collect(),
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -35,6 +35,8 @@
     unrepeatable: bool,
     /// The servers' connections don't suffice for every instance.
     scarce: bool,
+    /// Zone to whose servers nothing may be sent.
+    evacuated: &'static str,
 }
 
 impl Default for Place {
@@ -49,6 +51,7 @@
             version: VERSION,
             unrepeatable: false,
             scarce: false,
+            evacuated: "",
         }
     }
 }
@@ -57,13 +60,15 @@
     (1..=parts).map(|number| format!("s{number}")).collect()
 }
 
-fn service(name: &str, zones: &[&str], scarce: bool) -> Service {
+fn service(name: &str, zones: &[&str], place: &Place) -> Service {
+    let scarce = place.scarce;
     let server = |(number, zone): (usize, &&str)| Server {
         name: format!("{name}-{number}").into(),
         address: "127.0.0.1:9".into(),
         zone: (*zone).into(),
         incarnation: 1,
         leaving: false,
+        evacuated: **zone == *place.evacuated,
         slots: 2,
         share: 4,
         holdings: Vec::new(),
@@ -84,7 +89,7 @@
         let mut view = View { generation: 1, ready: true, ..View::default() };
         let parts = names(self.parts.len());
         for (name, zones) in parts.iter().zip(&self.parts) {
-            view.insert(service(name, zones, self.scarce));
+            view.insert(service(name, zones, self));
         }
         let base = |name: &str, prefix: &str| Route {
             name: name.to_owned(),
@@ -683,3 +688,22 @@
     assert!(works(&late).is_empty());
     assert_eq!(session.machine.open(), 0);
 }
+
+/// Guards against a peer that is asked for parts of which it may use no server.
+#[test]
+fn parts_go_to_peers_near_servers_that_may_be_used() {
+    for (evacuated, asked) in [("campanha", "e3"), ("sao-bento", "e2")] {
+        let place = Place { evacuated, ..Place::default() };
+        let mut session = place.session();
+        for number in 0..6 {
+            let (to, there, _) = started(&mut session, &format!("sweep-{number}"));
+            assert_eq!(&*to, asked, "{evacuated} is evacuated");
+            for portion in &there.portions {
+                let eligible = portion.eligible.as_ref().expect("a choice of servers");
+                let usable = if evacuated == "campanha" { 2 } else { 1 };
+                let first = Mark::of(&format!("{}-{}", portion.service, usable - 1)).0;
+                assert!(eligible.servers.contains(&first), "{evacuated}: {eligible:?}");
+            }
+        }
+    }
+}
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -80,6 +80,7 @@
         zone: "trindade".into(),
         incarnation: 1,
         leaving: false,
+        evacuated: false,
         slots: 2,
         share: 6,
         holdings: vec![holding(1)],
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -5,6 +5,7 @@
 mod collect;
 mod crash;
 mod dispatch;
+mod exclusion;
 mod forward;
 mod hedge;
 mod lanes;
--- a/crates/schema/src/check/record.rs
+++ b/crates/schema/src/check/record.rs
@@ -38,6 +38,7 @@
         Some(Body::Instance(body)) => instance(body),
         Some(Body::Tombstone(body)) => tombstone(body),
         Some(Body::Routing(body)) => routing::routing(body),
+        Some(Body::Evacuation(body)) => name("evacuation.zone", &body.zone),
     }
 }
 
@@ -146,7 +147,8 @@
         Ok(Kind::Unspecified) | Err(_) => Err(Error::Choice {
             field: "tombstone.kind".to_owned(),
             value: tombstone.kind,
-            allowed: "KIND_ENTRY, KIND_INDEX, KIND_SERVER, KIND_INSTANCE, KIND_ROUTING",
+            allowed: "KIND_ENTRY, KIND_INDEX, KIND_SERVER, KIND_INSTANCE, KIND_ROUTING, \
+                      KIND_EVACUATION",
         }),
         Ok(Kind::Index) => versioned("tombstone.name", &tombstone.name),
         Ok(Kind::Routing) if tombstone.name.is_empty() => Ok(()),
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -21,6 +21,7 @@
             Body::Server(server) => (Kind::Server, server.name.clone()),
             Body::Instance(instance) => (Kind::Instance, instance.name.clone()),
             Body::Routing(_) => (Kind::Routing, String::new()),
+            Body::Evacuation(evacuation) => (Kind::Evacuation, evacuation.zone.clone()),
             Body::Tombstone(tombstone) => (tombstone.kind(), tombstone.name.clone()),
         };
         Some(Self { kind, name })
--- a/src/ctl/check.rs
+++ b/src/ctl/check.rs
@@ -71,6 +71,9 @@
         Some(record::Body::Server(server)) => format!("server {:?}", server.name),
         Some(record::Body::Instance(instance)) => format!("instance {:?}", instance.name),
         Some(record::Body::Routing(routing)) => format!("routing {}", routing.version),
+        Some(record::Body::Evacuation(evacuation)) => {
+            format!("evacuation of {:?}", evacuation.zone)
+        }
         Some(record::Body::Tombstone(tombstone)) => {
             format!("tombstone {} {:?}", tombstone.kind().as_str_name(), tombstone.name)
         }
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -1,7 +1,9 @@
 //! What instances answer, as text for people.
 
 use ladder_schema::outcome::{Reason, Verdict};
-use ladder_schema::status::{Explanation, Instance, Member, Quarantine, Refused, Service, Step};
+use ladder_schema::status::{
+    Evacuation, Explanation, Instance, Member, Quarantine, Refused, Service, Step,
+};
 
 /// The status of one instance.
 pub fn status(address: &str, status: &Instance) -> String {
@@ -17,11 +19,20 @@
         ),
         format!("  open: {} queries, {} portions", status.open_queries, status.open_portions),
     ];
+    lines.extend(status.evacuations.iter().map(evacuation));
     lines.extend(status.members.iter().map(member));
     lines.extend(status.refused.iter().map(refused));
     lines.join("\n")
 }
 
+/// One line on an evacuated zone.
+fn evacuation(evacuation: &Evacuation) -> String {
+    format!(
+        "  zone {} is evacuated since revision {}: {} servers get no new requests",
+        evacuation.zone, evacuation.revision, evacuation.servers
+    )
+}
+
 /// One line on a member.
 fn member(member: &Member) -> String {
     format!(
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -61,6 +61,7 @@
         services: services(machine, view),
         refused: machine.refused().map(refused).collect(),
         quarantines: quarantines(machine, now),
+        evacuations: machine.evacuations().map(evacuation).collect(),
         ..status::Instance::default()
     }
 }
@@ -99,6 +100,12 @@
     }
 }
 
+/// One evacuated zone.
+fn evacuation((zone, revision, servers): (&str, u64, usize)) -> status::Evacuation {
+    let servers = u32::try_from(servers).unwrap_or(u32::MAX);
+    status::Evacuation { zone: zone.to_owned(), revision, servers }
+}
+
 /// What is held of requests under which servers ended, in order of fingerprint.
 fn quarantines(machine: &control::Machine, now: Instant) -> Vec<status::Quarantine> {
     let mut entries: Vec<_> =
--- a/src/log.rs
+++ b/src/log.rs
@@ -76,6 +76,10 @@
                 "cause" => ?cause,
                 "servers" => lives.collect::<Vec<_>>().join(" "), "from" => from);
         }
+        Belief::Evacuation { zone, evacuated, revision, servers } => {
+            warn!(log, "evacuation changed"; "zone" => &**zone, "evacuated" => evacuated,
+                "revision" => revision, "servers" => servers);
+        }
         Belief::Member { name, before, now } => {
             info!(log, "member turned"; "member" => &**name, "before" => ?before, "now" => ?now);
         }
