--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -30,6 +30,7 @@
 mod snapshot;
 mod take;
 mod timers;
+mod withdraw;
 
 pub mod event;
 
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -66,7 +66,7 @@
         // The balancer sends the next attempt to another instance.
         Reason::Draining => ELSEWHERE_MS,
         Reason::NotReady => SOON_MS,
-        Reason::QueueFull => LATER_MS,
+        Reason::QueueFull | Reason::NoServer | Reason::Evacuated => LATER_MS,
         _ => 0,
     }
 }
@@ -166,10 +166,15 @@
     if ran { Verdict::Ran } else { Verdict::MayHaveRun }
 }
 
-/// The reason that most missing shards have, the first of equals.
+/// The reason that most missing shards have, the first of equals. What was given up for the sake of
+/// others explains nothing beside them.
 fn commonest(missing: &[Missing]) -> Reason {
     let mut counts: Vec<(Reason, usize)> = Vec::new();
-    for reason in missing.iter().map(Missing::reason) {
+    let given_up = |reason: &Reason| *reason == Reason::Cancelled;
+    if missing.iter().map(Missing::reason).all(|reason| given_up(&reason)) {
+        return missing.first().map_or(Reason::Unspecified, Missing::reason);
+    }
+    for reason in missing.iter().map(Missing::reason).filter(|reason| !given_up(reason)) {
         match counts.iter_mut().find(|(known, _)| *known == reason) {
             Some((_, count)) => *count += 1,
             None => counts.push((reason, 1)),
--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -22,7 +22,7 @@
 use crate::view::Peer;
 
 /// Taken for the time on the ways to a peer and back until it is learned.
-const ASSUMED_WAY: Duration = Duration::from_millis(2);
+pub(super) const ASSUMED_WAY: Duration = Duration::from_millis(2);
 /// Kept beside it for the peer's own queues.
 const QUEUES: Duration = Duration::from_millis(2);
 /// How long after a sweep's target the word of a peer may still come that had to speak before it.
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -193,7 +193,8 @@
     fn next_after_loss(&mut self, now: Instant, key: QueryKey, position: usize) -> Option<Peer> {
         let query = &self.queries[key];
         let portion = &query.portions[position];
-        if now >= query.answer_at || !may_send_again(query.terms.unrepeatable, portion) {
+        let over = query.withdrawn || now >= query.answer_at;
+        if over || !may_send_again(query.terms.unrepeatable, portion) {
             return None;
         }
         self.next_peer(now, key, position)
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -9,6 +9,7 @@
 use super::event::Action;
 use super::machine::{Machine, count};
 use super::merge;
+use super::peers::PeerKey;
 use super::query::{Progress, Query, QueryKey, State};
 use super::timers::Timer;
 use crate::count;
@@ -67,6 +68,10 @@
         let Some(query) = self.queries.get(key) else {
             return;
         };
+        if query.withdrawn {
+            self.finish(now, key, Reason::Cancelled, out);
+            return;
+        }
         if now >= query.answer_at || query.is_enough(now) {
             self.finish(now, key, Reason::Deadline, out);
             return;
@@ -93,7 +98,7 @@
             self.finish(now, key, Reason::Unspecified, out);
         } else if query.is_enough(now) {
             self.finish(now, key, Reason::Deadline, out);
-        } else if query.is_hopeless() {
+        } else if query.is_hopeless() && !self.withdraw(now, key, out) {
             self.finish(now, key, Reason::Cancelled, out);
         }
     }
@@ -124,14 +129,7 @@
         let Some(query) = self.queries.get(key) else {
             return;
         };
-        for holder in query.holders() {
-            let Some(state) = self.peers.get(holder) else {
-                continue;
-            };
-            let cancel =
-                wire::Cancel { query: query.number, incarnation: self.settings.incarnation };
-            out.push(Action::Cancel { to: state.peer.clone(), cancel });
-        }
+        self.tell_cancelled(key, &query.holders(), out);
         let portions = query.portions.iter();
         for sending in portions.flat_map(|portion| &portion.sendings) {
             if sending.progress == Progress::Open {
@@ -140,6 +138,15 @@
         }
     }
 
+    /// Tells these owners that a query is given up.
+    pub(super) fn tell_cancelled(&self, key: QueryKey, holders: &[PeerKey], out: &mut Vec<Action>) {
+        let (query, incarnation) = (self.queries[key].number, self.settings.incarnation);
+        for state in holders.iter().filter_map(|holder| self.peers.get(*holder)) {
+            let cancel = wire::Cancel { query, incarnation };
+            out.push(Action::Cancel { to: state.peer.clone(), cancel });
+        }
+    }
+
     /// Takes a query whose owners have been told out of all tables.
     pub(crate) fn remove(&mut self, key: QueryKey) -> Option<Query> {
         let query = self.queries.remove(key)?;
--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -10,7 +10,7 @@
 use super::plan::{Plan, Share, Terms};
 use crate::collections::Map;
 use crate::route::{Destination, Route};
-use crate::view::View;
+use crate::view::{Server, View};
 
 /// Chooses destinations and plans messages for them.
 #[derive(Debug, Default)]
@@ -68,6 +68,9 @@
             let detail = format!("{host}{target}; no route of version {version} leads there");
             return Err(Refusal::new(Reason::UnknownRoute, detail));
         };
+        if let Some(refusal) = out_of_reach(view, route) {
+            return Err(refusal);
+        }
         let destination = self.choose(route);
         let mut shares: Vec<Arc<Share>> = Vec::with_capacity(destination.index.shards.len());
         for (position, shard) in (0u32..).zip(&destination.index.shards) {
@@ -101,6 +104,46 @@
     }
 }
 
+/// Why too few parts of any destination of a route can be had, if so: their services have servers, but none
+/// that may receive work.
+///
+/// The caller hears at once that nothing ran, and the other parts' servers do no work in vain.
+fn out_of_reach(view: &View, route: &Route) -> Option<Refusal> {
+    let mut refusal = None;
+    for destination in &route.destinations {
+        let shards = &destination.index.shards;
+        let excluded = shards.iter().filter_map(|shard| exclusion(view, &shard.service));
+        let excluded: Vec<Reason> = excluded.collect();
+        let floor = route.floor(shards.len());
+        if shards.len() - excluded.len() >= floor {
+            return None;
+        }
+        let reason = if excluded.contains(&Reason::Evacuated) {
+            Reason::Evacuated
+        } else {
+            Reason::NoServer
+        };
+        let detail = format!(
+            "route {}: {} of {} services have no server that may receive work, and {floor} are needed",
+            route.spec.name,
+            excluded.len(),
+            shards.len()
+        );
+        refusal = Some(Refusal::new(reason, detail));
+    }
+    refusal
+}
+
+/// Why none of a service's servers may receive work; `None` if one may, or if none is known.
+fn exclusion(view: &View, service: &str) -> Option<Reason> {
+    let servers = &view.service(service)?.servers;
+    if servers.is_empty() || servers.iter().any(Server::takes_work) {
+        return None;
+    }
+    let evacuated = servers.iter().any(|server| server.evacuated);
+    Some(if evacuated { Reason::Evacuated } else { Reason::NoServer })
+}
+
 fn terms(route: &Route, request: &call::Request) -> Terms {
     let timeout = Duration::from_millis(route.spec.timeout_ms.into());
     let asked = match request.deadline_ms {
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -209,6 +209,8 @@
     pub(crate) retired: Vec<u64>,
     /// Something of it may have run under a version that was given up.
     pub(crate) exposed: bool,
+    /// It can only be refused: what is out is taken back.
+    pub(crate) withdrawn: bool,
 }
 
 /// Time kept for the answer itself and for a late wake.
@@ -280,6 +282,7 @@
             retry_after_ms: 0,
             retired: Vec::new(),
             exposed: false,
+            withdrawn: false,
         };
         query.adopt(plan);
         query.timer = query.timely_at;
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -186,6 +186,7 @@
             return;
         }
         let done = match remedy(reason) {
+            _ if self.queries[key].withdrawn => false,
             Remedy::Next => self.next_owner(now, key, position, reason, out),
             Remedy::Restart if verdict == Verdict::NotRun => self.restart(now, key, out),
             Remedy::Restart | Remedy::Stop => false,
--- /dev/null
+++ b/crates/core/src/gather/withdraw.rs
@@ -0,0 +1,58 @@
+//! Withdraws queries that cannot be answered any more, so that their callers may hear that nothing ran.
+
+use std::time::Duration;
+
+use ladder_schema::outcome::Verdict;
+
+use super::collect::ASSUMED_WAY;
+use super::event::Action;
+use super::machine::Machine;
+use super::query::{Progress, Query, QueryKey};
+use super::timers::Timer;
+use crate::time::Instant;
+
+/// How often the time on the ways to a peer and back its word on what it held may take.
+const PATIENCE: u32 = 4;
+
+impl Machine {
+    /// Takes back what is still out of a query that can only be refused.
+    ///
+    /// An owner says of each part whether it was sent to a server. While all that is known of it did not
+    /// run, its word is waited for: it comes within milliseconds, and without it the caller must be told
+    /// that the request may have run.
+    ///
+    /// Returns whether there is anything to wait for.
+    pub(super) fn withdraw(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) -> bool {
+        let query = &self.queries[key];
+        if !is_unproved(query) {
+            return false;
+        }
+        if query.withdrawn {
+            return true;
+        }
+        let holders = query.holders();
+        let way = |peer| {
+            let state = self.peers.get(peer);
+            state.and_then(|state| state.way).unwrap_or(ASSUMED_WAY)
+        };
+        let longest = holders.iter().map(|peer| way(*peer)).max().unwrap_or(Duration::ZERO);
+        let until = (now + longest * PATIENCE).min(query.answer_at);
+        self.tell_cancelled(key, &holders, out);
+        let query = &mut self.queries[key];
+        query.withdrawn = true;
+        let timer = std::mem::replace(&mut query.timer, until);
+        self.timers.remove(timer, Timer::Query(key));
+        self.timers.add(until, Timer::Query(key));
+        true
+    }
+}
+
+/// Nothing of the query is known to have run, and the word on something that is out may still come.
+fn is_unproved(query: &Query) -> bool {
+    let settled = query.portions.iter().filter(|portion| !portion.is_open());
+    let open = query.portions.iter().filter(|portion| portion.is_open());
+    let clean = !query.exposed && settled.clone().all(|one| one.verdict() == Verdict::NotRun);
+    let unexposed = open.clone().all(|portion| !portion.exposed && !portion.ran);
+    let mut sendings = open.flat_map(|portion| &portion.sendings);
+    clean && unexposed && sendings.all(|sending| sending.progress != Progress::Lost)
+}
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ladder_core::gather::Action;
+use ladder_core::gather::{Action, Event};
 use ladder_core::route::Table;
 use ladder_core::schema::call::{Answer, Message, Part, Request, Response};
 use ladder_core::schema::catalogue::Urgency;
@@ -55,14 +55,19 @@
     }
 }
 
-/// A session in which this instance may work on all services itself.
-fn session(routing: Option<Routing>) -> Session {
+/// The view of a session in which this instance may work on all services itself.
+fn view(routing: Option<Routing>) -> View {
     let sites = ["s1", "s2", "s3"].map(|name| site(name, [SELF, "e2", "e3"])).to_vec();
     let fleet = Fleet { sites, ..Fleet::default() };
-    let mut session = Session::new(&fleet);
     let routing = routing.map(|routing| Arc::new(Table::new(&routing)));
-    let view = View { routing, generation: 2, ..View::clone(&fleet.view()) };
-    session.give(ladder_core::gather::Event::View(Arc::new(view)));
+    View { routing, ..View::clone(&fleet.view()) }
+}
+
+/// A session with this view.
+fn session(routing: Option<Routing>) -> Session {
+    let mut session = Session::new(&Fleet::default());
+    let view = View { generation: 2, ..view(routing) };
+    session.give(Event::View(Arc::new(view)));
     session
 }
 
@@ -233,19 +238,116 @@
     assert_eq!(answer.missing.len(), 1);
 }
 
-/// So many parts are refused that the floor cannot be reached. The caller learns it at once and can
-/// come back, instead of waiting for the rest.
+/// What the owner of the last part says when the sweep is taken back, two of three parts being refused.
+struct Withdrawal {
+    name: &'static str,
+    last: Option<fn(&Work) -> Reply>,
+    verdict: Verdict,
+}
+
+fn taken_back(work: &Work, verdict: Verdict) -> Reply {
+    let (verdict, reason) = (verdict.into(), Reason::Cancelled.into());
+    Reply { verdict, reason, parts: Vec::new(), ..reply(work, "s3", b"") }
+}
+
+/// Guards against telling a caller that a request may have run of which no server got anything.
 #[test]
-fn hopeless_sweep_ends_at_once() {
+fn hopeless_sweep_is_taken_back_before_it_is_refused() {
+    let cases = [
+        Withdrawal {
+            name: "it sent nothing",
+            last: Some(|work| taken_back(work, Verdict::NotRun)),
+            verdict: Verdict::NotRun,
+        },
+        Withdrawal {
+            name: "it reaches no server either",
+            last: Some(|work| Reply {
+                reason: Reason::ConnectFailed.into(),
+                ..taken_back(work, Verdict::NotRun)
+            }),
+            verdict: Verdict::NotRun,
+        },
+        Withdrawal {
+            name: "it is at a server",
+            last: Some(|work| taken_back(work, Verdict::MayHaveRun)),
+            verdict: Verdict::MayHaveRun,
+        },
+        Withdrawal {
+            name: "it answers meanwhile",
+            last: Some(|work| reply(work, "s3", &records(&[1]))),
+            verdict: Verdict::Ran,
+        },
+        Withdrawal { name: "it says nothing", last: None, verdict: Verdict::MayHaveRun },
+    ];
+    for Withdrawal { name, last, verdict } in cases {
+        let mut session = session(Some(routing()));
+        let work = sweep(&mut session);
+        assert!(answers(&session.reply(SELF, refused(&work, "s1"))).is_empty());
+        let actions = session.reply(SELF, refused(&work, "s2"));
+        assert!(answers(&actions).is_empty(), "{name}: its word is waited for");
+        assert!(actions.iter().any(|action| matches!(action, Action::Cancel { .. })), "{name}");
+        let actions = match last {
+            Some(last) => session.reply(SELF, last(&work)),
+            None => session.pass(20),
+        };
+        let answer = answer(&actions);
+        assert_eq!(answer.verdict(), verdict, "{name}");
+        assert!(answer.response.is_none(), "{name}");
+    }
+}
+
+/// Guards against waiting for an owner's word that cannot change what the caller is told.
+#[test]
+fn hopeless_sweep_of_which_something_ran_ends_at_once() {
     let mut session = session(Some(routing()));
     let work = sweep(&mut session);
-    assert!(answers(&session.reply(SELF, refused(&work, "s1"))).is_empty());
+    let lost = Reply { verdict: Verdict::MayHaveRun.into(), ..refused(&work, "s1") };
+    assert!(answers(&session.reply(SELF, lost)).is_empty());
     let actions = session.reply(SELF, refused(&work, "s2"));
-    let answer = answer(&actions);
-    assert!(answer.response.is_none() && answer.covered.is_empty());
+    assert_eq!(answer(&actions).verdict(), Verdict::MayHaveRun);
     assert!(actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
 }
 
+/// Services whose servers may receive nothing, and what then becomes of a sweep that needs two of three.
+struct Reach {
+    evacuated: &'static [&'static str],
+    leaving: &'static [&'static str],
+    refused: Option<Reason>,
+}
+
+/// Guards against asking for parts of a sweep whose floor is known to be out of reach.
+#[test]
+fn sweep_out_of_reach_is_refused_before_anything_is_sent() {
+    let cases = [
+        Reach { evacuated: &["s1"], leaving: &[], refused: None },
+        Reach { evacuated: &["s1", "s2"], leaving: &[], refused: Some(Reason::Evacuated) },
+        Reach { evacuated: &["s1"], leaving: &["s3"], refused: Some(Reason::Evacuated) },
+        Reach { evacuated: &[], leaving: &["s2", "s3"], refused: Some(Reason::NoServer) },
+    ];
+    for case in cases {
+        let mut session = session(Some(routing()));
+        let mut view = View { generation: 3, ..view(Some(routing())) };
+        for service in view.services.values_mut() {
+            let service = Arc::make_mut(service);
+            for server in &mut service.servers {
+                server.evacuated = case.evacuated.contains(&&*service.name);
+                server.leaving = case.leaving.contains(&&*service.name);
+            }
+        }
+        session.give(Event::View(Arc::new(view)));
+        let actions = session.call(message(HOST, "/docks/all"));
+        match case.refused {
+            None => assert_eq!(works(&actions).len(), 1),
+            Some(reason) => {
+                let answer = answer(&actions);
+                assert_eq!((answer.verdict(), answer.reason()), (Verdict::NotRun, reason));
+                assert!(works(&actions).is_empty());
+                assert!(answer.retry_after_ms > 0);
+            }
+        }
+    }
+}
+
 /// A sweep that ends below its floor has parts, but no answer may be made of them.
 #[test]
 fn sweep_never_answers_below_its_floor() {
