A server that warms up gets no more requests than it bears, over all instances

Cause: warm-up times and rates were not read, and no instance knows what the others send.

Ways: (a) each instance divides the rate by the instances it knows: less than one each at 66; (b) rendezvous: the rate is handed out in whole requests, to those instances that rank first for the server; (c) where one instance asks for all, a fixed part of the bound to each that is asked by others. Kept are (b) and (c), by whether connections suffice for all. The parts sum to half of the bound at most (b), a quarter for each of four askers (c); the rest covers instances that know others than these. The largest fleet of the last ten minutes counts, so that a partition makes no part grow, and an instance sends nothing to a cold server in its first three seconds.

A server is cold for as long as its entry says, and for the service's warm-up time after its zone was evacuated: what it says of itself comes a heartbeat later. Work that no server can take before its deadline is refused at once as REASON_WARMING_UP, with the time from which on one can.

Not read: the warm-up time in health answers, as this system asks for none; a server that turns cold by itself is known by its next entry.

Tests: sums at 1 to 3,700 instances, views that miss others, any order of events; each red without its guard.

--- a/crates/core/examples/scale/fleet.rs
+++ b/crates/core/examples/scale/fleet.rs
@@ -125,6 +125,7 @@
         slots: 2,
         connections: 25,
         holdings: vec![Holding { index: index_name(service / SHARDS), version: 1 }],
+        warmup_ms: 0,
     })
 }
 
--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -198,6 +198,7 @@
         incarnation: 1,
         leaving: false,
         evacuated: false,
+        warmup: Duration::ZERO,
         slots: 2,
         share: 4,
         holdings: vec![ladder_core::schema::publication::Holding {
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -69,6 +69,7 @@
         incarnation: 1,
         leaving: false,
         evacuated: false,
+        warmup: std::time::Duration::ZERO,
         slots: SLOTS as u32,
         share: 12,
         holdings: vec![Holding { index: "index".into(), version: 1 }],
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -366,6 +366,7 @@
             leaving: source.store.departed(target),
             evacuated: source.store.is_evacuated(&target.zone),
             slots: target.slots,
+            warmup: Duration::from_millis(target.warmup_ms.into()),
             holdings: target.holdings.clone(),
         }
     }
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -33,6 +33,7 @@
 mod timer;
 mod trace;
 mod verdict;
+pub mod warmup;
 
 pub use event::{Action, Event};
 pub use machine::Machine;
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -95,7 +95,8 @@
     pub(super) fn can_send(&self, key: ServerKey) -> bool {
         let server = &self.servers[key];
         let free = !self.settings.queueing || server.in_flight < self.room_at(server);
-        free && server.accepts() && self.idle_lane(key).is_some()
+        let spent = self.warm_at(key) > self.now;
+        free && server.exclusion(spent).is_none() && self.idle_lane(key).is_some()
     }
 
     /// Calls that a server may hold.
@@ -350,7 +351,15 @@
         match rest {
             Some(until) if until >= deadline && self.selects_by_outcome() => {
                 let wait = until.since(self.now);
-                Err(Refused::because(Reason::TargetShed).come_back(wait))
+                return Err(Refused::because(Reason::TargetShed).come_back(wait));
+            }
+            _ => {}
+        }
+        let held = accepting.iter().filter(|key| self.holds(**key, work));
+        match held.map(|key| self.warm_at(*key)).min() {
+            Some(until) if until >= deadline => {
+                let wait = until.since(self.now);
+                Err(Refused::because(Reason::WarmingUp).come_back(wait))
             }
             _ => Ok(()),
         }
@@ -359,7 +368,7 @@
     /// Why none of a service's servers may get work.
     fn excluded_for(&self, id: ServiceId) -> Reason {
         let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
-        let mut exclusions = servers.filter_map(Server::exclusion);
+        let mut exclusions = servers.filter_map(|server| server.exclusion(false));
         match exclusions.any(|exclusion| exclusion == Exclusion::Evacuated) {
             true => Reason::Evacuated,
             false => Reason::NoServer,
@@ -414,6 +423,7 @@
             given_up: false,
         };
         self.call_began(&call);
+        self.warm(to);
         let attempt = self.attempts.insert(call);
         let trial = self.trial(key, to, attempt);
         let portion = &mut self.portions[key];
--- a/crates/core/src/leaf/exclusion.rs
+++ b/crates/core/src/leaf/exclusion.rs
@@ -14,6 +14,8 @@
     Leaving,
     /// An operator wants nothing sent to the servers of its availability zone.
     Evacuated,
+    /// It warms up, and this instance has sent it as much as it may for now.
+    Warming,
 }
 
 /// What the rule looks at.
@@ -27,6 +29,8 @@
     pub leaving: bool,
     /// Its availability zone is evacuated.
     pub evacuated: bool,
+    /// It warms up and may get no more requests for now.
+    pub spent: bool,
 }
 
 impl Facts {
@@ -37,6 +41,7 @@
             Self { leaving: true, .. } => Some(Exclusion::Leaving),
             Self { evacuated: true, .. } => Some(Exclusion::Evacuated),
             Self { share: 0, .. } => Some(Exclusion::NoShare),
+            Self { spent: true, .. } => Some(Exclusion::Warming),
             _ => None,
         }
     }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -94,6 +94,9 @@
         let id = id.filter(|id| self.services[*id].rank != Rank::None);
         let id = id.ok_or_else(|| Refused::because(self.unknown()))?;
         self.services[id].wanted = Some(self.now);
+        if job.from.name != self.settings.name {
+            self.services[id].asked(self.now);
+        }
         if finding == Some(Finding::Unproven) {
             return Err(Refused::repeated());
         }
@@ -215,9 +218,6 @@
     ) {
         let service = &mut self.services[id];
         service.last_work = self.now;
-        if job.from.name != self.settings.name {
-            service.asked(self.now);
-        }
         let portion = Portion {
             eligible: eligible(&portion),
             job: Arc::clone(job),
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -20,6 +20,7 @@
 use super::settings::Settings;
 use super::siblings::{Siblings, SiblingsKey};
 use super::timer::{Timer, Timers};
+use super::warmup::Fleet;
 use crate::collections::Map;
 use crate::count::{self, Count};
 use crate::time::Instant;
@@ -90,6 +91,8 @@
     pub(super) collections: SlotMap<CollectionKey, Collection>,
     pub(super) siblings: SlotMap<SiblingsKey, Siblings>,
     pub(super) crashes: Crashes,
+    /// Among whom the requests of servers that warm up are divided.
+    pub(super) fleet: Fleet,
     pub(super) timers: Timers,
     pub(super) random: Random,
     /// Number of the last target request.
@@ -123,6 +126,7 @@
             collections: SlotMap::default(),
             siblings: SlotMap::default(),
             crashes: Crashes::default(),
+            fleet: Fleet::default(),
             timers: Timers::default(),
             random: Random::new(settings.seed),
             sequence: 0,
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -20,6 +20,8 @@
     /// Takes a new view in.
     pub(super) fn refresh(&mut self, view: &Arc<View>, out: &mut Vec<Action>) {
         let before = std::mem::replace(&mut self.view, Arc::clone(view));
+        let others = view.neighbours.iter().map(|neighbour| &neighbour.peer.name);
+        self.fleet.see(self.now, others.chain([&self.settings.name]));
         for (key, listed) in &view.services {
             // Views share the services that did not change.
             let same = |old: &Arc<view::Service>| Arc::ptr_eq(old, listed);
@@ -83,7 +85,9 @@
         });
         if let Some(key) = same {
             let before = self.servers[key].incarnation;
-            self.servers[key].list(listed);
+            let warmup = self.services[id].warmup();
+            self.servers[key].list(self.now, listed, warmup);
+            self.pump_when_warm(key);
             if before < listed.incarnation {
                 self.cut_off(key, out);
                 self.server_ended(key, before, out);
@@ -93,9 +97,11 @@
         if let Some(key) = known {
             self.servers[key].listed = false;
         }
-        let key = self.servers.insert(Server::new(id, listed));
+        let warmup = self.services[id].warmup();
+        let key = self.servers.insert(Server::new(self.now, id, listed, warmup));
         self.server_keys.insert(Arc::clone(&listed.name), key);
         self.services[id].servers.push(key);
+        self.pump_when_warm(key);
     }
 
     /// A server has started again: its connections lead to a process that is gone.
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -13,6 +13,7 @@
 use super::exclusion::{Exclusion, Facts};
 use super::health::Health;
 use super::service::ServiceId;
+use super::warmup::Warmup;
 use crate::eligible::Mark;
 use crate::time::Instant;
 use crate::view;
@@ -40,6 +41,7 @@
     pub(super) listed: bool,
     /// Its availability zone is evacuated.
     evacuated: bool,
+    pub(super) warmup: Warmup,
     /// Highest incarnation any source named.
     pub(super) incarnation: u64,
     /// Highest incarnation that some source called leaving.
@@ -75,7 +77,12 @@
 }
 
 impl Server {
-    pub(super) fn new(service: ServiceId, listed: &view::Server) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        service: ServiceId,
+        listed: &view::Server,
+        warmup: Duration,
+    ) -> Self {
         let mut server = Self {
             service,
             name: Arc::clone(&listed.name),
@@ -84,6 +91,7 @@
             mark: Mark::of(&listed.name),
             listed: true,
             evacuated: false,
+            warmup: Warmup::default(),
             incarnation: 0,
             leaving: None,
             slots: 0,
@@ -102,13 +110,17 @@
             losses: Vec::new(),
             suspicion: None,
         };
-        server.list(listed);
+        server.list(now, listed, warmup);
         server
     }
 
-    /// Takes in what a view says.
-    pub(super) fn list(&mut self, listed: &view::Server) {
+    /// Takes in what a view says; `warmup` is how long servers of its service may need to warm up.
+    pub(super) fn list(&mut self, now: Instant, listed: &view::Server, warmup: Duration) {
         self.listed = true;
+        self.warmup.publish(now, listed.warmup);
+        if self.evacuated && !listed.evacuated {
+            self.warmup.restart(now, warmup);
+        }
         self.slots = listed.slots;
         self.share = listed.share;
         self.evacuated = listed.evacuated;
@@ -151,20 +163,21 @@
         self.leaving.is_some_and(|leaving| leaving >= self.incarnation)
     }
 
-    /// Why it gets no new work; `None` if it may.
-    pub(super) fn exclusion(&self) -> Option<Exclusion> {
+    /// Why it gets no new work; `None` if it may. `spent`: it warms up and may get no more for now.
+    pub(super) fn exclusion(&self, spent: bool) -> Option<Exclusion> {
         let facts = Facts {
             listed: self.listed,
             share: self.share,
             leaving: self.leaving(),
             evacuated: self.evacuated,
+            spent,
         };
         facts.exclusion()
     }
 
     /// Whether it may get new work at all.
     pub(super) fn accepts(&self) -> bool {
-        self.exclusion().is_none()
+        self.exclusion(false).is_none()
     }
 
     /// The server refused this version as retired.
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -44,6 +44,13 @@
     None,
 }
 
+/// For whom an instance asks a service's servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Asker {
+    ForAll,
+    ForItself,
+}
+
 impl Rank {
     /// The rank of this instance in the view's service.
     pub(super) fn of(service: &view::Service) -> Self {
@@ -88,6 +95,8 @@
     pub(super) scarce: bool,
     /// This instance may keep a connection to each of its servers that it has no work for.
     pub(super) spare: bool,
+    /// One of several candidates asks its servers, the owner.
+    owned: bool,
     /// What this instance may spend of what the fleet may.
     parts: Parts,
     /// When another instance last handed work over.
@@ -118,6 +127,7 @@
             cursor: 0,
             scarce: listed.scarce,
             spare: listed.spare,
+            owned: listed.candidates.len() > 1,
             parts: Parts::of(listed, own),
             asked: None,
             last_work: Instant::default(),
@@ -129,11 +139,28 @@
         self.entry.limits.unwrap_or_default()
     }
 
+    /// How long its servers may need to warm up.
+    pub(super) fn warmup(&self) -> Duration {
+        Duration::from_millis(self.limits().warmup_ms.into())
+    }
+
+    /// Whether this instance asks the servers for others, or for itself alone; `None` if another one does.
+    pub(super) fn asks(&self) -> Option<Asker> {
+        match (self.scarce, self.rank) {
+            (true, _) if self.asked.is_some() => Some(Asker::ForAll),
+            (true, _) => None,
+            (false, Rank::Owner) if self.owned => Some(Asker::ForAll),
+            (false, _) if self.owned => None,
+            (false, _) => Some(Asker::ForItself),
+        }
+    }
+
     /// Takes a listing of the service in, at the instance of this name.
     pub(super) fn list(&mut self, listed: &view::Service, own: &str) {
         self.rank = Rank::of(listed);
         self.scarce = listed.scarce;
         self.spare = listed.spare;
+        self.owned = listed.candidates.len() > 1;
         self.entry = Arc::clone(&listed.entry);
         self.parts = Parts::of(listed, own);
         self.divide();
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -129,10 +129,12 @@
 }
 
 fn state(server: &server::Server, held: bool, now: Instant) -> State {
-    match server.exclusion() {
+    match server.exclusion(false) {
         Some(Exclusion::Leaving) => return State::Leaving,
         Some(Exclusion::Evacuated) => return State::Evacuated,
-        Some(Exclusion::Unlisted | Exclusion::NoShare) => return State::Unlisted,
+        Some(Exclusion::Unlisted | Exclusion::NoShare | Exclusion::Warming) => {
+            return State::Unlisted;
+        }
         None => {}
     }
     if server.open_failures > 0 && server.in_flight == 0 {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,6 +4,7 @@
 //! immutable value. The traffic machines never see half a change.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_schema::catalogue;
 use ladder_schema::publication;
@@ -72,6 +73,8 @@
     /// Invariant: over all instances that compute it from publications that differ by no more than
     /// the reserve, the shares sum to at most the server's published limit.
     pub share: u32,
+    /// How much longer it warms up, as last published.
+    pub warmup: Duration,
     /// Index versions it serves, as published.
     pub holdings: Vec<publication::Holding>,
 }
--- a/crates/core/tests/fleet/publish.rs
+++ b/crates/core/tests/fleet/publish.rs
@@ -44,6 +44,7 @@
         slots: 2,
         connections: 25,
         holdings: Vec::new(),
+        warmup_ms: 0,
     })
 }
 
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet to build views from: three instances, three services, six shards.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ladder_core::schema::catalogue::{Entry, Operation, Preference};
 use ladder_core::schema::publication::{Holding, Index, Shard};
@@ -149,6 +150,7 @@
         incarnation: 1,
         leaving,
         evacuated: false,
+        warmup: Duration::ZERO,
         slots: 2,
         share: 4,
         holdings: holdings.collect(),
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -1,6 +1,7 @@
 //! Parts of sweeps that peers collect near their servers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use ladder_core::collections::Map;
@@ -69,6 +70,7 @@
         incarnation: 1,
         leaving: false,
         evacuated: **zone == *place.evacuated,
+        warmup: Duration::ZERO,
         slots: 2,
         share: 4,
         holdings: Vec::new(),
--- a/crates/core/tests/leaf/bed.rs
+++ b/crates/core/tests/leaf/bed.rs
@@ -81,6 +81,7 @@
         incarnation: 1,
         leaving: false,
         evacuated: false,
+        warmup: Duration::ZERO,
         slots: 2,
         share: 6,
         holdings: vec![holding(1)],
--- a/crates/core/tests/leaf/exclusion.rs
+++ b/crates/core/tests/leaf/exclusion.rs
@@ -12,7 +12,8 @@
 
 use crate::bed::{Bed, Sent, server, service, settings, view, work};
 
-const GOOD: Facts = Facts { listed: true, share: 6, leaving: false, evacuated: false };
+const GOOD: Facts =
+    Facts { listed: true, share: 6, leaving: false, evacuated: false, spent: false };
 
 struct Case {
     facts: Facts,
@@ -24,6 +25,11 @@
     let cases = [
         Case { facts: GOOD, exclusion: None },
         Case { facts: Facts { share: 0, ..GOOD }, exclusion: Some(Exclusion::NoShare) },
+        Case { facts: Facts { spent: true, ..GOOD }, exclusion: Some(Exclusion::Warming) },
+        Case {
+            facts: Facts { spent: true, evacuated: true, ..GOOD },
+            exclusion: Some(Exclusion::Evacuated),
+        },
         Case { facts: Facts { evacuated: true, ..GOOD }, exclusion: Some(Exclusion::Evacuated) },
         Case {
             facts: Facts { evacuated: true, share: 0, ..GOOD },
@@ -34,7 +40,7 @@
             exclusion: Some(Exclusion::Leaving),
         },
         Case {
-            facts: Facts { listed: false, leaving: true, evacuated: true, share: 0 },
+            facts: Facts { listed: false, leaving: true, evacuated: true, share: 0, spent: true },
             exclusion: Some(Exclusion::Unlisted),
         },
     ];
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -17,4 +17,5 @@
 mod session;
 mod siblings;
 mod stop;
+mod warmup;
 mod world;
--- /dev/null
+++ b/crates/core/tests/leaf/warmup.rs
@@ -0,0 +1,295 @@
+//! Servers that warm up and bear few requests a second, over all instances.
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use ladder_core::collections::Map;
+use ladder_core::leaf::Event;
+use ladder_core::leaf::event::Outcome;
+use ladder_core::leaf::warmup::{Bound, WINDOW};
+use ladder_core::schema::catalogue::Limits;
+use ladder_core::schema::outcome::{Reason, Verdict};
+use ladder_core::time::Instant;
+use ladder_core::view::{Candidate, Neighbour, Server, Service, View};
+
+use crate::bed::{Bed, limited, peer, server, settings, work};
+
+const BOUND: Bound = Bound { rate: 12, most: 23 };
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|at| format!("porto-{at}")).collect()
+}
+
+fn part(bound: Bound, server: &str, own: &str, fleet: &[String]) -> u32 {
+    bound.part(server, own, fleet.iter().map(String::as_str))
+}
+
+/// Guards against parts that together are more than a server bears.
+#[test]
+fn parts_of_all_instances_are_half_of_the_bound() {
+    for count in [1, 7, 9, 66, 195, 3700] {
+        let fleet = names(count);
+        for (bound, all) in [(BOUND, 11), (Bound { rate: 4, most: 11 }, 4)] {
+            for server in ["docks-1", "docks-2"] {
+                let parts = fleet.iter().map(|own| part(bound, server, own, &fleet));
+                assert_eq!(parts.sum::<u32>(), all, "{count} instances, {server}");
+            }
+        }
+    }
+}
+
+/// Guards against a bound that is broken because instances know different others.
+#[test]
+fn parts_of_instances_that_differ_stay_within_the_bound() {
+    for count in [7, 66, 195] {
+        let fleet = names(count);
+        for unknown in [1, 2, count / 8, count / 4] {
+            let mut sum = 0;
+            for (at, own) in fleet.iter().enumerate() {
+                // Each has not heard of some others, and of other ones than its neighbours.
+                let known = (0..count - unknown).map(|step| match step {
+                    0 => own.as_str(),
+                    step => fleet[(at + unknown + step) % count].as_str(),
+                });
+                sum += BOUND.part("docks-1", own, known);
+            }
+            assert!(sum <= BOUND.most, "{sum} of {count} that miss {unknown}");
+        }
+    }
+}
+
+/// How the servers of a case are found.
+#[derive(Clone, Copy)]
+struct Place {
+    /// Milliseconds for which each server warms up, as published.
+    warmup: [u64; 2],
+    evacuated: bool,
+    scarce: bool,
+    /// Other instances.
+    others: usize,
+}
+
+const COLD: Place = Place { warmup: [3000, 0], evacuated: false, scarce: false, others: 2 };
+
+impl Place {
+    fn view(self) -> Event {
+        let limits = Limits {
+            queue: 100,
+            extra_percent: 20,
+            warmup_rate: BOUND.rate,
+            warmup_most: BOUND.most,
+            warmup_ms: 3000,
+            ..Limits::default()
+        };
+        let servers = [1, 2].map(|number| Server {
+            warmup: Duration::from_millis(self.warmup[usize::from(number) - 1]),
+            evacuated: self.evacuated && number == 1,
+            ..server(number)
+        });
+        let candidates = vec![Candidate { peer: peer("porto-1"), live: true, local: true }];
+        let service =
+            Service { candidates, scarce: self.scarce, ..limited(limits, servers.to_vec()) };
+        let mut view = View { ready: true, ..View::default() };
+        view.insert(service);
+        let neighbour = |at: usize| Neighbour {
+            peer: peer(&format!("porto-{}", at + 2)),
+            zone: "trindade".into(),
+            millicores: 1000,
+        };
+        view.neighbours = (0..self.others).map(neighbour).collect();
+        Event::View(std::sync::Arc::new(view))
+    }
+
+    /// A machine that knows the others, with both servers warm, and then as this place says.
+    fn bed(self) -> Bed {
+        let mut bed = Bed::cold(settings(), limited(Limits::default(), vec![]));
+        bed.handle(Place { warmup: [0, 0], evacuated: false, ..self }.view());
+        bed.connect();
+        bed.advance(4000);
+        bed.handle(self.view());
+        bed.connect();
+        bed
+    }
+}
+
+/// Requests a second that each server gets of a machine that has more to send.
+fn flood(bed: &mut Bed, millis: u64) -> Map<String, Vec<Instant>> {
+    let mut sent: Map<String, Vec<Instant>> = Map::default();
+    for step in 0..millis / 10 {
+        bed.log.clear();
+        bed.work(work(1_000_000 * bed.now.as_micros() + step, "sweep"));
+        bed.each_sent(|bed, call| {
+            sent.entry(call.address.to_string()).or_default().push(bed.now);
+            bed.answer(call);
+        });
+        bed.advance(10);
+        bed.connect();
+    }
+    sent
+}
+
+fn most_in_a_second(times: &[Instant]) -> usize {
+    let window = |at: &Instant| {
+        let within = |other: &&Instant| **other >= *at && other.since(*at) < Duration::from_secs(1);
+        times.iter().filter(within).count()
+    };
+    times.iter().map(window).max().unwrap_or(0)
+}
+
+struct Case {
+    name: &'static str,
+    place: Place,
+    /// Requests in any one second at the first server while it warms up.
+    most: usize,
+}
+
+/// Guards against sending a cold server more than its share, and against never sending it more.
+#[test]
+fn cold_server_gets_its_part_and_then_all() {
+    let fleet: Vec<String> = (1..=3).map(|at| format!("porto-{at}")).collect();
+    let own = part(BOUND, "docks-1", "porto-1", &fleet) as usize;
+    let cases = [
+        Case { name: "each for itself", place: COLD, most: own },
+        Case { name: "one for all", place: Place { scarce: true, ..COLD }, most: 5 },
+        Case { name: "alone", place: Place { others: 0, ..COLD }, most: 11 },
+    ];
+    for Case { name, place, most } in cases {
+        let mut bed = place.bed();
+        let cold = flood(&mut bed, 2950);
+        assert_eq!(most_in_a_second(&cold["10.0.0.1:80"]), most, "{name}: cold");
+        assert!(most_in_a_second(&cold["10.0.0.2:80"]) > 25, "{name}: the other one is warm");
+        bed.advance(100);
+        let warm = flood(&mut bed, 2000);
+        assert!(most_in_a_second(&warm["10.0.0.1:80"]) > 25, "{name}: warm");
+    }
+}
+
+/// Guards against overloading the servers of a zone that comes back, which may be cold.
+#[test]
+fn servers_of_a_zone_that_comes_back_count_as_cold() {
+    let evacuated = Place { warmup: [0, 0], evacuated: true, others: 0, ..COLD };
+    let mut bed = evacuated.bed();
+    let before = flood(&mut bed, 1000);
+    assert!(!before.contains_key("10.0.0.1:80"));
+    bed.handle(Place { evacuated: false, ..evacuated }.view());
+    bed.connect();
+    let cold = flood(&mut bed, 2900);
+    assert_eq!(most_in_a_second(&cold["10.0.0.1:80"]), 11);
+    bed.advance(200);
+    let warm = flood(&mut bed, 1000);
+    assert!(most_in_a_second(&warm["10.0.0.1:80"]) > 25);
+}
+
+/// Guards against an instance that has just started and takes itself for the only one.
+#[test]
+fn starting_instance_leaves_cold_servers_alone() {
+    let mut bed = Bed::cold(settings(), limited(Limits::default(), vec![]));
+    bed.handle(Place { others: 0, ..COLD }.view());
+    bed.connect();
+    let sent = flood(&mut bed, 2900);
+    assert!(!sent.contains_key("10.0.0.1:80"));
+}
+
+/// Guards against forgetting the rest of the fleet as soon as a partition hides it.
+#[test]
+fn part_does_not_grow_when_others_vanish() {
+    let mut bed = Place { others: 60, ..COLD }.bed();
+    let before =
+        flood(&mut bed, 1000).get("10.0.0.1:80").map_or(0, |times| most_in_a_second(times));
+    bed.handle(Place { others: 0, ..COLD }.view());
+    let after = flood(&mut bed, 1000).get("10.0.0.1:80").map_or(0, |times| most_in_a_second(times));
+    assert!(after <= before.max(1), "{after} after {before}");
+}
+
+/// Guards against holding work that no server can take in time.
+#[test]
+fn work_beyond_what_cold_servers_bear_is_refused() {
+    let mut bed = Place { warmup: [30_000, 30_000], others: 60, scarce: true, ..COLD }.bed();
+    let mut refused = 0;
+    for query in 0..30 {
+        bed.log.clear();
+        bed.work(work(query, "sweep"));
+        bed.each_sent(Bed::answer);
+        refused += bed
+            .replies()
+            .iter()
+            .filter(|one| **one == (Verdict::NotRun, Reason::WarmingUp))
+            .count();
+    }
+    assert_eq!(refused, 30 - 10, "five for each of two servers");
+    assert!(bed.retry_after() > 0);
+}
+
+/// Something that happens while a server warms up.
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
+enum Step {
+    Work(u8),
+    Answer(u8),
+    Lose(u8),
+    Shed(u8),
+    Wait(u8),
+    Cold(bool),
+    Evacuated(bool),
+    Connect,
+}
+
+/// Guards against an order of events in which a cold server gets more than an instance's part.
+#[test]
+fn any_order_of_events_keeps_to_the_part() {
+    let fleet: Vec<String> = (1..=3).map(|at| format!("porto-{at}")).collect();
+    let own = part(BOUND, "docks-1", "porto-1", &fleet) as usize;
+    ladder_property::check(200)
+        .with_generator(bolero::produce::<Vec<Step>>().with().len(0_usize..=120))
+        .for_each(|steps| {
+            let mut place = Place { warmup: [0, 0], ..COLD };
+            let mut bed = place.bed();
+            let (mut lanes, mut sent, mut open) = (Map::default(), Vec::new(), Vec::new());
+            // From when on the first server is cold by all that was said.
+            let mut cold_until = bed.now;
+            for (number, step) in (1_u64..).zip(steps) {
+                lanes.extend(bed.opened.iter().cloned());
+                bed.log.clear();
+                match *step {
+                    Step::Work(count) => (0..u64::from(count % 16))
+                        .for_each(|at| bed.work(work(1000 * number + at, "sweep"))),
+                    Step::Wait(tens) => bed.advance(u64::from(tens) * 4),
+                    Step::Connect => bed.connect(),
+                    Step::Cold(cold) => {
+                        place.warmup[0] = if cold { 3000 } else { 0 };
+                        bed.handle(place.view());
+                    }
+                    Step::Evacuated(evacuated) => {
+                        place.evacuated = evacuated;
+                        bed.handle(place.view());
+                    }
+                    Step::Answer(at) | Step::Lose(at) | Step::Shed(at) => {
+                        if open.is_empty() {
+                            continue;
+                        }
+                        let call: crate::bed::Sent = open.remove(usize::from(at) % open.len());
+                        let outcome = match step {
+                            Step::Answer(_) => call.answer(),
+                            Step::Shed(_) => call.refusal(Reason::TargetShed, 5),
+                            _ => Outcome::Lost,
+                        };
+                        bed.end(call.attempt, outcome);
+                    }
+                }
+                lanes.extend(bed.opened.iter().cloned());
+                for call in bed.sent() {
+                    if &*lanes[&call.lane] == "10.0.0.1:80" && bed.now < cold_until {
+                        sent.push(bed.now);
+                    }
+                    open.push(call);
+                }
+                match *step {
+                    Step::Cold(true) => cold_until = cold_until.max(bed.now + WINDOW * 2),
+                    Step::Cold(false) => cold_until = bed.now,
+                    _ => {}
+                }
+                open.retain(|call| bed.opened.iter().any(|(lane, _)| *lane == call.lane));
+            }
+            assert!(most_in_a_second(&sent) <= own, "{sent:?}, part {own}");
+        });
+}
