Messages of a route with homes stay in their regions

What operators saw: the regions that a route allows were not read; a server anywhere was asked.

Change: routes name their regions, the settings name the region of each zone. The instance that a request came to chooses the servers of all its calls among those of the route's regions, and the choice travels with each part: no retry, second copy or other asker can leave it. Parts go to peers in those regions only; another instance asks the servers there itself. Without a server there the request is refused before anything is sent, as REASON_NO_HOME.

Not covered: routes under owner placement, whose candidates have no zone; no deployment forwards messages so.

Proved by core tests only: all deployments have one region.

--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -134,6 +134,7 @@
         view.routing = routing.unwrap_or(view.routing);
         view.neighbours = neighbours.unwrap_or(view.neighbours);
         view.quarantine = Arc::clone(source.quarantine);
+        view.regions = Arc::clone(&source.settings.regions);
         for (name, service) in built {
             match service {
                 Some(service) => drop(view.insert(service)),
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::collections::Map;
+
 /// How services are shared out over instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Placement {
@@ -70,6 +72,7 @@
     /// Peers near the servers collect the parts of sweeps.
     pub(super) near: bool,
     pub(super) timing: Timing,
+    pub(super) regions: Arc<Map<Arc<str>, Arc<str>>>,
     pub(super) seed: u64,
 }
 
@@ -89,6 +92,7 @@
                 listing: Listing::default(),
                 near: false,
                 timing: Timing::default(),
+                regions: Arc::default(),
                 seed: 0,
             },
         }
@@ -170,6 +174,14 @@
         self
     }
 
+    /// The region of each availability zone. Default: none is known.
+    #[must_use]
+    pub fn regions<'a>(mut self, zones: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
+        let zones = zones.into_iter().map(|(zone, region)| (zone.into(), region.into()));
+        self.settings.regions = Arc::new(zones.collect());
+        self
+    }
+
     /// Seed of all random choices.
     #[must_use]
     pub const fn seed(mut self, seed: u64) -> Self {
--- a/crates/core/src/eligible.rs
+++ b/crates/core/src/eligible.rs
@@ -35,9 +35,9 @@
 }
 
 /// The servers that a part may run on.
-pub(crate) fn choose(servers: &[Server], terms: Terms<'_>) -> Vec<Mark> {
+pub(crate) fn choose<'a>(servers: impl Iterator<Item = &'a Server>, terms: Terms<'_>) -> Vec<Mark> {
     let mut marks: Vec<(&Server, Mark)> =
-        servers.iter().map(|server| (server, Mark::of(&server.name))).collect();
+        servers.map(|server| (server, Mark::of(&server.name))).collect();
     if marks.len() > terms.attempts {
         marks.sort_by_cached_key(|(server, mark)| {
             let hash = hash::of(&[terms.key.as_bytes(), server.name.as_bytes()]);
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -66,7 +66,7 @@
         // The balancer sends the next attempt to another instance.
         Reason::Draining => ELSEWHERE_MS,
         Reason::NotReady => SOON_MS,
-        Reason::QueueFull | Reason::NoServer | Reason::Evacuated => LATER_MS,
+        Reason::QueueFull | Reason::NoServer | Reason::Evacuated | Reason::NoHome => LATER_MS,
         _ => 0,
     }
 }
--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -47,7 +47,16 @@
             return Vec::new();
         }
         let own = self.settings.own(zone);
-        self.near.collectors(now, &self.view, own, &query.index, &self.peers)
+        let mut collectors = self.near.collectors(now, &self.view, own, &query.index, &self.peers);
+        let homes = &route.spec.homes;
+        collectors.retain(|one| homes.is_empty() || self.is_home(homes, &one.peer.name));
+        collectors
+    }
+
+    /// Whether messages of a route with these homes may go to another instance.
+    fn is_home(&self, homes: &[String], peer: &str) -> bool {
+        let zone = self.near.zone(peer);
+        homes.is_empty() || zone.is_some_and(|zone| self.view.is_home(homes, zone))
     }
 
     /// Where a portion goes after whoever had it is lost or refuses.
@@ -63,6 +72,15 @@
             let tried = portion.sendings.iter().any(|sending| Some(sending.peer) == peer);
             tried || peers.is_silent(name, now)
         };
+        let homes = query.route.as_ref().map_or(&[][..], |route| &route.spec.homes);
+        let abroad: Set<&str> = match homes {
+            [] => Set::default(),
+            homes => {
+                let names = self.view.neighbours.iter().map(|one| &*one.peer.name);
+                names.filter(|name| !self.is_home(homes, name)).collect()
+            }
+        };
+        let passed = |name: &str| passed(name) || abroad.contains(name);
         if let (Some(zone), Some(route)) = (&self.settings.zone, &query.route)
             && route.is_sweep()
         {
--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -112,17 +112,16 @@
     let mut refusal = None;
     for destination in &route.destinations {
         let shards = &destination.index.shards;
-        let excluded = shards.iter().filter_map(|shard| exclusion(view, &shard.service));
+        let homes = &route.spec.homes;
+        let excluded = shards.iter().filter_map(|shard| exclusion(view, homes, &shard.service));
         let excluded: Vec<Reason> = excluded.collect();
         let floor = route.floor(shards.len());
         if shards.len() - excluded.len() >= floor {
             return None;
         }
-        let reason = if excluded.contains(&Reason::Evacuated) {
-            Reason::Evacuated
-        } else {
-            Reason::NoServer
-        };
+        let known = [Reason::NoHome, Reason::Evacuated];
+        let reason = known.into_iter().find(|reason| excluded.contains(reason));
+        let reason = reason.unwrap_or(Reason::NoServer);
         let detail = format!(
             "route {}: {} of {} services have no server that may receive work, and {floor} are needed",
             route.spec.name,
@@ -134,14 +133,20 @@
     refusal
 }
 
-/// Why none of a service's servers may receive work; `None` if one may, or if none is known.
-fn exclusion(view: &View, service: &str) -> Option<Reason> {
+/// Why none of a service's servers may receive work of a route with these homes; `None` if one may, or if
+/// none is known.
+fn exclusion(view: &View, homes: &[String], service: &str) -> Option<Reason> {
     let servers = &view.service(service)?.servers;
-    if servers.is_empty() || servers.iter().any(Server::takes_work) {
+    let mut home = servers.iter().filter(|server| view.is_home(homes, &server.zone));
+    if servers.is_empty() || home.clone().any(Server::takes_work) {
         return None;
     }
-    let evacuated = servers.iter().any(|server| server.evacuated);
-    Some(if evacuated { Reason::Evacuated } else { Reason::NoServer })
+    let evacuated = home.clone().any(|server| server.evacuated);
+    Some(match (home.next(), evacuated) {
+        (None, _) => Reason::NoHome,
+        (Some(_), true) => Reason::Evacuated,
+        (Some(_), false) => Reason::NoServer,
+    })
 }
 
 fn terms(route: &Route, request: &call::Request) -> Terms {
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -14,6 +14,7 @@
 use super::timers::Timer;
 use crate::count;
 use crate::eligible;
+use crate::route::Route;
 use crate::time::{Instant, micros};
 use crate::view::{Candidate, Peer};
 
@@ -190,16 +191,18 @@
         self.watch(now, peer_key);
     }
 
-    /// Chooses the servers of a sweep's parts that go out to an asker in this zone.
+    /// Chooses the servers of a sweep's parts, or of a message that may go to some regions only, that go
+    /// out to an asker in this zone.
     ///
     /// What may have run keeps its servers; else an asker that can use none of them has the part chosen
     /// for anew.
     fn choose_servers(&mut self, key: QueryKey, portions: &[usize], home: &str) {
         let query = &mut self.queries[key];
-        let Some(route) = query.route.as_ref().filter(|route| route.is_sweep()) else {
+        let Some(route) = query.route.as_ref().filter(|route| chooses_servers(route)) else {
             return;
         };
-        let attempts = route.spec.attempts as usize;
+        let route = Arc::clone(route);
+        let attempts = if route.is_sweep() { route.spec.attempts as usize } else { usize::MAX };
         for &portion in portions {
             let portion = &mut query.portions[portion];
             let service = self.view.service(&portion.share.service);
@@ -208,7 +211,10 @@
             };
             let (key, passed) = (&*query.request.key, &*portion.passed);
             let terms = eligible::Terms { attempts, key, home, passed };
-            portion.eligible = eligible::choose(&service.servers, terms);
+            let homes = &route.spec.homes;
+            let home = service.servers.iter();
+            let home = home.filter(|server| self.view.is_home(homes, &server.zone));
+            portion.eligible = eligible::choose(home, terms);
         }
     }
 
@@ -295,15 +301,20 @@
     }))
 }
 
+/// Whether the servers are chosen here that a route's messages may run on.
+fn chooses_servers(route: &Route) -> bool {
+    route.is_sweep() || !route.spec.homes.is_empty()
+}
+
 fn wire_portion(query: &Query, portion: &Portion) -> wire::Portion {
-    let sweep = query.route.as_ref().is_some_and(|route| route.is_sweep());
+    let chosen = query.route.as_deref().is_some_and(chooses_servers);
     let shards = &query.index.shards;
     let name = |&position: &u32| shards[position as usize].name.clone();
     wire::Portion {
         service: portion.share.service.to_string(),
         shards: portion.share.shards.iter().map(name).collect(),
         repeated: query.exposed || portion.is_repeated(query.rounds),
-        eligible: sweep.then(|| wire::Eligible {
+        eligible: chosen.then(|| wire::Eligible {
             servers: portion.eligible.iter().map(|mark| mark.0).collect(),
         }),
     }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -175,6 +175,8 @@
     pub neighbours: Arc<[Neighbour]>,
     /// Requests under which servers ended.
     pub quarantine: Arc<Quarantine>,
+    /// The region of each availability zone, by the settings.
+    pub regions: Arc<Map<Arc<str>, Arc<str>>>,
 }
 
 impl View {
@@ -204,6 +206,12 @@
         }
     }
 
+    /// Whether messages of a route with these homes may go to an availability zone.
+    pub fn is_home(&self, homes: &[String], zone: &str) -> bool {
+        let region = self.regions.get(zone);
+        homes.is_empty() || region.is_some_and(|region| homes.iter().any(|home| **home == **region))
+    }
+
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(*self.service_keys.get(name)?).map(|service| &**service)
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod forward;
 mod full;
+mod homes;
 mod near;
 mod oracle;
 mod owners;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -129,6 +129,7 @@
         .fleet(&instance.fleet)
         .incarnation(shared.incarnation)
         .zone(&instance.zone)
+        .regions(instance.zones.iter().map(|zone| (&*zone.name, &*zone.region)))
         .millicores(shared.options.millicores())
         .seeds(instance.seeds.iter().map(String::as_str))
         .placement(placement)
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -108,6 +108,10 @@
     if !instance.ready_address.is_empty() {
         check_address("readyAddress", &instance.ready_address, &mut mistakes);
     }
+    for (index, zone) in instance.zones.iter().enumerate() {
+        check_name(&format!("zones[{index}].name"), &zone.name, &mut mistakes);
+        check_name(&format!("zones[{index}].region"), &zone.region, &mut mistakes);
+    }
     check_cores(instance.cores, &mut mistakes);
     check_allowance(&instance.allowance.unwrap_or_default(), &mut mistakes);
     check_strategy(&instance.strategy.unwrap_or_default(), &mut mistakes);
