--- a/crates/core/src/leaf/siblings.rs
+++ b/crates/core/src/leaf/siblings.rs
@@ -99,9 +99,15 @@
     }
 
     /// Until when a part's only call is not slow, if the other parts say so.
+    ///
+    /// While no part is answered the request itself may be what holds its servers up or ends them: a copy
+    /// would do the same to the other replicas.
     pub(super) fn early_until(&self, key: PortionKey) -> Option<Instant> {
         let portion = &self.portions[key];
         let siblings = self.siblings.get(portion.job.siblings?)?;
+        if siblings.answered == 0 {
+            return Some(self.now + self.patience(key)?);
+        }
         let at = match siblings.lag() {
             Some(_) => self.lags_at(portion)?,
             None => self.sent_at(portion)? + self.patience(key)? * ALONE,
--- a/crates/core/tests/leaf/siblings.rs
+++ b/crates/core/tests/leaf/siblings.rs
@@ -148,6 +148,19 @@
     assert_eq!(copies(&bed), 1);
 }
 
+/// Guards against a request that ends its servers and reaches the other replica of each shard by copies.
+#[test]
+fn parts_are_not_copied_before_one_is_answered() {
+    let mut bed = learned();
+    bed.work(sweep(1000));
+    let calls = bed.sent();
+    bed.advance(100);
+    assert_eq!(copies(&bed), 0);
+    answer(&mut bed, &calls[0]);
+    bed.advance(30);
+    assert!(copies(&bed) > 0, "it harms no server");
+}
+
 /// Most servers stand still, so that there is nothing to compare with. Copies go out all the same while
 /// they can still be in time.
 #[test]
