A part whose call broke off waits for a sibling's answer

Cause: a part waited five milliseconds, and only while three calls of its request were out or had broken off. Requests that end servers run after they waited there, so first calls break off up to 40 ms apart, and retries went out between.

Change: it waits while calls of its request are open here and none is answered, 50 ms at most. A sibling's answer, a server that takes connections again or the end of the calls lets it go on.

Tests: the wait (red on the old rule) and its end.

--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -25,7 +25,7 @@
 use crate::view;
 
 pub(super) use book::{Crashes, Loss};
-use book::{LOSSES, MOMENT, PROOF};
+use book::{HOLD, LOSSES, PROOF};
 
 /// How much later than it happened an end may be dated by news that came through peers.
 const DATING_ERROR: Duration = Duration::from_secs(1);
@@ -223,7 +223,7 @@
         }
         losses.push(Loss { request, at: self.now });
         self.crashes.doubt(self.now, request, key);
-        self.pump_at(self.servers[key].service, self.now + MOMENT);
+        self.pump_at(self.servers[key].service, self.now + HOLD);
     }
 
     /// Nothing listens at a server's address.
--- a/crates/core/src/leaf/crash/book.rs
+++ b/crates/core/src/leaf/crash/book.rs
@@ -16,8 +16,8 @@
 
 /// Servers that seem to have ended under a request from which on its parts wait.
 const WAITS: usize = 3;
-/// How long a part whose call broke off waits for its siblings, while so many of them may do the same.
-pub(super) const MOMENT: Duration = Duration::from_millis(5);
+/// How long a part whose call broke off waits for a sibling's answer.
+pub(super) const HOLD: Duration = Duration::from_millis(50);
 
 /// A call that broke off without an answer.
 #[derive(Clone, Copy, Debug)]
@@ -143,11 +143,10 @@
         self.fresh(now, request, PROOF) >= WAITS
     }
 
-    /// The same, or so many may have within a moment.
+    /// The same, or one has while calls of the request that may tell are open.
     pub(super) fn waits(&self, now: Instant, request: Fingerprint) -> bool {
-        let lately = self.fresh(now, request, MOMENT);
-        let many = lately + self.calls(request) >= WAITS;
-        self.stalls(now, request) || (lately > 0 && many)
+        let lately = self.fresh(now, request, HOLD);
+        self.stalls(now, request) || (lately > 0 && self.calls(request) > 0)
     }
 
     /// Servers that seem to have ended under a request in a span of time.
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -274,6 +274,30 @@
     assert!(cleared(&bed), "answered after");
 }
 
+/// Guards against ending a second server of a shard before a call that is slower could tell.
+#[test]
+fn part_that_broke_off_waits_for_a_siblings_answer() {
+    let mut bed = bed();
+    let calls = sweep(&mut bed, 1, "/docks/1");
+    bed.log.clear();
+    lose(&mut bed, &calls[0]);
+    bed.advance(30);
+    assert!(bed.sent().is_empty(), "the others may break off too");
+    bed.answer(&calls[1]);
+    assert_eq!(bed.sent().len(), 1, "a server answered the request: it ends none");
+}
+
+/// Guards against a part that waits for calls which never end.
+#[test]
+fn part_that_broke_off_does_not_wait_for_long() {
+    let mut bed = bed();
+    let calls = sweep(&mut bed, 1, "/docks/1");
+    bed.log.clear();
+    lose(&mut bed, &calls[0]);
+    bed.advance(60);
+    assert_eq!(bed.sent().len(), 1);
+}
+
 /// Guards against forgetting for a moment that a request is answered all the time.
 #[test]
 fn request_that_is_answered_all_the_time_stays_known() {
