Entries name servers that those who ask them do not avoid

Ways: (a) as it was; (b) replies name the poor servers of the service (15% failed or shed, or 2.5 times as slow, while another is not), and for two seconds the entry names them last. (c) the asker choosing by itself is ruled out: two askers would then reach more servers than the route allows.

Tests: what replies name (leaf), what entries choose by it and for how long (gather).

--- a/crates/core/src/eligible.rs
+++ b/crates/core/src/eligible.rs
@@ -30,7 +30,7 @@
     pub(crate) key: &'a str,
     /// Availability zone of the instance that asks first; its servers come first.
     pub(crate) home: &'a str,
-    /// Servers that an asker could not use; they come last.
+    /// Servers that an asker could not use or would avoid; they come last.
     pub(crate) passed: &'a [Mark],
 }
 
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -10,6 +10,7 @@
 //! them, [`collect`] takes the merged replies and notices a peer that does not speak.
 
 mod answer;
+mod avoid;
 mod check;
 mod collect;
 mod failover;
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -55,6 +55,7 @@
             self.stop_refused(now, out);
         }
         self.near.forget(&view);
+        self.avoid.retain(|service| view.service(service).is_some());
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view.services.values().flat_map(|service| &service.candidates);
         for candidate in candidates {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -7,6 +7,7 @@
 use ladder_schema::outcome::{Reason, Verdict};
 use slotmap::SlotMap;
 
+use super::avoid::Avoid;
 use super::check::{self, Refusal};
 use super::event::{Action, Caller, Event};
 use super::forward::Forwarder;
@@ -42,6 +43,7 @@
     draining: bool,
     pub(crate) planner: Planner,
     pub(crate) near: Near,
+    pub(crate) avoid: Avoid,
     forwarder: Forwarder,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     /// Invariant: holds exactly the present numbers of `queries`.
@@ -67,6 +69,7 @@
             draining: false,
             planner: Planner::default(),
             near: Near::default(),
+            avoid: Avoid::default(),
             forwarder: Forwarder::default(),
             queries: SlotMap::default(),
             numbers: Map::default(),
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -163,7 +163,7 @@
         let local = state.is_some_and(|state| state.local);
         let way = state.and_then(|state| state.way);
         let zone = self.zone_of(peer, local);
-        self.choose_servers(key, portions, &zone);
+        self.choose_servers(now, key, portions, &zone);
         let query = &mut self.queries[key];
         let collect = match &self.settings.zone {
             Some(_) if !local => collect::terms(now, query, way),
@@ -196,7 +196,7 @@
     ///
     /// What may have run keeps its servers; else an asker that can use none of them has the part chosen
     /// for anew.
-    fn choose_servers(&mut self, key: QueryKey, portions: &[usize], home: &str) {
+    fn choose_servers(&mut self, now: Instant, key: QueryKey, portions: &[usize], home: &str) {
         let query = &mut self.queries[key];
         let Some(route) = query.route.as_ref().filter(|route| chooses_servers(route)) else {
             return;
@@ -209,7 +209,9 @@
             let Some(service) = service.filter(|_| portion.verdict() == Verdict::NotRun) else {
                 continue;
             };
-            let (key, passed) = (&*query.request.key, &*portion.passed);
+            let avoid = self.avoid.of(now, &service.name);
+            let passed = [&*portion.passed, avoid].concat();
+            let (key, passed) = (&*query.request.key, &*passed);
             let terms = eligible::Terms { attempts, key, home, passed };
             let homes = &route.spec.homes;
             let home = service.servers.iter();
--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -142,6 +142,9 @@
         if reply.busy_permille > 0 {
             self.near.heard_of(&portion.share.service, reply.busy_permille);
         }
+        if reply.verdict() == Verdict::Ran {
+            self.avoid.heard(now, &portion.share.service, &reply.avoid);
+        }
         let (peer, at) = (sending.peer, sending.at);
         if sending.collected && !sending.spoke {
             self.spoke(key, peer, reply.round);
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -306,6 +306,16 @@
         suspects
     }
 
+    /// Marks of a service's servers that are poor; none if all are.
+    pub(super) fn avoided(&self, id: ServiceId) -> Vec<u32> {
+        let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
+        let (poor, good): (Vec<&Server>, Vec<&Server>) = servers
+            .filter(|server| server.accepts())
+            .partition(|server| server.health.is_poor(self.now));
+        let poor = poor.into_iter().filter(|_| !good.is_empty());
+        poor.map(|server| server.mark.0).collect()
+    }
+
     /// Slots of the servers that may get work.
     pub(super) fn usable_slots(&self, id: ServiceId) -> u32 {
         let service = &self.services[id];
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -18,6 +18,9 @@
 const ROW: u32 = 3;
 /// Failure rate that makes a server suspect.
 const RATE: f64 = 0.5;
+/// Share of calls that fail or are shed, and times the usual call time, from which on a server is poor.
+const POOR_RATE: f64 = 0.15;
+const POOR_PACE: f64 = 2.5;
 /// First and longest pause of a suspect server.
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
@@ -139,6 +142,12 @@
         self.shed_rate * (-idle).exp2()
     }
 
+    /// Whether another server of the service is the better choice, where there is one.
+    pub(super) fn is_poor(&self, now: Instant) -> bool {
+        let slow = self.pace(now).is_some_and(|pace| pace >= POOR_PACE);
+        slow || self.failure_rate(now) >= POOR_RATE || self.shed_rate(now) >= POOR_RATE
+    }
+
     /// How many times the usual time its calls take; `None` before the first answer and when the last
     /// is too long ago.
     pub(super) fn pace(&self, now: Instant) -> Option<f64> {
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -103,6 +103,9 @@
         self.mark(portion.service);
         let mut reply = reply(&portion.job, name, refused, portion.calls, parts);
         reply.busy_permille = (busy * 1000.0) as u32;
+        if portion.eligible.is_some() {
+            reply.avoid = self.avoided(portion.service);
+        }
         self.reply(&portion.job, reply, out);
         self.portion_ended(&portion.job, out);
     }
@@ -204,5 +207,6 @@
         merged: 0,
         held_us: 0,
         busy_permille: 0,
+        avoid: Vec::new(),
     }
 }
--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -709,3 +709,37 @@
         }
     }
 }
+
+/// Guards against naming servers for a part that lose its answer while another one would not.
+///
+/// The load: half of the servers lose a part of their answers, and most parts have a replica that loses none.
+#[test]
+fn servers_to_avoid_are_chosen_last() {
+    let place = Place { parts: vec![vec!["campanha", HERE, "sao-bento"]; 6], ..Place::default() };
+    let mut session = place.session();
+    let chosen = |work: &Work, service: &str| {
+        let portion = work.portions.iter().find(|portion| portion.service == service);
+        portion.and_then(|portion| portion.eligible.clone()).expect("a choice").servers
+    };
+    let avoid: Vec<u32> = ["s1-0", "s1-1"].map(|name| Mark::of(name).0).to_vec();
+    let [(_, first)] = &works(&session.call(sweep("first")))[..] else {
+        panic!("all parts are asked for here");
+    };
+    assert!(chosen(first, "s1").contains(&Mark::of("s1-1").0), "near and not known to fail");
+    let replies = first.portions.iter().map(|portion| {
+        let avoid = if portion.service == "s1" { avoid.clone() } else { Vec::new() };
+        Reply { avoid, ..reply(first, &portion.service, &[1]) }
+    });
+    let replies = replies.collect();
+    tell(&mut session, SELF, replies);
+    let [(_, second)] = &works(&session.call(sweep("second")))[..] else {
+        panic!("all parts are asked for here");
+    };
+    assert_eq!(chosen(second, "s1")[0], Mark::of("s1-2").0);
+    assert!(chosen(second, "s2").contains(&Mark::of("s2-1").0), "told of one service only");
+    session.pass(2500);
+    let [(_, third)] = &works(&session.call(sweep("third")))[..] else {
+        panic!("all parts are asked for here");
+    };
+    assert!(chosen(third, "s1").contains(&Mark::of("s1-1").0), "what was told is too old");
+}
--- a/crates/core/tests/leaf/forward.rs
+++ b/crates/core/tests/leaf/forward.rs
@@ -303,3 +303,40 @@
     }
     assert!(shed < 60, "{shed} of 300 calls were shed");
 }
+
+/// Guards against an entry that goes on naming a server whose answers are lost.
+#[test]
+fn replies_name_servers_that_fail_while_others_do_not() {
+    for (failing, named) in [(vec![1], vec![1]), (vec![], vec![]), (vec![1, 2], vec![])] {
+        let mut bed = bed(lingering(), limits(100, false));
+        let marks = |numbers: &[u8]| -> Vec<u32> {
+            numbers.iter().map(|number| Mark::of(&format!("docks-{number}")).0).collect()
+        };
+        let mut told = Vec::new();
+        for query in 0..40 {
+            bed.log.clear();
+            let mut work = forwarded(query, "sweep");
+            let alone = query < 6 && !failing.is_empty();
+            let eligible = if alone { marks(&failing) } else { marks(&[1, 2]) };
+            work.portions[0].eligible = Some(wire::Eligible { servers: eligible });
+            bed.work(work);
+            let fails = |sent: &Sent| {
+                let mut failing = failing.iter();
+                failing.any(|number| *sent.address == *format!("10.0.0.{number}:80"))
+            };
+            bed.each_sent(|bed, sent| match fails(sent) {
+                true => bed.end(sent.attempt, Outcome::Lost),
+                false => bed.end(sent.attempt, response(sent, 200)),
+            });
+            bed.advance(60);
+            bed.connect();
+            told.extend(bed.log.iter().filter_map(|action| match action {
+                Action::Reply { reply, .. } => Some(reply.avoid.clone()),
+                _ => None,
+            }));
+        }
+        let named = marks(&named);
+        assert!(told.iter().all(|told| told.is_empty() || *told == named || failing.len() == 2));
+        assert!(named.is_empty() || told.contains(&named), "{failing:?}: {told:?}");
+    }
+}
