--- a/crates/core/src/control/belief.rs
+++ b/crates/core/src/control/belief.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::membership::Standing;
-use super::quarantine::{self, Life};
+use super::quarantine::{self, Incarnation};
 use super::reader::Failure;
 use crate::fingerprint::Fingerprint;
 
@@ -61,7 +61,7 @@
         /// Servers known there.
         servers: usize,
     },
-    /// Peers knew an earlier life of this instance under a higher generation than its own.
+    /// Peers knew an earlier incarnation of this instance under a higher generation than its own.
     Outlived {
         /// Its generation until now.
         before: u64,
@@ -77,7 +77,7 @@
         /// What changed it.
         cause: quarantine::Cause,
         /// Servers that it ended.
-        lives: Vec<Life>,
+        incarnations: Vec<Incarnation>,
         /// Name of the peer that said so; empty for this instance.
         from: Arc<str>,
     },
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -6,7 +6,7 @@
 use ladder_schema::{publication, wire};
 
 use super::belief::Belief;
-use super::quarantine::Life;
+use super::quarantine::Incarnation;
 use super::reader::Read;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
@@ -36,14 +36,14 @@
     /// A server ended while requests were there that no server has answered.
     Crashed {
         /// The incarnation that ended.
-        life: Life,
+        incarnation: Incarnation,
         /// When the first of its calls broke off.
         at: Instant,
         /// The requests.
         requests: Vec<Fingerprint>,
     },
-    /// A server has answered after it was said that this life of it had ended.
-    Refuted(Life),
+    /// A server has answered after it was said that this incarnation of it had ended.
+    Refuted(Incarnation),
     /// A request under which servers ended was answered.
     Cleared(Fingerprint),
     /// An operator releases a request.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -155,11 +155,13 @@
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(now, &server, incarnation, out);
             }
-            Event::Crashed { life, at, requests } => {
-                self.update_quarantine(now, "", out, |held| held.crashed(now, life, at, &requests));
+            Event::Crashed { incarnation, at, requests } => {
+                self.update_quarantine(now, "", out, |held| {
+                    held.crashed(now, incarnation, at, &requests)
+                });
             }
-            Event::Refuted(life) => {
-                self.update_quarantine(now, "", out, |held| held.refuted(now, &life));
+            Event::Refuted(incarnation) => {
+                self.update_quarantine(now, "", out, |held| held.refuted(now, &incarnation));
             }
             Event::Cleared(request) => {
                 let by = Cause::Answer;
@@ -569,7 +571,7 @@
                 request: change.request,
                 standing: change.standing,
                 cause: change.cause,
-                lives: change.lives,
+                incarnations: change.incarnations,
                 from: from.into(),
             })
         }));
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 mod grants;
+mod neighbours;
 mod ranks;
 
 use std::sync::Arc;
@@ -10,14 +11,14 @@
 use ladder_schema::catalogue;
 use ladder_schema::publication;
 
-use super::membership::{Member, Membership, Standing};
+use super::membership::{Membership, Standing};
 use super::placement;
 use super::settings::{Listing, Placement, Settings};
 use super::store::{Changes, Store};
 use crate::collections::{Map, Set};
 use crate::route::Table;
 use crate::time::Instant;
-use crate::view::{self, Candidate, Neighbour, Peer, Server, Service, View};
+use crate::view::{self, Candidate, Peer, Server, Service, View};
 
 /// Whether work may be given to each instance.
 pub(super) type Standings = Map<Arc<str>, Standing>;
@@ -119,7 +120,7 @@
         let indexes = indexes.filter(|lists| *lists != old.indexes);
         let routing = routing.filter(|routing| *routing != old.routing);
         // Also where no standing has changed: an instance may come back in another zone.
-        let neighbours = Some(neighbours(source)).filter(|list| **list != *old.neighbours);
+        let neighbours = Some(neighbours::of(source)).filter(|list| **list != *old.neighbours);
         let lists_same = indexes.is_none() && routing.is_none() && neighbours.is_none();
         let same_requests = *source.quarantine == old.quarantine;
         let is_same = built.is_empty() && lists_same && same_requests;
@@ -425,23 +426,6 @@
     }
 }
 
-/// Settled instances besides this one. Under owner placement the candidates of each service take
-/// their place.
-fn neighbours(source: &Source<'_>) -> Arc<[Neighbour]> {
-    if source.settings.placement != Placement::Direct {
-        return Arc::default();
-    }
-    let members = source.membership.members().filter(|member| {
-        source.standing(&member.name) == Standing::Settled && !member.address.is_empty()
-    });
-    let neighbour = |member: &Member| Neighbour {
-        peer: Peer { name: Arc::clone(&member.name), address: Arc::clone(&member.address) },
-        zone: Arc::clone(&member.zone),
-        millicores: member.millicores,
-    };
-    members.map(neighbour).collect()
-}
-
 /// How long a new list does not decide alone who is preferred: shares must have grown, and others
 /// must have learnt of it.
 fn period(settings: &Settings) -> Duration {
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -32,33 +32,33 @@
 const KEPT_REQUESTS: usize = 16;
 /// Requests refused at once, and cleared ones remembered.
 pub const REQUESTS: usize = 64;
-/// A refused request that was not asked for so long makes room for another.
+/// Time without use after which an entry may be evicted.
 const IDLE: Duration = Duration::from_secs(60);
 /// How much younger than the oldest known end one of a peer is to take its place.
 const YOUNGER: Duration = Duration::from_secs(1);
 /// Lives of servers kept of one entry.
-const KEPT_LIVES: usize = 4;
+const KEPT_INCARNATIONS: usize = 4;
 
-/// One life of a server.
+/// One run of a server, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Life {
+pub struct Incarnation {
     /// The server.
     pub server: Arc<str>,
-    /// Its incarnation.
-    pub incarnation: u64,
+    /// Grows with every start of the server.
+    pub number: u64,
 }
 
-impl Life {
-    fn read(life: &wire::Life) -> Self {
-        Self { server: life.server.as_str().into(), incarnation: life.incarnation }
+impl Incarnation {
+    fn read(incarnation: &wire::Incarnation) -> Self {
+        Self { server: incarnation.server.as_str().into(), number: incarnation.number }
     }
 
-    fn written(&self) -> wire::Life {
-        wire::Life { server: self.server.to_string(), incarnation: self.incarnation }
+    fn written(&self) -> wire::Incarnation {
+        wire::Incarnation { server: self.server.to_string(), number: self.number }
     }
 }
 
-/// A life of a server that is said to have ended.
+/// The reported end of an incarnation.
 #[derive(Clone, Debug)]
 struct End {
     /// Requests that were there.
@@ -103,7 +103,7 @@
     /// Servers that it ended.
     ///
     /// Invariant: sorted, each once; none of them is refuted.
-    pub lives: Vec<Life>,
+    pub incarnations: Vec<Incarnation>,
     /// When it was last asked for or cleared.
     pub seen: Instant,
 }
@@ -114,13 +114,13 @@
     pub(super) request: Fingerprint,
     pub(super) standing: Standing,
     pub(super) cause: Cause,
-    pub(super) lives: Vec<Life>,
+    pub(super) incarnations: Vec<Incarnation>,
 }
 
 /// All that is held of requests under which servers ended.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
-    ends: Map<Life, End>,
+    ends: Map<Incarnation, End>,
     entries: Map<Fingerprint, Entry>,
     /// What the traffic has to know of it.
     view: Arc<view::Quarantine>,
@@ -137,45 +137,45 @@
         self.entries.iter()
     }
 
-    /// Takes in that the calls of these requests broke off as their server ended.
+    /// Records that a server ended while these requests were open there.
     pub(super) fn crashed(
         &mut self,
         now: Instant,
-        life: Life,
+        incarnation: Incarnation,
         at: Instant,
         requests: &[Fingerprint],
     ) -> Vec<Change> {
-        self.add_end(life, requests, at);
+        self.add_end(incarnation, requests, at);
         self.evaluate(now)
     }
 
-    /// Takes in that a life that is said to have ended goes on.
-    pub(super) fn refuted(&mut self, now: Instant, life: &Life) -> Vec<Change> {
-        if let Some(end) = self.ends.get_mut(life) {
+    /// Marks an incarnation as alive again.
+    pub(super) fn refuted(&mut self, now: Instant, incarnation: &Incarnation) -> Vec<Change> {
+        if let Some(end) = self.ends.get_mut(incarnation) {
             end.refuted = true;
         }
         self.evaluate(now)
     }
 
-    /// Takes in that a request was answered, or that an operator releases it.
+    /// Clears a request that was answered, or that an operator releases.
     pub(super) fn cleared(
         &mut self,
         now: Instant,
         request: Fingerprint,
         cause: Cause,
     ) -> Vec<Change> {
-        let cleared = Entry { standing: Standing::Cleared, lives: Vec::new(), seen: now };
+        let cleared = Entry { standing: Standing::Cleared, incarnations: Vec::new(), seen: now };
         let before = self.entries.insert(request, cleared);
         let turned = before.is_none_or(|entry| entry.standing != Standing::Cleared);
         let mut changes = self.evaluate(now);
         if turned {
-            let (standing, lives) = (Standing::Cleared, Vec::new());
-            changes.insert(0, Change { request, standing, cause, lives });
+            let (standing, incarnations) = (Standing::Cleared, Vec::new());
+            changes.insert(0, Change { request, standing, cause, incarnations });
         }
         changes
     }
 
-    /// Takes in that a request that is refused came again.
+    /// Renews the entry of a refused request that came again.
     pub(super) fn asked(&mut self, now: Instant, request: Fingerprint) {
         let entry = self.entries.get_mut(&request);
         if let Some(entry) = entry.filter(|entry| entry.standing == Standing::Quarantined) {
@@ -183,7 +183,7 @@
         }
     }
 
-    /// Takes in what a peer holds, as far as there is room.
+    /// Merges what a peer holds, as far as there is room.
     ///
     /// Instances that hold as much as they may would otherwise drop what they have just told each other, and
     /// hear it again, without end.
@@ -204,14 +204,15 @@
         if age >= MEMORY {
             return;
         }
-        let life = Life { server: crash.server.as_str().into(), incarnation: crash.incarnation };
-        if !self.ends.contains_key(&life) && !self.has_room(now - age) {
+        let incarnation =
+            Incarnation { server: crash.server.as_str().into(), number: crash.incarnation };
+        if !self.ends.contains_key(&incarnation) && !self.has_room(now - age) {
             return;
         }
         let requests: Vec<Fingerprint> =
             crash.requests.iter().filter_map(|bytes| Fingerprint::read(bytes)).collect();
-        self.add_end(life.clone(), &requests, now - age);
-        if let Some(end) = self.ends.get_mut(&life) {
+        self.add_end(incarnation.clone(), &requests, now - age);
+        if let Some(end) = self.ends.get_mut(&incarnation) {
             end.refuted |= crash.refuted;
         }
     }
@@ -230,16 +231,16 @@
         }
         let known = self.entries.entry(request).or_insert_with(|| Entry {
             standing,
-            lives: Vec::new(),
+            incarnations: Vec::new(),
             seen: now - idle,
         });
         known.standing = known.standing.max(standing);
         known.seen = known.seen.max(now - idle);
-        known.lives.extend(entry.lives.iter().map(Life::read));
-        tidy(&mut known.lives, KEPT_LIVES);
-        let (standing, lives) = (known.standing, known.lives.clone());
+        known.incarnations.extend(entry.incarnations.iter().map(Incarnation::read));
+        tidy(&mut known.incarnations, KEPT_INCARNATIONS);
+        let (standing, incarnations) = (known.standing, known.incarnations.clone());
         let cause = Cause::Peer;
-        (before != Some(standing)).then_some(Change { request, standing, cause, lives })
+        (before != Some(standing)).then_some(Change { request, standing, cause, incarnations })
     }
 
     /// Whether an end of this time would be kept.
@@ -252,9 +253,9 @@
         self.entries.values().filter(|entry| entry.standing == standing).count()
     }
 
-    fn add_end(&mut self, life: Life, requests: &[Fingerprint], at: Instant) {
+    fn add_end(&mut self, incarnation: Incarnation, requests: &[Fingerprint], at: Instant) {
         let new = || End { requests: Vec::new(), refuted: false, at };
-        let end = self.ends.entry(life).or_insert_with(new);
+        let end = self.ends.entry(incarnation).or_insert_with(new);
         end.at = end.at.min(at);
         end.requests.extend(requests);
         tidy(&mut end.requests, KEPT_REQUESTS);
@@ -264,23 +265,23 @@
     fn evaluate(&mut self, now: Instant) -> Vec<Change> {
         self.shrink(now);
         let mut changes = self.reconsider(now);
-        for (request, mut lives) in self.sole_suspects() {
+        for (request, mut incarnations) in self.sole_suspects() {
             let known = self.entries.contains_key(&request);
-            if lives.len() < ENDS || known || !self.makes_room(now) {
+            if incarnations.len() < ENDS || known || !self.make_room(now) {
                 continue;
             }
-            tidy(&mut lives, KEPT_LIVES);
+            tidy(&mut incarnations, KEPT_INCARNATIONS);
             let standing = Standing::Quarantined;
             let cause = Cause::Ends;
-            changes.push(Change { request, standing, cause, lives: lives.clone() });
-            self.entries.insert(request, Entry { standing, lives, seen: now });
+            changes.push(Change { request, standing, cause, incarnations: incarnations.clone() });
+            self.entries.insert(request, Entry { standing, incarnations, seen: now });
         }
         self.renew_view();
         changes
     }
 
-    /// Whether one more request can be refused; one that nobody has asked for lately makes room.
-    fn makes_room(&mut self, now: Instant) -> bool {
+    /// Evicts the least recently used entry when full; whether there is room for another.
+    fn make_room(&mut self, now: Instant) -> bool {
         if self.count(Standing::Quarantined) < REQUESTS {
             return true;
         }
@@ -306,12 +307,13 @@
 
     /// Clears requests whose ends are refuted.
     fn reconsider(&mut self, now: Instant) -> Vec<Change> {
-        let refuted = |life: &Life| self.ends.get(life).is_some_and(|end| end.refuted);
+        let refuted =
+            |incarnation: &Incarnation| self.ends.get(incarnation).is_some_and(|end| end.refuted);
         let mut changes = Vec::new();
         for (request, entry) in &mut self.entries {
-            let before = entry.lives.len();
-            entry.lives.retain(|life| !refuted(life));
-            let lost = entry.lives.len() < before && entry.lives.len() < ENDS;
+            let before = entry.incarnations.len();
+            entry.incarnations.retain(|incarnation| !refuted(incarnation));
+            let lost = entry.incarnations.len() < before && entry.incarnations.len() < ENDS;
             if lost && entry.standing == Standing::Quarantined {
                 entry.standing = Standing::Cleared;
                 entry.seen = now;
@@ -319,7 +321,7 @@
                     request: *request,
                     standing: Standing::Cleared,
                     cause: Cause::Refutation,
-                    lives: Vec::new(),
+                    incarnations: Vec::new(),
                 });
             }
         }
@@ -330,14 +332,14 @@
     ///
     /// Requests that happen to be beside a poison one end with it each time. Whatever a request ended that is
     /// refused already is not held against the others.
-    fn sole_suspects(&self) -> Map<Fingerprint, Vec<Life>> {
+    fn sole_suspects(&self) -> Map<Fingerprint, Vec<Incarnation>> {
         let standing = |request: &Fingerprint| self.entries.get(request).map(|one| one.standing);
-        let mut alone: Map<Fingerprint, Vec<Life>> = Map::default();
-        for (life, end) in self.ends.iter().filter(|(_, end)| !end.refuted) {
+        let mut alone: Map<Fingerprint, Vec<Incarnation>> = Map::default();
+        for (incarnation, end) in self.ends.iter().filter(|(_, end)| !end.refuted) {
             let suspects = end.requests.iter();
             let mut suspects = suspects.filter(|one| standing(one) != Some(Standing::Cleared));
             if let (Some(request), None) = (suspects.next(), suspects.next()) {
-                alone.entry(*request).or_default().push(life.clone());
+                alone.entry(*request).or_default().push(incarnation.clone());
             }
         }
         alone
@@ -348,9 +350,9 @@
         self.ends.retain(|_, end| now.since(end.at) < MEMORY);
         self.entries.retain(|_, entry| now.since(entry.seen) < MEMORY);
         while self.ends.len() > KEPT_ENDS {
-            let oldest = self.ends.iter().min_by_key(|(life, end)| (end.at, *life));
-            let oldest = oldest.map(|(life, _)| life.clone());
-            oldest.inspect(|life| drop(self.ends.remove(life)));
+            let oldest = self.ends.iter().min_by_key(|(incarnation, end)| (end.at, *incarnation));
+            let oldest = oldest.map(|(incarnation, _)| incarnation.clone());
+            oldest.inspect(|incarnation| drop(self.ends.remove(incarnation)));
         }
         while self.count(Standing::Cleared) > REQUESTS {
             self.oldest(Standing::Cleared).inspect(|request| self.forget(*request));
@@ -383,7 +385,9 @@
             refused: refused.map(|(request, _)| *request).collect(),
             suspected: requests.into_iter().filter(undecided).collect(),
             ended: unrefuted()
-                .map(|(life, end)| (Arc::clone(&life.server), ended(life, end)))
+                .map(|(incarnation, end)| {
+                    (Arc::clone(&incarnation.server), ended(incarnation, end))
+                })
                 .collect(),
         };
         if view != *self.view {
@@ -393,10 +397,10 @@
 
     /// Stands for all that is held; 0 for nothing.
     pub(super) fn digest(&self) -> u64 {
-        let ends = self.ends.iter().map(|(life, end)| {
+        let ends = self.ends.iter().map(|(incarnation, end)| {
             let requests: Vec<u8> = end.requests.iter().flat_map(|one| one.bytes()).collect();
-            let incarnation = life.incarnation.to_be_bytes();
-            hash::of(&[life.server.as_bytes(), &incarnation, &requests, &[end.refuted.into()]])
+            let number = incarnation.number.to_be_bytes();
+            hash::of(&[incarnation.server.as_bytes(), &number, &requests, &[end.refuted.into()]])
         });
         let entries = self.entries.iter().map(|(request, entry)| {
             hash::of(&[&request.bytes(), &[u8::from(entry.standing == Standing::Cleared)]])
@@ -406,9 +410,9 @@
 
     /// Adds all that is held to a frame.
     pub(super) fn write(&self, now: Instant, frame: &mut Frame) {
-        let crashes = self.ends.iter().map(|(life, end)| wire::Crash {
-            server: life.server.to_string(),
-            incarnation: life.incarnation,
+        let crashes = self.ends.iter().map(|(incarnation, end)| wire::Crash {
+            server: incarnation.server.to_string(),
+            incarnation: incarnation.number,
             requests: end.requests.iter().map(|one| one.bytes().into()).collect(),
             refuted: end.refuted,
             age_ms: millis(now.since(end.at)),
@@ -420,15 +424,15 @@
                 Standing::Cleared => wire::Standing::Cleared.into(),
             },
             idle_ms: millis(now.since(entry.seen)),
-            lives: entry.lives.iter().map(Life::written).collect(),
+            incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
         });
         frame.crashes = crashes.collect();
         frame.quarantines = entries.collect();
     }
 }
 
-fn ended(life: &Life, end: &End) -> view::End {
-    view::End { incarnation: life.incarnation, at: end.at }
+fn ended(incarnation: &Incarnation, end: &End) -> view::End {
+    view::End { incarnation: incarnation.number, at: end.at }
 }
 
 /// Sorts, and keeps each once and no more than `most`.
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -17,6 +17,7 @@
 mod lane;
 mod lanes;
 mod machine;
+mod outlook;
 mod peak;
 mod portion;
 mod queue;
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -4,7 +4,7 @@
 //! connection proves nothing: the server has ended when nothing listens at its address any more, or when
 //! it is known to have started again.
 
-mod book;
+mod table;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,13 +19,13 @@
 use super::server::ServerKey;
 use super::service::ServiceId;
 use crate::collections::Set;
-use crate::control::quarantine::Life;
+use crate::control::quarantine::Incarnation;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 use crate::view;
 
-pub(super) use book::{Crashes, Loss};
-use book::{HOLD, LOSSES, PROOF};
+pub(super) use table::{Crashes, Loss};
+use table::{EVIDENCE_AGE, HOLD, LOSSES};
 
 /// How much later than it happened an end may be dated by news that came through peers.
 const DATING_ERROR: Duration = Duration::from_secs(1);
@@ -78,7 +78,7 @@
         match outcome {
             Outcome::Answer(_) => self.request_answered(request, out),
             Outcome::Error if whole => self.request_answered(request, out),
-            Outcome::Lost if !timed_out => self.broke_off(attempt.server, request),
+            Outcome::Lost if !timed_out => self.connection_lost(attempt.server, request),
             _ => {}
         }
         self.tell_ends(out);
@@ -172,19 +172,19 @@
     pub(super) fn waits_for_news(&self, key: PortionKey) -> bool {
         let request = self.portions[key].job.fingerprint;
         let waits = |request| self.crashes.waits(self.now, request);
-        self.crashes.has_doubts() && request.is_some_and(waits)
+        self.crashes.has_suspects() && request.is_some_and(waits)
     }
 
     /// Whether a portion gets no second copy now.
     pub(super) fn stalls(&self, key: PortionKey) -> bool {
         let request = self.portions[key].job.fingerprint;
         let stalls = |request| self.crashes.stalls(self.now, request);
-        self.crashes.has_doubts() && request.is_some_and(stalls)
+        self.crashes.has_suspects() && request.is_some_and(stalls)
     }
 
     /// A connection to a server is open.
     pub(super) fn server_listens(&mut self, key: ServerKey) {
-        if self.crashes.has_doubts() {
+        if self.crashes.has_suspects() {
             self.crashes.trust(key);
             self.look_at_parts();
         }
@@ -192,7 +192,7 @@
 
     /// Refuses the waiting parts of requests under which servers are known to have ended.
     pub(super) fn refuse_waiting(&mut self, out: &mut Vec<Action>) {
-        if !self.crashes.has_doubts() {
+        if !self.crashes.has_suspects() {
             return;
         }
         let failed = self.crashes.failed();
@@ -215,14 +215,14 @@
         }
     }
 
-    fn broke_off(&mut self, key: ServerKey, request: Fingerprint) {
+    fn connection_lost(&mut self, key: ServerKey, request: Fingerprint) {
         let losses = &mut self.servers[key].losses;
         losses.retain(|loss| loss.request != request);
         if losses.len() >= LOSSES {
             losses.remove(0);
         }
         losses.push(Loss { request, at: self.now });
-        self.crashes.doubt(self.now, request, key);
+        self.crashes.suspect(self.now, request, key);
         self.pump_at(self.servers[key].service, self.now + HOLD);
     }
 
@@ -239,24 +239,24 @@
     pub(super) fn server_ended(&mut self, key: ServerKey, incarnation: u64, out: &mut Vec<Action>) {
         let server = &mut self.servers[key];
         let mut losses = std::mem::take(&mut server.losses);
-        losses.retain(|loss| self.now.since(loss.at) < PROOF);
+        losses.retain(|loss| self.now.since(loss.at) < EVIDENCE_AGE);
         if losses.is_empty() {
             return;
         }
-        let life = Life { server: Arc::clone(&server.name), incarnation };
-        self.crashes.server_ended(self.now, key, life, &losses);
+        let incarnation = Incarnation { server: Arc::clone(&server.name), number: incarnation };
+        self.crashes.server_ended(self.now, key, incarnation, &losses);
         self.tell_ends(out);
     }
 
     fn tell_ends(&mut self, out: &mut Vec<Action>) {
-        if self.crashes.has_doubts() {
+        if self.crashes.has_suspects() {
             self.look_at_parts();
         }
         let ends = self.crashes.take_settled(self.now).into_iter();
         out.extend(ends.map(|end| Action::Crashed {
-            server: end.life.server,
-            incarnation: end.life.incarnation,
-            at: end.broke_off,
+            server: end.incarnation.server,
+            incarnation: end.incarnation.number,
+            at: end.lost_at,
             requests: end.requests,
         }));
     }
--- a/crates/core/src/leaf/crash/book.rs
+++ b/crates/core/src/leaf/crash/table.rs
@@ -1,34 +1,34 @@
-//! The requests that are open, and the servers that seem to have ended under them.
+//! Table of open requests and of the servers suspected to have ended under them.
 
 use std::time::Duration;
 
 use crate::collections::Map;
-use crate::control::quarantine::Life;
+use crate::control::quarantine::Incarnation;
 use crate::fingerprint::Fingerprint;
 use crate::leaf::recent::Recent;
 use crate::leaf::server::ServerKey;
 use crate::time::Instant;
 
-/// How long after a call broke off its server's end is still taken for the cause.
-pub(super) const PROOF: Duration = Duration::from_secs(5);
-/// Broken calls kept of one server. Servers work on a few requests at once.
+/// Age up to which a lost connection counts as evidence against the requests that it carried.
+pub(super) const EVIDENCE_AGE: Duration = Duration::from_secs(5);
+/// Lost calls kept of one server. Servers work on a few requests at once.
 pub(super) const LOSSES: usize = 16;
 
-/// Servers that seem to have ended under a request from which on its parts wait.
-const WAITS: usize = 3;
-/// How long a part whose call broke off waits for a sibling's answer.
+/// Suspected servers from which on a request's parts wait.
+const SUSPECTS: usize = 3;
+/// How long a part whose connection was lost waits for an answer to another part.
 pub(super) const HOLD: Duration = Duration::from_millis(50);
 
-/// A call that broke off without an answer.
+/// A call whose connection was lost before an answer.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::leaf) struct Loss {
     pub(super) request: Fingerprint,
     pub(super) at: Instant,
 }
 
-/// A server that seems to have ended under a request.
+/// A server suspected to have ended under a request.
 #[derive(Clone, Copy, Debug)]
-struct Doubt {
+struct Suspect {
     server: ServerKey,
     /// It is known to have ended.
     ended: bool,
@@ -38,9 +38,9 @@
 /// An incarnation of a server that has ended.
 #[derive(Debug)]
 pub(super) struct End {
-    pub(super) life: Life,
+    pub(super) incarnation: Incarnation,
     /// When the first of its calls broke off.
-    pub(super) broke_off: Instant,
+    pub(super) lost_at: Instant,
     /// Requests at the server when it ended, each once.
     pub(super) requests: Vec<Fingerprint>,
     at: Instant,
@@ -64,7 +64,7 @@
     /// Requests that servers answered.
     answered: Recent<Fingerprint>,
     /// Servers that seem to have ended under each request that no server has answered.
-    doubts: Map<Fingerprint, Vec<Doubt>>,
+    suspects: Map<Fingerprint, Vec<Suspect>>,
     /// Ends that are not told yet, as a request of theirs may still be answered by another server.
     ends: Vec<End>,
 }
@@ -90,23 +90,23 @@
     }
 
     /// A call of a request broke off at a server.
-    pub(super) fn doubt(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
-        self.doubts.retain(|_, doubts| {
-            doubts.retain(|doubt| now.since(doubt.at) < PROOF);
-            !doubts.is_empty()
+    pub(super) fn suspect(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
+        self.suspects.retain(|_, suspects| {
+            suspects.retain(|suspect| now.since(suspect.at) < EVIDENCE_AGE);
+            !suspects.is_empty()
         });
         if self.answered.contains(&request) {
             return;
         }
-        let doubts = self.doubts.entry(request).or_default();
-        doubts.retain(|doubt| doubt.server != server);
-        doubts.push(Doubt { server, ended: false, at: now });
+        let suspects = self.suspects.entry(request).or_default();
+        suspects.retain(|suspect| suspect.server != server);
+        suspects.push(Suspect { server, ended: false, at: now });
     }
 
     /// A server takes connections.
     pub(super) fn trust(&mut self, server: ServerKey) {
-        let lives = |doubt: &Doubt| doubt.server == server && !doubt.ended;
-        self.doubts.values_mut().for_each(|doubts| doubts.retain(|doubt| !lives(doubt)));
+        let alive = |suspect: &Suspect| suspect.server == server && !suspect.ended;
+        self.suspects.values_mut().for_each(|suspects| suspects.retain(|suspect| !alive(suspect)));
     }
 
     /// An incarnation of a server has ended; these calls broke off there.
@@ -114,33 +114,33 @@
         &mut self,
         now: Instant,
         key: ServerKey,
-        life: Life,
+        incarnation: Incarnation,
         losses: &[Loss],
     ) {
-        let doubts = self.doubts.values_mut().flatten();
-        doubts.filter(|doubt| doubt.server == key).for_each(|doubt| doubt.ended = true);
-        let broke_off = losses.iter().map(|loss| loss.at).min().unwrap_or(now);
+        let suspects = self.suspects.values_mut().flatten();
+        suspects.filter(|suspect| suspect.server == key).for_each(|suspect| suspect.ended = true);
+        let lost_at = losses.iter().map(|loss| loss.at).min().unwrap_or(now);
         let requests = losses.iter().map(|loss| loss.request).collect();
-        self.ends.push(End { life, broke_off, requests, at: now });
+        self.ends.push(End { incarnation, lost_at, requests, at: now });
     }
 
     /// A server answered a request; whether servers seemed to have ended under it.
     pub(super) fn answered(&mut self, now: Instant, request: Fingerprint) -> bool {
         self.answered.insert(now, request);
-        self.doubts.remove(&request).is_some()
+        self.suspects.remove(&request).is_some()
     }
 
     pub(super) fn was_answered(&self, request: Fingerprint) -> bool {
         self.answered.contains(&request)
     }
 
-    pub(super) fn has_doubts(&self) -> bool {
-        !self.doubts.is_empty()
+    pub(super) fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
     }
 
     /// Whether so many servers seem to have ended under a request that no other is to get it.
     pub(super) fn stalls(&self, now: Instant, request: Fingerprint) -> bool {
-        self.fresh(now, request, PROOF) >= WAITS
+        self.fresh(now, request, EVIDENCE_AGE) >= SUSPECTS
     }
 
     /// The same, or one has while calls of the request that may tell are open.
@@ -151,15 +151,18 @@
 
     /// Servers that seem to have ended under a request in a span of time.
     fn fresh(&self, now: Instant, request: Fingerprint, span: Duration) -> usize {
-        let fresh = |doubt: &&Doubt| now.since(doubt.at) < span;
-        self.doubts.get(&request).map_or(0, |doubts| doubts.iter().filter(fresh).count())
+        let fresh = |suspect: &&Suspect| now.since(suspect.at) < span;
+        self.suspects.get(&request).map_or(0, |suspects| suspects.iter().filter(fresh).count())
     }
 
     /// Requests without an open call under which so many servers are known to have ended.
     pub(super) fn failed(&self) -> Vec<Fingerprint> {
-        let ended = |doubts: &[Doubt]| doubts.iter().filter(|doubt| doubt.ended).count() >= WAITS;
-        let doubts = self.doubts.iter();
-        let failed = doubts.filter(|(request, doubts)| ended(doubts) && self.calls(**request) == 0);
+        let ended = |suspects: &[Suspect]| {
+            suspects.iter().filter(|suspect| suspect.ended).count() >= SUSPECTS
+        };
+        let suspects = self.suspects.iter();
+        let failed =
+            suspects.filter(|(request, suspects)| ended(suspects) && self.calls(**request) == 0);
         failed.map(|(request, _)| *request).collect()
     }
 
@@ -171,7 +174,7 @@
         for end in &mut self.ends {
             end.requests.retain(|request| !self.answered.contains(request));
         }
-        self.ends.retain(|end| !end.requests.is_empty() && now.since(end.at) < PROOF);
+        self.ends.retain(|end| !end.requests.is_empty() && now.since(end.at) < EVIDENCE_AGE);
         let open = &self.open;
         let settled = |end: &mut End| !end.requests.iter().any(|one| open.contains_key(one));
         self.ends.extract_if(.., settled).collect()
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -7,7 +7,7 @@
 use bolero::TypeGenerator;
 use ladder_core::collections::Set;
 use ladder_core::control::Event;
-use ladder_core::control::quarantine::{Life, MEMORY, REQUESTS, Standing};
+use ladder_core::control::quarantine::{Incarnation, MEMORY, REQUESTS, Standing};
 use ladder_core::control::settings::Timing;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::view::Quarantine;
@@ -31,12 +31,16 @@
     format!("entry-{number}")
 }
 
-fn life(number: u64) -> Life {
-    Life { server: format!("docks-{number}").into(), incarnation: 1 }
+fn incarnation(number: u64) -> Incarnation {
+    Incarnation { server: format!("docks-{number}").into(), number: 1 }
 }
 
 fn crashed(number: u64, requests: &[Fingerprint]) -> Event {
-    Event::Crashed { life: life(number), at: Instant::default(), requests: requests.to_vec() }
+    Event::Crashed {
+        incarnation: incarnation(number),
+        at: Instant::default(),
+        requests: requests.to_vec(),
+    }
 }
 
 fn refuses(fleet: &Fleet, name: &str, request: Fingerprint) -> bool {
@@ -131,7 +135,7 @@
         case("the other is said to be there later", alone(0..2).chain(together(0..3)), false),
         case("answered before", cleared(POISON).into_iter().chain(alone(0..9)), false),
         case("answered after", alone(0..9).chain(cleared(POISON)), false),
-        case("a server lives", alone(0..3).chain([Event::Refuted(life(1))]), false),
+        case("a server incarnations", alone(0..3).chain([Event::Refuted(incarnation(1))]), false),
     ]
 }
 
@@ -234,10 +238,10 @@
                 let event = match *seen {
                     Seen::Crashed { server, first, second } => {
                         let requests = [request(first), request(second)];
-                        let life = life(u64::from(server % 8));
-                        Event::Crashed { life, at: fleet.now, requests: requests.to_vec() }
+                        let incarnation = incarnation(u64::from(server % 8));
+                        Event::Crashed { incarnation, at: fleet.now, requests: requests.to_vec() }
                     }
-                    Seen::Refuted { server } => Event::Refuted(life(u64::from(server % 8))),
+                    Seen::Refuted { server } => Event::Refuted(incarnation(u64::from(server % 8))),
                     Seen::Cleared { request: number } => {
                         cleared.insert(request(number));
                         Event::Cleared(request(number))
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -74,13 +74,16 @@
 
 /// One line on a request.
 fn quarantined(entry: &Quarantine) -> String {
-    let lives = entry.lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
+    let incarnations = entry
+        .incarnations
+        .iter()
+        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
     format!(
         "  {} {}, idle for {} s; servers that ended: {}",
         entry.fingerprint,
         entry.standing().as_str_name(),
         entry.idle_ms / 1000,
-        lives.collect::<Vec<_>>().join(" ")
+        incarnations.collect::<Vec<_>>().join(" ")
     )
 }
 
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::collections::Map;
-use ladder_core::control::quarantine::Life;
+use ladder_core::control::quarantine::Incarnation;
 use ladder_core::leaf::{Action, Event, Machine, Settings};
 use ladder_core::time::Instant;
 use ladder_core::view::Peer;
@@ -94,12 +94,12 @@
                 }
                 Action::Crashed { server, incarnation, at, requests } => {
                     self.shared.lines.crashed(&server, incarnation, &requests);
-                    let life = Life { server, incarnation };
-                    self.shared.control.tell(control::Event::Crashed { life, at, requests });
+                    let incarnation = Incarnation { server, number: incarnation };
+                    self.shared.control.tell(control::Event::Crashed { incarnation, at, requests });
                 }
                 Action::Refuted { server, incarnation } => {
-                    let life = Life { server, incarnation };
-                    self.shared.control.tell(control::Event::Refuted(life));
+                    let incarnation = Incarnation { server, number: incarnation };
+                    self.shared.control.tell(control::Event::Refuted(incarnation));
                 }
                 Action::Cleared(request) => {
                     self.shared.control.tell(control::Event::Cleared(request));
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -116,10 +116,10 @@
 
 /// One of them.
 fn quarantine(request: Fingerprint, entry: &Entry, now: Instant) -> status::Quarantine {
-    let lives = entry
-        .lives
-        .iter()
-        .map(|life| wire::Life { server: life.server.to_string(), incarnation: life.incarnation });
+    let incarnations = entry.incarnations.iter().map(|incarnation| wire::Incarnation {
+        server: incarnation.server.to_string(),
+        number: incarnation.number,
+    });
     status::Quarantine {
         fingerprint: request.to_string(),
         standing: match entry.standing {
@@ -127,7 +127,7 @@
             Standing::Cleared => wire::Standing::Cleared.into(),
         },
         idle_ms: micros(now.since(entry.seen)) / 1000,
-        lives: lives.collect(),
+        incarnations: incarnations.collect(),
     }
 }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -69,12 +69,14 @@
         Belief::Outlived { before, now } => {
             warn!(log, "generation raised"; "before" => before, "now" => now);
         }
-        Belief::Quarantine { request, standing, cause, lives, from } => {
+        Belief::Quarantine { request, standing, cause, incarnations, from } => {
             let from = if from.is_empty() { "here" } else { from };
-            let lives = lives.iter().map(|life| format!("{}/{}", life.server, life.incarnation));
+            let incarnations = incarnations
+                .iter()
+                .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
             warn!(log, "quarantine changed"; "fingerprint" => %request, "standing" => ?standing,
                 "cause" => ?cause,
-                "servers" => lives.collect::<Vec<_>>().join(" "), "from" => from);
+                "servers" => incarnations.collect::<Vec<_>>().join(" "), "from" => from);
         }
         Belief::Evacuation { zone, evacuated, revision, servers } => {
             warn!(log, "evacuation changed"; "zone" => &**zone, "evacuated" => evacuated,
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -62,7 +62,9 @@
 /// A frame of this fleet with everything in it that a peer may say.
 fn frame() -> Frame {
     use ladder_schema::call::Part;
-    use ladder_schema::wire::{Cancel, Crash, Digest, Life, Portion, Probe, Quarantine, Reply};
+    use ladder_schema::wire::{
+        Cancel, Crash, Digest, Incarnation, Portion, Probe, Quarantine, Reply,
+    };
     use ladder_schema::wire::{Rumour, Work};
     let request = Fingerprint(7).bytes();
     let portion = Portion {
@@ -94,7 +96,7 @@
         }],
         quarantines: vec![Quarantine {
             request: request.into(),
-            lives: vec![Life::default()],
+            incarnations: vec![Incarnation::default()],
             ..Quarantine::default()
         }],
         sent_us: 5,
