--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -12,6 +12,8 @@
 const GRACE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
 /// Allowed processor cores.
 const CORES: std::ops::RangeInclusive<f64> = 0.001..=1024.0;
+/// How many times its published rate a server that warms up may get.
+const OVERSHOOT: std::ops::RangeInclusive<f64> = 1.0..=100.0;
 /// Longest window over which operators count extra calls, in seconds.
 const LONGEST_WINDOW_S: u32 = 3600;
 
@@ -162,6 +164,14 @@
             allowed: "0 to 1".to_owned(),
         });
     }
+    let overshoot = allowance.warmup_overshoot;
+    if overshoot != 0.0 && !OVERSHOOT.contains(&overshoot) {
+        mistakes.push(Mistake {
+            field: "allowance.warmupOvershoot".to_owned(),
+            value: overshoot.to_string(),
+            allowed: format!("{} to {}, or 0 for 1", OVERSHOOT.start(), OVERSHOOT.end()),
+        });
+    }
     if allowance.extra_window_s > LONGEST_WINDOW_S {
         mistakes.push(Mistake {
             field: "allowance.extraWindowS".to_owned(),
