A withdrawn query says so in its account, lines and explanation

No change of what is decided. With the part lines before it one sees why the floor was out of reach, and with those after it what the owners said of the rest.

--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -74,6 +74,11 @@
         /// Names the field or the version that it was refused by.
         detail: Arc<str>,
     },
+    /// The query can only be refused; its owners are asked what became of the rest.
+    Withdrawn {
+        /// Number of portions still out.
+        portions: u32,
+    },
     /// The caller closed its connection.
     Gone,
     /// The caller was answered.
@@ -122,7 +127,7 @@
                 true
             }
             Step::Sent { again, .. } => again.is_none(),
-            Step::Lost { .. } | Step::Refused { .. } | Step::Gone => false,
+            Step::Lost { .. } | Step::Refused { .. } | Step::Withdrawn { .. } | Step::Gone => false,
             Step::Answered { reason, missing, .. } => {
                 let late = !target.is_zero() && stamp.at.since(first) > target;
                 *reason == Reason::Unspecified && *missing == 0 && !late
--- a/crates/core/src/gather/withdraw.rs
+++ b/crates/core/src/gather/withdraw.rs
@@ -6,6 +6,7 @@
 
 use super::collect::ASSUMED_WAY;
 use super::event::Action;
+use super::history::Step;
 use super::machine::Machine;
 use super::query::{Progress, Query, QueryKey};
 use super::timers::Timer;
@@ -38,6 +39,8 @@
         let longest = holders.iter().map(|peer| way(*peer)).max().unwrap_or(Duration::ZERO);
         let until = (now + longest * PATIENCE).min(query.answer_at);
         self.tell_cancelled(key, &holders, out);
+        let step = Step::Withdrawn { portions: self.queries[key].open as u32 };
+        self.history.add(self.queries[key].account, now, step);
         let query = &mut self.queries[key];
         query.withdrawn = true;
         let timer = std::mem::replace(&mut query.timer, until);
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ladder_core::gather::{Action, Event};
+use ladder_core::gather::{Action, Event, Step};
 use ladder_core::route::Table;
 use ladder_core::schema::call::{Answer, Message, Part, Request, Response};
 use ladder_core::schema::catalogue::Urgency;
@@ -286,6 +286,10 @@
         let actions = session.reply(SELF, refused(&work, "s2"));
         assert!(answers(&actions).is_empty(), "{name}: its word is waited for");
         assert!(actions.iter().any(|action| matches!(action, Action::Cancel { .. })), "{name}");
+        let account = session.machine.explain("key of /docks/all").expect("an account");
+        let withdrawn =
+            account.steps.iter().any(|stamp| matches!(stamp.step, Step::Withdrawn { portions: 1 }));
+        assert!(withdrawn, "{name}: its account says so");
         let actions = match last {
             Some(last) => session.reply(SELF, last(&work)),
             None => session.pass(20),
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -177,6 +177,7 @@
         }
         Step::Lost { owner, portions } => format!("gave up {portions} portions at {owner}"),
         Step::Refused { detail } => format!("refused: {detail}"),
+        Step::Withdrawn { portions } => format!("withdrew {portions} portions"),
         Step::Gone => "the caller left".to_owned(),
         Step::Answered { verdict, reason, covered, missing } => {
             shown.verdict = (*verdict).into();
--- a/src/log/lines.rs
+++ b/src/log/lines.rs
@@ -88,6 +88,9 @@
             Step::Refused { detail } => {
                 info!(self.log, "refused"; "id" => id, "at_us" => at, "detail" => &**detail);
             }
+            Step::Withdrawn { portions } => {
+                info!(self.log, "withdrawn"; "id" => id, "at_us" => at, "portions" => portions);
+            }
             Step::Gone => info!(self.log, "caller left"; "id" => id, "at_us" => at),
             Step::Answered { verdict, reason, covered, missing } => {
                 info!(self.log, "answered"; "id" => id, "at_us" => at,
