--- a/crates/core/src/gather/take.rs
+++ b/crates/core/src/gather/take.rs
@@ -143,7 +143,7 @@
             self.near.heard_of(&portion.share.service, reply.busy_permille);
         }
         if reply.verdict() == Verdict::Ran {
-            self.avoid.heard(now, &portion.share.service, &reply.avoid);
+            self.avoid.report(now, &portion.share.service, &reply.avoid);
         }
         let (peer, at) = (sending.peer, sending.at);
         if sending.collected && !sending.spoke {
--- a/crates/core/src/gather/withdraw.rs
+++ b/crates/core/src/gather/withdraw.rs
@@ -12,15 +12,15 @@
 use super::timers::Timer;
 use crate::time::Instant;
 
-/// How often the time on the ways to a peer and back its word on what it held may take.
+/// Round trips to the farthest peer that its confirmation may take.
 const PATIENCE: u32 = 4;
 
 impl Machine {
-    /// Takes back what is still out of a query that can only be refused.
+    /// Cancels what is still open of a query that can only be refused.
     ///
-    /// An owner says of each part whether it was sent to a server. While all that is known of it did not
-    /// run, its word is waited for: it comes within milliseconds, and without it the caller must be told
-    /// that the request may have run.
+    /// Owners confirm of each part whether it was sent to a server. While nothing is known to have run, their
+    /// confirmation is waited for: it comes within milliseconds, and without it the caller must be told that
+    /// the request may have run.
     ///
     /// Returns whether there is anything to wait for.
     pub(super) fn withdraw(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) -> bool {
@@ -50,7 +50,7 @@
     }
 }
 
-/// Nothing of the query is known to have run, and the word on something that is out may still come.
+/// Nothing of the query is known to have run, and every open part may still be confirmed.
 fn is_unproved(query: &Query) -> bool {
     let settled = query.portions.iter().filter(|portion| !portion.is_open());
     let open = query.portions.iter().filter(|portion| portion.is_open());
--- a/crates/core/src/leaf/warmup.rs
+++ b/crates/core/src/leaf/warmup.rs
@@ -76,7 +76,7 @@
 }
 
 impl Fleet {
-    /// Takes in which instances there are.
+    /// Records which instances there are.
     pub(super) fn see<'a>(&mut self, now: Instant, names: impl Iterator<Item = &'a Arc<str>>) {
         self.started.get_or_insert(now);
         let names: Vec<Arc<str>> = names.cloned().collect();
@@ -107,7 +107,7 @@
 }
 
 impl Warmup {
-    /// Takes in the time left as published; only a change says something new.
+    /// Records the time left as published; only a change says something new.
     pub(super) fn publish(&mut self, now: Instant, left: Duration) {
         if left != self.published {
             self.published = left;
@@ -115,7 +115,7 @@
         }
     }
 
-    /// It may have been cold all the while that nothing was sent to it.
+    /// Starts a warm-up anew: the server may have become cold while nothing was sent to it.
     pub(super) fn restart(&mut self, now: Instant, span: Duration) {
         self.until = self.until.max(now + span);
     }
