Twins of the change go: one count of a zone's servers, one wire form of a standing, one key of records

What a reader met twice: servers of a zone counted in a line and in the status; standings and incarnations written to peers and to operators by the same match; the stand-in platform's own copy of the store's Key; a part's eligible servers read at its admission and again when it is queued; holders of a version filtered twice for two waits; three tests whether homes are empty. The proof that nothing ran is one pass over the portions in place of three. What replies name as poor takes no memory while nothing is.

No change of behaviour; no test changed.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -447,16 +447,14 @@
             Some(Body::Tombstone(gone)) if gone.kind() == Kind::Evacuation => (&gone.name, false),
             _ => return None,
         };
-        let servers = self.store.servers().filter(|server| server.zone == *zone).count();
+        let servers = self.store.servers_in(zone);
         Some(Belief::Evacuation { zone: zone.as_str().into(), evacuated, revision, servers })
     }
 
     /// Availability zones that are evacuated: name, revision of the order, servers known there.
     pub fn evacuations(&self) -> impl Iterator<Item = (&str, u64, usize)> {
-        self.store.evacuations().map(|(zone, revision)| {
-            let servers = self.store.servers().filter(|server| server.zone == zone).count();
-            (zone, revision, servers)
-        })
+        let evacuations = self.store.evacuations();
+        evacuations.map(|(zone, revision)| (zone, revision, self.store.servers_in(zone)))
     }
 
     /// Tombstones of what a page that holds all that is published does not hold.
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -36,7 +36,7 @@
 const IDLE: Duration = Duration::from_secs(60);
 /// How much younger than the oldest known end one of a peer is to take its place.
 const YOUNGER: Duration = Duration::from_secs(1);
-/// Lives of servers kept of one entry.
+/// Incarnations kept of one entry.
 const KEPT_INCARNATIONS: usize = 4;
 
 /// One run of a server, from its start to its end.
@@ -53,7 +53,8 @@
         Self { server: incarnation.server.as_str().into(), number: incarnation.number }
     }
 
-    fn written(&self) -> wire::Incarnation {
+    /// As it is written to peers and operators.
+    pub fn written(&self) -> wire::Incarnation {
         wire::Incarnation { server: self.server.to_string(), number: self.number }
     }
 }
@@ -80,6 +81,15 @@
     Cleared,
 }
 
+impl From<Standing> for wire::Standing {
+    fn from(standing: Standing) -> Self {
+        match standing {
+            Standing::Quarantined => Self::Quarantined,
+            Standing::Cleared => Self::Cleared,
+        }
+    }
+}
+
 /// What changed an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -419,10 +429,7 @@
         });
         let entries = self.entries.iter().map(|(request, entry)| wire::Quarantine {
             request: request.bytes().into(),
-            standing: match entry.standing {
-                Standing::Quarantined => wire::Standing::Quarantined.into(),
-                Standing::Cleared => wire::Standing::Cleared.into(),
-            },
+            standing: wire::Standing::from(entry.standing).into(),
             idle_ms: millis(now.since(entry.seen)),
             incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
         });
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -398,6 +398,11 @@
         self.evacuations().any(|(evacuated, _)| evacuated == zone)
     }
 
+    /// How many published servers stand in an availability zone.
+    pub fn servers_in(&self, zone: &str) -> usize {
+        self.servers().filter(|server| server.zone == zone).count()
+    }
+
     /// The published server of this name.
     pub fn server(&self, name: &str) -> Option<&Server> {
         match &self.records.get(&Key::new(Kind::Server, name))?.body {
--- a/crates/core/src/gather/collect.rs
+++ b/crates/core/src/gather/collect.rs
@@ -49,7 +49,7 @@
         let own = self.settings.own(zone);
         let mut collectors = self.near.collectors(now, &self.view, own, &query.index, &self.peers);
         let homes = &route.spec.homes;
-        collectors.retain(|one| homes.is_empty() || self.is_home(homes, &one.peer.name));
+        collectors.retain(|one| self.is_home(homes, &one.peer.name));
         collectors
     }
 
--- a/crates/core/src/gather/withdraw.rs
+++ b/crates/core/src/gather/withdraw.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use ladder_schema::outcome::Verdict;
-
 use super::collect::ASSUMED_WAY;
 use super::event::Action;
 use super::history::Step;
 use super::machine::Machine;
-use super::query::{Progress, Query, QueryKey};
+use super::query::{Portion, Progress, Query, QueryKey, Sending, State};
 use super::timers::Timer;
 use crate::time::Instant;
 
@@ -52,10 +50,10 @@
 
 /// Nothing of the query is known to have run, and every open part may still be confirmed.
 fn is_unproved(query: &Query) -> bool {
-    let settled = query.portions.iter().filter(|portion| !portion.is_open());
-    let open = query.portions.iter().filter(|portion| portion.is_open());
-    let clean = !query.exposed && settled.clone().all(|one| one.verdict() == Verdict::NotRun);
-    let unexposed = open.clone().all(|portion| !portion.exposed && !portion.ran);
-    let mut sendings = open.flat_map(|portion| &portion.sendings);
-    clean && unexposed && sendings.all(|sending| sending.progress != Progress::Lost)
+    let lost = |sending: &Sending| sending.progress == Progress::Lost;
+    let unproved = |portion: &Portion| {
+        let ran = portion.ran || matches!(portion.state, State::Covered(_));
+        !ran && !portion.exposed && !portion.sendings.iter().any(lost)
+    };
+    !query.exposed && query.portions.iter().all(unproved)
 }
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -64,9 +64,9 @@
             self.settle_collected(job, out);
             return;
         }
-        let admitted = self.admit(job, &portion);
-        match admitted {
-            Ok((service, deadline)) => self.enqueue(job, portion, service, deadline),
+        let eligible = eligible(&portion);
+        match self.admit(job, &portion, eligible.as_deref()) {
+            Ok((service, deadline)) => self.enqueue(job, portion, eligible, service, deadline),
             Err(refused) => self.refuse(job, portion.service, refused, out),
         }
     }
@@ -76,6 +76,7 @@
         &mut self,
         job: &Job,
         portion: &wire::Portion,
+        eligible: Option<&[Mark]>,
     ) -> Result<(ServiceId, Instant), Refused> {
         let id = self.service_ids.get(portion.service.as_str()).copied();
         let finding = id.and_then(|id| self.finding(job, id));
@@ -101,7 +102,7 @@
             return Err(Refused::repeated());
         }
         let deadline = self.deadline_of(job)?;
-        self.outlook(id, &job.work, eligible(portion).as_deref(), deadline)?;
+        self.outlook(id, &job.work, eligible, deadline)?;
         self.room(id, job, deadline)?;
         self.pay_again(id, portion)?;
         Ok((id, deadline))
@@ -213,13 +214,14 @@
         &mut self,
         job: &Arc<Job>,
         portion: wire::Portion,
+        eligible: Option<Arc<[Mark]>>,
         id: ServiceId,
         deadline: Instant,
     ) {
         let service = &mut self.services[id];
         service.last_work = self.now;
         let portion = Portion {
-            eligible: eligible(&portion),
+            eligible,
             job: Arc::clone(job),
             repeated: portion.repeated,
             service: id,
--- a/crates/core/src/leaf/outlook.rs
+++ b/crates/core/src/leaf/outlook.rs
@@ -17,11 +17,12 @@
     /// Marks of a service's servers that are poor; none if all are.
     pub(super) fn avoided(&self, id: ServiceId) -> Vec<u32> {
         let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
-        let (poor, good): (Vec<&Server>, Vec<&Server>) = servers
-            .filter(|server| server.accepts())
-            .partition(|server| server.health.is_poor(self.now));
-        let poor = poor.into_iter().filter(|_| !good.is_empty());
-        poor.map(|server| server.mark.0).collect()
+        let accepting = servers.filter(|server| server.accepts());
+        let is_poor = |server: &&Server| server.health.is_poor(self.now);
+        if accepting.clone().all(|server| is_poor(&server)) {
+            return Vec::new();
+        }
+        accepting.filter(is_poor).map(|server| server.mark.0).collect()
     }
 
     /// Slots of the servers that may get work.
@@ -52,34 +53,29 @@
         if accepting.is_empty() {
             return Err(Refused::because(self.excluded_for(id)));
         }
-        let holders: Vec<&Server> = accepting
-            .iter()
-            .filter(|key| self.holds(**key, work))
-            .map(|key| &self.servers[*key])
-            .collect();
+        let holders: Vec<ServerKey> =
+            accepting.into_iter().filter(|key| self.holds(*key, work)).collect();
         if holders.is_empty() {
             return Err(Refused::because(Reason::VersionRetired));
         }
-        let unreachable =
-            |server: &&Server| server.in_flight == 0 && server.open_failures >= UNREACHABLE;
+        let unreachable = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            server.in_flight == 0 && server.open_failures >= UNREACHABLE
+        };
         if holders.iter().all(unreachable) {
             return Err(Refused::because(Reason::ConnectFailed));
         }
-        let rest = holders.iter().map(|server| server.health.shed_until()).min();
-        match rest {
-            Some(until) if until >= deadline && self.selects_by_outcome() => {
-                let wait = until.since(self.now);
-                return Err(Refused::because(Reason::TargetShed).come_back(wait));
-            }
-            _ => {}
+        let first = |until: fn(&Self, ServerKey) -> Instant| {
+            let first = holders.iter().map(|key| until(self, *key)).min();
+            first.filter(|until| *until >= deadline).map(|until| until.since(self.now))
+        };
+        let shed = first(|machine, key| machine.servers[key].health.shed_until());
+        if let Some(wait) = shed.filter(|_| self.selects_by_outcome()) {
+            return Err(Refused::because(Reason::TargetShed).come_back(wait));
         }
-        let held = accepting.iter().filter(|key| self.holds(**key, work));
-        match held.map(|key| self.warm_at(*key)).min() {
-            Some(until) if until >= deadline => {
-                let wait = until.since(self.now);
-                Err(Refused::because(Reason::WarmingUp).come_back(wait))
-            }
-            _ => Ok(()),
+        match first(Self::warm_at) {
+            Some(wait) => Err(Refused::because(Reason::WarmingUp).come_back(wait)),
+            None => Ok(()),
         }
     }
 
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -2,31 +2,8 @@
 
 use actix_http::StatusCode;
 use ladder_core::collections::Map;
-use ladder_schema::publication::record::Body;
-use ladder_schema::publication::{Kind, Page, Record};
-
-/// What a record is about.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Key {
-    kind: Kind,
-    name: String,
-}
-
-impl Key {
-    /// The key of a record; none when the record has no body.
-    fn new(record: &Record) -> Option<Self> {
-        let (kind, name) = match record.body.as_ref()? {
-            Body::Entry(entry) => (Kind::Entry, entry.service.clone()),
-            Body::Index(index) => (Kind::Index, format!("{}@{}", index.name, index.version)),
-            Body::Server(server) => (Kind::Server, server.name.clone()),
-            Body::Instance(instance) => (Kind::Instance, instance.name.clone()),
-            Body::Routing(_) => (Kind::Routing, String::new()),
-            Body::Evacuation(evacuation) => (Kind::Evacuation, evacuation.zone.clone()),
-            Body::Tombstone(tombstone) => (tombstone.kind(), tombstone.name.clone()),
-        };
-        Some(Self { kind, name })
-    }
-}
+use ladder_core::control::store::Key;
+use ladder_schema::publication::{Page, Record};
 
 /// Why a publication is refused.
 #[derive(Debug, PartialEq, Eq)]
@@ -79,7 +56,10 @@
     }
 
     fn insert(&mut self, position: usize, mut record: Record) -> Result<(), Refusal> {
-        let key = Key::new(&record).ok_or(Refusal::NoBody(position))?;
+        if record.body.is_none() {
+            return Err(Refusal::NoBody(position));
+        }
+        let key = Key::of(&record);
         if record.revision == 0 {
             record.revision = self.head + 1;
         }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -1,7 +1,7 @@
 //! What operators see of the machines.
 
 use ladder_core::control::membership::Member;
-use ladder_core::control::quarantine::{Entry, Standing};
+use ladder_core::control::quarantine::{Entry, Incarnation};
 use ladder_core::control::store::{Key, Refusal};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::{Instant, micros};
@@ -116,18 +116,11 @@
 
 /// One of them.
 fn quarantine(request: Fingerprint, entry: &Entry, now: Instant) -> status::Quarantine {
-    let incarnations = entry.incarnations.iter().map(|incarnation| wire::Incarnation {
-        server: incarnation.server.to_string(),
-        number: incarnation.number,
-    });
     status::Quarantine {
         fingerprint: request.to_string(),
-        standing: match entry.standing {
-            Standing::Quarantined => wire::Standing::Quarantined.into(),
-            Standing::Cleared => wire::Standing::Cleared.into(),
-        },
+        standing: wire::Standing::from(entry.standing).into(),
         idle_ms: micros(now.since(entry.seen)) / 1000,
-        incarnations: incarnations.collect(),
+        incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
     }
 }
 
