An instance's part of a cold server's requests is divided once, not at each look

Work in the wrong place: each look at a server that warms up (several for a call) hashed the name of every instance. The part is now computed when the server is listed, and anew when other instances count. No change of what may be sent.

Tests: instances together keep to the bound in any one second, at 7, 66 and 195 machines of which each knows all others, misses one, or misses an eighth (red with three times the rate); a part shrinks when others become known while views share the service (red without the second division).

--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -21,7 +21,9 @@
     pub(super) fn refresh(&mut self, view: &Arc<View>, out: &mut Vec<Action>) {
         let before = std::mem::replace(&mut self.view, Arc::clone(view));
         let others = view.neighbours.iter().map(|neighbour| &neighbour.peer.name);
-        self.fleet.see(self.now, others.chain([&self.settings.name]));
+        if self.fleet.see(self.now, others.chain([&self.settings.name])) {
+            self.plan_warmups();
+        }
         for (key, listed) in &view.services {
             // Views share the services that did not change.
             let same = |old: &Arc<view::Service>| Arc::ptr_eq(old, listed);
@@ -87,7 +89,7 @@
             let before = self.servers[key].incarnation;
             let warmup = self.services[id].warmup();
             self.servers[key].list(self.now, listed, warmup);
-            self.pump_when_warm(key);
+            self.plan_warmup(key);
             if before < listed.incarnation {
                 self.cut_off(key, out);
                 self.server_ended(key, before, out);
@@ -101,7 +103,7 @@
         let key = self.servers.insert(Server::new(self.now, id, listed, warmup));
         self.server_keys.insert(Arc::clone(&listed.name), key);
         self.services[id].servers.push(key);
-        self.pump_when_warm(key);
+        self.plan_warmup(key);
     }
 
     /// A server has started again: its connections lead to a process that is gone.
--- a/crates/core/src/leaf/warmup.rs
+++ b/crates/core/src/leaf/warmup.rs
@@ -76,14 +76,21 @@
 }
 
 impl Fleet {
-    /// Records which instances there are.
-    pub(super) fn see<'a>(&mut self, now: Instant, names: impl Iterator<Item = &'a Arc<str>>) {
+    /// Records which instances there are; whether others count from now on.
+    pub(super) fn see<'a>(
+        &mut self,
+        now: Instant,
+        names: impl Iterator<Item = &'a Arc<str>>,
+    ) -> bool {
         self.started.get_or_insert(now);
         let names: Vec<Arc<str>> = names.cloned().collect();
-        if names.len() >= self.names.len() || now.since(self.seen) >= MEMORY {
-            self.names = names;
-            self.seen = now;
+        if names.len() < self.names.len() && now.since(self.seen) < MEMORY {
+            return false;
         }
+        self.seen = now;
+        let differs = names != self.names;
+        self.names = names;
+        differs
     }
 
     /// The others are known, as far as they can be.
@@ -91,7 +98,7 @@
         self.started.is_some_and(|at| now.since(at) >= SETTLING)
     }
 
-    pub(super) fn names(&self) -> impl Iterator<Item = &str> {
+    fn names(&self) -> impl Iterator<Item = &str> {
         self.names.iter().map(|name| &**name)
     }
 }
@@ -102,6 +109,10 @@
     /// What was last published of the time left.
     published: Duration,
     until: Instant,
+    /// Requests that this instance may send in each window while every instance asks for itself.
+    ///
+    /// Invariant: of the fleet that counts now, while the server warms up.
+    part: u32,
     /// When requests were sent within the last window while it warmed up, oldest first.
     sent: VecDeque<Instant>,
 }
@@ -158,9 +169,7 @@
         let part = match service.asks() {
             _ if !self.fleet.is_settled(self.now) => 0,
             Some(Asker::ForAll) => bound.asker_part(),
-            Some(Asker::ForItself) => {
-                bound.part(&server.name, &self.settings.name, self.fleet.names())
-            }
+            Some(Asker::ForItself) => server.warmup.part,
             None => 0,
         };
         server.warmup.next(part)
@@ -176,12 +185,23 @@
         self.pump_at(self.servers[key].service, at);
     }
 
-    /// Asks for a look at what waits when a server is warm.
-    pub(super) fn pump_when_warm(&mut self, key: ServerKey) {
-        let server = &self.servers[key];
-        let (service, until) = (server.service, server.warmup.until);
-        if Bound::of(&self.services[service].limits()).is_some() {
+    /// Prepares the warm-up of a server as it is listed, and a look at what waits at its end.
+    pub(super) fn plan_warmup(&mut self, key: ServerKey) {
+        let server = &mut self.servers[key];
+        let Some(bound) = Bound::of(&self.services[server.service].limits()) else {
+            return;
+        };
+        if !server.warmup.is_over(self.now) {
+            let names = self.fleet.names();
+            server.warmup.part = bound.part(&server.name, &self.settings.name, names);
+            let (service, until) = (server.service, server.warmup.until);
             self.pump_at(service, until);
         }
     }
+
+    /// Other instances count: divides anew what servers that warm up may get.
+    pub(super) fn plan_warmups(&mut self) {
+        let keys: Vec<ServerKey> = self.servers.keys().collect();
+        keys.into_iter().for_each(|key| self.plan_warmup(key));
+    }
 }
--- a/crates/core/tests/leaf/warmup.rs
+++ b/crates/core/tests/leaf/warmup.rs
@@ -1,12 +1,13 @@
 //! Servers that warm up and bear few requests a second, over all instances.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bolero::TypeGenerator;
 use ladder_core::collections::Map;
-use ladder_core::leaf::Event;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::warmup::{Bound, WINDOW};
+use ladder_core::leaf::{Event, Settings};
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::time::Instant;
@@ -58,6 +59,56 @@
     }
 }
 
+/// Guards against a bound that holds for each instance and not for all of them.
+#[test]
+fn instances_together_keep_to_the_bound() {
+    for count in [7, 66, 195] {
+        for unknown in [0, 1, count / 8] {
+            let fleet = names(count);
+            let mut all = Vec::new();
+            for (at, own) in fleet.iter().enumerate() {
+                let others =
+                    || (1..count - unknown).map(|step| &fleet[(at + unknown + step) % count]);
+                let warm = Place { warmup: [0, 0], ..COLD };
+                let settings = Settings::builder(own, 7).seed(1).build();
+                let mut bed = Bed::cold(settings, limited(Limits::default(), vec![]));
+                bed.handle(warm.view_among(others().cloned()));
+                bed.connect();
+                bed.advance(4000);
+                bed.handle(COLD.view_among(others().cloned()));
+                bed.connect();
+                let sent = flood(&mut bed, 300);
+                all.extend(sent.get("10.0.0.1:80").into_iter().flatten().copied());
+            }
+            let most = most_in_a_second(&all);
+            let bound = if unknown == 0 { BOUND.most / 2 } else { BOUND.most };
+            assert!(most > 0 && most <= bound as usize, "{most} of {count} that miss {unknown}");
+        }
+    }
+}
+
+/// Guards against a part that stays as it was when the instance knew nobody.
+#[test]
+fn part_shrinks_as_others_become_known() {
+    let long = Place { warmup: [30_000, 0], others: 0, ..COLD };
+    let mut bed = Bed::cold(settings(), limited(Limits::default(), vec![]));
+    let (Event::View(alone), Event::View(joined)) =
+        (long.view(), Place { others: 2, ..long }.view())
+    else {
+        panic!("views");
+    };
+    bed.handle(Event::View(Arc::clone(&alone)));
+    bed.connect();
+    bed.advance(4000);
+    // Views share the services that did not change.
+    let neighbours = Arc::clone(&joined.neighbours);
+    bed.handle(Event::View(Arc::new(View { neighbours, ..View::clone(&alone) })));
+    let fleet: Vec<String> = (1..=3).map(|at| format!("porto-{at}")).collect();
+    let own = part(BOUND, "docks-1", "porto-1", &fleet) as usize;
+    let sent = flood(&mut bed, 2000);
+    assert_eq!(most_in_a_second(&sent["10.0.0.1:80"]), own);
+}
+
 /// How the servers of a case are found.
 #[derive(Clone, Copy)]
 struct Place {
@@ -73,6 +124,11 @@
 
 impl Place {
     fn view(self) -> Event {
+        self.view_among((2..self.others + 2).map(|at| format!("porto-{at}")))
+    }
+
+    /// The view of an instance that knows these others.
+    fn view_among(self, others: impl Iterator<Item = String>) -> Event {
         let limits = Limits {
             queue: 100,
             extra_percent: 20,
@@ -91,13 +147,13 @@
             Service { candidates, scarce: self.scarce, ..limited(limits, servers.to_vec()) };
         let mut view = View { ready: true, ..View::default() };
         view.insert(service);
-        let neighbour = |at: usize| Neighbour {
-            peer: peer(&format!("porto-{}", at + 2)),
+        let neighbour = |name: String| Neighbour {
+            peer: peer(&name),
             zone: "trindade".into(),
             millicores: 1000,
         };
-        view.neighbours = (0..self.others).map(neighbour).collect();
-        Event::View(std::sync::Arc::new(view))
+        view.neighbours = others.map(neighbour).collect();
+        Event::View(Arc::new(view))
     }
 
     /// A machine that knows the others, with both servers warm, and then as this place says.
