--- a/crates/core/tests/leaf/exclusion.rs
+++ b/crates/core/tests/leaf/exclusion.rs
@@ -1,7 +1,7 @@
 //! Servers that get no new work, whatever the path to them.
 
 use bolero::TypeGenerator;
-use ladder_core::collections::{Map, Set};
+use ladder_core::collections::Set;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::exclusion::{Exclusion, Facts};
 use ladder_core::leaf::status::State;
@@ -11,6 +11,7 @@
 use ladder_core::view::Server;
 
 use crate::bed::{Bed, Sent, server, service, settings, view, work};
+use crate::open::{End, Open};
 
 const GOOD: Facts =
     Facts { listed: true, share: 6, leaving: false, evacuated: false, spent: false };
@@ -173,9 +174,7 @@
     Work,
     /// The operator evacuates the zones of these bits.
     Evacuate(u8),
-    Answer(u8),
-    Lose(u8),
-    Shed(u8),
+    End(u8, End),
     Wait(u8),
     Connect,
 }
@@ -195,10 +194,9 @@
             bed.handle(zones(0));
             bed.connect();
             let mut evacuated = 0;
-            let mut lanes = Map::default();
-            let mut open: Vec<Sent> = Vec::new();
+            let mut open = Open::default();
             for (number, step) in (1..).zip(steps) {
-                lanes.extend(bed.opened.iter().cloned());
+                open.note(&bed);
                 bed.log.clear();
                 match *step {
                     Step::Work => bed.work(work(number, "sweep")),
@@ -208,29 +206,12 @@
                     }
                     Step::Wait(millis) => bed.advance(millis.into()),
                     Step::Connect => bed.connect(),
-                    Step::Answer(at) | Step::Lose(at) | Step::Shed(at) => {
-                        if open.is_empty() {
-                            continue;
-                        }
-                        let sent = open.remove(usize::from(at) % open.len());
-                        let shed = || sent.refusal(Reason::TargetShed, 5);
-                        let outcome = match step {
-                            Step::Answer(_) => sent.answer(),
-                            Step::Shed(_) => shed(),
-                            _ => Outcome::Lost,
-                        };
-                        bed.end(sent.attempt, outcome);
-                    }
+                    Step::End(at, end) => open.end(&mut bed, at, end),
                 }
-                lanes.extend(bed.opened.iter().cloned());
-                for sent in bed.sent() {
-                    let address = &lanes[&sent.lane];
+                for address in open.take(&bed) {
                     let zone: u8 = address["10.0.0.".len()..address.len() - 3].parse().unwrap();
                     assert!(evacuated >> zone & 1 == 0, "{address} in {evacuated:03b}");
-                    open.push(sent);
                 }
-                let given_up = |sent: &Sent| !bed.opened.iter().any(|(lane, _)| *lane == sent.lane);
-                open.retain(|sent| !given_up(sent));
             }
         });
 }
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -11,6 +11,7 @@
 mod lanes;
 mod load;
 mod once;
+mod open;
 mod property;
 mod queue;
 mod servers;
--- a/crates/core/tests/leaf/warmup.rs
+++ b/crates/core/tests/leaf/warmup.rs
@@ -5,7 +5,6 @@
 
 use bolero::TypeGenerator;
 use ladder_core::collections::Map;
-use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::warmup::{Bound, WINDOW};
 use ladder_core::leaf::{Event, Settings};
 use ladder_core::schema::catalogue::Limits;
@@ -14,6 +13,7 @@
 use ladder_core::view::{Candidate, Neighbour, Server, Service, View};
 
 use crate::bed::{Bed, limited, peer, server, settings, work};
+use crate::open::{End, Open};
 
 const BOUND: Bound = Bound { rate: 12, most: 23 };
 
@@ -281,9 +281,7 @@
 #[derive(TypeGenerator)]
 enum Step {
     Work(u8),
-    Answer(u8),
-    Lose(u8),
-    Shed(u8),
+    End(u8, End),
     Wait(u8),
     Cold(bool),
     Evacuated(bool),
@@ -300,11 +298,11 @@
         .for_each(|steps| {
             let mut place = Place { warmup: [0, 0], ..COLD };
             let mut bed = place.bed();
-            let (mut lanes, mut sent, mut open) = (Map::default(), Vec::new(), Vec::new());
+            let (mut sent, mut open) = (Vec::new(), Open::default());
             // From when on the first server is cold by all that was said.
             let mut cold_until = bed.now;
             for (number, step) in (1_u64..).zip(steps) {
-                lanes.extend(bed.opened.iter().cloned());
+                open.note(&bed);
                 bed.log.clear();
                 match *step {
                     Step::Work(count) => (0..u64::from(count % 16))
@@ -319,32 +317,16 @@
                         place.evacuated = evacuated;
                         bed.handle(place.view());
                     }
-                    Step::Answer(at) | Step::Lose(at) | Step::Shed(at) => {
-                        if open.is_empty() {
-                            continue;
-                        }
-                        let call: crate::bed::Sent = open.remove(usize::from(at) % open.len());
-                        let outcome = match step {
-                            Step::Answer(_) => call.answer(),
-                            Step::Shed(_) => call.refusal(Reason::TargetShed, 5),
-                            _ => Outcome::Lost,
-                        };
-                        bed.end(call.attempt, outcome);
-                    }
-                }
-                lanes.extend(bed.opened.iter().cloned());
-                for call in bed.sent() {
-                    if &*lanes[&call.lane] == "10.0.0.1:80" && bed.now < cold_until {
-                        sent.push(bed.now);
-                    }
-                    open.push(call);
+                    Step::End(at, end) => open.end(&mut bed, at, end),
                 }
+                let taken = open.take(&bed);
+                let cold = taken.iter().filter(|address| &***address == "10.0.0.1:80");
+                sent.extend(cold.filter(|_| bed.now < cold_until).map(|_| bed.now));
                 match *step {
                     Step::Cold(true) => cold_until = cold_until.max(bed.now + WINDOW * 2),
                     Step::Cold(false) => cold_until = bed.now,
                     _ => {}
                 }
-                open.retain(|call| bed.opened.iter().any(|(lane, _)| *lane == call.lane));
             }
             assert!(most_in_a_second(&sent) <= own, "{sent:?}, part {own}");
         });
