--- a/crates/core/tests/gather/near.rs
+++ b/crates/core/tests/gather/near.rs
@@ -19,25 +19,27 @@
 use crate::session::{INCARNATION, Session, answer, answers, dropped, works};
 
 /// Zone of the instance under test.
-const HERE: &str = "trindade";
+pub(crate) const HERE: &str = "trindade";
 /// Version of the routes.
 const VERSION: u64 = 7;
 
 /// What a case's view holds.
 #[derive(Clone)]
-struct Place {
+pub(crate) struct Place {
     /// Zones of the servers of each part.
-    parts: Vec<Vec<&'static str>>,
+    pub(crate) parts: Vec<Vec<&'static str>>,
     /// Settled peers with their zones.
-    peers: Vec<(&'static str, &'static str)>,
+    pub(crate) peers: Vec<(&'static str, &'static str)>,
     /// Thousandths of a processor core of each of them, and of this instance.
-    millicores: Map<&'static str, u32>,
-    version: u64,
-    unrepeatable: bool,
+    pub(crate) millicores: Map<&'static str, u32>,
+    pub(crate) version: u64,
+    pub(crate) unrepeatable: bool,
     /// The servers' connections don't suffice for every instance.
-    scarce: bool,
+    pub(crate) scarce: bool,
     /// Zone to whose servers nothing may be sent.
-    evacuated: &'static str,
+    pub(crate) evacuated: &'static str,
+    /// Regions whose servers may get the routes' messages; none: all.
+    pub(crate) homes: Vec<&'static str>,
 }
 
 impl Default for Place {
@@ -53,6 +55,7 @@
             unrepeatable: false,
             scarce: false,
             evacuated: "",
+            homes: Vec::new(),
         }
     }
 }
@@ -101,6 +104,7 @@
             target_ms: 100,
             attempts: 2,
             unrepeatable: self.unrepeatable,
+            homes: self.homes.iter().map(|home| (*home).to_owned()).collect(),
             ..Route::default()
         };
         let single = vec![Branch { service: "s1".to_owned(), weight: 1.0 }];
@@ -119,10 +123,13 @@
             millicores: self.millicores.get(name).copied().unwrap_or(0),
         };
         view.neighbours = self.peers.iter().map(neighbour).collect();
+        let regions = [(HERE, "north"), ("campanha", "south"), ("sao-bento", "south")];
+        let regions = regions.map(|(zone, region)| (zone.into(), region.into()));
+        view.regions = Arc::new(regions.into_iter().collect());
         Event::View(Arc::new(view))
     }
 
-    fn session(&self) -> Session {
+    pub(crate) fn session(&self) -> Session {
         let own = self.millicores.get(SELF).copied().unwrap_or(1000);
         let settings = Settings::builder(SELF, INCARNATION).near(HERE).millicores(own).build();
         let mut session = Session::with(settings);
@@ -131,7 +138,7 @@
     }
 }
 
-fn message(key: &str, target: &str, body: usize) -> Request {
+pub(crate) fn message(key: &str, target: &str, body: usize) -> Request {
     let message = Message {
         method: "GET".to_owned(),
         host: "porto.example".to_owned(),
@@ -186,12 +193,12 @@
     replies.collect()
 }
 
-fn refused(work: &Work, service: &str, reason: Reason) -> Reply {
+pub(crate) fn refused(work: &Work, service: &str, reason: Reason) -> Reply {
     let (verdict, reason) = (Verdict::NotRun.into(), reason.into());
     Reply { verdict, reason, parts: Vec::new(), ..reply(work, service, &[]) }
 }
 
-fn tell(session: &mut Session, from: &str, replies: Vec<Reply>) -> Vec<Action> {
+pub(crate) fn tell(session: &mut Session, from: &str, replies: Vec<Reply>) -> Vec<Action> {
     session.give(Event::Replies { from: from.into(), replies })
 }
 
