Log dropped records, full listings and the era of the platform's store

The logs of the incident count a drop as stale, but tell neither the record, its revision, the revision in force, nor who sent it. A record with the revision of the one in force and other content counted as known, without a trace. A store that went back showed only as a smaller number after an outage. Now each of these has a line, and Store-Era is read and logged. No decision has changed: what was dropped is still dropped.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -96,6 +96,8 @@
     deferred_digests: u32,
     /// Rank of this instance in its zone's order of platform readers.
     reader_rank: ReaderRank,
+    /// Last known era of the platform's store; 0 if none is known.
+    era: u64,
     /// When the view must be rebuilt even if no record or member changes.
     next_view_at: Option<Instant>,
 }
@@ -129,6 +131,7 @@
             deferred_digests: 0,
             reader_rank: ReaderRank::LAST,
             next_view_at: None,
+            era: 0,
             random,
             settings,
         }
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -58,7 +58,7 @@
                 quarantine.merge(now, &frame)
             });
         }
-        let mut changes = self.apply(now, &frame.records, out);
+        let mut changes = self.apply(now, &frame.records, &frame.from, out);
         changes.departures = self.apply_departures(frame.departures).departures;
         self.log_records(&changes, &frame.from, out);
         self.broadcast(now, &changes, &frame.address, out);
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -24,6 +24,7 @@
             let silence = self.reader.silence(now);
             out.push(Action::Log(StateChange::PlatformRegained { revision: page.head, silence }));
         }
+        self.note_era(page, out);
         if page.whole || page.current {
             self.reader.caught_up(now, page.head);
         } else {
@@ -42,11 +43,25 @@
         }
     }
 
+    /// Logs a full listing, and an era of the platform's store that differs from the last one.
+    fn note_era(&mut self, page: &Page, out: &mut Vec<Action>) {
+        let (era, revision) = (page.era, page.head);
+        if era != self.era {
+            let (before, in_force) = (self.era, self.store.revision());
+            self.era = era;
+            out.push(Action::Log(StateChange::EraChanged { before, now: era, in_force, revision }));
+        }
+        if page.whole {
+            let count = page.records.len();
+            out.push(Action::Log(StateChange::Listed { era, revision, count }));
+        }
+    }
+
     /// Applies the platform's first full listing without broadcasting its records, because a
     /// running fleet already has them. The digest exchange that follows at once finds those that it
     /// lacks.
     fn apply_first_listing(&mut self, now: Instant, records: &[Record], out: &mut Vec<Action>) {
-        let changes = self.apply(now, records, out);
+        let changes = self.apply(now, records, "", out);
         self.log_records(&changes, "", out);
         self.next_digest_at = now;
     }
@@ -58,7 +73,7 @@
         records: &[Record],
         out: &mut Vec<Action>,
     ) {
-        let changes = self.apply(now, records, out);
+        let changes = self.apply(now, records, "", out);
         self.log_records(&changes, "", out);
         self.broadcast(now, &changes, "", out);
     }
@@ -146,13 +161,16 @@
             && server.is_some_and(|server| !self.store.is_marked_leaving(server))
     }
 
-    /// Applies records and returns those that changed the store.
+    /// Applies records of a peer, or of the platform if `from` is empty, and returns those that
+    /// changed the store.
     pub(super) fn apply(
         &mut self,
         now: Instant,
         records: &[Record],
+        from: &str,
         out: &mut Vec<Action>,
     ) -> PendingChanges {
+        let mut dropped = Vec::new();
         let mut changes = PendingChanges::default();
         let mut instances_changed = false;
         for record in records {
@@ -163,7 +181,14 @@
                     changes.records.push(record.clone());
                 }
                 Outcome::Known => {}
-                Outcome::Stale => out.push(count_drop(Reason::StaleRevision)),
+                Outcome::Stale => {
+                    out.push(count_drop(Reason::StaleRevision));
+                    dropped.push(record);
+                }
+                Outcome::Reused => {
+                    out.push(count_drop(Reason::ReusedRevision));
+                    dropped.push(record);
+                }
                 Outcome::Refused(refusal) => {
                     out.push(count_drop(Reason::BadRecord));
                     out.push(Action::Refused {
@@ -174,6 +199,7 @@
                 }
             }
         }
+        self.log_dropped(&dropped, from, out);
         if !changes.records.is_empty() {
             self.store_changed = true;
             self.store_changed_at = now;
@@ -184,6 +210,21 @@
         changes
     }
 
+    fn log_dropped(&self, dropped: &[&Record], from: &str, out: &mut Vec<Action>) {
+        let Some(first) = dropped.first() else {
+            return;
+        };
+        let key = Key::of(first);
+        let in_force = self.store.get(&key).map_or(0, |record| record.revision);
+        out.push(Action::Log(StateChange::RecordsDropped {
+            from: from.into(),
+            count: dropped.len(),
+            key,
+            revision: first.revision,
+            in_force,
+        }));
+    }
+
     pub(super) fn server_leaving(
         &mut self,
         now: Instant,
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -6,6 +6,7 @@
 use super::membership::Standing;
 use super::quarantine::{self, Incarnation};
 use super::reader::Failure;
+use super::store::Key;
 use crate::fingerprint::Fingerprint;
 
 /// A change of this instance's state of the fleet or the publication, with its reason.
@@ -36,6 +37,40 @@
         /// Number of tombstones among the records.
         withdrawn: usize,
     },
+    /// The platform sent a full listing.
+    Listed {
+        /// Era of the platform's store; 0 if the store reports none.
+        era: u64,
+        /// Highest revision of the platform.
+        revision: u64,
+        /// Number of records in the listing.
+        count: usize,
+    },
+    /// The platform's store reports another era than before.
+    EraChanged {
+        /// Era before the change; 0 if none was known.
+        before: u64,
+        /// Era from now on.
+        now: u64,
+        /// Highest revision in force at this instance.
+        in_force: u64,
+        /// Highest revision of the platform.
+        revision: u64,
+    },
+    /// Records of the platform or of a peer were dropped because they are older than those in
+    /// force, or have the same revision and other content.
+    RecordsDropped {
+        /// Name of the peer that sent the records; empty for the platform.
+        from: Arc<str>,
+        /// Number of dropped records.
+        count: usize,
+        /// Key of the first dropped record.
+        key: Key,
+        /// Revision of the first dropped record.
+        revision: u64,
+        /// Revision of the record in force of the same key.
+        in_force: u64,
+    },
     /// Withdrawals of live servers are held back, because they may be an error of the platform.
     WithdrawalsDeferred {
         /// Number of withdrawals held back.
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -38,6 +38,8 @@
     Known,
     /// A newer revision of the record's key is in force.
     Stale,
+    /// The same revision of the record's key is in force with other content.
+    Reused,
     /// The record fails validation; the record in force stays.
     Refused(Refusal),
 }
@@ -109,7 +111,8 @@
                 return Outcome::Stale;
             }
             if in_force.revision == record.revision {
-                return Outcome::Known;
+                let is_same = in_force.body == record.body;
+                return if is_same { Outcome::Known } else { Outcome::Reused };
             }
         }
         if let Err(error) = check::record(record) {
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -95,6 +95,7 @@
         Outcome::Applied => OutcomeKind::Applied,
         Outcome::Known => OutcomeKind::Known,
         Outcome::Stale => OutcomeKind::Stale,
+        Outcome::Reused => panic!("no case reuses a revision"),
         Outcome::Refused(_) => OutcomeKind::Refused,
     }
 }
@@ -113,6 +114,16 @@
     }
 }
 
+/// The platform gives a revision out twice. The record that is dropped for it must not look like one
+/// that is already in force.
+#[test]
+fn reused_revision_with_other_content_is_reported() {
+    let mut store = Store::default();
+    assert_eq!(store.apply(&entry_change(3, 10)), Outcome::Applied);
+    assert_eq!(store.apply(&entry_change(3, 20)), Outcome::Reused);
+    assert_eq!(store.apply(&entry_change(3, 10)), Outcome::Known);
+}
+
 struct InvalidRecord {
     body: Body,
     detail: &'static str,
--- a/src/log.rs
+++ b/src/log.rs
@@ -63,6 +63,18 @@
             info!(log, "records in force"; "from" => from, "revision" => revision,
                 "records" => count, "withdrawn" => withdrawn);
         }
+        StateChange::Listed { era, revision, count } => {
+            info!(log, "platform listed"; "era" => era, "revision" => revision, "records" => count);
+        }
+        StateChange::EraChanged { before, now, in_force, revision } => {
+            warn!(log, "era of the platform's store changed"; "before" => before, "now" => now,
+                "in_force" => in_force, "revision" => revision);
+        }
+        StateChange::RecordsDropped { from, count, key, revision, in_force } => {
+            let from = if from.is_empty() { "platform" } else { from };
+            info!(log, "records dropped"; "from" => from, "records" => count,
+                "first" => %key, "revision" => revision, "in_force" => in_force);
+        }
         StateChange::WithdrawalsDeferred { count, live } => {
             warn!(log, "withdrawals of servers deferred as implausible"; "servers" => count,
                 "live" => live);
