Failing test of a change that is acknowledged after the store was restored from a copy

The simulated platform learns the drill: it loses all records above a revision, reports the next era, gives the revisions out again and refuses a watch after a revision that it does not have. On the current code every instance drops the new versions as stale, with one instance as with 24.

--- a/crates/core/tests/fleet/fixtures.rs
+++ b/crates/core/tests/fleet/fixtures.rs
@@ -4,7 +4,7 @@
 use ladder_core::schema::bounds::PROTOCOL;
 use ladder_core::schema::catalogue::{Entry, Limits, Operation, Urgency};
 use ladder_core::schema::publication::{
-    Index, Instance, Kind, Record, Server, Shard, State, Tombstone, record::Body,
+    Bounds, Index, Instance, Kind, Record, Routing, Server, Shard, State, Tombstone, record::Body,
 };
 use ladder_core::schema::wire::{Frame, Liveness, Rumour};
 
@@ -22,6 +22,19 @@
     })
 }
 
+/// Routes of one version with one service.
+pub(crate) fn routes(version: u64) -> Body {
+    let Body::Entry(entry) = entry("docks", 10) else {
+        unreachable!("the fixture is an entry");
+    };
+    Body::Routing(Routing {
+        version,
+        entries: vec![entry],
+        bounds: Some(Bounds { header_bytes: 1, body_bytes: 1, header_ms: 1, idle_ms: 1 }),
+        ..Routing::default()
+    })
+}
+
 pub(crate) fn operation(name: &str, deadline_ms: u32) -> Operation {
     Operation { name: name.to_owned(), deadline_ms, ..Operation::default() }
 }
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ladder_core::control::settings::{Listing, Placement, Timing};
+use ladder_core::control::store::Key;
 use ladder_core::control::{Action, Event, Machine, Settings};
 use ladder_core::schema::publication::{Page, Record, record::Body};
 use ladder_core::schema::wire::Frame;
@@ -64,6 +65,9 @@
     pub millicores: u32,
     /// Whether the platform answers a first read with a full listing, marked as such.
     pub sends_full_listing: bool,
+    /// Era of the platform's store; 0 if it reports none. A store with an era refuses a watch after
+    /// a revision that it does not have.
+    pub era: u64,
     /// Number of bytes of the frames sent to another zone so far.
     pub cross_zone_bytes: usize,
     /// Names of the instances on one side of a network partition.
@@ -165,6 +169,13 @@
         self.records.retain(|record| record.revision <= newest);
     }
 
+    /// The platform's store is restored from a copy that lacks all records above a revision. Open
+    /// watches go on waiting.
+    pub(crate) fn drill(&mut self, newest: u64) {
+        self.era += 1;
+        self.restore_platform(newest);
+    }
+
     /// The platform stops answering; open watches fail.
     pub(crate) fn stop_platform(&mut self) {
         self.platform_up = false;
@@ -199,13 +210,23 @@
         }
     }
 
+    fn head(&self) -> u64 {
+        self.records.iter().map(|record| record.revision).max().unwrap_or(0)
+    }
+
     fn page(&self, after_revision: u64) -> Page {
         let newer_records = self.records.iter().filter(|record| record.revision > after_revision);
         let mut records: Vec<Record> = newer_records.cloned().collect();
         records.sort_by_key(|record| record.revision);
-        let head = self.records.iter().map(|record| record.revision).max();
         let whole = self.sends_full_listing && after_revision == 0;
-        Page { head: head.unwrap_or(0), records, whole, ..Page::default() }
+        let current = self.era > 0;
+        if whole && current {
+            let newest: BTreeMap<Key, Record> =
+                records.into_iter().map(|record| (Key::of(&record), record)).collect();
+            let is_published = |record: &Record| !matches!(record.body, Some(Body::Tombstone(_)));
+            records = newest.into_values().filter(is_published).collect();
+        }
+        Page { head: self.head(), records, whole, current, era: self.era }
     }
 
     fn answer_watch(&mut self, name: &str) {
@@ -222,6 +243,11 @@
             return;
         }
         let (after, wait_is_over) = (watch.after, now >= watch.answer_by);
+        if self.era > 0 && after > self.head() {
+            self.node(name).watch = None;
+            self.schedule(name, Event::WatchExpired);
+            return;
+        }
         let page = self.page(if is_reached { after } else { u64::MAX });
         if wait_is_over || !page.records.is_empty() {
             self.node(name).watch = None;
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -18,3 +18,4 @@
 mod silence;
 mod simulation;
 mod store;
+mod store_drill;
--- a/crates/core/tests/fleet/observed_fleet.rs
+++ b/crates/core/tests/fleet/observed_fleet.rs
@@ -30,28 +30,10 @@
     fixtures::server(&format!("docks-{number}"), "docks", 1, State::Live)
 }
 
-/// Routes of one version with one service.
-fn routes(version: u64) -> Body {
-    let Body::Entry(entry) = fixtures::entry("docks", 10) else {
-        unreachable!("the fixture is an entry");
-    };
-    Body::Routing(Routing {
-        version,
-        entries: vec![entry],
-        bounds: Some(ladder_core::schema::publication::Bounds {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_ms: 1,
-            idle_ms: 1,
-        }),
-        ..Routing::default()
-    })
-}
-
 /// Routes and all servers, with one revision for each record.
 fn all_records() -> Vec<Record> {
     let servers = (1..=SERVER_COUNT).map(|number| fixtures::record(number + 1, server(number)));
-    [fixtures::record(1, routes(1))].into_iter().chain(servers).collect()
+    [fixtures::record(1, fixtures::routes(1))].into_iter().chain(servers).collect()
 }
 
 fn server_tombstone(number: u64, revision: u64) -> Record {
@@ -176,7 +158,7 @@
     assert_eq!(instance.last_requested_revision(), 0, "all records are read again");
     let mut records = all_records();
     records.remove(5);
-    records.push(fixtures::record(90, routes(2)));
+    records.push(fixtures::record(90, fixtures::routes(2)));
     instance.receive_full_listing(records);
     assert_eq!(instance.server_count(), 19);
 }
@@ -288,7 +270,7 @@
         {
             instance.receive_frame_from(&format!("entry-{name}"), zone);
         }
-        let Body::Routing(routing) = routes(2) else {
+        let Body::Routing(routing) = fixtures::routes(2) else {
             unreachable!("the fixture is routes");
         };
         let parts = case.parts.iter().map(|part| (*part).to_owned()).collect();
