Let the halves of an observed fleet meet again after a network partition

After a partition that outlasted suspicion, the two halves of a fleet whose instances are not published never exchanged a frame again: each half held the other dead, dead members were contacted only if published, and seeds were asked only until a peer had answered.

Change: a member considered dead is contacted whether it is published or not, until it is forgotten; after that, seeds that are no reachable member are asked once in eight digests.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -32,6 +32,8 @@
 const LEAVE_NOTICE_FANOUT: usize = 32;
 /// Number of peers, and of seeds, that receive a digest at once while no peer has answered one.
 const START_FANOUT: usize = 2;
+/// Mean number of digests between two contacts of a seed that is no reachable member.
+const DIGESTS_PER_SEED_CONTACT: u64 = 8;
 /// First interval between digests to seeds that have not answered; the interval then doubles.
 const START_DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait of a starting instance for the platform before it sends peers the digest of its
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -6,9 +6,10 @@
 use ladder_schema::wire::{Departure, Digest, Frame, Probe, Rumour};
 
 use super::{
-    BROADCAST_FANOUT, DEFERRABLE_BUCKETS, FIRST_READ_WAIT, GOSSIP_FANOUT, MAX_DEFERRED_DIGESTS,
-    Machine, PROPAGATION_TIME, START_FANOUT,
+    BROADCAST_FANOUT, DEFERRABLE_BUCKETS, DIGESTS_PER_SEED_CONTACT, FIRST_READ_WAIT, GOSSIP_FANOUT,
+    MAX_DEFERRED_DIGESTS, Machine, PROPAGATION_TIME, START_FANOUT,
 };
+use crate::collections::Set;
 use crate::control::Action;
 use crate::control::broadcast::{self, PendingChanges};
 use crate::control::membership::{FrameEffect, Member};
@@ -244,23 +245,25 @@
         }
     }
 
-    /// Sends digests to a random peer and to a published member considered dead, and also to seeds
-    /// while no peer has answered.
+    /// Sends digests to a random peer and to a member considered dead, and also to seeds while no
+    /// peer has answered. Once peers have answered, only seeds that are no reachable member are
+    /// asked, now and then: they may be on the other side of a former network partition.
     pub(super) fn compare_digests(&mut self, now: Instant, out: &mut Vec<Action>) {
         let mut peers = match self.peer_answered {
             true => self.random_peers(1),
             false => self.random_near_peers(START_FANOUT),
         };
         let dead_members: Vec<Contact> =
-            self.membership.published_dead().map(|member| self.contact(member)).collect();
+            self.membership.dead().map(|member| self.contact(member)).collect();
         peers.extend(self.random.pick(&dead_members, 1));
         if !self.peer_answered || peers.is_empty() {
-            let seeds = self.settings.seeds.iter();
-            let seeds: Vec<_> = seeds.filter(|seed| **seed != self.settings.address).collect();
-            let picked_seeds = self.random.pick(&seeds, START_FANOUT);
-            let contact =
-                |seed: &Arc<str>| Contact { address: Arc::clone(seed), in_other_zone: true };
-            peers.extend(picked_seeds.into_iter().map(contact));
+            let seeds: Vec<_> = self.other_seeds().collect();
+            peers.extend(self.random.pick(&seeds, START_FANOUT));
+        } else {
+            let seeds = self.unreached_seeds();
+            if !seeds.is_empty() && self.random.below(DIGESTS_PER_SEED_CONTACT) == 0 {
+                peers.extend(self.random.pick(&seeds, 1));
+            }
         }
         peers.sort_by(|one, other| one.address.cmp(&other.address));
         peers.dedup_by(|one, other| one.address == other.address);
@@ -269,6 +272,20 @@
         }
     }
 
+    /// Seeds whose address is not that of a reachable member.
+    fn unreached_seeds(&self) -> Vec<Contact> {
+        let members: Set<&str> =
+            self.membership.reachable().map(|member| &*member.address).collect();
+        self.other_seeds().filter(|seed| !members.contains(&*seed.address)).collect()
+    }
+
+    /// All seeds but this instance itself.
+    fn other_seeds(&self) -> impl Iterator<Item = Contact> {
+        let seeds = self.settings.seeds.iter();
+        let others = seeds.filter(|seed| **seed != self.settings.address);
+        others.map(|seed| Contact { address: Arc::clone(seed), in_other_zone: true })
+    }
+
     /// Sends a peer a digest of this instance's records, so that each learns which records the
     /// other lacks.
     ///
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -144,12 +144,11 @@
         self.members.values().filter(|member| member.is_reachable())
     }
 
-    /// Published members considered dead. They are contacted now and then: after a network
-    /// partition each side considers the other dead, and otherwise neither would send the first
-    /// frame.
-    pub fn published_dead(&self) -> impl Iterator<Item = &Member> {
+    /// Members considered dead. They are contacted now and then: after a network partition each
+    /// side considers the other dead, and otherwise neither would send the first frame.
+    pub fn dead(&self) -> impl Iterator<Item = &Member> {
         let is_dead = |member: &&Member| member.liveness == Liveness::Dead;
-        self.members.values().filter(is_dead).filter(|member| member.published_state.is_some())
+        self.members.values().filter(is_dead).filter(|member| !member.address.is_empty())
     }
 
     /// Whether something that a view depends on changed since [`Membership::take_changed`].
--- a/crates/core/tests/fleet/simulation.rs
+++ b/crates/core/tests/fleet/simulation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ladder_core::control::Event;
-use ladder_core::control::settings::Timing;
+use ladder_core::control::settings::{Listing, Timing};
 use ladder_core::schema::publication::{Kind, Page, Record, State};
 use ladder_core::schema::wire::Liveness;
 
@@ -370,3 +370,29 @@
         "{reads} and {large_fleet_reads} reads in 10 s"
     );
 }
+
+/// Guards against a fleet that stays split: after a network partition each side considered the
+/// other dead, and without a published list of instances neither sent the first frame.
+#[test]
+fn halves_of_an_observed_fleet_meet_again() {
+    for partition in [Duration::from_secs(6), Duration::from_secs(60)] {
+        let mut fleet = Fleet::new();
+        fleet.listing = Listing::Observed;
+        fleet.sends_full_listing = true;
+        fleet.seeds = (0..3).map(|at| fixtures::address(&name(at))).collect();
+        fleet.publish([fixtures::record(1, fixtures::routes(1))]);
+        for at in 0..9 {
+            fleet.start(&name(at), zone(at));
+        }
+        fleet.run_until("ready", TIMEOUT, all_ready);
+        fleet.partition_side = (0..4).map(name).collect();
+        fleet.run(partition);
+        fleet.partition_side.clear();
+        fleet.run_until("all are alive to each other", Duration::from_secs(20), |fleet| {
+            fleet.nodes.values().all(|node| {
+                let alive = node.machine.members();
+                alive.filter(|member| member.liveness == Liveness::Alive).count() == 8
+            })
+        });
+    }
+}
