Keep what was written before a store drill until it is written again

What callers could have met: while the store shows a copy, a server that had said that it leaves would get work again, an evacuation would be lifted, and one that had ended would be in force again.

Cause, each seen in a test first: a record that is written again with the very revision and content in force was not passed on, so an instance that had held back its withdrawal never learned of it; an instance that listed for its readers and held records back did not read on; an answer that continues a position of an earlier era may contain records of the copy, but was taken as all new.

--- a/crates/core/src/control/deferral.rs
+++ b/crates/core/src/control/deferral.rs
@@ -37,6 +37,8 @@
     due_at: Instant,
     position: Position,
     record: Record,
+    /// Whether this instance has read the record from the platform itself.
+    read_here: bool,
 }
 
 /// Records that are held back because newer ones are expected.
@@ -78,13 +80,14 @@
         key: Key,
         position: Position,
         record: Record,
+        read_here: bool,
     ) {
         let known = self.held_back.get(&key);
         let known = known.filter(|known| known.position.era == position.era);
         let due_at = known.map_or(due_at, |known| known.due_at);
         // When it is due, the record takes effect like one that was not listed.
         let record = Record { listed: false, ..record };
-        self.held_back.insert(key, Deferral { due_at, position, record });
+        self.held_back.insert(key, Deferral { due_at, position, record, read_here });
     }
 
     /// Drops a record if a newer one of its key has arrived.
@@ -110,6 +113,12 @@
         self.held_back.values().map(|deferral| deferral.due_at).min()
     }
 
+    /// Whether a record is held back that this instance has read from the platform itself, so that
+    /// it must go on reading to learn whether a newer one follows.
+    pub(super) fn await_platform(&self) -> bool {
+        self.held_back.values().any(|deferral| deferral.read_here)
+    }
+
     /// Number of records that are held back.
     pub(super) fn len(&self) -> usize {
         self.held_back.len()
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -203,7 +203,7 @@
     /// When the machine needs an [`Event::Tick`], unless another event arrives before.
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_probe_at.min(self.next_digest_at);
-        let reader_wake = self.reader.next_wake(self.reader_rank, self.reader_timing());
+        let reader_wake = self.reader.next_wake(self.current_reader_rank(), self.reader_timing());
         let other_wakes = [self.next_view_at, self.next_deferral(), self.quarantine.next_expiry()];
         for candidate in other_wakes.into_iter().chain([reader_wake]).flatten() {
             wake = wake.min(candidate);
@@ -283,6 +283,12 @@
         }
     }
 
+    /// Rank of this instance for its next read: an instance that waits for a newer record of the
+    /// platform reads like the first reader of its zone.
+    fn current_reader_rank(&self) -> ReaderRank {
+        if self.deferrals.await_platform() { ReaderRank::FIRST } else { self.reader_rank }
+    }
+
     const fn reader_timing(&self) -> reader::Timing {
         reader::Timing {
             digest: self.settings.timing.digest,
@@ -326,7 +332,8 @@
             self.reader_rank = self.own_reader_rank();
         }
         let timing = self.reader_timing();
-        if let Some(read) = self.reader.poll(now, self.reader_rank, timing, &mut self.random) {
+        let rank = self.current_reader_rank();
+        if let Some(read) = self.reader.poll(now, rank, timing, &mut self.random) {
             out.push(Action::Watch(read));
         }
         self.refresh_view(now, out);
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -29,7 +29,9 @@
             let silence = self.reader.silence(now);
             out.push(platform_log(PlatformChange::Regained { revision: page.head, silence }));
         }
-        let is_listing = page.whole || self.reader.is_listing();
+        // Changes after a position of an earlier era may have been written before the copy was made.
+        let is_listing =
+            page.whole || self.reader.is_listing() || !self.reader.continues_in(self.era);
         self.note_answer(now, page);
         let is_first_listing = page.whole && !self.fully_listed;
         self.fully_listed |= page.whole;
@@ -213,7 +215,7 @@
         let (doubted, accepted): (Vec<_>, Vec<_>) = records.into_iter().partition(withdraws_live);
         for tombstone in doubted {
             let (key, position) = (Key::of(&tombstone), self.store.position(&tombstone));
-            self.deferrals.hold_back(now + HOLD_BACK_TIME, key, position, tombstone);
+            self.deferrals.hold_back(now + HOLD_BACK_TIME, key, position, tombstone, true);
         }
         accepted
     }
@@ -248,7 +250,7 @@
         for record in records {
             let key = Key::of(record);
             self.deferrals.drop_superseded(&key, self.store.position(record));
-            if self.hold_back_older(now, &key, record) {
+            if self.hold_back_older(now, &key, record, from) {
                 continue;
             }
             if self.is_lost(now, &key, record) {
@@ -261,7 +263,9 @@
                     instances_changed |= key.kind == Kind::Instance;
                     changes.records.push(record.clone());
                 }
-                Outcome::Known => {}
+                // A record that was written again. Instances that expect it must learn of it.
+                Outcome::Confirmed if !record.listed => changes.records.push(record.clone()),
+                Outcome::Known | Outcome::Confirmed => {}
                 Outcome::Stale => {
                     out.push(count_drop(Reason::StaleRevision));
                     dropped.push(record);
@@ -293,7 +297,7 @@
 
     /// Holds back a listed record of a later era that may be older than the one in force. Returns
     /// whether it is held back.
-    fn hold_back_older(&mut self, now: Instant, key: &Key, record: &Record) -> bool {
+    fn hold_back_older(&mut self, now: Instant, key: &Key, record: &Record, from: &str) -> bool {
         let position = self.store.position(record);
         let known = self.store.get(key).zip(self.store.position_in_force(key));
         let known = known.filter(|(_, known)| {
@@ -301,7 +305,9 @@
         });
         let wait = known.and_then(|(in_force, _)| deferral::listed_wait(record, in_force));
         if let Some(wait) = wait {
-            self.deferrals.hold_back(now + wait, key.clone(), position, record.clone());
+            let read_here = from.is_empty();
+            let record = record.clone();
+            self.deferrals.hold_back(now + wait, key.clone(), position, record, read_here);
         }
         wait.is_some()
     }
@@ -320,7 +326,7 @@
             return false;
         }
         let tombstone = deferral::tombstone(key, listing);
-        self.deferrals.hold_back(now + HOLD_BACK_TIME, key.clone(), listing, tombstone);
+        self.deferrals.hold_back(now + HOLD_BACK_TIME, key.clone(), listing, tombstone, false);
         true
     }
 
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -46,6 +46,9 @@
 pub struct ReaderRank(usize);
 
 impl ReaderRank {
+    /// Rank of the first reader of a zone.
+    pub const FIRST: Self = Self(0);
+
     /// Rank of an instance that must not read the platform because it is leaving.
     pub const LAST: Self = Self(usize::MAX);
 
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -40,6 +40,8 @@
     Applied,
     /// The same record is already in force or was refused before.
     Known,
+    /// The same record is in force, and was now read in a later era of the platform's store.
+    Confirmed,
     /// A newer record of the same key is in force.
     Stale,
     /// The same revision of the record's key is in force with other content.
@@ -67,7 +69,7 @@
     record: Arc<Record>,
     /// Latest era in which the record was read from the platform's store; 0 if unknown.
     era: u64,
-    /// Whether the record was last read in a full listing.
+    /// Whether the record may have been written in an earlier era than `era`.
     listed: bool,
     /// Hash of the record's content.
     content: u64,
@@ -124,7 +126,7 @@
             Relation::Newer | Relation::OlderVersion => {}
             Relation::Confirmed => {
                 self.confirm(&key, record);
-                return Outcome::Known;
+                return Outcome::Confirmed;
             }
             Relation::Same => return Outcome::Known,
             Relation::Reused => return Outcome::Reused,
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -169,6 +169,12 @@
         self.records.retain(|record| record.revision <= newest);
     }
 
+    /// Makes the platform publish records with the next revisions.
+    pub(crate) fn publish_next(&mut self, bodies: impl IntoIterator<Item = Body>) {
+        let records = fixtures::records(self.head() + 1, bodies);
+        self.publish(records);
+    }
+
     /// The platform's store is restored from a copy that lacks all records above a revision. Open
     /// watches go on waiting.
     pub(crate) fn drill(&mut self, newest: u64) {
@@ -210,7 +216,8 @@
         }
     }
 
-    fn head(&self) -> u64 {
+    /// Highest revision of the platform.
+    pub(crate) fn head(&self) -> u64 {
         self.records.iter().map(|record| record.revision).max().unwrap_or(0)
     }
 
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -93,7 +93,7 @@
 fn outcome_kind(outcome: &Outcome) -> OutcomeKind {
     match outcome {
         Outcome::Applied => OutcomeKind::Applied,
-        Outcome::Known => OutcomeKind::Known,
+        Outcome::Known | Outcome::Confirmed => OutcomeKind::Known,
         Outcome::Stale => OutcomeKind::Stale,
         Outcome::Reused => panic!("no case reuses a revision"),
         Outcome::Refused(_) => OutcomeKind::Refused,
