--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -4,7 +4,9 @@
 //! `GET /v1/records?after=REVISION&wait_ms=MS` returns the records above a revision. When there are
 //! none, the response waits up to the given time for a publication. Operators publish records with
 //! `POST /admin/publish`, choose a failure mode with `POST /admin/mode` and read the number of
-//! calls with `GET /admin/counts`.
+//! calls with `GET /admin/counts`. `POST /admin/restore?copy=REVISION` restores the store from a
+//! copy that lacks all records above a revision; a watch after a revision that the store then does
+//! not have gets 410.
 
 mod store;
 
@@ -59,6 +61,7 @@
     let reply = match (method, path.as_str()) {
         (Method::GET, "/v1/records") => platform.handle_records(&request).await,
         (Method::POST, "/admin/publish") => platform.handle_publish(&mut request).await,
+        (Method::POST, "/admin/restore") => platform.handle_restore(&request),
         (Method::POST, "/admin/mode") => platform.handle_mode(&mut request).await,
         (Method::GET, "/admin/counts") => Ok(platform.handle_counts()),
         _ => Ok(http::empty_response(StatusCode::NOT_FOUND)),
@@ -70,6 +73,8 @@
 enum ReadResult {
     /// The failure mode makes the platform unavailable.
     Down,
+    /// The store does not have the requested revision.
+    Gone,
     /// The records above the requested revision, possibly none.
     Page(Page),
 }
@@ -114,6 +119,7 @@
         sleep(delay).await;
         Ok(match self.watch(after, max_wait).await {
             ReadResult::Down => http::empty_response(StatusCode::SERVICE_UNAVAILABLE),
+            ReadResult::Gone => http::empty_response(StatusCode::GONE),
             ReadResult::Page(page) => http::json_response(StatusCode::OK, &page),
         })
     }
@@ -146,6 +152,10 @@
             return ReadResult::Down;
         }
         let store = state.snapshot.as_ref().unwrap_or(&state.store);
+        // A stale replica serves what it has.
+        if !state.mode.stale && !store.has(after) {
+            return ReadResult::Gone;
+        }
         ReadResult::Page(store.page(after))
     }
 
@@ -161,6 +171,13 @@
         Ok(http::json_response(StatusCode::OK, &page))
     }
 
+    fn handle_restore(&self, request: &Request) -> Result<Reply, Reply> {
+        let copy = http::number_parameter(request, "copy")?;
+        self.state().store.restore(copy);
+        self.wake_watches();
+        Ok(http::empty_response(StatusCode::OK))
+    }
+
     async fn handle_mode(&self, request: &mut Request) -> Result<Reply, Reply> {
         let mode: Mode = http::decode_body(request).await?;
         self.state().set_mode(mode);
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -40,6 +40,10 @@
     /// Invariant: equals the highest revision of `records`; grows with every publication.
     head: u64,
     records: Map<Key, Record>,
+    /// All records published so far, in order of revision.
+    history: Vec<Record>,
+    /// Number of times that the store was restored from a copy.
+    drills: u64,
 }
 
 impl Store {
@@ -73,16 +77,33 @@
             });
         }
         self.head = record.revision;
+        self.history.push(record.clone());
         self.records.insert(key, record);
         Ok(())
     }
 
+    /// Restores the store from a copy that lacks all records above a revision. These revisions are
+    /// given out again, and the era rises.
+    pub(super) fn restore(&mut self, copy: u64) {
+        self.history.retain(|record| record.revision <= copy);
+        let newest = self.history.iter().map(|record| (Key::of(record), record.clone()));
+        self.records = newest.collect();
+        self.head = self.history.last().map_or(0, |record| record.revision);
+        self.drills += 1;
+    }
+
+    /// Whether the changes after a revision can be told: the store has given it out.
+    pub(super) const fn has(&self, revision: u64) -> bool {
+        revision <= self.head
+    }
+
     /// Returns the records above a revision, sorted by revision.
     pub(super) fn page(&self, after: u64) -> Page {
         let newer = self.records.values();
         let newer = newer.filter(|record| record.revision > after);
         let mut records: Vec<Record> = newer.cloned().collect();
         records.sort_by_key(|record| record.revision);
-        Page { head: self.head, records, ..Page::default() }
+        let (whole, era) = (after == 0, self.drills + 1);
+        Page { head: self.head, records, whole, era, ..Page::default() }
     }
 }
--- a/tests/integration/catalogue.rs
+++ b/tests/integration/catalogue.rs
@@ -165,3 +165,31 @@
             .check_complete(&fleet.published_index("member-portal"));
     }
 }
+
+/// Guards against a change that no instance puts in force because the restored platform gave its
+/// revision out before, and against an instance that keeps what was lost.
+#[test]
+fn change_after_a_store_drill_is_in_force_everywhere() {
+    let fleet = Fleet::start_with(small_layout(User::Bagmati, 4), &[], |_| {});
+    let operation = |name: &str| Body::Entry(fleet.entry_with_operation("report-desk", name));
+    let copy = fleet.publish(vec![operation("kept")]);
+    let lost = fleet.publish((0..5).map(|_| operation("lost")).collect());
+    fleet.wait_for_revision(lost);
+    fleet.restore_store(copy);
+    let written = fleet.publish(vec![operation("written")]);
+    assert!(written < lost);
+    wait_until("all instances know the new era and its change", || {
+        fleet.running_instances().into_iter().all(|instance| {
+            let status = fleet.status(instance);
+            status.is_some_and(|status| status.era == 2 && status.revision == written)
+        })
+    });
+    for instance in fleet.running_instances() {
+        let [written, lost] = ["written", "lost"].map(|name| {
+            let request = report_desk_request(name, &format!("{name}-{instance}"));
+            send_request(&fleet.caller_address(instance), request)
+        });
+        written.check_complete(&fleet.published_index("report-desk"));
+        assert_eq!(lost.answer().reason(), Reason::UnknownOperation);
+    }
+}
--- a/tests/integration/fleet/outside.rs
+++ b/tests/integration/fleet/outside.rs
@@ -19,6 +19,12 @@
         });
     }
 
+    /// Restores the platform's store from a copy that lacks all records above a revision.
+    pub(crate) fn restore_store(&self, copy: u64) {
+        let path = format!("/admin/restore?copy={copy}");
+        self.post_json(&self.run.platform_address, &path, &Mode::default());
+    }
+
     /// Sets the fault mode of the platform, replacing the current one.
     pub(crate) fn set_platform_mode(&self, mode: Mode) {
         self.post_json(&self.run.platform_address, "/admin/mode", &mode);
