Answer an update about an earlier life of a member with the later one

What callers could have met: after the loss of a zone, part of the fleet went on sending work of some services to an instance that was gone, for good.

Cause: the instances that detected the death knew the member only from the published list, not its generation, so their update superseded nothing where the generation was known. Those instances did not probe the member themselves, and nobody told the detectors of the generation.

Change: an update that reports the silence of an earlier life or refutation is answered with the known state, unless that is queued already. The detectors then probe the member again and find the later life silent too.

--- a/crates/core/src/control/membership/gossip.rs
+++ b/crates/core/src/control/membership/gossip.rs
@@ -19,6 +19,11 @@
             return;
         };
         if !member.is_superseded_by(rumour) {
+            // The death of an earlier life is all that the sender knows. Unless it learns of the
+            // later one, it does not probe the member.
+            if member.is_reachable() && member.is_later_than(rumour) {
+                self.gossip.push_unless_queued(&rumour.name.as_str().into());
+            }
             return;
         }
         let before = member.clone();
--- a/crates/core/src/control/membership/gossip_queue.rs
+++ b/crates/core/src/control/membership/gossip_queue.rs
@@ -66,6 +66,13 @@
         );
     }
 
+    /// Queues the state of a member unless it is queued already.
+    pub(super) fn push_unless_queued(&mut self, name: &Arc<str>) {
+        if !self.updates.iter().any(|update| update.name == *name) {
+            self.push(name);
+        }
+    }
+
     /// Whether no update is left to send within this instance's zone.
     pub(super) const fn is_empty(&self) -> bool {
         self.updates.is_empty()
--- a/crates/core/src/control/membership/member.rs
+++ b/crates/core/src/control/membership/member.rs
@@ -141,6 +141,13 @@
         rumour.liveness() != Liveness::Unspecified && received > known
     }
 
+    /// Whether a gossip update reports the silence of an earlier life or refutation than the known
+    /// one.
+    pub(super) fn is_later_than(&self, rumour: &Rumour) -> bool {
+        matches!(rumour.liveness(), Liveness::Suspect | Liveness::Dead)
+            && (self.generation, self.refutation) > (rumour.generation, rumour.refutation)
+    }
+
     /// Replaces the known state of the member with that of a gossip update.
     pub(super) fn apply_update(&mut self, now: Instant, rumour: &Rumour) {
         if self.generation > 0 && self.generation < rumour.generation {
--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -366,3 +366,21 @@
     fixture.advance(500, &[1, 3]);
     assert!(fixture.membership.get("entry-2").is_none());
 }
+
+/// Guards against a dead member that part of the fleet considers alive for good. The instances that
+/// detect its death do not know its last generation, so their update supersedes nothing. Whoever
+/// knows the generation must tell them, or nobody probes the member again.
+#[test]
+fn older_update_is_answered_with_the_newer_state() {
+    for (liveness, is_answered) in
+        [(Liveness::Dead, true), (Liveness::Suspect, true), (Liveness::Alive, false)]
+    {
+        let mut fixture = Fixture::new(3);
+        while !fixture.membership.take_gossip(false).is_empty() {}
+        let update = fixtures::gossip_update("entry-2", "trindade", (0, 0), liveness);
+        fixture.membership.apply_update(fixture.now, &update);
+        let sent = fixture.membership.take_gossip(false);
+        let sent = sent.iter().find(|update| update.name == "entry-2");
+        assert_eq!(sent.map(|update| update.generation), is_answered.then_some(1), "{liveness:?}");
+    }
+}
