--- a/crates/core/tests/fleet/cross_zone_traffic.rs
+++ b/crates/core/tests/fleet/cross_zone_traffic.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ladder_core::control::reader::READERS_PER_ZONE;
 use ladder_core::control::settings::Listing;
 use ladder_core::schema::catalogue::Urgency;
 use ladder_core::schema::publication::{Record, Route, Routing, State, record::Body};
@@ -138,3 +139,34 @@
         _ => None,
     })
 }
+
+/// Bytes sent and reads of the platform while the fleet runs for ten seconds.
+fn traffic(fleet: &mut Fleet) -> (usize, usize) {
+    let reads =
+        |fleet: &Fleet| -> usize { fleet.nodes.values().map(|node| node.platform_reads).sum() };
+    let before = (fleet.bytes, reads(fleet));
+    fleet.run(Duration::from_secs(10));
+    (fleet.bytes - before.0, reads(fleet) - before.1)
+}
+
+/// Guards against a restored store that sends the whole publication through the fleet, or makes each
+/// reader list more than once.
+#[test]
+fn store_drill_sends_what_changed() {
+    let mut fleet = started_fleet();
+    fleet.era = 1;
+    fleet.run(Duration::from_secs(10));
+    let (idle_bytes, idle_reads) = traffic(&mut fleet);
+    let changed: Vec<Body> =
+        servers(2000).into_iter().take(2).filter_map(|record| record.body).collect();
+    let copy = fleet.head();
+    fleet.publish_next(changed.clone());
+    fleet.run(Duration::from_secs(2));
+    fleet.drill(copy);
+    fleet.publish_next(changed.into_iter().rev());
+    let (bytes, reads) = traffic(&mut fleet);
+    let most_bytes = INSTANCE_COUNT * encoded_bytes(&servers(10)) / 4;
+    assert!(bytes < idle_bytes + most_bytes, "{bytes} bytes, idle {idle_bytes}");
+    let readers = READERS_PER_ZONE * ZONES.len();
+    assert!(reads <= idle_reads + 2 * readers, "{reads} reads, idle {idle_reads}");
+}
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -68,6 +68,8 @@
     /// Era of the platform's store; 0 if it reports none. A store with an era refuses a watch after
     /// a revision that it does not have.
     pub era: u64,
+    /// Number of bytes of the frames sent so far.
+    pub bytes: usize,
     /// Number of bytes of the frames sent to another zone so far.
     pub cross_zone_bytes: usize,
     /// Names of the instances on one side of a network partition.
@@ -311,6 +313,7 @@
         self.node(from).frames_sent += 1;
         let target = self.names().into_iter().find(|name| fixtures::address(name) == to);
         let Some(target) = target else { return };
+        self.bytes += frame.encoded_len();
         if self.nodes[from].zone != self.nodes[&target].zone {
             self.cross_zone_bytes += frame.encoded_len();
         }
