Let records of peers take effect where reads of the platform fail

What callers could have met: an instance that the platform turns away would keep an order that every other instance had given up.

Cause: while reads fail, nothing that is held back takes effect, so that what is expected in its place can be read first. That also held for records that came from a peer, at instances whose own reads fail or failed once before they stopped reading. Only records that this instance read itself wait now.

peer_records_take_effect_at_instances_without_the_platform failed before.

--- a/crates/core/src/control/deferral.rs
+++ b/crates/core/src/control/deferral.rs
@@ -97,9 +97,12 @@
         }
     }
 
-    /// Removes and returns the records that take effect by now, in order of position.
-    pub(super) fn due(&mut self, now: Instant) -> Vec<Record> {
-        let is_due = |(_, deferral): &(&Key, &Deferral)| deferral.due_at <= now;
+    /// Removes and returns the records that take effect by now, in order of position. While the
+    /// platform does not answer, records that were read from it wait on.
+    pub(super) fn due(&mut self, now: Instant, platform_answers: bool) -> Vec<Record> {
+        let is_due = |(_, deferral): &(&Key, &Deferral)| {
+            deferral.due_at <= now && (platform_answers || !deferral.read_here)
+        };
         let keys: Vec<Key> =
             self.held_back.iter().filter(is_due).map(|(key, _)| key.clone()).collect();
         let mut due: Vec<Deferral> =
@@ -108,9 +111,11 @@
         due.into_iter().map(|deferral| deferral.record).collect()
     }
 
-    /// When the next record that is held back takes effect.
-    pub(super) fn next(&self) -> Option<Instant> {
-        self.held_back.values().map(|deferral| deferral.due_at).min()
+    /// When the next record that is held back takes effect, given whether the platform answers.
+    pub(super) fn next(&self, platform_answers: bool) -> Option<Instant> {
+        let waiting = self.held_back.values();
+        let waiting = waiting.filter(|deferral| platform_answers || !deferral.read_here);
+        waiting.map(|deferral| deferral.due_at).min()
     }
 
     /// Whether a record is held back that this instance has read from the platform itself, so that
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -256,10 +256,9 @@
         self.era
     }
 
-    /// When the next record that is held back takes effect; `None` while the platform does not
-    /// answer, because what is expected in its place cannot be read.
+    /// When the next record that is held back takes effect.
     fn next_deferral(&self) -> Option<Instant> {
-        if self.reader.is_failing() { None } else { self.deferrals.next() }
+        self.deferrals.next(!self.reader.is_failing())
     }
 
     /// The next read of the platform requests all records, after a random delay that keeps the
@@ -325,7 +324,7 @@
         }
         self.quarantine.expire(now);
         if self.next_deferral().is_some_and(|due_at| now >= due_at) {
-            let due_records = self.deferrals.due(now);
+            let due_records = self.deferrals.due(now, !self.reader.is_failing());
             self.apply_and_broadcast(now, &due_records, out);
         }
         if self.membership.has_changed() {
--- a/crates/core/tests/fleet/store_drill.rs
+++ b/crates/core/tests/fleet/store_drill.rs
@@ -518,3 +518,23 @@
     assert_eq!(versions(&fleet), vec![25; 9]);
     assert!(fleet.nodes.values().all(|node| node.machine.refused().count() == 0));
 }
+
+/// Guards against records of a peer that are held back for good at instances whose own reads of the
+/// platform fail.
+#[test]
+fn peer_records_take_effect_at_instances_without_the_platform() {
+    let mut fleet = fleet_before_drill(9);
+    fleet.publish_next(evacuation());
+    fleet.run(ms(1000));
+    let copy = fleet.head();
+    fleet.publish_next(ended_evacuation());
+    fleet.run(ms(1000));
+    fleet.refuse_reads_of(&(0..9).map(name).collect::<Vec<_>>());
+    fleet.run(ms(5000));
+    fleet.drill(copy);
+    fleet.start(&name(9), zone(9));
+    fleet.run(Duration::from_secs(10));
+    for (name, node) in &fleet.nodes {
+        assert!(!takes_work(node, "docks-1"), "{name} still holds back the evacuation");
+    }
+}
