Tests of a copy without routes and of a lost server that one instance knows; capacity measures a drill

Taking the guards out showed that no test missed two of them: unlisted routes of an earlier era, and a peer's record that was lost.

--- a/crates/core/tests/fleet/store_drill.rs
+++ b/crates/core/tests/fleet/store_drill.rs
@@ -85,6 +85,7 @@
             copy: 55,
             written: &[(56, 22), (HEAD, 25), (58, 25)],
         },
+        Change { description: "the copy has no routes", copy: 20, written: &[(21, 22), (22, 25)] },
         Change {
             description: "the copy has the version in force",
             copy: HEAD,
@@ -97,8 +98,10 @@
             fleet.stop_platform();
             fleet.run(ms(2300));
             fleet.drill(copy);
+            fleet.run(ms(3500));
             fleet.publish(written.iter().map(|&(revision, version)| routes(revision, version)));
             fleet.run(Duration::from_secs(4));
+            assert_no_version_came_back(&fleet, description);
             let outdated = versions(&fleet).iter().filter(|&&version| version != 25).count();
             assert_eq!(outdated, 0, "{description}, {instances} instances");
         }
@@ -330,6 +333,16 @@
     assert_agreement(&fleet, &context);
 }
 
+/// No instance has gone back to an older version of the routes, or to none.
+fn assert_no_version_came_back(fleet: &Fleet, context: &str) {
+    for (name, node) in &fleet.nodes {
+        let views = node.views.iter().map(|(_, view)| view.routing.as_ref());
+        let versions: Vec<u64> =
+            views.map(|routing| routing.map_or(0, |routing| routing.version)).collect();
+        assert!(versions.is_sorted(), "{context}: {name} went back: {versions:?}");
+    }
+}
+
 /// All instances have the same records, so that their digests cause no exchange.
 fn assert_agreement(fleet: &Fleet, context: &str) {
     let records = |node: &SimulatedInstance| -> Vec<(u64, Option<Body>)> {
@@ -461,10 +474,8 @@
             assert_agreement(&fleet, &context);
             for node in fleet.nodes.values() {
                 assert_eq!(node.machine.era(), fleet.era, "{context}");
-                let versions = node.views.iter().filter_map(|(_, view)| view.routing.as_ref());
-                let versions: Vec<u64> = versions.map(|routing| routing.version).collect();
-                assert!(versions.is_sorted(), "{context}: versions came back: {versions:?}");
             }
+            assert_no_version_came_back(&fleet, &context);
         }
     }
 }
@@ -538,3 +549,27 @@
         assert!(!takes_work(node, "docks-1"), "{name} still holds back the evacuation");
     }
 }
+
+/// Guards against a lost server that only an instance knows that was cut off during the drill: the
+/// other instances would take it over, and no listing would ever withdraw it.
+#[test]
+fn lost_server_known_to_one_instance_is_withdrawn() {
+    let mut fleet = fleet_before_drill(9);
+    let copy = fleet.head();
+    fleet.partition_side = [name(0)].into();
+    fleet.refuse_reads_of(&(1..9).map(name).collect::<Vec<_>>());
+    fleet.run(ms(4000));
+    fleet.publish_next(new_server());
+    fleet.run(ms(4000));
+    assert!(takes_work(&fleet.nodes[&name(0)], "docks-new"));
+    fleet.refused_readers.clear();
+    fleet.refuse_reads_of(&[name(0)]);
+    fleet.drill(copy);
+    fleet.run(Duration::from_secs(5));
+    fleet.partition_side.clear();
+    fleet.run(Duration::from_secs(20));
+    for (name, node) in &fleet.nodes {
+        assert!(!takes_work(node, "docks-new"), "{name} has a server that was lost");
+    }
+    assert_agreement(&fleet, "one instance was cut off");
+}
--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -71,18 +71,28 @@
         fault: &standin::Fault,
     ) -> Result<(), Error> {
         let path = format!("/admin/fault?server={server}");
-        self.post(process, &path, fault).await
+        self.post(process, &path, fault).await.map(drop)
     }
 
     /// Publishes records through the platform stand-in, which assigns the next revision to records
-    /// without one.
+    /// without one. Returns the platform's highest revision.
     pub async fn publish(
         &self,
         platform: &str,
         records: Vec<publication::Record>,
-    ) -> Result<(), Error> {
+    ) -> Result<u64, Error> {
         let page = publication::Page { records, ..publication::Page::default() };
-        self.post(platform, "/admin/publish", &page).await
+        let body = self.post(platform, "/admin/publish", &page).await?;
+        let page: publication::Page = serde_json::from_slice(&body).map_err(|error| {
+            Error::Admin(format!("http://{platform}/admin/publish"), error.to_string())
+        })?;
+        Ok(page.head)
+    }
+
+    /// Restores the platform stand-in's store from a copy that lacks all records above a revision.
+    pub async fn restore(&self, platform: &str, copy: u64) -> Result<(), Error> {
+        let path = format!("/admin/restore?copy={copy}");
+        self.post(platform, &path, &standin::Mode::default()).await.map(drop)
     }
 
     /// Sends a GET request and decodes the JSON response.
@@ -111,19 +121,25 @@
         Ok(body.to_vec())
     }
 
-    async fn post<T: Serialize>(&self, address: &str, path: &str, body: &T) -> Result<(), Error> {
+    async fn post<T: Serialize>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &T,
+    ) -> Result<Vec<u8>, Error> {
         let url = format!("http://{address}{path}");
         let admin_error = |cause: String| Error::Admin(url.clone(), cause);
-        let response = self
+        let mut response = self
             .client
             .post(&url)
             .send_json(body)
             .await
             .map_err(|error| admin_error(error.to_string()))?;
-        if response.status().is_success() {
-            Ok(())
-        } else {
-            Err(admin_error(response.status().to_string()))
+        if !response.status().is_success() {
+            return Err(admin_error(response.status().to_string()));
         }
+        let body = response.body().limit(MAX_BODY_BYTES).await;
+        let body = body.map_err(|error| admin_error(error.to_string()))?;
+        Ok(body.to_vec())
     }
 }
--- a/crates/load/src/fault.rs
+++ b/crates/load/src/fault.rs
@@ -174,5 +174,5 @@
 async fn publish(admin: &Admin, layout: &Layout, body: Body) -> Result<(), Error> {
     let record =
         publication::Record { revision: 0, body: Some(body), ..publication::Record::default() };
-    admin.publish(&layout.platform, vec![record]).await
+    admin.publish(&layout.platform, vec![record]).await.map(drop)
 }
--- a/crates/load/src/upkeep.rs
+++ b/crates/load/src/upkeep.rs
@@ -19,6 +19,9 @@
 pub use spread::Spread;
 pub use takeover::Takeover;
 
+/// How long resource use is measured after the last instance has applied a drill's change.
+const DRILL_LENGTH: Duration = Duration::from_secs(6);
+
 /// Settings of the measurement.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -48,6 +51,10 @@
     pub changing: Rates,
     /// Time until a single change is applied by all instances.
     pub spread: Spread,
+    /// Resource use while the platform's store is restored from a copy and one change follows.
+    pub drill: Rates,
+    /// Milliseconds from the restoration until all instances have applied the change.
+    pub drill_milliseconds: f64,
     /// Effect on callers when an owner is killed.
     pub takeover: Takeover,
 }
@@ -73,6 +80,12 @@
         let changing = changer.keep_changing(part_length, options.changes);
         let changing = process::rates(&fleet, changing).await?;
         let spread = changer.measure(&layout).await?;
+        let mut drill_milliseconds = Ok(0.0);
+        let drill = process::rates(&fleet, async {
+            drill_milliseconds = changer.drill(&layout).await;
+            tokio::time::sleep(DRILL_LENGTH).await;
+        });
+        let drill = drill.await?;
         let takeover = takeover::measure(&layout, &options.processes).await?;
         Ok(Report {
             instances: layout.instances.len(),
@@ -81,6 +94,8 @@
             changes_per_second: options.changes,
             changing,
             spread,
+            drill,
+            drill_milliseconds: drill_milliseconds?,
             takeover,
         })
     })
--- a/crates/load/src/upkeep/spread.rs
+++ b/crates/load/src/upkeep/spread.rs
@@ -4,6 +4,7 @@
 
 use ladder_schema::publication::record::Body;
 use ladder_schema::publication::{Page, Record};
+use ladder_schema::status;
 use serde::{Deserialize, Serialize};
 
 use super::process::{Range, range};
@@ -13,6 +14,8 @@
 
 /// Number of changes whose propagation to all instances is measured.
 const MEASURED_CHANGES: usize = 20;
+/// Number of changes that a restoration of the platform's store loses.
+const LOST_CHANGES: u64 = 3;
 /// Delay before each measured change.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(300);
 /// Delay between two reads of an instance's revision.
@@ -90,12 +93,32 @@
         {
             limits.queue = 900 + u32::try_from(number % 100).unwrap_or(0);
         }
-        self.client.publish(&self.platform, vec![record]).await?;
-        let page: Page = self
-            .client
-            .get(&self.platform, "/v1/records?after=18446744073709551614&wait_ms=0")
-            .await?;
-        Ok(page.head)
+        self.client.publish(&self.platform, vec![record]).await
+    }
+
+    /// Restores the platform's store from a copy that lacks the last changes, and publishes one
+    /// change in their place. Returns the milliseconds until all instances have applied it.
+    pub(super) async fn drill(&self, layout: &Layout) -> Result<f64, Error> {
+        let head = self.publish_change(MEASURED_CHANGES).await?;
+        tokio::time::sleep(CHANGE_INTERVAL).await;
+        self.client.restore(&self.platform, head - LOST_CHANGES).await?;
+        let start = Instant::now();
+        let revision = self.publish_change(MEASURED_CHANGES + 1).await?;
+        for instance in &layout.instances {
+            loop {
+                let status: status::Instance =
+                    self.client.get(&instance.admin_address, "/status").await?;
+                if status.era > 1 && status.revision == revision {
+                    break;
+                }
+                if start.elapsed() > CHANGE_TIMEOUT {
+                    let cause = format!("revision {} of era {}", status.revision, status.era);
+                    return Err(Error::Admin(instance.admin_address.clone(), cause));
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(start.elapsed().as_secs_f64() * 1000.0)
     }
 
     /// Waits until an instance has applied the revision.
