--- a/crates/core/tests/fleet/store_drill.rs
+++ b/crates/core/tests/fleet/store_drill.rs
@@ -118,11 +118,14 @@
     /// After an outage, with so many changes that its revision passes the highest one before the
     /// drill, so that no watch is refused.
     Ahead,
+    /// Without a failed read and without a refused watch.
+    UnnoticedAhead,
     /// After an outage in which all answers were lost without an error.
     Silence,
 }
 
-const RETURNS: [Return; 4] = [Return::Outage, Return::Unnoticed, Return::Ahead, Return::Silence];
+const RETURNS: [Return; 5] =
+    [Return::Outage, Return::Unnoticed, Return::Ahead, Return::UnnoticedAhead, Return::Silence];
 
 fn drill(fleet: &mut Fleet, copy: u64, way: Return) {
     match way {
@@ -135,10 +138,10 @@
             fleet.run(ms(2300));
             fleet.stop_losing_answers();
         }
-        Return::Unnoticed => {}
+        Return::Unnoticed | Return::UnnoticedAhead => {}
     }
     fleet.drill(copy);
-    if matches!(way, Return::Ahead) {
+    if matches!(way, Return::Ahead | Return::UnnoticedAhead) {
         let filler = |at: u64| fixtures::server(&format!("filler-{at}"), "filler", 1, State::Live);
         fleet.publish_next((0..20).map(filler));
     }
@@ -573,3 +576,49 @@
     }
     assert_agreement(&fleet, "one instance was cut off");
 }
+
+/// Runs a fleet and checks a condition at every instance on the way.
+fn run_while(fleet: &mut Fleet, span: Duration, holds: fn(&SimulatedInstance) -> bool) {
+    let end = fleet.now + span;
+    while fleet.now < end {
+        fleet.run(ms(50));
+        assert!(fleet.nodes.values().all(holds), "at {:?}", fleet.now);
+    }
+}
+
+/// Guards against a server that loses its work because the time in which it could register again
+/// passed while the platform was away a second time.
+#[test]
+fn outage_after_a_store_drill_restarts_the_wait() {
+    let works = |node: &SimulatedInstance| takes_work(node, "docks-new");
+    let mut fleet = fleet_before_drill(9);
+    let copy = fleet.head();
+    fleet.publish_next(new_server());
+    fleet.run(ms(1000));
+    drill(&mut fleet, copy, Return::Outage);
+    run_while(&mut fleet, ms(1500), works);
+    fleet.stop_platform();
+    run_while(&mut fleet, ms(3000), works);
+    fleet.restore_platform(u64::MAX);
+    run_while(&mut fleet, ms(1800), works);
+    fleet.publish_next(new_server());
+    run_while(&mut fleet, ms(6000), works);
+}
+
+/// Guards against work for a withdrawn server that a second copy shows again, before the platform
+/// has withdrawn it a second time.
+#[test]
+fn second_store_drill_restarts_the_wait() {
+    let idle = |node: &SimulatedInstance| !takes_work(node, SERVER);
+    let mut fleet = fleet_before_drill(9);
+    let copy = fleet.head();
+    fleet.publish_next(withdrawn_server());
+    fleet.run(ms(1000));
+    for _ in 0..2 {
+        drill(&mut fleet, copy, Return::Outage);
+        run_while(&mut fleet, ms(3000), idle);
+    }
+    run_while(&mut fleet, ms(600), idle);
+    fleet.publish_next(withdrawn_server());
+    run_while(&mut fleet, ms(6000), idle);
+}
