--- a/crates/core/tests/fleet/membership.rs
+++ b/crates/core/tests/fleet/membership.rs
@@ -368,8 +368,8 @@
 }
 
 /// Guards against a dead member that part of the fleet considers alive for good. The instances that
-/// detect its death do not know its last generation, so their update supersedes nothing. Whoever
-/// knows the generation must tell them, or nobody probes the member again.
+/// detect its death do not know its last generation, so their update supersedes nothing. An
+/// instance that knows the generation must send it, or no instance probes the member again.
 #[test]
 fn older_update_is_answered_with_the_newer_state() {
     for (liveness, is_answered) in
--- a/crates/core/tests/fleet/store_drill.rs
+++ b/crates/core/tests/fleet/store_drill.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// How the store comes back from its copy.
+/// How the store returns after its restoration from a copy.
 #[derive(Clone, Copy, Debug)]
 enum Return {
     /// After an outage in which all reads failed.
@@ -357,8 +357,8 @@
     assert!(all.all(|other| Some(&other) == first.as_ref()), "{context}: the records differ");
 }
 
-/// Guards against work for servers that said that they leave, and against servers without work,
-/// because the store was restored from a copy that shows them as they were.
+/// Guards against work for servers that announced their departure, and against servers without
+/// work, because the store was restored from a copy that shows an earlier state.
 #[test]
 fn servers_keep_their_state_through_a_store_drill() {
     lose_all(&server_losses());
@@ -518,7 +518,7 @@
 }
 
 /// Guards against an invalid configuration of a new era that replaces the last valid one, or that
-/// nobody is told of.
+/// is dropped without a report.
 #[test]
 fn invalid_routes_after_a_store_drill_are_refused() {
     let mut fleet = fleet_before_drill(9);
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -92,7 +92,7 @@
         self.drills += 1;
     }
 
-    /// Whether the changes after a revision can be told: the store has given it out.
+    /// Whether the store has given out a revision, so that it can list the changes after it.
     pub(super) const fn has(&self, revision: u64) -> bool {
         revision <= self.head
     }
