--- a/crates/core/tests/fleet/reader.rs
+++ b/crates/core/tests/fleet/reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ladder_core::control::hash::Random;
-use ladder_core::control::reader::{Reader, ReaderRank, Timing, reader_rank};
+use ladder_core::control::reader::{Reader, ReaderRank, Timing, listing_spread, reader_rank};
 use ladder_core::time::Instant;
 
 const TIMING: Timing = Timing { digest: Duration::from_secs(1), contact: Duration::from_secs(4) };
@@ -149,3 +149,23 @@
     }
     assert!(late.is_empty(), "milliseconds of loss, offset, delay of the next read: {late:?}");
 }
+
+/// Guards against readers that all list at the same moment after the platform's store was restored:
+/// 60 listings of 129 calls each would be refused by a platform that serves 2,000 calls a second.
+#[test]
+fn listings_after_lost_history_are_spread() {
+    let spread = listing_spread(64_000, 30);
+    let starts: Vec<Duration> = (0..60)
+        .map(|seed| {
+            let mut random = Random::new(seed);
+            let mut reader = reader(&mut random);
+            reader.poll(at_ms(0), first_rank(), TIMING, &mut random).expect("a read");
+            reader.expired(at_ms(0), spread, &mut random);
+            reader.next_wake(first_rank(), TIMING).expect("a listing").since(at_ms(0))
+        })
+        .collect();
+    for second in 0..8 {
+        let started = starts.iter().filter(|start| start.as_secs() == second).count();
+        assert!(started * 129 <= 2000, "{started} listings start in second {second}");
+    }
+}
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -3,6 +3,7 @@
 use ladder_core::control::store::{Key, Outcome, Store};
 use ladder_core::schema::catalogue::{Entry, Limits};
 use ladder_core::schema::publication::{Kind, Record, State, record::Body};
+use ladder_core::schema::wire::Digest;
 
 use crate::fixtures::{entry, index, instance, operation, record, routes, server, tombstone};
 
@@ -357,3 +358,19 @@
     let revision_after = store.get(&Key::of(record)).map_or(0, |in_force| in_force.revision);
     assert!(revision_after >= revision_before);
 }
+
+/// Guards against a permanent exchange with builds that send no hashes of contents: equal records
+/// must look equal to them, and different ones must not.
+#[test]
+fn digests_without_contents_compare_revisions() {
+    let [mut one, mut other] = [Store::default(), Store::default()];
+    one.apply(&Record { era: 3, ..entry_change(7, 10) });
+    other.apply(&entry_change(7, 10));
+    for (revision, differs) in [(7, false), (8, true)] {
+        other.apply(&entry_change(revision, 10));
+        let total = Digest { whole_contents: 0, ..other.total_digest() };
+        let buckets = Digest { whole_contents: 0, ..other.digest(false) };
+        assert_eq!(one.lacks_buckets(&total), differs, "revision {revision}");
+        assert_eq!(one.differing_buckets(&buckets).len(), usize::from(differs));
+    }
+}
