--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -32,6 +32,10 @@
         /// Time from arrival within which an answer has its full value; zero if the route has no
         /// target time.
         target: Duration,
+        /// Number of servers of one service that the message may be sent to.
+        attempts: u32,
+        /// Whether the message may run more than once.
+        idempotent: bool,
     },
     /// An index version was pinned.
     Pinned {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -223,6 +223,8 @@
                 route: route.spec.name.as_str().into(),
                 deadline: plan.terms.deadline,
                 target: Duration::from_millis(route.spec.target_ms.into()),
+                attempts: route.spec.attempts,
+                idempotent: !plan.terms.unrepeatable,
             };
             self.history.add(ids.history_id, now, step);
         }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -217,5 +217,6 @@
         held_us: 0,
         busy_permille: 0,
         avoid: Vec::new(),
+        admissible_permille: 0,
     }
 }
--- a/crates/standin/src/bin/standin-layout.rs
+++ b/crates/standin/src/bin/standin-layout.rs
@@ -138,7 +138,18 @@
     let queueing = enum_option("queueing", "on|off", "Queue in front of the servers", parse_switch);
     let listing = bpaf::pure(0);
     let gathering = bpaf::pure(0);
-    construct!(Strategy { placement, selection, hedging, queueing, listing, gathering })
+    let aggregation = bpaf::pure(0);
+    let startup = bpaf::pure(0);
+    construct!(Strategy {
+        placement,
+        selection,
+        hedging,
+        queueing,
+        listing,
+        gathering,
+        aggregation,
+        startup
+    })
 }
 
 fn parse_switch(name: &str) -> Option<i32> {
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -161,8 +161,12 @@
         Step::Arrived { attempt, fingerprint } => {
             format!("arrived, attempt {attempt}, fingerprint {fingerprint}")
         }
-        Step::Routed { route, deadline, target } => {
-            format!("route {route}, deadline {deadline:?}, target {target:?}")
+        Step::Routed { route, deadline, target, attempts, idempotent } => {
+            let repetition = if *idempotent { "idempotent" } else { "non-idempotent" };
+            format!(
+                "route {route}, {repetition}, at most {attempts} servers of a service, deadline \
+                 {deadline:?}, target {target:?}"
+            )
         }
         Step::Pinned { version, portions, missing } => {
             format!("pinned version {version}: {portions} portions, {missing} shards missing")
--- a/src/log/request_log.rs
+++ b/src/log/request_log.rs
@@ -65,9 +65,10 @@
                 info!(self.log, "request received"; "id" => id, "at_us" => at, "attempt" => attempt,
                     "fingerprint" => %fingerprint);
             }
-            Step::Routed { route, deadline, target } => {
+            Step::Routed { route, deadline, target, attempts, idempotent } => {
                 info!(self.log, "routed"; "id" => id, "at_us" => at, "route" => &**route,
-                    "deadline_us" => micros(*deadline), "target_us" => micros(*target));
+                    "deadline_us" => micros(*deadline), "target_us" => micros(*target),
+                    "attempts" => attempts, "idempotent" => idempotent);
             }
             Step::Pinned { version, portions, missing } => {
                 info!(self.log, "planned"; "id" => id, "at_us" => at, "version" => version,
--- a/src/options.rs
+++ b/src/options.rs
@@ -9,7 +9,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use ladder_schema::settings::{Gathering, Instance, Listing, Placement, Selection, Switch, Timing};
+use ladder_schema::settings::{
+    self, Aggregation, Gathering, Instance, Listing, Placement, Selection, Startup, Switch, Timing,
+};
 
 use arguments::Arguments;
 
@@ -25,6 +27,9 @@
 pub const DEFAULT_PAUSE_MS: u32 = 1000;
 /// Default of `timing.drain_ms`.
 pub const DEFAULT_DRAIN_MS: u32 = 20_000;
+/// Default of `admission.target_utilization_percent`. Above it, the queue of a service with a few
+/// slots grows faster than its throughput.
+pub const DEFAULT_TARGET_UTILIZATION_PERCENT: u32 = 85;
 /// Default of `timing.contact_ms`.
 pub const DEFAULT_CONTACT_MS: u32 = 4000;
 /// Part of `timing.grace_s` that is reserved for the end of the process after the drain.
@@ -40,6 +45,8 @@
     pub instance: Instance,
     /// How portions are sent to servers, with defaults filled in.
     pub strategy: Strategy,
+    /// Which sweeps are begun in overload, with defaults filled in.
+    pub admission: Admission,
     /// Intervals and timeouts, with defaults filled in.
     pub times: Times,
 }
@@ -60,6 +67,37 @@
     /// Whether the parts of a sweep that have no server in the zone of the entry instance are
     /// collected by an instance in a zone that has such servers (partial aggregation).
     pub partial_aggregation: bool,
+    /// Whether each availability zone has partial aggregators of its own.
+    pub zonal_aggregation: bool,
+    /// Whether a starting instance assumes a large fleet until its count of instances has settled.
+    pub gradual_startup: bool,
+}
+
+/// Which sweeps are begun while more arrive than the servers can answer in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admission {
+    /// Whether a sweep is admitted or refused as a whole before anything of it is sent.
+    pub sweeps: bool,
+    /// Share of the servers' slots that admitted sweeps may use, in percent.
+    pub target_utilization_percent: u32,
+    /// Share of the admitted sweeps that is reserved for callers that come back, in percent; 0: no
+    /// reservations.
+    pub reserved_percent: u32,
+}
+
+impl Admission {
+    /// Fills in the defaults.
+    fn new(admission: &settings::Admission) -> Self {
+        let target_utilization_percent = match admission.target_utilization_percent {
+            0 => DEFAULT_TARGET_UTILIZATION_PERCENT,
+            percent => percent,
+        };
+        Self {
+            sweeps: admission.sweeps() == Switch::On,
+            target_utilization_percent,
+            reserved_percent: admission.reserved_percent,
+        }
+    }
 }
 
 /// Intervals and timeouts of the daemon.
@@ -123,9 +161,12 @@
                 chosen => chosen,
             },
             partial_aggregation: strategy.gathering() == Gathering::Near,
+            zonal_aggregation: strategy.aggregation() == Aggregation::Zone,
+            gradual_startup: strategy.startup() == Startup::Gradual,
         };
+        let admission = Admission::new(&instance.admission.unwrap_or_default());
         let times = Times::new(&instance.timing.unwrap_or_default());
-        Self { settings_path: None, instance, strategy, times }
+        Self { settings_path: None, instance, strategy, admission, times }
     }
 }
 
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -6,7 +6,10 @@
 use std::path::{Path, PathBuf};
 
 use ladder_schema::bounds;
-use ladder_schema::settings::{Allowance, Gathering, Instance, Placement, Strategy, Timing};
+use ladder_schema::settings::{
+    Admission, Aggregation, Allowance, Gathering, Instance, Listing, Placement, Startup, Strategy,
+    Switch, Timing,
+};
 
 /// Allowed range of `timing.graceS`, the time limit of a graceful shutdown, in seconds.
 const GRACE_RANGE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
@@ -18,6 +21,11 @@
 /// Largest allowed `allowance.extraWindowS`, the window in which extra calls are counted, in
 /// seconds.
 const MAX_EXTRA_WINDOW_S: u32 = 3600;
+/// Allowed range of `admission.targetUtilizationPercent`: the share of the servers' slots that
+/// admitted sweeps may use.
+const TARGET_UTILIZATION_RANGE_PERCENT: std::ops::RangeInclusive<u32> = 50..=100;
+/// Largest allowed `admission.reservedPercent`: the share of the admitted sweeps that is reserved.
+const MAX_RESERVED_PERCENT: u32 = 50;
 
 /// Errors of loading a settings file.
 #[derive(Debug)]
@@ -123,7 +131,9 @@
     }
     check_cores(instance.cores, &mut invalid_fields);
     check_allowance(&instance.allowance.unwrap_or_default(), &mut invalid_fields);
-    check_strategy(&instance.strategy.unwrap_or_default(), &mut invalid_fields);
+    let strategy = instance.strategy.unwrap_or_default();
+    check_strategy(&strategy, &mut invalid_fields);
+    check_admission(&instance.admission.unwrap_or_default(), &strategy, &mut invalid_fields);
     check_timing(&instance.timing.unwrap_or_default(), &mut invalid_fields);
     invalid_fields
 }
@@ -199,9 +209,22 @@
 }
 
 /// Checks that partial aggregation is on only with direct placement: an owner instance already
-/// calls the servers of its service itself and has nothing to collect from other instances.
+/// calls the servers of its service itself and has nothing to collect from other instances. Also
+/// checks that the settings that refine partial aggregation and observed listing are on only with
+/// these.
 fn check_strategy(strategy: &Strategy, invalid_fields: &mut Vec<InvalidField>) {
     let partial_aggregation = strategy.gathering() == Gathering::Near;
+    let observed = strategy.listing() == Listing::Observed;
+    if strategy.aggregation() == Aggregation::Zone && !partial_aggregation {
+        let (value, other) = (Aggregation::Zone.as_str_name(), Aggregation::Fleet.as_str_name());
+        let required = Gathering::Near.as_str_name();
+        invalid_fields.push(requires("strategy.aggregation", value, other, required));
+    }
+    if strategy.startup() == Startup::Gradual && !observed {
+        let (value, other) = (Startup::Gradual.as_str_name(), Startup::Immediate.as_str_name());
+        let required = Listing::Observed.as_str_name();
+        invalid_fields.push(requires("strategy.startup", value, other, required));
+    }
     if partial_aggregation && strategy.placement() != Placement::Direct {
         invalid_fields.push(InvalidField {
             field: "strategy.gathering".to_owned(),
@@ -215,6 +238,48 @@
     }
 }
 
+/// Describes a setting that needs another one; without that one only `allowed` may be set.
+fn requires(field: &str, value: &str, allowed: &str, required: &str) -> InvalidField {
+    InvalidField {
+        field: field.to_owned(),
+        value: value.to_owned(),
+        allowed: format!("{allowed} without {required}"),
+    }
+}
+
+/// Checks that sweeps are admitted as a whole only with partial aggregation, whose replies report
+/// the load of the servers, and that the shares are in their ranges.
+fn check_admission(
+    admission: &Admission,
+    strategy: &Strategy,
+    invalid_fields: &mut Vec<InvalidField>,
+) {
+    if admission.sweeps() == Switch::On && strategy.gathering() != Gathering::Near {
+        let (on, off) = (Switch::On.as_str_name(), Switch::Off.as_str_name());
+        let required = Gathering::Near.as_str_name();
+        invalid_fields.push(requires("admission.sweeps", on, off, required));
+    }
+    let target = admission.target_utilization_percent;
+    if target != 0 && !TARGET_UTILIZATION_RANGE_PERCENT.contains(&target) {
+        invalid_fields.push(InvalidField {
+            field: "admission.targetUtilizationPercent".to_owned(),
+            value: target.to_string(),
+            allowed: format!(
+                "{} to {}, or 0 for the default",
+                TARGET_UTILIZATION_RANGE_PERCENT.start(),
+                TARGET_UTILIZATION_RANGE_PERCENT.end()
+            ),
+        });
+    }
+    if admission.reserved_percent > MAX_RESERVED_PERCENT {
+        invalid_fields.push(InvalidField {
+            field: "admission.reservedPercent".to_owned(),
+            value: admission.reserved_percent.to_string(),
+            allowed: format!("0 to {MAX_RESERVED_PERCENT}"),
+        });
+    }
+}
+
 /// Checks that the time limit of a graceful shutdown is 0 for none, or long enough to answer open
 /// requests.
 fn check_grace(grace_s: f64, invalid_fields: &mut Vec<InvalidField>) {
