Start gradually where instances are counted from gossip

After a loss of all instances each one knows no other for a fraction of a second, takes itself for the whole fleet and opens a connection to every server; the need for these connections is then remembered for four to twelve seconds. With STARTUP_GRADUAL the fleet counts as so large that connections are scarce until the count of instances has settled (control/startup.rs), an instance becomes ready only after a peer's answer or one second, and where connections are scarce an instance that sends no work for others closes its connections 250 ms after their last call.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -19,6 +19,7 @@
 pub mod quarantine;
 pub mod reader;
 pub mod settings;
+pub mod startup;
 pub mod state_change;
 pub mod store;
 
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -16,6 +16,7 @@
 use super::quarantine::{Cause, Change, Entry, Quarantine};
 use super::reader::{self, Reader, ReaderRank};
 use super::settings::{Listing, Settings};
+use super::startup::{Knowledge, Startup};
 use super::state_change::{PlatformChange, StateChange};
 use super::store::{Key, Position, Refusal, Store};
 use super::{Action, Event};
@@ -62,7 +63,7 @@
 /// - it has a catalogue entry and an index, or the routes;
 /// - its first read of the platform has been answered or has failed;
 /// - the platform has sent a full listing, a peer has answered, no peer is known, or a second has
-///   passed since the start;
+///   passed since the start; with gradual startup a full listing does not suffice;
 /// - its connection shares have stopped growing.
 ///
 /// If no source answers, the instance never becomes ready, refuses callers with `REASON_NOT_READY`,
@@ -76,6 +77,7 @@
     projection: Projection,
     deferrals: Deferrals,
     quarantine: Quarantine,
+    startup: Startup,
     random: Random,
     started_at: Instant,
     next_probe_at: Instant,
@@ -122,6 +124,10 @@
             projection: Projection::default(),
             deferrals: Deferrals::default(),
             quarantine: Quarantine::default(),
+            startup: match settings.starts_gradually() {
+                true => Startup::gradual(now, settings.timing.probe, settings.timing.grace),
+                false => Startup::immediate(now),
+            },
             started_at: now,
             next_probe_at: random_start(settings.timing.probe, &mut random),
             next_digest_at: now,
@@ -204,7 +210,12 @@
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_probe_at.min(self.next_digest_at);
         let reader_wake = self.reader.next_wake(self.current_reader_rank(), self.reader_timing());
-        let other_wakes = [self.next_view_at, self.next_deferral(), self.quarantine.next_expiry()];
+        let other_wakes = [
+            self.next_view_at,
+            self.next_deferral(),
+            self.quarantine.next_expiry(),
+            self.startup.next_change(self.knowledge()),
+        ];
         for candidate in other_wakes.into_iter().chain([reader_wake]).flatten() {
             wake = wake.min(candidate);
         }
@@ -345,7 +356,9 @@
         let members_changed = self.membership.take_changed();
         let store_changed = std::mem::take(&mut self.store_changed);
         let quarantine_changed = *self.quarantine.view() != self.projection.view().quarantine;
-        if !(store_changed || members_changed || became_ready || view_due || quarantine_changed) {
+        let count_trusted = self.update_startup(now, out);
+        let unchanged = !(store_changed || members_changed || quarantine_changed);
+        if unchanged && !(became_ready || view_due || count_trusted) {
             return;
         }
         let changes = self.store.take_changes();
@@ -359,6 +372,7 @@
             store: &self.store,
             membership: &self.membership,
             settings: &self.settings,
+            startup: self.startup,
             now,
         };
         if let Some(view) = self.projection.refresh(&inputs, changes, ready) {
@@ -371,6 +385,23 @@
             [next_growth, next_order_change, next_settled].into_iter().flatten().min();
     }
 
+    const fn knowledge(&self) -> Knowledge {
+        Knowledge {
+            peer_answered: self.peer_answered,
+            last_new_member_at: self.membership.last_new_member_at(),
+        }
+    }
+
+    /// Returns whether the count of instances is trusted from now on.
+    fn update_startup(&mut self, now: Instant, out: &mut Vec<Action>) -> bool {
+        let Some(age) = self.startup.update(now, self.knowledge()) else {
+            return false;
+        };
+        let members = self.membership.size();
+        out.push(Action::Log(StateChange::CountTrusted { age, members }));
+        true
+    }
+
     /// Logs the instances whose standing differs from the last view.
     fn log_member_changes(&self, current: &Standings, out: &mut Vec<Action>) {
         let before = self.projection.standings();
@@ -406,6 +437,7 @@
             store: &store,
             membership: &self.membership,
             settings: &self.settings,
+            startup: self.startup,
             now,
         };
         self.projection.build_whole(&inputs, self.view().ready)
@@ -418,8 +450,10 @@
         let knows_no_peer =
             self.settings.seeds.is_empty() && self.membership.members().next().is_none();
         let elapsed = now.since(self.started_at);
+        // Without a peer's answer, the instance would begin sweeps as if it were alone.
+        let listing_suffices = self.fully_listed && !self.settings.starts_gradually();
         let source_answered =
-            self.fully_listed || self.peer_answered || knows_no_peer || elapsed >= STARTUP_WAIT;
+            listing_suffices || self.peer_answered || knows_no_peer || elapsed >= STARTUP_WAIT;
         has_catalogue && self.reader.tried() && source_answered && self.are_shares_settled(elapsed)
     }
 
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -90,6 +90,8 @@
     /// Number of other reachable members in this instance's zone when the probe ring was last
     /// computed.
     zone_peers: usize,
+    /// When the last new member became known; the start if none has.
+    last_new_member_at: Instant,
 }
 
 impl Membership {
@@ -111,6 +113,7 @@
             changed: true,
             probe_ring_stale: true,
             zone_peers: 0,
+            last_new_member_at: now,
         }
     }
 
@@ -139,6 +142,11 @@
         self.members.len() + 1
     }
 
+    /// When the last new member became known; the start of this instance if none has.
+    pub const fn last_new_member_at(&self) -> Instant {
+        self.last_new_member_at
+    }
+
     /// Other members that may receive frames: neither dead nor leaving.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         self.members.values().filter(|member| member.is_reachable())
@@ -231,6 +239,9 @@
         if is_new_to_peers {
             self.gossip.push(&name);
         }
+        if previous.is_none() {
+            self.last_new_member_at = now;
+        }
         self.members.insert(name, member);
         self.note_change();
     }
--- a/crates/core/src/control/membership/gossip.rs
+++ b/crates/core/src/control/membership/gossip.rs
@@ -46,6 +46,7 @@
         let mut member = Member::new(&name, now, Evidence::PeerReport);
         member.apply_update(now, rumour);
         self.members.insert(Arc::clone(&name), member);
+        self.last_new_member_at = now;
         self.gossip.push(&name);
         self.note_change();
     }
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -14,6 +14,7 @@
 use super::membership::{Membership, Standing};
 use super::placement;
 use super::settings::{Listing, Placement, Settings};
+use super::startup::Startup;
 use super::store::{Changes, Store};
 use crate::collections::{Map, Set};
 use crate::route::Table;
@@ -38,6 +39,8 @@
     /// Number of instances in each zone when the last view was built; only kept if instances are
     /// counted from gossip instead of published.
     instances_per_zone: Map<Arc<str>, usize>,
+    /// Whether the count of instances was trusted when the last view was built.
+    count_trusted: bool,
     /// Services that the routes in force list as parts of sweeps.
     sweep_services: Set<String>,
     /// Services that the routes in force list as branches, which receive single messages.
@@ -56,6 +59,8 @@
     pub(super) standings: Arc<Standings>,
     /// The settings of this instance.
     pub(super) settings: &'a Settings,
+    /// Whether the count of instances can be trusted.
+    pub(super) startup: Startup,
     /// The current time.
     pub(super) now: Instant,
 }
@@ -171,7 +176,9 @@
         if changes.instances {
             to_build.extend(self.rankings.refresh(inputs.store.instances()));
         }
-        if changes.evacuations {
+        let trusted_before =
+            std::mem::replace(&mut self.count_trusted, inputs.startup.is_trusted());
+        if changes.evacuations || trusted_before != self.count_trusted {
             to_build.extend(self.view.service_keys.keys().cloned());
         }
         let settings = inputs.settings;
@@ -274,7 +281,8 @@
         let instance_count = inputs.membership.size();
         let has_few_connections = self.needs_single_sender(inputs, name, &targets, &limits);
         let allows_idle_connections = |target: &&publication::Server| {
-            placement::allows_one_connection_each(connection_limit(target, &limits), instance_count)
+            let limit = connection_limit(target, &limits);
+            inputs.startup.allows_one_connection_each(limit, instance_count)
         };
         let observed_listing = inputs.settings.listing == Listing::Observed;
         let mut servers = Vec::with_capacity(targets.len());
@@ -317,11 +325,8 @@
             self.sweep_services.contains(&**service) || !self.branch_services.contains(&**service);
         let instance_count = inputs.membership.size();
         let is_short = |target: &&publication::Server| {
-            placement::is_short_of_connections(
-                connection_limit(target, limits),
-                target.slots,
-                instance_count,
-            )
+            let limit = connection_limit(target, limits);
+            inputs.startup.is_short_of_connections(limit, target.slots, instance_count)
         };
         inputs.settings.near && may_be_swept && targets.iter().any(is_short)
     }
@@ -388,8 +393,9 @@
             Listing::Published => 0,
             Listing::Observed => INITIAL_SHARE,
         };
+        let granted = self.grants.update(inputs.now, &name, share, (grace, first));
         Server {
-            share: self.grants.update(inputs.now, &name, share, (grace, first)),
+            share: inputs.startup.limit_share(granted),
             name,
             address: target.address.as_str().into(),
             zone: self.shared_zone_name(&target.zone),
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -73,12 +73,19 @@
     pub(super) listing: Listing,
     /// Whether peers near the servers aggregate the parts of sweeps.
     pub(super) near: bool,
+    /// Whether this instance assumes a large fleet until its count of instances has settled.
+    pub(super) gradual_startup: bool,
     pub(super) timing: Timing,
     pub(super) regions: Arc<Map<Arc<str>, Arc<str>>>,
     pub(super) seed: u64,
 }
 
 impl Settings {
+    /// Whether this instance must not trust its count of instances from the start.
+    pub(super) fn starts_gradually(&self) -> bool {
+        self.gradual_startup && self.listing == Listing::Observed
+    }
+
     /// Creates a builder from the instance's unique name and its peer address (IP address and
     /// port).
     pub fn builder(name: &str, address: &str) -> Builder {
@@ -94,6 +101,7 @@
                 placement: Placement::default(),
                 listing: Listing::default(),
                 near: false,
+                gradual_startup: false,
                 timing: Timing::default(),
                 regions: Arc::default(),
                 seed: 0,
@@ -171,6 +179,14 @@
         self
     }
 
+    /// Whether the instance assumes a large fleet after its start until its count of instances has
+    /// settled; only with observed listing. Default: false.
+    #[must_use]
+    pub const fn gradual_startup(mut self, gradual: bool) -> Self {
+        self.settings.gradual_startup = gradual;
+        self
+    }
+
     /// Time spans of failure detection, anti-entropy and reads of the platform.
     #[must_use]
     pub const fn timing(mut self, timing: Timing) -> Self {
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -85,6 +85,13 @@
         /// Name of the peer that reported the change; empty if this instance detected it.
         from: Arc<str>,
     },
+    /// The count of instances has settled after the start and is trusted from now on.
+    CountTrusted {
+        /// Time since the start of this instance.
+        age: Duration,
+        /// Number of known instances, including this one.
+        members: usize,
+    },
     /// The standing of an instance changed: whether work may be given to it.
     Member {
         /// Name of the instance.
--- a/crates/core/src/leaf/connection.rs
+++ b/crates/core/src/leaf/connection.rs
@@ -26,4 +26,6 @@
     pub(super) closing: bool,
     /// Time at which the connection was opened; until then, time at which it was requested.
     pub(super) since: Instant,
+    /// When a call last ended on the connection; until then, when it was requested or opened.
+    pub(super) used_at: Instant,
 }
--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -28,6 +28,10 @@
 /// Time for which an instance other than the owner keeps connections that it opened because of
 /// work.
 const KEEP_AFTER_WORK: Duration = Duration::from_secs(5);
+/// Time for which a connection is kept after its last call where connections are scarce and no
+/// other instance hands over work. Calls of one sweep, its retries and its hedges follow each other
+/// within this time; opening a connection for each of them would cost the server milliseconds.
+const RELEASE_DELAY: Duration = Duration::from_millis(250);
 
 impl Machine {
     /// Handles an established connection, or a completed cancellation or load report request on
@@ -44,6 +48,7 @@
         let server = connection.server;
         if was_opening {
             connection.since = self.now;
+            self.record_use(key);
             self.servers[server].open_failures = 0;
             self.server_accepted_connection(server);
         }
@@ -171,7 +176,9 @@
 
     /// Number of concurrent connections to a server that the work of the last seconds needed; at
     /// least one where the servers accept enough connections for every instance. Where they don't,
-    /// a connection kept without work is missing at another instance.
+    /// a connection kept without work is missing at another instance: if none hands over work and
+    /// [`Settings::release_idle`](super::settings::Builder::release_idle) is set, only connections
+    /// used within [`RELEASE_DELAY`] are kept.
     ///
     /// While the service receives work, one connection to a server that could not be reached is
     /// attempted until one succeeds. As long as none of a service's servers can be reached, work is
@@ -183,10 +190,43 @@
         let queued_per_server = service.queue.len().div_ceil(service.servers.len().max(1));
         let in_use = server.in_flight as usize + queued_per_server;
         let keeps_trying = service.has_demand(self.now) && server.open_failures > 0;
+        if self.releases_idle(server.service) {
+            let kept = self.recently_used_connections(key);
+            return in_use.max(kept).max(usize::from(keeps_trying));
+        }
         let keep_one = service.keeps_idle_connection || keeps_trying;
         in_use.max(service.peak.get(self.now)).max(usize::from(keep_one))
     }
 
+    /// Whether connections of a service are closed [`RELEASE_DELAY`] after their last call.
+    fn releases_idle(&self, id: ServiceId) -> bool {
+        let service = &self.services[id];
+        self.settings.release_idle && service.has_few_connections && service.sender().is_none()
+    }
+
+    /// Number of connections that carry a call or whose last use is less than [`RELEASE_DELAY`]
+    /// ago.
+    fn recently_used_connections(&self, key: ServerKey) -> usize {
+        let connections = self.servers[key].connections.iter();
+        let connections = connections.map(|connection| &self.connections[*connection]);
+        let is_kept = |connection: &&Connection| {
+            matches!(connection.state, State::Busy(_))
+                || self.now.since(connection.used_at) < RELEASE_DELAY
+        };
+        connections.filter(is_kept).count()
+    }
+
+    /// Records that a connection was requested or opened, or that a call on it ended, and schedules
+    /// its release.
+    pub(super) fn record_use(&mut self, key: ConnectionKey) {
+        let connection = &mut self.connections[key];
+        connection.used_at = self.now;
+        let service = self.servers[connection.server].service;
+        if self.releases_idle(service) {
+            self.schedule_dispatch(service, self.now + RELEASE_DELAY);
+        }
+    }
+
     /// Number of connections needed to send all queued work at once, without regard to slots.
     fn connections_for_queued_work(&self, key: ServerKey) -> usize {
         let server = &self.servers[key];
@@ -208,21 +248,32 @@
     }
 
     fn open_connection(&mut self, key: ServerKey, out: &mut Vec<Action>) {
-        let connection =
-            Connection { server: key, state: State::Opening, closing: false, since: self.now };
-        let connection = self.connections.insert(connection);
+        let connection = self.connections.insert(Connection {
+            server: key,
+            state: State::Opening,
+            closing: false,
+            since: self.now,
+            used_at: self.now,
+        });
+        self.record_use(connection);
         let server = &mut self.servers[key];
         server.connections.push(connection);
         let name = Arc::clone(&server.name);
         out.push(Action::Open { connection, address: Arc::clone(&server.address), server: name });
     }
 
-    /// An idle or opening connection to the server: closing it interrupts no call.
+    /// An idle or opening connection to the server: closing it interrupts no call. Where
+    /// connections are released after their last call, the one whose last use is longest ago.
     fn closable_connection(&self, key: ServerKey) -> Option<ConnectionKey> {
         let is_closable = |connection: &ConnectionKey| {
             matches!(self.connections[*connection].state, State::Idle | State::Opening)
         };
-        self.servers[key].connections.iter().copied().rev().find(is_closable)
+        let server = &self.servers[key];
+        let mut closable = server.connections.iter().copied().rev().filter(is_closable);
+        if self.releases_idle(server.service) {
+            return closable.min_by_key(|connection| self.connections[*connection].used_at);
+        }
+        closable.next()
     }
 
     pub(super) fn remove_connection(&mut self, key: ConnectionKey) {
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -137,6 +137,7 @@
         server.in_flight -= 1;
         if reusable && !self.connections[attempt.connection].closing {
             self.connections[attempt.connection].state = connection::State::Idle;
+            self.record_use(attempt.connection);
             self.idle(attempt.connection, out);
             return;
         }
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -25,6 +25,9 @@
     pub(super) linger: Option<Duration>,
     /// Whether connections are opened on demand rather than ahead of work.
     pub(super) by_need: bool,
+    /// Whether an instance that sends no work for others closes its connections soon after their
+    /// last call where connections are scarce.
+    pub(super) release_idle: bool,
     /// Availability zone of this instance.
     pub(super) zone: Arc<str>,
     /// Seed of the jitter of back-off delays.
@@ -43,6 +46,7 @@
             probing: true,
             linger: None,
             by_need: false,
+            release_idle: false,
             zone: "".into(),
             seed: 0,
         })
@@ -105,6 +109,19 @@
         self
     }
 
+    /// Sets whether connections are closed soon after their last call where they are scarce and no
+    /// other instance hands over work.
+    ///
+    /// Instances that have just started send sweeps themselves until they know each other. With
+    /// connections kept for the need of the last seconds, 63 instances held 56 to 60 connections to
+    /// each server for four seconds, nearly all idle, and servers reset those of the instances that
+    /// sent the work by then.
+    #[must_use]
+    pub fn release_idle(mut self, on: bool) -> Self {
+        self.0.release_idle = on;
+        self
+    }
+
     /// Sets the availability zone of this instance.
     #[must_use]
     pub fn zone(mut self, zone: &str) -> Self {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -142,6 +142,7 @@
         .placement(placement)
         .listing(listing)
         .near(shared.options.strategy.partial_aggregation)
+        .gradual_startup(shared.options.strategy.gradual_startup)
         .timing(timing)
         .seed(shared.seed())
         .build()
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -128,6 +128,7 @@
         .probing(shared.dialect.probes())
         .linger((!shared.dialect.cancels()).then_some(ABANDONED_CALL_TIMEOUT))
         .by_need(strategy.listing == settings::Listing::Observed)
+        .release_idle(strategy.gradual_startup)
         .zone(&shared.options.instance.zone)
         .seed(shared.seed())
         .build();
--- a/src/log.rs
+++ b/src/log.rs
@@ -83,6 +83,10 @@
             warn!(log, "evacuation changed"; "zone" => &**zone, "evacuated" => evacuated,
                 "revision" => revision, "servers" => servers);
         }
+        StateChange::CountTrusted { age, members } => {
+            info!(log, "count of instances trusted"; "age_ms" => whole_millis(*age),
+                "members" => members);
+        }
         StateChange::Member { name, before, now } => {
             info!(log, "member state changed"; "member" => &**name,
                 "before" => ?before, "now" => ?now);
