Charge no extra call for a part that no server received

After a loss of all instances, partial aggregators refuse thousands of parts as REASON_CONNECT_FAILED, not run, before any call. The entry instance sends them to the next instance marked as repeated, which charges an extra call for each.

The proof is now the number of calls in the reply: not run with 0 calls. The list also took a refusal such as REASON_QUARANTINED after a call that a server refused for a proof; this is no longer the case. Only the refused sending is proved harmless; a sending to a lost owner keeps the part repeated.

--- a/crates/core/src/gather/reply.rs
+++ b/crates/core/src/gather/reply.rs
@@ -43,6 +43,15 @@
     Ok(SendingLocation { portion: position, sending })
 }
 
+/// Returns whether a refusal proves that no server received the portion through the instance that
+/// refused it: the portion did not run, and the instance made no call for it.
+///
+/// The proof covers only the sending that the reply answers. Another instance to which the portion
+/// was also sent may have called a server.
+pub(super) fn proves_no_server_received(reply: &wire::Reply) -> bool {
+    reply.verdict() == Verdict::NotRun && reply.calls == 0
+}
+
 /// Checks the version, verdict and parts of a reply.
 fn check_content(query: &Query, portion: &Portion, reply: &wire::Reply) -> Result<(), Reason> {
     let has_content = reply.verdict() == Verdict::Ran || !reply.parts.is_empty();
--- a/crates/core/src/gather/reply_handling.rs
+++ b/crates/core/src/gather/reply_handling.rs
@@ -55,21 +55,6 @@
     }
 }
 
-/// Returns whether an owner gives this reason only before it has sent the portion to any server.
-const fn is_given_before_sending(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NotReady
-            | Reason::NotOwner
-            | Reason::UnknownIndex
-            | Reason::UnknownOperation
-            | Reason::UnknownShard
-            | Reason::LinkFull
-            | Reason::LinkCut
-            | Reason::Quarantined
-    )
-}
-
 impl Machine {
     pub(crate) fn handle_replies(
         &mut self,
@@ -190,8 +175,7 @@
         let portion = &mut query.portions[position];
         portion.may_have_run |= verdict != Verdict::NotRun;
         portion.ran |= verdict == Verdict::Ran;
-        portion.may_have_reached_server |=
-            verdict != Verdict::NotRun || !is_given_before_sending(reason);
+        portion.may_have_reached_server |= !reply::proves_no_server_received(reply);
         if matches!(reason, Reason::NoServer | Reason::Evacuated | Reason::ConnectFailed) {
             portion.unusable.extend(&portion.eligible);
         }
--- a/crates/core/tests/gather/refusals.rs
+++ b/crates/core/tests/gather/refusals.rs
@@ -67,23 +67,13 @@
         let name = format!("{} {:?} {:?}", case.operation, case.verdict, case.reason);
         let (mut harness, sent) = start_request(case.operation, &["c"]);
         let refusal = refusal_reply(&sent[0].1, "s2", case.reason);
-        let out = harness.reply("e2", Reply { verdict: case.verdict.into(), ..refusal });
+        let refusal = Reply { verdict: case.verdict.into(), calls: 1, ..refusal };
+        let out = harness.reply("e2", refusal);
         let sent = sent_work(&out);
         let event = match &case.outcome {
             Outcome::Sent(to) => {
                 assert_eq!(&*sent[0].0, *to, "{name}");
-                let is_before_sending = matches!(
-                    case.reason,
-                    Reason::NotOwner
-                        | Reason::NotReady
-                        | Reason::UnknownIndex
-                        | Reason::UnknownOperation
-                        | Reason::UnknownShard
-                        | Reason::LinkFull
-                        | Reason::LinkCut
-                );
-                let is_proved = is_before_sending && case.verdict == Verdict::NotRun;
-                assert_eq!(sent[0].1.portions[0].repeated, !is_proved, "{name}");
+                assert!(sent[0].1.portions[0].repeated, "{name}: a server was called");
                 count::Event::Retry
             }
             Outcome::Answered(verdict) => {
@@ -99,6 +89,66 @@
     }
 }
 
+/// Proof that a refusal gives about the servers.
+#[derive(Clone, Copy)]
+struct ProofCase {
+    verdict: Verdict,
+    calls: u32,
+    is_repeated: bool,
+}
+
+/// The next instance pays an extra call for a portion that a server may already have received, and
+/// refuses it if its budget is empty. Guards against charging portions that no server received:
+/// after a loss of all instances, thousands of parts are refused because there is no connection
+/// yet, and 506 sweeps ended as `RETRY_BUDGET` within 100 ms. Guards also against not charging a
+/// portion that a server received, whatever the reason of the refusal is.
+#[test]
+fn only_refusal_without_calls_proves_that_no_server_received_the_portion() {
+    let reasons = [
+        Reason::NotReady,
+        Reason::Draining,
+        Reason::NotOwner,
+        Reason::NoServer,
+        Reason::Evacuated,
+        Reason::ConnectFailed,
+        Reason::Paused,
+        Reason::UnknownIndex,
+        Reason::UnknownOperation,
+        Reason::UnknownShard,
+        Reason::LinkFull,
+    ];
+    let cases = [
+        ProofCase { verdict: NOT, calls: 0, is_repeated: false },
+        ProofCase { verdict: NOT, calls: 1, is_repeated: true },
+        ProofCase { verdict: MAY, calls: 0, is_repeated: true },
+        ProofCase { verdict: MAY, calls: 1, is_repeated: true },
+    ];
+    for reason in reasons {
+        for ProofCase { verdict, calls, is_repeated } in cases {
+            let name = format!("{reason:?} {verdict:?} with {calls} calls");
+            let (mut harness, sent) = start_request("check", &["c"]);
+            let refusal = refusal_reply(&sent[0].1, "s2", reason);
+            let refusal = Reply { verdict: verdict.into(), calls, ..refusal };
+            let sent = sent_work(&harness.reply("e2", refusal));
+            assert_eq!(sent[0].1.portions[0].repeated, is_repeated, "{name}");
+        }
+    }
+}
+
+/// A refusal that proves that no server received the portion covers only the sending that it
+/// answers. Guards against sending a portion free of charge although the server of a lost owner
+/// may have received it.
+#[test]
+fn refusal_without_calls_does_not_cover_the_sending_to_a_lost_owner() {
+    let (mut harness, sent) = start_request("check", &["c"]);
+    assert!(!sent[0].1.portions[0].repeated);
+    let moved = sent_work(&harness.link_down("e2")).remove(0);
+    assert!(moved.1.portions[0].repeated);
+    let refusal = refusal_reply(&moved.1, "s2", Reason::ConnectFailed);
+    let third = sent_work(&harness.reply(&moved.0, refusal)).remove(0);
+    assert!(third.1.portions[0].repeated, "the lost owner's server may have received it");
+}
+
 /// If each of four candidates replies that it is not the owner, the third refusal must end the
 /// portion.
 #[test]
