Test that arrivals beyond the first at a service are paid for

The budget limits every arrival at a server, but whether a part is sent for the first time is decided at the entry instance, from replies and losses alone. A property over random orders of refusals, losses of peers, lost messages and answers counts arrivals over four instances: with an empty budget each part arrives at most once, otherwise the saved and earned extra calls pay for the rest.

--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -9,7 +9,7 @@
 use ladder_core::gather::event::CallerId;
 use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
 use ladder_core::route::Table;
-use ladder_core::schema::call::{Message, Request};
+use ladder_core::schema::call::{Answer, Message, Request};
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::Reason;
 use ladder_core::schema::publication::{Route, Routing};
@@ -22,16 +22,16 @@
 use crate::harness::{self, peer};
 
 /// Names and zones of the instances. All sweeps arrive at the first instance.
-const INSTANCES: [(&str, &str); 4] = [
+pub(crate) const INSTANCES: [(&str, &str); 4] = [
     ("porto-1", "trindade"),
     ("porto-2", "trindade"),
     ("porto-3", "campanha"),
     ("porto-4", "sao-bento"),
 ];
 /// Zone of each server of a service.
-const ZONES: [&str; 4] = ["trindade", "campanha", "sao-bento", "campanha"];
+pub(crate) const ZONES: [&str; 4] = ["trindade", "campanha", "sao-bento", "campanha"];
 /// Services of each sweep; each service gets one part.
-const PARTS: [&str; 3] = ["docks-a", "docks-b", "docks-c"];
+pub(crate) const PARTS: [&str; 3] = ["docks-a", "docks-b", "docks-c"];
 /// Maximum number of servers on which one part may run.
 const ATTEMPTS: usize = 2;
 const INCARNATION: u64 = 9;
@@ -39,7 +39,7 @@
 /// State of a server according to the view of one instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(TypeGenerator)]
-enum ServerState {
+pub(crate) enum ServerState {
     Live,
     Leaving,
     Unknown,
@@ -47,7 +47,7 @@
 
 #[derive(Clone, Copy, Debug)]
 #[derive(TypeGenerator)]
-enum End {
+pub(crate) enum End {
     Answer,
     Shed,
     Error,
@@ -58,7 +58,7 @@
 /// One step of the simulation. Each number selects among the existing items, modulo their count.
 #[derive(Clone, Copy, Debug)]
 #[derive(TypeGenerator)]
-enum Step {
+pub(crate) enum Step {
     SetState {
         instance: u8,
         server: u8,
@@ -84,7 +84,7 @@
 /// One execution of a part: request key, service and address of the server.
 type Execution = (String, String, Arc<str>);
 
-struct Call {
+pub(crate) struct Call {
     attempt: AttemptKey,
     connection: ConnectionKey,
     instance: usize,
@@ -101,21 +101,31 @@
     addresses: BTreeMap<ConnectionKey, Arc<str>>,
 }
 
-struct Simulation {
+pub(crate) struct Simulation {
     now: Instant,
+    limits: Limits,
     entry: gather::Machine,
     senders: Vec<Sender>,
     /// Work in transit, with the index of its receiving instance.
-    messages: Vec<(usize, wire::Work)>,
-    replies: Vec<(usize, wire::Reply)>,
-    calls: Vec<Call>,
+    pub(crate) messages: Vec<(usize, wire::Work)>,
+    pub(crate) replies: Vec<(usize, wire::Reply)>,
+    pub(crate) calls: Vec<Call>,
     /// Servers on which each part ran or may have run, by request key and service.
     executions: BTreeMap<(String, String), BTreeSet<Arc<str>>>,
+    /// Number of calls that reached a server, by request key and service of the part.
+    pub(crate) arrivals: BTreeMap<(String, String), u32>,
+    /// Answers to callers.
+    pub(crate) answers: Vec<Answer>,
     sweeps: u64,
 }
 
 impl Simulation {
     fn new(has_few_connections: bool) -> Self {
+        let limits = Limits { queue: 100, extra_percent: 100, ..Limits::default() };
+        Self::with_limits(has_few_connections, limits)
+    }
+
+    pub(crate) fn with_limits(has_few_connections: bool, limits: Limits) -> Self {
         let (name, zone) = INSTANCES[0];
         let entry = gather::Settings::builder(name, INCARNATION).near(zone).build();
         let sender = |(name, zone): &(&str, &str)| Sender {
@@ -129,12 +139,15 @@
         };
         let mut simulation = Self {
             now: Instant::from_millis(1000),
+            limits,
             entry: gather::Machine::new(entry),
             senders: INSTANCES.iter().map(sender).collect(),
             messages: Vec::new(),
             replies: Vec::new(),
             calls: Vec::new(),
             executions: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            answers: Vec::new(),
             sweeps: 0,
         };
         for instance in 0..INSTANCES.len() {
@@ -144,7 +157,8 @@
     }
 
     fn publish(&mut self, instance: usize, has_few_connections: bool) {
-        let view = Arc::new(view(instance, &self.senders[instance].states, has_few_connections));
+        let states = &self.senders[instance].states;
+        let view = Arc::new(view(instance, states, has_few_connections, self.limits));
         if instance == 0 {
             self.gather(gather::Event::View(Arc::clone(&view)));
         }
@@ -161,6 +175,7 @@
                     let from = INSTANCES[0].0.into();
                     self.leaf(index_of(&to.name), leaf::Event::Cancel { from, cancel });
                 }
+                gather::Action::Answer { answer, .. } => self.answers.push(answer),
                 _ => {}
             }
         }
@@ -191,6 +206,8 @@
                 let (key, service) = request.payload.split_once(' ').expect("key and service");
                 let execution = (key.to_owned(), service_name(&address).to_owned(), address);
                 assert_eq!(service, "sweep");
+                let part = (execution.0.clone(), execution.1.clone());
+                *self.arrivals.entry(part).or_default() += 1;
                 self.calls.push(Call { attempt, connection, instance, request, execution });
             }
             leaf::Action::Reply { reply, .. } => self.replies.push((instance, reply)),
@@ -211,7 +228,7 @@
         self.executions.entry((key, service)).or_default().insert(server);
     }
 
-    fn step(&mut self, step: Step, has_few_connections: bool) {
+    pub(crate) fn step(&mut self, step: Step, has_few_connections: bool) {
         match step {
             Step::SetState { instance, server, state } => {
                 let instance = usize::from(instance) % INSTANCES.len();
@@ -283,6 +300,16 @@
         }
     }
 
+    /// Closes the idle connections of an instance and lets it open no others.
+    pub(crate) fn cut_off(&mut self, instance: usize) {
+        assert!(self.calls.is_empty(), "no call is on a connection");
+        let sender = &mut self.senders[instance];
+        sender.reachable = [false; ZONES.len()];
+        for connection in std::mem::take(&mut sender.addresses).into_keys() {
+            self.leaf(instance, leaf::Event::Closed(connection));
+        }
+    }
+
     fn end_call(&mut self, call: Call, end: End) {
         let outcome = match end {
             End::Answer => Outcome::Answer(harness::answer(&call.request, |_| String::new())),
@@ -291,6 +318,10 @@
             End::Lost => Outcome::Lost,
             End::Unsent => Outcome::Unsent,
         };
+        if matches!(end, End::Unsent) {
+            let part = (call.execution.0.clone(), call.execution.1.clone());
+            *self.arrivals.entry(part).or_default() -= 1;
+        }
         if !matches!(end, End::Shed | End::Unsent) {
             self.record_execution(call.execution);
         }
@@ -348,7 +379,12 @@
     number.parse().expect("a number")
 }
 
-fn view(instance: usize, states: &[ServerState], has_few_connections: bool) -> View {
+fn view(
+    instance: usize,
+    states: &[ServerState],
+    has_few_connections: bool,
+    limits: Limits,
+) -> View {
     let mut view = View { generation: 1, ready: true, ..View::default() };
     for service in PARTS {
         let server = |(number, zone): (usize, &&str)| Server {
@@ -360,7 +396,6 @@
             ..harness::server(1)
         };
         let known = |(number, _): &(usize, &&str)| states[*number] != ServerState::Unknown;
-        let limits = Limits { queue: 100, extra_percent: 100, ..Limits::default() };
         let candidate = Candidate { peer: peer(INSTANCES[instance].0), live: true, local: true };
         view.insert(Service {
             name: service.into(),
@@ -395,7 +430,7 @@
     view
 }
 
-type Property = TestTarget<ByteSliceGenerator, Engine, BorrowedInput>;
+pub(crate) type Property = TestTarget<ByteSliceGenerator, Engine, BorrowedInput>;
 
 /// Simulates the steps of each input and checks on how many servers each part ran.
 fn check_attempts(property: Property) {
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod dispatch;
 mod exclusion;
+mod extra_calls;
 mod forward;
 mod harness;
 mod hedge;
