Introduce a starting instance to the members that a peer knows

Waiting longer was ruled out: at one or two new members a second the count takes minutes.

With gradual startup an instance asks for the members (Frame.wants_members) until a peer has answered, and the peer answers with up to 128 live ones (Frame.members), which are not passed on.

--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -198,6 +198,7 @@
                     | Action::Crashed { .. }
                     | Action::Refuted { .. }
                     | Action::Cleared(_)
+                    | Action::Connection(_)
                     | Action::Count(_) => {}
                 }
             }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -282,6 +282,7 @@
             | Action::Crashed { .. }
             | Action::Refuted { .. }
             | Action::Cleared(_)
+            | Action::Connection(_)
             | Action::Count(_) => {}
         }
     }
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -27,6 +27,8 @@
 
 /// Number of random peers that a change is sent to at once.
 const BROADCAST_FANOUT: usize = 4;
+/// Maximum number of members sent to a peer that has just started and requests them. About 8 KB.
+const MAX_INTRODUCED_MEMBERS: usize = 128;
 /// Number of random peers that receive gossip updates at each probe, besides the probed members.
 const GOSSIP_FANOUT: usize = 2;
 /// Number of peers that this instance notifies directly when it leaves.
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use ladder_schema::publication::Record;
-use ladder_schema::wire::{Departure, Digest, Frame, Probe, Rumour};
+use ladder_schema::wire::{Departure, Digest, Frame, Liveness, Probe, Rumour};
 
 use super::{
     BROADCAST_FANOUT, DEFERRABLE_BUCKETS, DIGESTS_PER_SEED_CONTACT, FIRST_READ_WAIT, GOSSIP_FANOUT,
-    MAX_DEFERRED_DIGESTS, Machine, PROPAGATION_TIME, START_FANOUT,
+    MAX_DEFERRED_DIGESTS, MAX_INTRODUCED_MEMBERS, Machine, PROPAGATION_TIME, START_FANOUT,
 };
 use crate::collections::Set;
 use crate::control::Action;
@@ -41,6 +41,10 @@
             FrameEffect::MustRefute(u) | FrameEffect::StaleGeneration(u) => reply.rumours.push(u),
         }
         let generation = self.membership.own().generation;
+        self.membership.introduce(now, &frame.members);
+        if frame.wants_members {
+            reply.members = self.known_members(&frame.from);
+        }
         for rumour in &frame.rumours {
             self.membership.apply_update(now, rumour);
         }
@@ -92,6 +96,22 @@
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
 
+    /// Live members for a peer that has just started: all of them, or as many random ones as one
+    /// frame may carry.
+    fn known_members(&mut self, receiver: &str) -> Vec<Rumour> {
+        let is_live = |member: &&Member| {
+            member.liveness == Liveness::Alive
+                && !member.address.is_empty()
+                && *member.name != *receiver
+        };
+        let live = self.membership.members().filter(is_live);
+        let live: Vec<Rumour> = live.map(Member::to_gossip_update).collect();
+        match live.len() {
+            0..=MAX_INTRODUCED_MEMBERS => live,
+            _ => self.random.pick(&live, MAX_INTRODUCED_MEMBERS),
+        }
+    }
+
     /// Digest of all records and of the quarantine, with one hash per bucket of records.
     fn digest(&self, over_contents: bool) -> Digest {
         let (quarantine, era) = (self.quarantine.digest(), self.era);
@@ -196,6 +216,7 @@
     ) {
         let has_content = !reply.acknowledgements.is_empty()
             || !reply.rumours.is_empty()
+            || !reply.members.is_empty()
             || !reply.wanted.is_empty()
             || !reply.details.is_empty()
             || !reply.wanted_parts.is_empty()
@@ -306,6 +327,7 @@
             probes: vec![Probe { number: self.last_probe_number }],
             rumours: self.membership.take_gossip(peer.in_other_zone),
             digest,
+            wants_members: self.settings.starts_gradually() && !self.peer_answered,
             ..self.own_frame()
         };
         peer.send(frame, out);
--- a/crates/core/src/control/membership/gossip.rs
+++ b/crates/core/src/control/membership/gossip.rs
@@ -38,17 +38,38 @@
         }
     }
 
+    /// Adds the members that a peer knows to those of an instance that has just started.
+    ///
+    /// Gossip carries changes only, so an instance that joined a running fleet of 80 knew 12 others
+    /// after three seconds, took the fleet for small and kept connections to all servers. The
+    /// members are not passed on, because the fleet knows them.
+    pub fn introduce(&mut self, now: Instant, members: &[Rumour]) {
+        for member in members {
+            let name = member.name.as_str();
+            if *name != *self.own.name && !self.members.contains_key(name) {
+                self.insert_unknown_member(now, member);
+            }
+        }
+    }
+
     fn add_unknown_member(&mut self, now: Instant, rumour: &Rumour) {
+        if let Some(name) = self.insert_unknown_member(now, rumour) {
+            self.gossip.push(&name);
+        }
+    }
+
+    /// Adds a member if it is alive; returns its name in this case.
+    fn insert_unknown_member(&mut self, now: Instant, rumour: &Rumour) -> Option<Arc<str>> {
         if rumour.liveness() != Liveness::Alive || rumour.address.is_empty() {
-            return;
+            return None;
         }
         let name: Arc<str> = rumour.name.as_str().into();
         let mut member = Member::new(&name, now, Evidence::PeerReport);
         member.apply_update(now, rumour);
         self.members.insert(Arc::clone(&name), member);
         self.last_new_member_at = now;
-        self.gossip.push(&name);
         self.note_change();
+        Some(name)
     }
 
     /// Refutes a gossip update that this instance is suspected or dead: raises its refutation,
--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -23,3 +23,14 @@
     /// Reason of the counted event.
     pub reason: Reason,
 }
+
+/// Event of a pooled connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Connection {
+    /// The connection was established.
+    Opened,
+    /// The connection could not be established, or the server ended it outside of a call.
+    Reset,
+    /// The instance closed the connection, or the connection ended with its call.
+    Closed,
+}
--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -10,6 +10,7 @@
 use super::server::ServerKey;
 use super::service::{Role, ServiceId};
 use super::timer::Timer;
+use crate::count;
 
 /// Connections kept in addition to a server's slots, so that a cancellation or a load report
 /// request finds an idle connection while all slots are busy and another connection is being
@@ -49,6 +50,7 @@
         if was_opening {
             connection.since = self.now;
             self.record_use(key);
+            out.push(Action::Connection(count::Connection::Opened));
             self.servers[server].open_failures = 0;
             self.server_accepted_connection(server);
         }
@@ -66,6 +68,7 @@
             return;
         }
         self.remove_connection(key);
+        out.push(Action::Connection(count::Connection::Reset));
         let server = &mut self.servers[connection.server];
         if connection.state == State::Opening {
             server.open_failures += 1;
@@ -137,7 +140,7 @@
                 break;
             };
             self.remove_connection(connection);
-            out.push(Action::Close(connection));
+            Self::close(connection, out);
         }
         while self.servers[key].connections.len() < desired && self.may_open_connection(key) {
             self.open_connection(key, out);
@@ -177,7 +180,7 @@
     /// Number of concurrent connections to a server that the work of the last seconds needed; at
     /// least one where the servers accept enough connections for every instance. Where they don't,
     /// a connection kept without work is missing at another instance: if none hands over work and
-    /// [`Settings::release_idle`](super::settings::Builder::release_idle) is set, only connections
+    /// [`Settings::gradual_startup`](super::settings::Builder::gradual_startup) is set, only connections
     /// used within [`RELEASE_DELAY`] are kept.
     ///
     /// While the service receives work, one connection to a server that could not be reached is
@@ -201,7 +204,7 @@
     /// Whether connections of a service are closed [`RELEASE_DELAY`] after their last call.
     fn releases_idle(&self, id: ServiceId) -> bool {
         let service = &self.services[id];
-        self.settings.release_idle && service.has_few_connections && service.sender().is_none()
+        self.settings.gradual_startup && service.has_few_connections && service.sender().is_none()
     }
 
     /// Number of connections that carry a call or whose last use is less than [`RELEASE_DELAY`]
@@ -276,6 +279,12 @@
         closable.next()
     }
 
+    /// Requests the end of a connection that this instance no longer needs or cannot use further.
+    pub(super) fn close(connection: ConnectionKey, out: &mut Vec<Action>) {
+        out.push(Action::Close(connection));
+        out.push(Action::Connection(count::Connection::Closed));
+    }
+
     pub(super) fn remove_connection(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.remove(key) else {
             return;
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -143,7 +143,9 @@
         }
         self.remove_connection(attempt.connection);
         if mismatched {
-            out.push(Action::Close(attempt.connection));
+            Self::close(attempt.connection, out);
+        } else {
+            out.push(Action::Connection(count::Connection::Closed));
         }
         self.maintain_server(attempt.server, out);
     }
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 
 use super::trace::Trace;
-use crate::count::Count;
+use crate::count::{self, Count};
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 use crate::view::{Peer, View};
@@ -178,6 +178,8 @@
     },
     /// A request that had been running on servers that terminated was answered.
     Cleared(Fingerprint),
+    /// Count an event of a pooled connection.
+    Connection(count::Connection),
     /// Increment a counter.
     Count(Count),
 }
--- a/crates/core/src/leaf/outlook.rs
+++ b/crates/core/src/leaf/outlook.rs
@@ -1,5 +1,7 @@
 //! Checks, before anything is sent, whether the servers of a service can be expected to take work.
 
+use std::time::Duration;
+
 use ladder_schema::outcome::Reason;
 use ladder_schema::settings::Selection;
 use ladder_schema::wire;
@@ -13,6 +15,10 @@
 use crate::eligible::ServerHash;
 use crate::time::Instant;
 
+/// Time allowed for opening a connection in the advised delay of a refusal. A server needs about
+/// 6 ms, and longer while it opens many connections.
+const OPENING_TIME: Duration = Duration::from_millis(50);
+
 impl Machine {
     /// Name hashes of the servers of a service that fail, shed load or respond slowly; empty if all
     /// of its servers do.
@@ -65,7 +71,7 @@
             server.in_flight == 0 && server.open_failures >= UNREACHABLE_OPEN_FAILURES
         };
         if serving.iter().all(unreachable) {
-            return Err(Refused::not_run(Reason::ConnectFailed));
+            return Err(self.unreachable(&serving));
         }
         let earliest = |until: fn(&Self, ServerKey) -> Instant| {
             let first = serving.iter().map(|key| until(self, *key)).min();
@@ -81,6 +87,18 @@
         }
     }
 
+    /// Refusal of work because none of these servers can be reached. With gradual startup it advises
+    /// to retry after the next attempt to open a connection: after a loss of all instances, servers
+    /// reset new connections for as long as they count those of the lost instances.
+    fn unreachable(&self, servers: &[ServerKey]) -> Refused {
+        let refused = Refused::not_run(Reason::ConnectFailed);
+        let next = servers.iter().map(|key| self.servers[*key].reopen_at).min();
+        match next.filter(|_| self.settings.gradual_startup) {
+            Some(next) => refused.retry_after(next.since(self.now) + OPENING_TIME),
+            None => refused,
+        }
+    }
+
     /// Reason to refuse work when none of the servers of a service accepts work.
     fn exclusion_reason(&self, id: ServiceId) -> Reason {
         let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -120,7 +120,7 @@
             let Some(old) = self.connections.remove(connection) else {
                 continue;
             };
-            out.push(Action::Close(connection));
+            Self::close(connection, out);
             if let connection::State::Busy(attempt) = old.state {
                 self.end_as_lost(attempt, out);
             }
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -177,7 +177,7 @@
         self.servers[attempt.server].in_flight -= 1;
         self.call_abandoned(&attempt, out);
         self.remove_connection(attempt.connection);
-        out.push(Action::Close(attempt.connection));
+        Self::close(attempt.connection, out);
         self.maintain_server(attempt.server, out);
         self.mark_changed(attempt.service);
     }
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -25,9 +25,9 @@
     pub(super) linger: Option<Duration>,
     /// Whether connections are opened on demand rather than ahead of work.
     pub(super) by_need: bool,
-    /// Whether an instance that sends no work for others closes its connections soon after their
-    /// last call where connections are scarce.
-    pub(super) release_idle: bool,
+    /// Whether connections are released early where they are scarce, so that fleets can start with
+    /// few connections.
+    pub(super) gradual_startup: bool,
     /// Availability zone of this instance.
     pub(super) zone: Arc<str>,
     /// Seed of the jitter of back-off delays.
@@ -46,7 +46,7 @@
             probing: true,
             linger: None,
             by_need: false,
-            release_idle: false,
+            gradual_startup: false,
             zone: "".into(),
             seed: 0,
         })
@@ -110,15 +110,16 @@
     }
 
     /// Sets whether connections are closed soon after their last call where they are scarce and no
-    /// other instance hands over work.
+    /// other instance hands over work, and whether refusals because no server can be reached advise
+    /// when to retry.
     ///
     /// Instances that have just started send sweeps themselves until they know each other. With
     /// connections kept for the need of the last seconds, 63 instances held 56 to 60 connections to
     /// each server for four seconds, nearly all idle, and servers reset those of the instances that
     /// sent the work by then.
     #[must_use]
-    pub fn release_idle(mut self, on: bool) -> Self {
-        self.0.release_idle = on;
+    pub fn gradual_startup(mut self, on: bool) -> Self {
+        self.0.gradual_startup = on;
         self
     }
 
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -17,5 +17,6 @@
 mod session;
 mod silence;
 mod simulation;
+mod startup;
 mod store;
 mod store_drill;
--- a/crates/core/tests/leaf/connections.rs
+++ b/crates/core/tests/leaf/connections.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use ladder_core::count;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::{Action, Event, Settings};
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::view::{Server, Service};
 
-use crate::harness::{Harness, server, service, settings, view, work};
+use crate::harness::{Harness, peer, server, service, settings, view, work};
 
 fn server_with_share(share: u32) -> Server {
     Server { share, ..server(1) }
@@ -234,3 +235,149 @@
     }
     assert!(too_late.is_empty(), "seed, served after: {too_late:?}");
 }
+
+fn gradual_settings(gradual: bool) -> Settings {
+    let settings = Settings::builder("porto-1", 7).seed(1).by_need(true).probing(false);
+    settings.gradual_startup(gradual).build()
+}
+
+/// A service of two servers that accept few connections.
+fn scarce_service() -> Service {
+    Service {
+        has_few_connections: true,
+        keeps_idle_connection: false,
+        ..service(vec![server(1), server(2)])
+    }
+}
+
+/// Delivers a sweep that arrived at the instance of this name.
+fn deliver_from(harness: &mut Harness, from: &str, query: u64) {
+    let work = work(query, "sweep");
+    harness.handle(Event::Work { from: peer(from), incarnation: 9, work });
+}
+
+/// All instances start at once, and each sends the first sweeps itself. If they remembered the need
+/// for these connections, each would keep one to every server for seconds, and the servers would
+/// reset those of the instance that sends the work of all by then.
+#[test]
+fn scarce_connections_are_released_after_the_last_call() {
+    struct Case {
+        name: &'static str,
+        gradual: bool,
+        scarce: bool,
+        /// Name of the instance at which the sweeps arrive.
+        from: &'static str,
+        /// Connections 240 and 260 ms after the last call, which used one of the two.
+        kept: [usize; 2],
+    }
+    let case = |name, gradual, scarce, from, kept| Case { name, gradual, scarce, from, kept };
+    let cases = [
+        case("own sweeps", true, true, "porto-1", [1, 0]),
+        case("sweeps of others", true, true, "porto-2", [2, 2]),
+        case("enough connections", true, false, "porto-1", [2, 2]),
+        case("without the setting", false, true, "porto-1", [2, 2]),
+    ];
+    for case in cases {
+        let plentiful = service(vec![server(1), server(2)]);
+        let service = if case.scarce { scarce_service() } else { plentiful };
+        let mut harness = Harness::connected(gradual_settings(case.gradual), service);
+        for query in 0..3 {
+            harness.log.clear();
+            deliver_from(&mut harness, case.from, query);
+            harness.connect();
+            harness.advance(5);
+            harness.answer_all(harness.sent());
+            harness.advance(if query < 2 { 100 } else { 240 });
+        }
+        let after_240_ms = harness.opened.len();
+        harness.advance(20);
+        assert_eq!([after_240_ms, harness.opened.len()], case.kept, "{}", case.name);
+    }
+}
+
+/// A connection that is no longer used must not be kept by calls on another one, nor be chosen for
+/// closing after it.
+#[test]
+fn longest_unused_connection_is_released_first() {
+    let mut harness = Harness::unconnected(
+        gradual_settings(true),
+        Service { servers: vec![server(1)], ..scarce_service() },
+    );
+    deliver_from(&mut harness, "porto-1", 1);
+    deliver_from(&mut harness, "porto-1", 2);
+    harness.connect();
+    let sent = harness.sent();
+    assert_eq!(sent.len(), 2);
+    harness.answer(&sent[1]);
+    harness.advance(150);
+    harness.answer(&sent[0]);
+    harness.advance(150);
+    let open: Vec<_> = harness.opened.iter().map(|(connection, _)| *connection).collect();
+    assert_eq!(open, [sent[0].connection]);
+    harness.advance(110);
+    assert!(harness.opened.is_empty());
+}
+
+/// After a loss of all instances some servers accept new connections and others reset them. Parts
+/// must go to those with a connection instead of waiting for the others.
+#[test]
+fn work_goes_to_servers_with_a_connection() {
+    let mut harness = Harness::unconnected(gradual_settings(true), scarce_service());
+    deliver_from(&mut harness, "porto-2", 1);
+    let (first, second) = (harness.opened[0].clone(), harness.opened[1].clone());
+    harness.handle(Event::Closed(second.0));
+    harness.handle(Event::Opened(first.0));
+    deliver_from(&mut harness, "porto-2", 2);
+    harness.connect();
+    let addresses: Vec<_> = harness.sent().into_iter().map(|call| call.address).collect();
+    assert_eq!(addresses, [first.1.clone(), first.1]);
+}
+
+/// A caller that is refused because servers reset all connections retries at once, and in vain,
+/// unless it learns when the next connection is attempted.
+#[test]
+fn unreachable_servers_are_reported_with_a_retry_delay() {
+    for gradual in [true, false] {
+        let mut harness = Harness::unconnected(gradual_settings(gradual), scarce_service());
+        for query in 0..20 {
+            harness.log.clear();
+            deliver_from(&mut harness, "porto-2", query);
+            harness.close_all_connections();
+            harness.advance(40);
+            harness.close_all_connections();
+        }
+        harness.log.clear();
+        deliver_from(&mut harness, "porto-2", 20);
+        assert_eq!(harness.replies(), [(Verdict::NotRun, Reason::ConnectFailed)]);
+        let delay = harness.last_retry_after_ms();
+        assert_eq!(gradual, delay > 0, "{delay} ms");
+        assert!(delay <= 1050, "the next attempt and the time for it: {delay} ms");
+    }
+}
+
+/// An operator must see connections that servers reset, apart from those that this instance closed.
+#[test]
+fn connection_events_are_counted() {
+    let one_server = Service { servers: vec![server(1)], ..scarce_service() };
+    let mut harness = Harness::unconnected(gradual_settings(true), one_server);
+    let take_counted = |harness: &mut Harness| -> Vec<count::Connection> {
+        let log = harness.log.drain(..);
+        let counted = log.filter_map(|action| match action {
+            Action::Connection(event) => Some(event),
+            _ => None,
+        });
+        counted.collect()
+    };
+    deliver_from(&mut harness, "porto-1", 1);
+    assert_eq!(take_counted(&mut harness), []);
+    let connection = harness.opened[0].0;
+    harness.handle(Event::Opened(connection));
+    let sent = harness.sent();
+    assert_eq!(take_counted(&mut harness), [count::Connection::Opened]);
+    harness.handle(Event::Ended { attempt: sent[0].attempt, outcome: sent[0].answer() });
+    harness.advance(260);
+    assert_eq!(take_counted(&mut harness), [count::Connection::Closed]);
+    deliver_from(&mut harness, "porto-1", 2);
+    harness.close_all_connections();
+    assert_eq!(take_counted(&mut harness), [count::Connection::Reset]);
+}
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -21,7 +21,9 @@
     fn record(&mut self, label: &str) {
         let _ = writeln!(self.text, "{:>7} {label}", self.harness.now.as_micros() / 1000);
         let actions: Vec<Action> = self.harness.log.drain(..).collect();
-        for action in &actions {
+        // A connection's events follow from the other lines.
+        let is_shown = |action: &&Action| !matches!(action, Action::Connection(_));
+        for action in actions.iter().filter(is_shown) {
             let line = self.line(action);
             let _ = writeln!(self.text, "          {line}");
         }
@@ -79,6 +81,7 @@
                 format!("server {server}, incarnation {incarnation}, answered")
             }
             Action::Cleared(request) => format!("clear {request}"),
+            Action::Connection(event) => format!("count connection {event:?}"),
             Action::Count(count) => format!("count {:?} {:?}", count.event, count.reason),
         }
     }
--- a/crates/core/tests/leaf/simulation.rs
+++ b/crates/core/tests/leaf/simulation.rs
@@ -122,6 +122,7 @@
                 | Action::Crashed { .. }
                 | Action::Refuted { .. }
                 | Action::Cleared(_)
+                | Action::Connection(_)
                 | Action::Pending { .. }
                 | Action::Server { .. }
                 | Action::Count(_) => {}
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -106,6 +106,7 @@
                 Action::Cleared(request) => {
                     self.shared.control.send(control::Event::Cleared(request));
                 }
+                Action::Connection(event) => self.shared.metrics.connection(event),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
@@ -128,7 +129,7 @@
         .probing(shared.dialect.probes())
         .linger((!shared.dialect.cancels()).then_some(ABANDONED_CALL_TIMEOUT))
         .by_need(strategy.listing == settings::Listing::Observed)
-        .release_idle(strategy.gradual_startup)
+        .gradual_startup(strategy.gradual_startup)
         .zone(&shared.options.instance.zone)
         .seed(shared.seed())
         .build();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ladder_core::count::{Count, Event};
+use ladder_core::count::{Connection, Count, Event};
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
@@ -21,6 +21,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     drops: Counter<u64>,
+    connections: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -50,6 +51,10 @@
             retries: counter("ladder_retries", "Requests sent again, by reason"),
             hedges: counter("ladder_hedges", "Second copies sent, by reason"),
             drops: counter("ladder_drops", "Messages dropped, by reason"),
+            connections: counter(
+                "ladder_connections",
+                "Connections to servers that were opened, reset or closed, by event",
+            ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
@@ -82,6 +87,16 @@
         counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
     }
 
+    /// Counts an event of a connection to a server.
+    pub fn connection(&self, event: Connection) {
+        let event = match event {
+            Connection::Opened => "opened",
+            Connection::Reset => "reset",
+            Connection::Closed => "closed",
+        };
+        self.connections.add(1, &[KeyValue::new("event", event)]);
+    }
+
     /// Counts a message that was dropped before it reached the core.
     pub fn dropped(&self, reason: Reason) {
         self.count(Count { event: Event::Drop, reason });
