--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -9,7 +9,7 @@
 //! A query passes through these modules: [`check`] refuses requests that exceed a limit,
 //! [`snapshot`] pins one index version, [`plan`] groups the version's shards by service,
 //! [`machine`] sends each service's portion to the owner of the service and takes the replies that
-//! [`reply`] finds valid, [`answer`] builds the answer. [`peers`] tracks the reply times of each
+//! [`reply`] finds valid, [`resend`] sends refused portions again, [`answer`] builds the answer. [`peers`] tracks the reply times of each
 //! peer and detects silent peers, [`keys`] remembers the request keys of non-idempotent requests,
 //! [`history`] keeps the steps of recent queries for operators.
 //!
@@ -42,6 +42,7 @@
 mod withdraw;
 
 pub mod event;
+pub mod resend;
 
 pub use answer::status;
 pub use event::{Action, Event};
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -12,6 +12,10 @@
 /// Retry delay advised by an instance that lacks data to serve the request: it receives the data
 /// shortly, and the next attempt most likely reaches an instance that has it.
 const RETRY_NOT_READY_MS: u32 = 50;
+/// Retry delay advised if no connection to the servers could be opened. Connections that were
+/// refused are tried again after 50 ms and then at growing intervals; without advice, callers would
+/// retry at once and be refused for the same reason.
+const RETRY_UNCONNECTED_MS: u32 = 100;
 /// Retry delay advised if the instance has too many open requests or a service has no usable
 /// server.
 const RETRY_LATER_MS: u32 = 500;
@@ -63,13 +67,14 @@
     }
 }
 
-/// Advises when to retry, in milliseconds, after the instance itself refused a request; 0 if a
-/// retry cannot help.
+/// Advises when to retry, in milliseconds, after a refusal for this reason; 0 if a retry cannot help
+/// or if only the servers can tell when it does.
 const fn retry_after_ms(reason: Reason) -> u32 {
     match reason {
         // The load balancer sends the next attempt to another instance.
         Reason::Draining => RETRY_DRAINING_MS,
-        Reason::NotReady => RETRY_NOT_READY_MS,
+        Reason::NotReady | Reason::NotOwner => RETRY_NOT_READY_MS,
+        Reason::ConnectFailed => RETRY_UNCONNECTED_MS,
         Reason::QueueFull | Reason::NoServer | Reason::Evacuated | Reason::NoHome => RETRY_LATER_MS,
         _ => 0,
     }
@@ -110,6 +115,9 @@
     }));
     if answer.covered.is_empty() {
         answer.reason = most_common_reason(&answer.missing).into();
+        if answer.verdict() == Verdict::NotRun && answer.retry_after_ms == 0 {
+            answer.retry_after_ms = retry_after_ms(answer.reason());
+        }
     }
     answer
 }
@@ -140,8 +148,11 @@
 
 /// Returns why a portion that is still open is not covered when its query ends for `reason`: the
 /// reason is a lost owner if every unanswered sending went to a peer that fell silent or whose
-/// link broke.
+/// link broke, and that of the refusal if the portion waits to be sent again.
 pub(crate) fn open_portion_reason(portion: &Portion, reason: Reason) -> Reason {
+    if let Some(refused) = portion.refused.filter(|_| !portion.awaits_reply()) {
+        return refused.reason;
+    }
     let mut progress = portion.sendings.iter().map(|sending| sending.progress);
     let lost = progress.clone().any(|progress| progress != Progress::Answered)
         && progress.all(|progress| progress != Progress::Open);
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -61,6 +61,7 @@
         while let Some((at, timer)) = self.timers.due(now) {
             match timer {
                 Timer::Query(key) => self.query_timer_due(now, key, out),
+                Timer::Resend(key) => self.resend(now, key, out),
                 Timer::Peer(key) => self.peer_timer_due(now, at, key, out),
             }
         }
@@ -88,6 +89,10 @@
         let Some(query) = self.queries.get(key) else {
             return;
         };
+        if query.is_floor_unreachable() {
+            self.refuse_waiting(key, out);
+        }
+        let query = &self.queries[key];
         if query.open_portions == 0 {
             // A non-idempotent query restarts only after no portion can run any more.
             let retired = PortionState::Refused(Reason::VersionRetired);
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -81,6 +81,15 @@
         /// Message that names the field or version because of which the request was refused.
         detail: Arc<str>,
     },
+    /// Refused portions wait before they are sent again.
+    Waiting {
+        /// Number of waiting portions.
+        portions: u32,
+        /// Time until the first of them are sent again.
+        pause: Duration,
+        /// Why one of them was refused.
+        reason: Reason,
+    },
     /// The query can only be refused, and its owners are asked whether the open portions ran.
     Withdrawn {
         /// Number of portions that are still open.
@@ -137,6 +146,7 @@
             Step::Sent { again, .. } => again.is_none(),
             Step::OwnerLost { .. }
             | Step::Refused { .. }
+            | Step::Waiting { .. }
             | Step::Withdrawn { .. }
             | Step::CallerLeft => false,
             Step::Answered { reason, missing, .. } => {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -56,6 +56,10 @@
     ///
     /// Invariant: contains exactly the callers of `queries`.
     pub(crate) query_by_caller: Map<CallerId, QueryKey>,
+    /// Queries of which portions were refused in the current event.
+    ///
+    /// Invariant: empty between events.
+    pub(super) refused_queries: Vec<QueryKey>,
     /// The query number that was assigned last.
     last_number: u64,
     pub(crate) request_keys: RequestKeys,
@@ -80,6 +84,7 @@
             queries: SlotMap::default(),
             query_by_number: Map::default(),
             query_by_caller: Map::default(),
+            refused_queries: Vec::new(),
             last_number: 0,
             request_keys: RequestKeys::default(),
             timers: Timers::default(),
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -72,6 +72,17 @@
     Refused(Reason),
 }
 
+/// The last refusal of a portion that may be sent again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    /// Reason of the refusal.
+    pub(crate) reason: Reason,
+    /// When the refusal arrived.
+    pub(crate) at: Instant,
+    /// Whether the refusal proves that no server received the portion through its sender.
+    pub(crate) is_before_call: bool,
+}
+
 /// The sub-request of a query to one service.
 #[derive(Clone, Debug)]
 pub(crate) struct Portion {
@@ -90,6 +101,8 @@
     pub(crate) eligible: Vec<ServerHash>,
     /// Servers that an instance reported as unusable for this portion.
     pub(crate) unusable: Vec<ServerHash>,
+    /// The last refusal, while the portion has not been sent again.
+    pub(crate) refused: Option<Refused>,
     /// Whether some sending was answered without proof that it did not run.
     pub(crate) may_have_run: bool,
     /// Whether an owner replied that the portion ran, but did not return the parts.
@@ -107,6 +120,7 @@
             sendings: Vec::new(),
             eligible: Vec::new(),
             unusable: Vec::new(),
+            refused: None,
             may_have_run: false,
             ran: false,
             may_have_reached_server: false,
@@ -199,7 +213,7 @@
     /// Number of work messages sent under the query's current number.
     pub(crate) rounds: u32,
     /// How often portions were sent again or hedged, over all index versions; portions that are
-    /// sent together count once.
+    /// sent together count once, and those that no server has received do not count.
     pub(crate) extra_calls: u32,
     /// Number of open portions.
     ///
--- a/crates/core/src/gather/reply_handling.rs
+++ b/crates/core/src/gather/reply_handling.rs
@@ -10,7 +10,7 @@
 use super::machine::{Machine, count};
 use super::peers::PeerKey;
 use super::plan;
-use super::query::{Portion, PortionState, Progress, QueryKey};
+use super::query::{Portion, PortionState, Progress, QueryKey, Refused};
 use super::reply::{self, SendingLocation};
 use super::send::MAX_SENDINGS;
 use crate::count;
@@ -84,6 +84,7 @@
                 count(out, count::Event::Drop, reason);
             }
         }
+        self.resend_refused(now, out);
     }
 
     /// Handles one reply, or returns why it is dropped.
@@ -184,7 +185,15 @@
         }
         let recovered = match recovery(reason) {
             _ if self.queries[key].withdrawn => false,
-            Recovery::NextCandidate => self.retry_at_next(now, key, position, reason, out),
+            Recovery::NextCandidate => {
+                let is_before_call = reply::proves_no_server_received(reply);
+                let refused = Refused { reason, at: now, is_before_call };
+                self.queries[key].portions[position].refused = Some(refused);
+                if !self.refused_queries.contains(&key) {
+                    self.refused_queries.push(key);
+                }
+                true
+            }
             Recovery::RestartQuery if verdict == Verdict::NotRun => self.restart(now, key, out),
             Recovery::RestartQuery | Recovery::RefusePortion => false,
         };
@@ -193,29 +202,6 @@
         }
     }
 
-    /// Sends a portion on which no reply is awaited to the next candidate. Returns false if the
-    /// portion must not be sent again or there is no candidate.
-    pub(crate) fn retry_at_next(
-        &mut self,
-        now: Instant,
-        key: QueryKey,
-        position: usize,
-        reason: Reason,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let query = &self.queries[key];
-        let portion = &query.portions[position];
-        if now >= query.answer_at || !may_send_again(query.terms.unrepeatable, portion) {
-            return false;
-        }
-        let Some(peer) = self.next_peer(now, key, position) else {
-            return false;
-        };
-        count(out, count::Event::Retry, reason);
-        self.send(now, key, vec![(position, peer)], Some(reason), out);
-        true
-    }
-
     /// Restarts the query on another index version in which every shard is available. Returns
     /// false if there is none, if less than a third of the deadline is left, or if a
     /// non-idempotent query may have run.
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -135,7 +135,14 @@
         again: Option<Reason>,
         out: &mut Vec<Action>,
     ) {
-        self.queries[key].extra_calls += u32::from(again.is_some() && !destinations.is_empty());
+        let query = &mut self.queries[key];
+        let reached_no_server = |(position, _): &(usize, Peer)| {
+            let portion = &query.portions[*position];
+            !portion.sendings.is_empty() && !portion.is_repeated(query.rounds + 1)
+        };
+        let is_extra = again.is_some()
+            && (query.earlier_version_may_have_run || !destinations.iter().all(reached_no_server));
+        query.extra_calls += u32::from(is_extra);
         let mut batches: Vec<(Peer, Vec<usize>)> = Vec::new();
         let mut batch_by_peer = crate::collections::Map::default();
         for (portion, peer) in destinations {
--- a/crates/core/src/gather/timers.rs
+++ b/crates/core/src/gather/timers.rs
@@ -11,6 +11,8 @@
 pub(crate) enum Timer {
     /// Timer of a query: check whether the query has to be answered.
     Query(QueryKey),
+    /// Timer of a query's refused portions: send them again. It is not removed when the query ends.
+    Resend(QueryKey),
     /// Timer of a peer: check whether the peer has exceeded its silence limit.
     Peer(PeerKey),
 }
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -12,6 +12,7 @@
 mod partial_aggregation;
 mod refusals;
 mod replies;
+mod resend;
 mod shutdown;
 mod sweep;
 mod versions;
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -182,6 +182,10 @@
         }
         Step::OwnerLost { owner, portions } => format!("gave up {portions} portions at {owner}"),
         Step::Refused { detail } => format!("refused: {detail}"),
+        Step::Waiting { portions, pause, reason } => {
+            shown.reason = (*reason).into();
+            format!("{portions} refused portions wait {pause:?} before they are sent again")
+        }
         Step::Withdrawn { portions } => format!("withdrew {portions} portions"),
         Step::CallerLeft => "the caller left".to_owned(),
         Step::Answered { verdict, reason, covered, missing } => {
--- a/src/log/request_log.rs
+++ b/src/log/request_log.rs
@@ -91,6 +91,10 @@
             Step::Refused { detail } => {
                 info!(self.log, "refused"; "id" => id, "at_us" => at, "detail" => &**detail);
             }
+            Step::Waiting { portions, pause, reason } => {
+                info!(self.log, "portions wait"; "id" => id, "at_us" => at, "portions" => portions,
+                    "pause_us" => micros(*pause), "reason" => reason.as_str_name());
+            }
             Step::Withdrawn { portions } => {
                 info!(self.log, "portions withdrawn"; "id" => id, "at_us" => at,
                     "portions" => portions);
