Send a single request at a hanging server to another one from the reserve for retries

A hedge may not spend the two extra calls that are reserved for retries. With a budget of two, as after a start or a burst of failures, an idempotent single request at a hanging server stayed there until its deadline although another server could answer it. A call without an answer at half of the time left to the latency objective, or to the deadline, now counts as lost with its server, and its hedge may spend the reserve.

A request whose server reset the connection while all slots of the others were busy went to the same server again, which used up its two attempts. It now waits for another server that makes progress.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -142,7 +142,7 @@
     }
 
     /// Whether the tokens suffice for a retry.
-    fn affords_retry(&self) -> bool {
+    pub(super) fn affords_retry(&self) -> bool {
         self.tokens >= TOKENS_PER_CALL
     }
 
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -203,7 +203,7 @@
             let candidate = service.servers[(service.cursor + step) % count];
             let usable =
                 self.is_eligible_for(key, candidate) && self.can_take(candidate, &portion.job.work);
-            if !usable || self.already_shed(key, candidate) {
+            if !usable || self.already_shed(key, candidate) || self.already_lost(key, candidate) {
                 continue;
             }
             let server = &self.servers[candidate];
@@ -258,6 +258,34 @@
         has_shed(candidate) && self.services[portion.service].servers.iter().any(takes)
     }
 
+    /// Whether a call of this single message may have run at the server, while another server to
+    /// which the message was not sent yet can be expected to take it.
+    ///
+    /// If all slots of the other servers are busy for a moment, a message whose server has just
+    /// lost the connection would be sent to the same server again, and with two attempts it would
+    /// fail although another server could answer it. A server whose oldest call has taken twice the
+    /// usual time is not waited for.
+    fn already_lost(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let portion = &self.portions[key];
+        let is_single = portion.job.work.forward.as_ref().is_some_and(|forward| !forward.part);
+        if !is_single || !portion.may_have_run || !portion.tried_servers.contains(&candidate) {
+            return false;
+        }
+        let usual = self.mean_call_time(portion.service, portion.kind);
+        let usual = usual.unwrap_or(DEFAULT_CALL_TIME);
+        let takes = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            let reachable =
+                server.in_flight > 0 || server.open_failures < UNREACHABLE_OPEN_FAILURES;
+            let in_time = server.health.shed_until() < portion.deadline;
+            let is_usable = server.accepts_work() && reachable && !server.health.suspect();
+            let is_untried = !portion.tried_servers.contains(key);
+            is_usable && in_time && is_untried && self.oldest_call_age(server) < usual * 2
+        };
+        let mut servers = self.services[portion.service].servers.iter();
+        servers.any(|server| takes(server) && self.is_eligible_for(key, *server))
+    }
+
     /// Whether a portion may run on a server, according to the servers that its entry instance
     /// selected.
     pub(super) fn is_eligible_for(&self, key: PortionKey, candidate: ServerKey) -> bool {
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -6,11 +6,12 @@
 use super::ending::MAX_EXTRA_CALLS_PER_QUERY;
 use super::event::Action;
 use super::machine::Machine;
-use super::portion::PortionKey;
+use super::portion::{Portion, PortionKey};
 use super::server::ServerKey;
 use super::service::ServiceId;
 use super::timer::Timer;
 use crate::count;
+use crate::time::Instant;
 use ladder_schema::outcome::Reason;
 
 /// Number of portions considered for a hedge beyond those that the budget can pay for, when no
@@ -38,10 +39,10 @@
         if !self.settings.hedging || portion.unrepeatable || portion.hedged {
             return;
         }
-        let Some(delay) = self.hedge_delay(key) else {
+        let overdue_at = overdue_at(portion, self.now);
+        let Some(at) = self.hedge_delay(key).map(|delay| self.now + delay).or(overdue_at) else {
             return;
         };
-        let at = self.now + delay;
         if at < portion.deadline {
             self.timers.push(at, Timer::Hedge(key));
         }
@@ -83,6 +84,9 @@
         }
         let id = portion.service;
         let sent = self.attempts[attempt].sent;
+        if let Some(at) = overdue_at(portion, sent).filter(|at| *at > self.now) {
+            self.timers.push(at, Timer::Hedge(key));
+        }
         self.services[id].due_hedges.insert((sent, key));
         self.mark_changed(id);
     }
@@ -97,10 +101,10 @@
         let limit = HEDGE_SCAN_MARGIN + service.budget.refill(self.now).calls() as usize;
         let due_hedges: Vec<_> = service.due_hedges.iter().take(limit).copied().collect();
         for (sent, key) in due_hedges {
-            if !self.services[id].budget.affords_hedge() || !self.has_room(id) {
+            if !self.has_room(id) {
                 return;
             }
-            if self.hedge_suppressed(key) {
+            if !self.affords_hedge(id, key, sent) || self.hedge_suppressed(key) {
                 continue;
             }
             if !self.is_hedge_useful(key) {
@@ -118,6 +122,14 @@
         }
     }
 
+    /// Whether the budget pays for a hedge. The hedge of an overdue call may spend the tokens that
+    /// are reserved for retries.
+    fn affords_hedge(&self, id: ServiceId, key: PortionKey, sent: Instant) -> bool {
+        let budget = &self.services[id].budget;
+        let is_overdue = overdue_at(&self.portions[key], sent).is_some_and(|at| at <= self.now);
+        budget.affords_hedge() || (is_overdue && budget.affords_retry())
+    }
+
     /// Whether a hedge can still be answered in time and the query has extra calls left.
     fn is_hedge_useful(&self, key: PortionKey) -> bool {
         let portion = &self.portions[key];
@@ -148,3 +160,17 @@
         candidates.filter(suitable).min_by_key(|candidate| self.servers[*candidate].in_flight)
     }
 }
+
+/// Time at which a call that was sent at `sent` counts as lost with its server, although its
+/// connection is open: when half of the time is over that was left to the latency objective, or to
+/// the deadline if the objective is missed or there is none. `None` for work other than single
+/// messages.
+///
+/// A server that hangs shows no other sign until the deadline. Soon after a start, or after a burst
+/// of failures, the budget holds no more than the reserve for retries, and the message would stay at
+/// that server although another one could answer it. A sweep is answered without the part instead.
+fn overdue_at(portion: &Portion, sent: Instant) -> Option<Instant> {
+    portion.job.work.forward.as_ref().filter(|forward| !forward.part)?;
+    let objective = portion.timely_at.filter(|at| *at > sent);
+    Some(sent + objective.unwrap_or(portion.deadline).since(sent) / 2)
+}
--- a/crates/core/tests/leaf/forward.rs
+++ b/crates/core/tests/leaf/forward.rs
@@ -28,7 +28,7 @@
 }
 
 /// Work that forwards a message to servers, independent of the index versions that they serve.
-fn forwarded(query: u64, operation: &str) -> wire::Work {
+pub(crate) fn forwarded(query: u64, operation: &str) -> wire::Work {
     let forward = wire::Forward {
         message: Some(Message { method: "GET".to_owned(), ..Message::default() }),
         urgency: Urgency::Elevated.into(),
@@ -54,7 +54,7 @@
 }
 
 /// A response of a server with this status.
-fn response(sent: &SentCall, status: u32) -> Outcome {
+pub(crate) fn response(sent: &SentCall, status: u32) -> Outcome {
     let response = Response { status, body: Bytes::from_static(b"x"), ..Response::default() };
     let part = |shard: &String| Part {
         shard: shard.clone(),
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -19,5 +19,6 @@
 mod session;
 mod siblings;
 mod simulation;
+mod single_requests;
 mod stop;
 mod warmup;
