Leave calls that were never sent out of the calls of a reply

A call on a broken connection reaches no server, and its retry is free at the instance that made it. It was counted in Reply.calls, so that the part was charged an extra call if the instance then refused it and the next one sent it.

--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -54,6 +54,11 @@
     (outcome, false)
 }
 
+/// Returns whether a call that ended for this reason reached its target.
+fn reached_target(reason: Reason) -> bool {
+    reason != Reason::ConnectFailed
+}
+
 impl Machine {
     /// Handles the end of a call with its outcome: releases its slot, updates statistics and
     /// decides on its portion.
@@ -249,6 +254,7 @@
             return;
         }
         portion.failures += 1;
+        portion.unsent += u32::from(!reached_target(reason));
         portion.proved_not_run += u32::from(verdict == Verdict::NotRun);
         portion.may_have_run |= verdict == Verdict::MayHaveRun;
         if !portion.attempts.is_empty() {
@@ -288,8 +294,7 @@
             return Err(Refused::with_verdict(portion_verdict, reason));
         }
         let limits = self.services[portion.service].limits();
-        let reached_server = reason != Reason::ConnectFailed;
-        if verdict == Verdict::NotRun && !(limits.count_refused && reached_server) {
+        if verdict == Verdict::NotRun && !(limits.count_refused && reached_target(reason)) {
             return Ok(());
         }
         let extra_calls = work.extra_calls + portion.calls;
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -257,6 +257,7 @@
             tried_servers: Vec::new(),
             call_traces: Vec::new(),
             calls: 0,
+            unsent: 0,
             failures: 0,
             proved_not_run: 0,
             may_have_run: false,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -97,6 +97,8 @@
     pub(super) call_traces: Vec<CallTrace>,
     /// Number of calls made to targets for the portion.
     pub(super) calls: u32,
+    /// Number of the portion's calls that reached no target, because their connection was broken.
+    pub(super) unsent: u32,
     /// Number of the portion's calls that ended without an answer.
     pub(super) failures: u32,
     /// Number of the portion's calls that are proved not to have run.
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -108,7 +108,8 @@
         let service = &self.services[portion.service];
         let (name, busy) = (service.name.to_string(), service.busy.value());
         self.mark_changed(portion.service);
-        let mut reply = reply(&portion.job, name, refused, portion.calls, parts);
+        let calls = portion.calls - portion.unsent;
+        let mut reply = reply(&portion.job, name, refused, calls, parts);
         reply.busy_permille = (busy * 1000.0) as u32;
         if portion.eligible.is_some() {
             reply.avoid = self.avoided(portion.service);
--- a/crates/core/tests/leaf/extra_calls.rs
+++ b/crates/core/tests/leaf/extra_calls.rs
@@ -1,6 +1,8 @@
 //! Tests that every arrival of a part at a server beyond the first is paid for, counted over all
 //! instances that send the part, and that nothing else is.
 
+use std::collections::BTreeSet;
+
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
 
@@ -106,28 +108,37 @@
     check_arrivals(&simulation, 0);
 }
 
-/// A server refuses a part, and then all servers leave according to the view of the instance that
-/// called it, which refuses the part as not run. Guards against a successor that calls another
-/// server without paying for it, because the part did not run.
+/// A call ends as not run, and then all servers leave according to the view of the instance that made
+/// it, which refuses the part. Guards against a successor that calls another server without paying
+/// for it although the first one received the part, and against charging a part whose call was never
+/// sent because its connection was broken.
 #[test]
 fn parts_refused_after_a_call_are_paid_for() {
-    let mut simulation = Simulation::with_limits(true, limits(0));
-    simulation.step(Step::Sweep, true);
-    let instance = simulation.messages[0].0 as u8;
-    simulation.step(Step::Deliver(instance), true);
-    assert!(!simulation.calls.is_empty());
-    for server in 0..ZONES.len() as u8 {
-        simulation.step(Step::SetState { instance, server, state: ServerState::Leaving }, true);
-    }
-    while !simulation.calls.is_empty() {
-        simulation.step(Step::End(0, End::Shed), true);
-    }
-    for (_, reply) in &simulation.replies {
-        assert_eq!((reply.reason(), reply.calls), (Reason::NoServer, 1));
-        assert_eq!(reply.verdict(), Verdict::NotRun);
+    for (end, calls, missing) in [(End::Shed, 1, PARTS.len()), (End::Unsent, 0, 0)] {
+        let mut simulation = Simulation::with_limits(true, limits(0));
+        simulation.step(Step::Sweep, true);
+        let instances: BTreeSet<usize> = simulation.messages.iter().map(|(to, _)| *to).collect();
+        for instance in instances {
+            let instance = instance as u8;
+            simulation.step(Step::Deliver(instance), true);
+            for server in 0..ZONES.len() as u8 {
+                let state = ServerState::Leaving;
+                simulation.step(Step::SetState { instance, server, state }, true);
+            }
+        }
+        assert_eq!(simulation.calls.len(), PARTS.len());
+        while !simulation.calls.is_empty() {
+            simulation.step(Step::End(0, end), true);
+        }
+        for (_, reply) in &simulation.replies {
+            assert_eq!((reply.reason(), reply.calls), (Reason::NoServer, calls));
+            assert_eq!(reply.verdict(), Verdict::NotRun);
+        }
+        settle(&mut simulation);
+        check_arrivals(&simulation, 0);
+        let answer = simulation.answers.pop().expect("an answer");
+        assert_eq!(answer.missing.len(), missing, "{end:?}");
     }
-    settle(&mut simulation);
-    check_arrivals(&simulation, 0);
 }
 
 /// Checks that the simulation gets beyond first calls; otherwise the property test above would
