--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -6,6 +6,11 @@
 //! into groups, and for all sweeps of the fleet, one instance near a group's servers (the partial
 //! aggregator) calls them. It sees nearly all of their load, and sends the merged records of a
 //! group in one message.
+//!
+//! With zonal aggregation, there is one such instance in each zone that has servers of the group
+//! ([`zones`]), so that neither the parts nor the calls cross zones without need.
+
+mod zones;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -20,6 +25,8 @@
 use crate::time::Instant;
 use crate::view::{Neighbour, Peer, View};
 
+use zones::Zones;
+
 /// Weight of one reply in the moving average of a service's utilization.
 const UTILIZATION_SMOOTHING: f64 = 0.2;
 /// Interval at which it is decided again whether one instance calls a group's servers for all
@@ -163,6 +170,8 @@
     pub(crate) zone: &'a str,
     /// Processor capacity available to this instance, in thousandths of a core.
     pub(crate) millicores: u32,
+    /// Whether each zone with servers of a group has an aggregator of its own.
+    pub(crate) is_zonal: bool,
 }
 
 impl AggregatorSelector {
@@ -258,7 +267,7 @@
 
 /// Divides the parts of an index by the zones of their servers and into groups.
 fn build_zone_groups(view: &View, own: LocalInstance<'_>, index: &Index) -> Vec<ZoneGroups> {
-    let LocalInstance { name, zone, millicores } = own;
+    let LocalInstance { name, zone, millicores, is_zonal } = own;
     let mut candidates = vec![Candidate { name, zone, millicores, peer: None }];
     candidates.extend(view.neighbours.iter().map(|neighbour| Candidate {
         name: &neighbour.peer.name,
@@ -268,12 +277,13 @@
     }));
     let has_few_connections =
         |name: &Arc<str>| view.service(name).is_some_and(|known| known.has_few_connections);
-    let mut assigned_groups: Map<&str, usize> = Map::default();
+    let mut assigned_groups = AssignedGroups::default();
+    let mut by_zone = is_zonal.then(|| Zones::new(&candidates, zone));
     let mut group = |zones: &[&str], services: &[Arc<str>]| {
-        let ranked = rank_candidates(&candidates, zones, &services[0], &assigned_groups);
-        if let Some(first) = ranked.first() {
-            *assigned_groups.entry(first.name).or_default() += 1;
-        }
+        let in_zones = by_zone.as_mut().and_then(|by_zone| by_zone.rank(zones, &services[0]));
+        let ranked = in_zones.unwrap_or_else(|| {
+            assign_group(&candidates, zones, &services[0], &mut assigned_groups)
+        });
         Group {
             services: Arc::new(services.iter().cloned().collect()),
             aggregators: ranked.iter().map(|candidate| candidate.peer.cloned()).collect(),
@@ -318,6 +328,23 @@
     parts_in_zones.div_ceil(parts_in_zones.div_ceil(size).max(1)).max(1)
 }
 
+/// Number of groups that are assigned to each instance, by name.
+type AssignedGroups<'a> = Map<&'a str, usize>;
+
+/// Ranks the instances for a group as [`rank_candidates`] does, and assigns the group to the first.
+fn assign_group<'a>(
+    candidates: &[Candidate<'a>],
+    zones: &[&str],
+    group: &str,
+    assigned_groups: &mut AssignedGroups<'a>,
+) -> Vec<Candidate<'a>> {
+    let ranked = rank_candidates(candidates, zones, group, assigned_groups);
+    if let Some(first) = ranked.first() {
+        *assigned_groups.entry(first.name).or_default() += 1;
+    }
+    ranked
+}
+
 /// Sorts the instances in one of `zones`, or all instances if there is none: by the number of
 /// groups per processor capacity that an instance would have with this group, then by rendezvous
 /// hash.
@@ -329,7 +356,7 @@
     candidates: &[Candidate<'a>],
     zones: &[&str],
     group: &str,
-    assigned_groups: &Map<&str, usize>,
+    assigned_groups: &AssignedGroups<'a>,
 ) -> Vec<Candidate<'a>> {
     let is_in_zones = |candidate: &&Candidate<'_>| zones.contains(&candidate.zone);
     let mut ranked: Vec<Candidate<'_>> = candidates.iter().filter(is_in_zones).copied().collect();
--- /dev/null
+++ b/crates/core/src/gather/aggregator_selection/zones.rs
@@ -0,0 +1,65 @@
+//! Selects partial aggregators per zone: an instance in the zone of the entry instance aggregates a
+//! group if servers of the group are in that zone.
+//!
+//! With one aggregator for the whole fleet, the parts and replies of most sweeps cross zones, and so
+//! do that aggregator's calls to the servers of the other zones. With one aggregator in each zone,
+//! calls cross zones only for servers that cannot answer in time.
+//!
+//! All instances of a zone compute the same order, and an instance of another zone that needs an
+//! aggregator there uses the order of that zone as well. So a server gets calls from one instance of
+//! each zone that has servers of the group, whichever instances the sweeps arrive at.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::{AssignedGroups, Candidate, assign_group};
+use crate::control::hash;
+
+/// The instances of one zone.
+#[derive(Debug, Default)]
+struct Zone<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// Number of groups that the instances of the zone aggregate for it.
+    assigned_groups: AssignedGroups<'a>,
+}
+
+/// Order in which the instances of each zone aggregate the groups of an index.
+#[derive(Debug)]
+pub(super) struct Zones<'a> {
+    /// Zone of this instance.
+    own_zone: &'a str,
+    by_name: BTreeMap<&'a str, Zone<'a>>,
+}
+
+impl<'a> Zones<'a> {
+    /// Divides the instances by zone; `own_zone` is the zone of this instance.
+    pub(super) fn new(candidates: &[Candidate<'a>], own_zone: &'a str) -> Self {
+        let mut by_name: BTreeMap<&str, Zone<'_>> = BTreeMap::new();
+        for candidate in candidates {
+            by_name.entry(candidate.zone).or_default().candidates.push(*candidate);
+        }
+        Self { own_zone, by_name }
+    }
+
+    /// Returns the instances that may aggregate a group whose servers are in `zones`, the preferred
+    /// one first; `None` if no instance is in one of these zones.
+    ///
+    /// The instances of one zone come after each other: first those of this instance's zone if it is
+    /// one of `zones`, then those of the other zones in the order of rendezvous hashing.
+    pub(super) fn rank(&mut self, zones: &[&str], group: &str) -> Option<Vec<Candidate<'a>>> {
+        let own_zone = self.own_zone;
+        let mut serving: Vec<(&'a str, &mut Zone<'a>)> = self
+            .by_name
+            .iter_mut()
+            .filter(|(name, _)| zones.contains(*name))
+            .map(|(name, zone)| (*name, zone))
+            .collect();
+        let score = |name: &str| hash::of(&[group.as_bytes(), name.as_bytes()]);
+        serving.sort_by_cached_key(|(name, _)| (*name != own_zone, Reverse(score(name))));
+        let ranked = serving.into_iter().flat_map(|(name, zone)| {
+            assign_group(&zone.candidates, &[name], group, &mut zone.assigned_groups)
+        });
+        let ranked: Vec<Candidate<'a>> = ranked.collect();
+        (!ranked.is_empty()).then_some(ranked)
+    }
+}
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -15,6 +15,8 @@
     pub(crate) zone: Option<Arc<str>>,
     /// Processor capacity available to this instance, in thousandths of a core.
     pub(crate) millicores: u32,
+    /// Whether each zone with servers of a group of parts has an aggregator of its own.
+    pub(crate) is_zonal: bool,
 }
 
 impl Settings {
@@ -30,13 +32,15 @@
                 history_capacity: 256,
                 zone,
                 millicores: 1000,
+                is_zonal: false,
             },
         }
     }
 
     /// Returns this instance, which is in `zone`, as a candidate for partial aggregation.
     pub(crate) fn local_instance<'a>(&'a self, zone: &'a str) -> LocalInstance<'a> {
-        LocalInstance { name: &self.name, zone, millicores: self.millicores }
+        let (millicores, is_zonal) = (self.millicores, self.is_zonal);
+        LocalInstance { name: &self.name, zone, millicores, is_zonal }
     }
 }
 
@@ -73,6 +77,15 @@
         self
     }
 
+    /// Sets whether the parts of a sweep are aggregated by an instance of this instance's zone
+    /// where the zone has servers of them. Default: false, one instance aggregates a group of parts
+    /// for the whole fleet.
+    #[must_use]
+    pub fn zonal(mut self, is_zonal: bool) -> Self {
+        self.settings.is_zonal = is_zonal;
+        self
+    }
+
     /// Sets the processor capacity available to this instance, in thousandths of a core. Default:
     /// 1000.
     #[must_use]
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -40,6 +40,8 @@
     pub(crate) evacuated: &'static str,
     /// Regions to whose servers the routes' messages may be sent; if empty, all regions.
     pub(crate) homes: Vec<&'static str>,
+    /// Whether each zone with servers of a group has an aggregator of its own.
+    pub(crate) is_zonal: bool,
 }
 
 impl Default for ViewFixture {
@@ -56,6 +58,7 @@
             has_few_connections: false,
             evacuated: "",
             homes: Vec::new(),
+            is_zonal: false,
         }
     }
 }
@@ -131,9 +134,8 @@
 
     pub(crate) fn harness(&self) -> Harness {
         let own = self.millicores.get(SELF).copied().unwrap_or(1000);
-        let settings =
-            Settings::builder(SELF, INCARNATION).near(LOCAL_ZONE).millicores(own).build();
-        let mut harness = Harness::with(settings);
+        let settings = Settings::builder(SELF, INCARNATION).near(LOCAL_ZONE).millicores(own);
+        let mut harness = Harness::with(settings.zonal(self.is_zonal).build());
         harness.deliver(self.view());
         harness
     }
@@ -165,6 +167,66 @@
     parts.collect()
 }
 
+/// Guards against parts that cross zones although the zone of the entry instance has servers of
+/// them: with one aggregator for the whole fleet, the strongest instance of any zone gets them. With
+/// zonal aggregation an instance of the own zone must get them, in the order of processor capacity,
+/// and parts without a server in the own zone must go to a zone that has one.
+#[test]
+fn parts_stay_in_the_zone_of_the_entry_instance() {
+    struct Case {
+        name: &'static str,
+        is_zonal: bool,
+        parts: Vec<Vec<&'static str>>,
+        peers: Vec<(&'static str, &'static str)>,
+        /// Zones of the instances that get parts.
+        zones: &'static [&'static str],
+    }
+    let everywhere = || vec![vec!["campanha", LOCAL_ZONE, "sao-bento"]; 4];
+    let peers = || vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", LOCAL_ZONE)];
+    let strong = [("e2", 4000), ("e3", 4000), ("e4", 2000)].into_iter().collect();
+    let elsewhere = vec![vec!["sao-bento"]; 4];
+    let no_local_peer = vec![("e2", "campanha"), ("e3", "sao-bento")];
+    let fleet = &["campanha", "sao-bento"][..];
+    let (local, remote) = (&[LOCAL_ZONE][..], &["sao-bento"][..]);
+    for case in [
+        Case { name: "fleet", is_zonal: false, parts: everywhere(), peers: peers(), zones: fleet },
+        Case { name: "zone", is_zonal: true, parts: everywhere(), peers: peers(), zones: local },
+        Case {
+            name: "no server in the own zone",
+            is_zonal: true,
+            parts: elsewhere,
+            peers: peers(),
+            zones: remote,
+        },
+        Case {
+            name: "no other instance in the own zone",
+            is_zonal: true,
+            parts: everywhere(),
+            peers: no_local_peer,
+            zones: local,
+        },
+    ] {
+        let fixture = ViewFixture {
+            parts: case.parts,
+            peers: case.peers.clone(),
+            millicores: Map::clone(&strong),
+            has_few_connections: true,
+            is_zonal: case.is_zonal,
+            ..ViewFixture::default()
+        };
+        let mut harness = fixture.harness();
+        let works = sent_work(&harness.call(sweep("k")));
+        let zone_of = |name: &str| {
+            let known = case.peers.iter().find(|(peer, _)| *peer == name);
+            known.map_or(LOCAL_ZONE, |(_, zone)| zone)
+        };
+        let mut zones: Vec<&str> = works.iter().map(|(to, _)| zone_of(to)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        assert_eq!(zones, case.zones, "{}", case.name);
+    }
+}
+
 /// Starts a sweep; returns the peer that aggregates, its work message and this instance's own work
 /// message.
 fn start_sweep(harness: &mut Harness, key: &str) -> (Arc<str>, Work, Work) {
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -103,7 +103,7 @@
         Settings::builder(&shared.local_peer.name, shared.incarnation).hedging(strategy.hedging);
     settings = settings.millicores(shared.options.millicores());
     if strategy.partial_aggregation {
-        settings = settings.near(&shared.options.instance.zone);
+        settings = settings.near(&shared.options.instance.zone).zonal(strategy.zonal_aggregation);
     }
     let driver = Driver {
         machine: Machine::new(settings.build()),
