Keep limits and prefer the own zone with zonal aggregation

With an aggregator in each zone and a successor of each, more instances send to a server than the limits allowed for, and each aggregator sees only its own calls to servers of other zones. Connection shares and extra calls are now divided by twice the number of zones of the service's servers where that exceeds eight. A server that warms up gets requests from the aggregators of its own zone only. A slow server of the own zone is not reported to entry instances, a failing one is. A zone with less than a quarter of the mean processor capacity uses the aggregators of other zones.

Without the setting nothing changes.

--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -25,6 +25,7 @@
 pub use fleet::Fleet;
 
 use super::hash;
+use crate::collections::Set;
 
 /// Maximum number of primary candidates of a service, each the best instance of its zone. With 4,
 /// the loss of any one zone is covered, and a server has connections from only a few instances
@@ -183,14 +184,25 @@
     u64::from(limit) * 3 / 4 >= instances as u64
 }
 
+/// Number of instances that a service's limits leave room for if few instances send to its
+/// servers, with the requests of all others. `zones` are the zones of its servers.
+///
+/// One instance sends for the whole fleet, or, with zonal aggregation, one for each of the zones.
+/// Views differ briefly after a change, and the instance that sent before keeps its part for some
+/// seconds. With zonal aggregation, there is therefore room for two instances for each zone, and in
+/// both cases for at least [`CANDIDATES`]. Up to four zones the limits are the same in both cases.
+pub fn sender_count<'a>(is_zonal: bool, zones: impl Iterator<Item = &'a str>) -> u32 {
+    let zones = if is_zonal { zones.collect::<Set<&str>>().len() } else { 0 };
+    u32::try_from(CANDIDATES.max(2 * zones)).unwrap_or(u32::MAX)
+}
+
 /// Number of connections that an instance may hold to a server if only few instances send to it,
-/// with the requests of all others; at least one.
+/// with the requests of all others; at least one. `senders` is their [`sender_count`].
 ///
-/// An instance decides by the members that it knows whether it is one of these few. Views differ
-/// briefly after a change, so the share is small enough that [`CANDIDATES`] instances together
-/// hold at most three quarters of the limit.
-pub fn single_sender_share(limit: u32) -> u32 {
-    (limit * 3 / 4 / CANDIDATES as u32).max(1)
+/// An instance decides by the members that it knows whether it is one of these few. The share is
+/// small enough that `senders` instances together hold at most three quarters of the limit.
+pub fn single_sender_share(limit: u32, senders: u32) -> u32 {
+    (limit * 3 / 4 / senders.max(1)).max(1)
 }
 
 /// Number of connections that each of `instances` may hold to a server with this limit when every
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -276,12 +276,14 @@
         let allows_idle_connections = |target: &&publication::Server| {
             placement::allows_one_connection_each(connection_limit(target, &limits), instance_count)
         };
+        let zones = targets.iter().map(|target| target.zone.as_str());
+        let senders = placement::sender_count(inputs.settings.is_zonal, zones);
         let observed_listing = inputs.settings.listing == Listing::Observed;
         let mut servers = Vec::with_capacity(targets.len());
         for target in &targets {
             let limit = connection_limit(target, &limits);
             let share = newest.map_or(0, |ranked| match has_few_connections {
-                true => placement::single_sender_share(limit),
+                true => placement::single_sender_share(limit, senders),
                 false => self.own_share(inputs, ranked, limit, sharer_count),
             });
             servers.push(self.build_server(inputs, target, share));
--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -73,6 +73,8 @@
     pub(super) listing: Listing,
     /// Whether peers near the servers aggregate the parts of sweeps.
     pub(super) near: bool,
+    /// Whether each zone with servers of a group of parts has an aggregator of its own.
+    pub(super) is_zonal: bool,
     pub(super) timing: Timing,
     pub(super) regions: Arc<Map<Arc<str>, Arc<str>>>,
     pub(super) seed: u64,
@@ -94,6 +96,7 @@
                 placement: Placement::default(),
                 listing: Listing::default(),
                 near: false,
+                is_zonal: false,
                 timing: Timing::default(),
                 regions: Arc::default(),
                 seed: 0,
@@ -171,6 +174,14 @@
         self
     }
 
+    /// Whether each zone with servers of a group of parts has an aggregator of its own. Default:
+    /// false, one instance aggregates a group for the whole fleet.
+    #[must_use]
+    pub const fn zonal(mut self, is_zonal: bool) -> Self {
+        self.settings.is_zonal = is_zonal;
+        self
+    }
+
     /// Time spans of failure detection, anti-entropy and reads of the platform.
     #[must_use]
     pub const fn timing(mut self, timing: Timing) -> Self {
--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -265,6 +265,13 @@
     peer: Option<&'a Peer>,
 }
 
+impl Candidate<'_> {
+    /// Processor capacity of the instance in thousandths of a core, assumed if it is unknown.
+    fn capacity(&self) -> u32 {
+        if self.millicores == 0 { DEFAULT_MILLICORES } else { self.millicores }
+    }
+}
+
 /// Divides the parts of an index by the zones of their servers and into groups.
 fn build_zone_groups(view: &View, own: LocalInstance<'_>, index: &Index) -> Vec<ZoneGroups> {
     let LocalInstance { name, zone, millicores, is_zonal } = own;
@@ -365,9 +372,7 @@
     }
     let load = |candidate: &Candidate<'_>| {
         let groups = assigned_groups.get(candidate.name).copied().unwrap_or(0) as u64 + 1;
-        let millicores =
-            if candidate.millicores == 0 { DEFAULT_MILLICORES } else { candidate.millicores };
-        groups * LOAD_SCALE / u64::from(millicores)
+        groups * LOAD_SCALE / u64::from(candidate.capacity())
     };
     let score =
         |candidate: &Candidate<'_>| hash::of(&[group.as_bytes(), candidate.name.as_bytes()]);
--- a/crates/core/src/gather/aggregator_selection/zones.rs
+++ b/crates/core/src/gather/aggregator_selection/zones.rs
@@ -21,8 +21,17 @@
     candidates: Vec<Candidate<'a>>,
     /// Number of groups that the instances of the zone aggregate for it.
     assigned_groups: AssignedGroups<'a>,
+    /// Processor capacity of the zone's instances, in thousandths of a core.
+    millicores: u64,
 }
 
+/// A zone aggregates for itself unless its instances have less than one part in this many of the
+/// mean processor capacity of the zones that have servers of the group.
+///
+/// An aggregator sends and reads a call for each part. If a zone has lost nearly all of its
+/// instances, the last ones would aggregate all sweeps of its callers besides receiving them.
+const MIN_CAPACITY_DIVISOR: u64 = 4;
+
 /// Order in which the instances of each zone aggregate the groups of an index.
 #[derive(Debug)]
 pub(super) struct Zones<'a> {
@@ -36,7 +45,9 @@
     pub(super) fn new(candidates: &[Candidate<'a>], own_zone: &'a str) -> Self {
         let mut by_name: BTreeMap<&str, Zone<'_>> = BTreeMap::new();
         for candidate in candidates {
-            by_name.entry(candidate.zone).or_default().candidates.push(*candidate);
+            let zone = by_name.entry(candidate.zone).or_default();
+            zone.candidates.push(*candidate);
+            zone.millicores += u64::from(candidate.capacity());
         }
         Self { own_zone, by_name }
     }
@@ -45,7 +56,8 @@
     /// one first; `None` if no instance is in one of these zones.
     ///
     /// The instances of one zone come after each other: first those of this instance's zone if it is
-    /// one of `zones`, then those of the other zones in the order of rendezvous hashing.
+    /// one of `zones`, then those of the other zones in the order of rendezvous hashing. Zones with
+    /// too little processor capacity come last.
     pub(super) fn rank(&mut self, zones: &[&str], group: &str) -> Option<Vec<Candidate<'a>>> {
         let own_zone = self.own_zone;
         let mut serving: Vec<(&'a str, &mut Zone<'a>)> = self
@@ -54,8 +66,13 @@
             .filter(|(name, _)| zones.contains(*name))
             .map(|(name, zone)| (*name, zone))
             .collect();
+        let total: u64 = serving.iter().map(|(_, zone)| zone.millicores).sum();
+        let count = serving.len() as u64;
+        let is_weak = |zone: &Zone<'_>| MIN_CAPACITY_DIVISOR * count * zone.millicores < total;
         let score = |name: &str| hash::of(&[group.as_bytes(), name.as_bytes()]);
-        serving.sort_by_cached_key(|(name, _)| (*name != own_zone, Reverse(score(name))));
+        serving.sort_by_cached_key(|(name, zone)| {
+            (is_weak(zone), *name != own_zone, Reverse(score(name)))
+        });
         let ranked = serving.into_iter().flat_map(|(name, zone)| {
             assign_group(&zone.candidates, &[name], group, &mut zone.assigned_groups)
         });
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -21,6 +21,7 @@
 mod outlook;
 mod peak;
 mod portion;
+pub mod preference;
 mod queue;
 mod random;
 mod recent;
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -14,7 +14,8 @@
 use super::intake::DEFAULT_CALL_TIME;
 use super::kinds::WorkKind;
 use super::machine::Machine;
-use super::portion::PortionKey;
+use super::portion::{Portion, PortionKey};
+use super::preference::Preference;
 use super::queue::Class;
 use super::reply::Refused;
 use super::server::{Server, ServerKey};
@@ -31,13 +32,6 @@
 /// Weight of failed and shed calls in the cost of a server: a rate of 1 adds this many times the
 /// expected call time.
 const FAILURE_COST_FACTOR: f64 = 4.0;
-/// Factor on the cost of a server in another availability zone, because traffic between zones is
-/// charged and an equally loaded server in the same zone answers a little sooner.
-///
-/// With seven to nine instances, 1.5, 2, 3 and 6 were compared by the value of answers minus the
-/// cost of traffic: 3 gains 0.004 under light load and loses 0.03 under high load, because busy
-/// servers of the own zone keep their calls; 6 loses in both cases.
-const REMOTE_ZONE_COST_FACTOR: f64 = 2.0;
 
 impl Machine {
     /// Dispatches queued portions of all services that changed during the current event.
@@ -203,7 +197,7 @@
             let candidate = service.servers[(service.cursor + step) % count];
             let usable =
                 self.is_eligible_for(key, candidate) && self.can_take(candidate, &portion.job.work);
-            if !usable || self.already_shed(key, candidate) {
+            if !usable || self.already_shed(key, candidate) || self.waits_for_zone(key, candidate) {
                 continue;
             }
             let server = &self.servers[candidate];
@@ -215,8 +209,7 @@
                 }
                 continue;
             }
-            let cost =
-                self.cost(id, portion.kind, server, portion.tried_servers.contains(&candidate));
+            let cost = self.cost(portion, server, portion.tried_servers.contains(&candidate));
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate));
             }
@@ -290,16 +283,55 @@
 
     /// Cost of sending a call to a server: the expected call time in seconds, multiplied by factors
     /// for load, failures, an earlier failed attempt and another zone.
-    fn cost(&self, id: ServiceId, kind: WorkKind, server: &Server, tried: bool) -> f64 {
-        let expected_call_time = self.expected_call_time(id, kind, server).as_secs_f64();
-        let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
+    fn cost(&self, portion: &Portion, server: &Server, tried: bool) -> f64 {
+        let expected_call_time = self.expected_call_time(portion.service, portion.kind, server);
         let health = &server.health;
         let failures =
             FAILURE_COST_FACTOR * (health.failure_rate(self.now) + health.shed_rate(self.now));
         let retry_factor = if tried { 4.0 } else { 1.0 };
-        let same_zone = self.settings.zone.is_empty() || self.settings.zone == server.zone;
-        let zone_factor = if same_zone { 1.0 } else { REMOTE_ZONE_COST_FACTOR };
-        expected_call_time * (1.0 + load) * (1.0 + failures) * retry_factor * zone_factor
+        let factor = self.preference(portion, server).cost_factor();
+        expected_call_time.as_secs_f64() * factor * (1.0 + failures) * retry_factor
+    }
+
+    /// What the preference for a server depends on when a portion is sent.
+    pub(super) fn preference(&self, portion: &Portion, server: &Server) -> Preference {
+        let is_part = portion.job.work.forward.as_ref().is_some_and(|forward| forward.part);
+        Preference {
+            is_zonal: self.settings.is_zonal && is_part,
+            crosses_zones: self.crosses_zones(server),
+            own_calls: server.in_flight,
+            other_calls: server.other_calls.value(self.now),
+            slots: server.capacity(self.now),
+        }
+    }
+
+    /// Whether a server is in another zone than this instance.
+    fn crosses_zones(&self, server: &Server) -> bool {
+        !self.settings.zone.is_empty() && self.settings.zone != server.zone
+    }
+
+    /// Whether a portion waits for a server of this instance's zone instead of being sent to a
+    /// server of another zone that is full.
+    ///
+    /// The own server must make progress, so that the portion does not wait for a server that
+    /// stalls; the end of one of its calls is then the next time at which the portion may be sent.
+    fn waits_for_zone(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let portion = &self.portions[key];
+        if !self.preference(portion, &self.servers[candidate]).yields_to_own_zone() {
+            return false;
+        }
+        let mean = self.mean_call_time(portion.service, portion.kind).unwrap_or(DEFAULT_CALL_TIME);
+        let is_free_soon = |key: &ServerKey| {
+            let server = &self.servers[*key];
+            let takes_work = server.accepts_work() && !server.health.suspect();
+            let makes_progress = server.in_flight > 0 && self.oldest_call_age(server) < 2 * mean;
+            !self.crosses_zones(server)
+                && takes_work
+                && makes_progress
+                && !portion.tried_servers.contains(key)
+        };
+        let mut servers = self.services[portion.service].servers.iter();
+        servers.any(|server| self.is_eligible_for(key, *server) && is_free_soon(server))
     }
 
     /// Expected call time at a server, without the calls that already wait there.
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -170,6 +170,10 @@
                     self.services[attempt.service].occupied(occupancy);
                 }
                 let server = &mut self.servers[attempt.server];
+                if let Some(occupancy) = answer.occupancy {
+                    let requests = occupancy.running.saturating_add(occupancy.waiting);
+                    server.other_calls.report(self.now, requests, server.in_flight + 1);
+                }
                 server.health.answered(self.now, elapsed, usual);
                 if !attempt.abandoned {
                     self.record_call_time(attempt.service, attempt.kind, elapsed);
--- a/crates/core/src/leaf/health.rs
+++ b/crates/core/src/leaf/health.rs
@@ -150,13 +150,17 @@
         self.shed_rate * (-idle).exp2()
     }
 
-    /// Whether the server is slow, failing or shedding so much that another server of the service
-    /// is the better choice, if there is one.
-    pub(super) fn is_poor(&self, now: Instant) -> bool {
-        let is_slow = self
-            .relative_call_time(now)
-            .is_some_and(|relative| relative >= POOR_RELATIVE_CALL_TIME);
-        is_slow || self.failure_rate(now) >= POOR_RATE || self.shed_rate(now) >= POOR_RATE
+    /// Whether the server is so slow that another server of the service is the better choice, if
+    /// there is one.
+    pub(super) fn is_slow(&self, now: Instant) -> bool {
+        let relative = self.relative_call_time(now);
+        relative.is_some_and(|relative| relative >= POOR_RELATIVE_CALL_TIME)
+    }
+
+    /// Whether the server fails or sheds so many calls that another server of the service is the
+    /// better choice, if there is one.
+    pub(super) fn is_failing(&self, now: Instant) -> bool {
+        self.failure_rate(now) >= POOR_RATE || self.shed_rate(now) >= POOR_RATE
     }
 
     /// Relative call time: multiple of the usual time that the server's calls take; `None` before
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -145,6 +145,10 @@
                 && self.serves_version(*candidate, work)
         };
         let candidates = self.services[id].servers.iter().copied();
-        candidates.filter(suitable).min_by_key(|candidate| self.servers[*candidate].in_flight)
+        candidates.filter(suitable).min_by_key(|candidate| {
+            let server = &self.servers[*candidate];
+            let preference = self.preference(portion, server);
+            (preference.is_zonal && preference.crosses_zones, server.in_flight)
+        })
     }
 }
--- a/crates/core/src/leaf/outlook.rs
+++ b/crates/core/src/leaf/outlook.rs
@@ -16,10 +16,20 @@
 impl Machine {
     /// Name hashes of the servers of a service that fail, shed load or respond slowly; empty if all
     /// of its servers do.
+    ///
+    /// With zonal aggregation, a server of this instance's zone that only responds slowly is not
+    /// reported. A server that stalled for a moment counts as slow for about a second, and all
+    /// sweeps would name servers of other zones meanwhile; this instance can send a call to the
+    /// other server that the sweep names. A part that names a server that fails has no second
+    /// server left if the other one stalls, so such a server is reported in any zone.
     pub(super) fn avoided(&self, id: ServiceId) -> Vec<u32> {
         let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
         let accepting = servers.filter(|server| server.accepts_work());
-        let is_poor = |server: &&Server| server.health.is_poor(self.now);
+        let is_poor = |server: &&Server| {
+            let keeps_slow = self.settings.is_zonal && server.zone == self.settings.zone;
+            let health = &server.health;
+            health.is_failing(self.now) || !keeps_slow && health.is_slow(self.now)
+        };
         if accepting.clone().all(|server| is_poor(&server)) {
             return Vec::new();
         }
--- a/crates/core/src/leaf/refresh.rs
+++ b/crates/core/src/leaf/refresh.rs
@@ -57,7 +57,7 @@
             None => self.insert_service(listed),
         };
         let service = &mut self.services[id];
-        service.update_from_view(listed, &self.settings.name);
+        service.update_from_view(listed, &self.settings);
         let servers = service.servers.clone();
         for key in servers {
             self.servers[key].listed = false;
@@ -73,7 +73,7 @@
 
     /// Adds a service that is new to this instance and schedules its periodic maintenance.
     fn insert_service(&mut self, listed: &view::Service) -> ServiceId {
-        let id = self.services.insert(Service::new(listed, &self.settings.name, self.now));
+        let id = self.services.insert(Service::new(listed, &self.settings, self.now));
         self.service_ids.insert(Arc::clone(&listed.name), id);
         let first = self.now + self.random.jitter(MAINTENANCE_INTERVAL);
         self.timers.push(first, Timer::Maintenance(id));
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -12,6 +12,7 @@
 use super::event::{AttemptKey, ConnectionKey};
 use super::exclusion::{Exclusion, Facts};
 use super::health::Health;
+use super::preference::OtherCalls;
 use super::service::ServiceId;
 use super::warmup::Warmup;
 use crate::eligible::ServerHash;
@@ -61,6 +62,8 @@
     retired: Vec<(Holding, Instant)>,
     report: Option<(Instant, target::Load)>,
     pub(super) health: Health,
+    /// Requests of other instances at the server.
+    pub(super) other_calls: OtherCalls,
     pub(super) connections: Vec<ConnectionKey>,
     /// Number of open calls at the server, including calls whose portion already has a reply.
     pub(super) in_flight: u32,
@@ -104,6 +107,7 @@
             retired: Vec::new(),
             report: None,
             health: Health::default(),
+            other_calls: OtherCalls::default(),
             connections: Vec::new(),
             in_flight: 0,
             open_failures: 0,
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -14,8 +14,9 @@
 use super::portion::PortionKey;
 use super::queue::Queue;
 use super::server::ServerKey;
+use super::settings::Settings;
 use crate::average::MovingAverage;
-use crate::control::placement::CANDIDATES;
+use crate::control::placement;
 use crate::time::Instant;
 use crate::view;
 
@@ -113,8 +114,9 @@
 }
 
 impl Service {
-    /// Creates a service from its view; `own` is the name of this instance.
-    pub(super) fn new(listed: &view::Service, own: &str, now: Instant) -> Self {
+    /// Creates a service from its view.
+    pub(super) fn new(listed: &view::Service, settings: &Settings, now: Instant) -> Self {
+        let extra_call_shares = ExtraCallShares::of(listed, settings);
         Self {
             name: Arc::clone(&listed.name),
             entry: Arc::clone(&listed.entry),
@@ -125,7 +127,7 @@
             call_times: CallTimesByKind::default(),
             busy: MovingAverage::default(),
             is_changed: false,
-            budget: Budget::new(ExtraCallShares::of(listed, own).one_of_all, now),
+            budget: Budget::new(extra_call_shares.one_of_all, now),
             admission: Admission::default(),
             due_hedges: BTreeSet::new(),
             peak: Peak::default(),
@@ -133,7 +135,7 @@
             has_few_connections: listed.has_few_connections,
             keeps_idle_connection: listed.keeps_idle_connection,
             owned: listed.candidates.len() > 1,
-            extra_call_shares: ExtraCallShares::of(listed, own),
+            extra_call_shares,
             last_handover: None,
             last_accepted: Instant::default(),
             last_arrival: None,
@@ -161,14 +163,14 @@
         }
     }
 
-    /// Updates the service from a view; `own` is the name of this instance.
-    pub(super) fn update_from_view(&mut self, listed: &view::Service, own: &str) {
+    /// Updates the service from a view.
+    pub(super) fn update_from_view(&mut self, listed: &view::Service, settings: &Settings) {
         self.role = Role::of(listed);
         self.has_few_connections = listed.has_few_connections;
         self.keeps_idle_connection = listed.keeps_idle_connection;
         self.owned = listed.candidates.len() > 1;
         self.entry = Arc::clone(&listed.entry);
-        self.extra_call_shares = ExtraCallShares::of(listed, own);
+        self.extra_call_shares = ExtraCallShares::of(listed, settings);
         self.apply_extra_call_share();
     }
 
@@ -234,12 +236,17 @@
     /// An instance that sends the work of all makes nearly all calls of a service. With the share
     /// of one of sixty instances it had two extra calls, which are reserved for retries: no slow
     /// call was ever hedged.
-    fn of(listed: &view::Service, own: &str) -> Self {
+    ///
+    /// Bound: at most [`placement::sender_count`] instances send the work of all at a time, two
+    /// for each zone with zonal aggregation, and each of them may spend one part of their half.
+    fn of(listed: &view::Service, settings: &Settings) -> Self {
         let limits = listed.entry.limits.unwrap_or_default();
-        let share_of =
-            |sharer_count: u32| Allowance::of(&limits, sharer_count, [&listed.name, own]);
+        let names = [&*listed.name, &*settings.name];
+        let share_of = |sharer_count: u32| Allowance::of(&limits, sharer_count, names);
+        let zones = listed.servers.iter().map(|server| &*server.zone);
+        let senders = placement::sender_count(settings.is_zonal, zones);
         let usual_sharers =
             listed.sharer_count.saturating_mul(if listed.has_few_connections { 2 } else { 1 });
-        Self { one_of_all: share_of(usual_sharers), sends_for_all: share_of(2 * CANDIDATES as u32) }
+        Self { one_of_all: share_of(usual_sharers), sends_for_all: share_of(2 * senders) }
     }
 }
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -27,6 +27,9 @@
     pub(super) by_need: bool,
     /// Availability zone of this instance.
     pub(super) zone: Arc<str>,
+    /// Whether each zone with servers of a group of parts has an instance that sends the group's
+    /// parts for the instances of the zone.
+    pub(super) is_zonal: bool,
     /// Seed of the jitter of back-off delays.
     pub(super) seed: u64,
 }
@@ -44,6 +47,7 @@
             linger: None,
             by_need: false,
             zone: "".into(),
+            is_zonal: false,
             seed: 0,
         })
     }
@@ -112,6 +116,15 @@
         self
     }
 
+    /// Sets whether each zone with servers of a group of parts has an instance that sends the
+    /// group's parts for the instances of the zone. Default: false, one instance sends them for
+    /// the whole fleet.
+    #[must_use]
+    pub fn zonal(mut self, is_zonal: bool) -> Self {
+        self.0.is_zonal = is_zonal;
+        self
+    }
+
     /// Sets the seed of the jitter of back-off delays.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/crates/core/src/leaf/warmup.rs
+++ b/crates/core/src/leaf/warmup.rs
@@ -13,7 +13,7 @@
 use ladder_schema::catalogue::Limits;
 
 use super::machine::Machine;
-use super::server::ServerKey;
+use super::server::{Server, ServerKey};
 use super::service::Sender;
 use crate::control::hash;
 use crate::time::Instant;
@@ -22,8 +22,8 @@
 /// longer than the one second of the limit, because requests take different times to reach the
 /// server.
 pub const RATE_WINDOW: Duration = Duration::from_millis(1050);
-/// Maximum number of instances that may send for the whole fleet at the same time while the fleet
-/// changes.
+/// Maximum number of instances that may send to a server for other instances at the same time while
+/// the fleet changes.
 const MAX_FLEET_SENDERS: u32 = 4;
 /// Time after its start during which an instance does not know yet how many other instances there
 /// are.
@@ -188,6 +188,7 @@
         };
         let quota = match service.sender() {
             _ if !self.known_instances.knows_fleet(self.now) => 0,
+            Some(Sender::ForAll) if !self.may_warm_up(server) => 0,
             Some(Sender::ForAll) => limit.fleet_sender_quota(),
             Some(Sender::ForItself) => server.warmup.quota,
             None => 0,
@@ -195,6 +196,18 @@
         server.warmup.next_request_at(quota)
     }
 
+    /// Whether this instance may send requests to a server that warms up while it sends for other
+    /// instances.
+    ///
+    /// With zonal aggregation, one instance of each zone sends to a server, and the limit would
+    /// have to be divided among all of them and their successors; with five zones and a limit of
+    /// eight requests, none of them would get one. Only the instances of the server's own zone
+    /// warm it up. They are as many as the instances that send for the whole fleet without zonal
+    /// aggregation, so the quota of each is the same.
+    fn may_warm_up(&self, server: &Server) -> bool {
+        !self.settings.is_zonal || server.zone == self.settings.zone
+    }
+
     /// Records a request to a server that warms up and schedules a dispatch for the time when the
     /// next request is allowed.
     pub(super) fn record_warmup_request(&mut self, key: ServerKey) {
--- a/crates/core/tests/fleet/placement.rs
+++ b/crates/core/tests/fleet/placement.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ladder_core::control::placement::{
-    CANDIDATES, Instance, MAX_PRIMARIES, direct_share, divide_limit, rank,
+    CANDIDATES, Instance, MAX_PRIMARIES, direct_share, divide_limit, rank, sender_count,
+    single_sender_share,
 };
 use ladder_core::control::{Event, Machine, Settings};
 use ladder_core::schema::publication::{Kind, Page, State, record::Body};
@@ -269,3 +270,26 @@
         }
     }
 }
+
+/// Guards against servers that reset connections because one instance of each zone sends to them,
+/// and two of each zone while views differ. Without zonal aggregation, and up to four zones, the
+/// shares must not change.
+#[test]
+fn senders_of_all_zones_stay_within_the_connection_limit() {
+    for zone_count in 1..=12_u32 {
+        let zones: Vec<String> = (0..zone_count).map(|zone| format!("zone-{zone}")).collect();
+        // Each zone has several servers.
+        let zones = || zones.iter().chain(&zones).map(String::as_str);
+        let zonal = sender_count(true, zones());
+        let fleet = sender_count(false, zones());
+        assert_eq!(fleet, CANDIDATES as u32);
+        assert!(zone_count > 4 || zonal == fleet, "{zone_count} zones");
+        for limit in [25, 62, 64, 65, 1000] {
+            let share = single_sender_share(limit, zonal);
+            let total = 2 * zone_count * share;
+            // Each sender needs one connection, however low the limit is.
+            let is_scarce = limit * 3 / 4 < zonal;
+            assert!(is_scarce && share == 1 || total <= limit * 3 / 4, "{total} of {limit}");
+        }
+    }
+}
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -20,3 +20,4 @@
 mod simulation;
 mod stop;
 mod warmup;
+mod zonal;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -142,6 +142,7 @@
         .placement(placement)
         .listing(listing)
         .near(shared.options.strategy.partial_aggregation)
+        .zonal(shared.options.strategy.zonal_aggregation)
         .timing(timing)
         .seed(shared.seed())
         .build()
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -129,6 +129,7 @@
         .linger((!shared.dialect.cancels()).then_some(ABANDONED_CALL_TIMEOUT))
         .by_need(strategy.listing == settings::Listing::Observed)
         .zone(&shared.options.instance.zone)
+        .zonal(strategy.zonal_aggregation)
         .seed(shared.seed())
         .build();
     let reports = Reports {
