Keep a connection for each slot of the own zone's servers

In a simulated fleet of three zones, a third of all calls crossed zones when one aggregator sent for two zones: a call that found the only connection of the own server in use went to another zone, where a connection was idle. An instance that sends for its zone now keeps one connection for each slot of its zone's servers. Requests of other instances at an own server count in its load, and no longer as used slots, because servers report them a little late.

The simulated fleet (gathering and leaf machines, no network) tests calm, skewed load, aggregators lost, silent and leaving, servers dark, paused, evacuated and cold, one instance left, a returning zone, views that differ, and servers in two of three zones.

--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -7,8 +7,8 @@
 use super::connection::{Connection, State};
 use super::event::{Action, ConnectionKey};
 use super::machine::{MAINTENANCE_INTERVAL, Machine};
-use super::server::ServerKey;
-use super::service::{Role, ServiceId};
+use super::server::{Server, ServerKey};
+use super::service::{Role, Sender, ServiceId};
 use super::timer::Timer;
 
 /// Connections kept in addition to a server's slots, so that a cancellation or a load report
@@ -184,7 +184,23 @@
         let in_use = server.in_flight as usize + queued_per_server;
         let keeps_trying = service.has_demand(self.now) && server.open_failures > 0;
         let keep_one = service.keeps_idle_connection || keeps_trying;
-        in_use.max(service.peak.get(self.now)).max(usize::from(keep_one))
+        let by_demand = in_use.max(service.peak.get(self.now)).max(usize::from(keep_one));
+        by_demand.max(if self.sends_for_zone(server) { server.slots as usize } else { 0 })
+    }
+
+    /// Whether a server is in the zone of this instance, which sends the service's work for the
+    /// other instances of the zone.
+    ///
+    /// One connection for each slot of such a server is kept. With connections by need alone, a
+    /// call that found the only connection in use went to another zone, where a connection was
+    /// idle, and the second slot of the own server was never used: a third of all calls crossed
+    /// zones when one aggregator sent for two zones.
+    fn sends_for_zone(&self, server: &Server) -> bool {
+        let service = &self.services[server.service];
+        self.settings.is_zonal
+            && service.has_few_connections
+            && service.sender() == Some(Sender::ForAll)
+            && !self.crosses_zones(server)
     }
 
     /// Number of connections needed to send all queued work at once, without regard to slots.
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -306,7 +306,7 @@
     }
 
     /// Whether a server is in another zone than this instance.
-    fn crosses_zones(&self, server: &Server) -> bool {
+    pub(super) fn crosses_zones(&self, server: &Server) -> bool {
         !self.settings.zone.is_empty() && self.settings.zone != server.zone
     }
 
--- a/crates/core/src/leaf/preference.rs
+++ b/crates/core/src/leaf/preference.rs
@@ -12,8 +12,8 @@
 /// cost of traffic: 3 gains 0.004 under light load and loses 0.03 under high load, because busy
 /// servers of the own zone keep their calls; 6 loses in both cases.
 const REMOTE_ZONE_COST_FACTOR: f64 = 2.0;
-/// Factor on the cost of a server without a free slot and of a server in another zone, where each
-/// zone has an instance that sends for the instances of the zone.
+/// Factor on the cost of a server in another zone, and of one in the own zone whose slots this
+/// instance uses, where each zone has an instance that sends for the instances of the zone.
 ///
 /// Such an instance makes few calls to other zones, so it knows little of those servers, and they
 /// look faster and freer than they are. The factor is larger than [`REMOTE_ZONE_COST_FACTOR`], but
@@ -74,12 +74,12 @@
             return (1.0 + f64::from(self.own_calls) / slots) * zone_factor;
         }
         let load = (f64::from(self.own_calls) + self.other_calls) / slots;
-        let is_local = !self.crosses_zones && self.has_free_slot();
+        let is_local = !self.crosses_zones && self.own_calls < self.slots;
         (1.0 + load) * if is_local { 1.0 } else { ZONAL_COST_FACTOR }
     }
 
     /// Whether the server is expected to have a free slot.
-    pub fn has_free_slot(self) -> bool {
+    fn has_free_slot(self) -> bool {
         f64::from(self.own_calls) + self.other_calls + 0.5 <= f64::from(self.slots)
     }
 
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -19,3 +19,5 @@
 mod simulation;
 mod store;
 mod store_drill;
+mod zonal_aggregation;
+mod zonal_fleet;
