--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -13,6 +13,19 @@
     Hedge,
     /// A message was dropped.
     Drop,
+    /// A part of a sweep was sent, with zonal aggregation; the reason is that of the crossing.
+    ZoneCall(Crossing),
+}
+
+/// Whether a part of a sweep was sent to another zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Crossing {
+    /// A call went to a server of the own zone.
+    None,
+    /// A call went to a server of another zone.
+    Server,
+    /// A work message went to an instance of another zone.
+    Peer,
 }
 
 /// One increment of a counter.
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -187,11 +187,33 @@
             Step::Sent { to: peer.name.clone(), round, portions: portions.len() as u32, again };
         self.history.add(query.history_id, now, step);
         let work = wire_work(now, query, portions, collect);
+        if collect.is_some() && self.settings.is_zonal && self.settings.zone.as_ref() != Some(&zone)
+        {
+            let reason = again.unwrap_or_else(|| self.crossing_reason(key, portions));
+            count(out, count::Event::ZoneCall(count::Crossing::Peer), reason);
+        }
         out.push(Action::Send { to: peer.clone(), work });
         self.peers.record_sent(peer_key, now, portions.len() as u32);
         self.arm_silence_timer(now, peer_key);
     }
 
+    /// Why portions of a query are sent to an instance of another zone for the first time: the own
+    /// zone has no server of them, or no instance that can aggregate them.
+    fn crossing_reason(&self, key: QueryKey, portions: &[usize]) -> Reason {
+        let query = &self.queries[key];
+        let services = portions
+            .iter()
+            .filter_map(|&portion| self.view.service(&query.portions[portion].requested.service));
+        let servers = services.flat_map(|service| &service.servers);
+        let mut own =
+            servers.filter(|server| self.settings.zone.as_ref() == Some(&server.zone)).peekable();
+        match own.peek().is_some() {
+            false => Reason::NoServer,
+            true if own.all(|server| server.evacuated) => Reason::Evacuated,
+            true => Reason::OwnerLost,
+        }
+    }
+
     /// Selects the servers on which portions may run that are sent to an instance in the zone
     /// `preferred_zone`; applies to sweeps and to messages that are restricted to some regions.
     ///
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -15,7 +15,6 @@
 use super::kinds::WorkKind;
 use super::machine::Machine;
 use super::portion::{Portion, PortionKey};
-use super::preference::Preference;
 use super::queue::Class;
 use super::reply::Refused;
 use super::server::{Server, ServerKey};
@@ -192,12 +191,17 @@
         let service = &self.services[id];
         let suspects = self.suspects(id);
         let mut best: Option<(f64, ServerKey)> = None;
+        let mut yields_until = None;
         let count = service.servers.len();
         for step in 0..count {
             let candidate = service.servers[(service.cursor + step) % count];
             let usable =
                 self.is_eligible_for(key, candidate) && self.can_take(candidate, &portion.job.work);
-            if !usable || self.already_shed(key, candidate) || self.waits_for_zone(key, candidate) {
+            if !usable || self.already_shed(key, candidate) {
+                continue;
+            }
+            if let Some(until) = self.yields_until(key, candidate) {
+                yields_until = yields_until.max(Some(until));
                 continue;
             }
             let server = &self.servers[candidate];
@@ -215,6 +219,9 @@
             }
         }
         self.services[id].cursor = (self.services[id].cursor + 1) % count.max(1);
+        if let (None, Some(until)) = (best, yields_until) {
+            self.schedule_end_of_yielding(id, until);
+        }
         best.map(|(_, server)| server)
     }
 
@@ -293,47 +300,6 @@
         expected_call_time.as_secs_f64() * factor * (1.0 + failures) * retry_factor
     }
 
-    /// What the preference for a server depends on when a portion is sent.
-    pub(super) fn preference(&self, portion: &Portion, server: &Server) -> Preference {
-        let is_part = portion.job.work.forward.as_ref().is_some_and(|forward| forward.part);
-        Preference {
-            is_zonal: self.settings.is_zonal && is_part,
-            crosses_zones: self.crosses_zones(server),
-            own_calls: server.in_flight,
-            other_calls: server.other_calls.value(self.now),
-            slots: server.capacity(self.now),
-        }
-    }
-
-    /// Whether a server is in another zone than this instance.
-    pub(super) fn crosses_zones(&self, server: &Server) -> bool {
-        !self.settings.zone.is_empty() && self.settings.zone != server.zone
-    }
-
-    /// Whether a portion waits for a server of this instance's zone instead of being sent to a
-    /// server of another zone that is full.
-    ///
-    /// The own server must make progress, so that the portion does not wait for a server that
-    /// stalls; the end of one of its calls is then the next time at which the portion may be sent.
-    fn waits_for_zone(&self, key: PortionKey, candidate: ServerKey) -> bool {
-        let portion = &self.portions[key];
-        if !self.preference(portion, &self.servers[candidate]).yields_to_own_zone() {
-            return false;
-        }
-        let mean = self.mean_call_time(portion.service, portion.kind).unwrap_or(DEFAULT_CALL_TIME);
-        let is_free_soon = |key: &ServerKey| {
-            let server = &self.servers[*key];
-            let takes_work = server.accepts_work() && !server.health.suspect();
-            let makes_progress = server.in_flight > 0 && self.oldest_call_age(server) < 2 * mean;
-            !self.crosses_zones(server)
-                && takes_work
-                && makes_progress
-                && !portion.tried_servers.contains(key)
-        };
-        let mut servers = self.services[portion.service].servers.iter();
-        servers.any(|server| self.is_eligible_for(key, *server) && is_free_soon(server))
-    }
-
     /// Expected call time at a server, without the calls that already wait there.
     fn expected_call_time(&self, id: ServiceId, kind: WorkKind, server: &Server) -> Duration {
         let mean = self.mean_call_time(id, kind).unwrap_or(DEFAULT_CALL_TIME);
@@ -345,7 +311,7 @@
     ///
     /// A server that stalls for a moment gives no other sign of it, and all calls sent to it
     /// meanwhile wait until it continues.
-    fn oldest_call_age(&self, server: &Server) -> Duration {
+    pub(super) fn oldest_call_age(&self, server: &Server) -> Duration {
         let busy = server.connections.iter().filter_map(|connection| {
             match self.connections[*connection].state {
                 connection::State::Busy(attempt) => self.attempts.get(attempt),
@@ -420,6 +386,7 @@
             record: portion.unrepeatable.then(|| portion.record()),
             abandoned: false,
         };
+        self.count_zone_call(&call, out);
         self.call_began(&call);
         self.record_warmup_request(to);
         let attempt = self.attempts.insert(call);
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -93,6 +93,8 @@
     pub(super) due_hedges: BTreeSet<(Instant, PortionKey)>,
     /// Recent maximum of concurrent connections needed to one server.
     pub(super) peak: Peak,
+    /// Latest time until which portions wait for a server of this instance's zone that is full.
+    pub(super) yields_until: Instant,
     /// Index of the server that is considered first for the next call.
     pub(super) cursor: usize,
     /// Whether the servers accept too few connections for every instance: one instance then sends
@@ -131,6 +133,7 @@
             admission: Admission::default(),
             due_hedges: BTreeSet::new(),
             peak: Peak::default(),
+            yields_until: Instant::default(),
             cursor: 0,
             has_few_connections: listed.has_few_connections,
             keeps_idle_connection: listed.keeps_idle_connection,
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ladder_core::collections::Map;
+use ladder_core::collections::{Map, Set};
+use ladder_core::count::{self, Count, Crossing};
 use ladder_core::eligible::ServerHash;
 use ladder_core::gather::{Action, Event, Settings};
 use ladder_core::route::Table;
@@ -180,6 +181,8 @@
         peers: Vec<(&'static str, &'static str)>,
         /// Zones of the instances that get parts.
         zones: &'static [&'static str],
+        /// Reason with which work for other zones is counted.
+        reason: Option<Reason>,
     }
     let everywhere = || vec![vec!["campanha", LOCAL_ZONE, "sao-bento"]; 4];
     let peers = || vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", LOCAL_ZONE)];
@@ -189,14 +192,29 @@
     let fleet = &["campanha", "sao-bento"][..];
     let (local, remote) = (&[LOCAL_ZONE][..], &["sao-bento"][..]);
     for case in [
-        Case { name: "fleet", is_zonal: false, parts: everywhere(), peers: peers(), zones: fleet },
-        Case { name: "zone", is_zonal: true, parts: everywhere(), peers: peers(), zones: local },
+        Case {
+            name: "fleet",
+            is_zonal: false,
+            parts: everywhere(),
+            peers: peers(),
+            zones: fleet,
+            reason: None,
+        },
+        Case {
+            name: "zone",
+            is_zonal: true,
+            parts: everywhere(),
+            peers: peers(),
+            zones: local,
+            reason: None,
+        },
         Case {
             name: "no server in the own zone",
             is_zonal: true,
             parts: elsewhere,
             peers: peers(),
             zones: remote,
+            reason: Some(Reason::NoServer),
         },
         Case {
             name: "no other instance in the own zone",
@@ -204,6 +222,7 @@
             parts: everywhere(),
             peers: no_local_peer.clone(),
             zones: local,
+            reason: None,
         },
         Case {
             name: "the own zone has lost nearly all of its processor capacity",
@@ -211,6 +230,7 @@
             parts: everywhere(),
             peers: [no_local_peer, vec![("weak", LOCAL_ZONE)]].concat(),
             zones: fleet,
+            reason: Some(Reason::OwnerLost),
         },
     ] {
         let mut millicores = Map::clone(&strong);
@@ -226,7 +246,8 @@
             ..ViewFixture::default()
         };
         let mut harness = fixture.harness();
-        let works = sent_work(&harness.call(sweep("k")));
+        let actions = harness.call(sweep("k"));
+        let works = sent_work(&actions);
         let zone_of = |name: &str| {
             let known = case.peers.iter().find(|(peer, _)| *peer == name);
             known.map_or(LOCAL_ZONE, |(_, zone)| zone)
@@ -235,6 +256,14 @@
         zones.sort_unstable();
         zones.dedup();
         assert_eq!(zones, case.zones, "{}", case.name);
+        let reason = |action: &Action| match action {
+            Action::Count(Count { event: count::Event::ZoneCall(Crossing::Peer), reason }) => {
+                Some(*reason)
+            }
+            _ => None,
+        };
+        let reasons: Set<Reason> = actions.iter().filter_map(reason).collect();
+        assert_eq!(reasons, case.reason.into_iter().collect(), "{}", case.name);
     }
 }
 
--- a/crates/core/tests/leaf/zonal.rs
+++ b/crates/core/tests/leaf/zonal.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::count::{self, Crossing};
 use ladder_core::eligible::ServerHash;
+use ladder_core::leaf::crossing::OwnServer;
 use ladder_core::leaf::event::Outcome;
+use ladder_core::leaf::exclusion::Exclusion;
 use ladder_core::leaf::preference::{OtherCalls, Preference};
-use ladder_core::leaf::{Action, Event, Settings};
+use ladder_core::leaf::{Action, Builder, Event, Settings};
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::{target, wire};
@@ -61,8 +64,12 @@
 
 /// An instance that sends for its zone and has learned call times of 10 ms.
 fn harness(name: &str, zone: &str, zones: usize) -> Harness {
-    let settings =
-        Settings::builder(name, 7).seed(1).zone(zone).zonal(true).by_need(true).probing(false);
+    let settings = Settings::builder(name, 7).seed(1).zone(zone).zonal(true).by_need(true);
+    learned(settings.probing(false), zones)
+}
+
+/// An instance with these settings that has sent parts for others and learned call times of 10 ms.
+fn learned(settings: Builder, zones: usize) -> Harness {
     let mut harness = Harness::unconnected(settings.build(), limited(LIMITS, Vec::new()));
     harness.handle(view(zones, Duration::ZERO));
     for query in 1..100 {
@@ -192,11 +199,25 @@
         parts: u64,
         /// Number of their first calls that cross zones.
         crossing: usize,
+        /// Reason with which these are counted.
+        reason: Reason,
     }
     let cases = [
-        Case { name: "calm", prepare: |_| {}, parts: 1, crossing: 0 },
-        Case { name: "both own slots are used", prepare: |_| {}, parts: 2, crossing: 0 },
-        Case { name: "work beyond the own slots", prepare: |_| {}, parts: 4, crossing: 2 },
+        Case { name: "calm", prepare: |_| {}, parts: 1, crossing: 0, reason: Reason::Unspecified },
+        Case {
+            name: "both own slots are used",
+            prepare: |_| {},
+            parts: 2,
+            crossing: 0,
+            reason: Reason::Unspecified,
+        },
+        Case {
+            name: "work beyond the own slots",
+            prepare: |_| {},
+            parts: 4,
+            crossing: 2,
+            reason: Reason::QueueFull,
+        },
         Case {
             name: "the own server is evacuated",
             prepare: |harness| {
@@ -208,6 +229,7 @@
             },
             parts: 2,
             crossing: 2,
+            reason: Reason::Evacuated,
         },
         Case {
             name: "the own server stalls",
@@ -217,6 +239,7 @@
             },
             parts: 1,
             crossing: 1,
+            reason: Reason::TargetTimeout,
         },
         Case {
             name: "the own server fails",
@@ -233,6 +256,7 @@
             },
             parts: 2,
             crossing: 2,
+            reason: Reason::TargetLost,
         },
         Case {
             name: "the own server is cold and at its limit",
@@ -247,9 +271,10 @@
             },
             parts: 2,
             crossing: 2,
+            reason: Reason::WarmingUp,
         },
     ];
-    for Case { name, prepare, parts, crossing } in cases {
+    for Case { name, prepare, parts, crossing, reason } in cases {
         let mut harness = harness("porto-0", ZONES[0], 3);
         // Opens connections to the servers of all zones.
         (500..512).for_each(|query| deliver(&mut harness, query));
@@ -261,6 +286,10 @@
         let zones = called_zones(&harness);
         assert_eq!(zones.len(), parts as usize, "{name}");
         assert_eq!(zones.iter().filter(|zone| **zone != 0).count(), crossing, "{name}");
+        let counted = |kind, reason| harness.counted(count::Event::ZoneCall(kind), reason);
+        assert_eq!(counted(Crossing::Server, reason), crossing, "{name}");
+        let within = zones.len() - crossing;
+        assert_eq!(counted(Crossing::None, Reason::Unspecified), within, "{name}");
     }
 }
 
@@ -302,6 +331,58 @@
     }
 }
 
+/// Guards against parts that wait for ever for the end of a call at the own server, because the
+/// servers of the other zones are full and the own one stalls.
+#[test]
+fn parts_do_not_wait_for_an_own_server_that_stalls() {
+    let settings = Settings::builder("porto-0", 7).seed(1).zone(ZONES[0]).zonal(true).by_need(true);
+    let mut harness = learned(settings.probing(false).hedging(false), 3);
+    (500..512).for_each(|query| deliver(&mut harness, query));
+    for _ in 0..4 {
+        for call in harness.sent() {
+            let requests = if &*call.address == ADDRESSES[0] { 1 } else { 30 };
+            harness.end_call(call.attempt, busy_answer(&call, requests));
+        }
+    }
+    finish_calls(&mut harness);
+    (1000..1004).for_each(|query| deliver(&mut harness, query));
+    let waiting = 4 - called_zones(&harness).len();
+    assert!(waiting > 0, "all other servers are full");
+    harness.advance(40);
+    assert_eq!(called_zones(&harness).len(), 4);
+}
+
+/// Guards against metrics that hide why calls cross zones: the reason that lasts longest is named.
+#[test]
+fn crossing_has_the_reason_of_the_own_server() {
+    let free = OwnServer {
+        exclusion: None,
+        is_tried: false,
+        is_hedge: false,
+        is_suspect: false,
+        sheds: false,
+        has_free_slot: true,
+        is_connected: true,
+    };
+    let tried = OwnServer { is_tried: true, has_free_slot: false, ..free };
+    let evacuated = OwnServer { exclusion: Some(Exclusion::Evacuated), ..tried };
+    for (server, reason) in [
+        (free, Reason::TargetTimeout),
+        (OwnServer { is_connected: false, ..free }, Reason::ConnectFailed),
+        (OwnServer { has_free_slot: false, is_connected: false, ..free }, Reason::QueueFull),
+        (OwnServer { sheds: true, has_free_slot: false, ..free }, Reason::TargetShed),
+        (OwnServer { is_suspect: true, sheds: true, ..free }, Reason::TargetLost),
+        (tried, Reason::TargetError),
+        (OwnServer { is_hedge: true, ..tried }, Reason::Hedge),
+        (evacuated, Reason::Evacuated),
+        (OwnServer { exclusion: Some(Exclusion::Warming), ..free }, Reason::WarmingUp),
+        (OwnServer { exclusion: Some(Exclusion::Leaving), ..free }, Reason::TargetLeaving),
+        (OwnServer { exclusion: Some(Exclusion::NoShare), ..free }, Reason::NoServer),
+    ] {
+        assert_eq!(server.reason(), reason, "{server:?}");
+    }
+}
+
 /// Guards against sweeps that name only servers of other zones for a second after the own server
 /// stalled for a moment. A server of the own zone that fails must still be reported, as must slow
 /// servers of other zones.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ladder_core::count::{Count, Event};
+use ladder_core::count::{Count, Crossing, Event};
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
@@ -21,6 +21,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     drops: Counter<u64>,
+    zone_calls: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -50,6 +51,10 @@
             retries: counter("ladder_retries", "Requests sent again, by reason"),
             hedges: counter("ladder_hedges", "Second copies sent, by reason"),
             drops: counter("ladder_drops", "Messages dropped, by reason"),
+            zone_calls: counter(
+                "ladder_zone_calls",
+                "Parts of sweeps sent with zonal aggregation, by crossing and its reason",
+            ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
@@ -78,10 +83,22 @@
             Event::Retry => &self.retries,
             Event::Hedge => &self.hedges,
             Event::Drop => &self.drops,
+            Event::ZoneCall(crossing) => return self.zone_call(crossing, count.reason),
         };
         counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
     }
 
+    /// Counts a call to a server, or a work message to a peer of another zone.
+    fn zone_call(&self, crossing: Crossing, reason: Reason) {
+        let crossing = match crossing {
+            Crossing::None => "none",
+            Crossing::Server => "server",
+            Crossing::Peer => "peer",
+        };
+        let reason = KeyValue::new("reason", reason.as_str_name());
+        self.zone_calls.add(1, &[KeyValue::new("crossing", crossing), reason]);
+    }
+
     /// Counts a message that was dropped before it reached the core.
     pub fn dropped(&self, reason: Reason) {
         self.count(Count { event: Event::Drop, reason });
