--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -43,6 +43,7 @@
 
 pub mod event;
 
+pub use aggregator_selection::GroupStatus;
 pub use answer::status;
 pub use event::{Action, Event};
 pub use history::{Explanation, Step, TimedStep};
--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -142,11 +142,26 @@
 /// call the servers of a group for all instances and aggregate their responses.
 #[derive(Debug)]
 struct IndexGroups {
-    /// Keeps the index alive, since its address is the key in `by_index`.
-    _index: Arc<Index>,
+    /// Kept also because its address is the key in `by_index`.
+    index: Arc<Index>,
     zone_groups: Vec<ZoneGroups>,
 }
 
+/// A group of parts with the instance that aggregates it for the sweeps that arrive in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupStatus {
+    /// Name of the index that the parts belong to.
+    pub index: Arc<str>,
+    /// Zone in which the sweeps arrive; `None` if the instance aggregates for all zones.
+    pub zone: Option<Arc<str>>,
+    /// Services of the group, sorted by name.
+    pub services: Vec<Arc<str>>,
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Whether the instance aggregates now; otherwise each instance calls the servers itself.
+    pub in_use: bool,
+}
+
 /// Assigns parts of sweeps to partial aggregators; the groups are valid for one view.
 #[derive(Debug, Default)]
 pub(crate) struct AggregatorSelector {
@@ -220,6 +235,45 @@
         aggregators
     }
 
+    /// Returns the first aggregator of each group for the sweeps of each zone, for the indexes of the
+    /// sweeps that arrived since the last change of the view.
+    pub(crate) fn status(&self, view: &View, own: LocalInstance<'_>) -> Vec<GroupStatus> {
+        let mut zones: Vec<&str> = view.neighbours.iter().map(|one| &*one.zone).collect();
+        zones.push(own.zone);
+        zones.sort_unstable();
+        zones.dedup();
+        zones.retain(|zone| own.is_zonal || *zone == own.zone);
+        let mut all = Vec::new();
+        for known in self.by_index.values() {
+            let in_use = known.zone_groups.iter().flat_map(|in_zones| &in_zones.groups);
+            let in_use: Vec<bool> = in_use.map(|group| group.delegated).collect();
+            for zone in &zones {
+                let groups = build_zone_groups(view, own, zone, &known.index);
+                let groups = groups.into_iter().flat_map(|in_zones| in_zones.groups).zip(&in_use);
+                all.extend(groups.filter_map(|(group, in_use)| {
+                    let mut services: Vec<Arc<str>> = group.services.iter().cloned().collect();
+                    services.sort_unstable();
+                    let first = group.aggregators.first()?.as_ref();
+                    Some(GroupStatus {
+                        index: known.index.name.as_str().into(),
+                        zone: own.is_zonal.then(|| (*zone).into()),
+                        services,
+                        instance: first.map_or_else(|| own.name.into(), |peer| peer.name.clone()),
+                        in_use: *in_use,
+                    })
+                }));
+            }
+        }
+        all.sort_unstable_by(|one, other| {
+            (&one.index, &one.services, &one.zone).cmp(&(
+                &other.index,
+                &other.services,
+                &other.zone,
+            ))
+        });
+        all
+    }
+
     /// Selects the next partial aggregator of a service whose servers have too few connections for
     /// every instance; `is_skipped` names the instances that cannot be used. `None` means that
     /// this instance calls the servers itself, or that every instance does.
@@ -250,8 +304,8 @@
     index: &Arc<Index>,
 ) -> &'a mut IndexGroups {
     by_index.entry(Arc::as_ptr(index).addr()).or_insert_with(|| IndexGroups {
-        _index: Arc::clone(index),
-        zone_groups: build_zone_groups(view, own, index),
+        index: Arc::clone(index),
+        zone_groups: build_zone_groups(view, own, own.zone, index),
     })
 }
 
@@ -272,8 +326,14 @@
     }
 }
 
-/// Divides the parts of an index by the zones of their servers and into groups.
-fn build_zone_groups(view: &View, own: LocalInstance<'_>, index: &Index) -> Vec<ZoneGroups> {
+/// Divides the parts of an index by the zones of their servers and into groups, with the
+/// aggregators for sweeps that arrive in `entry_zone`.
+fn build_zone_groups(
+    view: &View,
+    own: LocalInstance<'_>,
+    entry_zone: &str,
+    index: &Index,
+) -> Vec<ZoneGroups> {
     let LocalInstance { name, zone, millicores, is_zonal } = own;
     let mut candidates = vec![Candidate { name, zone, millicores, peer: None }];
     candidates.extend(view.neighbours.iter().map(|neighbour| Candidate {
@@ -285,7 +345,7 @@
     let has_few_connections =
         |name: &Arc<str>| view.service(name).is_some_and(|known| known.has_few_connections);
     let mut assigned_groups = AssignedGroups::default();
-    let mut by_zone = is_zonal.then(|| Zones::new(&candidates, zone));
+    let mut by_zone = is_zonal.then(|| Zones::new(&candidates, entry_zone));
     let mut group = |zones: &[&str], services: &[Arc<str>]| {
         let in_zones = by_zone.as_mut().and_then(|by_zone| by_zone.rank(zones, &services[0]));
         let ranked = in_zones.unwrap_or_else(|| {
@@ -304,7 +364,7 @@
         let size = group_size(index.shards.len(), services.len());
         let groups = services.chunks(size).map(|services| group(&zones, services)).collect();
         let has_peer = view.neighbours.iter().any(|neighbour| zones.contains(&&*neighbour.zone));
-        ZoneGroups { groups, includes_own_zone: zones.contains(&own.zone), has_peer }
+        ZoneGroups { groups, includes_own_zone: zones.contains(&entry_zone), has_peer }
     };
     services_by_zone_set.map(in_zones).collect()
 }
--- a/crates/core/src/gather/aggregator_selection/zones.rs
+++ b/crates/core/src/gather/aggregator_selection/zones.rs
@@ -35,31 +35,31 @@
 /// Order in which the instances of each zone aggregate the groups of an index.
 #[derive(Debug)]
 pub(super) struct Zones<'a> {
-    /// Zone of this instance.
-    own_zone: &'a str,
+    /// Zone in which the sweeps arrive.
+    entry_zone: &'a str,
     by_name: BTreeMap<&'a str, Zone<'a>>,
 }
 
 impl<'a> Zones<'a> {
-    /// Divides the instances by zone; `own_zone` is the zone of this instance.
-    pub(super) fn new(candidates: &[Candidate<'a>], own_zone: &'a str) -> Self {
+    /// Divides the instances by zone; the sweeps arrive in `entry_zone`.
+    pub(super) fn new(candidates: &[Candidate<'a>], entry_zone: &'a str) -> Self {
         let mut by_name: BTreeMap<&str, Zone<'_>> = BTreeMap::new();
         for candidate in candidates {
             let zone = by_name.entry(candidate.zone).or_default();
             zone.candidates.push(*candidate);
             zone.millicores += u64::from(candidate.capacity());
         }
-        Self { own_zone, by_name }
+        Self { entry_zone, by_name }
     }
 
     /// Returns the instances that may aggregate a group whose servers are in `zones`, the preferred
     /// one first; `None` if no instance is in one of these zones.
     ///
-    /// The instances of one zone come after each other: first those of this instance's zone if it is
+    /// The instances of one zone come after each other: first those of the entry zone if it is
     /// one of `zones`, then those of the other zones in the order of rendezvous hashing. Zones with
     /// too little processor capacity come last.
     pub(super) fn rank(&mut self, zones: &[&str], group: &str) -> Option<Vec<Candidate<'a>>> {
-        let own_zone = self.own_zone;
+        let entry_zone = self.entry_zone;
         let mut serving: Vec<(&'a str, &mut Zone<'a>)> = self
             .by_name
             .iter_mut()
@@ -71,7 +71,7 @@
         let is_weak = |zone: &Zone<'_>| MIN_CAPACITY_DIVISOR * count * zone.millicores < total;
         let score = |name: &str| hash::of(&[group.as_bytes(), name.as_bytes()]);
         serving.sort_by_cached_key(|(name, zone)| {
-            (is_weak(zone), *name != own_zone, Reverse(score(name)))
+            (is_weak(zone), *name != entry_zone, Reverse(score(name)))
         });
         let ranked = serving.into_iter().flat_map(|(name, zone)| {
             assign_group(&zone.candidates, &[name], group, &mut zone.assigned_groups)
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -7,7 +7,7 @@
 use ladder_schema::outcome::{Reason, Verdict};
 use slotmap::SlotMap;
 
-use super::aggregator_selection::AggregatorSelector;
+use super::aggregator_selection::{AggregatorSelector, GroupStatus};
 use super::avoid::AvoidedServers;
 use super::check::{self, Refusal};
 use super::event::{Action, CallerId, Event};
@@ -131,6 +131,15 @@
         self.history.find(key)
     }
 
+    /// Returns the instances that aggregate the parts of sweeps, by group and entry zone; empty
+    /// without partial aggregation.
+    pub fn aggregators(&self) -> Vec<GroupStatus> {
+        let Some(zone) = &self.settings.zone else {
+            return Vec::new();
+        };
+        self.aggregator_selector.status(&self.view, self.settings.local_instance(zone))
+    }
+
     /// Assigns a new query number.
     pub(crate) fn next_query_number(&mut self) -> u64 {
         self.last_number += 1;
--- a/crates/core/tests/fleet/zonal_aggregation.rs
+++ b/crates/core/tests/fleet/zonal_aggregation.rs
@@ -83,7 +83,8 @@
     in_time: 1000,
 };
 
-fn cases() -> Vec<Case> {
+/// Changes of the load and of the instances.
+fn instance_cases() -> Vec<Case> {
     vec![
         CALM,
         Case {
@@ -114,6 +115,18 @@
             ..CALM
         },
         Case { name: "one aggregator leaves", change: |fleet| fleet.leave(&name(0, 1)), ..CALM },
+        Case {
+            name: "one zone has one instance left",
+            change: lose_all_but_one_of_first_zone,
+            arrive: calm_at_first,
+            ..CALM
+        },
+    ]
+}
+
+/// Changes of the servers.
+fn server_cases() -> Vec<Case> {
+    vec![
         Case {
             name: "the servers of one zone are dark",
             change: |fleet| fleet.set_behaviour(0, Behaviour::Dark),
@@ -150,12 +163,6 @@
             calls: (250, 333),
             ..CALM
         },
-        Case {
-            name: "one zone has one instance left",
-            change: lose_all_but_one_of_first_zone,
-            arrive: calm_at_first,
-            ..CALM
-        },
         Case {
             name: "servers in two of three zones",
             server_zones: &[0, 1],
@@ -171,7 +178,7 @@
 /// them.
 #[test]
 fn parts_and_calls_cross_zones_only_when_needed() {
-    for case in cases() {
+    for case in instance_cases().into_iter().chain(server_cases()) {
         let mut fleet = Fleet::new(case.is_zonal, PER_ZONE, SERVICES, case.server_zones);
         let totals = totals_after(&mut fleet, case.change, case.arrive);
         let permille = |part: usize, of: usize| 1000 * part / of.max(1);
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -15,3 +15,4 @@
 mod shutdown;
 mod sweep;
 mod versions;
+mod zonal;
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ladder_core::collections::{Map, Set};
-use ladder_core::count::{self, Count, Crossing};
+use ladder_core::collections::Map;
 use ladder_core::eligible::ServerHash;
 use ladder_core::gather::{Action, Event, Settings};
 use ladder_core::route::Table;
@@ -154,7 +153,7 @@
     Request { key: key.to_owned(), deadline_ms: 400, message, ..Request::default() }
 }
 
-fn sweep(key: &str) -> Request {
+pub(crate) fn sweep(key: &str) -> Request {
     message(key, "/docks/all", 0)
 }
 
@@ -168,105 +167,6 @@
     parts.collect()
 }
 
-/// Guards against parts that cross zones although the zone of the entry instance has servers of
-/// them: with one aggregator for the whole fleet, the strongest instance of any zone gets them. With
-/// zonal aggregation an instance of the own zone must get them, in the order of processor capacity,
-/// and parts without a server in the own zone must go to a zone that has one.
-#[test]
-fn parts_stay_in_the_zone_of_the_entry_instance() {
-    struct Case {
-        name: &'static str,
-        is_zonal: bool,
-        parts: Vec<Vec<&'static str>>,
-        peers: Vec<(&'static str, &'static str)>,
-        /// Zones of the instances that get parts.
-        zones: &'static [&'static str],
-        /// Reason with which work for other zones is counted.
-        reason: Option<Reason>,
-    }
-    let everywhere = || vec![vec!["campanha", LOCAL_ZONE, "sao-bento"]; 4];
-    let peers = || vec![("e2", "campanha"), ("e3", "sao-bento"), ("e4", LOCAL_ZONE)];
-    let strong = [("e2", 4000), ("e3", 4000), ("e4", 2000)].into_iter().collect();
-    let elsewhere = vec![vec!["sao-bento"]; 4];
-    let no_local_peer = vec![("e2", "campanha"), ("e3", "sao-bento")];
-    let fleet = &["campanha", "sao-bento"][..];
-    let (local, remote) = (&[LOCAL_ZONE][..], &["sao-bento"][..]);
-    for case in [
-        Case {
-            name: "fleet",
-            is_zonal: false,
-            parts: everywhere(),
-            peers: peers(),
-            zones: fleet,
-            reason: None,
-        },
-        Case {
-            name: "zone",
-            is_zonal: true,
-            parts: everywhere(),
-            peers: peers(),
-            zones: local,
-            reason: None,
-        },
-        Case {
-            name: "no server in the own zone",
-            is_zonal: true,
-            parts: elsewhere,
-            peers: peers(),
-            zones: remote,
-            reason: Some(Reason::NoServer),
-        },
-        Case {
-            name: "no other instance in the own zone",
-            is_zonal: true,
-            parts: everywhere(),
-            peers: no_local_peer.clone(),
-            zones: local,
-            reason: None,
-        },
-        Case {
-            name: "the own zone has lost nearly all of its processor capacity",
-            is_zonal: true,
-            parts: everywhere(),
-            peers: [no_local_peer, vec![("weak", LOCAL_ZONE)]].concat(),
-            zones: fleet,
-            reason: Some(Reason::OwnerLost),
-        },
-    ] {
-        let mut millicores = Map::clone(&strong);
-        if case.peers.iter().any(|(peer, _)| *peer == "weak") {
-            millicores.extend([("weak", 200), (SELF, 200)]);
-        }
-        let fixture = ViewFixture {
-            parts: case.parts,
-            peers: case.peers.clone(),
-            millicores: Map::clone(&millicores),
-            has_few_connections: true,
-            is_zonal: case.is_zonal,
-            ..ViewFixture::default()
-        };
-        let mut harness = fixture.harness();
-        let actions = harness.call(sweep("k"));
-        let works = sent_work(&actions);
-        let zone_of = |name: &str| {
-            let known = case.peers.iter().find(|(peer, _)| *peer == name);
-            known.map_or(LOCAL_ZONE, |(_, zone)| zone)
-        };
-        let mut zones: Vec<&str> = works.iter().map(|(to, _)| zone_of(to)).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        assert_eq!(zones, case.zones, "{}", case.name);
-        let reason = |action: &Action| match action {
-            Action::Count(Count { event: count::Event::ZoneCall(Crossing::Peer), reason }) => {
-                Some(*reason)
-            }
-            _ => None,
-        };
-        let reasons: Set<Reason> = actions.iter().filter_map(reason).collect();
-        assert_eq!(reasons, case.reason.into_iter().collect(), "{}", case.name);
-    }
-}
-
 /// Starts a sweep; returns the peer that aggregates, its work message and this instance's own work
 /// message.
 fn start_sweep(harness: &mut Harness, key: &str) -> (Arc<str>, Work, Work) {
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -116,11 +116,20 @@
 
 impl Simulation {
     fn new(has_few_connections: bool) -> Self {
+        Self::with_zones(has_few_connections, false)
+    }
+
+    /// With `is_zonal`, an instance of each zone sends the parts of the sweeps of the zone.
+    fn with_zones(has_few_connections: bool, is_zonal: bool) -> Self {
         let (name, zone) = INSTANCES[0];
-        let entry = gather::Settings::builder(name, INCARNATION).near(zone).build();
+        let entry = gather::Settings::builder(name, INCARNATION).near(zone).zonal(is_zonal).build();
         let sender = |(name, zone): &(&str, &str)| Sender {
             machine: leaf::Machine::new(
-                leaf::Settings::builder(name, INCARNATION).zone(zone).seed(3).build(),
+                leaf::Settings::builder(name, INCARNATION)
+                    .zone(zone)
+                    .zonal(is_zonal)
+                    .seed(3)
+                    .build(),
             ),
             states: [ServerState::Live; ZONES.len()],
             reachable: [true; ZONES.len()],
@@ -398,11 +407,11 @@
 type Property = TestTarget<ByteSliceGenerator, Engine, BorrowedInput>;
 
 /// Simulates the steps of each input and checks on how many servers each part ran.
-fn check_attempts(property: Property) {
+fn check_attempts(property: Property, is_zonal: bool) {
     let steps = bolero::produce::<Vec<Step>>().with().len(0_usize..=200);
     property.with_generator((bolero::produce::<bool>(), steps)).for_each(
         |(has_few_connections, steps)| {
-            let mut simulation = Simulation::new(*has_few_connections);
+            let mut simulation = Simulation::with_zones(*has_few_connections, is_zonal);
             for step in steps {
                 simulation.step(*step, *has_few_connections);
             }
@@ -417,13 +426,20 @@
 /// view, parts ran on three and four servers where the route allows two.
 #[test]
 fn part_runs_on_no_more_servers_than_the_route_allows() {
-    check_attempts(ladder_property::check_short(2000, 4096));
+    check_attempts(ladder_property::check_short(2000, 4096), false);
+}
+
+/// The same with zonal aggregation: the aggregators of a zone and those of other zones that take
+/// over from it must use the same servers.
+#[test]
+fn part_sent_by_zone_runs_on_no_more_servers_than_the_route_allows() {
+    check_attempts(ladder_property::check_short(2000, 4096), true);
 }
 
 /// Guards against counting a call as run because another connection to its server was closed.
 #[test]
 fn closing_one_connection_leaves_calls_on_others_open() {
-    check_attempts(ladder_property::replay(201458332655969138968375834196252162833));
+    check_attempts(ladder_property::replay(201458332655969138968375834196252162833), false);
 }
 
 /// Sends a sweep through one instance after the other: after all of its calls have failed, the link
--- a/crates/core/tests/leaf/zonal.rs
+++ b/crates/core/tests/leaf/zonal.rs
@@ -188,50 +188,79 @@
     assert!(calls.value(start + Duration::from_millis(500)) < 1.0);
 }
 
-/// Guards against calls to other zones on a calm day, and against parts that wait for the own
-/// server although it stalls, fails or has no free slot.
-#[test]
-fn calls_cross_zones_only_for_servers_that_cannot_answer_in_time() {
-    struct Case {
-        name: &'static str,
-        prepare: fn(&mut Harness),
-        /// Number of parts that arrive at once.
-        parts: u64,
-        /// Number of their first calls that cross zones.
-        crossing: usize,
-        /// Reason with which these are counted.
-        reason: Reason,
+fn evacuate_own_server(harness: &mut Harness) {
+    let mut servers = servers(3, Duration::ZERO);
+    servers[0].evacuated = true;
+    let listed = limited(LIMITS, servers);
+    let service = Service { sharer_count: 60, has_few_connections: true, ..listed };
+    harness.handle(crate::harness::view(service));
+}
+
+fn use_warmup_quota_of_own_server(harness: &mut Harness) {
+    harness.handle(view(3, Duration::from_secs(3)));
+    harness.connect();
+    for query in 1000..1030 {
+        finish_calls(harness);
+        deliver(harness, query);
+        harness.end_each_call(Harness::answer);
     }
-    let cases = [
-        Case { name: "calm", prepare: |_| {}, parts: 1, crossing: 0, reason: Reason::Unspecified },
-        Case {
+}
+
+fn fail_own_server(harness: &mut Harness) {
+    for query in 1000..1010 {
+        finish_calls(harness);
+        deliver(harness, query);
+        harness.end_each_call(|harness, call| match &*call.address {
+            "10.0.0.1:80" => harness.end_call(call.attempt, Outcome::Error),
+            _ => harness.answer(call),
+        });
+        harness.connect();
+    }
+}
+
+/// A state of the servers, and how many calls cross zones in it.
+struct CrossingCase {
+    name: &'static str,
+    prepare: fn(&mut Harness),
+    /// Number of parts that arrive at once.
+    parts: u64,
+    /// Number of their first calls that cross zones.
+    crossing: usize,
+    /// Reason with which these are counted.
+    reason: Reason,
+}
+
+fn crossing_cases() -> Vec<CrossingCase> {
+    vec![
+        CrossingCase {
+            name: "calm",
+            prepare: |_| {},
+            parts: 1,
+            crossing: 0,
+            reason: Reason::Unspecified,
+        },
+        CrossingCase {
             name: "both own slots are used",
             prepare: |_| {},
             parts: 2,
             crossing: 0,
             reason: Reason::Unspecified,
         },
-        Case {
+        CrossingCase {
             name: "work beyond the own slots",
             prepare: |_| {},
             parts: 4,
             crossing: 2,
             reason: Reason::QueueFull,
         },
-        Case {
+        CrossingCase {
             name: "the own server is evacuated",
-            prepare: |harness| {
-                let mut servers = servers(3, Duration::ZERO);
-                servers[0].evacuated = true;
-                let listed = limited(LIMITS, servers);
-                let service = Service { sharer_count: 60, has_few_connections: true, ..listed };
-                harness.handle(crate::harness::view(service));
-            },
+            prepare: evacuate_own_server,
             parts: 2,
             crossing: 2,
             reason: Reason::Evacuated,
         },
-        Case {
+        CrossingCase {
             name: "the own server stalls",
             prepare: |harness| {
                 deliver(harness, 1000);
@@ -241,40 +270,28 @@
             crossing: 1,
             reason: Reason::TargetTimeout,
         },
-        Case {
+        CrossingCase {
             name: "the own server fails",
-            prepare: |harness| {
-                for query in 1000..1010 {
-                    finish_calls(harness);
-                    deliver(harness, query);
-                    harness.end_each_call(|harness, call| match &*call.address {
-                        "10.0.0.1:80" => harness.end_call(call.attempt, Outcome::Error),
-                        _ => harness.answer(call),
-                    });
-                    harness.connect();
-                }
-            },
+            prepare: fail_own_server,
             parts: 2,
             crossing: 2,
             reason: Reason::TargetLost,
         },
-        Case {
+        CrossingCase {
             name: "the own server is cold and at its limit",
-            prepare: |harness| {
-                harness.handle(view(3, Duration::from_secs(3)));
-                harness.connect();
-                for query in 1000..1030 {
-                    finish_calls(harness);
-                    deliver(harness, query);
-                    harness.end_each_call(Harness::answer);
-                }
-            },
+            prepare: use_warmup_quota_of_own_server,
             parts: 2,
             crossing: 2,
             reason: Reason::WarmingUp,
         },
-    ];
-    for Case { name, prepare, parts, crossing, reason } in cases {
+    ]
+}
+
+/// Guards against calls to other zones on a calm day, and against parts that wait for the own
+/// server although it stalls, fails or has no free slot.
+#[test]
+fn calls_cross_zones_only_for_servers_that_cannot_answer_in_time() {
+    for CrossingCase { name, prepare, parts, crossing, reason } in crossing_cases() {
         let mut harness = harness("porto-0", ZONES[0], 3);
         // Opens connections to the servers of all zones.
         (500..512).for_each(|query| deliver(&mut harness, query));
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -2,7 +2,7 @@
 
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::status::{
-    Evacuation, Explanation, Instance, Member, Quarantine, Refused, Service, Step,
+    Aggregator, Evacuation, Explanation, Instance, Member, Quarantine, Refused, Service, Step,
 };
 
 /// Formats the status of one instance.
@@ -63,9 +63,25 @@
     let is_selected = |service: &&Service| only.is_none_or(|only| only == service.name);
     let mut lines = vec![format!("{} ({address}):", status.name)];
     lines.extend(status.services.iter().filter(is_selected).map(service));
+    let contains_selected = |aggregator: &&Aggregator| {
+        only.is_none_or(|only| aggregator.services.iter().any(|service| service == only))
+    };
+    lines.extend(status.aggregators.iter().filter(contains_selected).map(aggregator));
     lines.join("\n")
 }
 
+/// Formats the aggregator of one group of parts as a line.
+fn aggregator(aggregator: &Aggregator) -> String {
+    let zone = if aggregator.zone.is_empty() { "all zones" } else { &aggregator.zone };
+    format!(
+        "  group of {} from {zone}: {}{}, services {}",
+        aggregator.index,
+        aggregator.instance,
+        if aggregator.in_use { "" } else { " (not in use)" },
+        aggregator.services.join(" ")
+    )
+}
+
 /// Formats the quarantined requests of one instance.
 pub fn quarantine(address: &str, status: &Instance) -> String {
     let mut lines = vec![format!("{} ({address}):", status.name)];
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -38,12 +38,26 @@
         ready: shared.ready.is_ready(),
         draining: shared.ready.is_draining(),
         services,
+        aggregators: aggregators(shared).await,
         open_queries: count(shared.gather.inspect(gather::Machine::open).await),
         open_portions: count(shared.leaf.inspect(leaf::Machine::open).await),
         ..control_status
     }
 }
 
+/// Returns the instances that aggregate the parts of sweeps.
+async fn aggregators(shared: &Shared) -> Vec<status::Aggregator> {
+    let groups = shared.gather.inspect(gather::Machine::aggregators).await.unwrap_or_default();
+    let aggregator = |group: gather::GroupStatus| status::Aggregator {
+        index: group.index.to_string(),
+        zone: group.zone.map_or_else(String::new, |zone| zone.to_string()),
+        services: group.services.iter().map(ToString::to_string).collect(),
+        instance: group.instance.to_string(),
+        in_use: group.in_use,
+    };
+    groups.into_iter().map(aggregator).collect()
+}
+
 /// Returns the recorded steps of the latest query with the request key `key`.
 pub async fn explanation(shared: &Shared, key: String) -> status::Explanation {
     let found = shared.gather.inspect(move |machine| machine.explain(&key).map(query)).await;
