--- a/crates/core/src/control/settings.rs
+++ b/crates/core/src/control/settings.rs
@@ -75,6 +75,8 @@
     pub(super) near: bool,
     /// Whether this instance assumes a large fleet until its count of instances has settled.
     pub(super) gradual_startup: bool,
+    /// Whether each zone with servers of a group of parts has an aggregator of its own.
+    pub(super) is_zonal: bool,
     pub(super) timing: Timing,
     pub(super) regions: Arc<Map<Arc<str>, Arc<str>>>,
     pub(super) seed: u64,
@@ -102,6 +104,7 @@
                 listing: Listing::default(),
                 near: false,
                 gradual_startup: false,
+                is_zonal: false,
                 timing: Timing::default(),
                 regions: Arc::default(),
                 seed: 0,
@@ -187,6 +190,14 @@
         self
     }
 
+    /// Whether each zone with servers of a group of parts has an aggregator of its own. Default:
+    /// false, one instance aggregates a group for the whole fleet.
+    #[must_use]
+    pub const fn zonal(mut self, is_zonal: bool) -> Self {
+        self.settings.is_zonal = is_zonal;
+        self
+    }
+
     /// Time spans of failure detection, anti-entropy and reads of the platform.
     #[must_use]
     pub const fn timing(mut self, timing: Timing) -> Self {
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -44,6 +44,7 @@
 pub mod event;
 pub mod resend;
 
+pub use aggregator_selection::GroupStatus;
 pub use answer::status;
 pub use event::{Action, Event};
 pub use history::{Explanation, Step, TimedStep};
--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -6,6 +6,11 @@
 //! into groups, and for all sweeps of the fleet, one instance near a group's servers (the partial
 //! aggregator) calls them. It sees nearly all of their load, and sends the merged records of a
 //! group in one message.
+//!
+//! With zonal aggregation, there is one such instance in each zone that has servers of the group
+//! ([`zones`]), so that neither the parts nor the calls cross zones without need.
+
+mod zones;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -20,6 +25,8 @@
 use crate::time::Instant;
 use crate::view::{Neighbour, Peer, View};
 
+use zones::Zones;
+
 /// Weight of one reply in the moving average of a service's utilization.
 const UTILIZATION_SMOOTHING: f64 = 0.2;
 /// Interval at which it is decided again whether one instance calls a group's servers for all
@@ -135,11 +142,26 @@
 /// call the servers of a group for all instances and aggregate their responses.
 #[derive(Debug)]
 struct IndexGroups {
-    /// Keeps the index alive, since its address is the key in `by_index`.
-    _index: Arc<Index>,
+    /// Kept also because its address is the key in `by_index`.
+    index: Arc<Index>,
     zone_groups: Vec<ZoneGroups>,
 }
 
+/// A group of parts with the instance that aggregates it for the sweeps that arrive in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupStatus {
+    /// Name of the index that the parts belong to.
+    pub index: Arc<str>,
+    /// Zone in which the sweeps arrive; `None` if the instance aggregates for all zones.
+    pub zone: Option<Arc<str>>,
+    /// Services of the group, sorted by name.
+    pub services: Vec<Arc<str>>,
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Whether the instance aggregates now; otherwise each instance calls the servers itself.
+    pub in_use: bool,
+}
+
 /// Assigns parts of sweeps to partial aggregators; the groups are valid for one view.
 #[derive(Debug, Default)]
 pub(crate) struct AggregatorSelector {
@@ -163,6 +185,8 @@
     pub(crate) zone: &'a str,
     /// Processor capacity available to this instance, in thousandths of a core.
     pub(crate) millicores: u32,
+    /// Whether each zone with servers of a group has an aggregator of its own.
+    pub(crate) is_zonal: bool,
 }
 
 impl AggregatorSelector {
@@ -211,6 +235,45 @@
         aggregators
     }
 
+    /// Returns the first aggregator of each group for the sweeps of each zone, for the indexes of the
+    /// sweeps that arrived since the last change of the view.
+    pub(crate) fn status(&self, view: &View, own: LocalInstance<'_>) -> Vec<GroupStatus> {
+        let mut zones: Vec<&str> = view.neighbours.iter().map(|one| &*one.zone).collect();
+        zones.push(own.zone);
+        zones.sort_unstable();
+        zones.dedup();
+        zones.retain(|zone| own.is_zonal || *zone == own.zone);
+        let mut all = Vec::new();
+        for known in self.by_index.values() {
+            let in_use = known.zone_groups.iter().flat_map(|in_zones| &in_zones.groups);
+            let in_use: Vec<bool> = in_use.map(|group| group.delegated).collect();
+            for zone in &zones {
+                let groups = build_zone_groups(view, own, zone, &known.index);
+                let groups = groups.into_iter().flat_map(|in_zones| in_zones.groups).zip(&in_use);
+                all.extend(groups.filter_map(|(group, in_use)| {
+                    let mut services: Vec<Arc<str>> = group.services.iter().cloned().collect();
+                    services.sort_unstable();
+                    let first = group.aggregators.first()?.as_ref();
+                    Some(GroupStatus {
+                        index: known.index.name.as_str().into(),
+                        zone: own.is_zonal.then(|| (*zone).into()),
+                        services,
+                        instance: first.map_or_else(|| own.name.into(), |peer| peer.name.clone()),
+                        in_use: *in_use,
+                    })
+                }));
+            }
+        }
+        all.sort_unstable_by(|one, other| {
+            (&one.index, &one.services, &one.zone).cmp(&(
+                &other.index,
+                &other.services,
+                &other.zone,
+            ))
+        });
+        all
+    }
+
     /// Selects the next partial aggregator of a service whose servers have too few connections for
     /// every instance; `is_skipped` names the instances that cannot be used. `None` means that
     /// this instance calls the servers itself, or that every instance does.
@@ -241,8 +304,8 @@
     index: &Arc<Index>,
 ) -> &'a mut IndexGroups {
     by_index.entry(Arc::as_ptr(index).addr()).or_insert_with(|| IndexGroups {
-        _index: Arc::clone(index),
-        zone_groups: build_zone_groups(view, own, index),
+        index: Arc::clone(index),
+        zone_groups: build_zone_groups(view, own, own.zone, index),
     })
 }
 
@@ -256,9 +319,22 @@
     peer: Option<&'a Peer>,
 }
 
-/// Divides the parts of an index by the zones of their servers and into groups.
-fn build_zone_groups(view: &View, own: LocalInstance<'_>, index: &Index) -> Vec<ZoneGroups> {
-    let LocalInstance { name, zone, millicores } = own;
+impl Candidate<'_> {
+    /// Processor capacity of the instance in thousandths of a core, assumed if it is unknown.
+    fn capacity(&self) -> u32 {
+        if self.millicores == 0 { DEFAULT_MILLICORES } else { self.millicores }
+    }
+}
+
+/// Divides the parts of an index by the zones of their servers and into groups, with the
+/// aggregators for sweeps that arrive in `entry_zone`.
+fn build_zone_groups(
+    view: &View,
+    own: LocalInstance<'_>,
+    entry_zone: &str,
+    index: &Index,
+) -> Vec<ZoneGroups> {
+    let LocalInstance { name, zone, millicores, is_zonal } = own;
     let mut candidates = vec![Candidate { name, zone, millicores, peer: None }];
     candidates.extend(view.neighbours.iter().map(|neighbour| Candidate {
         name: &neighbour.peer.name,
@@ -268,12 +344,13 @@
     }));
     let has_few_connections =
         |name: &Arc<str>| view.service(name).is_some_and(|known| known.has_few_connections);
-    let mut assigned_groups: Map<&str, usize> = Map::default();
+    let mut assigned_groups = AssignedGroups::default();
+    let mut by_zone = is_zonal.then(|| Zones::new(&candidates, entry_zone));
     let mut group = |zones: &[&str], services: &[Arc<str>]| {
-        let ranked = rank_candidates(&candidates, zones, &services[0], &assigned_groups);
-        if let Some(first) = ranked.first() {
-            *assigned_groups.entry(first.name).or_default() += 1;
-        }
+        let in_zones = by_zone.as_mut().and_then(|by_zone| by_zone.rank(zones, &services[0]));
+        let ranked = in_zones.unwrap_or_else(|| {
+            assign_group(&candidates, zones, &services[0], &mut assigned_groups)
+        });
         Group {
             services: Arc::new(services.iter().cloned().collect()),
             aggregators: ranked.iter().map(|candidate| candidate.peer.cloned()).collect(),
@@ -287,7 +364,7 @@
         let size = group_size(index.shards.len(), services.len());
         let groups = services.chunks(size).map(|services| group(&zones, services)).collect();
         let has_peer = view.neighbours.iter().any(|neighbour| zones.contains(&&*neighbour.zone));
-        ZoneGroups { groups, includes_own_zone: zones.contains(&own.zone), has_peer }
+        ZoneGroups { groups, includes_own_zone: zones.contains(&entry_zone), has_peer }
     };
     services_by_zone_set.map(in_zones).collect()
 }
@@ -318,6 +395,23 @@
     parts_in_zones.div_ceil(parts_in_zones.div_ceil(size).max(1)).max(1)
 }
 
+/// Number of groups that are assigned to each instance, by name.
+type AssignedGroups<'a> = Map<&'a str, usize>;
+
+/// Ranks the instances for a group as [`rank_candidates`] does, and assigns the group to the first.
+fn assign_group<'a>(
+    candidates: &[Candidate<'a>],
+    zones: &[&str],
+    group: &str,
+    assigned_groups: &mut AssignedGroups<'a>,
+) -> Vec<Candidate<'a>> {
+    let ranked = rank_candidates(candidates, zones, group, assigned_groups);
+    if let Some(first) = ranked.first() {
+        *assigned_groups.entry(first.name).or_default() += 1;
+    }
+    ranked
+}
+
 /// Sorts the instances in one of `zones`, or all instances if there is none: by the number of
 /// groups per processor capacity that an instance would have with this group, then by rendezvous
 /// hash.
@@ -329,7 +423,7 @@
     candidates: &[Candidate<'a>],
     zones: &[&str],
     group: &str,
-    assigned_groups: &Map<&str, usize>,
+    assigned_groups: &AssignedGroups<'a>,
 ) -> Vec<Candidate<'a>> {
     let is_in_zones = |candidate: &&Candidate<'_>| zones.contains(&candidate.zone);
     let mut ranked: Vec<Candidate<'_>> = candidates.iter().filter(is_in_zones).copied().collect();
@@ -338,9 +432,7 @@
     }
     let load = |candidate: &Candidate<'_>| {
         let groups = assigned_groups.get(candidate.name).copied().unwrap_or(0) as u64 + 1;
-        let millicores =
-            if candidate.millicores == 0 { DEFAULT_MILLICORES } else { candidate.millicores };
-        groups * LOAD_SCALE / u64::from(millicores)
+        groups * LOAD_SCALE / u64::from(candidate.capacity())
     };
     let score =
         |candidate: &Candidate<'_>| hash::of(&[group.as_bytes(), candidate.name.as_bytes()]);
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -14,7 +14,7 @@
 use super::intake::DEFAULT_CALL_TIME;
 use super::kinds::WorkKind;
 use super::machine::Machine;
-use super::portion::PortionKey;
+use super::portion::{Portion, PortionKey};
 use super::queue::Class;
 use super::reply::Refused;
 use super::server::{Server, ServerKey};
@@ -31,13 +31,6 @@
 /// Weight of failed and shed calls in the cost of a server: a rate of 1 adds this many times the
 /// expected call time.
 const FAILURE_COST_FACTOR: f64 = 4.0;
-/// Factor on the cost of a server in another availability zone, because traffic between zones is
-/// charged and an equally loaded server in the same zone answers a little sooner.
-///
-/// With seven to nine instances, 1.5, 2, 3 and 6 were compared by the value of answers minus the
-/// cost of traffic: 3 gains 0.004 under light load and loses 0.03 under high load, because busy
-/// servers of the own zone keep their calls; 6 loses in both cases.
-const REMOTE_ZONE_COST_FACTOR: f64 = 2.0;
 
 impl Machine {
     /// Dispatches queued portions of all services that changed during the current event.
@@ -198,6 +191,7 @@
         let service = &self.services[id];
         let suspects = self.suspects(id);
         let mut best: Option<(f64, ServerKey)> = None;
+        let mut yields_until = None;
         let count = service.servers.len();
         for step in 0..count {
             let candidate = service.servers[(service.cursor + step) % count];
@@ -206,6 +200,10 @@
             if !usable || self.already_shed(key, candidate) || self.already_lost(key, candidate) {
                 continue;
             }
+            if let Some(until) = self.yields_until(key, candidate) {
+                yields_until = yields_until.max(Some(until));
+                continue;
+            }
             let server = &self.servers[candidate];
             if suspects.contains(&candidate) {
                 let trial_allowed =
@@ -215,13 +213,15 @@
                 }
                 continue;
             }
-            let cost =
-                self.cost(id, portion.kind, server, portion.tried_servers.contains(&candidate));
+            let cost = self.cost(portion, server, portion.tried_servers.contains(&candidate));
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate));
             }
         }
         self.services[id].cursor = (self.services[id].cursor + 1) % count.max(1);
+        if let (None, Some(until)) = (best, yields_until) {
+            self.schedule_end_of_yielding(id, until);
+        }
         best.map(|(_, server)| server)
     }
 
@@ -318,16 +318,14 @@
 
     /// Cost of sending a call to a server: the expected call time in seconds, multiplied by factors
     /// for load, failures, an earlier failed attempt and another zone.
-    fn cost(&self, id: ServiceId, kind: WorkKind, server: &Server, tried: bool) -> f64 {
-        let expected_call_time = self.expected_call_time(id, kind, server).as_secs_f64();
-        let load = f64::from(server.in_flight) / f64::from(server.capacity(self.now));
+    fn cost(&self, portion: &Portion, server: &Server, tried: bool) -> f64 {
+        let expected_call_time = self.expected_call_time(portion.service, portion.kind, server);
         let health = &server.health;
         let failures =
             FAILURE_COST_FACTOR * (health.failure_rate(self.now) + health.shed_rate(self.now));
         let retry_factor = if tried { 4.0 } else { 1.0 };
-        let same_zone = self.settings.zone.is_empty() || self.settings.zone == server.zone;
-        let zone_factor = if same_zone { 1.0 } else { REMOTE_ZONE_COST_FACTOR };
-        expected_call_time * (1.0 + load) * (1.0 + failures) * retry_factor * zone_factor
+        let factor = self.preference(portion, server).cost_factor();
+        expected_call_time.as_secs_f64() * factor * (1.0 + failures) * retry_factor
     }
 
     /// Expected call time at a server, without the calls that already wait there.
@@ -341,7 +339,7 @@
     ///
     /// A server that stalls for a moment gives no other sign of it, and all calls sent to it
     /// meanwhile wait until it continues.
-    fn oldest_call_age(&self, server: &Server) -> Duration {
+    pub(super) fn oldest_call_age(&self, server: &Server) -> Duration {
         let busy = server.connections.iter().filter_map(|connection| {
             match self.connections[*connection].state {
                 connection::State::Busy(attempt) => self.attempts.get(attempt),
@@ -416,6 +414,7 @@
             record: portion.unrepeatable.then(|| portion.record()),
             abandoned: false,
         };
+        self.count_zone_call(&call, out);
         self.call_began(&call);
         self.record_warmup_request(to);
         let attempt = self.attempts.insert(call);
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -20,3 +20,5 @@
 mod startup;
 mod store;
 mod store_drill;
+mod zonal_aggregation;
+mod zonal_fleet;
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -16,3 +16,4 @@
 mod shutdown;
 mod sweep;
 mod versions;
+mod zonal;
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -40,6 +40,8 @@
     pub(crate) evacuated: &'static str,
     /// Regions to whose servers the routes' messages may be sent; if empty, all regions.
     pub(crate) homes: Vec<&'static str>,
+    /// Whether each zone with servers of a group has an aggregator of its own.
+    pub(crate) is_zonal: bool,
 }
 
 impl Default for ViewFixture {
@@ -56,6 +58,7 @@
             has_few_connections: false,
             evacuated: "",
             homes: Vec::new(),
+            is_zonal: false,
         }
     }
 }
@@ -131,9 +134,8 @@
 
     pub(crate) fn harness(&self) -> Harness {
         let own = self.millicores.get(SELF).copied().unwrap_or(1000);
-        let settings =
-            Settings::builder(SELF, INCARNATION).near(LOCAL_ZONE).millicores(own).build();
-        let mut harness = Harness::with(settings);
+        let settings = Settings::builder(SELF, INCARNATION).near(LOCAL_ZONE).millicores(own);
+        let mut harness = Harness::with(settings.zonal(self.is_zonal).build());
         harness.deliver(self.view());
         harness
     }
@@ -151,7 +153,7 @@
     Request { key: key.to_owned(), deadline_ms: 400, message, ..Request::default() }
 }
 
-fn sweep(key: &str) -> Request {
+pub(crate) fn sweep(key: &str) -> Request {
     message(key, "/docks/all", 0)
 }
 
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -22,3 +22,4 @@
 mod single_requests;
 mod stop;
 mod warmup;
+mod zonal;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -143,6 +143,7 @@
         .listing(listing)
         .near(shared.options.strategy.partial_aggregation)
         .gradual_startup(shared.options.strategy.gradual_startup)
+        .zonal(shared.options.strategy.zonal_aggregation)
         .timing(timing)
         .seed(shared.seed())
         .build()
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -131,6 +131,7 @@
         .by_need(strategy.listing == settings::Listing::Observed)
         .gradual_startup(strategy.gradual_startup)
         .zone(&shared.options.instance.zone)
+        .zonal(strategy.zonal_aggregation)
         .seed(shared.seed())
         .build();
     let reports = Reports {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ladder_core::count::{Connection, Count, Event};
+use ladder_core::count::{Count, Crossing, Event};
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
@@ -22,6 +23,7 @@
     hedges: Counter<u64>,
     drops: Counter<u64>,
     connections: Counter<u64>,
+    zone_calls: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -54,6 +56,9 @@
             connections: counter(
                 "ladder_connections",
                 "Connections to servers that were opened, reset or closed, by event",
+            zone_calls: counter(
+                "ladder_zone_calls",
+                "Parts of sweeps sent with zonal aggregation, by crossing and its reason",
             ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
@@ -83,6 +88,7 @@
             Event::Retry => &self.retries,
             Event::Hedge => &self.hedges,
             Event::Drop => &self.drops,
+            Event::ZoneCall(crossing) => return self.zone_call(crossing, count.reason),
         };
         counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
     }
@@ -95,6 +101,15 @@
             Connection::Closed => "closed",
         };
         self.connections.add(1, &[KeyValue::new("event", event)]);
+    /// Counts a call to a server, or a work message to a peer of another zone.
+    fn zone_call(&self, crossing: Crossing, reason: Reason) {
+        let crossing = match crossing {
+            Crossing::None => "none",
+            Crossing::Server => "server",
+            Crossing::Peer => "peer",
+        };
+        let reason = KeyValue::new("reason", reason.as_str_name());
+        self.zone_calls.add(1, &[KeyValue::new("crossing", crossing), reason]);
     }
 
     /// Counts a message that was dropped before it reached the core.
