--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use ladder_core::count::{Connection, Count, Event};
-use ladder_core::count::{Count, Crossing, Event};
+use ladder_core::count::{Connection, Count, Crossing, Event};
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
@@ -56,6 +55,7 @@
             connections: counter(
                 "ladder_connections",
                 "Connections to servers that were opened, reset or closed, by event",
+            ),
             zone_calls: counter(
                 "ladder_zone_calls",
                 "Parts of sweeps sent with zonal aggregation, by crossing and its reason",
@@ -101,6 +101,8 @@
             Connection::Closed => "closed",
         };
         self.connections.add(1, &[KeyValue::new("event", event)]);
+    }
+
     /// Counts a call to a server, or a work message to a peer of another zone.
     fn zone_call(&self, crossing: Crossing, reason: Reason) {
         let crossing = match crossing {
