--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -7,8 +7,10 @@
 //! aggregator) calls them. It sees nearly all of their load, and sends the merged records of a
 //! group in one message.
 //!
-//! With zonal aggregation, there is one such instance in each zone that has servers of the group
-//! ([`zones`]), so that neither the parts nor the calls cross zones without need.
+//! With zonal aggregation, where servers accept too few connections for every instance, there is one
+//! such instance in each zone that has servers of the group ([`zones`]), so that neither the parts
+//! nor the calls cross zones without need. While the servers are busy, one instance sends for the
+//! whole fleet again, because only one queue keeps the order of urgency.
 
 mod zones;
 
@@ -36,6 +38,13 @@
 /// servers itself again, and above which one instance calls them for all.
 const DELEGATION_UTILIZATION: (f64, f64) = (0.3, 0.38);
 
+/// Utilization below which the aggregators of each zone send to their servers again, and above
+/// which one instance sends for the whole fleet also with zonal aggregation.
+///
+/// Several senders don't see each other's queues: under overload the calls of all zones wait at the
+/// servers, and requests of all urgency classes are late alike.
+const SHARED_UTILIZATION: (f64, f64) = (0.45, 0.6);
+
 /// Minimum number of parts for which a peer aggregates while the servers are idle: two messages
 /// between instances cost about as many bytes as two parts.
 const MIN_DELEGATED_PARTS: usize = 3;
@@ -63,6 +72,11 @@
     /// Instances that may aggregate the group, the preferred one first; `None` stands for this
     /// instance.
     aggregators: Arc<[Option<Peer>]>,
+    /// Instances that may aggregate the group for the sweeps of one zone, used instead of
+    /// `aggregators` while the servers are not busy; `None` without zonal aggregation.
+    zonal_aggregators: Option<Arc<[Option<Peer>]>>,
+    /// Whether the servers are so busy that one instance aggregates the group for all zones.
+    is_shared: bool,
     /// Whether one instance calls the group's servers on behalf of all instances.
     delegated: bool,
     /// Whether some of the group's servers have too few connections for every instance to call
@@ -85,6 +99,16 @@
         self.delegated = self.has_few_connections
             || mean
                 > if self.delegated { DELEGATION_UTILIZATION.0 } else { DELEGATION_UTILIZATION.1 };
+        self.is_shared =
+            mean > if self.is_shared { SHARED_UTILIZATION.0 } else { SHARED_UTILIZATION.1 };
+    }
+
+    /// Returns the instances that may aggregate the group now, the preferred one first.
+    fn ranked_aggregators(&self) -> &[Option<Peer>] {
+        match &self.zonal_aggregators {
+            Some(zonal) if !self.is_shared => zonal,
+            _ => &self.aggregators,
+        }
     }
 
     /// Returns the peer that aggregates the group's parts; `None` if this instance calls the
@@ -93,7 +117,7 @@
         let is_usable = |peer: &&Option<Peer>| {
             peer.as_ref().is_none_or(|peer| !peers.is_silent(&peer.name, now))
         };
-        self.aggregators.iter().find(is_usable)?.as_ref()
+        self.ranked_aggregators().iter().find(is_usable)?.as_ref()
     }
 }
 
@@ -246,14 +270,16 @@
         let mut all = Vec::new();
         for known in self.by_index.values() {
             let in_use = known.zone_groups.iter().flat_map(|in_zones| &in_zones.groups);
-            let in_use: Vec<bool> = in_use.map(|group| group.delegated).collect();
+            let in_use: Vec<(bool, bool)> =
+                in_use.map(|group| (group.delegated, group.is_shared)).collect();
             for zone in &zones {
                 let groups = build_zone_groups(view, own, zone, &known.index);
                 let groups = groups.into_iter().flat_map(|in_zones| in_zones.groups).zip(&in_use);
-                all.extend(groups.filter_map(|(group, in_use)| {
+                all.extend(groups.filter_map(|(mut group, (in_use, is_shared))| {
+                    group.is_shared = *is_shared;
                     let mut services: Vec<Arc<str>> = group.services.iter().cloned().collect();
                     services.sort_unstable();
-                    let first = group.aggregators.first()?.as_ref();
+                    let first = group.ranked_aggregators().first()?.as_ref();
                     Some(GroupStatus {
                         index: known.index.name.as_str().into(),
                         zone: own.is_zonal.then(|| (*zone).into()),
@@ -292,7 +318,7 @@
         let is_usable = |aggregator: &&Option<Peer>| {
             !is_skipped(aggregator.as_ref().map_or(own.name, |peer| &*peer.name))
         };
-        group.aggregators.iter().find(is_usable)?.as_ref()
+        group.ranked_aggregators().iter().find(is_usable)?.as_ref()
     }
 }
 
@@ -347,15 +373,18 @@
     let mut assigned_groups = AssignedGroups::default();
     let mut by_zone = is_zonal.then(|| Zones::new(&candidates, entry_zone));
     let mut group = |zones: &[&str], services: &[Arc<str>]| {
-        let in_zones = by_zone.as_mut().and_then(|by_zone| by_zone.rank(zones, &services[0]));
-        let ranked = in_zones.unwrap_or_else(|| {
-            assign_group(&candidates, zones, &services[0], &mut assigned_groups)
-        });
+        let has_few_connections = services.iter().any(has_few_connections);
+        let zonal = by_zone.as_mut().filter(|_| has_few_connections);
+        let zonal = zonal.and_then(|by_zone| by_zone.rank(zones, &services[0]));
+        let ranked = assign_group(&candidates, zones, &services[0], &mut assigned_groups);
+        let peers = |ranked: &[Candidate<'_>]| ranked.iter().map(|one| one.peer.cloned()).collect();
         Group {
             services: Arc::new(services.iter().cloned().collect()),
-            aggregators: ranked.iter().map(|candidate| candidate.peer.cloned()).collect(),
+            aggregators: peers(&ranked),
+            zonal_aggregators: zonal.map(|ranked| peers(&ranked)),
+            is_shared: false,
             delegated: false,
-            has_few_connections: services.iter().any(has_few_connections),
+            has_few_connections,
             next_decision_at: Instant::default(),
         }
     };
--- a/crates/core/src/leaf/outlook.rs
+++ b/crates/core/src/leaf/outlook.rs
@@ -31,8 +31,9 @@
     pub(super) fn avoided(&self, id: ServiceId) -> Vec<u32> {
         let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
         let accepting = servers.filter(|server| server.accepts_work());
+        let is_zonal = self.is_sent_zonally(id);
         let is_poor = |server: &&Server| {
-            let keeps_slow = self.settings.is_zonal && server.zone == self.settings.zone;
+            let keeps_slow = is_zonal && server.zone == self.settings.zone;
             let health = &server.health;
             health.is_failing(self.now) || !keeps_slow && health.is_slow(self.now)
         };
--- a/crates/core/src/leaf/own_zone.rs
+++ b/crates/core/src/leaf/own_zone.rs
@@ -32,7 +32,14 @@
     /// Whether a portion is part of a sweep that an instance of each zone sends for its zone.
     fn is_sent_by_zone(&self, portion: &Portion) -> bool {
         let forward = portion.job.work.forward.as_ref();
-        self.settings.is_zonal && forward.is_some_and(|forward| forward.part)
+        let is_part = forward.is_some_and(|forward| forward.part);
+        is_part && self.is_sent_zonally(portion.service)
+    }
+
+    /// Whether an instance of each zone sends the work of a service: with zonal aggregation, where
+    /// the servers accept too few connections for every instance.
+    pub(super) fn is_sent_zonally(&self, id: ServiceId) -> bool {
+        self.settings.is_zonal && self.services[id].has_few_connections
     }
 
     /// Whether a server is in another zone than this instance.
--- a/crates/core/src/leaf/warmup.rs
+++ b/crates/core/src/leaf/warmup.rs
@@ -205,7 +205,7 @@
     /// warm it up. They are as many as the instances that send for the whole fleet without zonal
     /// aggregation, so the quota of each is the same.
     fn may_warm_up(&self, server: &Server) -> bool {
-        !self.settings.is_zonal || server.zone == self.settings.zone
+        !self.is_sent_zonally(server.service) || server.zone == self.settings.zone
     }
 
     /// Records a request to a server that warms up and schedules a dispatch for the time when the
