--- a/crates/core/src/gather/aggregator_selection.rs
+++ b/crates/core/src/gather/aggregator_selection.rs
@@ -43,7 +43,7 @@
 ///
 /// Several senders don't see each other's queues: under overload the calls of all zones wait at the
 /// servers, and requests of all urgency classes are late alike.
-const SHARED_UTILIZATION: (f64, f64) = (0.45, 0.6);
+const SHARED_UTILIZATION: (f64, f64) = (0.6, 0.8);
 
 /// Minimum number of parts for which a peer aggregates while the servers are idle: two messages
 /// between instances cost about as many bytes as two parts.
