--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -38,6 +38,7 @@
 mod send;
 mod settings;
 mod snapshot;
+mod sweep_admission;
 mod timers;
 mod withdraw;
 
@@ -48,3 +49,4 @@
 pub use history::{Explanation, Step, TimedStep};
 pub use machine::Machine;
 pub use settings::{Builder, Settings};
+pub use sweep_admission::ShareChange;
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -6,6 +6,7 @@
 use ladder_schema::{call, wire};
 
 use super::history::Explanation;
+use super::sweep_admission::ShareChange;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
 use crate::view::{Peer, View};
@@ -85,6 +86,8 @@
     Refused(Fingerprint),
     /// Write the steps of a query to the log.
     Log(Box<Explanation>),
+    /// The share of a route's sweeps that are admitted has changed.
+    Share(Box<ShareChange>),
     /// Increment a counter of the metrics.
     Count(Count),
 }
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -59,6 +59,7 @@
         }
         self.aggregator_selector.reset_for_view(&view);
         self.avoided_servers.retain(|service| view.service(service).is_some());
+        self.prune_sweep_admission(now);
         let mut live: Map<&str, bool> = Map::default();
         let candidates = view.services.values().flat_map(|service| &service.candidates);
         for candidate in candidates {
--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -141,7 +141,7 @@
 
 /// Returns why none of a service's servers may receive work of a route that is restricted to the
 /// regions `homes`; `None` if a server may receive it, or if no server is known.
-fn exclusion_reason(view: &View, homes: &[String], service: &str) -> Option<Reason> {
+pub(super) fn exclusion_reason(view: &View, homes: &[String], service: &str) -> Option<Reason> {
     let servers = &view.service(service)?.servers;
     let mut home_servers = servers.iter().filter(|server| view.is_home(homes, &server.zone));
     if servers.is_empty() || home_servers.clone().any(Server::takes_work) {
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -17,8 +17,10 @@
 use super::peers::Peers;
 use super::plan::{Plan, Planner};
 use super::query::{Query, QueryIds, QueryKey};
+use super::sweep_admission::{Arrival, ReportedShare};
 use super::timers::{Timer, Timers};
 use super::{answer, settings::Settings};
+use crate::admission::Decision;
 use crate::collections::Map;
 use crate::count::{self, Count};
 use crate::fingerprint::Fingerprint;
@@ -46,6 +48,9 @@
     pub(crate) planner: Planner,
     pub(crate) aggregator_selector: AggregatorSelector,
     pub(crate) avoided_servers: AvoidedServers,
+    pub(crate) sweep_decision: Decision,
+    /// Reported shares by the name of their route.
+    pub(crate) reported_shares: Map<Arc<str>, ReportedShare>,
     route_planner: RoutePlanner,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     /// Open queries by their current query number.
@@ -76,6 +81,8 @@
             planner: Planner::default(),
             aggregator_selector: AggregatorSelector::default(),
             avoided_servers: AvoidedServers::default(),
+            sweep_decision: Decision::default(),
+            reported_shares: Map::default(),
             route_planner: RoutePlanner::default(),
             queries: SlotMap::default(),
             query_by_number: Map::default(),
@@ -152,7 +159,7 @@
         match self.admit(&request, fingerprint) {
             Ok(plan) => {
                 let ids = QueryIds { number, history_id, fingerprint };
-                self.start(now, caller, request, ids, plan, out);
+                self.start_if_admitted(now, Arrival { caller, request, ids, plan }, out);
             }
             Err((refusal, verdict)) => {
                 count(out, count::Event::Refusal, refusal.reason);
@@ -206,15 +213,16 @@
         Ok(plan)
     }
 
-    fn start(
+    /// Starts a request; `admitted_permille` is the share of the sweeps of its route that are
+    /// admitted, or 0 if its admission was not decided.
+    pub(crate) fn start(
         &mut self,
         now: Instant,
-        caller: CallerId,
-        request: call::Request,
-        ids: QueryIds,
-        plan: Plan,
+        arrival: Arrival,
+        admitted_permille: u32,
         out: &mut Vec<Action>,
     ) {
+        let Arrival { caller, request, ids, plan } = arrival;
         if plan.terms.unrepeatable {
             self.request_keys.start(&request.key);
         }
@@ -228,7 +236,8 @@
             };
             self.history.add(ids.history_id, now, step);
         }
-        let query = Query::new(now, caller, request, ids, plan);
+        let mut query = Query::new(now, caller, request, ids, plan);
+        query.admitted_permille = admitted_permille;
         let timer = query.timer;
         let key = self.queries.insert(query);
         self.query_by_number.insert(ids.number, key);
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -219,6 +219,9 @@
     pub(crate) earlier_version_may_have_run: bool,
     /// Whether the query can only be refused and its open portions have been cancelled.
     pub(crate) withdrawn: bool,
+    /// Thousandths of the sweeps of the route that were admitted when this one was; 0 if its
+    /// admission was not decided.
+    pub(crate) admitted_permille: u32,
 }
 
 /// Time reserved for sending the answer and for a late wake-up.
@@ -298,6 +301,7 @@
             retired_versions: Vec::new(),
             earlier_version_may_have_run: false,
             withdrawn: false,
+            admitted_permille: 0,
         };
         query.adopt_plan(plan);
         query.timer = query.timely_at;
--- a/crates/core/src/gather/reply_handling.rs
+++ b/crates/core/src/gather/reply_handling.rs
@@ -13,6 +13,7 @@
 use super::query::{Portion, PortionState, Progress, QueryKey};
 use super::reply::{self, SendingLocation};
 use super::send::MAX_SENDINGS;
+use crate::admission::{Class, Share};
 use crate::count;
 use crate::time::Instant;
 
@@ -154,6 +155,14 @@
         if reply.verdict() == Verdict::Ran {
             self.avoided_servers.record_report(now, &portion.requested.service, &reply.avoid);
         }
+        if let Some(route) = query.route.as_ref().filter(|_| query.admitted_permille > 0) {
+            // A refusal without a share may come from an instance that does not know the service.
+            let share = Share::from_reply(reply.admissible_permille);
+            if share < Share::ALL || reply.verdict() == Verdict::Ran {
+                let class = Class::from(route.spec.urgency());
+                self.sweep_decision.record_share(now, &portion.requested.service, class, share);
+            }
+        }
         let (peer, at) = (sending.peer, sending.at);
         if sending.is_aggregated && !sending.has_reported {
             self.mark_round_reported(key, peer, reply.round);
@@ -194,6 +203,8 @@
             verdict != Verdict::NotRun || !is_given_before_sending(reason);
         if matches!(reason, Reason::NoServer | Reason::Evacuated | Reason::ConnectFailed) {
             portion.unusable.extend(&portion.eligible);
+            let service = &portion.requested.service;
+            self.avoided_servers.record_unusable(now, service, &portion.eligible);
         }
         if !portion.is_open() || portion.awaits_reply() {
             return;
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -290,7 +290,7 @@
         forward: wire_forward(now, query),
         collect,
         fingerprint: query.fingerprint.bytes().into(),
-        admitted_permille: 0,
+        admitted_permille: query.admitted_permille,
     }
 }
 
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -15,6 +15,8 @@
     pub(crate) zone: Option<Arc<str>>,
     /// Processor capacity available to this instance, in thousandths of a core.
     pub(crate) millicores: u32,
+    /// Whether sweeps are admitted or refused as a whole.
+    pub(crate) sweep_admission: bool,
 }
 
 impl Settings {
@@ -30,6 +32,7 @@
                 history_capacity: 256,
                 zone,
                 millicores: 1000,
+                sweep_admission: false,
             },
         }
     }
@@ -81,6 +84,14 @@
         self
     }
 
+    /// Sets whether sweeps are admitted or refused as a whole, by the shares that the senders of
+    /// their services report. Default: false.
+    #[must_use]
+    pub fn sweep_admission(mut self, on: bool) -> Self {
+        self.settings.sweep_admission = on;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/tests/gather/harness.rs
+++ b/crates/core/tests/gather/harness.rs
@@ -232,6 +232,9 @@
         Action::Cancel { to, cancel } => format!("cancel {} q{}", to.name, cancel.query),
         Action::Log(account) => format!("log {} steps of {}", account.steps.len(), account.key),
         Action::Refused(request) => format!("refuse {request}"),
+        Action::Share(change) => {
+            format!("share {} {}", change.route, change.share.permille())
+        }
         Action::Count(count) => format!("count {:?} {}", count.event, short(count.reason)),
     }
 }
--- a/crates/core/tests/gather/oracle.rs
+++ b/crates/core/tests/gather/oracle.rs
@@ -87,7 +87,11 @@
             match action {
                 Action::Send { to, work } => self.check_send(now, &to.name, work),
                 Action::Answer { caller, answer } => self.check_answer(*caller, answer),
-                Action::Cancel { .. } | Action::Refused(_) | Action::Log(_) | Action::Count(_) => {}
+                Action::Cancel { .. }
+                | Action::Refused(_)
+                | Action::Log(_)
+                | Action::Share(_)
+                | Action::Count(_) => {}
             }
         }
         assert_eq!(machine.open(), self.open.len(), "each call is open or answered");
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -15,6 +15,7 @@
 use super::dialect::Listeners;
 use super::gateway::{Gateway, WaitingCallers};
 use crate::driver::{self, ActionExecutor, Driver, Inbox};
+use crate::log;
 
 impl driver::Machine for Machine {
     type Event = Event;
@@ -83,6 +84,10 @@
                 Action::Refused(request) => {
                     self.shared.control.send(control::Event::Asked(request));
                 }
+                Action::Share(change) => {
+                    self.shared.metrics.admissible_share(&change);
+                    log::share_change(&self.shared.log, &change);
+                }
                 Action::Log(account) => self.shared.request_log.request(&account),
                 Action::Count(count) => self.shared.metrics.count(count),
             }
@@ -102,6 +107,7 @@
     let mut settings =
         Settings::builder(&shared.local_peer.name, shared.incarnation).hedging(strategy.hedging);
     settings = settings.millicores(shared.options.millicores());
+    settings = settings.sweep_admission(shared.options.admission.sweeps);
     if strategy.partial_aggregation {
         settings = settings.near(&shared.options.instance.zone);
     }
--- a/src/log.rs
+++ b/src/log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ladder_core::control::state_change::{PlatformChange, StateChange};
+use ladder_core::gather::ShareChange;
 use ladder_schema::settings::{Format, Level, Log};
 use slog::{Drain, Logger, info, o, warn};
 
@@ -46,6 +47,19 @@
     slog_async::Async::new(drain).chan_size(MAX_WAITING_LINES).build()
 }
 
+/// Logs that sweeps of a route are no longer all admitted, or that they are again.
+pub fn share_change(log: &Logger, change: &ShareChange) {
+    let route = &*change.route;
+    match &change.service {
+        _ if !change.notable => {}
+        Some(service) => {
+            warn!(log, "sweeps limited"; "route" => route,
+                "share" => change.share.fraction(), "limited_by" => &**service);
+        }
+        None => info!(log, "sweeps no longer limited"; "route" => route),
+    }
+}
+
 /// Logs a change in the state that the control machine keeps.
 pub fn state_change(log: &Logger, state_change: &StateChange) {
     match state_change {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use ladder_core::count::{Count, Event};
+use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -28,6 +29,7 @@
     platform_calls: Counter<u64>,
     platform_reads: Counter<u64>,
     platform_eras: Counter<u64>,
+    admissible_share: Gauge<f64>,
 }
 
 impl Metrics {
@@ -66,6 +68,10 @@
                 "ladder_platform_eras",
                 "Changes of the era of the platform's store",
             ),
+            admissible_share: meter
+                .f64_gauge("ladder_admissible_share")
+                .with_description("Share of the sweeps that are admitted, by route")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -124,6 +130,12 @@
         self.platform_eras.add(1, &[]);
     }
 
+    /// Sets the share of a route's sweeps that are admitted.
+    pub fn admissible_share(&self, change: &ShareChange) {
+        let route = KeyValue::new("route", change.route.to_string());
+        self.admissible_share.record(change.share.fraction(), &[route]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
