--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -32,6 +32,7 @@
 mod settings;
 mod siblings;
 pub mod status;
+mod sweeps;
 mod timer;
 mod trace;
 mod verdict;
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -169,6 +169,7 @@
                 if let Some(occupancy) = answer.occupancy {
                     self.services[attempt.service].occupied(occupancy);
                 }
+                self.record_work(attempt, elapsed, answer.occupancy);
                 let server = &mut self.servers[attempt.server];
                 server.health.answered(self.now, elapsed, usual);
                 if !attempt.abandoned {
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -107,6 +107,7 @@
         if job.from.name != self.settings.name {
             self.services[id].record_handover(self.now);
         }
+        self.count_offered(id, job, portion);
         if finding == Some(Finding::Unproven) {
             return Err(Refused::repeated());
         }
@@ -202,6 +203,10 @@
             let excess = done.since(deadline);
             return Err(Refused::not_run(Reason::WouldMissDeadline).retry_after(excess));
         }
+        if self.settings.sweep_utilization.is_some() && job.work.admitted_permille > 0 {
+            // The sweep was admitted as a whole; without this part its other parts may be wasted.
+            return Ok(());
+        }
         let budget = deadline.since(self.now);
         let wait = wait.max(self.head_wait(id, class));
         let fraction = admission::query_fraction(job.incarnation, job.work.query);
@@ -358,7 +363,7 @@
 
 /// Kind of work for which call times are learned: the route of a forwarded message, else the
 /// operation.
-fn work_kind(work: &wire::Work) -> WorkKind {
+pub(super) fn work_kind(work: &wire::Work) -> WorkKind {
     match &work.forward {
         Some(forward) => WorkKind(forward.kind),
         None => WorkKind(hash::of(&[work.operation.as_bytes()])),
--- a/crates/core/src/leaf/kinds.rs
+++ b/crates/core/src/leaf/kinds.rs
@@ -9,6 +9,7 @@
 use super::estimate::Estimate;
 use super::machine::Machine;
 use super::service::ServiceId;
+use crate::average::MovingAverage;
 use crate::collections::Map;
 
 /// Number of samples needed before the learned call times are used.
@@ -20,6 +21,14 @@
 /// Maximum number of kinds of work learned separately; all further kinds are learned as one.
 const MAX_KINDS: usize = 16;
 
+/// Weight of one call in the mean time for which a call occupies a slot, in the long run.
+const WORK_WEIGHT: f64 = 0.01;
+/// Multiple of the mean slot time up to which one call counts.
+///
+/// Calls that a pause of their server delays take ten times as long as others, and a few of them
+/// must not look like more work. A lasting change still shows within some hundred calls.
+const MAX_WORK_FACTOR: f64 = 4.0;
+
 /// A kind of work: an operation or a route, by an identifier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct WorkKind(pub(super) u64);
@@ -32,6 +41,10 @@
     slow: Option<Duration>,
     /// Call time that most calls exceed; `None` until it is learned.
     fast: Option<Duration>,
+    /// Moving average of the time in seconds for which one call occupies a slot.
+    work: MovingAverage,
+    /// Number of calls that `work` was learned from.
+    work_samples: u64,
 }
 
 impl CallTimes {
@@ -45,6 +58,21 @@
         self.estimate.mean().filter(|_| self.estimate.samples() >= MIN_SAMPLES)
     }
 
+    /// Mean time for which one call occupies a slot; `None` until it is learned.
+    pub(super) fn work(&self) -> Option<Duration> {
+        (self.work_samples >= MIN_SAMPLES).then(|| Duration::from_secs_f64(self.work.value()))
+    }
+
+    /// Adds the time for which one call occupied a slot.
+    fn record_work(&mut self, span: Duration) {
+        let seconds = match self.work_samples {
+            0 => span.as_secs_f64(),
+            _ => span.as_secs_f64().min(self.work.value() * MAX_WORK_FACTOR),
+        };
+        self.work_samples += 1;
+        self.work.add(seconds, WORK_WEIGHT);
+    }
+
     /// Call time after which a call counts as slow and may be hedged; `None` until it is learned.
     pub(super) fn slow(&self) -> Option<Duration> {
         self.slow
@@ -90,6 +118,14 @@
         self.times.entry(kind).or_default().record_call_time(span, extra_percent);
     }
 
+    /// Adds the time for which one call of a kind of work occupied a slot.
+    fn record_work(&mut self, kind: WorkKind, span: Duration) {
+        self.all.record_work(span);
+        if let Some(times) = self.times.get_mut(&kind) {
+            times.record_work(span);
+        }
+    }
+
     /// Call times of all kinds of work together.
     pub(super) const fn all(&self) -> &CallTimes {
         &self.all
@@ -116,6 +152,17 @@
         self.lookup(id, kind, CallTimes::mean)
     }
 
+    /// Adds the time for which one call of a service occupied a slot.
+    pub(super) fn record_work_time(&mut self, id: ServiceId, kind: WorkKind, span: Duration) {
+        self.services[id].call_times.record_work(kind, span);
+        self.call_times.record_work(kind, span);
+    }
+
+    /// Mean time for which one call of a kind of work occupies a slot; `None` until it is learned.
+    pub(super) fn mean_work(&self, id: ServiceId, kind: WorkKind) -> Option<Duration> {
+        self.lookup(id, kind, CallTimes::work)
+    }
+
     /// Call time after which a call counts as slow and may be hedged; `None` until it is learned.
     pub(super) fn slow_call_time(&self, id: ServiceId, kind: WorkKind) -> Option<Duration> {
         self.lookup(id, kind, CallTimes::slow)
--- a/crates/core/src/leaf/reply.rs
+++ b/crates/core/src/leaf/reply.rs
@@ -10,6 +10,7 @@
 use super::machine::Machine;
 use super::portion::{Job, Portion, PortionKey};
 use super::record::State;
+use super::service::Role;
 use super::timer::Timer;
 use crate::count;
 
@@ -54,7 +55,10 @@
         out: &mut Vec<Action>,
     ) {
         Self::count(count::Event::Refusal, refused.reason, out);
-        let reply = reply(job, service, refused, 0, Vec::new());
+        let id = self.service_ids.get(service.as_str()).copied();
+        let id = id.filter(|id| self.services[*id].role != Role::None);
+        let mut reply = reply(job, service, refused, 0, Vec::new());
+        reply.admissible_permille = id.map_or(0, |id| self.admissible_permille(id, job));
         self.reply_or_aggregate(job, reply, out);
     }
 
@@ -110,6 +114,7 @@
         self.mark_changed(portion.service);
         let mut reply = reply(&portion.job, name, refused, portion.calls, parts);
         reply.busy_permille = (busy * 1000.0) as u32;
+        reply.admissible_permille = self.admissible_permille(portion.service, &portion.job);
         if portion.eligible.is_some() {
             reply.avoid = self.avoided(portion.service);
         }
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -14,6 +14,7 @@
 use super::portion::PortionKey;
 use super::queue::Queue;
 use super::server::ServerKey;
+use crate::admission::Capacity;
 use crate::average::MovingAverage;
 use crate::control::placement::CANDIDATES;
 use crate::time::Instant;
@@ -87,6 +88,11 @@
     pub(super) is_changed: bool,
     pub(super) budget: Budget,
     pub(super) admission: Admission,
+    /// Counts of the offered work, from which the admissible share of the sweeps follows.
+    pub(super) capacity: Capacity,
+    /// Moving average of the share of the servers' slots that other instances occupy; zero until an
+    /// answer reports an occupancy.
+    pub(super) foreign: MovingAverage,
     /// Portions whose hedge is due but has found no free slot or no budget yet, by time of the
     /// first call.
     pub(super) due_hedges: BTreeSet<(Instant, PortionKey)>,
@@ -127,6 +133,8 @@
             is_changed: false,
             budget: Budget::new(ExtraCallShares::of(listed, own).one_of_all, now),
             admission: Admission::default(),
+            capacity: Capacity::default(),
+            foreign: MovingAverage::default(),
             due_hedges: BTreeSet::new(),
             peak: Peak::default(),
             cursor: 0,
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -25,6 +25,9 @@
     pub(super) linger: Option<Duration>,
     /// Whether connections are opened on demand rather than ahead of work.
     pub(super) by_need: bool,
+    /// Share of the servers' slots that admitted sweeps may use; `None` if the admission of sweeps
+    /// is not decided.
+    pub(super) sweep_utilization: Option<f64>,
     /// Availability zone of this instance.
     pub(super) zone: Arc<str>,
     /// Seed of the jitter of back-off delays.
@@ -43,6 +46,7 @@
             probing: true,
             linger: None,
             by_need: false,
+            sweep_utilization: None,
             zone: "".into(),
             seed: 0,
         })
@@ -105,6 +109,14 @@
         self
     }
 
+    /// Sets the share of the servers' slots that admitted sweeps may use; `None`: all sweeps are
+    /// admitted.
+    #[must_use]
+    pub fn sweep_utilization(mut self, utilization: Option<f64>) -> Self {
+        self.0.sweep_utilization = utilization;
+        self
+    }
+
     /// Sets the availability zone of this instance.
     #[must_use]
     pub fn zone(mut self, zone: &str) -> Self {
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -121,6 +121,9 @@
 /// Runs the leaf machine until the process ends.
 pub async fn run(shared: Shared, inbox: Inbox<Machine>) {
     let strategy = shared.options.strategy;
+    let admission = shared.options.admission;
+    let sweep_utilization =
+        admission.sweeps.then(|| f64::from(admission.target_utilization_percent) / 100.0);
     let settings = Settings::builder(&shared.local_peer.name, shared.incarnation)
         .selection(strategy.selection)
         .hedging(strategy.hedging)
@@ -128,6 +131,7 @@
         .probing(shared.dialect.probes())
         .linger((!shared.dialect.cancels()).then_some(ABANDONED_CALL_TIMEOUT))
         .by_need(strategy.listing == settings::Listing::Observed)
+        .sweep_utilization(sweep_utilization)
         .zone(&shared.options.instance.zone)
         .seed(shared.seed())
         .build();
