--- a/crates/core/src/admission/capacity.rs
+++ b/crates/core/src/admission/capacity.rs
@@ -13,64 +13,75 @@
 /// the queue absorbs within a latency objective and a single pause of a server of 0.1 to 0.3 s. A
 /// lasting overload of half the capacity is still detected within half a second.
 const TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the counts that show the end of an overload. With the longer one alone, sweeps
+/// were still refused three seconds after twice the capacity was offered.
+const SHORT_TIME_CONSTANT: Duration = Duration::from_millis(300);
 /// Number of standard deviations by which the counted work must exceed the capacity before sweeps
 /// are limited.
 ///
 /// With a few dozen sweeps a second the count alone varies by a tenth, and without this margin
 /// sweeps were refused at seven tenths of the capacity. Only the start of a limit is affected: the
 /// share itself follows from the count without the margin.
-const SIGNIFICANCE: f64 = 1.5;
+const SIGNIFICANCE: f64 = 2.5;
 
-/// What the servers of a service can do for one sender at present.
-#[derive(Clone, Copy, Debug)]
-pub struct Supply {
-    /// Number of slots of the servers that accept work and are not suspect.
-    pub slots: f64,
-    /// Share of the slots that the work of other instances occupies, as the servers report.
-    pub foreign: f64,
-    /// Number of instances that may send to the servers at the same time; at least 1.
-    pub senders: u32,
-    /// Share of the slots that admitted sweeps may use.
-    pub utilization: f64,
-}
-
-impl Supply {
-    /// Returns the number of slots for the sweeps of this sender: what the other instances leave,
-    /// and at least an equal part, so that no sender is displaced by one that came before it.
-    fn own_slots(&self, slots: f64) -> f64 {
-        let equal_part = 1.0 / f64::from(self.senders.max(1));
-        let left = self.utilization - self.foreign.max(0.0);
-        slots * left.max(self.utilization * equal_part)
-    }
+/// Work of portions in slot-seconds, decaying sums over a longer and a shorter time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    long: Sum,
+    short: Sum,
+    /// Time up to which the sums have been decayed.
+    decayed_until: Instant,
 }
 
-/// Decaying sum of the work of portions, in slot-seconds.
+/// Decaying sum of values, and of their squares, from which its variance follows.
 #[derive(Clone, Copy, Debug, Default)]
-struct Work {
-    sum: f64,
-    /// Sum of the squares of the summed values, from which the variance of `sum` follows.
+struct Sum {
+    values: f64,
     squares: f64,
-    /// Time up to which both sums have been decayed.
-    decayed_until: Instant,
+}
+
+impl Sum {
+    fn decayed(self, elapsed: Duration, time_constant: Duration) -> Self {
+        let remaining = remaining_weight(elapsed, time_constant);
+        Self { values: self.values * remaining, squares: self.squares * remaining * remaining }
+    }
+
+    fn with(self, value: f64) -> Self {
+        Self { values: self.values + value, squares: self.squares + value * value }
+    }
+
+    /// Mean rate over the time constant of the sum, and its standard deviation if the values arrive
+    /// independently of each other.
+    fn rate(self, time_constant: Duration) -> (f64, f64) {
+        let seconds = time_constant.as_secs_f64();
+        (self.values / seconds, self.squares.sqrt() / seconds)
+    }
 }
 
 impl Work {
+    fn decayed(self, now: Instant) -> Self {
+        let elapsed = now.since(self.decayed_until);
+        Self {
+            long: self.long.decayed(elapsed, TIME_CONSTANT),
+            short: self.short.decayed(elapsed, SHORT_TIME_CONSTANT),
+            decayed_until: now,
+        }
+    }
+
     fn add(&mut self, now: Instant, work: f64) {
-        let remaining = remaining_weight(self.decayed_until, now);
-        self.sum = self.sum * remaining + work;
-        self.squares = self.squares * remaining * remaining + work * work;
-        self.decayed_until = now;
+        let before = self.decayed(now);
+        *self = Self { long: before.long.with(work), short: before.short.with(work), ..before };
     }
 
-    /// Number of slots that the work occupies, if all of it runs.
-    fn rate(&self, now: Instant) -> f64 {
-        self.sum * remaining_weight(self.decayed_until, now) / TIME_CONSTANT.as_secs_f64()
+    /// Number of slots that the work occupies, if all of it runs, and its standard deviation.
+    fn rate(&self, now: Instant) -> (f64, f64) {
+        self.decayed(now).long.rate(TIME_CONSTANT)
     }
 
-    /// Variance of the rate, if the portions arrive independently of each other.
-    fn variance(&self, now: Instant) -> f64 {
-        let remaining = remaining_weight(self.decayed_until, now) / TIME_CONSTANT.as_secs_f64();
-        self.squares * remaining * remaining
+    /// Number of slots that the work occupies, a lower one as soon as the load has certainly fallen.
+    fn falling_rate(&self, now: Instant) -> f64 {
+        let (short, deviation) = self.decayed(now).short.rate(SHORT_TIME_CONSTANT);
+        self.rate(now).0.min(short + deviation)
     }
 }
 
@@ -106,46 +117,57 @@
         self.others.add(now, work.as_secs_f64());
     }
 
-    /// Returns the share of the offered sweeps of each class that the servers can answer in time.
+    /// Returns the share of the offered sweeps of each class that can be answered in time, given the
+    /// number of slots that this sender's work may occupy at present.
     ///
     /// Each class takes what the more urgent ones leave, so that no class has a greater share than
     /// a more urgent one.
-    pub fn shares(&mut self, now: Instant, supply: Supply) -> [Share; CLASSES] {
-        let slots = self.smoothed_slots(now, supply.slots);
-        let mut left = (supply.own_slots(slots) - self.others.rate(now)).max(0.0);
+    pub fn shares(&mut self, now: Instant, slots: f64) -> [Share; CLASSES] {
+        let slots = self.smoothed_slots(now, slots);
+        let mut left = (slots - self.others.rate(now).0).max(0.0);
         self.update_limit(now, left);
         if !self.is_limited {
             return [Share::ALL; CLASSES];
         }
+        let mut largest: f64 = 1.0;
         self.sweeps.map(|work| {
-            let offered = work.rate(now);
+            let offered = work.falling_rate(now);
             let taken = offered.min(left);
             left -= taken;
-            let fraction = if offered > 0.0 { taken / offered } else { 1.0 };
-            Share::from_fraction(fraction).max(Share::MIN)
+            if offered > 0.0 {
+                largest = largest.min(taken / offered);
+            }
+            Share::from_fraction(largest).max(Share::MIN)
         })
     }
 
     /// Starts a limit when the offered work certainly exceeds the slots `left` for it, and ends it
     /// when the work does not exceed them any more.
     fn update_limit(&mut self, now: Instant, left: f64) {
-        let offered: f64 = self.sweeps.iter().map(|work| work.rate(now)).sum();
-        let variance: f64 = self.sweeps.iter().map(|work| work.variance(now)).sum();
-        let margin = if self.is_limited { 0.0 } else { SIGNIFICANCE * variance.sqrt() };
-        self.is_limited = offered - margin > left;
+        if self.is_limited {
+            self.is_limited =
+                self.sweeps.iter().map(|work| work.falling_rate(now)).sum::<f64>() > left;
+            return;
+        }
+        let rates = self.sweeps.iter().map(|work| work.rate(now));
+        let (offered, variance) =
+            rates.fold((0.0, 0.0), |(offered, variance), (rate, deviation)| {
+                (offered + rate, variance + deviation * deviation)
+            });
+        self.is_limited = offered - SIGNIFICANCE * f64::sqrt(variance) > left;
     }
 
     /// Adds the present number of slots to the smoothed one and returns that.
     fn smoothed_slots(&mut self, now: Instant, slots: f64) -> f64 {
         let before = self.slots.unwrap_or(Smoothed { mean: slots, last: slots, at: now });
-        let remaining = remaining_weight(before.at, now);
+        let remaining = remaining_weight(now.since(before.at), TIME_CONSTANT);
         let mean = before.last + (before.mean - before.last) * remaining;
         self.slots = Some(Smoothed { mean, last: slots, at: now });
         mean
     }
 }
 
-/// Factor by which a decaying value shrinks from one time to another.
-fn remaining_weight(from: Instant, to: Instant) -> f64 {
-    (-to.since(from).as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
+/// Factor by which a decaying value shrinks within `elapsed`.
+fn remaining_weight(elapsed: Duration, time_constant: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
 }
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -14,6 +14,7 @@
 use super::health::Health;
 use super::service::ServiceId;
 use super::warmup::Warmup;
+use crate::average::MovingAverage;
 use crate::eligible::ServerHash;
 use crate::time::Instant;
 use crate::view;
@@ -61,6 +62,9 @@
     retired: Vec<(Holding, Instant)>,
     report: Option<(Instant, target::Load)>,
     pub(super) health: Health,
+    /// Moving average of the share of the slots that other instances occupy; `None` until an answer
+    /// reports an occupancy.
+    pub(super) foreign: Option<MovingAverage>,
     pub(super) connections: Vec<ConnectionKey>,
     /// Number of open calls at the server, including calls whose portion already has a reply.
     pub(super) in_flight: u32,
@@ -104,6 +108,7 @@
             retired: Vec::new(),
             report: None,
             health: Health::default(),
+            foreign: None,
             connections: Vec::new(),
             in_flight: 0,
             open_failures: 0,
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -90,9 +90,6 @@
     pub(super) admission: Admission,
     /// Counts of the offered work, from which the admissible share of the sweeps follows.
     pub(super) capacity: Capacity,
-    /// Moving average of the share of the servers' slots that other instances occupy; zero until an
-    /// answer reports an occupancy.
-    pub(super) foreign: MovingAverage,
     /// Portions whose hedge is due but has found no free slot or no budget yet, by time of the
     /// first call.
     pub(super) due_hedges: BTreeSet<(Instant, PortionKey)>,
@@ -134,7 +131,6 @@
             budget: Budget::new(ExtraCallShares::of(listed, own).one_of_all, now),
             admission: Admission::default(),
             capacity: Capacity::default(),
-            foreign: MovingAverage::default(),
             due_hedges: BTreeSet::new(),
             peak: Peak::default(),
             cursor: 0,
--- a/crates/core/src/leaf/sweeps.rs
+++ b/crates/core/src/leaf/sweeps.rs
@@ -11,13 +11,13 @@
 use super::dispatch::UNREACHABLE_OPEN_FAILURES;
 use super::machine::Machine;
 use super::portion::Job;
-use super::server::ServerKey;
 use super::service::{Service, ServiceId};
-use crate::admission::capacity::Supply;
 use crate::admission::{self, Class, Share};
+use crate::average::MovingAverage;
 
-/// Weight of one answer in the moving average of the slots that other instances occupy.
-const FOREIGN_WEIGHT: f64 = 0.05;
+/// Weight of one answer of a server in the moving average of the slots that other instances occupy
+/// there.
+const FOREIGN_WEIGHT: f64 = 0.02;
 
 /// Urgency class of the work, if it is part of a sweep.
 fn sweep_class(work: &wire::Work) -> Option<Class> {
@@ -55,31 +55,38 @@
         let (Some(utilization), Some(class)) = (self.settings.sweep_utilization, class) else {
             return 0;
         };
-        let supply = self.supply(id, utilization);
+        let slots = self.slots_for_sweeps(id, utilization);
         let shares: [Share; admission::CLASSES] =
-            self.services[id].capacity.shares(self.now, supply);
+            self.services[id].capacity.shares(self.now, slots);
         shares[class.index()].to_reply()
     }
 
-    /// Returns what the servers of a service can do for this instance at present.
-    fn supply(&self, id: ServiceId, utilization: f64) -> Supply {
+    /// Returns the number of slots of a service's servers that the work of this instance may occupy:
+    /// those of the servers that accept work and are not suspect, less what other instances occupy,
+    /// and at least an equal part, so that no sender is displaced by one that came before it.
+    ///
+    /// Of a server that has not reported its occupancy yet, this instance expects an equal part.
+    fn slots_for_sweeps(&self, id: ServiceId, utilization: f64) -> f64 {
         let service = &self.services[id];
         let suspects = self.suspects(id);
-        let is_usable = |key: &&ServerKey| {
-            let server = &self.servers[**key];
+        let senders = self.sender_count(service);
+        let unreported = 1.0 - 1.0 / f64::from(senders);
+        let (mut slots, mut left) = (0.0, 0.0);
+        for key in &service.servers {
+            let server = &self.servers[*key];
             let reachable =
                 server.in_flight > 0 || server.open_failures < UNREACHABLE_OPEN_FAILURES;
-            server.accepts_work() && reachable && !suspects.contains(key)
-        };
-        let usable = service.servers.iter().filter(is_usable);
-        let slots: u32 = usable.map(|key| self.servers[*key].capacity(self.now)).sum();
-        let slots = match service.limits().in_flight {
-            0 => slots,
-            limit => slots.min(limit),
-        };
-        let foreign = service.foreign.value();
-        let senders = self.sender_count(service);
-        Supply { slots: slots.into(), foreign, senders, utilization }
+            if server.accepts_work() && reachable && !suspects.contains(key) {
+                let capacity = f64::from(server.capacity(self.now));
+                let foreign = server.foreign.map_or(unreported, MovingAverage::value);
+                slots += capacity;
+                left += capacity * (utilization - foreign).max(0.0);
+            }
+        }
+        let limit = f64::from(service.limits().in_flight);
+        let factor = if limit > 0.0 && limit < slots { limit / slots } else { 1.0 };
+        let own = left.max(slots * utilization / f64::from(senders));
+        own * factor
     }
 
     /// Number of instances that may send to a service's servers at the same time.
@@ -119,7 +126,8 @@
             }
             let own = self.servers[attempt.server].in_flight.saturating_add(1);
             let foreign = f64::from(present.saturating_sub(own)) / f64::from(slots);
-            self.services[attempt.service].foreign.add(foreign.min(1.0), FOREIGN_WEIGHT);
+            let average = self.servers[attempt.server].foreign.get_or_insert_default();
+            average.add(foreign.min(1.0), FOREIGN_WEIGHT);
         }
         if !attempt.abandoned {
             self.record_work_time(attempt.service, attempt.kind, work);
--- /dev/null
+++ b/crates/core/tests/admission/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the admission of sweeps.
+
+mod capacity;
+mod decision;
+mod fleet;
+mod overload;
+mod simulation;
