--- a/crates/core/tests/admission/simulation.rs
+++ b/crates/core/tests/admission/simulation.rs
@@ -36,7 +36,7 @@
     pub(crate) late: u32,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Sweep(usize),
     GatherTick(usize),
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -16,7 +16,7 @@
 use crate::harness::{Harness, INCARNATION, answers, only_answer, sent_work};
 
 /// Host of all routes.
-const HOST: &str = "porto.example";
+pub(crate) const HOST: &str = "porto.example";
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -37,7 +37,7 @@
 
 /// Builds a routing table with a sweep over three services with a floor of two, and with
 /// single-service routes.
-fn routing() -> Routing {
+pub(crate) fn routing() -> Routing {
     let parts = ["s1", "s2", "s3"].map(str::to_owned).to_vec();
     let split = vec![branch("s1", 0.7), branch("s2", 0.2), branch("s3", 0.1)];
     Routing {
@@ -57,7 +57,7 @@
 }
 
 /// Builds a view in which this instance is a candidate for all services.
-fn view_with(routing: Option<Routing>) -> View {
+pub(crate) fn view_with(routing: Option<Routing>) -> View {
     let services = ["s1", "s2", "s3"].map(|name| service_spec(name, [SELF, "e2", "e3"])).to_vec();
     let fleet = Fleet { services, ..Fleet::default() };
     let routing = routing.map(|routing| Arc::new(Table::new(&routing)));
@@ -72,7 +72,7 @@
     harness
 }
 
-fn message(host: &str, target: &str) -> Request {
+pub(crate) fn message(host: &str, target: &str) -> Request {
     let message = Message {
         method: "GET".to_owned(),
         host: host.to_owned(),
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -14,4 +14,5 @@
 mod replies;
 mod shutdown;
 mod sweep;
+mod sweep_admission;
 mod versions;
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -19,4 +19,5 @@
 mod siblings;
 mod simulation;
 mod stop;
+mod sweeps;
 mod warmup;
--- a/crates/core/tests/leaf/overload.rs
+++ b/crates/core/tests/leaf/overload.rs
@@ -22,17 +22,17 @@
 
 /// A kind of sweep, with its processing time and latency objective.
 #[derive(Clone, Copy)]
-struct Sweep {
+pub(crate) struct Sweep {
     kind: u64,
-    work_ms: u64,
+    pub(crate) work_ms: u64,
     timely_ms: u64,
 }
 
-const LARGE: Sweep = Sweep { kind: 1, work_ms: 28, timely_ms: 170 };
+pub(crate) const LARGE: Sweep = Sweep { kind: 1, work_ms: 28, timely_ms: 170 };
 const SMALL: Sweep = Sweep { kind: 2, work_ms: 9, timely_ms: 65 };
 
 impl Sweep {
-    fn work(self, query: u64) -> wire::Work {
+    pub(crate) fn work(self, query: u64) -> wire::Work {
         let forward = wire::Forward {
             message: Some(Message::default()),
             attempts: 2,
@@ -53,9 +53,9 @@
 }
 
 /// A running call with its end time.
-struct Running {
-    due: Instant,
-    sent: SentCall,
+pub(crate) struct Running {
+    pub(crate) due: Instant,
+    pub(crate) sent: SentCall,
 }
 
 /// Drives a harness whose servers process work at the speeds given by `slowdown`.
