--- a/crates/core/src/admission/capacity.rs
+++ b/crates/core/src/admission/capacity.rs
@@ -11,10 +11,13 @@
 /// Callers need an answer within some tenths of a second, and a queue that long makes sweeps late.
 /// A second counts enough sweeps to tell an overload from chance, and averages out a burst that
 /// the queue absorbs within a latency objective and a single pause of a server of 0.1 to 0.3 s. A
-/// lasting overload of half the capacity is still detected within half a second.
+/// lasting overload of half the capacity is still detected within a second.
 const TIME_CONSTANT: Duration = Duration::from_secs(1);
-/// Time constant of the counts that show the end of an overload. With the longer one alone, sweeps
-/// were still refused three seconds after twice the capacity was offered.
+/// Time constant of the counts that show the beginning and the end of an overload.
+///
+/// With the longer one alone, sweeps were still refused three seconds after twice the capacity was
+/// offered, and before a limit took full effect, so many sweeps were started that urgent sweeps
+/// were late for two seconds behind them.
 const SHORT_TIME_CONSTANT: Duration = Duration::from_millis(300);
 /// Number of standard deviations by which the counted work must exceed the capacity before sweeps
 /// are limited.
@@ -73,15 +76,12 @@
         *self = Self { long: before.long.with(work), short: before.short.with(work), ..before };
     }
 
-    /// Number of slots that the work occupies, if all of it runs, and its standard deviation.
-    fn rate(&self, now: Instant) -> (f64, f64) {
-        self.decayed(now).long.rate(TIME_CONSTANT)
-    }
-
-    /// Number of slots that the work occupies, a lower one as soon as the load has certainly fallen.
-    fn falling_rate(&self, now: Instant) -> f64 {
-        let (short, deviation) = self.decayed(now).short.rate(SHORT_TIME_CONSTANT);
-        self.rate(now).0.min(short + deviation)
+    /// Number of slots that the work would occupy if all of it ran: over the longer time, unless the
+    /// shorter one differs by more than chance.
+    fn rate(&self, now: Instant) -> f64 {
+        let work = self.decayed(now);
+        let (short, deviation) = work.short.rate(SHORT_TIME_CONSTANT);
+        work.long.rate(TIME_CONSTANT).0.clamp((short - deviation).max(0.0), short + deviation)
     }
 }
 
@@ -124,14 +124,14 @@
     /// a more urgent one.
     pub fn shares(&mut self, now: Instant, slots: f64) -> [Share; CLASSES] {
         let slots = self.smoothed_slots(now, slots);
-        let mut left = (slots - self.others.rate(now).0).max(0.0);
+        let mut left = (slots - self.others.rate(now)).max(0.0);
         self.update_limit(now, left);
         if !self.is_limited {
             return [Share::ALL; CLASSES];
         }
         let mut fraction = 1.0;
         self.sweeps.map(|work| {
-            let offered = work.falling_rate(now);
+            let offered = work.rate(now);
             let taken = offered.min(left);
             left -= taken;
             if offered > 0.0 {
@@ -141,20 +141,23 @@
         })
     }
 
-    /// Starts a limit when the offered work certainly exceeds the slots `left` for it, and ends it
-    /// when the work does not exceed them any more.
+    /// Starts a limit when the offered work certainly exceeds the slots `left` for it, over either
+    /// time, and ends it when the work does not exceed them any more.
     fn update_limit(&mut self, now: Instant, left: f64) {
         if self.is_limited {
-            self.is_limited =
-                self.sweeps.iter().map(|work| work.falling_rate(now)).sum::<f64>() > left;
+            let offered: f64 = self.sweeps.iter().map(|work| work.rate(now)).sum();
+            self.is_limited = offered > left;
             return;
         }
-        let rates = self.sweeps.iter().map(|work| work.rate(now));
-        let (offered, variance) =
-            rates.fold((0.0, 0.0), |(offered, variance), (rate, deviation)| {
-                (offered + rate, variance + deviation * deviation)
-            });
-        self.is_limited = offered - SIGNIFICANCE * f64::sqrt(variance) > left;
+        let lower_bound = |rates: [(f64, f64); CLASSES]| {
+            let rate: f64 = rates.iter().map(|(rate, _)| rate).sum();
+            let variance: f64 = rates.iter().map(|(_, deviation)| deviation * deviation).sum();
+            rate - SIGNIFICANCE * variance.sqrt()
+        };
+        let works = self.sweeps.map(|work| work.decayed(now));
+        let long = lower_bound(works.map(|work| work.long.rate(TIME_CONSTANT)));
+        let short = lower_bound(works.map(|work| work.short.rate(SHORT_TIME_CONSTANT)));
+        self.is_limited = long.max(short) > left;
     }
 
     /// Adds the present number of slots to the smoothed one and returns that.
