Test that slow calls do not count as more work

Cause: the calls of the first version of the test were hedged, so the bound of one call was not tested. Change: no hedges in the test, and calls of 1.5 s.

--- a/crates/core/tests/leaf/sweeps.rs
+++ b/crates/core/tests/leaf/sweeps.rs
@@ -66,16 +66,19 @@
     sharer_count: u32,
     /// Time between two sweeps of 28 ms: with 6 ms they take 4.7 of the four slots.
     interval_ms: u64,
-    /// Number of calls in the fourth second that take 0.56 s.
+    /// Number of calls in the fourth second that take 1.5 s.
     slow_calls: usize,
     /// Expected share in thousandths.
     expected: std::ops::RangeInclusive<u32>,
 }
 
-/// Offers sweeps for four seconds, and returns the share reported last, in thousandths.
+/// Offers sweeps for five seconds, and returns the share reported last, in thousandths.
 fn reported_share(sharing: &Sharing) -> u32 {
-    let settings =
-        Settings::builder("porto-1", 7).seed(1).sweep_utilization(sharing.utilization).build();
+    let settings = Settings::builder("porto-1", 7)
+        .seed(1)
+        .hedging(false)
+        .sweep_utilization(sharing.utilization)
+        .build();
     let limits = Limits { queue: 1000, ..Limits::default() };
     let listed = limited(limits, vec![server(1), server(2)]);
     let listed = Service { sharer_count: sharing.sharer_count, ..listed };
@@ -83,7 +86,7 @@
     let mut running: Vec<Running> = Vec::new();
     let mut share = 1000;
     let mut query = 0;
-    for millis in 0..4000_u64 {
+    for millis in 0..5000_u64 {
         if millis % sharing.interval_ms == 0 {
             query += 1;
             harness.deliver_work(wire::Work { admitted_permille: 1000, ..LARGE.work(query) });
@@ -93,7 +96,7 @@
         start_calls(&mut harness, &mut running, sharing.foreign);
         if millis == 3000 {
             let delayed = running.iter_mut().take(sharing.slow_calls);
-            delayed.for_each(|call| call.due = call.due + Duration::from_millis(530));
+            delayed.for_each(|call| call.due = call.due + Duration::from_millis(1500));
         }
         for call in running.extract_if(.., |call| call.due <= now).collect::<Vec<_>>() {
             let Outcome::Answer(answer) = call.sent.answer() else { panic!("an answer") };
@@ -158,7 +161,7 @@
         Sharing {
             name: "a few slow calls in ordinary load",
             interval_ms: 10,
-            slow_calls: 2,
+            slow_calls: 4,
             expected: 1000..=1000,
             ..case.clone()
         },
