--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -17,6 +17,8 @@
     pub(crate) millicores: u32,
     /// Whether each zone with servers of a group of parts has an aggregator of its own.
     pub(crate) is_zonal: bool,
+    /// Whether sweeps are admitted or refused as a whole.
+    pub(crate) sweep_admission: bool,
 }
 
 impl Settings {
@@ -33,6 +35,7 @@
                 zone,
                 millicores: 1000,
                 is_zonal: false,
+                sweep_admission: false,
             },
         }
     }
@@ -94,6 +97,14 @@
         self
     }
 
+    /// Sets whether sweeps are admitted or refused as a whole, by the shares that the senders of
+    /// their services report. Default: false.
+    #[must_use]
+    pub fn sweep_admission(mut self, on: bool) -> Self {
+        self.settings.sweep_admission = on;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -177,6 +177,7 @@
                 if let Some(occupancy) = answer.occupancy {
                     self.services[attempt.service].occupied(occupancy);
                 }
+                self.record_work(attempt, elapsed, answer.occupancy);
                 let server = &mut self.servers[attempt.server];
                 if let Some(occupancy) = answer.occupancy {
                     let requests = occupancy.running.saturating_add(occupancy.waiting);
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -15,6 +15,7 @@
 use super::preference::OtherCalls;
 use super::service::ServiceId;
 use super::warmup::Warmup;
+use crate::average::MovingAverage;
 use crate::eligible::ServerHash;
 use crate::time::Instant;
 use crate::view;
@@ -64,6 +65,9 @@
     pub(super) health: Health,
     /// Requests of other instances at the server.
     pub(super) other_calls: OtherCalls,
+    /// Moving average of the share of the slots that other instances occupy; `None` until an answer
+    /// reports an occupancy.
+    pub(super) foreign: Option<MovingAverage>,
     pub(super) connections: Vec<ConnectionKey>,
     /// Number of open calls at the server, including calls whose portion already has a reply.
     pub(super) in_flight: u32,
@@ -108,6 +112,7 @@
             report: None,
             health: Health::default(),
             other_calls: OtherCalls::default(),
+            foreign: None,
             connections: Vec::new(),
             in_flight: 0,
             open_failures: 0,
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -15,6 +15,7 @@
 use super::queue::Queue;
 use super::server::ServerKey;
 use super::settings::Settings;
+use crate::admission::Capacity;
 use crate::average::MovingAverage;
 use crate::control::placement;
 use crate::time::Instant;
@@ -88,6 +89,8 @@
     pub(super) is_changed: bool,
     pub(super) budget: Budget,
     pub(super) admission: Admission,
+    /// Counts of the offered work, from which the admissible share of the sweeps follows.
+    pub(super) capacity: Capacity,
     /// Portions whose hedge is due but has found no free slot or no budget yet, by time of the
     /// first call.
     pub(super) due_hedges: BTreeSet<(Instant, PortionKey)>,
@@ -131,6 +134,7 @@
             is_changed: false,
             budget: Budget::new(extra_call_shares.one_of_all, now),
             admission: Admission::default(),
+            capacity: Capacity::default(),
             due_hedges: BTreeSet::new(),
             peak: Peak::default(),
             yields_until: Instant::default(),
--- a/crates/core/src/leaf/settings.rs
+++ b/crates/core/src/leaf/settings.rs
@@ -28,6 +28,9 @@
     /// Whether connections are released early where they are scarce, so that fleets can start with
     /// few connections.
     pub(super) gradual_startup: bool,
+    /// Share of the servers' slots that admitted sweeps may use; `None` if the admission of sweeps
+    /// is not decided.
+    pub(super) sweep_utilization: Option<f64>,
     /// Availability zone of this instance.
     pub(super) zone: Arc<str>,
     /// Whether each zone with servers of a group of parts has an instance that sends the group's
@@ -50,6 +53,7 @@
             linger: None,
             by_need: false,
             gradual_startup: false,
+            sweep_utilization: None,
             zone: "".into(),
             is_zonal: false,
             seed: 0,
@@ -127,6 +131,14 @@
         self
     }
 
+    /// Sets the share of the servers' slots that admitted sweeps may use; `None`: all sweeps are
+    /// admitted.
+    #[must_use]
+    pub fn sweep_utilization(mut self, utilization: Option<f64>) -> Self {
+        self.0.sweep_utilization = utilization;
+        self
+    }
+
     /// Sets the availability zone of this instance.
     #[must_use]
     pub fn zone(mut self, zone: &str) -> Self {
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -16,7 +16,7 @@
 use crate::harness::{Harness, INCARNATION, answers, only_answer, sent_work};
 
 /// Host of all routes.
-const HOST: &str = "porto.example";
+pub(crate) const HOST: &str = "porto.example";
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -72,7 +72,7 @@
     harness
 }
 
-fn message(host: &str, target: &str) -> Request {
+pub(crate) fn message(host: &str, target: &str) -> Request {
     let message = Message {
         method: "GET".to_owned(),
         host: host.to_owned(),
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -15,5 +15,6 @@
 mod resend;
 mod shutdown;
 mod sweep;
+mod sweep_admission;
 mod versions;
 mod zonal;
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -21,5 +21,6 @@
 mod simulation;
 mod single_requests;
 mod stop;
+mod sweeps;
 mod warmup;
 mod zonal;
