--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`leaf`] owns services: the slots and pooled connections of their servers, queues, hedges and
 //!   retries.
 
+pub mod admission;
 pub mod age;
 mod average;
 pub mod collections;
