--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -6,10 +6,12 @@
 //! instance that sends to a service's servers: it computes which share of the offered sweeps the
 //! servers can answer in time, and reports the share with each reply. [`decision`] runs at the
 //! instance that the caller reached: it keeps the reported shares and selects the sweeps to admit.
-//! [`reservation`] keeps reservations for callers that were refused and retry at the advised time.
+//! [`reservation`] keeps reservations for callers that were refused and retry at the advised time,
+//! at the instance that [`holder`] selects.
 
 pub mod capacity;
 pub mod decision;
+pub mod holder;
 pub mod reservation;
 
 use ladder_schema::catalogue::Urgency;
@@ -77,6 +79,15 @@
         f64::from(self.0) / 1000.0
     }
 
+    /// Share that is admitted on arrival if `reserved_percent` of the sweeps that can be served are
+    /// reserved for callers that retry. There are no reservations while all can be served.
+    pub fn without_reserved(self, reserved_percent: u32) -> Self {
+        if self == Self::ALL {
+            return self;
+        }
+        Self(self.0 * 100_u32.saturating_sub(reserved_percent) / 100)
+    }
+
     /// Reads the share that a reply reports: thousandths plus 1, or 0 for all sweeps.
     pub fn from_reply(admissible_permille: u32) -> Self {
         match admissible_permille {
--- a/crates/core/src/admission/decision.rs
+++ b/crates/core/src/admission/decision.rs
@@ -21,7 +21,7 @@
 const DOUBLING_TIME: Duration = Duration::from_millis(250);
 /// Part of the caller's remaining time by whose end a refused caller has to be back, since callers
 /// honour no longer delay.
-const MAX_DELAY_DIVISOR: u32 = 3;
+pub const MAX_DELAY_DIVISOR: u32 = 3;
 /// Fraction of the longest delay of a share by which delays are spread at random, so that callers
 /// that were refused together do not come back together.
 const JITTER: f64 = 0.5;
--- a/crates/core/src/admission/reservation.rs
+++ b/crates/core/src/admission/reservation.rs
@@ -63,7 +63,7 @@
         wire::ReservationRequest {
             query,
             fingerprint: self.fingerprint.bytes().into(),
-            max_wait_ms: millis(self.max_wait),
+            max_wait_ms: u32::try_from(self.max_wait.as_millis()).unwrap_or(u32::MAX),
             share_permille: self.share_permille,
             target_ms: millis(self.target),
         }
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -16,6 +16,9 @@
 //! Portions of a forwarded sweep may be aggregated by peers that are closer to the servers:
 //! [`aggregator_selection`] assigns portions to such peers, [`collect`] takes the merged replies and
 //! detects a peer that sends none in time.
+//!
+//! Before a sweep is refused because too many arrive, [`reservations`] asks the holder of its
+//! reservations whether its caller was refused before and is due.
 
 mod aggregator_selection;
 mod answer;
@@ -35,6 +38,7 @@
 mod query;
 mod reply;
 mod reply_handling;
+mod reservations;
 mod send;
 mod settings;
 mod snapshot;
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -7,6 +7,7 @@
 
 use super::history::Explanation;
 use super::sweep_admission::ShareChange;
+use crate::admission::reservation;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
 use crate::view::{Peer, View};
@@ -41,6 +42,22 @@
         /// The query and round that the report concerns.
         pending: wire::Pending,
     },
+    /// Requests for reservations arrived from one instance.
+    ReservationRequests {
+        /// The instance that sent the requests and gets the replies.
+        from: Peer,
+        /// Incarnation of that instance; the replies repeat it.
+        incarnation: u64,
+        /// Requests on behalf of sweeps that are about to be refused there.
+        requests: Vec<wire::ReservationRequest>,
+    },
+    /// Replies to requests for reservations arrived from one instance.
+    ReservationReplies {
+        /// Name of the instance that sent the replies.
+        from: Arc<str>,
+        /// Replies to requests of this instance.
+        replies: Vec<wire::ReservationReply>,
+    },
     /// The link to a peer broke: work sent to the peer may or may not have arrived.
     LinkDown(Arc<str>),
     /// A new view (immutable snapshot of the catalogue, servers and owners) takes effect.
@@ -81,6 +98,22 @@
         /// The cancellation message, which names the query.
         cancel: wire::Cancel,
     },
+    /// Ask the holder of a sweep's reservations whether one is due, or else for a new one.
+    RequestReservation {
+        /// The holder, which is another instance.
+        to: Peer,
+        /// The request, which names the query.
+        request: wire::ReservationRequest,
+    },
+    /// Reply to another instance that requested a reservation.
+    ReplyReservation {
+        /// The instance that sent the request.
+        to: Peer,
+        /// The reply, which names the query.
+        reply: wire::ReservationReply,
+    },
+    /// Count an event of a reservation that this instance holds.
+    Reservation(reservation::Event),
     /// A request with this fingerprint, which is quarantined because server processes crashed
     /// under it, was received again and refused.
     Refused(Fingerprint),
--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -41,6 +41,7 @@
 impl Machine {
     /// Handles a broken link to a peer: moves the peer's open portions.
     pub(crate) fn link_down(&mut self, now: Instant, name: &str, out: &mut Vec<Action>) {
+        self.refuse_pending_at(now, name, out);
         let Some(peer) = self.peers.find(name) else {
             return;
         };
@@ -58,6 +59,9 @@
             self.finish_quarantined(now, out);
         }
         self.aggregator_selector.reset_for_view(&view);
+        if let Some(zone) = &self.settings.zone {
+            self.reservations.holders.update(zone, &view.neighbours);
+        }
         self.avoided_servers.retain(|service| view.service(service).is_some());
         self.prune_sweep_admission(now);
         let mut live: Map<&str, bool> = Map::default();
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -43,6 +43,7 @@
         for key in open {
             self.finish(now, key, Reason::Draining, out);
         }
+        self.cut_pending(now, out);
     }
 
     /// Answers the open queries whose fingerprint is quarantined in the present view.
@@ -56,12 +57,13 @@
         }
     }
 
-    /// Handles the timers of queries and peers that are due.
+    /// Handles the timers of queries, peers and pending sweeps that are due.
     pub(crate) fn serve_timers(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((at, timer)) = self.timers.due(now) {
             match timer {
                 Timer::Query(key) => self.query_timer_due(now, key, out),
                 Timer::Peer(key) => self.peer_timer_due(now, at, key, out),
+                Timer::Reservation(key) => self.pending_timer_due(now, at, key, out),
             }
         }
     }
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -6,6 +6,7 @@
 
 use ladder_schema::outcome::{Reason, Verdict};
 
+use crate::admission::reservation::Response;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 
@@ -76,6 +77,16 @@
         /// Number of portions that are no longer relied on.
         portions: u32,
     },
+    /// The sweep is not admitted, and the holder of its reservations was asked whether one is due.
+    ReservationRequested {
+        /// Name of the holder, which may be this instance.
+        holder: Arc<str>,
+    },
+    /// The holder of the sweep's reservations replied.
+    ReservationAnswered {
+        /// Whether the sweep is admitted after all, or when to retry.
+        response: Response,
+    },
     /// The request was refused before any part of it was sent.
     Refused {
         /// Message that names the field or version because of which the request was refused.
@@ -143,7 +154,11 @@
                 let is_late = !target.is_zero() && timed_step.at.since(first) > target;
                 *reason == Reason::Unspecified && *missing == 0 && !is_late
             }
-            Step::Arrived { .. } | Step::Pinned { .. } | Step::Replied { .. } => true,
+            Step::Arrived { .. }
+            | Step::Pinned { .. }
+            | Step::Replied { .. }
+            | Step::ReservationRequested { .. }
+            | Step::ReservationAnswered { .. } => true,
         })
     }
 }
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -17,6 +17,7 @@
 use super::peers::Peers;
 use super::plan::{Plan, Planner};
 use super::query::{Query, QueryIds, QueryKey};
+use super::reservations::Reservations;
 use super::sweep_admission::{Arrival, ReportedShare};
 use super::timers::{Timer, Timers};
 use super::{answer, settings::Settings};
@@ -65,6 +66,7 @@
     last_number: u64,
     pub(crate) request_keys: RequestKeys,
     pub(crate) peers: Peers,
+    pub(crate) reservations: Reservations,
     pub(crate) timers: Timers,
     pub(crate) history: History,
 }
@@ -75,6 +77,7 @@
         Self {
             history: History::new(settings.history_capacity),
             peers: Peers::new(Arc::clone(&settings.name)),
+            reservations: Reservations::new(&settings),
             settings,
             view: Arc::default(),
             draining: false,
@@ -98,6 +101,7 @@
         if let Event::CallerLeft(caller) = event {
             self.handle_caller_left(now, caller, out);
         }
+        self.expire_reservations(now, out);
         // Expired queries end before the event is handled, so that nothing is sent for a query
         // whose deadline passed while the machine was not woken.
         let reason = match event {
@@ -109,6 +113,12 @@
             Event::Call { caller, request } => self.handle_call(now, caller, request, out),
             Event::Replies { from, replies } => self.handle_replies(now, &from, replies, out),
             Event::Pending { from, pending } => self.handle_pending(now, &from, &pending),
+            Event::ReservationRequests { from, incarnation, requests } => {
+                self.handle_reservation_requests(now, &from, incarnation, requests, out);
+            }
+            Event::ReservationReplies { from, replies } => {
+                self.handle_reservation_replies(now, &from, replies, out);
+            }
             Event::LinkDown(name) => self.link_down(now, &name, out),
             Event::View(view) => self.adopt_view(now, view, out),
             Event::Paused(_) => self.peers.restart_silence_clocks(now),
@@ -129,7 +139,12 @@
 
     /// Returns the number of open queries, which have not been answered yet.
     pub fn open(&self) -> usize {
-        self.queries.len()
+        self.queries.len() + self.reservations.pending()
+    }
+
+    /// Returns the number of reservations that this instance holds for callers that retry.
+    pub fn reservations(&self) -> usize {
+        self.reservations.held()
     }
 
     /// Returns the steps of the most recent query with this request key, if the query is among the
@@ -156,25 +171,38 @@
         let attempt = request.attempt.max(1);
         let fingerprint = Fingerprint::of(&request);
         self.history.add(history_id, now, Step::Arrived { attempt, fingerprint });
+        let ids = QueryIds { number, history_id, fingerprint };
         match self.admit(&request, fingerprint) {
             Ok(plan) => {
-                let ids = QueryIds { number, history_id, fingerprint };
-                self.start_if_admitted(now, Arrival { caller, request, ids, plan }, out);
-            }
-            Err((refusal, verdict)) => {
-                count(out, count::Event::Refusal, refusal.reason);
-                if refusal.reason == Reason::Quarantined {
-                    out.push(Action::Refused(fingerprint));
-                }
-                let detail = refusal.detail.as_str().into();
-                self.history.add(history_id, now, Step::Refused { detail });
-                let answer = answer::refusal_answer(&request.key, &request.index, refusal, verdict);
-                self.send_answer(now, caller, history_id, answer, out);
+                let arrival = Arrival { caller, request, ids, plan, at: now };
+                self.start_if_admitted(now, arrival, out);
             }
+            Err(refused) => self.refuse(now, caller, &request, ids, refused, out),
+        }
+    }
+
+    /// Refuses a request of which nothing has been sent, with the verdict on an earlier request
+    /// with the same key.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Instant,
+        caller: CallerId,
+        request: &call::Request,
+        ids: QueryIds,
+        (refusal, verdict): (Refusal, Verdict),
+        out: &mut Vec<Action>,
+    ) {
+        count(out, count::Event::Refusal, refusal.reason);
+        if refusal.reason == Reason::Quarantined {
+            out.push(Action::Refused(ids.fingerprint));
         }
+        let detail = refusal.detail.as_str().into();
+        self.history.add(ids.history_id, now, Step::Refused { detail });
+        let answer = answer::refusal_answer(&request.key, &request.index, refusal, verdict);
+        self.send_answer(now, caller, ids.history_id, answer, out);
     }
 
-    /// Plans a request, or returns why it is refused and the verdict on an earlier request with
+    /// Plans a new request, or returns why it is refused and the verdict on an earlier request with
     /// the same key.
     fn admit(
         &mut self,
@@ -187,14 +215,31 @@
             let refusal = Refusal::new(Reason::Draining, "the instance is shutting down");
             return Err(refuse(refusal));
         }
-        if !self.view.ready {
-            let refusal = Refusal::new(Reason::NotReady, "the instance has no catalogue yet");
-            return Err(refuse(refusal));
-        }
-        if self.queries.len() >= MAX_OPEN_QUERIES {
+        self.check_ready()?;
+        if self.open() >= MAX_OPEN_QUERIES {
             let detail = format!("{MAX_OPEN_QUERIES} requests are open here");
             return Err(refuse(Refusal::new(Reason::QueueFull, detail)));
         }
+        self.plan(request, fingerprint)
+    }
+
+    fn check_ready(&self) -> Result<(), (Refusal, Verdict)> {
+        if self.view.ready {
+            return Ok(());
+        }
+        let refusal = Refusal::new(Reason::NotReady, "the instance has no catalogue yet");
+        Err((refusal, Verdict::NotRun))
+    }
+
+    /// Plans a request with the present view, or returns why it is refused and the verdict on an
+    /// earlier request with the same key.
+    pub(crate) fn plan(
+        &mut self,
+        request: &call::Request,
+        fingerprint: Fingerprint,
+    ) -> Result<Plan, (Refusal, Verdict)> {
+        let refuse = |refusal| (refusal, Verdict::NotRun);
+        self.check_ready()?;
         if self.view.quarantine.refused.contains(&fingerprint) {
             let detail = format!("fingerprint: {fingerprint}; servers ended under such requests");
             return Err(refuse(Refusal::new(Reason::Quarantined, detail)));
@@ -222,7 +267,7 @@
         admitted_permille: u32,
         out: &mut Vec<Action>,
     ) {
-        let Arrival { caller, request, ids, plan } = arrival;
+        let Arrival { caller, request, ids, plan, at } = arrival;
         if plan.terms.unrepeatable {
             self.request_keys.start(&request.key);
         }
@@ -236,7 +281,7 @@
             };
             self.history.add(ids.history_id, now, step);
         }
-        let mut query = Query::new(now, caller, request, ids, plan);
+        let mut query = Query::new(at, caller, request, ids, plan);
         query.admitted_permille = admitted_permille;
         let timer = query.timer;
         let key = self.queries.insert(query);
@@ -248,6 +293,7 @@
     }
 
     fn handle_caller_left(&mut self, now: Instant, caller: CallerId, out: &mut Vec<Action>) {
+        self.leave_pending(now, caller, out);
         let Some(&key) = self.query_by_caller.get(&caller) else {
             return;
         };
@@ -285,7 +331,7 @@
 
     /// Logs the history of a query unless all shards were covered at the first attempt and in
     /// time; of such plain queries only those in the log sample are logged.
-    fn log_if_notable(&self, history_id: u64, out: &mut Vec<Action>) {
+    pub(super) fn log_if_notable(&self, history_id: u64, out: &mut Vec<Action>) {
         let explanation = self.history.get(history_id);
         let should_log = |explanation: &&Explanation| {
             !explanation.is_plain() || sample::contains(&explanation.key)
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -17,6 +17,9 @@
     pub(crate) millicores: u32,
     /// Whether sweeps are admitted or refused as a whole.
     pub(crate) sweep_admission: bool,
+    /// Share of the sweeps that can be served that is for reservations, in percent; 0: there are
+    /// no reservations.
+    pub(crate) reserved_percent: u32,
 }
 
 impl Settings {
@@ -33,6 +36,7 @@
                 zone,
                 millicores: 1000,
                 sweep_admission: false,
+                reserved_percent: 0,
             },
         }
     }
@@ -92,6 +96,15 @@
         self
     }
 
+    /// Reserves this percentage of the sweeps that can be served for callers that were refused and
+    /// retry at the advised time; has an effect only with sweep admission. Default: 0, no
+    /// reservations.
+    #[must_use]
+    pub fn reserved_percent(mut self, percent: u32) -> Self {
+        self.settings.reserved_percent = percent;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/src/gather/sweep_admission.rs
+++ b/crates/core/src/gather/sweep_admission.rs
@@ -27,6 +27,8 @@
     pub(crate) request: call::Request,
     pub(crate) ids: QueryIds,
     pub(crate) plan: Plan,
+    /// When the request arrived.
+    pub(crate) at: Instant,
 }
 
 impl Machine {
@@ -47,7 +49,7 @@
         match outcome {
             Outcome::Admit { permille } => self.start(now, arrival, permille, out),
             Outcome::Refuse { retry_after, .. } => {
-                self.refuse_sweep(now, arrival, &limit, retry_after, out);
+                self.reserve_or_refuse(now, arrival, limit, retry_after, out);
             }
         }
     }
@@ -62,7 +64,7 @@
         retry_after: Duration,
         out: &mut Vec<Action>,
     ) {
-        let Arrival { caller, request, ids, plan } = arrival;
+        let Arrival { caller, request, ids, plan, .. } = arrival;
         let route = plan.route.as_ref().map_or("", |route| &route.spec.name);
         let permille = limit.share.permille();
         let service = limit.service.as_deref().unwrap_or_default();
@@ -93,7 +95,8 @@
             remaining: plan.terms.deadline,
         };
         let limit = self.sweep_decision.limit(now, &sweep);
-        let outcome = decision::decide_at(limit.share, &sweep);
+        let unreserved = limit.share.without_reserved(self.settings.reserved_percent);
+        let outcome = decision::decide_at(unreserved, &sweep);
         (limit, outcome)
     }
 
--- a/crates/core/src/gather/timers.rs
+++ b/crates/core/src/gather/timers.rs
@@ -4,15 +4,19 @@
 
 use super::peers::PeerKey;
 use super::query::QueryKey;
+use super::reservations::PendingKey;
 use crate::time::Instant;
 
-/// The query or peer for which a timer was set.
+/// The query, peer or pending sweep for which a timer was set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
     /// Timer of a query: check whether the query has to be answered.
     Query(QueryKey),
     /// Timer of a peer: check whether the peer has exceeded its silence limit.
     Peer(PeerKey),
+    /// Timer of a sweep that waits for the holder of its reservations: check whether the holder has
+    /// replied.
+    Reservation(PendingKey),
 }
 
 /// Timers in the order of their due times.
--- a/crates/core/tests/gather/harness.rs
+++ b/crates/core/tests/gather/harness.rs
@@ -202,6 +202,12 @@
         Event::Pending { from, pending } => {
             format!("{from} still collects q{} r{}", pending.query, pending.round)
         }
+        Event::ReservationRequests { from, requests, .. } => {
+            format!("{} requests {} reservations", from.name, requests.len())
+        }
+        Event::ReservationReplies { from, replies } => {
+            format!("{from} replies to {} reservation requests", replies.len())
+        }
         Event::LinkDown(name) => format!("link down {name}"),
         Event::View(view) => format!("view, {} services", view.services.len()),
         Event::Paused(gap) => format!("paused {gap:?}"),
@@ -230,6 +236,13 @@
         }
         Action::Send { to, work } => format!("send {} {}", to.name, work_text(work)),
         Action::Cancel { to, cancel } => format!("cancel {} q{}", to.name, cancel.query),
+        Action::RequestReservation { to, request } => {
+            format!("request reservation {} q{}", to.name, request.query)
+        }
+        Action::ReplyReservation { to, reply } => {
+            format!("reply reservation {} q{}", to.name, reply.query)
+        }
+        Action::Reservation(event) => format!("reservation {}", event.name()),
         Action::Log(account) => format!("log {} steps of {}", account.steps.len(), account.key),
         Action::Refused(request) => format!("refuse {request}"),
         Action::Share(change) => {
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -12,6 +12,7 @@
 mod partial_aggregation;
 mod refusals;
 mod replies;
+mod reservations;
 mod shutdown;
 mod sweep;
 mod versions;
--- a/crates/core/tests/gather/oracle.rs
+++ b/crates/core/tests/gather/oracle.rs
@@ -90,6 +90,9 @@
                 Action::Cancel { .. }
                 | Action::Refused(_)
                 | Action::Log(_)
+                | Action::RequestReservation { .. }
+                | Action::ReplyReservation { .. }
+                | Action::Reservation(_)
                 | Action::Share(_)
                 | Action::Count(_) => {}
             }
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -90,7 +90,7 @@
 }
 
 impl ViewFixture {
-    fn view(&self) -> Event {
+    pub(crate) fn view(&self) -> Event {
         let mut view = View { generation: 1, ready: true, ..View::default() };
         let parts = service_names(self.parts.len());
         for (name, zones) in parts.iter().zip(&self.parts) {
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -20,6 +20,9 @@
         ),
         format!("  open: {} queries, {} portions", status.open_queries, status.open_portions),
     ];
+    if status.reservations > 0 {
+        lines.push(format!("  reservations held: {}", status.reservations));
+    }
     lines.extend(status.evacuations.iter().map(evacuation));
     lines.extend(status.members.iter().map(member));
     lines.extend(status.refused.iter().map(refused));
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -9,7 +9,7 @@
 use ladder_core::gather::{Action, Event, Machine, Settings};
 use ladder_core::time::Instant;
 use ladder_core::{control, leaf};
-use ladder_schema::wire::{Cancel, Frame, Work};
+use ladder_schema::wire::{Cancel, Frame, ReservationReply, ReservationRequest, Work};
 
 use super::Shared;
 use super::dialect::Listeners;
@@ -70,6 +70,17 @@
             self.frames.entry(Arc::clone(to)).or_default().cancels.push(cancel);
         }
     }
+
+    /// Adds a request for a reservation to the frame for its holder.
+    fn request_reservation(&mut self, holder: &Arc<str>, request: ReservationRequest) {
+        let frame = self.frames.entry(Arc::clone(holder)).or_default();
+        frame.reservation_requests.push(request);
+    }
+
+    /// Adds a reply to a request for a reservation to the frame for the instance that sent it.
+    fn reply_reservation(&mut self, to: &Arc<str>, reply: ReservationReply) {
+        self.frames.entry(Arc::clone(to)).or_default().reservation_replies.push(reply);
+    }
 }
 
 impl ActionExecutor<Machine> for GatherExecutor {
@@ -81,6 +92,13 @@
                 }
                 Action::Send { to, work } => self.send(&to.address, work),
                 Action::Cancel { to, cancel } => self.cancel(&to.address, cancel),
+                Action::RequestReservation { to, request } => {
+                    self.request_reservation(&to.address, request);
+                }
+                Action::ReplyReservation { to, reply } => {
+                    self.reply_reservation(&to.address, reply);
+                }
+                Action::Reservation(event) => self.shared.metrics.reservation(event),
                 Action::Refused(request) => {
                     self.shared.control.send(control::Event::Asked(request));
                 }
@@ -108,6 +126,7 @@
         Settings::builder(&shared.local_peer.name, shared.incarnation).hedging(strategy.hedging);
     settings = settings.millicores(shared.options.millicores());
     settings = settings.sweep_admission(shared.options.admission.sweeps);
+    settings = settings.reserved_percent(shared.options.admission.reserved_percent);
     if strategy.partial_aggregation {
         settings = settings.near(&shared.options.instance.zone);
     }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -84,5 +84,20 @@
         let replies = std::mem::take(&mut frame.replies);
         shared.gather.send(gather::Event::Replies { from: Arc::clone(&from.name), replies });
     }
+    deliver_reservations(shared, &from, &mut frame);
     shared.control.send(control::Event::Frame(Box::new(frame)));
 }
+
+/// Passes the requests for reservations and the replies to them to the gathering machine.
+fn deliver_reservations(shared: &Shared, from: &Peer, frame: &mut Frame) {
+    if !frame.reservation_requests.is_empty() {
+        let requests = std::mem::take(&mut frame.reservation_requests);
+        let (from, incarnation) = (from.clone(), frame.incarnation);
+        shared.gather.send(gather::Event::ReservationRequests { from, incarnation, requests });
+    }
+    if !frame.reservation_replies.is_empty() {
+        let replies = std::mem::take(&mut frame.reservation_replies);
+        let from = Arc::clone(&from.name);
+        shared.gather.send(gather::Event::ReservationReplies { from, replies });
+    }
+}
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -1,5 +1,6 @@
 //! The state of the machines as operators see it.
 
+use ladder_core::admission::reservation::Response;
 use ladder_core::control::membership::Member;
 use ladder_core::control::quarantine::{Entry, Incarnation};
 use ladder_core::control::store::{Key, Refusal};
@@ -38,6 +39,7 @@
         ready: shared.ready.is_ready(),
         draining: shared.ready.is_draining(),
         services,
+        reservations: count(shared.gather.inspect(gather::Machine::reservations).await),
         open_queries: count(shared.gather.inspect(gather::Machine::open).await),
         open_portions: count(shared.leaf.inspect(leaf::Machine::open).await),
         ..control_status
@@ -153,6 +155,19 @@
     status::Query { key: explanation.key.clone(), query: explanation.query, steps: steps.collect() }
 }
 
+/// Describes the response to a request for a reservation in words.
+fn reservation(response: Response) -> String {
+    match response {
+        Response::Granted => "a reservation was due: admitted".to_owned(),
+        Response::Reserved { retry_after } => {
+            format!("a reservation is kept for a retry after {retry_after:?}")
+        }
+        Response::Refused { retry_after } => {
+            format!("no reservation, retry after {retry_after:?}")
+        }
+    }
+}
+
 /// Describes one step of a query in words, with its reason and verdict.
 fn step(step: &gather::Step) -> status::Step {
     use gather::Step;
@@ -181,6 +196,10 @@
             format!("{from} replied for {service}")
         }
         Step::OwnerLost { owner, portions } => format!("gave up {portions} portions at {owner}"),
+        Step::ReservationRequested { holder } => {
+            format!("not admitted, requested a reservation from {holder}")
+        }
+        Step::ReservationAnswered { response } => reservation(*response),
         Step::Refused { detail } => format!("refused: {detail}"),
         Step::Withdrawn { portions } => format!("withdrew {portions} portions"),
         Step::CallerLeft => "the caller left".to_owned(),
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -201,7 +201,7 @@
             self.metrics.dropped(Reason::LinkCut);
             return;
         }
-        let traffic = !(frame.work.is_empty() && frame.replies.is_empty());
+        let traffic = is_traffic(&frame);
         self.sign(&mut frame);
         let bytes = frame.encode_to_vec();
         self.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
@@ -297,3 +297,11 @@
         keep
     });
 }
+
+/// Whether a frame carries requests of callers or what is decided about them.
+fn is_traffic(frame: &Frame) -> bool {
+    let has_work = !frame.work.is_empty() || !frame.replies.is_empty();
+    let has_reservations =
+        !frame.reservation_requests.is_empty() || !frame.reservation_replies.is_empty();
+    has_work || has_reservations
+}
--- a/src/log/request_log.rs
+++ b/src/log/request_log.rs
@@ -88,6 +88,15 @@
                 info!(self.log, "portions lost"; "id" => id, "at_us" => at, "owner" => &**owner,
                     "portions" => portions);
             }
+            Step::ReservationRequested { holder } => {
+                info!(self.log, "reservation requested"; "id" => id, "at_us" => at,
+                    "holder" => &**holder);
+            }
+            Step::ReservationAnswered { response } => {
+                info!(self.log, "reservation answered"; "id" => id, "at_us" => at,
+                    "event" => response.event().name(),
+                    "retry_after_us" => micros(response.retry_after()));
+            }
             Step::Refused { detail } => {
                 info!(self.log, "refused"; "id" => id, "at_us" => at, "detail" => &**detail);
             }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ladder_core::admission::reservation;
 use ladder_core::count::{Count, Event};
 use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
@@ -22,6 +23,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     drops: Counter<u64>,
+    reservations: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -52,6 +54,10 @@
             retries: counter("ladder_retries", "Requests sent again, by reason"),
             hedges: counter("ladder_hedges", "Second copies sent, by reason"),
             drops: counter("ladder_drops", "Messages dropped, by reason"),
+            reservations: counter(
+                "ladder_reservations",
+                "Reservations of sweeps held here, by event",
+            ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
@@ -88,6 +94,11 @@
         counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
     }
 
+    /// Counts an event of a reservation that this instance holds.
+    pub fn reservation(&self, event: reservation::Event) {
+        self.reservations.add(1, &[KeyValue::new("event", event.name())]);
+    }
+
     /// Counts a message that was dropped before it reached the core.
     pub fn dropped(&self, reason: Reason) {
         self.count(Count { event: Event::Drop, reason });
