--- a/crates/core/tests/gather/reservations.rs
+++ b/crates/core/tests/gather/reservations.rs
@@ -282,7 +282,7 @@
     },
     Case {
         description: "a process that did not run waits only once more",
-        steps: &[Step::Freeze(50), Step::Wait(1)],
+        steps: &[Step::Freeze(50), Step::Wait(0), Step::Freeze(50), Step::Wait(0)],
         end: End::RefusedHere,
         dropped: &[],
     },
--- a/crates/core/tests/reservations.rs
+++ b/crates/core/tests/reservations.rs
@@ -88,7 +88,7 @@
     Case {
         description: "a reservation serves only equal requests",
         first: &[1],
-        returns: &[ret(0, 2, 0, false), ret(0, 1, 0, true)],
+        returns: &[ret(0, 0, 0, false), ret(0, 2, 0, false), ret(0, 1, 0, true)],
         expired: 0,
     },
     Case {
