--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -88,6 +88,23 @@
         Self(self.0 * 100_u32.saturating_sub(reserved_percent) / 100)
     }
 
+    /// Share of the sweeps without a reservation that are admitted on arrival, in thousandths, by
+    /// which an admitted one is counted as several offered ones; at least 1.
+    ///
+    /// A sweep with a reservation is counted for itself. If the others were counted by
+    /// [`Share::without_reserved`], they would stand for those with a reservation too: at twice the
+    /// capacity and 30% reserved, an eighth of the capacity was not used. This share is right if
+    /// all reservations are used; if fewer are, the offered sweeps are counted too low, but by less
+    /// than the capacity that the reservations leave.
+    pub fn unreserved_permille(self, reserved_percent: u32) -> u32 {
+        let reserved = self.fraction() * f64::from(reserved_percent.min(100)) / 100.0;
+        let on_arrival = self.without_reserved(reserved_percent).fraction();
+        if self == Self::ALL {
+            return Self::ALL.0;
+        }
+        ((on_arrival / (1.0 - reserved) * 1000.0).round() as u32).max(1)
+    }
+
     /// Reads the share that a reply reports: thousandths plus 1, or 0 for all sweeps.
     pub fn from_reply(admissible_permille: u32) -> Self {
         match admissible_permille {
--- a/crates/core/src/gather/sweep_admission.rs
+++ b/crates/core/src/gather/sweep_admission.rs
@@ -47,7 +47,10 @@
         let (limit, outcome) = self.decide_sweep(now, &arrival, &route);
         self.report_share(now, &route, &limit, out);
         match outcome {
-            Outcome::Admit { permille } => self.start(now, arrival, permille, out),
+            Outcome::Admit { .. } => {
+                let permille = limit.share.unreserved_permille(self.settings.reserved_percent);
+                self.start(now, arrival, permille, out);
+            }
             Outcome::Refuse { retry_after, .. } => {
                 self.reserve_or_refuse(now, arrival, limit, retry_after, out);
             }
--- a/crates/core/tests/gather/reservations.rs
+++ b/crates/core/tests/gather/reservations.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::admission::Share;
 use ladder_core::admission::holder::Holders;
 use ladder_core::admission::reservation;
 use ladder_core::fingerprint::Fingerprint;
@@ -542,7 +543,11 @@
         for number in 0..400 {
             let request = message(&format!("k{number}"), "/docks/all", number);
             let out = harness.call(request);
-            started += usize::from(!sent_work(&out).is_empty());
+            let sent = sent_work(&out);
+            started += usize::from(!sent.is_empty());
+            let counted =
+                Share::from_permille(share_permille).unreserved_permille(reserved_percent);
+            assert!(sent.iter().all(|(_, work)| work.admitted_permille == counted), "{sent:?}");
             let events = reservation_events(&out).len();
             asked += reservation_requests(&out).len() + events.min(1);
         }
--- a/crates/core/tests/reservations.rs
+++ b/crates/core/tests/reservations.rs
@@ -1,9 +1,13 @@
 //! Tests of the reservations that a holder keeps for callers that retry.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::admission::capacity::Supply;
+use ladder_core::admission::decision::{self, Service, Sweep};
 use ladder_core::admission::reservation::{Book, CAPACITY, Event, Request, Response};
+use ladder_core::admission::{self, Capacity, Class, Decision, Share};
 use ladder_core::control::hash::Random;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::Instant;
@@ -199,6 +203,44 @@
     }
 }
 
+/// A share that can be served, and what follows for the sweeps without a reservation.
+struct OnArrival {
+    reserved_percent: u32,
+    share_permille: u32,
+    /// Thousandths of all sweeps that are admitted on arrival.
+    admitted: u32,
+    /// Thousandths of the sweeps without a reservation that are admitted on arrival.
+    counted: u32,
+}
+
+/// Guards against servers that are not fully used because a sweep with a reservation is counted for
+/// itself and also among the sweeps for which the others stand, and against reservations while all
+/// sweeps can be served.
+#[test]
+fn share_on_arrival_leaves_the_reserved_share() {
+    let case = |reserved_percent, share_permille, admitted, counted| OnArrival {
+        reserved_percent,
+        share_permille,
+        admitted,
+        counted,
+    };
+    let cases = [
+        case(0, 500, 500, 500),
+        case(30, 1000, 1000, 1000),
+        // 0.35 of all sweeps, of the 0.85 that have no reservation.
+        case(30, 500, 350, 412),
+        case(50, 999, 499, 997),
+        case(50, 20, 10, 10),
+        case(50, 1, 0, 1),
+    ];
+    for OnArrival { reserved_percent, share_permille, admitted, counted } in cases {
+        let share = Share::from_permille(share_permille);
+        let case = format!("{reserved_percent}% of {share_permille}");
+        assert_eq!(share.without_reserved(reserved_percent).permille(), admitted, "{case}");
+        assert_eq!(share.unreserved_permille(reserved_percent), counted, "{case}");
+    }
+}
+
 /// A reservation as the property sees it: its fingerprint, and from when to when it is valid.
 type Known = (Fingerprint, Instant, Instant);
 
@@ -259,7 +301,15 @@
     }
 }
 
-/// Sweeps per second that the servers can answer in time.
+/// Urgency class of the sweeps.
+const CLASS: Class = Class::ALL[1];
+/// Slots of the servers.
+const SLOTS: f64 = 2.0;
+/// Time for which a sweep occupies a slot.
+const WORK: Duration = Duration::from_millis(20);
+/// Time from a sweep to its reply.
+const REPLY_TIME: Duration = Duration::from_millis(50);
+/// Sweeps per second that the servers can answer.
 const CAPACITY_PER_SECOND: f64 = 100.0;
 /// Seconds before the figures of a load are counted, and seconds in which they are counted.
 const SECONDS: (u64, u64) = (5, 30);
@@ -270,6 +320,8 @@
     reserved_percent: u32,
     /// Sweeps of new callers per second.
     new_per_second: f64,
+    /// Percentage of the refused callers that return.
+    returning_percent: u64,
     /// Least fraction of the returning callers that must be admitted.
     returning_admitted: f64,
 }
@@ -295,46 +347,72 @@
     is_reserved: bool,
 }
 
-/// An entry instance that admits sweeps by a share that follows the offered sweeps, with the book
-/// of the holder.
+/// An entry instance, the sender to one service and the holder of the reservations.
 struct Simulation {
+    decision: Decision,
+    capacity: Capacity,
     book: Book,
     random: Random,
     reserved_percent: u32,
-    /// Sweeps offered per second, averaged over about a second.
-    offered: f64,
-    offered_at: Instant,
+    service: Arc<str>,
+    /// Shares that the sender reported, with the times at which they arrive.
+    reports: VecDeque<(Instant, Share)>,
 }
 
 impl Simulation {
+    fn new(reserved_percent: u32) -> Self {
+        Self {
+            decision: Decision::default(),
+            capacity: Capacity::default(),
+            book: Book::new(reserved_percent, 0),
+            random: Random::new(7),
+            reserved_percent,
+            service: "s1".into(),
+            reports: VecDeque::new(),
+        }
+    }
+
     /// Offers a sweep; `None` if it is admitted.
     fn offer(&mut self, now: Instant, number: u64) -> Option<Response> {
-        let elapsed = now.since(self.offered_at).as_secs_f64();
-        self.offered = self.offered * (-elapsed).exp() + 1.0;
-        self.offered_at = now;
-        let share = (CAPACITY_PER_SECOND / self.offered).min(1.0);
-        let fresh = match share < 1.0 {
-            true => share * (1.0 - f64::from(self.reserved_percent) / 100.0),
-            false => share,
+        while let Some((_, share)) = self.reports.pop_front_if(|(at, _)| *at <= now) {
+            self.decision.record_share(now, &self.service, CLASS, share);
+        }
+        let services = [Service { name: &self.service, usable: true }];
+        let sweep = Sweep {
+            class: CLASS,
+            services: &services,
+            floor: 1,
+            draw: self.random.next(),
+            target: TARGET,
+            remaining: MAX_WAIT * 3,
         };
-        if (self.random.below(1_000_000) as f64) < fresh * 1e6 {
+        let share = self.decision.limit(now, &sweep).share;
+        let fresh = share.without_reserved(self.reserved_percent);
+        if matches!(decision::decide_at(fresh, &sweep), decision::Outcome::Admit { .. }) {
+            self.serve(now, share.unreserved_permille(self.reserved_percent));
             return None;
         }
-        let share_permille = (share * 1000.0) as u32;
-        let request = Request { share_permille, ..request(number.into()) };
+        let request = Request { share_permille: share.permille(), ..request(number.into()) };
         let response = self.book.request(now, &request);
-        (response != Response::Granted).then_some(response)
+        if response == Response::Granted {
+            self.serve(now, Share::ALL.permille());
+            return None;
+        }
+        Some(response)
+    }
+
+    /// Counts an admitted sweep at the sender, whose reply reports the share.
+    fn serve(&mut self, now: Instant, admitted_permille: u32) {
+        let weight = admission::weight(admitted_permille);
+        self.capacity.record_sweep(now, CLASS, weight, WORK);
+        let supply = Supply { slots: SLOTS, foreign: 0.0, senders: 1, utilization: 1.0 };
+        let share = self.capacity.shares(now, supply)[CLASS.index()];
+        self.reports.push_back((now + REPLY_TIME, share));
     }
 }
 
 fn simulate(load: &Load) -> Outcome {
-    let mut simulation = Simulation {
-        book: Book::new(load.reserved_percent, 0),
-        random: Random::new(7),
-        reserved_percent: load.reserved_percent,
-        offered: 0.0,
-        offered_at: Instant::default(),
-    };
+    let mut simulation = Simulation::new(load.reserved_percent);
     let mut outcome = Outcome::default();
     let mut returning: BTreeSet<Returning> = BTreeSet::new();
     let mut by_second = vec![0.0; (SECONDS.0 + SECONDS.1 + 2) as usize];
@@ -363,6 +441,7 @@
         outcome.offered += f64::from(u8::from(now >= Instant::from_millis(SECONDS.0 * 1000)));
         match response {
             None => by_second[now.as_micros() as usize / 1_000_000] += 1.0,
+            Some(_) if number % 100 >= load.returning_percent => {}
             Some(response) => {
                 let is_reserved = matches!(response, Response::Reserved { .. });
                 returning.insert(Returning {
@@ -391,28 +470,46 @@
             description: "no reservations",
             reserved_percent: 0,
             new_per_second: 133.0,
+            returning_percent: 100,
             returning_admitted: 0.4,
         },
         Load {
             description: "new and returning sweeps together are twice the capacity",
             reserved_percent: 30,
             new_per_second: 121.0,
+            returning_percent: 100,
             returning_admitted: 0.7,
         },
         Load {
             description: "new sweeps alone are twice the capacity",
             reserved_percent: 50,
             new_per_second: 200.0,
+            returning_percent: 100,
             returning_admitted: 0.4,
         },
+        Load {
+            description: "half of the refused callers return",
+            reserved_percent: 30,
+            new_per_second: 150.0,
+            returning_percent: 50,
+            returning_admitted: 0.7,
+        },
+        Load {
+            description: "no refused caller returns",
+            reserved_percent: 30,
+            new_per_second: 200.0,
+            returning_percent: 0,
+            returning_admitted: 0.0,
+        },
     ];
     for load in loads {
         let outcome = simulate(&load);
-
-        let admitted = outcome.returning_admitted / outcome.returning;
+        let admitted = outcome.returning_admitted / outcome.returning.max(1.0);
         assert!(admitted >= load.returning_admitted, "{}: {admitted}", load.description);
         let capacity = CAPACITY_PER_SECOND * SECONDS.1 as f64;
         assert!(outcome.admitted <= capacity * 1.03, "{}: {outcome:?}", load.description);
+        let least = capacity * (0.97 - f64::from(load.reserved_percent) / 100.0);
+        assert!(outcome.admitted >= least, "{}: {outcome:?}", load.description);
         let most = CAPACITY_PER_SECOND * 1.25;
         assert!(outcome.most_in_a_second <= most, "{}: {outcome:?}", load.description);
         assert_eq!(outcome.reserved, outcome.reserved_admitted, "{}", load.description);
