--- a/crates/core/tests/reservations.rs
+++ b/crates/core/tests/reservations.rs
@@ -6,11 +6,13 @@
 
 use ladder_core::admission::capacity::Supply;
 use ladder_core::admission::decision::{self, Service, Sweep};
+use ladder_core::admission::holder::Holders;
 use ladder_core::admission::reservation::{Book, CAPACITY, Event, Request, Response};
 use ladder_core::admission::{self, Capacity, Class, Decision, Share};
 use ladder_core::control::hash::Random;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::Instant;
+use ladder_core::view::{Neighbour, Peer};
 
 /// Latency objective of the sweeps.
 const TARGET: Duration = Duration::from_millis(200);
@@ -301,6 +303,43 @@
     }
 }
 
+/// Guards against callers that return to another instance of the zone, which looks for their
+/// reservation at another holder.
+///
+/// Each instance knows itself and the others. Without one of them, only what it held changes.
+#[test]
+fn instances_of_a_zone_agree_on_the_holder() {
+    let names = ["e1", "e2", "e3"];
+    let neighbour = |name: &str, zone: &str| Neighbour {
+        peer: Peer { name: name.into(), address: name.into() },
+        zone: zone.into(),
+        millicores: 0,
+    };
+    let holders = |own: &str, members: &[&str]| {
+        let others = members.iter().filter(|name| **name != own);
+        let mut neighbours: Vec<_> = others.map(|name| neighbour(name, "near")).collect();
+        neighbours.push(neighbour("e9", "far"));
+        let mut holders = Holders::new(own.into());
+        holders.update("near", &neighbours);
+        holders
+    };
+    let select = |own: &str, members: &[&str], fingerprint| {
+        let selected = holders(own, members).select(Fingerprint(fingerprint)).cloned();
+        selected.map_or_else(|| own.to_owned(), |peer| peer.name.to_string())
+    };
+    let mut held = [0; 3];
+    for fingerprint in 0..300 {
+        let selected = select("e1", &names, fingerprint);
+        assert!(names.iter().all(|own| select(own, &names, fingerprint) == selected));
+        if selected != "e3" {
+            assert_eq!(select("e2", &["e1", "e2"], fingerprint), selected);
+        }
+        let position = names.iter().position(|name| *name == selected);
+        held[position.expect("a member of the zone")] += 1;
+    }
+    assert!(held.iter().all(|held| (70..130).contains(held)), "{held:?}");
+}
+
 /// Urgency class of the sweeps.
 const CLASS: Class = Class::ALL[1];
 /// Slots of the servers.
