--- a/crates/core/tests/reservations.rs
+++ b/crates/core/tests/reservations.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ladder_core::admission::capacity::Supply;
 use ladder_core::admission::decision::{self, Service, Sweep};
 use ladder_core::admission::holder::Holders;
 use ladder_core::admission::reservation::{Book, CAPACITY, Event, Request, Response};
@@ -444,8 +443,7 @@
     fn serve(&mut self, now: Instant, admitted_permille: u32) {
         let weight = admission::weight(admitted_permille);
         self.capacity.record_sweep(now, CLASS, weight, WORK);
-        let supply = Supply { slots: SLOTS, foreign: 0.0, senders: 1, utilization: 1.0 };
-        let share = self.capacity.shares(now, supply)[CLASS.index()];
+        let share = self.capacity.shares(now, SLOTS)[CLASS.index()];
         self.reports.push_back((now + REPLY_TIME, share));
     }
 }
