--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -15,4 +15,5 @@
 mod reservations;
 mod shutdown;
 mod sweep;
+mod sweep_admission;
 mod versions;
