--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -19,6 +19,9 @@
     pub(crate) is_zonal: bool,
     /// Whether sweeps are admitted or refused as a whole.
     pub(crate) sweep_admission: bool,
+    /// Share of the sweeps that can be served that is for reservations, in percent; 0: there are
+    /// no reservations.
+    pub(crate) reserved_percent: u32,
 }
 
 impl Settings {
@@ -36,6 +39,7 @@
                 millicores: 1000,
                 is_zonal: false,
                 sweep_admission: false,
+                reserved_percent: 0,
             },
         }
     }
@@ -105,6 +109,15 @@
         self
     }
 
+    /// Reserves this percentage of the sweeps that can be served for callers that were refused and
+    /// retry at the advised time; has an effect only with sweep admission. Default: 0, no
+    /// reservations.
+    #[must_use]
+    pub fn reserved_percent(mut self, percent: u32) -> Self {
+        self.settings.reserved_percent = percent;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -13,6 +13,7 @@
 mod refusals;
 mod replies;
 mod resend;
+mod reservations;
 mod shutdown;
 mod sweep;
 mod sweep_admission;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ladder_core::admission::reservation;
 use ladder_core::count::{Connection, Count, Crossing, Event};
 use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
@@ -24,6 +25,7 @@
     drops: Counter<u64>,
     connections: Counter<u64>,
     zone_calls: Counter<u64>,
+    reservations: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -62,6 +64,10 @@
                 "ladder_zone_calls",
                 "Parts of sweeps sent with zonal aggregation, by crossing and its reason",
             ),
+            reservations: counter(
+                "ladder_reservations",
+                "Reservations of sweeps held here, by event",
+            ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
@@ -120,6 +126,11 @@
         self.zone_calls.add(1, &[KeyValue::new("crossing", crossing), reason]);
     }
 
+    /// Counts an event of a reservation that this instance holds.
+    pub fn reservation(&self, event: reservation::Event) {
+        self.reservations.add(1, &[KeyValue::new("event", event.name())]);
+    }
+
     /// Counts a message that was dropped before it reached the core.
     pub fn dropped(&self, reason: Reason) {
         self.count(Count { event: Event::Drop, reason });
