--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -16,6 +16,9 @@
 //! Portions of a forwarded sweep may be aggregated by peers that are closer to the servers:
 //! [`aggregator_selection`] assigns portions to such peers, [`collect`] takes the merged replies and
 //! detects a peer that sends none in time.
+//!
+//! Before a sweep is refused because too many arrive, [`reservations`] asks the holder of its
+//! reservations whether its caller was refused before and is due.
 
 mod aggregator_selection;
 mod answer;
@@ -35,9 +38,11 @@
 mod query;
 mod reply;
 mod reply_handling;
+mod reservations;
 mod send;
 mod settings;
 mod snapshot;
+mod sweep_admission;
 mod timers;
 mod withdraw;
 
@@ -50,3 +55,4 @@
 pub use history::{Explanation, Step, TimedStep};
 pub use machine::Machine;
 pub use settings::{Builder, Settings};
+pub use sweep_admission::ShareChange;
--- a/crates/core/src/gather/settings.rs
+++ b/crates/core/src/gather/settings.rs
@@ -17,6 +17,11 @@
     pub(crate) millicores: u32,
     /// Whether each zone with servers of a group of parts has an aggregator of its own.
     pub(crate) is_zonal: bool,
+    /// Whether sweeps are admitted or refused as a whole.
+    pub(crate) sweep_admission: bool,
+    /// Share of the sweeps that can be served that is for reservations, in percent; 0: there are
+    /// no reservations.
+    pub(crate) reserved_percent: u32,
 }
 
 impl Settings {
@@ -33,6 +38,8 @@
                 zone,
                 millicores: 1000,
                 is_zonal: false,
+                sweep_admission: false,
+                reserved_percent: 0,
             },
         }
     }
@@ -94,6 +101,23 @@
         self
     }
 
+    /// Sets whether sweeps are admitted or refused as a whole, by the shares that the senders of
+    /// their services report. Default: false.
+    #[must_use]
+    pub fn sweep_admission(mut self, on: bool) -> Self {
+        self.settings.sweep_admission = on;
+        self
+    }
+
+    /// Reserves this percentage of the sweeps that can be served for callers that were refused and
+    /// retry at the advised time; has an effect only with sweep admission. Default: 0, no
+    /// reservations.
+    #[must_use]
+    pub fn reserved_percent(mut self, percent: u32) -> Self {
+        self.settings.reserved_percent = percent;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> Settings {
         self.settings
--- /dev/null
+++ b/crates/core/tests/admission/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the admission of sweeps.
+
+mod capacity;
+mod decision;
+mod fleet;
+mod overload;
+mod retries;
+mod simulation;
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -122,6 +122,9 @@
 /// Runs the leaf machine until the process ends.
 pub async fn run(shared: Shared, inbox: Inbox<Machine>) {
     let strategy = shared.options.strategy;
+    let admission = shared.options.admission;
+    let sweep_utilization =
+        admission.sweeps.then(|| f64::from(admission.target_utilization_percent) / 100.0);
     let settings = Settings::builder(&shared.local_peer.name, shared.incarnation)
         .selection(strategy.selection)
         .hedging(strategy.hedging)
@@ -130,6 +133,7 @@
         .linger((!shared.dialect.cancels()).then_some(ABANDONED_CALL_TIMEOUT))
         .by_need(strategy.listing == settings::Listing::Observed)
         .gradual_startup(strategy.gradual_startup)
+        .sweep_utilization(sweep_utilization)
         .zone(&shared.options.instance.zone)
         .zonal(strategy.zonal_aggregation)
         .seed(shared.seed())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use ladder_core::admission::reservation;
 use ladder_core::count::{Connection, Count, Crossing, Event};
+use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -23,6 +25,7 @@
     drops: Counter<u64>,
     connections: Counter<u64>,
     zone_calls: Counter<u64>,
+    reservations: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peer_bytes: Counter<u64>,
@@ -30,6 +33,7 @@
     platform_calls: Counter<u64>,
     platform_reads: Counter<u64>,
     platform_eras: Counter<u64>,
+    admissible_share: Gauge<f64>,
 }
 
 impl Metrics {
@@ -60,6 +64,10 @@
                 "ladder_zone_calls",
                 "Parts of sweeps sent with zonal aggregation, by crossing and its reason",
             ),
+            reservations: counter(
+                "ladder_reservations",
+                "Reservations of sweeps held here, by event",
+            ),
             answers: counter("ladder_answers", "Answers to callers, by verdict and coverage"),
             latency: meter
                 .f64_histogram("ladder_answer_seconds")
@@ -76,6 +84,10 @@
                 "ladder_platform_eras",
                 "Changes of the era of the platform's store",
             ),
+            admissible_share: meter
+                .f64_gauge("ladder_admissible_share")
+                .with_description("Share of the sweeps that are admitted, by route")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -114,6 +126,11 @@
         self.zone_calls.add(1, &[KeyValue::new("crossing", crossing), reason]);
     }
 
+    /// Counts an event of a reservation that this instance holds.
+    pub fn reservation(&self, event: reservation::Event) {
+        self.reservations.add(1, &[KeyValue::new("event", event.name())]);
+    }
+
     /// Counts a message that was dropped before it reached the core.
     pub fn dropped(&self, reason: Reason) {
         self.count(Count { event: Event::Drop, reason });
@@ -156,6 +173,12 @@
         self.platform_eras.add(1, &[]);
     }
 
+    /// Sets the share of a route's sweeps that are admitted.
+    pub fn admissible_share(&self, change: &ShareChange) {
+        let route = KeyValue::new("route", change.route.to_string());
+        self.admissible_share.record(change.share.fraction(), &[route]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
