--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -41,10 +41,7 @@
             FrameEffect::MustRefute(u) | FrameEffect::StaleGeneration(u) => reply.rumours.push(u),
         }
         let generation = self.membership.own().generation;
-        self.membership.introduce(now, &frame.members);
-        if frame.wants_members {
-            reply.members = self.known_members(&frame.from);
-        }
+        reply.members = self.exchange_members(now, &frame);
         for rumour in &frame.rumours {
             self.membership.apply_update(now, rumour);
         }
@@ -96,6 +93,15 @@
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
 
+    /// Takes the members that a peer introduces, and returns those to introduce to it, if it asks.
+    fn exchange_members(&mut self, now: Instant, frame: &Frame) -> Vec<Rumour> {
+        self.membership.introduce(now, &frame.members);
+        match frame.wants_members {
+            true => self.known_members(&frame.from),
+            false => Vec::new(),
+        }
+    }
+
     /// Live members for a peer that has just started: all of them, or as many random ones as one
     /// frame may carry.
     fn known_members(&mut self, receiver: &str) -> Vec<Rumour> {
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -182,7 +182,7 @@
 }
 
 /// Builds the reply that covers a part with records of these bytes.
-fn reply(work: &Work, service: &str, bytes: &[u8]) -> Reply {
+pub(crate) fn reply(work: &Work, service: &str, bytes: &[u8]) -> Reply {
     forward::reply(work, service, &forward::records(bytes))
 }
 
--- a/crates/core/tests/gather/zonal.rs
+++ b/crates/core/tests/gather/zonal.rs
@@ -4,10 +4,11 @@
 use ladder_core::count::{self, Count, Crossing};
 use ladder_core::gather::{Action, GroupStatus};
 use ladder_core::schema::outcome::Reason;
+use ladder_core::schema::wire::Reply;
 
 use crate::fleet::SELF;
 use crate::harness::sent_work;
-use crate::partial_aggregation::{LOCAL_ZONE, ViewFixture, sweep};
+use crate::partial_aggregation::{LOCAL_ZONE, ViewFixture, deliver_replies, reply, sweep};
 
 /// A view with the zones of the instances that must get the parts of a sweep.
 struct Case {
@@ -114,6 +115,45 @@
     }
 }
 
+/// Guards against urgent sweeps that are late under overload because the calls of several zones wait
+/// at the same servers: while replies report that a group's servers are busy, one instance of the
+/// fleet must get its parts, and the zone's instance again once they are not.
+#[test]
+fn parts_leave_the_zone_while_servers_are_busy() {
+    let fixture = ViewFixture {
+        parts: vec![vec!["campanha", LOCAL_ZONE, "sao-bento"]; 4],
+        peers: vec![("e2", "campanha"), ("e4", LOCAL_ZONE)],
+        millicores: [("e2", 8000), ("e4", 2000)].into_iter().collect(),
+        has_few_connections: true,
+        is_zonal: true,
+        ..ViewFixture::default()
+    };
+    let mut harness = fixture.harness();
+    let mut receivers_at_utilization = |permille: u32, id: &str| {
+        let mut receivers = Set::default();
+        for number in 0..40 {
+            let works = sent_work(&harness.call(sweep(&format!("{id}-{number}"))));
+            receivers = works.iter().map(|(to, _)| to.to_string()).collect::<Set<String>>();
+            for (to, work) in works {
+                let replies = work.portions.iter().map(|portion| Reply {
+                    busy_permille: permille,
+                    ..reply(&work, &portion.service, &[1])
+                });
+                let replies = replies.collect();
+                deliver_replies(&mut harness, &to, replies);
+            }
+            harness.advance(10);
+        }
+        receivers
+    };
+    let own_zone = receivers_at_utilization(300, "calm");
+    assert!(!own_zone.contains("e2"), "{own_zone:?}");
+    let fleet: Set<String> = ["e2".to_owned()].into_iter().collect();
+    assert_eq!(receivers_at_utilization(950, "busy"), fleet);
+    assert_eq!(receivers_at_utilization(700, "still busy"), fleet);
+    assert_eq!(receivers_at_utilization(300, "calm again"), own_zone);
+}
+
 /// Guards against a status that names other aggregators than the ones that get the parts: operators
 /// look for the instance that delays a zone's sweeps.
 #[test]
