Count unanswered digests, replaced peer connections and causes of reads

The logs of the grown deployments could not tell why an instance was late with a version of the routes: whether repair was put off, a connection between instances was silent, or nobody asked the platform. No decision is changed.

Digests left for later: REASON_STILL_SPREADING. Connections to peers: ladder_peer_connections by event. Reads of the platform: ladder_platform_read_starts by cause. The line 'routes in force' gains the version before, the sender and the age of the platform's last known answer.

--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use ladder_schema::outcome::Reason;
 use ladder_schema::publication::Record;
 use ladder_schema::wire::{Departure, Digest, Frame, Liveness, Probe, Rumour};
 
 use super::{
     BROADCAST_FANOUT, DEFERRABLE_BUCKETS, DIGESTS_PER_SEED_CONTACT, FIRST_READ_WAIT, GOSSIP_FANOUT,
     MAX_DEFERRED_DIGESTS, MAX_INTRODUCED_MEMBERS, Machine, PROPAGATION_TIME, START_FANOUT,
+    records::{self, Origin},
 };
 use crate::collections::Set;
 use crate::control::Action;
@@ -63,9 +65,10 @@
         }
         let era = frame.digest.as_ref().map_or(0, |digest| digest.era);
         self.learn_era(now, era, &frame.from, out);
+        let routes_before = self.route_version();
         let mut changes = self.apply(now, &frame.records, &frame.from, out);
         changes.departures = self.apply_departures(frame.departures).departures;
-        self.log_records(&changes, &frame.from, out);
+        self.log_records(now, &changes, Origin { from: &frame.from, routes_before }, out);
         self.broadcast(now, &changes, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.note_peer_digest(now);
@@ -152,6 +155,7 @@
     ) {
         let differing_buckets = self.store.differing_buckets(digest);
         if self.is_still_spreading(now, differing_buckets.len()) {
+            out.push(records::count_drop(Reason::StillSpreading));
             return;
         }
         let peer_hashes = store::bucket_hashes(digest);
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -17,6 +17,15 @@
 use crate::count::{self, Count};
 use crate::time::Instant;
 
+/// Where applied records came from, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin<'a> {
+    /// Name of the peer that sent the records; empty for the platform.
+    pub from: &'a str,
+    /// Version of the routes that were in force before the records were applied; 0 if none were.
+    pub routes_before: u64,
+}
+
 impl Machine {
     pub(super) fn handle_page(&mut self, now: Instant, page: &Page, out: &mut Vec<Action>) {
         if (1..self.era).contains(&page.era) {
@@ -113,8 +122,9 @@
         records: &[Record],
         out: &mut Vec<Action>,
     ) -> usize {
+        let routes_before = self.route_version();
         let changes = self.apply(now, records, "", out);
-        self.log_records(&changes, "", out);
+        self.log_records(now, &changes, Origin { from: "", routes_before }, out);
         self.next_digest_at = now;
         changes.records.len()
     }
@@ -127,36 +137,56 @@
         records: &[Record],
         out: &mut Vec<Action>,
     ) -> usize {
+        let routes_before = self.route_version();
         let changes = self.apply(now, records, "", out);
-        self.log_records(&changes, "", out);
+        self.log_records(now, &changes, Origin { from: "", routes_before }, out);
         self.broadcast(now, &changes, "", out);
         changes.records.len()
     }
 
+    /// Version of the routes in force; 0 if there are none.
+    pub(super) fn route_version(&self) -> u64 {
+        self.store.routing().map_or(0, |routing| routing.version)
+    }
+
     /// Logs the records that came into force, and the peer that sent them, if any.
-    pub(super) fn log_records(&self, changes: &PendingChanges, from: &str, out: &mut Vec<Action>) {
+    pub(super) fn log_records(
+        &self,
+        now: Instant,
+        changes: &PendingChanges,
+        origin: Origin<'_>,
+        out: &mut Vec<Action>,
+    ) {
         let Some(newest) = changes.records.iter().map(|record| record.revision).max() else {
             return;
         };
         let withdrawn = changes.records.iter().filter(|record| is_tombstone(record)).count();
         out.push(Action::Log(StateChange::Records {
-            from: from.into(),
+            from: origin.from.into(),
             revision: newest,
             count: changes.records.len(),
             withdrawn,
         }));
+        let mut before = origin.routes_before;
         for record in &changes.records {
-            out.extend(self.record_log_entry(record).map(Action::Log));
+            if let Some(Body::Routing(routing)) = &record.body {
+                out.push(Action::Log(StateChange::Routes {
+                    version: routing.version,
+                    before,
+                    revision: record.revision,
+                    from: origin.from.into(),
+                    platform_age: self.reader.platform_age(now),
+                }));
+                before = routing.version;
+            }
+            out.extend(self.evacuation_log_entry(record).map(Action::Log));
         }
     }
 
-    /// The separate log entry of a record, for routes, evacuations and the end of an evacuation.
-    fn record_log_entry(&self, record: &Record) -> Option<StateChange> {
+    /// The log entry of a record that starts or ends an evacuation.
+    fn evacuation_log_entry(&self, record: &Record) -> Option<StateChange> {
         let revision = record.revision;
         let (zone, evacuated) = match &record.body {
-            Some(Body::Routing(routing)) => {
-                return Some(StateChange::Routes { version: routing.version, revision });
-            }
             Some(Body::Evacuation(evacuation)) => (&evacuation.zone, true),
             Some(Body::Tombstone(gone)) if gone.kind() == Kind::Evacuation => (&gone.name, false),
             _ => return None,
@@ -377,6 +407,6 @@
     matches!(record.body, Some(Body::Tombstone(_)))
 }
 
-const fn count_drop(reason: Reason) -> Action {
+pub(super) const fn count_drop(reason: Reason) -> Action {
     Action::Count(Count { event: count::Event::Drop, reason })
 }
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -78,9 +78,36 @@
     (Reverse(hash::of(&[b"reader", name.as_bytes()])), name)
 }
 
+/// Why an instance reads the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It is one of the readers of its zone, or waits for a newer record of the platform.
+    Reader,
+    /// It has started and has not read the platform yet.
+    Start,
+    /// The readers get no answers.
+    Fallback,
+    /// It has received no digest of a peer for some time.
+    Isolated,
+}
+
+impl Cause {
+    /// Name of the cause in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Reader => "reader",
+            Self::Start => "start",
+            Self::Fallback => "fallback",
+            Self::Isolated => "isolated",
+        }
+    }
+}
+
 /// A read of the platform that is to be started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Read {
+    /// Why the platform is read.
+    pub cause: Cause,
     /// The read covers only records above this revision; 0 requests all published records.
     pub after: u64,
     /// How long the platform may wait for new records; at zero it answers at once.
@@ -224,13 +251,16 @@
         now.since(self.last_answer_at)
     }
 
-    /// Time since the platform last answered any instance that this one knows of, in milliseconds
-    /// plus one; 0 if unknown.
+    /// Time since the platform last answered any instance that this one knows of; `None` if
+    /// unknown.
+    pub fn platform_age(&self, now: Instant) -> Option<Duration> {
+        self.last_known_answer_at.map(|answered_at| now.since(answered_at))
+    }
+
+    /// [`Reader::platform_age`] in milliseconds plus one; 0 if unknown.
     pub fn age_ms(&self, now: Instant) -> u32 {
-        let elapsed_ms = |answered_at: Instant| {
-            u32::try_from(now.since(answered_at).as_millis()).unwrap_or(u32::MAX)
-        };
-        self.last_known_answer_at.map_or(0, |answered_at| elapsed_ms(answered_at).saturating_add(1))
+        let whole_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        self.platform_age(now).map_or(0, |age| whole_ms(age).saturating_add(1))
     }
 
     /// Processes a peer's value of [`Reader::age_ms`]: the time since the platform last answered
@@ -291,11 +321,8 @@
     ) -> Option<Read> {
         let is_reader = reader_rank.is_reader();
         self.delay_if_newly_selected(now, is_reader, timing, random);
-        let is_fallback_due =
-            self.fallback_read_at(reader_rank, timing).is_some_and(|at| now >= at);
-        let wants_read =
-            is_reader || !self.tried || is_fallback_due || self.is_isolated(now, timing.digest);
-        if self.is_read_open || !wants_read || now < self.earliest_read {
+        let cause = self.read_cause(now, reader_rank, timing)?;
+        if self.is_read_open || now < self.earliest_read {
             return None;
         }
         self.is_read_open = true;
@@ -308,7 +335,21 @@
         if !is_reader {
             self.last_digest_at = now;
         }
-        Some(Read { after: self.cursor, wait, patience: timing.patience() })
+        Some(Read { cause, after: self.cursor, wait, patience: timing.patience() })
+    }
+
+    /// Why an instance of this rank reads the platform now; `None` if it does not.
+    fn read_cause(&self, now: Instant, reader_rank: ReaderRank, timing: Timing) -> Option<Cause> {
+        if reader_rank.is_reader() {
+            return Some(Cause::Reader);
+        }
+        if !self.tried {
+            return Some(Cause::Start);
+        }
+        if self.fallback_read_at(reader_rank, timing).is_some_and(|at| now >= at) {
+            return Some(Cause::Fallback);
+        }
+        self.is_isolated(now, timing.digest).then_some(Cause::Isolated)
     }
 
     /// Delays the first read of an instance that has just become a reader, so that after the loss
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -50,8 +50,15 @@
     Routes {
         /// Version of the routes.
         version: u64,
+        /// Version of the routes that were in force before; 0 if there were none.
+        before: u64,
         /// Revision of the record that contains the routes.
         revision: u64,
+        /// Name of the peer that sent the record; empty for the platform.
+        from: Arc<str>,
+        /// Time since the platform last answered any instance, as far as this instance knows;
+        /// `None` if unknown.
+        platform_age: Option<Duration>,
     },
     /// The evacuation of an availability zone started or ended. No work may be sent to the servers
     /// of a zone under evacuation.
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -66,7 +66,10 @@
             match action {
                 Action::Send { to, frame } => self.shared.outbound.send(&to, *frame),
                 Action::Generation(generation) => self.shared.outbound.set_generation(generation),
-                Action::Watch(read) => self.publication.read(read),
+                Action::Watch(read) => {
+                    self.shared.metrics.platform_read_started(read.cause);
+                    self.publication.read(read);
+                }
                 Action::View(view) => {
                     debug!(self.shared.log, "view in force"; "generation" => view.generation,
                         "revision" => view.revision, "ready" => view.ready);
--- a/src/entry/native/records.rs
+++ b/src/entry/native/records.rs
@@ -27,7 +27,7 @@
 
 impl Publication for RecordsClient {
     fn read(&self, read: Read) {
-        let Read { after, wait, patience } = read;
+        let Read { after, wait, patience, .. } = read;
         let platform = &self.shared.options.instance.platform_address;
         let wait_ms = wait.as_millis();
         let url = format!("http://{platform}/v1/records?after={after}&wait_ms={wait_ms}");
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -15,7 +15,7 @@
 
 use super::{Cut, Identity};
 use crate::clock::Clock;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, PeerConnection};
 
 /// Most frames that wait in the send buffer of one peer's connection.
 const SEND_BUFFER: i32 = 512;
@@ -146,14 +146,18 @@
 }
 
 impl Connection {
-    /// Returns the dial timeout of the connection that has to replace this one; `None` while
-    /// this connection is usable.
-    fn replacement_timeout(&self, now: Instant) -> Option<Duration> {
+    /// Why this connection has to be replaced, and the dial timeout of the one that replaces it;
+    /// `None` while this connection is usable.
+    fn replacement(&self, now: Instant) -> Option<(PeerConnection, Duration)> {
         match self.state.phase() {
-            Phase::Dialled if now >= self.redial_at => Some((self.timeout * 2).min(DIAL_TIMEOUT.1)),
-            Phase::Connected if self.is_silent(now) => Some(DIAL_TIMEOUT.0),
+            Phase::Dialled if now >= self.redial_at => {
+                Some((PeerConnection::Unopened, (self.timeout * 2).min(DIAL_TIMEOUT.1)))
+            }
+            Phase::Connected if self.is_silent(now) => {
+                Some((PeerConnection::Silent, DIAL_TIMEOUT.0))
+            }
             Phase::Dialled | Phase::Connected => None,
-            Phase::Broken | Phase::Closed => Some(DIAL_TIMEOUT.0),
+            Phase::Broken | Phase::Closed => Some((PeerConnection::Broken, DIAL_TIMEOUT.0)),
         }
     }
 
@@ -245,16 +249,18 @@
         let mut timeout = DIAL_TIMEOUT.0;
         if let Some(connection) = connections.get_mut(address) {
             connection.last_used = now;
-            let Some(next_timeout) = connection.replacement_timeout(now) else {
+            let Some((cause, next_timeout)) = connection.replacement(now) else {
                 if needs_answer {
                     connection.unanswered_since.get_or_insert(now);
                 }
                 return Some((connection.socket.clone(), connection.state.clone()));
             };
             connection.close();
+            self.metrics.peer_connection(cause);
             timeout = next_timeout;
         }
         close_idle(&mut connections, now);
+        self.metrics.peer_connection(PeerConnection::Dialled);
         let mut connection = self.open(address, now, timeout).ok()?;
         connection.unanswered_since = needs_answer.then_some(now);
         let usable = (connection.socket.clone(), connection.state.clone());
--- a/src/log.rs
+++ b/src/log.rs
@@ -78,8 +78,11 @@
             warn!(log, "withdrawals of servers deferred as implausible"; "servers" => count,
                 "live" => live);
         }
-        StateChange::Routes { version, revision } => {
-            info!(log, "routes in force"; "version" => version, "revision" => revision);
+        StateChange::Routes { version, before, revision, from, platform_age } => {
+            let from = if from.is_empty() { "platform" } else { from };
+            info!(log, "routes in force"; "version" => version, "revision" => revision,
+                "before" => before, "from" => from,
+                "platform_age_ms" => platform_age.map(whole_millis));
         }
         StateChange::GenerationRaised { before, now } => {
             warn!(log, "generation raised"; "before" => before, "now" => now);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ladder_core::admission::reservation;
+use ladder_core::control::reader::Cause;
 use ladder_core::count::{Connection, Count, Crossing, Event};
 use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
@@ -13,6 +14,19 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// Event of a connection to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerConnection {
+    /// A connection is being opened.
+    Dialled,
+    /// A connection was replaced because it was not open in time.
+    Unopened,
+    /// A connection was replaced because the peer left a frame unanswered.
+    Silent,
+    /// A connection was replaced because it had ended.
+    Broken,
+}
+
 /// The metrics of one process; all clones share them.
 #[derive(Clone)]
 pub struct Metrics {
@@ -31,7 +45,9 @@
     peer_bytes: Counter<u64>,
     peer_frames: Counter<u64>,
     platform_calls: Counter<u64>,
+    peer_connections: Counter<u64>,
     platform_reads: Counter<u64>,
+    platform_read_starts: Counter<u64>,
     platform_eras: Counter<u64>,
     admissible_share: Gauge<f64>,
 }
@@ -75,11 +91,19 @@
                 .build(),
             peer_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
             peer_frames: counter("ladder_peer_frames", "Frames sent to peers, by part"),
+            peer_connections: counter(
+                "ladder_peer_connections",
+                "Connections to peers that were opened or replaced, by event",
+            ),
             platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
             platform_reads: counter(
                 "ladder_platform_reads",
                 "Reads of the platform that ended, by outcome",
             ),
+            platform_read_starts: counter(
+                "ladder_platform_read_starts",
+                "Reads of the platform that were started, by cause",
+            ),
             platform_eras: counter(
                 "ladder_platform_eras",
                 "Changes of the era of the platform's store",
@@ -158,6 +182,22 @@
         self.peer_frames.add(1, &part);
     }
 
+    /// Counts an event of a connection to a peer.
+    pub fn peer_connection(&self, event: PeerConnection) {
+        let event = match event {
+            PeerConnection::Dialled => "dialled",
+            PeerConnection::Unopened => "unopened",
+            PeerConnection::Silent => "silent",
+            PeerConnection::Broken => "broken",
+        };
+        self.peer_connections.add(1, &[KeyValue::new("event", event)]);
+    }
+
+    /// Counts the start of a platform read.
+    pub fn platform_read_started(&self, cause: Cause) {
+        self.platform_read_starts.add(1, &[KeyValue::new("cause", cause.name())]);
+    }
+
     /// Counts a call to the platform.
     pub fn platform_call(&self) {
         self.platform_calls.add(1, &[]);
