Order routes by version before their position in the store

What callers saw: requests refused or run as an older version of the routes says, after a newer one was acknowledged.

Cause: within one era of the platform's store, two versions of the routes were ordered by revision alone. A write whose answer was lost can be carried out again, or late, after newer versions were acknowledged; it gets the highest revision with an older version, and every instance put it in force. Versions were compared only across eras.

Class: the order of the store is taken for the order of the writer. What the writer numbers is now ordered by that number; the position decides between records of one version only. A lower version at a later position is dropped, counted and logged as before for eras, and an instance that starts with it takes its peers' version.

--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -1,9 +1,10 @@
 //! The published records of this instance: the newest valid record of each key.
 //!
 //! Records arrive from the platform and from peers in any order, late and more than once. For each
-//! key the latest [`Position`] wins, and a tombstone is a record like any other, so neither a stale
-//! replica of the platform nor a stale peer can restore an old record. The content therefore
-//! depends on the set of records received and not on their order.
+//! key the latest [`Position`] wins, except that routes of a higher version always replace those of
+//! a lower one. A tombstone is a record like any other, so neither a stale replica of the platform
+//! nor a stale peer can restore an old record. The content therefore depends on the set of records
+//! received and not on their order.
 
 mod changes;
 mod content;
@@ -88,7 +89,7 @@
     /// Records in force.
     ///
     /// Invariant: each record passes validation, and the position of a key never decreases, except
-    /// that routes of an earlier era replace an older version.
+    /// that routes replace an older version whatever their position is.
     records: BTreeMap<Key, Held>,
     /// Refused records.
     ///
--- a/crates/core/src/control/store/position.rs
+++ b/crates/core/src/control/store/position.rs
@@ -47,13 +47,12 @@
     if position == in_force_position {
         return Relation::Reused;
     }
-    // The copy that a store is restored from may have older routes than those in force, which the
-    // operator writes again. Versions of the routes only increase.
-    let versions = route_version(record).zip(route_version(in_force));
-    let versions = versions.filter(|_| position.era != in_force_position.era);
-    match versions {
+    // Versions of the routes only increase, but the store may hold an older version at a later
+    // position: it was restored from a copy, or has carried out an earlier write again.
+    match route_version(record).zip(route_version(in_force)) {
         Some((new, old)) if new > old => Relation::Newer,
         Some((new, old)) if new < old && is_newer => Relation::OlderVersion,
+        Some((new, old)) if new < old => Relation::Older,
         _ if is_newer => Relation::Newer,
         _ => Relation::Older,
     }
--- a/crates/core/tests/fleet/late_changes.rs
+++ b/crates/core/tests/fleet/late_changes.rs
@@ -118,6 +118,29 @@
     }
 }
 
+/// Guards against an instance that starts while the store holds an older version than its peers
+/// have in force, and against instances that send each other their versions for ever.
+#[test]
+fn starting_instance_takes_the_newer_version_of_its_peers() {
+    for era in [0, 1] {
+        let mut fleet = ready_fleet(9, era);
+        fleet.publish([routes(101, 29)]);
+        fleet.run(APPLY);
+        fleet.publish([routes(102, 26)]);
+        fleet.run(APPLY);
+        fleet.incarnation += 1;
+        fleet.kill(&name(4), true);
+        fleet.start(&name(4), zone(4));
+        fleet.run(APPLY);
+        assert_eq!(outdated(&fleet, 29), Vec::<String>::new(), "era {era}");
+        let log_length = fleet.action_log.len();
+        fleet.run(Duration::from_secs(10));
+        let lines = fleet.action_log[log_length..].iter();
+        let sent: Vec<&String> = lines.filter(|line| line.contains("records")).collect();
+        assert!(sent.is_empty(), "era {era}: records are still exchanged: {sent:#?}");
+    }
+}
+
 /// Publishes a change of a server every 260 ms for a time.
 fn change_servers(fleet: &mut Fleet, span: Duration) {
     let end = fleet.now + span;
