Keep a removed server's departure for entries that are written late

A server reports that it leaves, is removed, and a write of its entry from before is carried out after that (an answer was lost and the write repeated). The removal had cleared the departure, so the entry counted as that of a server that works: it got new work until the entry expired.

The store now remembers the incarnation with which a withdrawn server had left; an entry of that incarnation is one of a leaving server, an entry of any other one is not. Test red before: store::entry_written_after_the_removal_of_a_leaving_server_gets_no_work.

--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -100,6 +100,10 @@
     /// Invariant: contains only servers whose record is not a tombstone and whose published
     /// incarnation is no higher than the one reported.
     departures: Map<Arc<str>, u64>,
+    /// Incarnations of withdrawn servers that had been reported as leaving.
+    ///
+    /// Invariant: contains only servers whose record is a tombstone.
+    past_departures: Map<Arc<str>, u64>,
     /// Hashes of the records and departures in force.
     hashes: Hashes,
     /// First known era of the platform's store, which also counts as the era of records without
@@ -285,9 +289,18 @@
     /// leaving therefore stays leaving until a higher incarnation is published.
     fn update_departure(&mut self, name: &Arc<str>, record: &Record) {
         let Some(Body::Server(server)) = &record.body else {
+            if let Some(incarnation) = self.departures.get(name) {
+                self.past_departures.insert(Arc::clone(name), *incarnation);
+            }
             self.set_departure(name, None);
             return;
         };
+        // An entry written before the server left may be carried out after its removal.
+        let past_incarnation = self.past_departures.remove(name);
+        if past_incarnation == Some(server.incarnation) {
+            self.set_departure(name, past_incarnation);
+            return;
+        }
         if server.state == State::Leaving as i32 {
             let known_incarnation = self.departures.get(name).copied().unwrap_or(0);
             self.set_departure(name, Some(known_incarnation.max(server.incarnation)));
--- a/crates/core/tests/fleet/store.rs
+++ b/crates/core/tests/fleet/store.rs
@@ -234,6 +234,29 @@
     assert!(is_leaving(&store), "the list once had it as leaving");
 }
 
+/// Guards against new work for a server that left: its entry of before is written once more after
+/// its removal, because the store carries a write out late.
+#[test]
+fn entry_written_after_the_removal_of_a_leaving_server_gets_no_work() {
+    let published = |revision, incarnation, state| {
+        record(revision, server("gate-1-0", "gate-1", incarnation, state))
+    };
+    let mut store = Store::default();
+    store.apply(&published(1, 7, State::Live));
+    store.apply(&published(2, 7, State::Leaving));
+    store.apply(&record(3, tombstone(Kind::Server, "gate-1-0")));
+    store.apply(&published(4, 7, State::Live));
+    assert!(store.server("gate-1-0").is_some_and(|server| store.is_marked_leaving(server)));
+    store.apply(&published(5, 8, State::Live));
+    assert!(store.server("gate-1-0").is_some_and(|server| !store.is_marked_leaving(server)));
+    store.apply(&record(6, tombstone(Kind::Server, "gate-1-0")));
+    store.apply(&published(7, 8, State::Live));
+    assert!(
+        store.server("gate-1-0").is_some_and(|server| !store.is_marked_leaving(server)),
+        "a server whose entry expired returns"
+    );
+}
+
 fn records_from(steps: &[(u8, u8, u8)]) -> Vec<Record> {
     let record_of = |(number, &(kind, key, incarnation)): (usize, &(u8, u8, u8))| {
         let name = format!("gate-{}", key % 4);
