Repair a lasting difference between instances while other records change

What callers saw on the grown deployments: an instance that handles requests by routes that were replaced seconds ago, or lacks the servers of a new route, while all others have them.

Cause: a change is broadcast to four random peers of the zone, each of which passes it on; one to four of 83 instances miss it. Digests find that, but a small difference is taken for a change that is still spreading if the store changed in the last 500 ms. Three such digests in a row were to end this, but each digest without buckets, as nearly all are, reset the count. With hundreds of servers whose entries change all the time, the repair waited until nothing changed. Class: a bound on waiting that counts events instead of time.

An instance now notes since when it has agreed with no peer. After 500 ms the difference is a loss, whatever else changes, and the next digest is sent at that moment. An instance that agrees with somebody in between is not behind.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -46,14 +46,12 @@
 /// the platform has answered or failed.
 const STARTUP_WAIT: Duration = Duration::from_secs(1);
 
-/// Time after a change of the store during which the change may still be spreading to other
-/// instances.
+/// Longest time that a change takes to spread to all instances. A difference between two instances
+/// that lasts longer is a loss.
 const PROPAGATION_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of differing buckets for which changes that are still spreading are taken as the
 /// cause.
 const DEFERRABLE_BUCKETS: usize = 8;
-/// Maximum number of successive digests left unanswered because a change is still spreading.
-const MAX_DEFERRED_DIGESTS: u32 = 3;
 
 /// Control plane of one instance: its state of the fleet and of the published records.
 ///
@@ -98,8 +96,9 @@
     store_changed: bool,
     /// When the store last changed.
     store_changed_at: Instant,
-    /// Number of successive digests of peers left unanswered because a change was still spreading.
-    deferred_digests: u32,
+    /// Since when every peer whose records were compared with the own ones had others; `None` if
+    /// the last one had the same.
+    differs_since: Option<Instant>,
     /// Rank of this instance in its zone's order of platform readers.
     reader_rank: ReaderRank,
     /// Latest known era of the platform's store; 0 if none is known.
@@ -140,7 +139,7 @@
             peer_answered: false,
             store_changed: true,
             store_changed_at: now,
-            deferred_digests: 0,
+            differs_since: None,
             reader_rank: ReaderRank::LAST,
             next_view_at: None,
             era: 0,
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -8,7 +8,7 @@
 
 use super::{
     BROADCAST_FANOUT, DEFERRABLE_BUCKETS, DIGESTS_PER_SEED_CONTACT, FIRST_READ_WAIT, GOSSIP_FANOUT,
-    MAX_DEFERRED_DIGESTS, MAX_INTRODUCED_MEMBERS, Machine, PROPAGATION_TIME, START_FANOUT,
+    MAX_INTRODUCED_MEMBERS, Machine, PROPAGATION_TIME, START_FANOUT,
     records::{self, Origin},
 };
 use crate::collections::Set;
@@ -72,6 +72,7 @@
         self.broadcast(now, &changes, &frame.address, out);
         if let Some(digest) = &frame.digest {
             self.reader.note_peer_digest(now);
+            self.note_comparison(now, digest);
             let over_contents = store::hashes_contents(digest);
             reply.digest = self.store.lacks_buckets(digest).then(|| self.digest(over_contents));
             if digest.quarantine != self.quarantine.digest() {
@@ -173,17 +174,25 @@
     }
 
     /// Whether a small difference is most likely a change that is still spreading. Sending whole
-    /// buckets for such a change would cost far more than the change itself. After a few digests
-    /// the difference is treated as a loss.
-    fn is_still_spreading(&mut self, now: Instant, differing_buckets: usize) -> bool {
-        let changed_recently = now.since(self.store_changed_at) < PROPAGATION_TIME;
+    /// buckets for such a change would cost far more than the change itself.
+    ///
+    /// While records change all the time, some change is always spreading. An instance that has
+    /// missed one is told apart by the time for which it has agreed with no peer.
+    fn is_still_spreading(&self, now: Instant, differing_buckets: usize) -> bool {
+        let is_recent = |since: Instant| now.since(since) < PROPAGATION_TIME;
         let few_differ = (1..=DEFERRABLE_BUCKETS).contains(&differing_buckets);
-        if changed_recently && few_differ && self.deferred_digests < MAX_DEFERRED_DIGESTS {
-            self.deferred_digests += 1;
-            return true;
+        few_differ && is_recent(self.store_changed_at) && self.differs_since.is_none_or(is_recent)
+    }
+
+    /// Notes whether a peer's digest shows the same records as this instance has. After the first
+    /// difference, the next digest follows as soon as the difference counts as a loss.
+    fn note_comparison(&mut self, now: Instant, digest: &Digest) {
+        if self.store.equals(digest) {
+            self.differs_since = None;
+        } else if self.differs_since.is_none() {
+            self.differs_since = Some(now);
+            self.next_digest_at = self.next_digest_at.min(now + PROPAGATION_TIME);
         }
-        self.deferred_digests = 0;
-        false
     }
 
     fn send_buckets(&self, address: &str, buckets: &[u32], out: &mut Vec<Action>) {
--- a/crates/core/src/control/store/digest.rs
+++ b/crates/core/src/control/store/digest.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Whether a peer's digest shows the same records as this store has.
+    pub fn equals(&self, digest: &Digest) -> bool {
+        match hashes_contents(digest) {
+            true => digest.whole_contents == total(&self.hashes.contents),
+            false => digest.whole == total(&self.hashes.revisions),
+        }
+    }
+
     /// Whether a peer's digest shows that its records differ, but not in which buckets.
     pub fn lacks_buckets(&self, digest: &Digest) -> bool {
         if !digest.contents.is_empty() {
