Read the platform when no peer shows that the own records are up to date

What callers saw: an instance of a grown fleet handles requests by old routes for seconds, though it could read the platform.

Cause: an instance that is no reader took any frame that told how recently the platform had answered somebody for a sign that it was up to date itself, and any digest for a sign that it heard of changes. So it waited on peers that did not pass records on, or knew no more than it did. Without digests it read the platform after 5 to 10 s, whatever the bound. Class: liveness of a source is taken for its contents.

Control frames now carry the hash of the sender's records beside the age of the platform's answer, and the age counts only if the hash is that of the own records. When the latest such answer is 9/16 of contactMs old, the next two instances of the zone read the platform; at 5/8, up to 1/16 later, any other one does. While reads fail, only eight a zone go on at the pace of a reader, as before; the others ask once in 3/4 of contactMs. A peer's digest carries the revision that its records include, so that the cursor of an instance that is no reader moves on and its next read is one call and not a listing.

instance_without_digests_reads_the_platform asserted the wait of 5 to 10 s, which is longer than every bound. It is replaced by instance_without_up_to_date_peers_reads_the_platform: not before 5/8 and within 3/4 of contactMs.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -121,7 +121,7 @@
         Self {
             store: Store::default(),
             membership: Membership::new(&settings, now),
-            reader: Reader::new(now, settings.timing.digest, &mut random),
+            reader: Reader::new(now, reader_timing(&settings), &mut random),
             projection: Projection::default(),
             deferrals: Deferrals::default(),
             quarantine: Quarantine::default(),
@@ -155,9 +155,11 @@
         self.dispatch(now, event, out);
         self.run_due_work(now, out);
         let platform_age_ms = self.reader.age_ms(now);
+        let records_hash = self.store.contents_hash();
         for action in &mut out[first_new..] {
             if let Action::Send { frame, .. } = action {
                 frame.platform_age_ms = platform_age_ms;
+                frame.records_hash = if frame.digest.is_none() { records_hash } else { 0 };
             }
         }
     }
@@ -294,6 +296,12 @@
         }
     }
 
+    /// Time since the platform's latest answer that this instance's records include; `None` if
+    /// unknown.
+    pub fn platform_age(&self, now: Instant) -> Option<Duration> {
+        self.reader.platform_age(now)
+    }
+
     /// Rank of this instance for its next read: an instance that waits for a newer record of the
     /// platform reads like the first reader of its zone.
     fn current_reader_rank(&self) -> ReaderRank {
@@ -301,10 +309,7 @@
     }
 
     const fn reader_timing(&self) -> reader::Timing {
-        reader::Timing {
-            digest: self.settings.timing.digest,
-            contact: self.settings.timing.contact,
-        }
+        reader_timing(&self.settings)
     }
 
     /// Interval between two digests.
@@ -504,7 +509,8 @@
 
     fn handle_pause(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.membership.restart_silence_periods(now);
-        self.reader.resumed(now);
+        let timing = self.reader_timing();
+        self.reader.resumed(now, timing, &mut self.random);
         for peer in self.random_peers(BROADCAST_FANOUT) {
             self.send_digest(now, &peer, out);
         }
@@ -519,3 +525,7 @@
         }
     }
 }
+
+const fn reader_timing(settings: &Settings) -> reader::Timing {
+    reader::Timing { contact: settings.timing.contact }
+}
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -34,7 +34,7 @@
 }
 
 impl Machine {
-    pub(super) fn handle_frame(&mut self, now: Instant, frame: Frame, out: &mut Vec<Action>) {
+    pub(super) fn handle_frame(&mut self, now: Instant, mut frame: Frame, out: &mut Vec<Action>) {
         let mut reply = Frame::default();
         match self.membership.receive_frame(now, &frame) {
             FrameEffect::Ignored if frame.from == *self.settings.name => return,
@@ -55,7 +55,6 @@
             }));
             out.push(Action::Generation(new_generation));
         }
-        self.reader.note_peer_platform_age(now, frame.platform_age_ms);
         self.handle_acknowledgements(&frame.acknowledgements);
         let reports_quarantine = !(frame.crashes.is_empty() && frame.quarantines.is_empty());
         if reports_quarantine {
@@ -67,12 +66,12 @@
         self.learn_era(now, era, &frame.from, out);
         let routes_before = self.route_version();
         let mut changes = self.apply(now, &frame.records, &frame.from, out);
-        changes.departures = self.apply_departures(frame.departures).departures;
+        let departures = std::mem::take(&mut frame.departures);
+        changes.departures = self.apply_departures(departures).departures;
         self.log_records(now, &changes, Origin { from: &frame.from, routes_before }, out);
         self.broadcast(now, &changes, &frame.address, out);
+        self.compare_records(now, &frame);
         if let Some(digest) = &frame.digest {
-            self.reader.note_peer_digest(now);
-            self.note_comparison(now, digest);
             let over_contents = store::hashes_contents(digest);
             reply.digest = self.store.lacks_buckets(digest).then(|| self.digest(over_contents));
             if digest.quarantine != self.quarantine.digest() {
@@ -124,14 +123,19 @@
 
     /// Digest of all records and of the quarantine, with one hash per bucket of records.
     fn digest(&self, over_contents: bool) -> Digest {
-        let (quarantine, era) = (self.quarantine.digest(), self.era);
-        Digest { quarantine, era, ..self.store.digest(over_contents) }
+        self.complete_digest(self.store.digest(over_contents))
     }
 
     /// Digest of all records and of the quarantine, without hashes of buckets.
     fn total_digest(&self) -> Digest {
-        let (quarantine, era) = (self.quarantine.digest(), self.era);
-        Digest { quarantine, era, ..self.store.total_digest() }
+        self.complete_digest(self.store.total_digest())
+    }
+
+    /// Adds to a digest of the records what this instance knows besides.
+    fn complete_digest(&self, records: Digest) -> Digest {
+        // A record that is held back was read but is not among the records.
+        let revision = if self.deferrals.len() == 0 { self.reader.cursor() } else { 0 };
+        Digest { quarantine: self.quarantine.digest(), era: self.era, revision, ..records }
     }
 
     fn handle_acknowledgements(&mut self, acknowledgements: &[Probe]) {
@@ -184,17 +188,31 @@
         few_differ && is_recent(self.store_changed_at) && self.differs_since.is_none_or(is_recent)
     }
 
-    /// Notes whether a peer's digest shows the same records as this instance has. After the first
-    /// difference, the next digest follows as soon as the difference counts as a loss.
-    fn note_comparison(&mut self, now: Instant, digest: &Digest) {
-        if self.store.equals(digest) {
+    /// Compares the own records with those of a frame's sender, if the frame tells of them. After
+    /// the first difference, the next digest follows as soon as the difference counts as a loss.
+    fn compare_records(&mut self, now: Instant, frame: &Frame) {
+        let differs = match &frame.digest {
+            Some(digest) => !self.store.equals(digest),
+            None if frame.records_hash == 0 => return,
+            None => frame.records_hash != self.store.contents_hash(),
+        };
+        if !differs {
             self.differs_since = None;
+            self.note_peer_reads(now, frame);
         } else if self.differs_since.is_none() {
             self.differs_since = Some(now);
             self.next_digest_at = self.next_digest_at.min(now + PROPAGATION_TIME);
         }
     }
 
+    /// Takes over what a peer that has the same records knows of the platform's answers.
+    fn note_peer_reads(&mut self, now: Instant, frame: &Frame) {
+        self.reader.note_peer_platform_age(now, frame.platform_age_ms);
+        if let Some(digest) = frame.digest.as_ref().filter(|digest| digest.era == self.era) {
+            self.reader.note_peer_cursor(digest.era, digest.revision);
+        }
+    }
+
     fn send_buckets(&self, address: &str, buckets: &[u32], out: &mut Vec<Action>) {
         if buckets.is_empty() {
             return;
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -12,8 +12,8 @@
 
 /// Number of live instances per zone that watch the platform.
 pub const READERS_PER_ZONE: usize = 2;
-/// Number of live instances per zone, readers included, that ask the platform while it answers none
-/// of the readers.
+/// Number of live instances per zone, readers included, that go on asking the platform at the pace
+/// of a reader while it answers nobody.
 const MAX_READERS_PER_ZONE_IN_OUTAGE: usize = 8;
 /// Minimum time from an answer to the next read, after an answer without records, in case the
 /// platform does not hold watches open, and after a complete answer.
@@ -23,9 +23,6 @@
 /// Number of calls per second of all instances together that full listings may use, which is half
 /// of what the platform serves.
 const LISTING_CALLS_PER_SECOND: usize = 1000;
-/// Number of digest periods without any digest after which an instance that is not a reader reads
-/// the platform itself.
-const SILENT_DIGEST_PERIODS: u32 = 5;
 
 /// Time over which the readers of all zones spread their full listings of this many records.
 pub fn listing_spread(records: usize, zones: usize) -> Duration {
@@ -57,20 +54,20 @@
         self.0 < READERS_PER_ZONE
     }
 
-    /// Time after the platform's last answer to any instance after which an instance of this rank
-    /// asks too; `None` if it never does.
+    /// Whether an instance of this rank is among the first that ask when the readers get no answers.
+    const fn is_substitute(self) -> bool {
+        self.0 < 2 * READERS_PER_ZONE
+    }
+
+    /// Time after the latest answer of the platform that this instance's records include, after
+    /// which an instance of this rank reads the platform itself.
     ///
-    /// The platform may refuse its readers and serve others. In that case the next instances in the
-    /// zone ask: first as many as there are readers, then twice as many, an eighth of the contact
-    /// time later. No further instance asks, even if the platform answers no instance. The first
-    /// delay is the longest time that a watch and the delivery of its records take in normal
-    /// operation.
-    fn fallback_delay(self, timing: Timing) -> Option<Duration> {
-        match self.0 {
-            MAX_READERS_PER_ZONE_IN_OUTAGE.. => None,
-            rank if rank < 2 * READERS_PER_ZONE => Some(timing.contact * 5 / 8),
-            _ => Some(timing.contact * 3 / 4),
-        }
+    /// The readers may be refused by the platform, cut off from it or from this instance, or gone.
+    /// The next instances in the zone ask first, so that most others learn from them. Each delay is
+    /// longer than a watch and a digest interval together, and leaves a quarter of the contact time
+    /// for the read and its broadcast.
+    fn fallback_delay(self, timing: Timing) -> Duration {
+        if self.is_substitute() { timing.contact * 9 / 16 } else { timing.contact * 5 / 8 }
     }
 }
 
@@ -85,9 +82,9 @@
     Reader,
     /// It has started and has not read the platform yet.
     Start,
-    /// The readers get no answers.
+    /// It is one of the next instances of its zone, and the readers get no answers.
     Fallback,
-    /// It has received no digest of a peer for some time.
+    /// No peer has shown for some time that this instance's records are up to date.
     Isolated,
 }
 
@@ -139,11 +136,14 @@
     /// When the platform last answered this instance; before the first answer, when the instance
     /// started.
     last_answer_at: Instant,
-    /// When the platform last answered any instance, as far as this instance knows; `None` if
+    /// When this instance was created.
+    created_at: Instant,
+    /// When the platform gave its latest answer that this instance's records include; `None` if
     /// unknown.
     last_known_answer_at: Option<Instant>,
-    /// Highest revision that the platform itself has delivered. Revisions received from peers do
-    /// not count: a record of a lower revision could still be missing and would never be read.
+    /// Highest revision up to which the platform has delivered all records to this instance, or to a
+    /// peer that had the same records. Revisions of single records do not count: a record of a lower
+    /// revision could still be missing and would never be read.
     cursor: u64,
     /// Era of the platform's store in which the cursor was read; 0 if the store reports none.
     cursor_era: u64,
@@ -158,21 +158,19 @@
     read_at_once: bool,
     /// Whether this instance was a reader at the last poll.
     was_reader: bool,
-    /// When the last digest of any peer was received.
-    last_digest_at: Instant,
-    /// Additional random time without a digest after which this instance reads the platform
-    /// although it is not a reader, so that the instances of a network partition do not all ask at
-    /// once.
-    silence_jitter: Duration,
+    /// Additional random delay of this instance's reads if it is neither a reader nor a substitute,
+    /// so that the instances of a network partition do not all ask at once.
+    fallback_jitter: Duration,
 }
 
 impl Reader {
     /// Creates a reader whose first read of the platform is due at once.
-    pub fn new(now: Instant, digest: Duration, random: &mut Random) -> Self {
+    pub fn new(now: Instant, timing: Timing, random: &mut Random) -> Self {
         Self {
             is_read_open: false,
             read_started_at: now,
             last_answer_at: now,
+            created_at: now,
             last_known_answer_at: None,
             cursor: 0,
             cursor_era: 0,
@@ -181,8 +179,7 @@
             tried: false,
             read_at_once: true,
             was_reader: false,
-            last_digest_at: now,
-            silence_jitter: random_up_to(digest * SILENT_DIGEST_PERIODS, random),
+            fallback_jitter: random_up_to(timing.contact / 16, random),
         }
     }
 
@@ -251,7 +248,7 @@
         now.since(self.last_answer_at)
     }
 
-    /// Time since the platform last answered any instance that this one knows of; `None` if
+    /// Time since the platform's latest answer that this instance's records include; `None` if
     /// unknown.
     pub fn platform_age(&self, now: Instant) -> Option<Duration> {
         self.last_known_answer_at.map(|answered_at| now.since(answered_at))
@@ -263,8 +260,8 @@
         self.platform_age(now).map_or(0, |age| whole_ms(age).saturating_add(1))
     }
 
-    /// Processes a peer's value of [`Reader::age_ms`]: the time since the platform last answered
-    /// any instance known to the peer.
+    /// Processes the value of [`Reader::age_ms`] of a peer that has the same records as this
+    /// instance. The age alone, without the records, would hide that records are missing here.
     pub fn note_peer_platform_age(&mut self, now: Instant, age_ms: u32) {
         if age_ms == 0 {
             return;
@@ -273,6 +270,21 @@
         self.last_known_answer_at = self.last_known_answer_at.max(Some(answered_at));
     }
 
+    /// Processes the cursor, and its era, of a peer that has the same records as this instance.
+    ///
+    /// The cursor of an instance that is no reader would otherwise stay where it was at the start,
+    /// and its next read would have to list all records.
+    pub fn note_peer_cursor(&mut self, era: u64, revision: u64) {
+        if self.cursor > 0 && self.cursor_era == era {
+            self.cursor = self.cursor.max(revision);
+        }
+    }
+
+    /// Revision up to which all records of the platform were delivered; 0 if none were.
+    pub const fn cursor(&self) -> u64 {
+        self.cursor
+    }
+
     /// Processes a failed read. The next read waits longer, with jitter, so that the instances do
     /// not all ask at once when the platform recovers.
     pub fn failed(&mut self, now: Instant, timing: Timing, random: &mut Random) -> Failure {
@@ -285,30 +297,30 @@
         Failure { failures: self.failures, waited: now.since(self.read_started_at), pause }
     }
 
-    /// Notes that a peer's digest has arrived.
-    pub fn note_peer_digest(&mut self, now: Instant) {
-        self.last_digest_at = now;
-    }
-
-    /// Restarts the measurement of missing digests after a process pause, because the pause
-    /// explains them.
-    pub fn resumed(&mut self, now: Instant) {
-        self.last_digest_at = now;
-    }
-
-    /// Whether no digest has arrived for so long that this instance may be isolated from all
-    /// readers.
-    fn is_isolated(&self, now: Instant, digest: Duration) -> bool {
-        now >= self.isolated_at(digest)
-    }
-
-    fn isolated_at(&self, digest: Duration) -> Instant {
-        self.last_digest_at + digest * SILENT_DIGEST_PERIODS + self.silence_jitter
+    /// Spreads the reads that are overdue after a pause of this process, because many instances may
+    /// have been paused together.
+    pub fn resumed(&mut self, now: Instant, timing: Timing, random: &mut Random) {
+        if !self.was_reader {
+            let latest = now + random_up_to(timing.pause(0), random);
+            self.earliest_read = self.earliest_read.max(latest);
+        }
     }
 
-    /// When this instance reads the platform because the readers get no answers.
-    fn fallback_read_at(&self, reader_rank: ReaderRank, timing: Timing) -> Option<Instant> {
-        Some(self.last_known_answer_at? + reader_rank.fallback_delay(timing)?)
+    /// When an instance of this rank reads the platform because its records may be out of date.
+    ///
+    /// If the platform does not answer that read either, it may be down, and only some instances of
+    /// each zone go on asking at a reader's pace.
+    fn fallback_read_at(&self, rank: ReaderRank, timing: Timing) -> Instant {
+        let up_to_date_at = self.last_known_answer_at.unwrap_or(self.created_at);
+        let due_at = up_to_date_at + rank.fallback_delay(timing);
+        if rank.is_substitute() {
+            return due_at;
+        }
+        let due_at = due_at + self.fallback_jitter;
+        match self.is_failing() && rank.0 >= MAX_READERS_PER_ZONE_IN_OUTAGE {
+            true => due_at.max(self.read_started_at + timing.contact * 3 / 4),
+            false => due_at,
+        }
     }
 
     /// The read to start now, if any, for an instance of this rank.
@@ -332,9 +344,6 @@
         // ask the platform meanwhile even if it had recovered.
         let may_wait = is_reader && !self.read_at_once && !self.is_failing();
         let wait = if may_wait { timing.watch() } else { Duration::ZERO };
-        if !is_reader {
-            self.last_digest_at = now;
-        }
         Some(Read { cause, after: self.cursor, wait, patience: timing.patience() })
     }
 
@@ -346,10 +355,9 @@
         if !self.tried {
             return Some(Cause::Start);
         }
-        if self.fallback_read_at(reader_rank, timing).is_some_and(|at| now >= at) {
-            return Some(Cause::Fallback);
-        }
-        self.is_isolated(now, timing.digest).then_some(Cause::Isolated)
+        let is_due = now >= self.fallback_read_at(reader_rank, timing);
+        let cause = if reader_rank.is_substitute() { Cause::Fallback } else { Cause::Isolated };
+        is_due.then_some(cause)
     }
 
     /// Delays the first read of an instance that has just become a reader, so that after the loss
@@ -377,19 +385,13 @@
         if reader_rank.is_reader() || !self.tried {
             return Some(self.earliest_read);
         }
-        let isolated_at = self.isolated_at(timing.digest);
-        let next = self
-            .fallback_read_at(reader_rank, timing)
-            .map_or(isolated_at, |at| at.min(isolated_at));
-        Some(next.max(self.earliest_read))
+        Some(self.fallback_read_at(reader_rank, timing).max(self.earliest_read))
     }
 }
 
-/// Time spans that determine when the reader reads the platform.
+/// Time span that determines when the reader reads the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Interval between the digests of a peer.
-    pub digest: Duration,
     /// Longest time from the moment at which the platform becomes reachable until this instance has
     /// received its answer and sent the records to its peers.
     ///
--- a/crates/core/src/control/store/digest.rs
+++ b/crates/core/src/control/store/digest.rs
@@ -83,15 +83,21 @@
     pub fn total_digest(&self) -> Digest {
         Digest {
             whole: total(&self.hashes.revisions),
-            whole_contents: total(&self.hashes.contents),
+            whole_contents: self.contents_hash(),
             ..Digest::default()
         }
     }
 
+    /// Hash over keys, revisions and contents of all records and over all departures; 0 if there are
+    /// none.
+    pub fn contents_hash(&self) -> u64 {
+        total(&self.hashes.contents)
+    }
+
     /// Whether a peer's digest shows the same records as this store has.
     pub fn equals(&self, digest: &Digest) -> bool {
         match hashes_contents(digest) {
-            true => digest.whole_contents == total(&self.hashes.contents),
+            true => digest.whole_contents == self.contents_hash(),
             false => digest.whole == total(&self.hashes.revisions),
         }
     }
@@ -103,7 +109,7 @@
         }
         let revisions_differ = digest.whole != total(&self.hashes.revisions);
         let contents_differ =
-            hashes_contents(digest) && digest.whole_contents != total(&self.hashes.contents);
+            hashes_contents(digest) && digest.whole_contents != self.contents_hash();
         match digest.buckets.is_empty() {
             true => revisions_differ || contents_differ,
             false => contents_differ && !revisions_differ,
--- a/crates/core/tests/fleet/reader.rs
+++ b/crates/core/tests/fleet/reader.rs
@@ -6,7 +6,7 @@
 use ladder_core::control::reader::{Reader, ReaderRank, Timing, listing_spread, reader_rank};
 use ladder_core::time::Instant;
 
-const TIMING: Timing = Timing { digest: Duration::from_secs(1), contact: Duration::from_secs(4) };
+const TIMING: Timing = Timing { contact: Duration::from_secs(4) };
 
 fn at_ms(millis: u64) -> Instant {
     Instant::from_millis(millis)
@@ -18,7 +18,7 @@
 }
 
 fn reader(random: &mut Random) -> Reader {
-    Reader::new(at_ms(0), TIMING.digest, random)
+    Reader::new(at_ms(0), TIMING, random)
 }
 
 /// With 3,700 instances in 30 zones, the platform must see 60 watches, not 3,700.
@@ -88,25 +88,44 @@
     assert_eq!(read.after, 90, "a stale replica does not move the cursor back");
 }
 
-/// An instance that is not a reader reads once at its start. It reads again only when no peer's
-/// digest has arrived for long, because it may be cut off from all readers.
+/// An instance that is not a reader reads once at its start. It reads again only when no peer with
+/// the same records has told it for long of a later answer of the platform, because its peers may
+/// be cut off, or know no more than it does. That read leaves a quarter of the contact time.
 #[test]
-fn instance_without_digests_reads_the_platform() {
+fn instance_without_up_to_date_peers_reads_the_platform() {
     let mut random = Random::new(3);
     let mut reader = reader(&mut random);
     assert!(reader.poll(at_ms(0), ReaderRank::LAST, TIMING, &mut random).is_some(), "the start");
     reader.answered(at_ms(1), Some(10), 10);
     for second in 1..60 {
-        reader.note_peer_digest(at_ms(second * 1000));
-        let read = reader.poll(at_ms(second * 1000 + 500), ReaderRank::LAST, TIMING, &mut random);
-        assert!(read.is_none(), "digests arrive");
+        reader.note_peer_platform_age(at_ms(second * 1000), 1500);
+        let read = reader.poll(at_ms(second * 1000 + 900), ReaderRank::LAST, TIMING, &mut random);
+        assert!(read.is_none(), "a peer is up to date");
     }
     let wake = reader.next_wake(ReaderRank::LAST, TIMING).expect("a later read");
-    let silence = wake.since(at_ms(59_000));
-    assert!(silence >= TIMING.digest * 5 && silence <= TIMING.digest * 10);
+    let last_answer_at = at_ms(59_000) - Duration::from_millis(1499);
+    let age = wake.since(last_answer_at);
+    assert!(age >= TIMING.contact * 5 / 8 && age < TIMING.contact * 3 / 4, "{age:?}");
     assert!(reader.poll(wake, ReaderRank::LAST, TIMING, &mut random).is_some());
 }
 
+/// An instance takes over the cursor of a peer that has the same records, so that its next read
+/// does not list all of them. It keeps its own one if it has read none yet or in another era.
+#[test]
+fn cursor_of_an_equal_peer_is_taken_over_within_one_era() {
+    let mut random = Random::new(1);
+    let mut reader = reader(&mut random);
+    reader.note_peer_cursor(0, 90);
+    let read = reader.poll(at_ms(0), first_rank(), TIMING, &mut random).expect("at once");
+    assert_eq!(read.after, 0, "nothing was read yet");
+    reader.enter_era(4);
+    reader.caught_up(at_ms(1), 40);
+    for (era, revision, cursor) in [(5, 90, 40), (4, 30, 40), (4, 70, 70)] {
+        reader.note_peer_cursor(era, revision);
+        assert_eq!(reader.cursor(), cursor, "era {era}, revision {revision}");
+    }
+}
+
 /// When a reader first starts a read that gets an answer, if the answers to all reads that are open
 /// at `lost_from` or started before `lost_until` are lost.
 fn next_answerable_read(lost_from: Instant, lost_until: Instant, random: &mut Random) -> Instant {
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -100,6 +100,7 @@
             quarantine: 1,
             contents: vec![1; 64],
             whole_contents: 1,
+            revision: 41,
             era: 1,
         }),
         wanted: vec![0, 63, 64, u32::MAX],
