Replace connections between instances that may have gone silent before they are used

What callers saw: after a network failure that silences open connections, instances of a fleet of 83 were late with changes for as long as half a minute, though new connections worked at once.

Cause: a silent connection is found when a frame on it has waited 2 s for an answer and another frame follows. Probes do that for three peers; changes and digests go to random ones of 82, and each pair lost its next frame minutes after. Two more holes of the same kind: any frame of the peer counted as an answer, though it comes on the peer's own connection; and a peer that only answers never expects an answer, so its silent connection was not found at all. Class: a failure of many connections is concluded from each one alone.

When a connection is found silent, all others that have carried no answer since then are replaced before their next frame. Only an acknowledgement of a probe sent on the connection, or replies to work, count as an answer. The first frame on a replacement asks the peer to replace its connection too, unless that is younger than 2 s. Peers without the new field ignore it.

Three tests in tests/integration/link.rs, each red with its part taken out: one-way silence (30 s without a second connection), a seldom used connection, a peer that only answers.

--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -58,7 +58,7 @@
     };
     inbound.run(socket, |frame| {
         names.remember(&frame.address, &frame.from);
-        shared.outbound.heard(&frame.address);
+        shared.outbound.heard(&frame);
         deliver(shared, frame);
     });
 }
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -8,7 +8,7 @@
 use ladder_core::time::Instant;
 use ladder_schema::bounds;
 use ladder_schema::outcome::Reason;
-use ladder_schema::wire::Frame;
+use ladder_schema::wire::{Frame, Probe};
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, SendBufferSize};
 use nng::{PipeEvent, Protocol, Socket};
 use prost::Message;
@@ -59,8 +59,21 @@
     metrics: Metrics,
     cut: Cut,
     on_disconnect: OnDisconnect,
-    /// Invariant: holds at most one connection per address.
-    connections: Arc<Mutex<Map<Arc<str>, Connection>>>,
+    connections: Arc<Mutex<Connections>>,
+}
+
+/// The connections to all peers.
+#[derive(Default)]
+struct Connections {
+    /// Connection of each peer by its address.
+    by_address: Map<Arc<str>, Connection>,
+    /// Since when the connection that was last found silent had been silent; `None` if none was.
+    ///
+    /// A network failure silences many connections at once, but each is noticed only when frames on
+    /// it stay unanswered. Most pairs of a large fleet exchange a frame every minute or so, and each
+    /// would lose its next one. Connections without an answer since then are therefore replaced
+    /// before they are used again.
+    silent_since: Option<Instant>,
 }
 
 /// State of the only connection of a socket.
@@ -134,6 +147,8 @@
 struct Connection {
     socket: Socket,
     state: ConnectionState,
+    /// Time at which the connection attempt began.
+    opened_at: Instant,
     /// Time at which a frame was last passed to this connection.
     last_used: Instant,
     /// Time at which the connection is attempted again if it is not open by then.
@@ -143,27 +158,81 @@
     /// Time of the first frame that needs an answer from the peer, of those sent since a frame of
     /// the peer was last received.
     unanswered_since: Option<Instant>,
+    /// Time of the first probe on this connection of those sent since one was last acknowledged.
+    ///
+    /// Other frames of the peer do not prove that this connection works: they arrive on a connection
+    /// of the peer's own.
+    unacknowledged_since: Option<Instant>,
+    /// Number of the first probe that was sent on this connection; 0 if none was.
+    first_probe: u64,
+    /// When the peer last answered something that was sent on this connection; the time of the
+    /// connection attempt if it never has.
+    answered_at: Instant,
+    /// Whether the peer has asked for another connection, as it receives nothing on this one.
+    peer_requests_replacement: bool,
 }
 
 impl Connection {
     /// Why this connection has to be replaced, and the dial timeout of the one that replaces it;
     /// `None` while this connection is usable.
-    fn replacement(&self, now: Instant) -> Option<(PeerConnection, Duration)> {
-        match self.state.phase() {
+    fn replacement(
+        &self,
+        now: Instant,
+        silent_since: Option<Instant>,
+    ) -> Option<(PeerConnection, Duration)> {
+        let cause = match self.state.phase() {
             Phase::Dialled if now >= self.redial_at => {
-                Some((PeerConnection::Unopened, (self.timeout * 2).min(DIAL_TIMEOUT.1)))
+                return Some((PeerConnection::Unopened, (self.timeout * 2).min(DIAL_TIMEOUT.1)));
             }
-            Phase::Connected if self.is_silent(now) => {
-                Some((PeerConnection::Silent, DIAL_TIMEOUT.0))
+            Phase::Connected if self.is_silent(now) => PeerConnection::Silent,
+            Phase::Connected if silent_since.is_some_and(|since| self.answered_at < since) => {
+                PeerConnection::Unverified
             }
-            Phase::Dialled | Phase::Connected => None,
-            Phase::Broken | Phase::Closed => Some((PeerConnection::Broken, DIAL_TIMEOUT.0)),
-        }
+            Phase::Connected if self.peer_requests_replacement => PeerConnection::Requested,
+            Phase::Dialled | Phase::Connected => return None,
+            Phase::Broken | Phase::Closed => PeerConnection::Broken,
+        };
+        Some((cause, DIAL_TIMEOUT.0))
+    }
+
+    /// Since when the connection may have been silent, going by the frames that need an answer.
+    fn silent_since(&self) -> Option<Instant> {
+        let times = [self.unanswered_since, self.unacknowledged_since];
+        times.into_iter().flatten().min()
     }
 
     /// Whether the peer has left a frame unanswered for [`ANSWER_TIMEOUT`] or longer.
     fn is_silent(&self, now: Instant) -> bool {
-        self.unanswered_since.is_some_and(|since| now.since(since) >= ANSWER_TIMEOUT)
+        self.silent_since().is_some_and(|since| now.since(since) >= ANSWER_TIMEOUT)
+    }
+
+    /// Notes a frame that is about to be sent on this connection.
+    fn note_sent(&mut self, now: Instant, frame: &Frame) {
+        if !(frame.probes.is_empty() && frame.work.is_empty()) {
+            self.unanswered_since.get_or_insert(now);
+        }
+        if let Some(probe) = frame.probes.first() {
+            self.unacknowledged_since.get_or_insert(now);
+            if self.first_probe == 0 {
+                self.first_probe = probe.number;
+            }
+        }
+    }
+
+    /// Notes a frame of the peer.
+    fn note_received(&mut self, now: Instant, frame: &Frame) {
+        self.unanswered_since = None;
+        let is_own_probe = |probe: &Probe| (1..=probe.number).contains(&self.first_probe);
+        let acknowledges = frame.acknowledgements.iter().any(is_own_probe);
+        if acknowledges {
+            self.unacknowledged_since = None;
+        }
+        if acknowledges || !frame.replies.is_empty() {
+            self.answered_at = now;
+        }
+        // The connection may have been replaced since the peer sent its request.
+        let is_old = now.since(self.opened_at) >= ANSWER_TIMEOUT;
+        self.peer_requests_replacement |= frame.replaces_silent && is_old;
     }
 
     fn close(&self) {
@@ -207,10 +276,9 @@
         }
         let traffic = is_traffic(&frame);
         self.sign(&mut frame);
+        let connection = self.connection_for(address, &mut frame);
         let bytes = frame.encode_to_vec();
         self.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
-        let needs_answer = !(frame.probes.is_empty() && frame.work.is_empty());
-        let connection = self.connection_to(address, needs_answer);
         let sent = connection.is_some_and(|(socket, state)| state.send(&socket, &bytes));
         if !sent {
             self.metrics.dropped(Reason::LinkFull);
@@ -229,42 +297,48 @@
         frame.sent_us = self.clock.now().as_micros();
     }
 
-    /// Records that a frame from the peer at `address` was received.
-    pub fn heard(&self, address: &str) {
+    /// Records that a frame was received from a peer.
+    pub fn heard(&self, frame: &Frame) {
+        let now = self.clock.now();
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(connection) = connections.get_mut(address) {
-            connection.unanswered_since = None;
+        if let Some(connection) = connections.by_address.get_mut(frame.address.as_str()) {
+            connection.note_received(now, frame);
         }
     }
 
-    /// Returns the socket to `address`; a new one is opened if there is none or the old one has to
-    /// be replaced. `needs_answer` says whether the next frame needs an answer from the peer.
-    fn connection_to(
+    /// Returns the socket to `address` for a frame; a new one is opened if there is none or the old
+    /// one has to be replaced. The first frame after a silence asks the peer to replace its
+    /// connection, too, which may be just as silent.
+    fn connection_for(
         &self,
         address: &str,
-        needs_answer: bool,
+        frame: &mut Frame,
     ) -> Option<(Socket, ConnectionState)> {
         let now = self.clock.now();
-        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut guard = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let Connections { by_address, silent_since } = &mut *guard;
         let mut timeout = DIAL_TIMEOUT.0;
-        if let Some(connection) = connections.get_mut(address) {
+        if let Some(connection) = by_address.get_mut(address) {
             connection.last_used = now;
-            let Some((cause, next_timeout)) = connection.replacement(now) else {
-                if needs_answer {
-                    connection.unanswered_since.get_or_insert(now);
-                }
+            let Some((cause, next_timeout)) = connection.replacement(now, *silent_since) else {
+                connection.note_sent(now, frame);
                 return Some((connection.socket.clone(), connection.state.clone()));
             };
+            if cause == PeerConnection::Silent {
+                *silent_since = (*silent_since).max(connection.silent_since());
+            }
+            frame.replaces_silent =
+                matches!(cause, PeerConnection::Silent | PeerConnection::Unverified);
             connection.close();
             self.metrics.peer_connection(cause);
             timeout = next_timeout;
         }
-        close_idle(&mut connections, now);
+        close_idle(by_address, now);
         self.metrics.peer_connection(PeerConnection::Dialled);
         let mut connection = self.open(address, now, timeout).ok()?;
-        connection.unanswered_since = needs_answer.then_some(now);
+        connection.note_sent(now, frame);
         let usable = (connection.socket.clone(), connection.state.clone());
-        connections.insert(Arc::from(address), connection);
+        by_address.insert(Arc::from(address), connection);
         Some(usable)
     }
 
@@ -285,7 +359,19 @@
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
         let redial_at = now + timeout;
-        Ok(Connection { socket, state, last_used: now, redial_at, timeout, unanswered_since: None })
+        Ok(Connection {
+            socket,
+            state,
+            opened_at: now,
+            last_used: now,
+            redial_at,
+            timeout,
+            unanswered_since: None,
+            unacknowledged_since: None,
+            first_probe: 0,
+            answered_at: now,
+            peer_requests_replacement: false,
+        })
     }
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -23,6 +23,10 @@
     Unopened,
     /// A connection was replaced because the peer left a frame unanswered.
     Silent,
+    /// A connection was replaced because it had carried no answer since another one fell silent.
+    Unverified,
+    /// A connection was replaced because the peer asked for it.
+    Requested,
     /// A connection was replaced because it had ended.
     Broken,
 }
@@ -188,6 +192,8 @@
             PeerConnection::Dialled => "dialled",
             PeerConnection::Unopened => "unopened",
             PeerConnection::Silent => "silent",
+            PeerConnection::Unverified => "unverified",
+            PeerConnection::Requested => "requested",
             PeerConnection::Broken => "broken",
         };
         self.peer_connections.add(1, &[KeyValue::new("event", event)]);
--- a/tests/integration/link.rs
+++ b/tests/integration/link.rs
@@ -66,6 +66,92 @@
     Frame { probes: vec![Probe { number }], ..Frame::default() }
 }
 
+/// A frame of a peer that contains nothing but its sender.
+fn frame_from(peer: &StubPeer) -> Frame {
+    Frame { address: peer.address.clone(), ..Frame::default() }
+}
+
+/// A frame in which a peer acknowledges a probe.
+fn acknowledgement(peer: &StubPeer, number: u64) -> Frame {
+    Frame { acknowledgements: vec![Probe { number }], ..frame_from(peer) }
+}
+
+/// Sends probes to a peer and does `after_each` until it has accepted this many connections.
+fn probe_until_connections(
+    outbound: &Outbound,
+    peer: &StubPeer,
+    count: usize,
+    after_each: impl Fn(),
+) {
+    let started = Instant::now();
+    let mut number = 100;
+    while peer.connections() < count {
+        assert!(started.elapsed() < TIMEOUT, "{} connections", peer.connections());
+        number += 1;
+        outbound.send(&peer.address, probe_frame(number));
+        after_each();
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against staying on a connection that is silent in one direction only: the peer's own
+/// frames arrived on its connection, and were taken for answers to what it never received.
+#[test]
+fn peer_that_sends_but_acknowledges_nothing_is_reconnected() {
+    let (peer, outbound) = (StubPeer::start(), outbound_link());
+    probe_until_connections(&outbound, &peer, 2, || outbound.heard(&frame_from(&peer)));
+}
+
+/// Guards against losing the next frame to each peer after many connections fell silent at once:
+/// two instances of a large fleet that seldom exchange frames did not notice before they had used
+/// their connection twice, which took minutes.
+#[test]
+fn connections_without_answers_since_a_silence_are_replaced_before_use() {
+    let outbound = outbound_link();
+    let [silent, seldom, answering] = [(); 3].map(|()| StubPeer::start());
+    for peer in [&seldom, &answering] {
+        probe_until_connections(&outbound, peer, 1, || {});
+        outbound.heard(&acknowledgement(peer, 1000));
+    }
+    thread::sleep(Duration::from_millis(100));
+    probe_until_connections(&outbound, &silent, 2, || {
+        outbound.send(&answering.address, probe_frame(2000));
+        outbound.heard(&acknowledgement(&answering, 2000));
+    });
+    let started = Instant::now();
+    while seldom.connections() < 2 {
+        assert!(started.elapsed() < TIMEOUT, "the unused connection is not replaced");
+        outbound.send(&seldom.address, Frame::default());
+        thread::sleep(Duration::from_millis(50));
+    }
+    outbound.send(&answering.address, Frame::default());
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(answering.connections(), 1, "a connection with answers is kept");
+    assert_eq!(seldom.connections(), 2, "a connection is replaced once");
+}
+
+/// Guards against a peer that goes on answering on a silent connection: its answers need no answer
+/// themselves, so it would never notice.
+#[test]
+fn peer_that_replaced_its_connection_gets_answers_on_a_new_one() {
+    let (peer, outbound) = (StubPeer::start(), outbound_link());
+    let request = Frame { replaces_silent: true, ..frame_from(&peer) };
+    outbound.send(&peer.address, Frame::default());
+    outbound.heard(&request);
+    thread::sleep(Duration::from_millis(500));
+    outbound.send(&peer.address, Frame::default());
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(peer.connections(), 1, "a connection that was opened just before is kept");
+    thread::sleep(Duration::from_secs(2));
+    outbound.heard(&request);
+    let started = Instant::now();
+    while peer.connections() < 2 {
+        assert!(started.elapsed() < TIMEOUT, "the connection is not replaced");
+        outbound.send(&peer.address, Frame::default());
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Guards against staying on a connection between two instances that fails silently: neither end is
 /// notified, and nothing sent on it arrives. The operating system accepted the frames for a quarter
 /// of an hour, so both instances considered each other dead and kept probing on the same
@@ -83,9 +169,9 @@
         thread::sleep(Duration::from_millis(50));
     }
     let answering = StubPeer::start();
-    for number in 0..60 {
+    for number in 1..=60 {
         outbound.send(&answering.address, probe_frame(number));
-        outbound.heard(&answering.address);
+        outbound.heard(&acknowledgement(&answering, number));
         thread::sleep(Duration::from_millis(50));
     }
     assert_eq!(answering.connections(), 1, "a peer that replies keeps its connection");
