Metric of the age of an instance's records

An operator could not see an instance that is behind without a complaint of its callers. ladder_records_age_seconds is the time since the platform's latest answer that its records are known to include.

--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -29,7 +29,7 @@
     /// Answers one HTTP request.
     pub async fn handle(self, mut request: Request) -> Response<BoxBody> {
         match (request.method(), request.path()) {
-            (&Method::GET, "/metrics") => http::text(StatusCode::OK, self.shared.metrics.text()),
+            (&Method::GET, "/metrics") => http::text(StatusCode::OK, self.metrics().await),
             (&Method::GET, "/revision") => {
                 let revision = self.shared.control.inspect(|machine| machine.view().revision).await;
                 http::text(StatusCode::OK, revision.unwrap_or_default().to_string())
@@ -48,6 +48,16 @@
         }
     }
 
+    /// Returns all metrics, with the age of the records as of now.
+    async fn metrics(&self) -> String {
+        let now = self.shared.clock.now();
+        let age = self.shared.control.inspect(move |machine| machine.platform_age(now)).await;
+        if let Some(age) = age.flatten() {
+            self.shared.metrics.records_age(age);
+        }
+        self.shared.metrics.text()
+    }
+
     /// Returns the recorded steps of the requests with one key.
     async fn explain(&self, request: &Request) -> Response<BoxBody> {
         match http::query_parameter(request, "key") {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,6 +54,7 @@
     platform_read_starts: Counter<u64>,
     platform_eras: Counter<u64>,
     admissible_share: Gauge<f64>,
+    records_age: Gauge<f64>,
 }
 
 impl Metrics {
@@ -64,9 +65,7 @@
     /// An error of the OpenTelemetry SDK if the exporter cannot be registered.
     pub fn new() -> Result<Self, OTelSdkError> {
         let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let provider = provider(&registry)?;
         let meter: Meter = provider.meter("ladder");
         let counter = |name: &'static str, description: &'static str| {
             meter.u64_counter(name).with_description(description).build()
@@ -112,10 +111,16 @@
                 "ladder_platform_eras",
                 "Changes of the era of the platform's store",
             ),
-            admissible_share: meter
-                .f64_gauge("ladder_admissible_share")
-                .with_description("Share of the sweeps that are admitted, by route")
-                .build(),
+            admissible_share: gauge(
+                &meter,
+                "ladder_admissible_share",
+                "Share of the sweeps that are admitted, by route",
+            ),
+            records_age: gauge(
+                &meter,
+                "ladder_records_age_seconds",
+                "Time since the platform's latest answer that the records in force include",
+            ),
             registry,
             _provider: provider,
         })
@@ -225,6 +230,11 @@
         self.admissible_share.record(change.share.fraction(), &[route]);
     }
 
+    /// Sets the time since the platform's latest answer that the records in force include.
+    pub fn records_age(&self, age: Duration) {
+        self.records_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
@@ -233,3 +243,13 @@
         String::from_utf8_lossy(&buffer).into_owned()
     }
 }
+
+/// Creates a provider of meters whose metrics are exported to a registry.
+fn provider(registry: &Registry) -> Result<SdkMeterProvider, OTelSdkError> {
+    let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+    Ok(SdkMeterProvider::builder().with_reader(exporter).build())
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
+    meter.f64_gauge(name).with_description(description).build()
+}
