--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -64,7 +64,7 @@
     ///
     /// The readers may be refused by the platform, cut off from it or from this instance, or gone.
     /// The next instances in the zone ask first, so that most others learn from them. Each delay is
-    /// longer than a watch and a digest interval together, and leaves a quarter of the contact time
+    /// longer than a watch and the spread of its answer, and leaves a quarter of the contact time
     /// for the read and its broadcast.
     fn fallback_delay(self, timing: Timing) -> Duration {
         if self.is_substitute() { timing.contact * 9 / 16 } else { timing.contact * 5 / 8 }
