--- a/crates/core/tests/fleet/late_changes.rs
+++ b/crates/core/tests/fleet/late_changes.rs
@@ -32,6 +32,11 @@
 
 /// A fleet with version 22 of the routes in force at every instance, as the highest revision.
 fn ready_fleet(instances: usize, era: u64) -> Fleet {
+    ready_fleet_in(zone, instances, era)
+}
+
+/// As [`ready_fleet`], with the zone of each instance.
+fn ready_fleet_in(zone: fn(usize) -> &'static str, instances: usize, era: u64) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.era = era;
     fleet.sends_full_listing = true;
@@ -220,3 +225,17 @@
     }
     assert!(late_instances.is_empty(), "late instances: {late_instances:#?}");
 }
+
+/// Guards against instances that read the platform although nothing is wrong, because in a large
+/// zone they learn too late of the readers' answers.
+#[test]
+fn idle_instances_of_a_large_zone_leave_reading_to_the_readers() {
+    let mut fleet = ready_fleet_in(|_| "campanha", 100, 0);
+    let reads = |fleet: &Fleet| {
+        let others = fleet.nodes.values().filter(|node| !node.machine.is_reader());
+        others.map(|node| node.platform_reads).sum::<usize>()
+    };
+    let before = reads(&fleet);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(reads(&fleet) - before, 0);
+}
