Test a drill of the store beside ended, started and cut-off instances

9 and 83 instances, a third ends and starts without memory and a fifth is cut off from the others while the store comes back from a copy without an acknowledged version. Passes; it was not seen red.

--- a/crates/core/tests/fleet/late_changes.rs
+++ b/crates/core/tests/fleet/late_changes.rs
@@ -239,3 +239,27 @@
     fleet.run(Duration::from_secs(10));
     assert_eq!(reads(&fleet) - before, 0);
 }
+
+/// Guards against instances that keep lost routes, or none, because instances ended, started without
+/// memory or were cut off from their peers while the store was restored from a copy.
+#[test]
+fn change_after_a_drill_beside_other_losses_is_in_force_in_time() {
+    for instances in [9, 83] {
+        let mut fleet = ready_fleet(instances, 1);
+        fleet.publish([routes(HEAD + 1, 25)]);
+        fleet.run(ms(100));
+        fleet.stop_platform();
+        fleet.incarnation += 1;
+        let lost: Vec<usize> = (0..instances).filter(|at| at % 3 == 1).collect();
+        lost.iter().for_each(|&at| fleet.kill(&name(at), false));
+        fleet.partition_side.extend((0..instances).filter(|at| at % 5 == 2).map(name));
+        fleet.run(ms(1500));
+        fleet.drill(HEAD);
+        lost.iter().for_each(|&at| fleet.start(&name(at), zone(at)));
+        fleet.run(ms(500));
+        fleet.publish([routes(HEAD + 1, 29)]);
+        fleet.run(CONTACT);
+        assert_eq!(steps_back(&fleet), Vec::<String>::new(), "{instances} instances");
+        assert_eq!(outdated(&fleet, 29), Vec::<String>::new(), "{instances} instances");
+    }
+}
