Log and time the replacement of connections between instances

The incident's hypotheses differ in which connection is found silent, by what and how late; there were only counters. A line 'peer connection replaced' names peer, cause, time since the first unanswered frame and frames since the last answer; ladder_peer_silence_seconds counts the times. No decision is changed. The state of one connection moves to link/connection.rs, the metrics of the links to a struct of their own.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -40,7 +40,7 @@
 
 use crate::clock::{self, Clock};
 use crate::driver::{self, Handle, Inbox};
-use crate::link::{Cut, Identity, Inbound, Outbound};
+use crate::link::{self, Cut, Identity, Inbound, Outbound};
 use crate::log::{self, RequestLog};
 use crate::metrics::Metrics;
 use crate::options::{Options, arguments};
@@ -224,14 +224,12 @@
     let clock = Clock::new();
     let incarnation = clock::incarnation();
     let peer_names = peer::PeerNames::default();
+    let log = log::logger(&settings.log.unwrap_or_default(), &settings.name);
     let outbound = Outbound::new(
         identity(options, incarnation),
-        clock,
-        metrics.clone(),
-        cut.clone(),
+        link::Context { clock, metrics: metrics.clone(), cut: cut.clone(), log: log.clone() },
         peer::on_disconnect(peer_names.clone(), control.clone(), gather.clone()),
     );
-    let log = log::logger(&settings.log.unwrap_or_default(), &settings.name);
     let shared = Shared {
         request_log: RequestLog::new(log.clone(), clock),
         options: Arc::new(options.clone()),
--- a/src/link.rs
+++ b/src/link.rs
@@ -5,6 +5,7 @@
 //! while its receiver is paused; [`inbound`] estimates the waiting time and subtracts it from the
 //! frame's time budgets.
 
+mod connection;
 pub mod inbound;
 pub mod outbound;
 
@@ -13,7 +14,7 @@
 use ladder_core::collections::Set;
 
 pub use inbound::Inbound;
-pub use outbound::Outbound;
+pub use outbound::{Context, Outbound};
 
 /// The identity under which an instance sends frames to its peers.
 #[derive(Clone, Debug)]
--- a/src/link/outbound.rs
+++ b/src/link/outbound.rs
@@ -1,20 +1,23 @@
 //! Sends frames to peers, over one connection per peer.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ladder_core::collections::Map;
 use ladder_core::time::Instant;
 use ladder_schema::bounds;
 use ladder_schema::outcome::Reason;
-use ladder_schema::wire::{Frame, Probe};
+use ladder_schema::wire::Frame;
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, SendBufferSize};
 use nng::{PipeEvent, Protocol, Socket};
 use prost::Message;
+use slog::{Logger, info};
 
+use super::connection::{Connection, ConnectionState, DIAL_TIMEOUT, Replacement};
 use super::{Cut, Identity};
 use crate::clock::Clock;
+use crate::log::whole_millis;
 use crate::metrics::{Metrics, PeerConnection};
 
 /// Most frames that wait in the send buffer of one peer's connection.
@@ -26,25 +29,18 @@
 const RECONNECT_DELAY: (Duration, Duration) =
     (Duration::from_millis(20), Duration::from_millis(1000));
 
-/// First and longest time that a connection attempt may take before it is replaced by a new
-/// attempt; the time doubles with each attempt.
-///
-/// A machine without power does not answer the packet that opens a connection, and the operating
-/// system resends the packet only after a second. After a power failure of the whole fleet,
-/// instances that restarted early dialled machines that were still off, and knew of no other
-/// instance for a second.
-const DIAL_TIMEOUT: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_millis(1600));
-
-/// How long a peer may leave a frame unanswered that needs an answer, before its connection is
-/// opened again.
-///
-/// A connection can fail without notice to either end; the operating system then accepts data on it
-/// for a quarter of an hour. Its peer would be considered dead and probed again on the same
-/// connection, so that neither instance would ever receive frames from the other. The limit is
-/// longer than the time after which the membership suspects a peer, so that a peer that was only
-/// paused keeps its connection.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// What the link uses of its process.
+#[derive(Clone)]
+pub struct Context {
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Metrics in which frames and connections are counted.
+    pub metrics: Metrics,
+    /// Addresses of peers whose frames a failure test drops.
+    pub cut: Cut,
+    /// Logger of this instance.
+    pub log: Logger,
+}
 
 /// Callback that receives the address of a peer whose connection broke.
 pub type OnDisconnect = Arc<dyn Fn(&str) + Send + Sync>;
@@ -55,9 +51,7 @@
     identity: Arc<Identity>,
     /// Generation that is written into every frame. Only the control thread changes it.
     generation: Arc<AtomicU64>,
-    clock: Clock,
-    metrics: Metrics,
-    cut: Cut,
+    context: Context,
     on_disconnect: OnDisconnect,
     connections: Arc<Mutex<Connections>>,
 }
@@ -76,191 +70,12 @@
     silent_since: Option<Instant>,
 }
 
-/// State of the only connection of a socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// The connection is being opened.
-    Dialled,
-    /// The connection is open.
-    Connected,
-    /// The connection broke, and its socket has to be replaced.
-    Broken,
-    /// This instance closes the socket; the end of the connection is then no loss.
-    Closed,
-}
-
-/// State of a socket's connection. Its lock ensures that nothing is sent on the socket after the
-/// connection has broken.
-///
-/// If a connection breaks while a frame is being sent, nng returns it to its list of idle
-/// connections and may pass a later frame to it after it has been freed, which aborts the process.
-/// This was seen as answers that callers never received, in one of forty losses of a peer. nng
-/// calls the pipe callback before it frees the connection; every sender holds this lock, so that
-/// nothing is sent after that callback.
-#[derive(Clone)]
-struct ConnectionState(Arc<Mutex<Phase>>);
-
-impl ConnectionState {
-    fn new() -> Self {
-        Self(Arc::new(Mutex::new(Phase::Dialled)))
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Phase> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn phase(&self) -> Phase {
-        *self.lock()
-    }
-
-    fn mark_connected(&self) {
-        let mut phase = self.lock();
-        if *phase == Phase::Dialled {
-            *phase = Phase::Connected;
-        }
-    }
-
-    /// Records that the connection has ended; no frame is being sent at this time. Returns whether
-    /// the end is a loss, which it isn't if this instance closed the socket.
-    fn mark_broken(&self) -> bool {
-        let mut phase = self.lock();
-        let lost = *phase != Phase::Closed;
-        if lost {
-            *phase = Phase::Broken;
-        }
-        lost
-    }
-
-    fn close(&self) {
-        *self.lock() = Phase::Closed;
-    }
-
-    /// Passes a frame to the socket unless the connection is broken or closed. Returns whether the
-    /// frame was accepted.
-    fn send(&self, socket: &Socket, bytes: &[u8]) -> bool {
-        let phase = self.lock();
-        matches!(*phase, Phase::Dialled | Phase::Connected) && socket.try_send(bytes).is_ok()
-    }
-}
-
-/// The connection to one peer. A broken connection is replaced together with its socket.
-struct Connection {
-    socket: Socket,
-    state: ConnectionState,
-    /// Time at which the connection attempt began.
-    opened_at: Instant,
-    /// Time at which a frame was last passed to this connection.
-    last_used: Instant,
-    /// Time at which the connection is attempted again if it is not open by then.
-    redial_at: Instant,
-    /// How long this connection attempt may take before it is replaced by a new one.
-    timeout: Duration,
-    /// Time of the first frame that needs an answer from the peer, of those sent since a frame of
-    /// the peer was last received.
-    unanswered_since: Option<Instant>,
-    /// Time of the first probe on this connection of those sent since one was last acknowledged.
-    ///
-    /// Other frames of the peer do not prove that this connection works: they arrive on a connection
-    /// of the peer's own.
-    unacknowledged_since: Option<Instant>,
-    /// Number of the first probe that was sent on this connection; 0 if none was.
-    first_probe: u64,
-    /// When the peer last answered something that was sent on this connection; the time of the
-    /// connection attempt if it never has.
-    answered_at: Instant,
-    /// Whether the peer has asked for another connection, as it receives nothing on this one.
-    peer_requests_replacement: bool,
-}
-
-impl Connection {
-    /// Why this connection has to be replaced, and the dial timeout of the one that replaces it;
-    /// `None` while this connection is usable.
-    fn replacement(
-        &self,
-        now: Instant,
-        silent_since: Option<Instant>,
-    ) -> Option<(PeerConnection, Duration)> {
-        let cause = match self.state.phase() {
-            Phase::Dialled if now >= self.redial_at => {
-                return Some((PeerConnection::Unopened, (self.timeout * 2).min(DIAL_TIMEOUT.1)));
-            }
-            Phase::Connected if self.is_silent(now) => PeerConnection::Silent,
-            Phase::Connected if silent_since.is_some_and(|since| self.answered_at < since) => {
-                PeerConnection::Unverified
-            }
-            Phase::Connected if self.peer_requests_replacement => PeerConnection::Requested,
-            Phase::Dialled | Phase::Connected => return None,
-            Phase::Broken | Phase::Closed => PeerConnection::Broken,
-        };
-        Some((cause, DIAL_TIMEOUT.0))
-    }
-
-    /// Since when the connection may have been silent, going by the frames that need an answer.
-    fn silent_since(&self) -> Option<Instant> {
-        let times = [self.unanswered_since, self.unacknowledged_since];
-        times.into_iter().flatten().min()
-    }
-
-    /// Whether the peer has left a frame unanswered for [`ANSWER_TIMEOUT`] or longer.
-    fn is_silent(&self, now: Instant) -> bool {
-        self.silent_since().is_some_and(|since| now.since(since) >= ANSWER_TIMEOUT)
-    }
-
-    /// Notes a frame that is about to be sent on this connection.
-    fn note_sent(&mut self, now: Instant, frame: &Frame) {
-        if !(frame.probes.is_empty() && frame.work.is_empty()) {
-            self.unanswered_since.get_or_insert(now);
-        }
-        if let Some(probe) = frame.probes.first() {
-            self.unacknowledged_since.get_or_insert(now);
-            if self.first_probe == 0 {
-                self.first_probe = probe.number;
-            }
-        }
-    }
-
-    /// Notes a frame of the peer.
-    fn note_received(&mut self, now: Instant, frame: &Frame) {
-        self.unanswered_since = None;
-        let is_own_probe = |probe: &Probe| (1..=probe.number).contains(&self.first_probe);
-        let acknowledges = frame.acknowledgements.iter().any(is_own_probe);
-        if acknowledges {
-            self.unacknowledged_since = None;
-        }
-        if acknowledges || !frame.replies.is_empty() {
-            self.answered_at = now;
-        }
-        // The connection may have been replaced since the peer sent its request.
-        let is_old = now.since(self.opened_at) >= ANSWER_TIMEOUT;
-        self.peer_requests_replacement |= frame.replaces_silent && is_old;
-    }
-
-    fn close(&self) {
-        self.state.close();
-        self.socket.close();
-    }
-}
-
 impl Outbound {
     /// Creates a link without connections. A connection is opened by the first frame to its peer.
-    pub fn new(
-        identity: Identity,
-        clock: Clock,
-        metrics: Metrics,
-        cut: Cut,
-        on_disconnect: OnDisconnect,
-    ) -> Self {
+    pub fn new(identity: Identity, context: Context, on_disconnect: OnDisconnect) -> Self {
         let generation = Arc::new(AtomicU64::new(identity.incarnation));
         let identity = Arc::new(identity);
-        Self {
-            identity,
-            generation,
-            clock,
-            metrics,
-            cut,
-            on_disconnect,
-            connections: Arc::default(),
-        }
+        Self { identity, generation, context, on_disconnect, connections: Arc::default() }
     }
 
     /// Sets the generation that is written into every later frame.
@@ -270,18 +85,18 @@
 
     /// Fills in the sender and sends the frame to the peer at `address`. The frame may be lost.
     pub fn send(&self, address: &str, mut frame: Frame) {
-        if self.cut.contains(address) {
-            self.metrics.dropped(Reason::LinkCut);
+        if self.context.cut.contains(address) {
+            self.context.metrics.dropped(Reason::LinkCut);
             return;
         }
         let traffic = is_traffic(&frame);
         self.sign(&mut frame);
         let connection = self.connection_for(address, &mut frame);
         let bytes = frame.encode_to_vec();
-        self.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
+        self.context.metrics.sent(if traffic { "traffic" } else { "control" }, bytes.len());
         let sent = connection.is_some_and(|(socket, state)| state.send(&socket, &bytes));
         if !sent {
-            self.metrics.dropped(Reason::LinkFull);
+            self.context.metrics.dropped(Reason::LinkFull);
         }
     }
 
@@ -294,12 +109,12 @@
         frame.generation = self.generation.load(Ordering::Relaxed);
         frame.address.clone_from(&self.identity.address);
         frame.zone.clone_from(&self.identity.zone);
-        frame.sent_us = self.clock.now().as_micros();
+        frame.sent_us = self.context.clock.now().as_micros();
     }
 
     /// Records that a frame was received from a peer.
     pub fn heard(&self, frame: &Frame) {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(connection) = connections.by_address.get_mut(frame.address.as_str()) {
             connection.note_received(now, frame);
@@ -314,27 +129,26 @@
         address: &str,
         frame: &mut Frame,
     ) -> Option<(Socket, ConnectionState)> {
-        let now = self.clock.now();
+        let now = self.context.clock.now();
         let mut guard = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
         let Connections { by_address, silent_since } = &mut *guard;
         let mut timeout = DIAL_TIMEOUT.0;
         if let Some(connection) = by_address.get_mut(address) {
             connection.last_used = now;
-            let Some((cause, next_timeout)) = connection.replacement(now, *silent_since) else {
+            let Some(replacement) = connection.replacement(now, *silent_since) else {
                 connection.note_sent(now, frame);
                 return Some((connection.socket.clone(), connection.state.clone()));
             };
-            if cause == PeerConnection::Silent {
+            if replacement.cause == PeerConnection::Silent {
                 *silent_since = (*silent_since).max(connection.silent_since());
             }
-            frame.replaces_silent =
-                matches!(cause, PeerConnection::Silent | PeerConnection::Unverified);
+            frame.replaces_silent = replacement.cause.follows_silence();
             connection.close();
-            self.metrics.peer_connection(cause);
-            timeout = next_timeout;
+            self.report_replacement(address, replacement);
+            timeout = replacement.timeout;
         }
         close_idle(by_address, now);
-        self.metrics.peer_connection(PeerConnection::Dialled);
+        self.context.metrics.peer_connection(PeerConnection::Dialled);
         let mut connection = self.open(address, now, timeout).ok()?;
         connection.note_sent(now, frame);
         let usable = (connection.socket.clone(), connection.state.clone());
@@ -358,20 +172,22 @@
             _ => {}
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
-        let redial_at = now + timeout;
-        Ok(Connection {
-            socket,
-            state,
-            opened_at: now,
-            last_used: now,
-            redial_at,
-            timeout,
-            unanswered_since: None,
-            unacknowledged_since: None,
-            first_probe: 0,
-            answered_at: now,
-            peer_requests_replacement: false,
-        })
+        Ok(Connection::new(socket, state, now, timeout))
+    }
+
+    /// Counts a replaced connection, and logs it if frames on it may have been lost without notice.
+    fn report_replacement(&self, address: &str, replacement: Replacement) {
+        let Replacement { cause, silence, unanswered_frames, .. } = replacement;
+        self.context.metrics.peer_connection(cause);
+        if !(cause.follows_silence() || cause == PeerConnection::Requested) {
+            return;
+        }
+        if let Some(silence) = silence {
+            self.context.metrics.peer_silence(silence);
+        }
+        info!(self.context.log, "peer connection replaced"; "peer" => address,
+            "cause" => cause.name(), "silent_ms" => silence.map(whole_millis),
+            "unanswered_frames" => unanswered_frames);
     }
 }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -139,7 +139,7 @@
     }
 }
 
-fn whole_millis(span: Duration) -> u64 {
+pub(crate) fn whole_millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,25 @@
     Broken,
 }
 
+impl PeerConnection {
+    /// Name of the event in metrics and logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Dialled => "dialled",
+            Self::Unopened => "unopened",
+            Self::Silent => "silent",
+            Self::Unverified => "unverified",
+            Self::Requested => "requested",
+            Self::Broken => "broken",
+        }
+    }
+
+    /// Whether the connection may have carried nothing for some time without either end noticing.
+    pub const fn follows_silence(self) -> bool {
+        matches!(self, Self::Silent | Self::Unverified)
+    }
+}
+
 /// The metrics of one process; all clones share them.
 #[derive(Clone)]
 pub struct Metrics {
@@ -46,10 +65,8 @@
     reservations: Counter<u64>,
     answers: Counter<u64>,
     latency: Histogram<f64>,
-    peer_bytes: Counter<u64>,
-    peer_frames: Counter<u64>,
+    peers: PeerMetrics,
     platform_calls: Counter<u64>,
-    peer_connections: Counter<u64>,
     platform_reads: Counter<u64>,
     platform_read_starts: Counter<u64>,
     platform_eras: Counter<u64>,
@@ -57,6 +74,33 @@
     records_age: Gauge<f64>,
 }
 
+/// Metrics of the links to peers.
+#[derive(Clone)]
+struct PeerMetrics {
+    bytes: Counter<u64>,
+    frames: Counter<u64>,
+    connections: Counter<u64>,
+    silence: Histogram<f64>,
+}
+
+impl PeerMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            bytes: counter(meter, "ladder_peer_bytes", "Bytes sent to peers, by part"),
+            frames: counter(meter, "ladder_peer_frames", "Frames sent to peers, by part"),
+            connections: counter(
+                meter,
+                "ladder_peer_connections",
+                "Connections to peers that were opened or replaced, by event",
+            ),
+            silence: meter
+                .f64_histogram("ladder_peer_silence_seconds")
+                .with_description("Time for which a peer left frames unanswered until its connection was replaced")
+                .build(),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the metrics and a registry for them.
     ///
@@ -67,9 +111,7 @@
         let registry = Registry::new();
         let provider = provider(&registry)?;
         let meter: Meter = provider.meter("ladder");
-        let counter = |name: &'static str, description: &'static str| {
-            meter.u64_counter(name).with_description(description).build()
-        };
+        let counter = |name, description| counter(&meter, name, description);
         Ok(Self {
             refusals: counter("ladder_refusals", "Requests or portions refused, by reason"),
             retries: counter("ladder_retries", "Requests sent again, by reason"),
@@ -92,12 +134,7 @@
                 .f64_histogram("ladder_answer_seconds")
                 .with_description("Time from a caller's request to its answer")
                 .build(),
-            peer_bytes: counter("ladder_peer_bytes", "Bytes sent to peers, by part"),
-            peer_frames: counter("ladder_peer_frames", "Frames sent to peers, by part"),
-            peer_connections: counter(
-                "ladder_peer_connections",
-                "Connections to peers that were opened or replaced, by event",
-            ),
+            peers: PeerMetrics::new(&meter),
             platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
             platform_reads: counter(
                 "ladder_platform_reads",
@@ -187,21 +224,18 @@
     /// Counts a frame that is sent to a peer; `part` is `control` or `traffic`.
     pub fn sent(&self, part: &'static str, bytes: usize) {
         let part = [KeyValue::new("part", part)];
-        self.peer_bytes.add(bytes as u64, &part);
-        self.peer_frames.add(1, &part);
+        self.peers.bytes.add(bytes as u64, &part);
+        self.peers.frames.add(1, &part);
     }
 
     /// Counts an event of a connection to a peer.
     pub fn peer_connection(&self, event: PeerConnection) {
-        let event = match event {
-            PeerConnection::Dialled => "dialled",
-            PeerConnection::Unopened => "unopened",
-            PeerConnection::Silent => "silent",
-            PeerConnection::Unverified => "unverified",
-            PeerConnection::Requested => "requested",
-            PeerConnection::Broken => "broken",
-        };
-        self.peer_connections.add(1, &[KeyValue::new("event", event)]);
+        self.peers.connections.add(1, &[KeyValue::new("event", event.name())]);
+    }
+
+    /// Records how long a replaced connection to a peer had been silent.
+    pub fn peer_silence(&self, silence: Duration) {
+        self.peers.silence.record(silence.as_secs_f64(), &[]);
     }
 
     /// Counts the start of a platform read.
@@ -250,6 +284,10 @@
     Ok(SdkMeterProvider::builder().with_reader(exporter).build())
 }
 
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(description).build()
+}
+
 fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
     meter.f64_gauge(name).with_description(description).build()
 }
--- a/tests/integration/link.rs
+++ b/tests/integration/link.rs
@@ -8,8 +8,9 @@
 use std::time::{Duration, Instant};
 
 use ladder_schema::wire::{Frame, Probe};
+use slog::{Discard, Logger, o};
 use sycamoreladder::clock::Clock;
-use sycamoreladder::link::{Cut, Identity, Outbound};
+use sycamoreladder::link::{Context, Cut, Identity, Outbound};
 use sycamoreladder::metrics::Metrics;
 
 /// Longest wait for the expected number of connections.
@@ -59,7 +60,9 @@
         zone: "trindade".to_owned(),
     };
     let metrics = Metrics::new().expect("the metrics can be created");
-    Outbound::new(identity, Clock::new(), metrics, Cut::default(), Arc::new(|_| {}))
+    let log = Logger::root(Discard, o!());
+    let context = Context { clock: Clock::new(), metrics, cut: Cut::default(), log };
+    Outbound::new(identity, context, Arc::new(|_| {}))
 }
 
 fn probe_frame(number: u64) -> Frame {
