--- a/tests/integration/link.rs
+++ b/tests/integration/link.rs
@@ -1,5 +1,8 @@
 //! Tests of the connections between instances.
 
+mod proxy;
+mod silence;
+
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
