Confirm frames between instances, and send again what a silent connection lost

Cause: a frame counted as sent when the operating system had taken it, and a connection as sound while the peer spoke on its own one, or until an answer was two seconds late, which is longer than the membership needs to hold the peer for dead. What was in the connection was lost. Class: acceptance by the local system was taken for delivery.

Frames that carry more than gossip are numbered, and every frame tells up to which number its sender has received. A frame that is not confirmed within a bound of the measured round trip puts its connection in doubt: a second connection is opened, the peer is asked on it what has arrived and answers over a new connection of its own. If frames are missing, the second connection takes over and they are sent again; the receiver drops repeated numbers. If none are, the peer was slow or paused, and the connection stays. So nothing is concluded from silence alone, one-way silence is found from either end, and nothing runs twice: frames for one process never go to its successor. The decisions are in ladder_core::link, without clock and sockets; src/link only opens, sends and closes. Older builds are served as before.

New core tests at 9 and 66 instances: requests in time after a silence, one replacement for each connection, pauses of 0.3 to 4 s that replace none, no frame for the successor of a process. connections_without_answers_since_a_silence_are_replaced_before_use now acknowledges a probe first: what it tests is the way of older builds, and a peer is known as such by its first acknowledgement; its bounds are as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fingerprint;
 pub mod gather;
 pub mod leaf;
+pub mod link;
 mod records;
 pub mod route;
 pub mod sample;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 //! - `gather` thread: the gathering machine, the callers' HTTP interface;
 //! - `leaf` thread: the leaf machine, the connections to servers; on a machine with one core a
 //!   single `traffic` thread runs both the gathering and the leaf machine;
+//! - `link` thread: confirms frames of peers and replaces silent connections;
 //! - `peer` thread: decodes frames from peers and passes their contents to the three machines.
 
 pub mod admin;
@@ -259,6 +260,7 @@
     spawn("control", &shared, move |shared| {
         control::run(shared, control_inbox, operators);
     })?;
+    spawn("link", &shared, |shared| shared.outbound.run())?;
     spawn("peer", &shared, move |shared| {
         peer::run(&shared, &peer_names, &socket);
     })?;
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -58,8 +58,9 @@
     };
     inbound.run(socket, |frame| {
         names.remember(&frame.address, &frame.from);
-        shared.outbound.heard(&frame);
-        deliver(shared, frame);
+        if shared.outbound.receive(&frame) {
+            deliver(shared, frame);
+        }
     });
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,16 +19,19 @@
 pub enum PeerConnection {
     /// A connection is being opened.
     Dialled,
-    /// A connection was replaced because it was not open in time.
+    /// A connection attempt was repeated because it was not open in time.
     Unopened,
-    /// A connection was replaced because the peer left a frame unanswered.
+    /// A connection was replaced because the peer left a frame unconfirmed.
     Silent,
-    /// A connection was replaced because it had carried no answer since another one fell silent.
+    /// A connection was replaced because it had not proved that it works since another one fell
+    /// silent.
     Unverified,
-    /// A connection was replaced because the peer asked for it.
+    /// A connection was replaced because the peer found a connection silent.
     Requested,
-    /// A connection was replaced because it had ended.
+    /// A connection ended.
     Broken,
+    /// A connection that was in doubt proved to work.
+    Verified,
 }
 
 impl PeerConnection {
@@ -41,13 +44,9 @@
             Self::Unverified => "unverified",
             Self::Requested => "requested",
             Self::Broken => "broken",
+            Self::Verified => "verified",
         }
     }
-
-    /// Whether the connection may have carried nothing for some time without either end noticing.
-    pub const fn follows_silence(self) -> bool {
-        matches!(self, Self::Silent | Self::Unverified)
-    }
 }
 
 /// The metrics of one process; all clones share them.
@@ -221,7 +220,7 @@
         self.latency.record(elapsed.as_secs_f64(), &[]);
     }
 
-    /// Counts a frame that is sent to a peer; `part` is `control` or `traffic`.
+    /// Counts a frame that is sent to a peer; `part` says what it carries.
     pub fn sent(&self, part: &'static str, bytes: usize) {
         let part = [KeyValue::new("part", part)];
         self.peers.bytes.add(bytes as u64, &part);
--- a/tests/integration/link.rs
+++ b/tests/integration/link.rs
@@ -1,4 +1,5 @@
-//! Tests of the connections between instances.
+//! Tests of the connections between instances. The stub peers are of a build that does not confirm
+//! frames.
 
 mod proxy;
 mod silence;
@@ -65,7 +66,10 @@
     let metrics = Metrics::new().expect("the metrics can be created");
     let log = Logger::root(Discard, o!());
     let context = Context { clock: Clock::new(), metrics, cut: Cut::default(), log };
-    Outbound::new(identity, context, Arc::new(|_| {}))
+    let outbound = Outbound::new(identity, context, Arc::new(|_| {}));
+    let checking = outbound.clone();
+    thread::spawn(move || checking.run());
+    outbound
 }
 
 fn probe_frame(number: u64) -> Frame {
@@ -105,7 +109,9 @@
 #[test]
 fn peer_that_sends_but_acknowledges_nothing_is_reconnected() {
     let (peer, outbound) = (StubPeer::start(), outbound_link());
-    probe_until_connections(&outbound, &peer, 2, || outbound.heard(&frame_from(&peer)));
+    probe_until_connections(&outbound, &peer, 2, || {
+        outbound.receive(&frame_from(&peer));
+    });
 }
 
 /// Guards against losing the next frame to each peer after many connections fell silent at once:
@@ -115,14 +121,15 @@
 fn connections_without_answers_since_a_silence_are_replaced_before_use() {
     let outbound = outbound_link();
     let [silent, seldom, answering] = [(); 3].map(|()| StubPeer::start());
+    outbound.receive(&acknowledgement(&silent, 1));
     for peer in [&seldom, &answering] {
         probe_until_connections(&outbound, peer, 1, || {});
-        outbound.heard(&acknowledgement(peer, 1000));
+        outbound.receive(&acknowledgement(peer, 1000));
     }
     thread::sleep(Duration::from_millis(100));
     probe_until_connections(&outbound, &silent, 2, || {
         outbound.send(&answering.address, probe_frame(2000));
-        outbound.heard(&acknowledgement(&answering, 2000));
+        outbound.receive(&acknowledgement(&answering, 2000));
     });
     let started = Instant::now();
     while seldom.connections() < 2 {
@@ -143,13 +150,13 @@
     let (peer, outbound) = (StubPeer::start(), outbound_link());
     let request = Frame { replaces_silent: true, ..frame_from(&peer) };
     outbound.send(&peer.address, Frame::default());
-    outbound.heard(&request);
+    outbound.receive(&request);
     thread::sleep(Duration::from_millis(500));
     outbound.send(&peer.address, Frame::default());
     thread::sleep(Duration::from_millis(200));
     assert_eq!(peer.connections(), 1, "a connection that was opened just before is kept");
     thread::sleep(Duration::from_secs(2));
-    outbound.heard(&request);
+    outbound.receive(&request);
     let started = Instant::now();
     while peer.connections() < 2 {
         assert!(started.elapsed() < TIMEOUT, "the connection is not replaced");
@@ -177,7 +184,7 @@
     let answering = StubPeer::start();
     for number in 1..=60 {
         outbound.send(&answering.address, probe_frame(number));
-        outbound.heard(&acknowledgement(&answering, number));
+        outbound.receive(&acknowledgement(&answering, number));
         thread::sleep(Duration::from_millis(50));
     }
     assert_eq!(answering.connections(), 1, "a peer that replies keeps its connection");
--- a/tests/integration/link/silence.rs
+++ b/tests/integration/link/silence.rs
@@ -50,12 +50,15 @@
         };
         let context = Context { clock, metrics, cut, log };
         let outbound = Outbound::new(identity, context, Arc::new(|_| {}));
+        let checking = outbound.clone();
+        thread::spawn(move || checking.run());
         let received = Arc::new(Mutex::new(Vec::new()));
         let (receiving, frames) = (outbound.clone(), Arc::clone(&received));
         thread::spawn(move || {
             inbound.run(&socket, |frame| {
-                receiving.heard(&frame);
-                frames.lock().expect("no test thread panicked").push(frame);
+                if receiving.receive(&frame) {
+                    frames.lock().expect("no test thread panicked").push(frame);
+                }
             });
         });
         Self { proxy, outbound, received }
