Test that a frame that arrives late after it was sent again is dropped

With repeated frames delivered (the guard in link/received.rs taken out), no core test was red; this one is: request 2 is received twice. All connections of 9 and 66 instances are held up for a second, count as silent, and deliver afterwards.

--- a/crates/core/tests/link/delivery.rs
+++ b/crates/core/tests/link/delivery.rs
@@ -21,3 +21,24 @@
     assert_eq!(network.requests[&later].received, 1, "the successor gets what is sent to it");
     assert!(network.requests[&later].answered_at.is_some(), "and answers");
 }
+
+/// Guards against running a request twice: its connection was held up and taken for silent, the
+/// request was sent again on another one, and then both arrived.
+#[test]
+fn frame_that_arrives_late_after_it_was_sent_again_is_dropped() {
+    for size in [9, 66] {
+        let mut network = Network::start(size);
+        for from in 0..size {
+            network.request(Duration::from_millis(2500), from, (from + size / 2) % size);
+            network.request(Duration::from_millis(3010), from, (from + size / 2) % size);
+        }
+        network.run(Duration::from_secs(3));
+        network.stall(Duration::from_secs(1), |_, _| true);
+        network.run(Duration::from_secs(6));
+        assert_ne!(network.replaced, [], "{size}: connections count as silent");
+        for (number, request) in &network.requests {
+            assert_eq!(request.received, 1, "{size}: request {number} is received once");
+            assert!(request.answered_at.is_some(), "{size}: request {number} is answered");
+        }
+    }
+}
--- a/crates/core/tests/link/network.rs
+++ b/crates/core/tests/link/network.rs
@@ -35,6 +35,8 @@
 struct Connection {
     to: usize,
     is_silent: bool,
+    /// Until when frames on the connection are held up.
+    stalled_until: Instant,
 }
 
 /// A request between two instances.
@@ -122,6 +124,16 @@
         }
     }
 
+    /// Holds up the frames on the open connections for which `is_affected` is true; they arrive
+    /// afterwards.
+    pub(crate) fn stall(&mut self, time: Duration, is_affected: impl Fn(usize, usize) -> bool) {
+        for ((from, _), connection) in &mut self.connections {
+            if is_affected(*from, connection.to) {
+                connection.stalled_until = self.now + time;
+            }
+        }
+    }
+
     /// Pauses an instance; what arrives meanwhile waits.
     pub(crate) fn pause(&mut self, instance: usize, time: Duration) {
         self.instances[instance].paused_until = self.now + time;
@@ -155,7 +167,7 @@
     fn handle(&mut self, event: Event) {
         let instance = match &event {
             Event::Deliver { connection, .. } => match self.connections.get(connection) {
-                Some(Connection { to, is_silent: false }) => *to,
+                Some(Connection { to, is_silent: false, .. }) => *to,
                 _ => return,
             },
             Event::Opened(instance, _) | Event::Check(instance) | Event::Probe(instance) => {
@@ -252,7 +264,7 @@
             match action {
                 Action::Open { connection, address } => {
                     let to = number(&address);
-                    let opened = Connection { to, is_silent: false };
+                    let opened = Connection { to, is_silent: false, stalled_until: self.now };
                     self.connections.insert((instance, connection), opened);
                     self.schedule(DIAL_TIME, Event::Opened(instance, connection));
                     self.opened += 1;
@@ -267,8 +279,10 @@
                 }
                 Action::Send { connection, bytes, .. } => {
                     let connection = (instance, connection);
-                    let bytes = bytes.to_vec();
-                    self.schedule(DIAL_TIME + DELAY, Event::Deliver { connection, bytes });
+                    let held = self.connections.get(&connection).map(|one| one.stalled_until);
+                    let delay = held.map_or(Duration::ZERO, |until| until.since(self.now));
+                    let event = Event::Deliver { connection, bytes: bytes.to_vec() };
+                    self.schedule(delay + DIAL_TIME + DELAY, event);
                 }
                 Action::Replaced { cause, .. } => self.replaced.push(cause),
                 Action::Verified | Action::Unopened => {}
