--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -14,9 +14,10 @@
 use ladder_core::view::View;
 use prost::Message;
 
+use crate::wiring::Wiring;
 use crate::{fixtures, session};
 
-const MESSAGE_DELAY: Duration = Duration::from_millis(1);
+pub(crate) const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 
 struct Watch {
     after: u64,
@@ -78,6 +79,8 @@
     pub without_peer_records: BTreeSet<String>,
     /// Names of the instances whose watches never get new records from the platform.
     pub stalled_watches: BTreeSet<String>,
+    /// Connections over which frames are sent; without them, frames are never lost on the way.
+    pub wiring: Option<Wiring>,
     pub seeds: Vec<String>,
     pub incarnation: u64,
     steps_without_progress: usize,
@@ -119,6 +122,9 @@
             views: Vec::new(),
         };
         self.nodes.insert(name.to_owned(), node);
+        if let Some(wiring) = &mut self.wiring {
+            wiring.start(self.now, name, zone, self.incarnation);
+        }
         self.handle_event(name, Event::Tick);
     }
 
@@ -313,6 +319,9 @@
 
     fn send(&mut self, from: &str, to: &str, frame: Box<Frame>) {
         self.node(from).frames_sent += 1;
+        if let Some(wiring) = &mut self.wiring {
+            return wiring.send(self.now, from, to, *frame);
+        }
         let target = self.names().into_iter().find(|name| fixtures::address(name) == to);
         let Some(target) = target else { return };
         self.bytes += frame.encoded_len();
@@ -357,7 +366,8 @@
         let running = || self.nodes.values().filter(|node| !node.paused);
         let wakes = running().map(|node| node.machine.next_wake());
         let watches = running().filter_map(|node| Some(node.watch.as_ref()?.due_at()));
-        let next = wakes.chain(watches).chain(queued).min();
+        let wiring = self.wiring.as_ref().and_then(Wiring::next_time);
+        let next = wakes.chain(watches).chain(queued).chain(wiring).min();
         next.unwrap_or(self.now + MESSAGE_DELAY).max(self.now)
     }
 
@@ -378,6 +388,10 @@
             let (name, event) = entry.remove();
             self.deliver(&name, event);
         }
+        let wiring = self.wiring.as_mut();
+        for (name, frame) in wiring.map_or(Vec::new(), |wiring| wiring.advance(now)) {
+            self.deliver(&name, Event::Frame(Box::new(frame)));
+        }
         for name in self.names() {
             if self.node(&name).paused {
                 continue;
--- a/crates/core/tests/link/network.rs
+++ b/crates/core/tests/link/network.rs
@@ -26,6 +26,7 @@
     Opened(usize, ConnectionKey),
     Check(usize),
     Probe(usize),
+    Resume(usize),
     Reply { from: usize, to: usize, number: u64 },
     Request { from: usize, to: usize, number: u64 },
 }
@@ -37,6 +38,8 @@
     is_silent: bool,
     /// Until when frames on the connection are held up.
     stalled_until: Instant,
+    /// Whether the attempt to open the connection got lost.
+    is_lost: bool,
 }
 
 /// A request between two instances.
@@ -72,6 +75,8 @@
     pub(crate) opened: usize,
     /// Pairs whose frames are not confirmed, as if the receiver were of an older build.
     pub(crate) older_builds: BTreeSet<usize>,
+    /// Whether attempts to open a connection get lost.
+    pub(crate) loses_dials: bool,
 }
 
 impl Network {
@@ -95,6 +100,7 @@
             replaced: Vec::new(),
             opened: 0,
             older_builds: BTreeSet::new(),
+            loses_dials: false,
         };
         for number in 0..size {
             let offset = PROBE_INTERVAL * number as u32 / size as u32;
@@ -137,6 +143,7 @@
     /// Pauses an instance; what arrives meanwhile waits.
     pub(crate) fn pause(&mut self, instance: usize, time: Duration) {
         self.instances[instance].paused_until = self.now + time;
+        self.schedule(time, Event::Resume(instance));
     }
 
     /// Ends the process of an instance without notice and starts another one at its address.
@@ -167,18 +174,17 @@
     fn handle(&mut self, event: Event) {
         let instance = match &event {
             Event::Deliver { connection, .. } => match self.connections.get(connection) {
-                Some(Connection { to, is_silent: false, .. }) => *to,
+                Some(Connection { to, is_silent: false, is_lost: false, .. }) => *to,
                 _ => return,
             },
-            Event::Opened(instance, _) | Event::Check(instance) | Event::Probe(instance) => {
-                *instance
-            }
+            Event::Opened(instance, _)
+            | Event::Check(instance)
+            | Event::Probe(instance)
+            | Event::Resume(instance) => *instance,
             Event::Reply { from, .. } | Event::Request { from, .. } => *from,
         };
-        let paused_until = self.instances[instance].paused_until;
-        if self.now < paused_until {
+        if self.now < self.instances[instance].paused_until {
             self.instances[instance].waiting.push(event);
-            self.schedule(paused_until.since(self.now), Event::Check(instance));
             return;
         }
         for waiting in std::mem::take(&mut self.instances[instance].waiting) {
@@ -193,6 +199,7 @@
                 let frame = Frame::decode(&*bytes).expect("an encoded frame");
                 self.receive(instance, &frame);
             }
+            Event::Resume(_) => {}
             Event::Opened(_, connection) => self.instances[instance].links.opened(connection),
             Event::Check(_) => {
                 let mut actions = Vec::new();
@@ -264,9 +271,13 @@
             match action {
                 Action::Open { connection, address } => {
                     let to = number(&address);
-                    let opened = Connection { to, is_silent: false, stalled_until: self.now };
+                    let stalled_until = self.now;
+                    let is_lost = self.loses_dials;
+                    let opened = Connection { to, is_silent: false, stalled_until, is_lost };
                     self.connections.insert((instance, connection), opened);
-                    self.schedule(DIAL_TIME, Event::Opened(instance, connection));
+                    if !is_lost {
+                        self.schedule(DIAL_TIME, Event::Opened(instance, connection));
+                    }
                     self.opened += 1;
                 }
                 Action::Close(connection) => {
