--- a/crates/core/src/link/verification.rs
+++ b/crates/core/src/link/verification.rs
@@ -17,8 +17,9 @@
 use super::{Action, Cause, Part};
 use crate::time::Instant;
 
-/// How long a verification waits for its answer, and the interval between its requests.
+/// How long a verification waits for its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval between the requests of a verification, as an answer may be lost.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a verification that did not find a silent connection.
 const PAUSE: Duration = Duration::from_secs(1);
