Dial a verification again whose own connection may have gone silent

What callers would see: after a second silence within a second, an instance that had lost the answer to its verification waited two seconds for it and one more before the next.

Cause: the request was repeated on the same second connection, and a peer that was verifying too answered on its own second one; both may have fallen silent like the first.

A second connection without an answer is dialled again after 400 ms, then 800 ms; an answer travels on a connection that was opened or verified within the last 100 ms, or on a new one. So a peer that does not answer costs at most three connections in three seconds.

--- a/crates/core/src/link/connection.rs
+++ b/crates/core/src/link/connection.rs
@@ -39,7 +39,7 @@
         Self { key, opened_at: turn.now, is_open: false, timeout }
     }
 
-    /// Replaces the attempt by a new one.
+    /// Replaces the connection or attempt by a new attempt.
     pub(super) fn redial(&self, turn: &mut Turn<'_>, address: &Arc<str>) -> Self {
         turn.out.push(Action::Close(self.key));
         Self::attempt(turn, address, (self.timeout * 2).min(DIAL_TIMEOUT.1))
@@ -50,6 +50,11 @@
         Self { opened_at: now, is_open: true, ..self }
     }
 
+    /// When a connection is replaced on which the peer has not answered. It may have gone silent, too.
+    pub(super) fn answer_by(&self) -> Instant {
+        self.opened_at + if self.is_open { self.timeout * 2 } else { self.timeout }
+    }
+
     /// When the attempt is replaced by a new one; `None` if the connection is open.
     pub(super) fn redial_at(&self) -> Option<Instant> {
         (!self.is_open).then(|| self.opened_at + self.timeout)
--- a/crates/core/src/link/verification.rs
+++ b/crates/core/src/link/verification.rs
@@ -19,8 +19,6 @@
 
 /// How long a verification waits for its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Interval between the requests of a verification, as an answer may be lost.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a verification that did not find a silent connection.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Delay before a request is answered. Frames that have reached this process on the connection in
@@ -39,7 +37,6 @@
     /// Why the current connection is in doubt.
     cause: Cause,
     started_at: Instant,
-    requested_at: Instant,
     /// Number of the last frame that was sent on the current connection before the request.
     last_frame: u64,
 }
@@ -80,14 +77,12 @@
         let connection = Connection::open(turn, &self.address);
         let number = turn.next_verification();
         let last_frame = self.unconfirmed.last_number();
-        let (started_at, requested_at) = (turn.now, turn.now);
-        let verification =
-            Verification { connection, number, cause, started_at, requested_at, last_frame };
+        let started_at = turn.now;
+        let verification = Verification { connection, number, cause, started_at, last_frame };
         self.send_request(turn, verification);
     }
 
-    fn send_request(&mut self, turn: &mut Turn<'_>, mut verification: Verification) {
-        verification.requested_at = turn.now;
+    fn send_request(&mut self, turn: &mut Turn<'_>, verification: Verification) {
         self.verification = Some(verification);
         let verified = self.request.take().map_or(0, |request| request.number);
         let frame = Frame { verification: verification.number, verified, ..Frame::default() };
@@ -108,19 +103,28 @@
             return;
         };
         self.current_connection(turn);
+        let is_fresh = |since: Instant| turn.now.since(since) < FRESH_TIME;
         let verified_at = self.verified_at;
-        let is_fresh = |connection: &Connection| {
-            turn.now.since(connection.opened_at.max(verified_at)) < FRESH_TIME
-        };
+        let current = self.current.filter(|one| is_fresh(one.opened_at.max(verified_at)));
         let second = self.verification.map(|verification| verification.connection);
-        let Some(connection) = second.or(self.current.filter(is_fresh)) else {
-            return self.verify(turn, Cause::Requested);
+        let second = second.filter(|one| is_fresh(one.opened_at));
+        let Some(connection) = second.or(current) else {
+            return self.answer_with_request(turn);
         };
         self.request = None;
         let frame = Frame { verified: request.number, ..Frame::default() };
         self.send_on(turn, connection.key, frame, Part::Confirmation);
     }
 
+    /// Answers the peer's request on a new connection, together with a request of the own.
+    fn answer_with_request(&mut self, turn: &mut Turn<'_>) {
+        let Some(mut verification) = self.verification else {
+            return self.verify(turn, Cause::Requested);
+        };
+        verification.connection = verification.connection.redial(turn, &self.address);
+        self.send_request(turn, verification);
+    }
+
     /// Notes the end of the second connection.
     pub(super) fn abandon_verification(&mut self, now: Instant) {
         self.verification = None;
@@ -160,8 +164,8 @@
         self.send_kept(turn, connection.key);
     }
 
-    /// Opens the second connection again if its attempt takes too long, and ends a verification
-    /// without an answer.
+    /// Opens the second connection again if the answer takes too long, and ends a verification
+    /// without one.
     pub(super) fn check_verification(&mut self, turn: &mut Turn<'_>) {
         let Some(mut verification) = self.verification else {
             return;
@@ -169,19 +173,16 @@
         if turn.now.since(verification.started_at) >= ANSWER_TIMEOUT {
             self.abandon_verification(turn.now);
             turn.out.push(Action::Close(verification.connection.key));
-        } else if verification.connection.redial_at().is_some_and(|at| at <= turn.now) {
+        } else if verification.connection.answer_by() <= turn.now {
             verification.connection = verification.connection.redial(turn, &self.address);
             self.send_request(turn, verification);
-        } else if turn.now.since(verification.requested_at) >= REQUEST_INTERVAL {
-            self.send_request(turn, verification);
         }
     }
 
     /// When [`Peer::check_verification`] has to be called.
     pub(super) fn next_verification_check(&self) -> Option<Instant> {
         let verification = self.verification?;
-        let request_at = verification.requested_at + REQUEST_INTERVAL;
-        Some(verification.connection.redial_at().map_or(request_at, |at| at.min(request_at)))
+        Some(verification.connection.answer_by().min(verification.started_at + ANSWER_TIMEOUT))
     }
 
     /// Whether the current connection is open and a verification of it may begin.
--- a/crates/core/tests/link/bounds.rs
+++ b/crates/core/tests/link/bounds.rs
@@ -86,3 +86,16 @@
     let is_answered = |request: &super::network::Request| request.answered_at.is_some();
     assert!(network.requests.values().all(is_answered), "requests are answered within 1.5 s");
 }
+
+/// Guards against opening connections to a peer that does not answer for long, one after the other.
+#[test]
+fn connection_to_a_paused_peer_is_verified_once_in_three_seconds() {
+    let mut network = Network::start(9);
+    network.run(Duration::from_secs(3));
+    let opened = network.opened;
+    network.pause(0, Duration::from_secs(12));
+    network.run(Duration::from_millis(11_900));
+    // Three peers probe the paused one; a verification uses three connections, one after the other.
+    let again = network.opened - opened;
+    assert!(again <= 3 * 12 / 3 * 3, "{again} opened in twelve seconds");
+}
--- a/crates/core/tests/link/silence.rs
+++ b/crates/core/tests/link/silence.rs
@@ -131,3 +131,29 @@
     network.run(Duration::from_secs(4));
     assert!(network.replaced.contains(&Cause::Silent), "{:?}", network.replaced);
 }
+
+/// Guards against waiting for the answer to a verification whose own connection fell silent, too: a
+/// second after the last silence, each pair finds its connection within a second.
+#[test]
+fn requests_are_served_again_after_repeated_silences() {
+    for size in [9, 66] {
+        let mut network = Network::start(size);
+        for from in 0..size {
+            network.request(Duration::from_secs(4), from, (from + size / 2) % size);
+            network.request(Duration::from_millis(6200), from, (from + size / 2) % size);
+        }
+        network.run(Duration::from_secs(4));
+        for _ in 0..16 {
+            network.silence(|_, _| true);
+            network.run(Duration::from_millis(70));
+        }
+        network.run(Duration::from_secs(6));
+        for (number, request) in &network.requests {
+            let time = request.answered_at.map(|at| at.since(request.sent_at));
+            let is_prompt = time.is_some_and(|time| time <= Duration::from_secs(1));
+            let is_later = number.is_multiple_of(2);
+            assert!(time.is_some(), "{size}: request {number} is answered");
+            assert!(!is_later || is_prompt, "{size}: request {number} is answered after {time:?}");
+        }
+    }
+}
