--- a/crates/load/src/upkeep/process.rs
+++ b/crates/load/src/upkeep/process.rs
@@ -55,6 +55,9 @@
     pub platform_calls: f64,
 }
 
+/// Parts of the frames between instances that are not requests of callers.
+const CONTROL_PARTS: [&str; 3] = ["control", "confirmation", "repeated"];
+
 impl Process {
     pub(super) fn new(process_id: u32, admin_address: &str) -> Self {
         Self { process_id, admin_address: admin_address.to_owned() }
@@ -62,7 +65,10 @@
 
     async fn sample(&self, client: &Admin) -> Result<Sample, Error> {
         let metrics = client.text(&self.admin_address, "/metrics").await?;
-        let control = |name: &str| metric_sum(&metrics, name, "part=\"control\"");
+        let control = |name: &str| -> f64 {
+            let parts = CONTROL_PARTS.iter();
+            parts.map(|part| metric_sum(&metrics, name, &format!("part=\"{part}\""))).sum()
+        };
         Ok(Sample {
             cpu_seconds: self.cpu_seconds()?,
             memory_kb: self.memory_kb()?,
