Keep connections that carry only confirmations

What callers would see: nothing by itself; a peer that only sends to an instance got its first confirmations late and verified a connection that worked. Cause: only frames of the machines counted as use, so a connection opened for a confirmation was closed as idle at the next check, with the confirmation if it was not open by then. Any frame counts now. connection_for_confirmations_alone_is_kept was red before.

--- a/crates/core/src/link/peer.rs
+++ b/crates/core/src/link/peer.rs
@@ -54,7 +54,7 @@
     pub(super) confirm_at: Option<Instant>,
     /// Latest time at which the current connection certainly worked, by what the peer has confirmed.
     pub(super) proven_at: Instant,
-    /// When a frame was last passed to the link.
+    /// When a frame was last sent to the peer.
     pub(super) last_used: Instant,
     /// Whether the next frame asks a peer of an older build to replace its connection.
     pub(super) asks_replacement: bool,
@@ -84,7 +84,6 @@
 
     /// Sends a frame on the current connection, and keeps it if it has to be confirmed.
     pub(super) fn send(&mut self, turn: &mut Turn<'_>, mut frame: Frame) {
-        self.last_used = turn.now;
         frame.replaces_silent = std::mem::take(&mut self.asks_replacement);
         let part = Part::of(&frame);
         match Urgency::of(&frame) {
@@ -143,6 +142,7 @@
     /// Adds to a frame which frames this instance has received and which it will not send again.
     fn encode(&mut self, turn: &Turn<'_>, mut frame: Frame) -> Bytes {
         self.confirm_at = None;
+        self.last_used = turn.now;
         frame.received_until = self.received.as_ref().map_or(0, Received::until);
         frame.discarded_until = self.unconfirmed.given_up();
         turn.encode(frame)
--- a/crates/core/tests/link/delivery.rs
+++ b/crates/core/tests/link/delivery.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use ladder_core::link::{Action, Links};
+use ladder_core::time::Instant;
+use ladder_schema::publication::Record;
+use ladder_schema::wire::Frame;
+
 use super::network::Network;
 
 /// Guards against running a request twice: a process received it and ended, and its successor at the
@@ -42,3 +47,30 @@
         }
     }
 }
+
+/// Guards against closing a connection as unused that carries only confirmations: the first of them
+/// was lost with it, and its peer took its own connection for silent.
+#[test]
+fn connection_for_confirmations_alone_is_kept() {
+    let start = Instant::from_millis(100_000);
+    let mut links = Links::new(start, Frame::default());
+    let mut actions = Vec::new();
+    let change = Frame {
+        address: "peer".to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        records: vec![Record::default()],
+        ..Frame::default()
+    };
+    links.receive(start, &change, &mut actions);
+    links.check(start + Duration::from_millis(100), &mut actions);
+    let Some(Action::Open { connection, .. }) = actions.first().cloned() else {
+        panic!("a connection is opened for the confirmation: {actions:?}");
+    };
+    links.opened(connection);
+    actions.clear();
+    for seconds in 1..50 {
+        links.check(start + Duration::from_secs(seconds), &mut actions);
+    }
+    assert_eq!(actions, [], "nothing is due");
+}
