--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -5,9 +5,8 @@
 //! both, while new connections work. Frames that must arrive are therefore numbered; every frame
 //! names the number up to which its sender has received the receiver's frames. A frame is kept until
 //! it is confirmed. If that takes too long, a second connection to the peer is opened and used in
-//! place of the first one, provided that the peer answers on it and has not received the frame
-//! (see [`verification`]). The kept frames are then sent again; the receiver drops those that it
-//! already has.
+//! place of the first one, provided that the peer answers on it and has not received the frame. The
+//! kept frames are then sent again; the receiver drops those that it already has.
 
 mod connection;
 mod older_build;
