--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -110,7 +110,7 @@
         /// Number of frames that are sent again.
         sent_again: usize,
     },
-    /// Report that a connection in doubt works.
+    /// Report that a verified connection works.
     Verified,
     /// Report that a connection attempt took too long and is repeated.
     Unopened,
--- a/crates/core/src/link/peer.rs
+++ b/crates/core/src/link/peer.rs
@@ -27,8 +27,8 @@
 
 /// State of the links to and from one peer.
 ///
-/// It is kept as long as the process lives: if the numbers of frames started again, the peer would
-/// drop new frames as repeated ones.
+/// It is kept as long as the process lives: if the sequence numbers restarted, the peer would drop new
+/// frames as duplicates.
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: Arc<str>,
@@ -218,8 +218,8 @@
         connections.filter(|one| one.key == key).for_each(|one| one.is_open = true);
     }
 
-    /// Notes that a connection has ended. What was sent on the current one is given up: the machines
-    /// are told of the end and decide what to send again.
+    /// Notes that a connection has ended. What was sent on the current one is discarded: the machines
+    /// are notified of the end and retry what is safe to retry.
     pub(super) fn broken(&mut self, now: Instant, key: ConnectionKey) {
         if self.current.is_some_and(|current| current.key == key) {
             self.current = None;
--- a/crates/core/src/link/unconfirmed.rs
+++ b/crates/core/src/link/unconfirmed.rs
@@ -74,14 +74,14 @@
         confirmed
     }
 
-    /// Gives up the frames that are too old.
+    /// Discards the frames that are too old.
     pub(super) fn expire(&mut self, now: Instant) {
         while self.frames.front().is_some_and(|frame| now.since(frame.sent_at) > MAX_AGE) {
             self.discard_first();
         }
     }
 
-    /// Gives up all frames.
+    /// Discards all frames.
     pub(super) fn clear(&mut self) {
         self.frames.clear();
         self.bytes = 0;
--- a/crates/core/src/link/verification.rs
+++ b/crates/core/src/link/verification.rs
@@ -21,8 +21,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a verification that did not find a silent connection.
 const PAUSE: Duration = Duration::from_secs(1);
-/// Delay before a request is answered. Frames that have reached this process on the connection in
-/// doubt before the request are received within this time.
+/// Delay before a request is answered. Frames that have reached this process on the first connection
+/// before the request are received within this time.
 const ANSWER_DELAY: Duration = Duration::from_millis(20);
 /// A connection that was opened or verified within this time needs no verification to carry an
 /// answer.
@@ -34,7 +34,7 @@
     pub(super) connection: Connection,
     /// Number of the request, which the answer repeats.
     number: u64,
-    /// Why the current connection is in doubt.
+    /// Why the current connection is verified.
     cause: Cause,
     started_at: Instant,
     /// Number of the last frame that was sent on the current connection before the request.
@@ -70,7 +70,7 @@
     /// request, if there is one.
     pub(super) fn verify(&mut self, turn: &mut Turn<'_>, cause: Cause) {
         self.current_connection(turn);
-        // The answer says nothing of the time after the latest frame that was sent.
+        // The answer shows only whether the frames sent so far have arrived, so one is sent now.
         if self.unconfirmed.last_sent_at() != Some(turn.now) {
             self.send_numbered(turn, Frame::default(), Urgency::Prompt, Part::Confirmation);
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -30,7 +30,7 @@
     Requested,
     /// A connection ended.
     Broken,
-    /// A connection that was in doubt proved to work.
+    /// A verified connection proved to work.
     Verified,
 }
 
@@ -220,7 +220,7 @@
         self.latency.record(elapsed.as_secs_f64(), &[]);
     }
 
-    /// Counts a frame that is sent to a peer; `part` says what it carries.
+    /// Counts a frame that is sent to a peer; `part` is its kind of content.
     pub fn sent(&self, part: &'static str, bytes: usize) {
         let part = [KeyValue::new("part", part)];
         self.peers.bytes.add(bytes as u64, &part);
--- a/tests/integration/link/silence.rs
+++ b/tests/integration/link/silence.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// A frame that the receiver can tell from others by its number.
+/// Creates a frame that is identified by a number in its content.
 type MakeFrame = fn(u64) -> Frame;
 
 fn work(number: u64) -> Frame {
