Show other selections of servers, suspects of crashes and their calls

What operators could not see: that an entry instance names other servers for a part that it sends again, why a crash of a server counts against no request, and how many calls are made for requests that are under suspicion.

`portions sent` has the number of parts with other servers, and ladder_reselections_total counts them by reason. `server crash reported` names the requests of a crash that no server is known to have answered. ladder_suspect_calls_total counts calls for suspected and refused requests. No decision changes.

Tests: unusable_servers_are_replaced_if_nothing_ran counts reselections, log_names_the_uncleared_requests_of_each_crash, calls_of_suspected_requests_are_counted.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -491,6 +491,11 @@
         if self.quarantine.digest() == digest_before {
             return;
         }
+        out.extend(self.quarantine.take_new_crashes().into_iter().map(
+            |(incarnation, suspects)| {
+                Action::Log(StateChange::ServerCrash { incarnation, suspects, from: from.into() })
+            },
+        ));
         out.extend(changes.into_iter().map(|change| {
             Action::Log(StateChange::Quarantine {
                 request: change.request,
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -138,6 +138,9 @@
 pub(super) struct Quarantine {
     crashes: Map<Incarnation, CrashReport>,
     entries: Map<Fingerprint, Entry>,
+    /// Incarnations whose crash was first reported since [`Quarantine::take_new_crashes`] was last
+    /// called.
+    new_crashes: Vec<Incarnation>,
     /// The part of the quarantine that traffic needs.
     view: Arc<view::Quarantine>,
 }
@@ -153,6 +156,25 @@
         self.entries.iter()
     }
 
+    /// Removes and returns the crashes reported since the last call, each with the requests that
+    /// may have caused it: those that were open at the server and are not cleared.
+    pub(super) fn take_new_crashes(&mut self) -> Vec<(Incarnation, Vec<Fingerprint>)> {
+        let incarnations = std::mem::take(&mut self.new_crashes).into_iter();
+        let with_suspects = |incarnation: Incarnation| {
+            let suspects = self.suspects(self.crashes.get(&incarnation)?).copied().collect();
+            Some((incarnation, suspects))
+        };
+        incarnations.filter_map(with_suspects).collect()
+    }
+
+    /// The requests that were open at a server when it crashed and are not cleared.
+    fn suspects<'a>(&self, crash: &'a CrashReport) -> impl Iterator<Item = &'a Fingerprint> {
+        let is_cleared = |request: &Fingerprint| {
+            self.entries.get(request).is_some_and(|entry| entry.standing == Standing::Cleared)
+        };
+        crash.requests.iter().filter(move |request| !is_cleared(request))
+    }
+
     /// Records that a server crashed while these requests were open there.
     pub(super) fn record_crash(
         &mut self,
@@ -274,6 +296,9 @@
     }
 
     fn add_crash(&mut self, incarnation: Incarnation, requests: &[Fingerprint], at: Instant) {
+        if !self.crashes.contains_key(&incarnation) {
+            self.new_crashes.push(incarnation.clone());
+        }
         let new = || CrashReport { requests: Vec::new(), refuted: false, at };
         let crash = self.crashes.entry(incarnation).or_insert_with(new);
         crash.at = crash.at.min(at);
@@ -360,13 +385,9 @@
     /// Requests that happen to run beside a poison request are present at each of its crashes. A
     /// crash with a request that is already quarantined is not attributed to the other requests.
     fn crashes_by_sole_suspect(&self) -> Map<Fingerprint, Vec<Incarnation>> {
-        let standing =
-            |request: &Fingerprint| self.entries.get(request).map(|entry| entry.standing);
         let mut by_suspect: Map<Fingerprint, Vec<Incarnation>> = Map::default();
         for (incarnation, crash) in self.crashes.iter().filter(|(_, crash)| !crash.refuted) {
-            let suspects = crash.requests.iter();
-            let mut suspects =
-                suspects.filter(|request| standing(request) != Some(Standing::Cleared));
+            let mut suspects = self.suspects(crash);
             if let (Some(request), None) = (suspects.next(), suspects.next()) {
                 by_suspect.entry(*request).or_default().push(incarnation.clone());
             }
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -79,6 +79,15 @@
         /// Generation of this instance from now on.
         now: u64,
     },
+    /// A server process is reported to have crashed.
+    ServerCrash {
+        /// The crashed incarnation.
+        incarnation: Incarnation,
+        /// Requests that were open at the server and that no server is known to have answered.
+        suspects: Vec<Fingerprint>,
+        /// Name of the peer that reported the crash; empty if this instance detected it.
+        from: Arc<str>,
+    },
     /// The quarantine of a request under which server processes crashed was imposed or lifted.
     Quarantine {
         /// Fingerprint of the quarantined or released request.
--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -13,6 +13,10 @@
     Hedge,
     /// A message was dropped.
     Drop,
+    /// Another set of servers was selected for a portion that is sent again.
+    Reselection,
+    /// A call was sent for a request under which servers are reported to have crashed.
+    SuspectCall,
     /// A part of a sweep was sent, with zonal aggregation; the reason is that of the crossing.
     ZoneCall(Crossing),
 }
--- a/crates/core/src/gather/history.rs
+++ b/crates/core/src/gather/history.rs
@@ -58,6 +58,8 @@
         /// Why the portions were sent again or sent a second time in parallel; `None` for the
         /// first sending.
         again: Option<Reason>,
+        /// Number of portions that may run on other servers than at their previous sending.
+        reselected: u32,
     },
     /// A valid reply to a portion arrived from an instance.
     Replied {
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -171,7 +171,10 @@
         let is_local = state.is_some_and(|state| state.is_local);
         let round_trip = state.and_then(|state| state.round_trip);
         let zone = self.zone_of(peer, is_local);
-        self.select_portion_servers(now, key, portions, &zone);
+        let reselected = self.select_portion_servers(now, key, portions, &zone);
+        for _ in 0..reselected {
+            count(out, count::Event::Reselection, again.unwrap_or_default());
+        }
         let query = &mut self.queries[key];
         let collect = match &self.settings.zone {
             Some(_) if !is_local => collect::aggregation_terms(now, query, round_trip),
@@ -190,8 +193,8 @@
                 has_reported: false,
             });
         }
-        let step =
-            Step::Sent { to: peer.name.clone(), round, portions: portions.len() as u32, again };
+        let (to, portion_count) = (peer.name.clone(), portions.len() as u32);
+        let step = Step::Sent { to, round, portions: portion_count, again, reselected };
         self.history.add(query.history_id, now, step);
         let work = wire_work(now, query, portions, collect);
         if collect.is_some() && self.settings.is_zonal && self.settings.zone.as_ref() != Some(&zone)
@@ -223,6 +226,7 @@
 
     /// Selects the servers on which portions may run that are sent to an instance in the zone
     /// `preferred_zone`; applies to sweeps and to messages that are restricted to some regions.
+    /// Returns the number of portions that may run on other servers than at their previous sending.
     ///
     /// A portion that may have run keeps its servers. Otherwise servers are selected again, since
     /// an instance reported that it can use none of the previous ones.
@@ -232,11 +236,12 @@
         key: QueryKey,
         portions: &[usize],
         preferred_zone: &str,
-    ) {
+    ) -> u32 {
         let query = &mut self.queries[key];
         let Some(route) = query.route.as_ref().filter(|route| restricts_servers(route)) else {
-            return;
+            return 0;
         };
+        let mut reselected = 0;
         let route = Arc::clone(route);
         let attempts = if route.is_sweep() { route.spec.attempts as usize } else { usize::MAX };
         for &portion in portions {
@@ -252,8 +257,12 @@
             let homes = &route.spec.homes;
             let home_servers = service.servers.iter();
             let home_servers = home_servers.filter(|server| self.view.is_home(homes, &server.zone));
-            portion.eligible = eligible::select_servers(home_servers, terms);
+            let selected = eligible::select_servers(home_servers, terms);
+            let is_changed = selected.iter().any(|server| !portion.eligible.contains(server));
+            reselected += u32::from(!portion.sendings.is_empty() && is_changed);
+            portion.eligible = selected;
         }
+        reselected
     }
 
     /// Returns the zone of a peer; empty if the zone is unknown.
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -21,6 +21,7 @@
 use super::service::ServiceId;
 use crate::collections::Set;
 use crate::control::quarantine::Incarnation;
+use crate::count;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 use crate::view;
@@ -59,9 +60,16 @@
     }
 
     /// Counts a new call of a request that has a fingerprint.
-    pub(super) fn call_began(&mut self, attempt: &Attempt) {
-        if let Some(request) = attempt.job.fingerprint {
-            self.crashes.begin(request, |open| open.calls += 1);
+    pub(super) fn call_began(&mut self, attempt: &Attempt, out: &mut Vec<Action>) {
+        let Some(request) = attempt.job.fingerprint else {
+            return;
+        };
+        self.crashes.begin(request, |open| open.calls += 1);
+        let quarantine = &self.view.quarantine;
+        if quarantine.refused.contains(&request) {
+            Self::count(count::Event::SuspectCall, Reason::Quarantined, out);
+        } else if quarantine.suspected.contains(&request) {
+            Self::count(count::Event::SuspectCall, Reason::TargetLost, out);
         }
     }
 
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -415,7 +415,7 @@
             abandoned: false,
         };
         self.count_zone_call(&call, out);
-        self.call_began(&call);
+        self.call_began(&call, out);
         self.record_warmup_request(to);
         let attempt = self.attempts.insert(call);
         let call_trace = self.call_trace(key, to, attempt);
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ladder_core::control::settings::{Listing, Placement, Timing};
+use ladder_core::control::state_change::StateChange;
 use ladder_core::control::store::Key;
 use ladder_core::control::{Action, Event, Machine, Settings};
 use ladder_core::schema::publication::{Page, Record, record::Body};
@@ -44,6 +45,8 @@
     pub frames_sent: usize,
     zone: String,
     pub views: Vec<(Instant, Arc<View>)>,
+    /// Changes that the instance logged.
+    pub state_changes: Vec<StateChange>,
 }
 
 #[derive(Default)]
@@ -120,6 +123,7 @@
             frames_sent: 0,
             zone: zone.to_owned(),
             views: Vec::new(),
+            state_changes: Vec::new(),
         };
         self.nodes.insert(name.to_owned(), node);
         if let Some(wiring) = &mut self.wiring {
@@ -313,7 +317,8 @@
                     self.update_max_total_shares();
                 }
             }
-            Action::Refused { .. } | Action::Log(_) | Action::Generation(_) | Action::Count(_) => {}
+            Action::Log(change) => self.node(name).state_changes.push(change),
+            Action::Refused { .. } | Action::Generation(_) | Action::Count(_) => {}
         }
     }
 
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -10,6 +10,7 @@
 use ladder_core::control::Event;
 use ladder_core::control::quarantine::{Incarnation, MAX_REQUESTS, RETENTION, Standing};
 use ladder_core::control::settings::Timing;
+use ladder_core::control::state_change::StateChange;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::view::Quarantine;
 
@@ -192,6 +193,30 @@
     }
 }
 
+/// Guards against a crash of which an operator cannot see why it counts against no request.
+#[test]
+fn log_names_the_uncleared_requests_of_each_crash() {
+    let mut fleet = settled_fleet(3);
+    fleet.handle_event(&name(0), Event::Cleared(BYSTANDER));
+    fleet.run(ms(500));
+    fleet.handle_event(&name(0), crash_event(1, &[POISON, BYSTANDER]));
+    fleet.handle_event(&name(0), crash_event(2, &[POISON, Fingerprint(3)]));
+    fleet.handle_event(&name(0), crash_event(2, &[POISON, Fingerprint(3)]));
+    fleet.run(ms(500));
+    for node in fleet.nodes.values() {
+        let crash = |change: &StateChange| match change {
+            StateChange::ServerCrash { incarnation, suspects, .. } => {
+                Some((incarnation.clone(), suspects.clone()))
+            }
+            _ => None,
+        };
+        let crashes: Vec<_> = node.state_changes.iter().filter_map(crash).collect();
+        let expected =
+            [(incarnation(1), vec![POISON]), (incarnation(2), vec![POISON, Fingerprint(3)])];
+        assert_eq!(crashes, expected);
+    }
+}
+
 /// Guards against refusals that never expire, and against refusals that expire while the request
 /// is still sent.
 #[test]
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ladder_core::collections::Map;
+use ladder_core::count::{self, Count};
 use ladder_core::eligible::ServerHash;
 use ladder_core::gather::{Action, Event, Settings};
 use ladder_core::route::Table;
@@ -571,13 +572,9 @@
     expects_third: bool,
 }
 
-/// Both servers selected for a part are unreachable for its aggregator. Guards against selecting
-/// the same two for the next instance while the third server is idle. Once one of them may have
-/// run the part, the selection must stay.
-#[test]
-fn unusable_servers_are_replaced_if_nothing_ran() {
+fn reselection_cases() -> [ReselectionCase; 4] {
     let unused = |reason| AggregatorFailure::Refuses(reason);
-    let cases = [
+    [
         ReselectionCase {
             name: "gone",
             failure: unused(Reason::NoServer),
@@ -602,8 +599,19 @@
             verdict: Verdict::NotRun,
             expects_third: false,
         },
-    ];
-    for ReselectionCase { name, failure, verdict, expects_third } in cases {
+    ]
+}
+
+fn is_reselection(action: &Action) -> bool {
+    matches!(action, Action::Count(Count { event: count::Event::Reselection, .. }))
+}
+
+/// Both servers selected for a part are unreachable for its aggregator. Guards against selecting
+/// the same two for the next instance while the third server is idle. Once one of them may have
+/// run the part, the selection must stay.
+#[test]
+fn unusable_servers_are_replaced_if_nothing_ran() {
+    for ReselectionCase { name, failure, verdict, expects_third } in reselection_cases() {
         let parts = vec![vec!["campanha", "sao-bento", "sao-bento"]; 3];
         let fixture = ViewFixture { parts, ..ViewFixture::default() };
         let mut harness = fixture.harness();
@@ -622,6 +630,9 @@
         };
         let again = sent_work(&actions);
         assert!(!again.is_empty(), "{name}");
+        let portions = again.iter().map(|(_, work)| work.portions.len()).sum::<usize>();
+        let reselections = actions.iter().filter(|action| is_reselection(action)).count();
+        assert_eq!(reselections, if expects_third { portions } else { 0 }, "{name}");
         for portion in again.iter().flat_map(|(_, work)| &work.portions) {
             let before = first.1.portions.iter().find(|one| one.service == portion.service);
             let servers = |portion: &Portion| portion.eligible.clone().unwrap_or_default().servers;
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::count::{self, Count};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::leaf::{Action, Event, Settings};
@@ -253,6 +254,10 @@
     Quarantine { refused: [fingerprint(target)].into_iter().collect(), ..Quarantine::default() }
 }
 
+fn suspected(target: &str) -> Quarantine {
+    Quarantine { suspected: [fingerprint(target)].into_iter().collect(), ..Quarantine::default() }
+}
+
 /// Guards against crashing the servers at which calls of a refused request still wait.
 #[test]
 fn quarantined_request_is_stopped_where_it_is_open() {
@@ -275,11 +280,9 @@
 fn answered_request_is_cleared() {
     let cleared =
         |harness: &Harness| harness.log.contains(&Action::Cleared(fingerprint("/docks/1")));
-    let suspected = || Quarantine {
-        suspected: [fingerprint("/docks/1")].into_iter().collect(),
-        ..Quarantine::default()
-    };
-    for (name, quarantine) in [("refused", refused("/docks/1")), ("suspected", suspected())] {
+    for (name, quarantine) in
+        [("refused", refused("/docks/1")), ("suspected", suspected("/docks/1"))]
+    {
         let mut harness = harness();
         let calls = sweep(&mut harness, 1, "/docks/1");
         harness.answer(&calls[0]);
@@ -288,13 +291,30 @@
         assert!(cleared(&harness), "{name}: answered before");
     }
     let mut harness = harness();
-    harness.handle(view_with(1, suspected()));
+    harness.handle(view_with(1, suspected("/docks/1")));
     let calls = sweep(&mut harness, 1, "/docks/1");
     assert!(!cleared(&harness));
     harness.answer(&calls[0]);
     assert!(cleared(&harness), "answered after");
 }
 
+/// Guards against calls of suspected and refused requests that no counter shows.
+#[test]
+fn calls_of_suspected_requests_are_counted() {
+    let count = |harness: &Harness, reason| {
+        let call = Action::Count(Count { event: count::Event::SuspectCall, reason });
+        harness.log.iter().filter(|action| **action == call).count()
+    };
+    let mut harness = harness();
+    sweep(&mut harness, 1, "/docks/1");
+    assert_eq!(count(&harness, Reason::TargetLost), 0, "nothing is suspected");
+    harness.handle(view_with(1, suspected("/docks/1")));
+    sweep(&mut harness, 2, "/docks/1");
+    sweep(&mut harness, 3, "/docks/2");
+    assert_eq!(count(&harness, Reason::TargetLost), PARTS);
+    assert_eq!(count(&harness, Reason::Quarantined), 0);
+}
+
 /// Guards against crashing a second server of a shard before a slower call can clear or confirm the
 /// request.
 #[test]
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -200,9 +200,13 @@
         Step::Pinned { version, portions, missing } => {
             format!("pinned version {version}: {portions} portions, {missing} shards missing")
         }
-        Step::Sent { to, round, portions, again } => {
+        Step::Sent { to, round, portions, again, reselected } => {
             shown.reason = again.unwrap_or_default().into();
-            format!("sent {portions} portions to {to}, round {round}")
+            let servers = match reselected {
+                0 => String::new(),
+                reselected => format!(", {reselected} with other servers"),
+            };
+            format!("sent {portions} portions to {to}, round {round}{servers}")
         }
         Step::Replied { from, service, verdict, reason } => {
             shown.verdict = (*verdict).into();
--- a/src/log.rs
+++ b/src/log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ladder_core::control::state_change::{PlatformChange, StateChange};
+use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::ShareChange;
 use ladder_schema::settings::{Format, Level, Log};
 use slog::{Drain, Logger, info, o, warn};
@@ -87,6 +88,13 @@
         StateChange::GenerationRaised { before, now } => {
             warn!(log, "generation raised"; "before" => before, "now" => now);
         }
+        StateChange::ServerCrash { incarnation, suspects, from } => {
+            let from = if from.is_empty() { "here" } else { from };
+            let suspects: Vec<String> = suspects.iter().map(Fingerprint::to_string).collect();
+            info!(log, "server crash reported"; "server" => &*incarnation.server,
+                "incarnation" => incarnation.number, "suspects" => suspects.join(" "),
+                "from" => from);
+        }
         StateChange::Quarantine { request, standing, cause, incarnations, from } => {
             let from = if from.is_empty() { "here" } else { from };
             let incarnations = incarnations
--- a/src/log/request_log.rs
+++ b/src/log/request_log.rs
@@ -74,10 +74,11 @@
                 info!(self.log, "planned"; "id" => id, "at_us" => at, "version" => version,
                     "portions" => portions, "missing" => missing);
             }
-            Step::Sent { to, round, portions, again } => {
+            Step::Sent { to, round, portions, again, reselected } => {
                 info!(self.log, "portions sent"; "id" => id, "at_us" => at, "to" => &**to,
                     "round" => round, "portions" => portions,
-                    "again" => again.map(|reason| reason.as_str_name()));
+                    "again" => again.map(|reason| reason.as_str_name()),
+                    "reselected" => reselected);
             }
             Step::Replied { from, service, verdict, reason } => {
                 info!(self.log, "part received"; "id" => id, "at_us" => at, "from" => &**from,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,8 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     drops: Counter<u64>,
+    reselections: Counter<u64>,
+    suspect_calls: Counter<u64>,
     connections: Counter<u64>,
     zone_calls: Counter<u64>,
     reservations: Counter<u64>,
@@ -116,6 +118,11 @@
             retries: counter("ladder_retries", "Requests sent again, by reason"),
             hedges: counter("ladder_hedges", "Second copies sent, by reason"),
             drops: counter("ladder_drops", "Messages dropped, by reason"),
+            reselections: counter("ladder_reselections", "Other servers selected, by reason"),
+            suspect_calls: counter(
+                "ladder_suspect_calls",
+                "Calls of suspected requests, by reason",
+            ),
             connections: counter(
                 "ladder_connections",
                 "Connections to servers that were opened, reset or closed, by event",
@@ -169,6 +176,8 @@
             Event::Retry => &self.retries,
             Event::Hedge => &self.hedges,
             Event::Drop => &self.drops,
+            Event::Reselection => &self.reselections,
+            Event::SuspectCall => &self.suspect_calls,
             Event::ZoneCall(crossing) => return self.zone_call(crossing, count.reason),
         };
         counter.add(1, &[KeyValue::new("reason", count.reason.as_str_name())]);
