Tests of poison requests that are served again; three are known red

Such a response clears the request, and a cleared request is never refused again.

The three tests fail on this code: error statuses clear a request, fresh crashes after a clearing do not count, and an instance that has just started is ready before it knows what a survivor refuses.

--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -9,12 +9,12 @@
 use ladder_core::collections::Set;
 use ladder_core::control::Event;
 use ladder_core::control::quarantine::{Incarnation, MAX_REQUESTS, RETENTION, Standing};
-use ladder_core::control::settings::Timing;
+use ladder_core::control::settings::{Listing, Timing};
 use ladder_core::control::state_change::StateChange;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::view::Quarantine;
 
-use crate::simulation::ready_fleet_with;
+use crate::simulation::{platform_with, ready_fleet_with};
 use ladder_core::time::Instant;
 
 use crate::harness::Fleet;
@@ -65,6 +65,20 @@
     fleet
 }
 
+/// A settled fleet without a list of instances, whose platform answers a first read with a full
+/// listing.
+fn observed_fleet(instances: usize) -> Fleet {
+    let mut fleet = platform_with(instances, 4);
+    fleet.listing = Listing::Observed;
+    fleet.sends_full_listing = true;
+    fleet.seeds = (0..instances).map(|at| crate::fixtures::address(&name(at))).collect();
+    for at in 0..instances {
+        fleet.start(&name(at), "trindade");
+    }
+    fleet.run(ms(5000));
+    fleet
+}
+
 /// Reports three crashes under the poison request, each to the instance numbered in `observers`.
 fn crash_three_servers(fleet: &mut Fleet, observers: [usize; 3]) {
     for (number, observer) in (0..).zip(observers) {
@@ -118,6 +132,52 @@
     });
 }
 
+/// Guards against a poison request that is never refused again because it was cleared once.
+#[test]
+fn request_that_crashes_servers_after_it_was_cleared_is_refused_again() {
+    let mut fleet = settled_fleet(9);
+    crash_three_servers(&mut fleet, [0, 1, 2]);
+    fleet.run(CONTACT);
+    for round in 1..=3 {
+        fleet.handle_event(&name(3), Event::Cleared(POISON));
+        fleet.run_until("the cleared request is served", CONTACT, |fleet| {
+            refused_nowhere(fleet, POISON)
+        });
+        fleet.run(ms(30_000));
+        for number in 0..3 {
+            let (incarnation, at) = (incarnation(10 * round + number), fleet.now);
+            let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+            fleet.handle_event(&name(number as usize), crash);
+        }
+        fleet.run_until("it is refused again", CONTACT, |fleet| refused_everywhere(fleet, POISON));
+    }
+}
+
+/// Guards against an instance that has just started and serves a request that its peers refuse.
+#[test]
+fn starting_instance_is_not_ready_before_it_knows_the_refused_requests() {
+    for survivors in [1, 4] {
+        let mut fleet = observed_fleet(9);
+        crash_three_servers(&mut fleet, [0, 1, 2]);
+        fleet.run(CONTACT);
+        for at in survivors..9 {
+            fleet.kill(&name(at), true);
+        }
+        fleet.incarnation = 2;
+        for at in survivors..9 {
+            fleet.start(&name(at), "trindade");
+        }
+        let is_ready = |fleet: &Fleet, at| fleet.nodes[&name(at)].machine.view().ready;
+        for _ in 0..CONTACT.as_millis() {
+            fleet.run(ms(1));
+            for at in (survivors..9).filter(|at| is_ready(&fleet, *at)) {
+                assert!(refuses(&fleet, &name(at), POISON), "{survivors} survivors: {at}");
+            }
+        }
+        assert!((survivors..9).all(|at| is_ready(&fleet, at)), "{survivors} survivors");
+    }
+}
+
 /// Reported events, and whether they must quarantine the poison request. The bystander request
 /// must never be refused.
 struct Case {
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -17,6 +17,7 @@
 use ladder_core::time::Instant;
 use ladder_core::view::{Quarantine, ServerCrash, Service, View};
 
+use crate::forward::response;
 use crate::harness::{Harness, SentCall, limited, server, work};
 
 /// Number of services of a sweep.
@@ -298,6 +299,44 @@
     assert!(cleared(&harness), "answered after");
 }
 
+/// End of a call of a suspected request, and whether it clears the request.
+struct ClearingCase {
+    name: &'static str,
+    end: fn(&SentCall) -> Outcome,
+    clears: bool,
+}
+
+/// Guards against a poison request that is served again because of a response to a call that no
+/// server ran to its end.
+#[test]
+fn only_a_call_that_ran_to_its_end_clears_a_request() {
+    let case = |name, end, clears| ClearingCase { name, end, clears };
+    let cases = [
+        case("answer", |sent| response(sent, 200), true),
+        case("not found", |sent| response(sent, 404), true),
+        case("request timeout", |sent| response(sent, 408), false),
+        case("too many requests", |sent| response(sent, 429), false),
+        case("server error", |sent| response(sent, 500), false),
+        case("bad gateway", |sent| response(sent, 502), false),
+        case("unavailable", |sent| response(sent, 503), false),
+        case("deadline passed in the queue", |sent| response(sent, 504), false),
+        case("shed", |sent| sent.refusal(Reason::TargetShed, 10), false),
+        case("another server at the address", |sent| sent.refusal(Reason::TargetLeaving, 0), false),
+        case("cancelled", |sent| sent.refusal(Reason::Cancelled, 0), false),
+        case("spoiled response", |_| Outcome::Error, false),
+        case("connection lost", |_| Outcome::Lost, false),
+        case("not sent", |_| Outcome::Unsent, false),
+    ];
+    for ClearingCase { name, end, clears } in cases {
+        let mut harness = harness();
+        harness.handle(view_with(1, suspected("/docks/1")));
+        let calls = sweep(&mut harness, 1, "/docks/1");
+        harness.end_call(calls[0].attempt, end(&calls[0]));
+        let cleared = harness.log.contains(&Action::Cleared(fingerprint("/docks/1")));
+        assert_eq!(cleared, clears, "{name}");
+    }
+}
+
 /// Guards against calls of suspected and refused requests that no counter shows.
 #[test]
 fn calls_of_suspected_requests_are_counted() {
