Clear a request only by calls that ran to their end

`leaf/completion.rs` now says in one place what the end of a call proves. A success or a rejection of the content is a run to its end. 408, 421, 425, 429, 502, 503 and 504, refusals, spoiled responses and lost connections prove nothing. 500 and other errors clear a request only if there are three of them, and more than lost connections, within five seconds: a harmless request whose servers report errors is still served, while a request that crashes servers loses nearly all its connections. The line `request cleared` names the server, the status and how long the call took.

--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -197,7 +197,7 @@
                     | Action::Server { .. }
                     | Action::Crashed { .. }
                     | Action::Refuted { .. }
-                    | Action::Cleared(_)
+                    | Action::Cleared { .. }
                     | Action::Connection(_)
                     | Action::Count(_) => {}
                 }
--- a/crates/core/examples/sweep_trial/run.rs
+++ b/crates/core/examples/sweep_trial/run.rs
@@ -281,7 +281,7 @@
             | Action::Server { .. }
             | Action::Crashed { .. }
             | Action::Refuted { .. }
-            | Action::Cleared(_)
+            | Action::Cleared { .. }
             | Action::Connection(_)
             | Action::Count(_) => {}
         }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -47,6 +47,8 @@
     Refuted(Incarnation),
     /// A request under which server processes crashed was answered.
     Cleared(Fingerprint),
+    /// Servers returned errors for a request under which server processes crashed.
+    ClearedByErrors(Fingerprint),
     /// An operator released a request from quarantine.
     Released(Fingerprint),
     /// A quarantined request, which is refused, arrived again.
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -189,18 +189,11 @@
                     quarantine.record_refutation(now, &incarnation)
                 });
             }
-            Event::Cleared(request) => {
-                let cause = Cause::Answer;
-                self.update_quarantine(now, "", out, |quarantine| {
-                    quarantine.clear(now, request, cause)
-                });
-            }
-            Event::Released(request) => {
-                let cause = Cause::Operator;
-                self.update_quarantine(now, "", out, |quarantine| {
-                    quarantine.clear(now, request, cause)
-                });
+            Event::Cleared(request) => self.clear_request(now, request, Cause::Answer, out),
+            Event::ClearedByErrors(request) => {
+                self.clear_request(now, request, Cause::Errors, out);
             }
+            Event::Released(request) => self.clear_request(now, request, Cause::Operator, out),
             Event::Asked(request) => self.quarantine.renew(now, request),
             Event::Seeds(seeds) => self.settings.seeds = seeds,
             Event::Paused(_) => self.handle_pause(now, out),
@@ -474,6 +467,16 @@
         elapsed >= deadline || (!self.store_changed && !shares_grow())
     }
 
+    fn clear_request(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        cause: Cause,
+        out: &mut Vec<Action>,
+    ) {
+        self.update_quarantine(now, "", out, |quarantine| quarantine.clear(now, request, cause));
+    }
+
     /// Applies reports about requests under which server processes crashed. Logs each change and,
     /// if the quarantine changed, sends its whole content to some peers.
     ///
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -102,6 +102,8 @@
     Ends,
     /// A server answered the request.
     Answer,
+    /// Servers returned more errors for the request than connections were lost.
+    Errors,
     /// A server that the request was reported to have crashed is still running.
     Refutation,
     /// An operator released the request.
--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -5,6 +5,7 @@
 mod aggregate;
 mod attempt;
 mod budget;
+mod completion;
 mod connection;
 mod connections;
 mod crash;
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -13,14 +13,15 @@
 use ladder_schema::outcome::Reason;
 
 use super::attempt::Attempt;
-use super::event::{Action, AttemptKey, ConnectionKey, Outcome};
+use super::completion::{Completion, Proof};
+use super::event::{Action, AttemptKey, Clearance, ConnectionKey, Outcome};
 use super::machine::Machine;
 use super::portion::{Job, Portion, PortionKey};
 use super::reply::Refused;
 use super::server::ServerKey;
 use super::service::ServiceId;
 use crate::collections::Set;
-use crate::control::quarantine::Incarnation;
+use crate::control::quarantine::{Cause, Incarnation};
 use crate::count;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
@@ -90,21 +91,39 @@
         if complete_response || is_from_server(outcome) {
             self.refute_termination(attempt, out);
         }
-        match outcome {
-            Outcome::Answer(_) => self.request_answered(request, out),
-            Outcome::Error if complete_response => self.request_answered(request, out),
-            Outcome::Lost if !timed_out => self.connection_lost(attempt.server, request),
-            _ => {}
+        if *outcome == Outcome::Lost && !timed_out {
+            self.connection_lost(attempt.server, request);
         }
         self.report_crashes(out);
     }
 
-    /// Records that a server answered a request, which proves that the request does not crash
-    /// servers.
-    fn request_answered(&mut self, request: Fingerprint, out: &mut Vec<Action>) {
-        let was_suspected = self.crashes.record_answer(self.now, request);
-        if self.view.quarantine.concerns(request) {
-            out.push(Action::Cleared(request));
+    /// Clears the request of an ended call of crashing servers, if its end proves that.
+    ///
+    /// Errors clear a request only if there are more of them than lost connections: a server may
+    /// report an error without having run the request, but a request that crashes servers loses the
+    /// connections of most of its calls.
+    pub(super) fn clear_if_proved(
+        &mut self,
+        attempt: &Attempt,
+        completion: Completion,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(request) = attempt.job.fingerprint else {
+            return;
+        };
+        let is_concerned = self.view.quarantine.concerns(request);
+        let (was_suspected, cause) = match completion.proof {
+            Proof::Nothing => return,
+            Proof::Finished => (self.crashes.record_answer(self.now, request), Cause::Answer),
+            Proof::Failed if !is_concerned && !self.crashes.is_suspected(request) => return,
+            Proof::Failed if !self.crashes.record_error(self.now, request) => return,
+            Proof::Failed => (self.crashes.clear(request), Cause::Errors),
+        };
+        if is_concerned {
+            let server = Arc::clone(&self.servers[attempt.server].name);
+            let took = self.now.since(attempt.sent);
+            let response = Some(Clearance { server, status: completion.status, took });
+            out.push(Action::Cleared { request, cause, response });
         }
         if was_suspected {
             self.mark_waiting_services();
@@ -155,7 +174,11 @@
         }
         let known = quarantine.refused.iter().chain(&quarantine.suspected);
         let answered = known.filter(|request| self.crashes.was_answered(**request));
-        out.extend(answered.map(|request| Action::Cleared(*request)));
+        out.extend(answered.map(|request| Action::Cleared {
+            request: *request,
+            cause: Cause::Answer,
+            response: None,
+        }));
         if !quarantine.refused.is_empty() {
             self.stop_quarantined(&quarantine.refused, out);
         }
--- a/crates/core/src/leaf/crash/table.rs
+++ b/crates/core/src/leaf/crash/table.rs
@@ -15,7 +15,7 @@
 pub(super) const MAX_LOST_CALLS_PER_SERVER: usize = 16;
 
 /// Number of servers suspected to have crashed under a request from which all portions of the
-/// request are kept queued.
+/// request are kept queued, and minimum number of errors that outweigh suspected servers.
 const MIN_SUSPECTS: usize = 3;
 /// Time for which a portion with a lost connection is kept queued while another portion of its
 /// request may still be answered.
@@ -58,6 +58,14 @@
     pub(super) portions: u32,
 }
 
+/// Errors that servers returned for a request.
+#[derive(Clone, Copy, Debug)]
+struct Errors {
+    count: usize,
+    /// Time of the first of them.
+    since: Instant,
+}
+
 /// Evidence about the requests that are at servers, by fingerprint.
 #[derive(Debug, Default)]
 pub(in crate::leaf) struct Crashes {
@@ -67,6 +75,8 @@
     answered: Recent<Fingerprint>,
     /// Servers suspected to have crashed under each request that no server has answered.
     suspects: Map<Fingerprint, Vec<Suspect>>,
+    /// Errors that servers returned for requests under suspicion.
+    errors: Map<Fingerprint, Errors>,
     /// Crashes that are not reported yet, because another server may still answer one of their
     /// requests.
     pending: Vec<Crash>,
@@ -137,9 +147,31 @@
     /// crashed under the request.
     pub(super) fn record_answer(&mut self, now: Instant, request: Fingerprint) -> bool {
         self.answered.insert(now, request);
+        self.clear(request)
+    }
+
+    /// Forgets the evidence against a request. Returns whether servers were suspected to have
+    /// crashed under it.
+    pub(super) fn clear(&mut self, request: Fingerprint) -> bool {
+        self.errors.remove(&request);
         self.suspects.remove(&request).is_some()
     }
 
+    /// Records that a server returned an error for a request under suspicion. Returns whether the
+    /// errors outweigh the servers suspected to have crashed under the request.
+    pub(super) fn record_error(&mut self, now: Instant, request: Fingerprint) -> bool {
+        self.errors.retain(|_, errors| now.since(errors.since) < EVIDENCE_MAX_AGE);
+        let errors = self.errors.entry(request).or_insert(Errors { count: 0, since: now });
+        errors.count += 1;
+        let count = errors.count;
+        count >= MIN_SUSPECTS && count > self.recent_suspects(now, request, EVIDENCE_MAX_AGE)
+    }
+
+    /// Whether any server is suspected to have crashed under a request.
+    pub(super) fn is_suspected(&self, request: Fingerprint) -> bool {
+        self.suspects.contains_key(&request)
+    }
+
     /// Whether a server recently answered the request.
     pub(super) fn was_answered(&self, request: Fingerprint) -> bool {
         self.answered.contains(&request)
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -7,6 +7,7 @@
 use ladder_schema::outcome::{Reason, Verdict};
 
 use super::attempt::{Attempt, Mismatch};
+use super::completion::Completion;
 use super::connection;
 use super::event::{Action, AttemptKey, Outcome};
 use super::machine::Machine;
@@ -72,8 +73,10 @@
             return;
         };
         let (outcome, mismatched) = Self::reject_mismatch(&attempt, outcome, out);
+        let completion = Completion::of(&outcome);
         let (outcome, complete) = classify_response(&attempt, outcome);
         let was_suspect = self.servers[attempt.server].health.suspect();
+        self.clear_if_proved(&attempt, completion, out);
         self.call_ended(&attempt, &outcome, complete, out);
         self.release_connection(&attempt, complete || is_complete(&outcome), mismatched, out);
         self.record_outcome(&attempt, &outcome, out);
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 
 use super::trace::Trace;
+use crate::control::quarantine;
 use crate::count::{self, Count};
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
@@ -89,6 +90,17 @@
     Tick,
 }
 
+/// The response of a server that cleared a request of crashing servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Clearance {
+    /// Name of the server.
+    pub server: Arc<str>,
+    /// HTTP status of the response; 0 if it has none.
+    pub status: u32,
+    /// Time from the call to its response.
+    pub took: Duration,
+}
+
 /// An action that the leaf machine requests from the shell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -176,8 +188,16 @@
         /// Incarnation of the server process that answered.
         incarnation: u64,
     },
-    /// A request that had been running on servers that terminated was answered.
-    Cleared(Fingerprint),
+    /// Responses of servers prove that a request does not crash servers, although it was running on
+    /// servers that terminated.
+    Cleared {
+        /// Fingerprint of the request.
+        request: Fingerprint,
+        /// What cleared the request: an answer or errors.
+        cause: quarantine::Cause,
+        /// The last of the responses; `None` if the request was answered before it was suspected.
+        response: Option<Clearance>,
+    },
     /// Count an event of a pooled connection.
     Connection(count::Connection),
     /// Increment a counter.
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -113,6 +113,11 @@
     harness.log.iter().filter_map(requests).collect()
 }
 
+fn is_cleared(harness: &Harness, target: &str) -> bool {
+    let cleared = |action: &Action| matches!(action, Action::Cleared { request, .. } if *request == fingerprint(target));
+    harness.log.iter().any(cleared)
+}
+
 /// Events after a call lost its connection.
 struct Case {
     name: &'static str,
@@ -279,8 +284,7 @@
 /// Guards against refusing a popular request only because it was at servers that crashed.
 #[test]
 fn answered_request_is_cleared() {
-    let cleared =
-        |harness: &Harness| harness.log.contains(&Action::Cleared(fingerprint("/docks/1")));
+    let cleared = |harness: &Harness| is_cleared(harness, "/docks/1");
     for (name, quarantine) in
         [("refused", refused("/docks/1")), ("suspected", suspected("/docks/1"))]
     {
@@ -332,11 +336,41 @@
         harness.handle(view_with(1, suspected("/docks/1")));
         let calls = sweep(&mut harness, 1, "/docks/1");
         harness.end_call(calls[0].attempt, end(&calls[0]));
-        let cleared = harness.log.contains(&Action::Cleared(fingerprint("/docks/1")));
+        let cleared = is_cleared(&harness, "/docks/1");
         assert_eq!(cleared, clears, "{name}");
     }
 }
 
+/// Errors and lost connections of a suspected request, and whether they clear it.
+struct ErrorsCase {
+    name: &'static str,
+    errors: usize,
+    lost: usize,
+    clears: bool,
+}
+
+/// Guards against refusing a harmless request whose servers return errors, and against clearing a
+/// poison request because a few servers return errors without running it.
+#[test]
+fn errors_clear_a_request_if_they_outweigh_lost_connections() {
+    let cases = [
+        ErrorsCase { name: "two errors", errors: 2, lost: 0, clears: false },
+        ErrorsCase { name: "errors only", errors: 3, lost: 0, clears: true },
+        ErrorsCase { name: "mostly errors", errors: 3, lost: 2, clears: true },
+        ErrorsCase { name: "mostly lost", errors: 2, lost: 3, clears: false },
+    ];
+    for ErrorsCase { name, errors, lost, clears } in cases {
+        let mut harness = harness();
+        harness.handle(view_with(1, suspected("/docks/1")));
+        let calls = sweep(&mut harness, 1, "/docks/1");
+        calls.iter().take(lost).for_each(|sent| lose_call(&mut harness, sent));
+        for sent in calls.iter().skip(lost).take(errors) {
+            harness.end_call(sent.attempt, response(sent, 500));
+        }
+        assert_eq!(is_cleared(&harness, "/docks/1"), clears, "{name}");
+    }
+}
+
 /// Guards against calls of suspected and refused requests that no counter shows.
 #[test]
 fn calls_of_suspected_requests_are_counted() {
@@ -391,7 +425,7 @@
         let suspected = targets.iter().take(step + 1).map(|target| fingerprint(target)).collect();
         harness.handle(view_with(1, Quarantine { suspected, ..Quarantine::default() }));
         for target in targets.iter().take(step + 1) {
-            let cleared = harness.log.contains(&Action::Cleared(fingerprint(target)));
+            let cleared = is_cleared(&harness, target);
             assert!(cleared, "{target} in step {step}: answered seven seconds before at most");
         }
         harness.handle(view(1));
--- a/crates/core/tests/leaf/session.rs
+++ b/crates/core/tests/leaf/session.rs
@@ -80,7 +80,7 @@
             Action::Refuted { server, incarnation } => {
                 format!("server {server}, incarnation {incarnation}, answered")
             }
-            Action::Cleared(request) => format!("clear {request}"),
+            Action::Cleared { request, .. } => format!("clear {request}"),
             Action::Connection(event) => format!("count connection {event:?}"),
             Action::Count(count) => format!("count {:?} {:?}", count.event, count.reason),
         }
--- a/crates/core/tests/leaf/simulation.rs
+++ b/crates/core/tests/leaf/simulation.rs
@@ -121,7 +121,7 @@
                 Action::Log(_)
                 | Action::Crashed { .. }
                 | Action::Refuted { .. }
-                | Action::Cleared(_)
+                | Action::Cleared { .. }
                 | Action::Connection(_)
                 | Action::Pending { .. }
                 | Action::Server { .. }
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::collections::Map;
-use ladder_core::control::quarantine::Incarnation;
+use ladder_core::control::quarantine::{Cause, Incarnation};
 use ladder_core::leaf::{Action, Event, Machine, Settings};
 use ladder_core::time::Instant;
 use ladder_core::view::Peer;
@@ -103,8 +103,12 @@
                     let incarnation = Incarnation { server, number: incarnation };
                     self.shared.control.send(control::Event::Refuted(incarnation));
                 }
-                Action::Cleared(request) => {
-                    self.shared.control.send(control::Event::Cleared(request));
+                Action::Cleared { request, cause, response } => {
+                    log::request_cleared(&self.shared.log, request, cause, response.as_ref());
+                    self.shared.control.send(match cause {
+                        Cause::Errors => control::Event::ClearedByErrors(request),
+                        _ => control::Event::Cleared(request),
+                    });
                 }
                 Action::Connection(event) => self.shared.metrics.connection(event),
                 Action::Count(count) => self.shared.metrics.count(count),
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use ladder_core::control::quarantine::Cause;
 use ladder_core::control::state_change::{PlatformChange, StateChange};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::ShareChange;
+use ladder_core::leaf::event::Clearance;
 use ladder_schema::settings::{Format, Level, Log};
 use slog::{Drain, Logger, info, o, warn};
 
@@ -157,3 +159,17 @@
     info!(log, "server state changed"; "server" => name, "standing" => standing,
         "failure_rate" => format!("{failure_rate:.2}"));
 }
+
+/// Logs that a server's response cleared a request of crashing servers; without a response, it was
+/// answered before it was suspected.
+pub fn request_cleared(
+    log: &Logger,
+    request: Fingerprint,
+    cause: Cause,
+    response: Option<&Clearance>,
+) {
+    info!(log, "request cleared"; "fingerprint" => %request, "cause" => ?cause,
+        "server" => response.map(|response| &*response.server),
+        "status" => response.map(|response| response.status),
+        "took_us" => response.map(|response| response.took.as_micros() as u64));
+}
