Quarantine a cleared request again after fresh crashes

Of two entries of a request "cleared" always replaced "quarantined", and crashes of a cleared request were not counted. Entries now have a term: a request that crashes three servers after it was cleared is quarantined in the next term, and of two entries the one with the higher term replaces the other, so instances still agree whatever the order of their frames. For ten seconds after an answer crashes do not count, as a popular request is at many servers when a zone fails; errors and refutations give no such time. An instance clears a request that it answered before only for 10 to 20 s, not for one to two minutes. Older builds leave term and immunity out and keep a cleared request cleared.

The property any_order_of_events_leads_to_the_same_quarantine is green.

--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -3,8 +3,9 @@
 //! Instances send each other which requests were open at a server when it crashed. A request is
 //! considered the cause of a crash if it is the only one of them that no server has answered. It
 //! is refused by every instance once it has crashed [`MIN_CRASHES`] servers. The state merges in
-//! any order: a crash only gains requests, a refuted crash stays refuted, and a cleared request
-//! stays cleared.
+//! any order: a crash only gains requests, a refuted crash stays refuted, and of two entries of a
+//! request the one with the higher term replaces the other. A cleared request is quarantined again,
+//! in the next term, once it has crashed as many servers after its immunity.
 //!
 //! # Bounds
 //!
@@ -14,6 +15,7 @@
 //! applies to state lost because all instances were lost at once, and to requests beyond
 //! [`MAX_REQUESTS`].
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +32,9 @@
 /// How long a crash counts, and how long a quarantine entry is kept after its request was last
 /// sent or cleared.
 pub const RETENTION: Duration = Duration::from_secs(15 * 60);
+/// Time after an answer during which crashes do not count against the request: a popular request is
+/// at many servers when a rack or zone fails, and is answered by others about then.
+pub const ANSWER_IMMUNITY: Duration = Duration::from_secs(10);
 /// Maximum number of crashes kept at once.
 const MAX_CRASHES: usize = 64;
 /// Maximum number of requests kept of one crash.
@@ -112,11 +117,27 @@
     Peer,
 }
 
+impl Cause {
+    /// Time for which crashes do not count against a request that was cleared for this cause.
+    const fn immunity(self) -> Duration {
+        match self {
+            Self::Answer => ANSWER_IMMUNITY,
+            Self::Operator => RETENTION,
+            Self::Ends | Self::Errors | Self::Refutation | Self::Peer => Duration::ZERO,
+        }
+    }
+}
+
 /// The standing of a request, and the crashes that it is based on.
 #[derive(Clone, Debug)]
 pub struct Entry {
     /// Whether the request is quarantined or cleared.
     pub standing: Standing,
+    /// Number of times that the request was quarantined, or 1 if it never was. The entry with the
+    /// higher term is newer, and of two with the same term the cleared one.
+    pub term: u32,
+    /// Time after `seen` for which crashes do not count against the request, once it is cleared.
+    pub immunity: Duration,
     /// Incarnations that the request crashed.
     ///
     /// Invariant: sorted, without duplicates, and the crash of no incarnation in it is refuted.
@@ -125,6 +146,38 @@
     pub seen: Instant,
 }
 
+impl Entry {
+    const fn cleared(now: Instant, term: u32, immunity: Duration) -> Self {
+        let standing = Standing::Cleared;
+        Self { standing, term, immunity, incarnations: Vec::new(), seen: now }
+    }
+
+    /// Orders the entries of one request from the oldest to the newest.
+    const fn version(&self) -> (u32, Standing) {
+        (self.term, self.standing)
+    }
+
+    /// Whether a crash does not count against the request, because it was cleared since.
+    fn clears(&self, crash: &CrashReport) -> bool {
+        self.standing == Standing::Cleared && crash.at <= self.seen + self.immunity
+    }
+
+    /// Merges what a peer knows of the same request.
+    fn merge(&mut self, received: Self) {
+        let seen = self.seen.max(received.seen);
+        match received.version().cmp(&self.version()) {
+            Ordering::Greater => *self = received,
+            Ordering::Equal => {
+                self.immunity = self.immunity.max(received.immunity);
+                self.incarnations.extend(received.incarnations);
+                sort_dedup_truncate(&mut self.incarnations, MAX_INCARNATIONS_PER_ENTRY);
+            }
+            Ordering::Less => {}
+        }
+        self.seen = seen;
+    }
+}
+
 /// A quarantine entry that has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Change {
@@ -172,7 +225,7 @@
     /// The requests that were open at a server when it crashed and are not cleared.
     fn suspects<'a>(&self, crash: &'a CrashReport) -> impl Iterator<Item = &'a Fingerprint> {
         let is_cleared = |request: &Fingerprint| {
-            self.entries.get(request).is_some_and(|entry| entry.standing == Standing::Cleared)
+            self.entries.get(request).is_some_and(|entry| entry.clears(crash))
         };
         crash.requests.iter().filter(move |request| !is_cleared(request))
     }
@@ -208,9 +261,15 @@
         request: Fingerprint,
         cause: Cause,
     ) -> Vec<Change> {
-        let cleared = Entry { standing: Standing::Cleared, incarnations: Vec::new(), seen: now };
-        let before = self.entries.insert(request, cleared);
-        let has_changed = before.is_none_or(|entry| entry.standing != Standing::Cleared);
+        // A renewed clearing is news to the other instances if they suspect the request again.
+        let is_renewed = self.view.suspected.contains(&request);
+        let before = self.entries.get(&request).map(|entry| (entry.standing, entry.term));
+        let (has_changed, term) = match before {
+            None => (true, 1),
+            Some((Standing::Quarantined, term)) => (true, term),
+            Some((Standing::Cleared, term)) => (is_renewed, term + u32::from(is_renewed)),
+        };
+        self.entries.insert(request, Entry::cleared(now, term, cause.immunity()));
         let mut changes = self.evaluate(now);
         if has_changed {
             let (standing, incarnations) = (Standing::Cleared, Vec::new());
@@ -269,22 +328,23 @@
             wire::Standing::Cleared => Standing::Cleared,
             wire::Standing::Unspecified => return None,
         };
-        let before = self.entries.get(&request).map(|known| known.standing);
+        let before = self.entries.get(&request).map(Entry::version);
         if before.is_none() && self.count(standing) >= MAX_REQUESTS {
             return None;
         }
-        let merged = self.entries.entry(request).or_insert_with(|| Entry {
+        let received = Entry {
             standing,
-            incarnations: Vec::new(),
+            term: entry.term.max(1),
+            immunity: Duration::from_millis(entry.immunity_ms.into()),
+            incarnations: entry.incarnations.iter().map(Incarnation::read).collect(),
             seen: now - idle,
-        });
-        merged.standing = merged.standing.max(standing);
-        merged.seen = merged.seen.max(now - idle);
-        merged.incarnations.extend(entry.incarnations.iter().map(Incarnation::read));
-        sort_dedup_truncate(&mut merged.incarnations, MAX_INCARNATIONS_PER_ENTRY);
-        let (standing, incarnations) = (merged.standing, merged.incarnations.clone());
-        let cause = Cause::Peer;
-        (before != Some(standing)).then_some(Change { request, standing, cause, incarnations })
+        };
+        let merged = self.entries.entry(request).or_insert_with(|| received.clone());
+        merged.merge(received);
+        let version = merged.version();
+        let incarnations = merged.incarnations.clone();
+        let (standing, cause) = (merged.standing, Cause::Peer);
+        (before != Some(version)).then_some(Change { request, standing, cause, incarnations })
     }
 
     /// Whether there is room to keep a crash that happened at this time.
@@ -314,15 +374,21 @@
         self.drop_expired_and_excess(now);
         let mut changes = self.clear_refuted(now);
         for (request, mut incarnations) in self.crashes_by_sole_suspect() {
-            let is_known = self.entries.contains_key(&request);
-            if incarnations.len() < MIN_CRASHES || is_known || !self.make_room(now) {
+            let term = match self.entries.get(&request) {
+                Some(entry) if entry.standing == Standing::Quarantined => continue,
+                Some(entry) => entry.term + 1,
+                None => 1,
+            };
+            if incarnations.len() < MIN_CRASHES || !self.make_room(now) {
                 continue;
             }
             sort_dedup_truncate(&mut incarnations, MAX_INCARNATIONS_PER_ENTRY);
             let standing = Standing::Quarantined;
             let cause = Cause::Ends;
             changes.push(Change { request, standing, cause, incarnations: incarnations.clone() });
-            self.entries.insert(request, Entry { standing, incarnations, seen: now });
+            let immunity = Duration::ZERO;
+            let entry = Entry { standing, term, immunity, incarnations, seen: now };
+            self.entries.insert(request, entry);
         }
         self.rebuild_view();
         changes
@@ -368,8 +434,7 @@
             let is_below_minimum =
                 entry.incarnations.len() < count_before && entry.incarnations.len() < MIN_CRASHES;
             if is_below_minimum && entry.standing == Standing::Quarantined {
-                entry.standing = Standing::Cleared;
-                entry.seen = now;
+                *entry = Entry::cleared(now, entry.term, Cause::Refutation.immunity());
                 changes.push(Change {
                     request: *request,
                     standing: Standing::Cleared,
@@ -430,13 +495,12 @@
     fn rebuild_view(&mut self) {
         let entries = self.entries.iter();
         let refused = entries.filter(|(_, entry)| entry.standing == Standing::Quarantined);
+        let refused: Set<Fingerprint> = refused.map(|(request, _)| *request).collect();
         let unrefuted = || self.crashes.iter().filter(|(_, crash)| !crash.refuted);
-        let requests: Set<Fingerprint> =
-            unrefuted().flat_map(|(_, crash)| crash.requests.iter().copied()).collect();
-        let undecided = |request: &Fingerprint| !self.entries.contains_key(request);
+        let suspects = unrefuted().flat_map(|(_, crash)| self.suspects(crash)).copied();
         let view = view::Quarantine {
-            refused: refused.map(|(request, _)| *request).collect(),
-            suspected: requests.into_iter().filter(undecided).collect(),
+            suspected: suspects.filter(|request| !refused.contains(request)).collect(),
+            refused,
             crashes: unrefuted()
                 .map(|(incarnation, crash)| {
                     (Arc::clone(&incarnation.server), crash_view(incarnation, crash))
@@ -458,7 +522,8 @@
             hash::of(&[incarnation.server.as_bytes(), &number, &requests, &[crash.refuted.into()]])
         });
         let entry_hashes = self.entries.iter().map(|(request, entry)| {
-            hash::of(&[&request.bytes(), &[u8::from(entry.standing == Standing::Cleared)]])
+            let standing = [u8::from(entry.standing == Standing::Cleared)];
+            hash::of(&[&request.bytes(), &standing, &entry.term.to_be_bytes()])
         });
         crash_hashes.chain(entry_hashes).fold(0, |combined, hash| combined ^ hash)
     }
@@ -476,6 +541,8 @@
             request: request.bytes().into(),
             standing: wire::Standing::from(entry.standing).into(),
             idle_ms: millis(now.since(entry.seen)),
+            term: entry.term,
+            immunity_ms: millis(entry.immunity),
             incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
         });
         frame.crashes = crashes.collect();
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -173,7 +173,7 @@
                 crash.map(|crash| ReportedTermination { terminated_at: crash.at, received_at });
         }
         let known = quarantine.refused.iter().chain(&quarantine.suspected);
-        let answered = known.filter(|request| self.crashes.was_answered(**request));
+        let answered = known.filter(|request| self.crashes.was_answered(self.now, **request));
         out.extend(answered.map(|request| Action::Cleared {
             request: *request,
             cause: Cause::Answer,
--- a/crates/core/src/leaf/crash/table.rs
+++ b/crates/core/src/leaf/crash/table.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::collections::Map;
-use crate::control::quarantine::Incarnation;
+use crate::control::quarantine::{ANSWER_IMMUNITY, Incarnation};
 use crate::fingerprint::Fingerprint;
 use crate::leaf::recent::Recent;
 use crate::leaf::server::ServerKey;
@@ -67,11 +67,11 @@
 }
 
 /// Evidence about the requests that are at servers, by fingerprint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(in crate::leaf) struct Crashes {
     /// Counts of the requests that have open calls or portions at this instance.
     open: Map<Fingerprint, OpenCounts>,
-    /// Requests recently answered by a server.
+    /// Requests answered by a server within [`ANSWER_IMMUNITY`].
     answered: Recent<Fingerprint>,
     /// Servers suspected to have crashed under each request that no server has answered.
     suspects: Map<Fingerprint, Vec<Suspect>>,
@@ -82,6 +82,18 @@
     pending: Vec<Crash>,
 }
 
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            open: Map::default(),
+            answered: Recent::with_max_age(ANSWER_IMMUNITY),
+            suspects: Map::default(),
+            errors: Map::default(),
+            pending: Vec::new(),
+        }
+    }
+}
+
 impl Crashes {
     /// Counts a new call or portion of a request.
     pub(super) fn begin(&mut self, request: Fingerprint, update: impl FnOnce(&mut OpenCounts)) {
@@ -109,7 +121,7 @@
             suspects.retain(|suspect| now.since(suspect.at) < EVIDENCE_MAX_AGE);
             !suspects.is_empty()
         });
-        if self.answered.contains(&request) {
+        if self.answered.contains_at(now, &request) {
             return;
         }
         let suspects = self.suspects.entry(request).or_default();
@@ -173,8 +185,8 @@
     }
 
     /// Whether a server recently answered the request.
-    pub(super) fn was_answered(&self, request: Fingerprint) -> bool {
-        self.answered.contains(&request)
+    pub(super) fn was_answered(&self, now: Instant, request: Fingerprint) -> bool {
+        self.answered.contains_at(now, &request)
     }
 
     /// Whether any server is suspected to have crashed under a request.
@@ -220,7 +232,7 @@
             return Vec::new();
         }
         for crash in &mut self.pending {
-            crash.requests.retain(|request| !self.answered.contains(request));
+            crash.requests.retain(|request| !self.answered.contains_at(now, request));
         }
         self.pending
             .retain(|crash| !crash.requests.is_empty() && now.since(crash.at) < EVIDENCE_MAX_AGE);
--- a/crates/core/src/leaf/recent.rs
+++ b/crates/core/src/leaf/recent.rs
@@ -17,11 +17,21 @@
     current: Set<T>,
     previous: Set<T>,
     started: Instant,
+    /// Maximum age of one generation.
+    max_age: Duration,
 }
 
 impl<T> Default for Recent<T> {
     fn default() -> Self {
-        Self { current: Set::default(), previous: Set::default(), started: Instant::default() }
+        Self::with_max_age(GENERATION_AGE)
+    }
+}
+
+impl<T> Recent<T> {
+    /// A set that keeps members for at least `max_age` and at most twice as long.
+    pub(super) fn with_max_age(max_age: Duration) -> Self {
+        let (current, previous) = (Set::default(), Set::default());
+        Self { current, previous, started: Instant::default(), max_age }
     }
 }
 
@@ -37,12 +47,22 @@
         self.current.contains(member) || self.previous.contains(member)
     }
 
+    /// Whether a member was added or renewed at most twice the maximum age ago.
+    pub(super) fn contains_at(&self, now: Instant, member: &T) -> bool {
+        let age = now.since(self.started);
+        let is_current = age < self.max_age * 2 && self.current.contains(member);
+        is_current || (age < self.max_age && self.previous.contains(member))
+    }
+
     fn rotate(&mut self, now: Instant) {
-        let is_old = now.since(self.started) >= GENERATION_AGE;
+        let is_old = now.since(self.started) >= self.max_age;
         if !is_old && self.current.len() < GENERATION_SIZE {
             return;
         }
-        self.previous = std::mem::take(&mut self.current);
+        let replaced = std::mem::take(&mut self.current);
+        // After a long time without insertions, the replaced members are too old as well.
+        let is_outdated = now.since(self.started) >= self.max_age * 2;
+        self.previous = if is_outdated { Set::default() } else { replaced };
         self.started = now;
     }
 }
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -8,7 +8,9 @@
 use bolero::TypeGenerator;
 use ladder_core::collections::Set;
 use ladder_core::control::Event;
-use ladder_core::control::quarantine::{Incarnation, MAX_REQUESTS, RETENTION, Standing};
+use ladder_core::control::quarantine::{
+    ANSWER_IMMUNITY, Incarnation, MAX_REQUESTS, RETENTION, Standing,
+};
 use ladder_core::control::settings::{Listing, Timing};
 use ladder_core::control::state_change::StateChange;
 use ladder_core::fingerprint::Fingerprint;
@@ -153,6 +155,23 @@
     }
 }
 
+/// Guards against refusing a popular request because a zone fails shortly after it was answered.
+#[test]
+fn answered_request_is_immune_to_crashes_for_ten_seconds() {
+    let mut fleet = settled_fleet(9);
+    fleet.handle_event(&name(0), Event::Cleared(POISON));
+    fleet.run(ANSWER_IMMUNITY - ms(1000));
+    for number in 0..9 {
+        let (incarnation, at) = (incarnation(number), fleet.now);
+        let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+        fleet.handle_event(&name(number as usize), crash);
+    }
+    for _ in 0..CONTACT.as_millis() / 10 {
+        fleet.run(ms(10));
+        assert!(refused_nowhere(&fleet, POISON));
+    }
+}
+
 /// Guards against an instance that has just started and serves a request that its peers refuse.
 #[test]
 fn starting_instance_is_not_ready_before_it_knows_the_refused_requests() {
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -341,6 +341,19 @@
     }
 }
 
+/// Guards against clearing a request again and again because of an old answer.
+#[test]
+fn answer_clears_a_request_for_twenty_seconds_at_most() {
+    for (millis, clears) in [(9_000, true), (21_000, false)] {
+        let mut harness = harness();
+        let calls = sweep(&mut harness, 1, "/docks/1");
+        harness.answer(&calls[0]);
+        harness.advance(millis);
+        harness.handle(view_with(1, refused("/docks/1")));
+        assert_eq!(is_cleared(&harness, "/docks/1"), clears, "{millis} ms after the answer");
+    }
+}
+
 /// Errors and lost connections of a suspected request, and whether they clear it.
 struct ErrorsCase {
     name: &'static str,
