Wait for a peer that is ready before a starting instance is ready

A starting instance was ready with the first full listing of the platform, some milliseconds after its start; quarantine entries come with the first answer to a digest, 0.1 s after the start, and only from a peer that had them. Frames that acknowledge a probe now say whether the sender was ready, and a starting instance becomes ready when such a peer has answered a digest, or after 0.2 s: after a loss of all instances there is no such peer. Digests are sent no more often than before.

full_listing_makes_instance_ready_without_peers expected readiness in the moment of the listing, which is the fault; it expects it without peers after 0.2 s now, the bound of the wait.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -46,6 +46,10 @@
 /// the platform has answered or failed.
 const STARTUP_WAIT: Duration = Duration::from_secs(1);
 
+/// How long a starting instance asks for a peer that is ready before it becomes ready without one:
+/// after a loss of all instances there is none.
+const READY_PEER_WAIT: Duration = Duration::from_millis(200);
+
 /// Longest time that a change takes to spread to all instances. A difference between two instances
 /// that lasts longer is a loss.
 const PROPAGATION_TIME: Duration = Duration::from_millis(500);
@@ -64,6 +68,7 @@
 /// - its first read of the platform has been answered or has failed;
 /// - the platform has sent a full listing, a peer has answered, no peer is known, or a second has
 ///   passed since the start; with gradual startup a full listing does not suffice;
+/// - a peer that is ready has answered, no peer is known, or a fifth of a second has passed;
 /// - its connection shares have stopped growing.
 ///
 /// If no source answers, the instance never becomes ready, refuses callers with `REASON_NOT_READY`,
@@ -92,6 +97,12 @@
     start_digest_interval: Duration,
     /// Whether a peer has answered a digest.
     peer_answered: bool,
+    /// Until when this instance asks for a peer that is ready; `None` once one has answered or the
+    /// time is over.
+    ///
+    /// Only a peer that was ready before knows which requests the fleet refuses, and an instance
+    /// without that knowledge would pass them to servers again.
+    seeks_ready_peer_until: Option<Instant>,
     /// Whether the store has changed since the last view.
     store_changed: bool,
     /// When the store last changed.
@@ -137,6 +148,7 @@
             fully_listed: false,
             start_digest_interval: START_DIGEST_INTERVAL,
             peer_answered: false,
+            seeks_ready_peer_until: Some(now + READY_PEER_WAIT),
             store_changed: true,
             store_changed_at: now,
             differs_since: None,
@@ -211,6 +223,7 @@
             self.next_deferral(),
             self.quarantine.next_expiry(),
             self.startup.next_change(self.knowledge()),
+            self.seeks_ready_peer_until,
         ];
         for candidate in other_wakes.into_iter().chain([reader_wake]).flatten() {
             wake = wake.min(candidate);
@@ -322,6 +335,7 @@
     }
 
     fn run_due_work(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.seeks_ready_peer_until = self.seeks_ready_peer_until.filter(|until| now < *until);
         if now >= self.next_probe_at {
             self.next_probe_at = now + self.settings.timing.probe;
             self.membership.tick(now);
@@ -453,7 +467,12 @@
         let listing_suffices = self.fully_listed && !self.settings.starts_gradually();
         let source_answered =
             listing_suffices || self.peer_answered || knows_no_peer || elapsed >= STARTUP_WAIT;
-        has_catalogue && self.reader.tried() && source_answered && self.are_shares_settled(elapsed)
+        let is_informed = knows_no_peer || self.seeks_ready_peer_until.is_none();
+        has_catalogue
+            && self.reader.tried()
+            && source_answered
+            && is_informed
+            && self.are_shares_settled(elapsed)
     }
 
     /// Whether the connection shares have stopped growing. The wait for them is bounded, as the
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -55,7 +55,7 @@
             }));
             out.push(Action::Generation(new_generation));
         }
-        self.handle_acknowledgements(&frame.acknowledgements);
+        self.handle_acknowledgements(&frame);
         let reports_quarantine = !(frame.crashes.is_empty() && frame.quarantines.is_empty());
         if reports_quarantine {
             self.update_quarantine(now, &frame.from, out, |quarantine| {
@@ -92,6 +92,7 @@
         }
         self.send_parts(&frame.address, &frame.wanted_parts, out);
         reply.acknowledgements = frame.probes;
+        reply.ready = self.view().ready;
         let in_other_zone = self.membership.is_in_other_zone(&frame.zone);
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
@@ -138,10 +139,16 @@
         Digest { quarantine: self.quarantine.digest(), era: self.era, revision, ..records }
     }
 
-    fn handle_acknowledgements(&mut self, acknowledgements: &[Probe]) {
-        if acknowledgements.iter().any(|probe| self.unanswered_probes.contains(&probe.number)) {
+    fn handle_acknowledgements(&mut self, frame: &Frame) {
+        let is_unanswered = |probe: &Probe| self.unanswered_probes.contains(&probe.number);
+        if frame.acknowledgements.iter().any(is_unanswered) {
             self.peer_answered = true;
-            self.unanswered_probes.clear();
+            if frame.ready {
+                self.seeks_ready_peer_until = None;
+            }
+            if self.seeks_ready_peer_until.is_none() {
+                self.unanswered_probes.clear();
+            }
         }
     }
 
--- a/crates/core/tests/fleet/observed_fleet.rs
+++ b/crates/core/tests/fleet/observed_fleet.rs
@@ -138,12 +138,14 @@
 }
 
 /// All instances start at once. The platform's full listing contains every record, so an instance
-/// becomes ready with it instead of waiting for peers that wait as well.
+/// becomes ready with it once its search for a peer that is ready is over, instead of waiting for
+/// peers that wait as well.
 #[test]
 fn full_listing_makes_instance_ready_without_peers() {
     let mut instance = ObservingInstance::new();
     assert!(!instance.machine.view().ready);
     instance.receive_full_listing(all_records());
+    instance.advance(200);
     assert!(instance.machine.view().ready);
     assert_eq!(instance.server_count(), 20);
 }
