Keep the servers of a part that a server may have received

The entry instance selected other servers for a part that it sent again whenever all replies said NOT_RUN, including replies of instances that had called a server and took its word. The limit then rested on every verdict between the server and the entry instance. Other servers are now selected only while no server has received the part: every sending was answered, and each by an instance that made no call.

unusable_servers_are_replaced_if_nothing_ran has the case "a server received it", red before (three parts with other servers, none expected), and sweep_is_not_restarted_on_another_version holds what was found by reading. Gather tests (101) and the property of attempts are green.

--- a/crates/core/src/eligible.rs
+++ b/crates/core/src/eligible.rs
@@ -6,8 +6,8 @@
 //! servers by its own view, together they would use more servers than the route allows. The entry
 //! instance is the only one that knows all instances that send the sweep's parts, so it selects the
 //! servers, and the selection is sent with the part. An instance that considers one of these
-//! servers dead or leaving has fewer servers left, and refuses the part if none is left: while
-//! nothing of the part can have run, the entry instance selects servers again.
+//! servers dead or leaving has fewer servers left, and refuses the part if none is left: while no
+//! server can have received the part, the entry instance selects servers again.
 
 use crate::control::hash;
 use crate::view::Server;
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -97,7 +97,7 @@
     pub(crate) sendings: Vec<Sending>,
     /// Servers on which the portion of a sweep may run.
     ///
-    /// Invariant: unchanged once a sending may have run.
+    /// Invariant: unchanged once a server may have received the portion.
     pub(crate) eligible: Vec<ServerHash>,
     /// Servers that an instance reported as unusable for this portion.
     pub(crate) unusable: Vec<ServerHash>,
@@ -150,6 +150,13 @@
         self.may_have_reached_server || before.any(|sending| sending.progress != Progress::Answered)
     }
 
+    /// Returns whether it is proved that no server received the portion.
+    pub(crate) fn is_proved_unreceived(&self) -> bool {
+        let mut sendings = self.sendings.iter();
+        !self.may_have_reached_server
+            && sendings.all(|sending| sending.progress == Progress::Answered)
+    }
+
     /// Returns whether the portion ran, as far as that is proved.
     pub(crate) fn verdict(&self) -> Verdict {
         if self.ran || matches!(self.state, PortionState::Covered(_)) {
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ladder_schema::outcome::{Reason, Verdict};
+use ladder_schema::outcome::Reason;
 use ladder_schema::wire;
 
 use super::collect;
@@ -228,8 +228,9 @@
     /// `preferred_zone`; applies to sweeps and to messages that are restricted to some regions.
     /// Returns the number of portions that may run on other servers than at their previous sending.
     ///
-    /// A portion that may have run keeps its servers. Otherwise servers are selected again, since
-    /// an instance reported that it can use none of the previous ones.
+    /// A portion that a server may have received keeps its servers, whatever the verdicts of the
+    /// replies. Otherwise servers are selected again, since an instance reported that it can use
+    /// none of the previous ones.
     fn select_portion_servers(
         &mut self,
         now: Instant,
@@ -247,7 +248,7 @@
         for &portion in portions {
             let portion = &mut query.portions[portion];
             let service = self.view.service(&portion.requested.service);
-            let Some(service) = service.filter(|_| portion.verdict() == Verdict::NotRun) else {
+            let Some(service) = service.filter(|_| portion.is_proved_unreceived()) else {
                 continue;
             };
             let avoid = self.avoided_servers.servers(now, &service.name);
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -568,35 +568,48 @@
     name: &'static str,
     failure: AggregatorFailure,
     verdict: Verdict,
+    /// Number of calls that the aggregator made for the part.
+    calls: u32,
     /// Whether the third server, which the first selection left out, must be selected.
     expects_third: bool,
 }
 
-fn reselection_cases() -> [ReselectionCase; 4] {
+fn reselection_cases() -> [ReselectionCase; 5] {
     let unused = |reason| AggregatorFailure::Refuses(reason);
     [
         ReselectionCase {
             name: "gone",
             failure: unused(Reason::NoServer),
             verdict: Verdict::NotRun,
+            calls: 0,
             expects_third: true,
         },
         ReselectionCase {
             name: "unreachable",
             failure: unused(Reason::ConnectFailed),
             verdict: Verdict::NotRun,
+            calls: 0,
             expects_third: true,
         },
         ReselectionCase {
             name: "one may have run",
             failure: unused(Reason::NoServer),
             verdict: Verdict::MayHaveRun,
+            calls: 1,
+            expects_third: false,
+        },
+        ReselectionCase {
+            name: "a server received it",
+            failure: unused(Reason::NoServer),
+            verdict: Verdict::NotRun,
+            calls: 1,
             expects_third: false,
         },
         ReselectionCase {
             name: "lost",
             failure: AggregatorFailure::LinkDown,
             verdict: Verdict::NotRun,
+            calls: 0,
             expects_third: false,
         },
     ]
@@ -607,11 +620,11 @@
 }
 
 /// Both servers selected for a part are unreachable for its aggregator. Guards against selecting
-/// the same two for the next instance while the third server is idle. Once one of them may have
-/// run the part, the selection must stay.
+/// the same two for the next instance while the third server is idle, and against a part on three
+/// servers: once one of them may have received the part, the selection must stay.
 #[test]
 fn unusable_servers_are_replaced_if_nothing_ran() {
-    for ReselectionCase { name, failure, verdict, expects_third } in reselection_cases() {
+    for ReselectionCase { name, failure, verdict, calls, expects_third } in reselection_cases() {
         let parts = vec![vec!["campanha", "sao-bento", "sao-bento"]; 3];
         let fixture = ViewFixture { parts, ..ViewFixture::default() };
         let mut harness = fixture.harness();
@@ -620,6 +633,7 @@
             AggregatorFailure::Refuses(reason) => {
                 let refusal = |service| Reply {
                     verdict: verdict.into(),
+                    calls,
                     ..refusal_reply(&first.1, service, reason)
                 };
                 let portions = first.1.portions.iter();
@@ -647,6 +661,18 @@
     }
 }
 
+/// Guards against a part on other servers because its sweep is planned again: a sweep that is refused
+/// because of its version is not.
+#[test]
+fn sweep_is_not_restarted_on_another_version() {
+    let mut harness = ViewFixture::default().harness();
+    let (to, remote, _) = start_sweep(&mut harness, "k");
+    let refuse =
+        |portion: &Portion| refusal_reply(&remote, &portion.service, Reason::VersionRetired);
+    let refusals = remote.portions.iter().map(refuse).collect();
+    assert_eq!(sent_work(&deliver_replies(&mut harness, &to, refusals)), []);
+}
+
 /// The servers accept fewer connections than there are instances, and the instance that calls them
 /// for all is lost or leaves. Guards against every instance calling them itself and opening
 /// connections that the next aggregator needs: all parts must go to that one.
