Test that errors weigh against lost calls, and that a clearing is renewed everywhere

Two guards of the quarantine could be taken out without a red test: errors that must outnumber lost connections, and the new term of a request that is cleared again while it is suspected. The case 'mostly lost' has three errors against four lost calls now (it had two, which the minimum refuses anyway), and renewed_clearing_reaches_all_instances is new.

--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -172,6 +172,27 @@
     }
 }
 
+/// Guards against refusing a popular request because the other instances do not learn that it was
+/// answered again.
+#[test]
+fn renewed_clearing_reaches_all_instances() {
+    let mut fleet = settled_fleet(9);
+    let crash = |fleet: &mut Fleet, number| {
+        let (incarnation, at) = (incarnation(number), fleet.now);
+        let event = Event::Crashed { incarnation, at, requests: vec![POISON] };
+        fleet.handle_event(&name(1), event);
+        fleet.run(ms(500));
+        assert!(refused_nowhere(fleet, POISON), "after crash {number}");
+    };
+    fleet.handle_event(&name(0), Event::Cleared(POISON));
+    fleet.run(ANSWER_IMMUNITY + ms(2000));
+    crash(&mut fleet, 1);
+    crash(&mut fleet, 2);
+    fleet.handle_event(&name(0), Event::Cleared(POISON));
+    fleet.run(ms(500));
+    crash(&mut fleet, 3);
+}
+
 /// Guards against an instance that has just started and serves a request that its peers refuse.
 #[test]
 fn starting_instance_is_not_ready_before_it_knows_the_refused_requests() {
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -370,14 +370,15 @@
         ErrorsCase { name: "two errors", errors: 2, lost: 0, clears: false },
         ErrorsCase { name: "errors only", errors: 3, lost: 0, clears: true },
         ErrorsCase { name: "mostly errors", errors: 3, lost: 2, clears: true },
-        ErrorsCase { name: "mostly lost", errors: 2, lost: 3, clears: false },
+        ErrorsCase { name: "mostly lost", errors: 3, lost: 4, clears: false },
     ];
     for ErrorsCase { name, errors, lost, clears } in cases {
         let mut harness = harness();
         harness.handle(view_with(1, suspected("/docks/1")));
-        let calls = sweep(&mut harness, 1, "/docks/1");
-        calls.iter().take(lost).for_each(|sent| lose_call(&mut harness, sent));
-        for sent in calls.iter().skip(lost).take(errors) {
+        let first = sweep(&mut harness, 1, "/docks/1");
+        let second = sweep(&mut harness, 2, "/docks/1");
+        first.iter().take(lost).for_each(|sent| lose_call(&mut harness, sent));
+        for sent in second.iter().take(errors) {
             harness.end_call(sent.attempt, response(sent, 500));
         }
         assert_eq!(is_cleared(&harness, "/docks/1"), clears, "{name}");
