Keep the longer immunity of a request that is cleared again

The longer time stays now (weaker_clearing_does_not_shorten_immunity, new). Crashes that are dropped at once, as too many are kept, no longer wait to be logged.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -510,14 +510,13 @@
     ) {
         let digest_before = self.quarantine.digest();
         let changes = update(&mut self.quarantine);
+        let new_crashes = self.quarantine.take_new_crashes().into_iter();
+        out.extend(new_crashes.map(|(incarnation, suspects)| {
+            Action::Log(StateChange::ServerCrash { incarnation, suspects, from: from.into() })
+        }));
         if self.quarantine.digest() == digest_before {
             return;
         }
-        out.extend(self.quarantine.take_new_crashes().into_iter().map(
-            |(incarnation, suspects)| {
-                Action::Log(StateChange::ServerCrash { incarnation, suspects, from: from.into() })
-            },
-        ));
         out.extend(changes.into_iter().map(|change| {
             Action::Log(StateChange::Quarantine {
                 request: change.request,
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -162,6 +162,14 @@
         self.standing == Standing::Cleared && crash.at <= self.seen + self.immunity
     }
 
+    /// Time from now on for which crashes do not count against the request.
+    fn remaining_immunity(&self, now: Instant) -> Duration {
+        match self.standing {
+            Standing::Quarantined => Duration::ZERO,
+            Standing::Cleared => (self.seen + self.immunity).since(now),
+        }
+    }
+
     /// Merges what a peer knows of the same request.
     fn merge(&mut self, received: Self) {
         let seen = self.seen.max(received.seen);
@@ -263,13 +271,15 @@
     ) -> Vec<Change> {
         // A renewed clearing is news to the other instances if they suspect the request again.
         let is_renewed = self.view.suspected.contains(&request);
-        let before = self.entries.get(&request).map(|entry| (entry.standing, entry.term));
-        let (has_changed, term) = match before {
+        let before = self.entries.get(&request);
+        let (has_changed, term) = match before.map(Entry::version) {
             None => (true, 1),
-            Some((Standing::Quarantined, term)) => (true, term),
-            Some((Standing::Cleared, term)) => (is_renewed, term + u32::from(is_renewed)),
+            Some((term, Standing::Quarantined)) => (true, term),
+            Some((term, Standing::Cleared)) => (is_renewed, term + u32::from(is_renewed)),
         };
-        self.entries.insert(request, Entry::cleared(now, term, cause.immunity()));
+        let remaining = before.map_or(Duration::ZERO, |entry| entry.remaining_immunity(now));
+        let cleared = Entry::cleared(now, term, cause.immunity().max(remaining));
+        self.entries.insert(request, cleared);
         let mut changes = self.evaluate(now);
         if has_changed {
             let (standing, incarnations) = (Standing::Cleared, Vec::new());
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -172,6 +172,26 @@
     }
 }
 
+/// Guards against refusing a request soon after an operator released it, because it was answered or
+/// its servers returned errors since.
+#[test]
+fn weaker_clearing_does_not_shorten_immunity() {
+    for weaker in [Event::Cleared(POISON), Event::ClearedByErrors(POISON)] {
+        let mut fleet = settled_fleet(3);
+        fleet.handle_event(&name(0), Event::Released(POISON));
+        fleet.run(ms(1000));
+        fleet.handle_event(&name(0), weaker);
+        fleet.run(RETENTION - ms(10_000));
+        for number in 0..3 {
+            let (incarnation, at) = (incarnation(number), fleet.now);
+            let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+            fleet.handle_event(&name(0), crash);
+        }
+        fleet.run(ms(500));
+        assert!(refused_nowhere(&fleet, POISON));
+    }
+}
+
 /// Guards against refusing a popular request because the other instances do not learn that it was
 /// answered again.
 #[test]
