--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -92,7 +92,6 @@
         }
         self.send_parts(&frame.address, &frame.wanted_parts, out);
         reply.acknowledgements = frame.probes;
-        reply.ready = self.view().ready;
         let in_other_zone = self.membership.is_in_other_zone(&frame.zone);
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
@@ -268,6 +267,7 @@
             || !reply.crashes.is_empty()
             || reply.digest.is_some();
         if has_content && !address.is_empty() {
+            reply.ready = self.view().ready;
             reply.rumours.extend(self.membership.take_gossip(in_other_zone));
             send(&address.into(), self.with_sender(reply), out);
         }
