Send a portion on each connection at most once

Cause: all sendings of a request have its caller's id. After a rejection the leaf sent the request again on the connection of the rejection; a second copy of the rejection that the server sends late came back as the response to the second sending, and was taken for proof that it had not run. Class: two messages that nothing tells apart on one connection.

Change: a portion keeps the connections that have carried one of its calls and is sent on others only (leaf/reuse.rs). If such connections are the only idle ones of a server that could take the portion, one of them is replaced. Other requests still use them, as their ids differ. It holds for idempotent requests as well: a second copy would have let them run at more servers than the route allows. Closing every connection after a rejection was ruled out: it would cost an overloaded server a new connection for each request that it rejects.

Evidence: leaf::reuse::refused_request_is_sent_again_on_other_connections_only failed before ("spare connections: call 1 on a used connection").

--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -31,6 +31,7 @@
 mod record;
 mod refresh;
 mod reply;
+mod reuse;
 mod server;
 mod service;
 mod settings;
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -50,6 +50,7 @@
         self.send_due_hedges(id, out);
         while self.dispatch_one(id, out) {}
         if !self.services[id].queue.is_empty() {
+            self.replace_used_connections(id, out);
             self.maintain(id, out);
         }
     }
@@ -61,9 +62,7 @@
         if service.queue.is_empty() || !self.has_room(id) {
             return false;
         }
-        let order = service.queue.order().filter(|key| !self.is_held(*key));
-        let head: Vec<PortionKey> = order.take(DISPATCH_SCAN_LIMIT).collect();
-        for key in head {
+        for key in self.first_queued(id) {
             if self.too_late(key) {
                 let refused =
                     Refused::with_verdict(self.current_verdict(key), Reason::WouldMissDeadline);
@@ -82,6 +81,12 @@
         false
     }
 
+    /// The first queued portions of a service that may be sent now.
+    pub(super) fn first_queued(&self, id: ServiceId) -> Vec<PortionKey> {
+        let order = self.services[id].queue.order().filter(|key| !self.is_held(*key));
+        order.take(DISPATCH_SCAN_LIMIT).collect()
+    }
+
     /// Whether the limits of the service allow one more call in flight and some server can take the
     /// call.
     pub(super) fn has_room(&self, id: ServiceId) -> bool {
@@ -120,9 +125,7 @@
 
     /// Returns an idle pooled connection to a server.
     pub(super) fn idle_connection(&self, key: ServerKey) -> Option<ConnectionKey> {
-        let mut connections = self.servers[key].connections.iter().copied();
-        connections
-            .find(|connection| self.connections[*connection].state == connection::State::Idle)
+        self.idle_connections(key).next()
     }
 
     /// Whether a portion could not be answered by its deadline even if it were sent now.
@@ -174,6 +177,7 @@
         let found = order.map(|index| (index, service.servers[index])).find(|(_, server)| {
             self.is_eligible_for(key, *server)
                 && self.can_send(*server)
+                && self.idle_connection_for(key, *server).is_some()
                 && self.serves_version(*server, work)
         });
         let (index, server) = found?;
@@ -195,9 +199,7 @@
         let count = service.servers.len();
         for step in 0..count {
             let candidate = service.servers[(service.cursor + step) % count];
-            let usable =
-                self.is_eligible_for(key, candidate) && self.can_take(candidate, &portion.job.work);
-            if !usable || self.already_shed(key, candidate) || self.already_lost(key, candidate) {
+            if !self.takes(key, candidate) || self.idle_connection_for(key, candidate).is_none() {
                 continue;
             }
             if let Some(until) = self.yields_until(key, candidate) {
@@ -225,6 +227,14 @@
         best.map(|(_, server)| server)
     }
 
+    /// Whether a portion can be sent to a server now, on a connection that has not carried a call of
+    /// the portion.
+    pub(super) fn takes(&self, key: PortionKey, candidate: ServerKey) -> bool {
+        let work = &self.portions[key].job.work;
+        let usable = self.is_eligible_for(key, candidate) && self.can_take(candidate, work);
+        usable && !self.already_shed(key, candidate) && !self.already_lost(key, candidate)
+    }
+
     /// Whether a server can take this work now: it has a free slot, an idle connection and the
     /// index version, and no pause after load shedding is in force.
     fn can_take(&self, key: ServerKey, work: &wire::Work) -> bool {
@@ -393,7 +403,7 @@
 
     /// Sends one call of a portion on an idle pooled connection to the server.
     pub(super) fn send_call(&mut self, key: PortionKey, to: ServerKey, out: &mut Vec<Action>) {
-        let Some(connection) = self.idle_connection(to) else {
+        let Some(connection) = self.idle_connection_for(key, to) else {
             return;
         };
         self.sequence += 1;
@@ -423,6 +433,7 @@
         portion.call_traces.push(call_trace);
         portion.attempts.push(attempt);
         portion.tried_servers.push(to);
+        portion.used_connections.push(connection);
         portion.calls += 1;
         self.services[portion.service].in_flight += 1;
         self.servers[to].in_flight += 1;
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -260,6 +260,7 @@
             timely_at: latency_objective(self.now, &job.work),
             attempts: Vec::new(),
             tried_servers: Vec::new(),
+            used_connections: Vec::new(),
             call_traces: Vec::new(),
             calls: 0,
             unsent: 0,
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 
 use super::aggregate::AggregationKey;
-use super::event::AttemptKey;
+use super::event::{AttemptKey, ConnectionKey};
 use super::kinds::WorkKind;
 use super::machine::Query;
 use super::queue;
@@ -93,6 +93,8 @@
     pub(super) attempts: Vec<AttemptKey>,
     /// Servers that the portion was sent to, so that a retry selects another one.
     pub(super) tried_servers: Vec<ServerKey>,
+    /// Connections that have carried a call of the portion.
+    pub(super) used_connections: Vec<ConnectionKey>,
     /// Calls of the portion with the inputs of each decision, oldest first.
     pub(super) call_traces: Vec<CallTrace>,
     /// Number of calls made to targets for the portion.
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod property;
 mod queue;
+mod reuse;
 mod servers;
 mod session;
 mod siblings;
