Write responses in full before a stopping instance ends

Cause: a request counted as done once its response was handed to the HTTP library, which keeps it until the caller has read enough of it. Class: work counts as done when it is passed on, not when it has arrived.

Change: the stream of a caller's connection counts its responses until the library has flushed them (src/http/responses.rs), for both dialects. Responses on broken connections are not waited for.

Looked for elsewhere: operators' responses are short and not waited for; frames to peers are confirmed since the links number them.

Evidence: platform::slow_callers::stopping_instance_writes_slowly_read_responses_in_full failed before (72,004 of 1,000,000 bytes).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,7 @@
 
 use crate::clock::{self, Clock};
 use crate::driver::{self, Handle, Inbox};
+use crate::http::responses::Unwritten;
 use crate::link::{self, Cut, Identity, Inbound, Outbound};
 use crate::log::{self, RequestLog};
 use crate::metrics::Metrics;
@@ -101,6 +102,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Bounds on the requests of callers.
     pub caller_bounds: CallerBounds,
+    /// Responses that are not written to callers yet.
+    pub unwritten_responses: Unwritten,
     /// Handle of the control machine.
     pub control: Handle<ladder_core::control::Machine>,
     /// Handle of the gathering machine.
@@ -247,6 +250,7 @@
         ready: Readiness::default(),
         dialect,
         caller_bounds: CallerBounds::default(),
+        unwritten_responses: Unwritten::default(),
         control,
         gather,
         leaf,
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -17,6 +17,7 @@
 use super::dialect::Publication;
 use super::{Shared, admin};
 use crate::driver::{self, ActionExecutor, Driver, Inbox};
+use crate::http::responses::Unwritten;
 use crate::{http, log};
 
 impl driver::Machine for Machine {
@@ -103,7 +104,9 @@
             }
         };
         let admin_api = admin::AdminApi::new(shared.clone());
-        actix_rt::spawn(http::serve(listener, move |request| admin_api.clone().handle(request)));
+        actix_rt::spawn(http::serve(listener, Unwritten::default(), move |request| {
+            admin_api.clone().handle(request)
+        }));
         let publication = shared.dialect.publication(&shared);
         let driver = Driver {
             machine: Machine::new(self::settings(&shared), shared.clock.now()),
--- a/src/entry/gateway.rs
+++ b/src/entry/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::Shared;
+use crate::http::responses::Unwritten;
 
 /// Callers that wait for their answers.
 #[derive(Debug, Default)]
@@ -85,6 +86,12 @@
         self.shared.caller_bounds.get()
     }
 
+    /// The number of responses that are not written to callers yet. A graceful shutdown waits for
+    /// them.
+    pub fn unwritten_responses(&self) -> Unwritten {
+        self.shared.unwritten_responses.clone()
+    }
+
     /// Passes a request to the gathering machine and waits for the answer. If the returned future
     /// is dropped before the answer, the machine is informed that the caller has disconnected.
     pub async fn answer(&self, request: call::Request) -> call::Answer {
--- a/src/entry/native/callers.rs
+++ b/src/entry/native/callers.rs
@@ -16,13 +16,15 @@
 /// Serves callers and the load balancer; the load balancer at a separate address if the settings
 /// define one.
 pub(super) async fn serve(gateway: Gateway, listeners: Listeners) {
+    let unwritten = gateway.unwritten_responses();
     let api = CallerApi { gateway };
     if let Some(ready) = listeners.readiness.and_then(|ready| TcpListener::from_std(ready).ok()) {
         let api = api.clone();
-        actix_rt::spawn(http::serve(ready, move |request| api.clone().handle(request)));
+        let unwritten = unwritten.clone();
+        actix_rt::spawn(http::serve(ready, unwritten, move |request| api.clone().handle(request)));
     }
     if let Ok(listener) = TcpListener::from_std(listeners.callers) {
-        http::serve(listener, move |request| api.clone().handle(request)).await;
+        http::serve(listener, unwritten, move |request| api.clone().handle(request)).await;
     }
 }
 
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -78,6 +78,19 @@
         sleep(POLL_INTERVAL).await;
     }
     sleep(REFUSAL_PERIOD).await;
+    finish_responses(shared, deadline + REFUSAL_PERIOD).await;
+}
+
+/// Waits until all responses are written, at most until `deadline`.
+async fn finish_responses(shared: &Shared, deadline: Instant) {
+    while shared.unwritten_responses.count() > 0 {
+        if Instant::now() >= deadline {
+            warn!(shared.log, "graceful shutdown ends: callers have not read their responses";
+                "responses" => shared.unwritten_responses.count());
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
 }
 
 /// Returns the number of open queries and portions.
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP server that runs on the calling thread, and helpers for bodies and responses.
 
+pub mod responses;
+
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,12 +9,14 @@
 use actix_http::body::BoxBody;
 use actix_http::error::PayloadError;
 use actix_http::header::{self, HeaderValue};
-use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_http::{HttpService, Protocol, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
 
+use responses::{Connection, Stream, Unwritten};
+
 /// How long an idle connection stays open; longer than the 60 s idle timeout of most load
 /// balancers.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -29,10 +33,11 @@
 
 impl std::error::Error for BodyError {}
 
-/// Serves every connection of `listener` with `handler` on the calling thread, without end.
+/// Serves every connection of `listener` with `handler` on the calling thread, without end. Counts
+/// the responses that are not written yet in `unwritten`.
 ///
 /// The future of a handler is dropped if its caller closes the connection.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F>(listener: TcpListener, unwritten: Unwritten, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
@@ -40,11 +45,12 @@
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE_TIMEOUT)
         .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &Stream, data| drop(data.insert(stream.connection())))
         .finish(fn_service(move |request: Request| {
+            let connection = request.conn_data::<Rc<Connection>>().cloned();
             let answer = handler(request);
-            async move { Ok::<_, actix_http::Error>(answer.await) }
-        }))
-        .tcp();
+            async move { Ok::<_, actix_http::Error>(track(connection, answer.await)) }
+        }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
@@ -53,9 +59,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let service = Rc::clone(&service);
+                let stream = Stream::new(stream, &unwritten);
                 actix_rt::spawn(async move {
                     // The only errors here are broken connections of callers; they need no report.
-                    let _ = service.call(stream).await;
+                    let _ = service.call((stream, Protocol::Http1, None)).await;
                 });
             }
             // The process is probably out of file descriptors: wait for open connections to close.
@@ -64,6 +71,14 @@
     }
 }
 
+/// Counts a response as unwritten until it is written to its connection.
+pub fn track(connection: Option<Rc<Connection>>, response: Response<BoxBody>) -> Response<BoxBody> {
+    match connection {
+        Some(connection) => connection.track(response),
+        None => response,
+    }
+}
+
 /// Reads a request body of at most `limit` bytes.
 ///
 /// # Errors
