Accept published values beyond the bounds of the daemon's own interfaces

Cause: the check of a route applied the bound of deadlines in the daemon's own interface, and a version with one such route is refused whole. Class: a limit of one interface is applied to values of another that has none.

Versions stay in force as a whole or not at all.

Looked for elsewhere, not changed: names of more than 128 bytes, 10,000 routes, servers with more than 10,000 slots.

--- a/crates/core/src/gather/check.rs
+++ b/crates/core/src/gather/check.rs
@@ -28,10 +28,10 @@
     if request.message.is_none() {
         check_length("index", request.index.len(), NAME_BYTES)?;
         check_length("operation", request.operation.len(), NAME_BYTES)?;
+        check_deadline(request.deadline_ms)?;
     }
     check_upper_bound("payload", request.payload.len(), PAYLOAD_BYTES, "bytes")?;
     check_upper_bound("shards", request.shards.len(), SHARDS, "names")?;
-    check_deadline(request.deadline_ms)?;
     check_shards(&request.shards)
 }
 
--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_schema::bounds;
 use ladder_schema::call;
 use ladder_schema::outcome::Reason;
 
@@ -156,7 +157,7 @@
 }
 
 fn forward_terms(route: &Route, request: &call::Request) -> Terms {
-    let timeout = Duration::from_millis(route.spec.timeout_ms.into());
+    let timeout = Duration::from_millis(route.spec.timeout_ms.min(bounds::FORWARD_MS).into());
     let requested = match request.deadline_ms {
         0 => timeout,
         deadline => Duration::from_millis(deadline.into()),
--- a/crates/core/src/leaf/record.rs
+++ b/crates/core/src/leaf/record.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_schema::bounds;
+
 use super::service::ServiceId;
 use crate::collections::Map;
 use crate::time::Instant;
@@ -11,7 +13,7 @@
 /// Maximum number of records; the oldest is dropped first.
 const MAX_RECORDS: usize = 65_536;
 /// Time for which a record is kept.
-const MAX_AGE: Duration = Duration::from_secs(600);
+const MAX_AGE: Duration = Duration::from_millis(2 * bounds::FORWARD_MS as u64);
 
 /// State of a non-idempotent request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/tests/gather/forward.rs
+++ b/crates/core/tests/gather/forward.rs
@@ -400,6 +400,39 @@
     }
 }
 
+/// A deadline and a timeout above those of this daemon's own interface, and the expected budget.
+struct LongBudget {
+    deadline_ms: u32,
+    timeout_ms: u32,
+    budget_ms: u64,
+}
+
+const LONG_BUDGETS: [LongBudget; 4] = [
+    LongBudget { deadline_ms: 90_000, timeout_ms: 120_000, budget_ms: 90_000 },
+    LongBudget { deadline_ms: 0, timeout_ms: 120_000, budget_ms: 120_000 },
+    LongBudget { deadline_ms: u32::MAX, timeout_ms: 70_000, budget_ms: 70_000 },
+    LongBudget { deadline_ms: u32::MAX, timeout_ms: u32::MAX, budget_ms: 300_000 },
+];
+
+/// Guards against refusing messages, or giving them up early, because their route allows more time
+/// than requests to this daemon's own interface may have.
+#[test]
+fn messages_may_take_longer_than_own_requests() {
+    for case in LONG_BUDGETS {
+        let mut routing = routing();
+        for route in &mut routing.routes {
+            route.timeout_ms = case.timeout_ms;
+        }
+        let mut harness = harness_with(Some(routing));
+        let request = Request { deadline_ms: case.deadline_ms, ..message(HOST, "/once/x") };
+        let work = sent_work(&harness.call(request)).remove(0).1;
+        let budget_ms = work.budget_us / 1000;
+        let name = format!("{} and {}", case.deadline_ms, case.timeout_ms);
+        assert!(budget_ms <= case.budget_ms, "{name}: {budget_ms}");
+        assert!(budget_ms > case.budget_ms * 9 / 10, "{name}: {budget_ms}");
+    }
+}
+
 /// A server's response to a single-service message must be passed on unchanged, including its
 /// signature.
 #[test]
--- a/crates/schema/src/bounds.rs
+++ b/crates/schema/src/bounds.rs
@@ -15,12 +15,22 @@
 pub const SHARDS: usize = 4096;
 /// Longest deadline that a caller may request, in milliseconds.
 pub const DEADLINE_MS: u32 = 60_000;
+/// Longest time for which a forwarded message is open, in milliseconds. A route may allow more. The
+/// outcomes of non-idempotent requests are kept for twice this time.
+pub const FORWARD_MS: u32 = 300_000;
 /// Maximum size of one frame of the protocol between instances, in bytes.
 pub const FRAME_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of one published record, in bytes.
 pub const RECORD_BYTES: usize = 1024 * 1024;
 /// Maximum size of a target's answer, in bytes.
 pub const ANSWER_BYTES: usize = 1024 * 1024;
+/// Lowest connection limit of one server.
+///
+/// One connection is a reserve for the time in which the instances' views of the fleet differ. With
+/// a limit of 1 there would be no reserve, and the instances could not keep to the limit.
+pub const MIN_CONNECTIONS: u32 = 2;
+/// Highest connection limit of one server.
+pub const MAX_CONNECTIONS: u32 = 100_000;
 /// Maximum number of operations in a catalogue entry.
 pub const OPERATIONS: usize = 256;
 /// Maximum length of a service's queue, in requests.
