Give the ends of a tested link addresses of their own

The test took a free port of 127.0.0.1, released it and bound it again; the other tests of the process, which run beside it, take free ports of the same address.

Each end now has a loopback address that no other socket uses, as each fleet of processes has. Checks and waits of the test are unchanged.

--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -41,6 +41,13 @@
 /// Number of the next fleet of this test process; gives each fleet its own IP address and folder.
 static NEXT_FLEET_NUMBER: AtomicU8 = AtomicU8::new(1);
 
+/// Number of the next fleet, and a loopback address that nothing else of this machine uses.
+pub(crate) fn next_address() -> (u8, Ipv4Addr) {
+    let number = NEXT_FLEET_NUMBER.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    (number, Ipv4Addr::new(127, 1 + high % 250, low, number))
+}
+
 /// Platform address on which nothing listens, for instances that must not reach the platform.
 const UNREACHABLE_PLATFORM: &str = "127.0.0.1:1";
 
@@ -97,9 +104,7 @@
         edit_entry: fn(&mut Entry),
     ) -> Self {
         let permit = FleetPermit::acquire();
-        let number = NEXT_FLEET_NUMBER.fetch_add(1, Ordering::Relaxed);
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let address = Ipv4Addr::new(127, 1 + high % 250, low, number);
+        let (number, address) = next_address();
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("fleet-{}-{number}", std::process::id()));
         let run = layout.address(IpAddr::V4(address)).write(&folder);
--- a/tests/integration/link/silence.rs
+++ b/tests/integration/link/silence.rs
@@ -1,6 +1,5 @@
 //! Tests of two instances whose open connections go silent.
 
-use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,10 +12,15 @@
 use sycamoreladder::metrics::Metrics;
 
 use super::proxy::Proxy;
+use crate::fleet;
 
 /// Longest wait for a frame that has to arrive.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Port on which an end of a link receives frames. Each end has an address of its own, so that no
+/// other socket can have taken the port.
+const PORT: u16 = 7380;
+
 /// One end of a link, reachable only through a proxy.
 struct End {
     proxy: Proxy,
@@ -26,9 +30,8 @@
 
 impl End {
     fn start(name: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("the listener has an address").to_string();
-        drop(listener);
+        let (_, ip) = fleet::next_address();
+        let address = format!("{ip}:{PORT}");
         let socket = Inbound::listen(&address).expect("the port is free");
         let proxy = Proxy::start(&address);
         let metrics = Metrics::new().expect("the metrics can be created");
