Tell a cut watch from an outage of the platform

Cause: a watch whose connection ended counted as a failed read, and the next answer as the return of the platform from an outage, after which withdrawals are held back for 2.3 s anew. Class: a routine event is taken for a fault.

Change: Event::WatchCut. If the read was waiting for changes, the reader asks again within a 64th of the contact time, without waiting; only if that read fails too is it a failure. Reads that were not waiting fail as before, so an outage that begins with cut watches is still one. Cuts are counted by ladder_platform_reads_total{outcome="cut"}.

Evidence: fleet::cut_watches::withdrawn_server_gets_no_work_although_watches_are_cut is red with the cut taken for a failure (all nine instances, 3 s after the withdrawal). All 129 tests of the control machine pass.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -23,6 +23,9 @@
     Page(publication::Page),
     /// The platform did not answer the open read, or answered it with an error.
     WatchFailed,
+    /// The connection of the open read has ended without an answer. While the read waits for new
+    /// records, the platform may end it at any time.
+    WatchCut,
     /// The platform no longer has the changes since the requested revision.
     WatchExpired,
     /// The connection to the peer of this name broke.
@@ -73,8 +76,8 @@
         /// The frame to send to the peer.
         frame: Box<wire::Frame>,
     },
-    /// Start a read of the platform. Exactly one [`Event::Page`], [`Event::WatchFailed`] or
-    /// [`Event::WatchExpired`] answers it.
+    /// Start a read of the platform. Exactly one [`Event::Page`], [`Event::WatchFailed`],
+    /// [`Event::WatchCut`] or [`Event::WatchExpired`] answers it.
     Watch(Read),
     /// Use this generation of the instance in every frame from now on.
     Generation(u64),
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -17,7 +17,7 @@
 use super::reader::{self, Reader, ReaderRank};
 use super::settings::{Listing, Settings};
 use super::startup::{Knowledge, Startup};
-use super::state_change::{PlatformChange, StateChange};
+use super::state_change::StateChange;
 use super::store::{Key, Position, Refusal, Store};
 use super::{Action, Event};
 use crate::collections::Set;
@@ -180,12 +180,8 @@
         match event {
             Event::Frame(frame) => self.handle_frame(now, *frame, out),
             Event::Page(page) => self.handle_page(now, &page, out),
-            Event::WatchFailed => {
-                let timing = self.reader_timing();
-                let failure = self.reader.failed(now, timing, &mut self.random);
-                let revision = self.store.revision();
-                out.push(records::platform_log(PlatformChange::Lost { revision, failure }));
-            }
+            Event::WatchFailed => self.read_failed(now, out),
+            Event::WatchCut => self.watch_cut(now, out),
             Event::WatchExpired => self.read_anew(now),
             Event::LinkDown(name) => self.membership.link_down(now, &name),
             Event::ServerLeaving { server, incarnation } => {
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -63,6 +63,22 @@
         }
     }
 
+    /// Handles a read that failed.
+    pub(super) fn read_failed(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let timing = self.reader_timing();
+        let failure = self.reader.failed(now, timing, &mut self.random);
+        let revision = self.store.revision();
+        out.push(platform_log(PlatformChange::Lost { revision, failure }));
+    }
+
+    /// Handles a read whose connection ended.
+    pub(super) fn watch_cut(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let timing = self.reader_timing();
+        if !self.reader.cut(now, timing, &mut self.random) {
+            self.read_failed(now, out);
+        }
+    }
+
     /// Moves the reader's position on. If the answer continues a position of an earlier era, all
     /// records are read anew.
     fn note_answer(&mut self, now: Instant, page: &Page) {
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -131,6 +131,8 @@
     ///
     /// Invariant: at most one read is open at any time.
     is_read_open: bool,
+    /// Whether the last read waits for new records.
+    waits: bool,
     /// When the last read of the platform started.
     read_started_at: Instant,
     /// When the platform last answered this instance; before the first answer, when the instance
@@ -168,6 +170,7 @@
     pub fn new(now: Instant, timing: Timing, random: &mut Random) -> Self {
         Self {
             is_read_open: false,
+            waits: false,
             read_started_at: now,
             last_answer_at: now,
             created_at: now,
@@ -297,6 +300,21 @@
         Failure { failures: self.failures, waited: now.since(self.read_started_at), pause }
     }
 
+    /// Processes the end of the connection of a read. Returns `false` if that is a failure.
+    ///
+    /// The platform may cut a read that waits for new records. If this counted as an outage, records
+    /// that are doubtful after an outage would be held back after each cut, and cuts in succession
+    /// would hold them back without end. The next read asks at once whether the platform answers.
+    pub fn cut(&mut self, now: Instant, timing: Timing, random: &mut Random) -> bool {
+        if !self.waits {
+            return false;
+        }
+        self.is_read_open = false;
+        self.read_at_once = true;
+        self.earliest_read = now + random_up_to(timing.cut_spread(), random);
+        true
+    }
+
     /// Spreads the reads that are overdue after a pause of this process, because many instances may
     /// have been paused together.
     pub fn resumed(&mut self, now: Instant, timing: Timing, random: &mut Random) {
@@ -343,6 +361,7 @@
         // for new records, the loss would be detected only after the wait, and no instance would
         // ask the platform meanwhile even if it had recovered.
         let may_wait = is_reader && !self.read_at_once && !self.is_failing();
+        self.waits = may_wait;
         let wait = if may_wait { timing.watch() } else { Duration::ZERO };
         Some(Read { cause, after: self.cursor, wait, patience: timing.patience() })
     }
@@ -412,6 +431,11 @@
         self.contact / 4
     }
 
+    /// Time over which the readers spread their next reads if their watches are cut together.
+    fn cut_spread(self) -> Duration {
+        self.contact / 64
+    }
+
     /// Longest pause after a failed read of the platform, if `failures` reads failed directly
     /// before it.
     fn pause(self, failures: u32) -> Duration {
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -206,6 +206,15 @@
         }
     }
 
+    /// The platform cuts the connections of all open watches.
+    pub(crate) fn cut_watches(&mut self) {
+        for name in self.names() {
+            if self.node(&name).watch.take().is_some() {
+                self.schedule(&name, Event::WatchCut);
+            }
+        }
+    }
+
     /// Loses the answers to all open reads, and to all that start before
     /// [`Fleet::stop_losing_answers`].
     pub(crate) fn start_losing_answers(&mut self) {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod connection_limits;
 mod cross_zone_traffic;
+mod cut_watches;
 mod evacuation;
 mod fixtures;
 mod harness;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -124,6 +124,7 @@
         let outcome = match result {
             Event::Page(_) => "answered",
             Event::WatchExpired => "expired",
+            Event::WatchCut => "cut",
             _ => "failed",
         };
         self.metrics.platform_read(outcome);
--- a/src/entry/native/records.rs
+++ b/src/entry/native/records.rs
@@ -8,6 +8,7 @@
 
 use crate::entry::Shared;
 use crate::entry::dialect::Publication;
+use crate::http;
 
 /// Largest accepted page of records, in bytes.
 const MAX_PAGE_BYTES: usize = 64 * 1024 * 1024;
@@ -35,19 +36,23 @@
         let shared = self.shared.clone();
         shared.metrics.platform_call();
         actix_rt::spawn(async move {
-            shared.platform_read(read_page(request).await.unwrap_or(Event::WatchFailed));
+            shared.platform_read(read_page(request).await);
         });
     }
 }
 
-/// Returns the event that a response results in; `None` if the call failed or the response is not a
-/// page.
-async fn read_page(request: awc::SendClientRequest) -> Option<Event> {
-    let mut response = request.await.ok()?;
+/// Returns the event that a call results in.
+async fn read_page(request: awc::SendClientRequest) -> Event {
+    let mut response = match request.await {
+        Ok(response) => response,
+        Err(error) if http::is_disconnect(&error) => return Event::WatchCut,
+        Err(_) => return Event::WatchFailed,
+    };
     match response.status() {
-        StatusCode::GONE => return Some(Event::WatchExpired),
-        status if !status.is_success() => return None,
+        StatusCode::GONE => return Event::WatchExpired,
+        status if !status.is_success() => return Event::WatchFailed,
         _ => {}
     }
-    response.json::<Page>().limit(MAX_PAGE_BYTES).await.ok().map(Event::Page)
+    let page = response.json::<Page>().limit(MAX_PAGE_BYTES).await;
+    page.map_or(Event::WatchFailed, Event::Page)
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -11,6 +11,7 @@
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpService, Protocol, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
+use awc::error::{ConnectError, SendRequestError};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
@@ -97,6 +98,16 @@
     Ok(bytes.freeze())
 }
 
+/// Whether a call failed because its open connection ended before the response.
+pub fn is_disconnect(error: &SendRequestError) -> bool {
+    matches!(
+        error,
+        SendRequestError::Connect(ConnectError::Disconnected)
+            | SendRequestError::Send(_)
+            | SendRequestError::Response(_)
+    )
+}
+
 /// Creates a response with `value` as its JSON body.
 pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<BoxBody> {
     match serde_json::to_vec(value) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -256,7 +256,8 @@
         self.platform_calls.add(1, &[]);
     }
 
-    /// Counts a finished platform read by its result: `answered`, `expired` or `failed`.
+    /// Counts a finished platform read by its result: `answered`, `expired`, `cut` or
+    /// `failed`.
     pub fn platform_read(&self, outcome: &'static str) {
         self.platform_reads.add(1, &[KeyValue::new("outcome", outcome)]);
     }
