--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -227,8 +227,7 @@
         best.map(|(_, server)| server)
     }
 
-    /// Whether a portion can be sent to a server now, on a connection that has not carried a call of
-    /// the portion.
+    /// Whether a server can take a portion now, on whichever of its connections.
     pub(super) fn takes(&self, key: PortionKey, candidate: ServerKey) -> bool {
         let work = &self.portions[key].job.work;
         let usable = self.is_eligible_for(key, candidate) && self.can_take(candidate, work);
