--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -276,10 +276,8 @@
     /// usual time is not waited for.
     fn already_lost(&self, key: PortionKey, candidate: ServerKey) -> bool {
         let portion = &self.portions[key];
-        if !portion.is_single()
-            || !portion.may_have_run
-            || !portion.tried_servers.contains(&candidate)
-        {
+        let is_single = portion.job.work.forward.as_ref().is_some_and(|forward| !forward.part);
+        if !is_single || !portion.may_have_run || !portion.tried_servers.contains(&candidate) {
             return false;
         }
         let usual = self.mean_call_time(portion.service, portion.kind);
