Retry a lost part at a replica that makes progress

Evidence: leaf::dispatch::lost_part_waits_for_a_replica_that_makes_progress failed before (a fifth call, at the same server).

--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -267,17 +267,17 @@
         has_shed(candidate) && self.services[portion.service].servers.iter().any(takes)
     }
 
-    /// Whether a call of this single message may have run at the server, while another server to
-    /// which the message was not sent yet can be expected to take it.
+    /// Whether a call of this portion may have run at the server, while another server to which the
+    /// portion was not sent yet can be expected to take it.
     ///
-    /// If all slots of the other servers are busy for a moment, a message whose server has just
+    /// If all slots of the other servers are busy for a moment, a portion whose server has just
     /// lost the connection would be sent to the same server again, and with two attempts it would
-    /// fail although another server could answer it. A server whose oldest call has taken twice the
+    /// fail although another server could answer it. A server that has terminated may keep other
+    /// connections open for tens of milliseconds. A server whose oldest call has taken twice the
     /// usual time is not waited for.
     fn already_lost(&self, key: PortionKey, candidate: ServerKey) -> bool {
         let portion = &self.portions[key];
-        let is_single = portion.job.work.forward.as_ref().is_some_and(|forward| !forward.part);
-        if !is_single || !portion.may_have_run || !portion.tried_servers.contains(&candidate) {
+        if !portion.may_have_run || !portion.tried_servers.contains(&candidate) {
             return false;
         }
         let usual = self.mean_call_time(portion.service, portion.kind);
--- a/crates/core/tests/leaf/dispatch.rs
+++ b/crates/core/tests/leaf/dispatch.rs
@@ -77,6 +77,26 @@
     assert_eq!(harness.sent().len(), 2);
 }
 
+/// Guards against sending a part again to the server that has just lost its call, because all slots
+/// of the replica are busy: if the server has terminated, that call is lost too, and the part is
+/// missing although the replica has it.
+#[test]
+fn lost_part_waits_for_a_replica_that_makes_progress() {
+    let mut harness = Harness::new();
+    harness.learn_call_times(40, 4);
+    harness.deliver_sweeps(1..=4);
+    let open = harness.sent();
+    assert_eq!(open.len(), 4, "all slots are busy");
+    let lost = &open[0];
+    let other = open.iter().find(|call| call.address != lost.address).expect("a replica");
+    harness.end_call(lost.attempt, Outcome::Lost);
+    harness.connect();
+    assert_eq!(harness.sent().len(), 4, "no call at the same server");
+    harness.answer(other);
+    let again = harness.sent().pop().expect("a call");
+    assert_eq!((&again.request.key, &again.address), (&lost.request.key, &other.address));
+}
+
 /// A server accepts the call and never answers. The entry instance must get the reply while its
 /// caller still waits, and the abandoned call must not count as idle.
 #[test]
