--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -79,6 +79,10 @@
         self.clear_if_proved(&attempt, completion, out);
         self.call_ended(&attempt, &outcome, complete, out);
         self.release_connection(&attempt, complete || is_complete(&outcome), mismatched, out);
+        let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
+        if outcome == Outcome::Lost && !timed_out {
+            self.connection_broke(attempt.server);
+        }
         self.record_outcome(&attempt, &outcome, out);
         self.log_suspicion_change(attempt.server, was_suspect, out);
         self.resolve_call(key, &attempt, outcome, out);
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether the portion is a message to a single service.
+    pub(super) fn is_single(&self) -> bool {
+        self.job.work.forward.as_ref().is_some_and(|forward| !forward.part)
+    }
+
     /// Whether the attempt limit of the portion's route allows one more call.
     pub(super) fn may_be_sent_again(&self) -> bool {
         let forward = self.job.work.forward.as_ref();
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -81,6 +81,8 @@
     pub(super) probe_connection: Option<ConnectionKey>,
     /// Calls to cancel as soon as a connection is idle.
     pub(super) queued_cancels: VecDeque<AttemptKey>,
+    /// When a call last lost its connection to the server; `None` if none did.
+    pub(super) connection_broke_at: Option<Instant>,
     /// Requests whose calls broke off recently, each request once, oldest first.
     pub(super) lost_calls: Vec<LostCall>,
     /// Reported termination of a process of this server; `None` if none was reported.
@@ -120,6 +122,7 @@
             probe_at: Instant::default(),
             probe_connection: None,
             queued_cancels: VecDeque::new(),
+            connection_broke_at: None,
             lost_calls: Vec::new(),
             reported_termination: None,
         };
--- a/crates/core/tests/leaf/reuse.rs
+++ b/crates/core/tests/leaf/reuse.rs
@@ -1,5 +1,7 @@
 //! Tests of the connections that repeated calls of a portion use.
 
+use std::time::Duration;
+
 use ladder_core::leaf::event::Outcome;
 use ladder_core::schema::outcome::Reason;
 use ladder_core::view::Server;
@@ -63,3 +65,47 @@
     let next = harness.deliver_and_take_call(2, "book");
     assert_eq!(next.connection, refused.connection);
 }
+
+/// Guards against sending calls on idle connections to a server that has just terminated, before
+/// their ends are reported: these calls would be lost too, and use up the retry budget.
+#[test]
+fn no_call_is_sent_to_terminated_server_on_remaining_connections() {
+    let mut harness = Harness::new();
+    harness.learn_call_times(40, 4);
+    harness.deliver_sweeps(1..=8);
+    let is_at = |call: &SentCall, address| &*call.address == address;
+    let (lost, other): (Vec<_>, Vec<_>) =
+        harness.sent().into_iter().partition(|call| is_at(call, "10.0.0.1:80"));
+    assert_eq!((lost.len(), other.len()), (2, 2));
+    harness.log.clear();
+    for call in &lost {
+        harness.end_call(call.attempt, Outcome::Lost);
+    }
+    harness.answer_all(other);
+    let next = harness.sent();
+    assert_eq!(next.len(), 2, "one for each free slot of the other server");
+    assert!(next.iter().all(|call| is_at(call, "10.0.0.2:80")));
+}
+
+/// Guards against leaving a server unused after one of its connections has broken.
+#[test]
+fn remaining_connections_are_used_again_if_they_stay_open() {
+    let mut harness = Harness::connected(settings(), service(vec![server(1)]));
+    harness.deliver_sweeps(1..=2);
+    harness.end_call(harness.sent()[0].attempt, Outcome::Lost);
+    assert_eq!(harness.sent().len(), 2);
+    harness.advance(10);
+    assert_eq!(harness.sent().len(), 3);
+}
+
+/// Guards against waiting although a connection that was opened later is known to work.
+#[test]
+fn connection_opened_after_a_break_is_used_at_once() {
+    let only = Server { share: 2, ..server(1) };
+    let mut harness = Harness::connected(settings(), service(vec![only]));
+    harness.deliver_sweeps(1..=2);
+    harness.end_call(harness.sent()[0].attempt, Outcome::Lost);
+    harness.now = harness.now + Duration::from_millis(1);
+    harness.connect();
+    assert_eq!(harness.sent().len(), 3);
+}
