Send every hedge that is paid for

A hedge was chosen by whether its server had any idle connection, but a call needs one that may carry it. For 5 ms after a connection to that server had broken, hedges spent the budget and marked their portions as hedged, and no call was sent: fewer retries were left just when a server had terminated.

Change: a server is chosen for a hedge only if it has such a connection; the hedge stays due until then.

Evidence: leaf::hedge::every_paid_hedge_is_sent_although_a_connection_to_its_server_broke failed before (two hedges counted, no call sent).

--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -154,6 +154,7 @@
                 && !portion.tried_servers.contains(candidate)
                 && self.is_eligible_for(key, *candidate)
                 && self.can_send(*candidate)
+                && self.idle_connection_for(key, *candidate).is_some()
                 && self.serves_version(*candidate, work)
         };
         let candidates = self.services[id].servers.iter().copied();
--- a/crates/core/tests/leaf/hedge.rs
+++ b/crates/core/tests/leaf/hedge.rs
@@ -148,3 +148,22 @@
         assert_eq!(harness.sent().len(), 1);
     }
 }
+
+/// Guards against a hedge that is paid for and never sent, because the idle connections to its
+/// server may have ended together with another one.
+#[test]
+fn every_paid_hedge_is_sent_although_a_connection_to_its_server_broke() {
+    let mut harness = learned_harness();
+    harness.deliver_sweeps(1..=4);
+    harness.advance(9);
+    let open = harness.sent();
+    assert_eq!(open.len(), 4, "all slots are busy");
+    let lost = open.iter().find(|call| &*call.address != FIRST).expect("a call at the second");
+    harness.end_call(lost.attempt, Outcome::Lost);
+    for _ in 0..9 {
+        harness.advance(1);
+        let hedges = harness.counted(count::Event::Hedge, Reason::Hedge);
+        assert_eq!(harness.sent().len(), open.len() + hedges, "at {:?}", harness.now);
+    }
+    assert!(harness.sent().len() > open.len(), "a hedge is sent in the end");
+}
