Replace one used connection at a time

A request whose only server had refused it on each of its connections had one of them replaced at every dispatch, also while a new one was being opened: idle connections that other requests could use were closed in turn, and the server paid for opening others.

Change: nothing is closed while a connection to the server is being opened; the question is asked in one place for this and for retries after failures to connect. The first queued portions are no longer collected when none of them was sent before.

Evidence: leaf::reuse::used_connection_is_replaced_once failed before (two connections closed, one needed).

--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -261,9 +261,13 @@
         if server.open_failures == 0 {
             return self.now >= server.reopen_at;
         }
-        let is_opening =
-            |connection: &ConnectionKey| self.connections[*connection].state == State::Opening;
-        self.now >= server.reopen_at && !server.connections.iter().any(is_opening)
+        self.now >= server.reopen_at && !self.opens_connection(key)
+    }
+
+    /// Whether a connection to the server is being opened.
+    pub(super) fn opens_connection(&self, key: ServerKey) -> bool {
+        let mut connections = self.servers[key].connections.iter();
+        connections.any(|connection| self.connections[*connection].state == State::Opening)
     }
 
     fn open_connection(&mut self, key: ServerKey, out: &mut Vec<Action>) {
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -62,7 +62,8 @@
         if service.queue.is_empty() || !self.has_room(id) {
             return false;
         }
-        for key in self.first_queued(id) {
+        let head: Vec<PortionKey> = self.first_queued(id).collect();
+        for key in head {
             if self.too_late(key) {
                 let refused =
                     Refused::with_verdict(self.current_verdict(key), Reason::WouldMissDeadline);
@@ -82,9 +83,9 @@
     }
 
     /// The first queued portions of a service that may be sent now.
-    pub(super) fn first_queued(&self, id: ServiceId) -> Vec<PortionKey> {
+    pub(super) fn first_queued(&self, id: ServiceId) -> impl Iterator<Item = PortionKey> {
         let order = self.services[id].queue.order().filter(|key| !self.is_held(*key));
-        order.take(DISPATCH_SCAN_LIMIT).collect()
+        order.take(DISPATCH_SCAN_LIMIT)
     }
 
     /// Whether the limits of the service allow one more call in flight and some server can take the
--- a/crates/core/src/leaf/reuse.rs
+++ b/crates/core/src/leaf/reuse.rs
@@ -78,8 +78,7 @@
     /// carried calls of these portions. No other queued portion could be sent on them now.
     pub(super) fn replace_used_connections(&mut self, id: ServiceId, out: &mut Vec<Action>) {
         let is_repeated = |key: &PortionKey| !self.portions[*key].used_connections.is_empty();
-        let mut repeated = self.first_queued(id);
-        repeated.retain(is_repeated);
+        let repeated: Vec<PortionKey> = self.first_queued(id).filter(is_repeated).collect();
         if repeated.is_empty() || !self.has_room(id) {
             return;
         }
@@ -87,7 +86,8 @@
             let waits = |key: &PortionKey| {
                 self.takes(*key, server) && self.unused_connections(*key, server).next().is_none()
             };
-            if let Some(used) = self.idle_connection(server)
+            if !self.opens_connection(server)
+                && let Some(used) = self.idle_connection(server)
                 && repeated.iter().any(waits)
             {
                 self.remove_connection(used);
--- a/crates/core/tests/leaf/reuse.rs
+++ b/crates/core/tests/leaf/reuse.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use ladder_core::leaf::Action;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::schema::outcome::Reason;
 use ladder_core::view::Server;
 
-use crate::harness::{Harness, SentCall, server, service, settings, work};
+use crate::harness::{Harness, SentCall, cancel, server, service, settings, view, work};
 
 /// A request to the only server of its service, which refuses its first calls.
 struct Case {
@@ -59,13 +60,32 @@
     let mut harness =
         Harness::connected(settings(), service(vec![Server { share: 1, ..server(1) }]));
     let refused = harness.deliver_and_take_call(1, "book");
-    harness.handle(crate::harness::cancel(1));
+    harness.handle(cancel(1));
     harness.end_call(refused.attempt, refusal(&refused));
     harness.advance(100);
     let next = harness.deliver_and_take_call(2, "book");
     assert_eq!(next.connection, refused.connection);
 }
 
+/// Guards against closing one idle connection after the other for a request that already waits for
+/// a new one.
+#[test]
+fn used_connection_is_replaced_once() {
+    let only = Server { share: 2, ..server(1) };
+    let mut harness = Harness::connected(settings(), service(vec![only.clone()]));
+    harness.deliver_work(work(1, "book"));
+    for refused in 0..2 {
+        let last = harness.sent().remove(refused);
+        harness.end_call(last.attempt, refusal(&last));
+        harness.advance(100);
+    }
+    for _ in 0..4 {
+        harness.handle(view(service(vec![only.clone()])));
+    }
+    let closed = harness.log.iter().filter(|action| matches!(action, Action::Close(_))).count();
+    assert_eq!(closed, 1);
+}
+
 /// Guards against sending calls on idle connections to a server that has just terminated, before
 /// their ends are reported: these calls would be lost too, and use up the retry budget.
 #[test]
