--- a/crates/core/src/leaf/attempt.rs
+++ b/crates/core/src/leaf/attempt.rs
@@ -5,7 +5,7 @@
 
 use ladder_schema::target;
 
-use super::event::ConnectionKey;
+use super::event::{ConnectionKey, Outcome};
 use super::kinds::WorkKind;
 use super::portion::{Job, PortionKey};
 use super::record;
@@ -49,6 +49,16 @@
 }
 
 impl Attempt {
+    /// Whether the call has used up its timeout.
+    pub(super) fn timed_out(&self, now: Instant) -> bool {
+        now.since(self.sent) >= self.timeout
+    }
+
+    /// Whether a call that ends with this outcome lost its connection before its timeout.
+    pub(super) fn lost_connection(&self, now: Instant, outcome: &Outcome) -> bool {
+        *outcome == Outcome::Lost && !self.timed_out(now)
+    }
+
     /// Verifies that an answer belongs to this request.
     ///
     /// A connection that is out of step delivers the answer to another request; a server that
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -87,11 +87,10 @@
             return;
         };
         self.crashes.end(request, |open| open.calls -= 1);
-        let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
         if complete_response || is_from_server(outcome) {
             self.refute_termination(attempt, out);
         }
-        if *outcome == Outcome::Lost && !timed_out {
+        if attempt.lost_connection(self.now, outcome) {
             self.connection_lost(attempt.server, request);
         }
         self.report_crashes(out);
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -79,8 +79,7 @@
         self.clear_if_proved(&attempt, completion, out);
         self.call_ended(&attempt, &outcome, complete, out);
         self.release_connection(&attempt, complete || is_complete(&outcome), mismatched, out);
-        let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
-        if outcome == Outcome::Lost && !timed_out {
+        if attempt.lost_connection(self.now, &outcome) {
             self.connection_broke(attempt.server);
         }
         self.record_outcome(&attempt, &outcome, out);
@@ -251,8 +250,7 @@
         out: &mut Vec<Action>,
     ) {
         let verdict = verdict::of(&outcome);
-        let timed_out = self.now.since(attempt.sent) >= attempt.timeout;
-        let reason = verdict::reason(&outcome, timed_out);
+        let reason = verdict::reason(&outcome, attempt.timed_out(self.now));
         let portion = &mut self.portions[key];
         let took = self.now.since(attempt.sent);
         if let Some(call_trace) =
