Share the fixture of observed fleets and the counting of responses

The fleet of the tests of cut watches and its question whether a server gets work were copies of those of the store drills: both use simulation::observed_fleet and takes_work. Both HTTP servers attached and looked up a connection in the same three lines, which are methods of responses::Connection now. No decision changes, no test is less strict.

--- a/crates/core/tests/fleet/cut_watches.rs
+++ b/crates/core/tests/fleet/cut_watches.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use ladder_core::control::settings::{Listing, Timing};
-use ladder_core::schema::publication::{Kind, State};
+use ladder_core::schema::publication::Kind;
 use ladder_core::time::Instant;
 
 use crate::fixtures;
 use crate::harness::{Fleet, SimulatedInstance};
-use crate::simulation::{TIMEOUT, all_ready, name, zone};
+use crate::simulation::{TIMEOUT, all_ready, name, observed_fleet, takes_work, zone};
 
 /// Server that is withdrawn.
 const SERVER: &str = "docks-3";
@@ -30,14 +29,7 @@
 ];
 
 fn ready_fleet() -> Fleet {
-    let mut fleet = Fleet::new();
-    fleet.era = 1;
-    fleet.sends_full_listing = true;
-    fleet.listing = Listing::Observed;
-    fleet.timing = Timing { contact: Duration::from_secs(4), ..Timing::default() };
-    fleet.seeds = (0..3).map(|at| fixtures::address(&name(at))).collect();
-    let server = |at: usize| fixtures::server(&format!("docks-{at}"), "docks", 1, State::Live);
-    fleet.publish(fixtures::records(1, (0..20).map(server)));
+    let mut fleet = observed_fleet();
     fleet.publish_next([fixtures::routes(7)]);
     for at in 0..9 {
         fleet.start(&name(at), zone(at));
@@ -48,9 +40,7 @@
 }
 
 fn sends_work(node: &SimulatedInstance) -> bool {
-    let services = node.machine.view().services.values();
-    let mut servers = services.flat_map(|service| &service.servers);
-    servers.any(|server| &*server.name == SERVER && server.takes_work())
+    takes_work(node, SERVER)
 }
 
 /// Guards against taking a cut watch for an outage of the platform, after which the withdrawal of a
--- a/crates/core/tests/fleet/simulation.rs
+++ b/crates/core/tests/fleet/simulation.rs
@@ -43,6 +43,27 @@
     fleet
 }
 
+/// A fleet whose platform lists no instances, and the servers `docks-0` to `docks-19` of one
+/// service. No instance runs yet.
+pub(crate) fn observed_fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.era = 1;
+    fleet.sends_full_listing = true;
+    fleet.listing = Listing::Observed;
+    fleet.timing = Timing { contact: Duration::from_secs(4), ..Timing::default() };
+    fleet.seeds = (0..3).map(|at| fixtures::address(&name(at))).collect();
+    let server = |at: usize| fixtures::server(&format!("docks-{at}"), "docks", 1, State::Live);
+    fleet.publish(fixtures::records(1, (0..20).map(server)));
+    fleet
+}
+
+/// Whether an instance sends work to a server.
+pub(crate) fn takes_work(node: &SimulatedInstance, server: &str) -> bool {
+    let services = node.machine.view().services.values();
+    let mut servers = services.flat_map(|service| &service.servers);
+    servers.any(|found| &*found.name == server && found.takes_work())
+}
+
 /// A fleet with this platform, in which all instances are running and ready.
 pub(crate) fn ready_fleet(count: usize, services: usize) -> Fleet {
     ready_fleet_with(count, services, Timing::default())
--- a/crates/core/tests/fleet/store_drill.rs
+++ b/crates/core/tests/fleet/store_drill.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use ladder_core::control::settings::{Listing, Timing};
 use ladder_core::control::{Event, Machine};
 use ladder_core::schema::publication::{
     Evacuation, Kind, Page, Record, Routing, State, record::Body,
@@ -11,7 +10,7 @@
 
 use crate::fixtures;
 use crate::harness::{Fleet, SimulatedInstance};
-use crate::simulation::{TIMEOUT, all_ready, name, zone};
+use crate::simulation::{TIMEOUT, all_ready, name, observed_fleet, takes_work, zone};
 
 /// Maximum time after the acknowledgement of a change until it must be in force at every instance.
 const APPLY: Duration = Duration::from_secs(3);
@@ -28,14 +27,7 @@
 
 /// A fleet with version 22 of the routes in force at every instance, as the highest revision.
 fn fleet_before_drill(instances: usize) -> Fleet {
-    let mut fleet = Fleet::new();
-    fleet.era = 1;
-    fleet.sends_full_listing = true;
-    fleet.listing = Listing::Observed;
-    fleet.timing = Timing { contact: Duration::from_secs(4), ..Timing::default() };
-    fleet.seeds = (0..3).map(|at| fixtures::address(&name(at))).collect();
-    let server = |at: usize| fixtures::server(&format!("docks-{at}"), "docks", 1, State::Live);
-    fleet.publish(fixtures::records(1, (0..20).map(server)));
+    let mut fleet = observed_fleet();
     fleet.publish([routes(50, 19)]);
     for at in 0..instances {
         fleet.start(&name(at), zone(at));
@@ -147,12 +139,6 @@
     }
 }
 
-fn takes_work(node: &SimulatedInstance, server: &str) -> bool {
-    let services = node.machine.view().services.values();
-    let mut servers = services.flat_map(|service| &service.servers);
-    servers.any(|found| &*found.name == server && found.takes_work())
-}
-
 /// What is lost in a drill, when it is written again, and what must hold.
 struct Loss {
     description: &'static str,
--- a/src/http.rs
+++ b/src/http.rs
@@ -46,11 +46,11 @@
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE_TIMEOUT)
         .h1_allow_half_closed(false)
-        .on_connect_ext(|stream: &Stream, data| drop(data.insert(stream.connection())))
+        .on_connect_ext(Connection::attach)
         .finish(fn_service(move |request: Request| {
-            let connection = request.conn_data::<Rc<Connection>>().cloned();
+            let connection = Connection::of(&request);
             let answer = handler(request);
-            async move { Ok::<_, actix_http::Error>(track(connection, answer.await)) }
+            async move { Ok::<_, actix_http::Error>(Connection::track(connection, answer.await)) }
         }));
     let Ok(service) = factory.new_service(()).await else {
         return;
@@ -72,14 +72,6 @@
     }
 }
 
-/// Counts a response as unwritten until it is written to its connection.
-pub fn track(connection: Option<Rc<Connection>>, response: Response<BoxBody>) -> Response<BoxBody> {
-    match connection {
-        Some(connection) => connection.track(response),
-        None => response,
-    }
-}
-
 /// Reads a request body of at most `limit` bytes.
 ///
 /// # Errors
--- a/src/http/responses.rs
+++ b/src/http/responses.rs
@@ -12,8 +12,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
-use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{Extensions, Request, Response};
 use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -40,11 +40,24 @@
 }
 
 impl Connection {
+    /// Makes the connection of a stream known to the requests that arrive on it.
+    pub fn attach(stream: &Stream, data: &mut Extensions) {
+        data.insert(Rc::clone(&stream.connection));
+    }
+
+    /// The connection that a request has arrived on; `None` if it is not attached.
+    pub fn of(request: &Request) -> Option<Rc<Self>> {
+        request.conn_data::<Rc<Self>>().cloned()
+    }
+
     /// Counts a response to a caller as unwritten until it is written or its connection has ended.
-    pub fn track(self: &Rc<Self>, response: Response<BoxBody>) -> Response<BoxBody> {
-        self.incomplete.set(self.incomplete.get() + 1);
-        self.unwritten.0.fetch_add(1, Ordering::Relaxed);
-        let connection = Rc::clone(self);
+    /// One without a connection is not counted.
+    pub fn track(connection: Option<Rc<Self>>, response: Response<BoxBody>) -> Response<BoxBody> {
+        let Some(connection) = connection else {
+            return response;
+        };
+        connection.incomplete.set(connection.incomplete.get() + 1);
+        connection.unwritten.0.fetch_add(1, Ordering::Relaxed);
         response.map_body(|_, body| BoxBody::new(Body { body, connection }))
     }
 
@@ -106,11 +119,6 @@
         let unwritten = unwritten.clone();
         Self { stream, connection: Rc::new(Connection { unwritten, incomplete, buffered }) }
     }
-
-    /// The responses of the connection.
-    pub fn connection(&self) -> Rc<Connection> {
-        Rc::clone(&self.connection)
-    }
 }
 
 impl AsyncRead for Stream {
