Accept published values and settings beyond the daemon's own limits

What callers saw: as long as one value of the newest configuration exceeds a limit of the daemon's own records, all requests follow an older version, while all instances are ready; with such a value in a server's entry the server gets no requests, and with one in the settings no instance starts.

The check of records guards the daemon's own publication; the adapter passed the platform's other values through it unchanged. Class: a limit of one interface is applied to values of another that sets none.

Numbers may have a fraction, optional fields may be null. The size of the whole record limits routes, parts and names. A version that cannot be read carries the decoder's message and its version. The settings take any number from 0 for the limits that operators of servers set, and any contact time.

Tests that are replaced: allowance_above_one, allowance_window_too_long and warmup_overshoot_below_one asserted that figures which the operators may set are refused, which is this fault; the same fields are now refused when they are negative. The message of grace_too_short has no upper end any more, as a longer time is capped. server "no slots" and the other withdrawn entries are as before.

--- a/crates/core/src/control/store/key.rs
+++ b/crates/core/src/control/store/key.rs
@@ -38,8 +38,7 @@
             Some(Body::Evacuation(evacuation)) => (Kind::Evacuation, evacuation.zone.clone()),
             Some(Body::Tombstone(tombstone)) => (tombstone.kind(), tombstone.name.clone()),
         };
-        let max_bytes = bounds::NAME_BYTES * 2;
-        if name.len() <= max_bytes {
+        if name.len() <= bounds::RECORD_NAME_BYTES {
             return Self::new(kind, &name);
         }
         let truncated: String = name.chars().take(bounds::NAME_BYTES).collect();
--- a/crates/core/tests/fleet/connection_limits.rs
+++ b/crates/core/tests/fleet/connection_limits.rs
@@ -83,6 +83,7 @@
             }
         },
         bounds: Some(bounds),
+        ..Routing::default()
     };
     let servers = services().enumerate().flat_map(|(at, service)| {
         (0..3).map(move |replica| {
--- a/crates/schema/src/bounds.rs
+++ b/crates/schema/src/bounds.rs
@@ -8,9 +8,12 @@
 pub const KEY_BYTES: usize = 128;
 /// Maximum size of the payload of a request, in bytes.
 pub const PAYLOAD_BYTES: usize = 64 * 1024;
-/// Maximum length of the name of a service, server, instance, zone, index, shard or operation, in
-/// bytes.
+/// Maximum length of a name in a caller's request, in the settings, and in published entries,
+/// indexes and instances, in bytes.
 pub const NAME_BYTES: usize = 128;
+/// Maximum length of the name of a published server or evacuated zone, which is also the name of its
+/// record, in bytes.
+pub const RECORD_NAME_BYTES: usize = 2 * NAME_BYTES;
 /// Maximum number of shards in one index.
 pub const SHARDS: usize = 4096;
 /// Longest deadline that a caller may request, in milliseconds.
@@ -20,8 +23,8 @@
 pub const FORWARD_MS: u32 = 300_000;
 /// Maximum size of one frame of the protocol between instances, in bytes.
 pub const FRAME_BYTES: usize = 4 * 1024 * 1024;
-/// Maximum size of one published record, in bytes.
-pub const RECORD_BYTES: usize = 1024 * 1024;
+/// Maximum size of one published record, in bytes: a frame carries it to other instances whole.
+pub const RECORD_BYTES: usize = FRAME_BYTES - 64 * 1024;
 /// Maximum size of a target's answer, in bytes.
 pub const ANSWER_BYTES: usize = 1024 * 1024;
 /// Lowest connection limit of one server.
@@ -31,6 +34,8 @@
 pub const MIN_CONNECTIONS: u32 = 2;
 /// Highest connection limit of one server.
 pub const MAX_CONNECTIONS: u32 = 100_000;
+/// Maximum number of slots (concurrent requests) of one server.
+pub const MAX_SLOTS: u32 = 10_000;
 /// Maximum number of operations in a catalogue entry.
 pub const OPERATIONS: usize = 256;
 /// Maximum length of a service's queue, in requests.
--- a/crates/schema/src/check.rs
+++ b/crates/schema/src/check.rs
@@ -55,6 +55,35 @@
         /// Value that occurs more than once, truncated.
         value: String,
     },
+    /// {field}: cannot be read: {defect}
+    Unreadable {
+        /// Name of the record.
+        field: String,
+        /// What the decoder reported, truncated.
+        defect: String,
+    },
+    /// record: has {bytes} bytes, at most {limit}
+    TooLarge {
+        /// Size of the record in bytes.
+        bytes: usize,
+        /// Largest allowed size in bytes.
+        limit: usize,
+    },
+}
+
+impl Error {
+    /// Name of the reason in metrics.
+    pub const fn reason(&self) -> &'static str {
+        match self {
+            Self::Missing { .. } => "missing",
+            Self::Range { .. } => "range",
+            Self::Text { .. } => "text",
+            Self::Choice { .. } => "choice",
+            Self::Duplicate { .. } => "duplicate",
+            Self::Unreadable { .. } => "unreadable",
+            Self::TooLarge { .. } => "too_large",
+        }
+    }
 }
 
 impl std::error::Error for Error {}
--- a/src/options.rs
+++ b/src/options.rs
@@ -32,6 +32,11 @@
 pub const DEFAULT_TARGET_UTILIZATION_PERCENT: u32 = 85;
 /// Default of `timing.contact_ms`.
 pub const DEFAULT_CONTACT_MS: u32 = 4000;
+/// Range of the contact time in milliseconds: with less, watches of the platform end before it can
+/// answer; with more, an outage of the platform is noticed late.
+const CONTACT_RANGE_MS: (f64, f64) = (800.0, 60_000.0);
+/// Longest time that a graceful shutdown may take, in seconds.
+const MAX_GRACE_S: f64 = 600.0;
 /// Part of `timing.grace_s` that is reserved for the end of the process after the drain.
 const EXIT_RESERVE: Duration = Duration::from_millis(1300);
 
@@ -180,7 +185,7 @@
             digest_interval: millis(timing.digest_ms, DEFAULT_DIGEST_MS),
             pause_threshold: millis(timing.pause_ms, DEFAULT_PAUSE_MS),
             drain_timeout: drain_timeout(timing),
-            contact_timeout: millis(timing.contact_ms, DEFAULT_CONTACT_MS),
+            contact_timeout: contact_timeout(timing.contact_ms),
         }
     }
 }
@@ -188,12 +193,23 @@
 /// Returns how long a graceful shutdown may wait for work in flight.
 fn drain_timeout(timing: &Timing) -> Duration {
     if timing.grace_s > 0.0 {
-        let grace = Duration::from_secs_f64(timing.grace_s);
+        let grace = Duration::from_secs_f64(timing.grace_s.min(MAX_GRACE_S));
         return grace.saturating_sub(EXIT_RESERVE).max(grace / 4);
     }
     millis(timing.drain_ms, DEFAULT_DRAIN_MS)
 }
 
+/// Returns the contact time within its range; uses the default if it is 0.
+fn contact_timeout(contact_ms: f64) -> Duration {
+    let (least, most) = CONTACT_RANGE_MS;
+    let contact_ms = if contact_ms == 0.0 {
+        f64::from(DEFAULT_CONTACT_MS)
+    } else {
+        contact_ms.clamp(least, most)
+    };
+    Duration::from_secs_f64(contact_ms / 1000.0)
+}
+
 /// Converts `value` milliseconds to a duration; uses `default` if it is 0.
 fn millis(value: u32, default: u32) -> Duration {
     let value = if value == 0 { default } else { value };
--- a/src/options/file.rs
+++ b/src/options/file.rs
@@ -11,16 +11,10 @@
     Switch, Timing,
 };
 
-/// Allowed range of `timing.graceS`, the time limit of a graceful shutdown, in seconds.
-const GRACE_RANGE_S: std::ops::RangeInclusive<f64> = 0.5..=600.0;
+/// Smallest allowed `timing.graceS`, the time limit of a graceful shutdown, in seconds.
+const MIN_GRACE_S: f64 = 0.5;
 /// Allowed range of `cores`, the processor cores that the process may use.
 const CORES_RANGE: std::ops::RangeInclusive<f64> = 0.001..=1024.0;
-/// Allowed range of `allowance.warmupOvershoot`: by how many times a server in warm-up may exceed
-/// its published rate.
-const WARMUP_OVERSHOOT_RANGE: std::ops::RangeInclusive<f64> = 1.0..=100.0;
-/// Largest allowed `allowance.extraWindowS`, the window in which extra calls are counted, in
-/// seconds.
-const MAX_EXTRA_WINDOW_S: u32 = 3600;
 /// Allowed range of `admission.targetUtilizationPercent`: the share of the servers' slots that
 /// admitted sweeps may use.
 const TARGET_UTILIZATION_RANGE_PERCENT: std::ops::RangeInclusive<u32> = 50..=100;
@@ -177,33 +171,27 @@
     }
 }
 
-/// Checks the limits on extra calls: the ratio of extra calls, the overshoot in warm-up and the
-/// counting window.
+/// Checks that no limit on extra calls or on requests to servers in warm-up is negative. The
+/// operators of the servers set them, so that none is too large.
 fn check_allowance(allowance: &Allowance, invalid_fields: &mut Vec<InvalidField>) {
-    if !(0.0..=1.0).contains(&allowance.extra_ratio) {
-        invalid_fields.push(InvalidField {
-            field: "allowance.extraRatio".to_owned(),
-            value: allowance.extra_ratio.to_string(),
-            allowed: "0 to 1".to_owned(),
-        });
-    }
-    let overshoot = allowance.warmup_overshoot;
-    if overshoot != 0.0 && !WARMUP_OVERSHOOT_RANGE.contains(&overshoot) {
-        invalid_fields.push(InvalidField {
-            field: "allowance.warmupOvershoot".to_owned(),
-            value: overshoot.to_string(),
-            allowed: format!(
-                "{} to {}, or 0 for 1",
-                WARMUP_OVERSHOOT_RANGE.start(),
-                WARMUP_OVERSHOOT_RANGE.end()
-            ),
-        });
+    for (field, value) in [
+        ("allowance.extraRatio", allowance.extra_ratio),
+        ("allowance.extraSlack", allowance.extra_slack),
+        ("allowance.extraWindowS", allowance.extra_window_s),
+        ("allowance.warmupOvershoot", allowance.warmup_overshoot),
+        ("allowance.warmupSlack", allowance.warmup_slack),
+    ] {
+        check_not_negative(field, value, invalid_fields);
     }
-    if allowance.extra_window_s > MAX_EXTRA_WINDOW_S {
+}
+
+/// Checks that a number is finite and not below zero.
+fn check_not_negative(field: &str, value: f64, invalid_fields: &mut Vec<InvalidField>) {
+    if !value.is_finite() || value < 0.0 {
         invalid_fields.push(InvalidField {
-            field: "allowance.extraWindowS".to_owned(),
-            value: allowance.extra_window_s.to_string(),
-            allowed: format!("0 to {MAX_EXTRA_WINDOW_S}"),
+            field: field.to_owned(),
+            value: value.to_string(),
+            allowed: "0 or more".to_owned(),
         });
     }
 }
@@ -283,15 +271,12 @@
 /// Checks that the time limit of a graceful shutdown is 0 for none, or long enough to answer open
 /// requests.
 fn check_grace(grace_s: f64, invalid_fields: &mut Vec<InvalidField>) {
-    if grace_s != 0.0 && !GRACE_RANGE_S.contains(&grace_s) {
+    let is_long_enough = grace_s.is_finite() && grace_s >= MIN_GRACE_S;
+    if grace_s != 0.0 && !is_long_enough {
         invalid_fields.push(InvalidField {
             field: "timing.graceS".to_owned(),
             value: grace_s.to_string(),
-            allowed: format!(
-                "{} to {} s, or 0 for none",
-                GRACE_RANGE_S.start(),
-                GRACE_RANGE_S.end()
-            ),
+            allowed: format!("{MIN_GRACE_S} s or more, or 0 for none"),
         });
     }
 }
@@ -299,6 +284,7 @@
 /// Checks that each time is in its range, or 0 for the default.
 fn check_timing(timing: &Timing, invalid_fields: &mut Vec<InvalidField>) {
     check_grace(timing.grace_s, invalid_fields);
+    check_not_negative("timing.contactMs", timing.contact_ms, invalid_fields);
     let setting = |field, value, least, most| TimeSetting { field, value, least, most };
     for TimeSetting { field, value, least, most } in [
         setting("timing.probeMs", timing.probe_ms, 50, 10_000),
@@ -307,7 +293,6 @@
         setting("timing.digestMs", timing.digest_ms, 50, 60_000),
         setting("timing.pauseMs", timing.pause_ms, 200, 60_000),
         setting("timing.drainMs", timing.drain_ms, 100, 600_000),
-        setting("timing.contactMs", timing.contact_ms, 800, 60_000),
     ] {
         if value != 0 && !(least..=most).contains(&value) {
             invalid_fields.push(InvalidField {
