Report refused versions of the routes in status, metrics and log

What operators saw: nothing but one log line, without the version, while all requests followed an older version: the instance is ready and its records count as up to date.

--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -142,7 +142,9 @@
                 self.view = Some(view);
             }
             Action::Log(_) | Action::Generation(_) => {}
-            Action::Refused { record, detail, .. } => panic!("{record} was refused: {detail}"),
+            Action::Refused { record, refusal, .. } => {
+                panic!("{record} was refused: {}", refusal.detail)
+            }
             Action::Count(_) => {}
         }
     }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,6 +18,7 @@
 mod project;
 pub mod quarantine;
 pub mod reader;
+mod refused_routes;
 pub mod settings;
 pub mod startup;
 pub mod state_change;
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -8,6 +8,7 @@
 use super::quarantine::Incarnation;
 use super::reader::Read;
 use super::state_change::StateChange;
+use super::store::Refusal;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
@@ -83,14 +84,16 @@
     Generation(u64),
     /// Publish a new view to the traffic threads.
     View(Arc<View>),
-    /// A record was refused. Operators see it until a newer record of the same key is in force.
+    /// A record was refused, or routes are still refused. Operators see it until a newer record of
+    /// the same key is in force.
     Refused {
         /// Kind and name of the refused record.
         record: String,
-        /// Revision of the refused record.
-        revision: u64,
-        /// Why the record failed validation.
-        detail: String,
+        /// The record and why it failed validation.
+        refusal: Refusal,
+        /// Time since the first refusal of routes; `None` if the record has not been reported
+        /// before.
+        repeated_after: Option<Duration>,
     },
     /// Log a change of this instance's state of the fleet.
     Log(StateChange),
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -15,6 +15,7 @@
 use super::project::{Projection, Standings, ViewInputs};
 use super::quarantine::{Cause, Change, Entry, Quarantine};
 use super::reader::{self, Reader, ReaderRank};
+use super::refused_routes::RefusedRoutes;
 use super::settings::{Listing, Settings};
 use super::startup::{Knowledge, Startup};
 use super::state_change::StateChange;
@@ -82,6 +83,7 @@
     projection: Projection,
     deferrals: Deferrals,
     quarantine: Quarantine,
+    refused_routes: RefusedRoutes,
     startup: Startup,
     random: Random,
     started_at: Instant,
@@ -136,6 +138,7 @@
             projection: Projection::default(),
             deferrals: Deferrals::default(),
             quarantine: Quarantine::default(),
+            refused_routes: RefusedRoutes::default(),
             startup: match settings.starts_gradually() {
                 true => Startup::gradual(now, settings.timing.probe, settings.timing.grace),
                 false => Startup::immediate(now),
@@ -220,6 +223,7 @@
             self.quarantine.next_expiry(),
             self.startup.next_change(self.knowledge()),
             self.seeks_ready_peer_until,
+            self.refused_routes.next_report(),
         ];
         for candidate in other_wakes.into_iter().chain([reader_wake]).flatten() {
             wake = wake.min(candidate);
@@ -252,6 +256,11 @@
         self.store.refused()
     }
 
+    /// The version of the routes that is refused, and since when versions have been.
+    pub fn refused_routes(&self, now: Instant) -> Option<(&Refusal, Duration)> {
+        self.store.refused_routes().zip(self.refused_routes.age(now))
+    }
+
     /// Quarantine entries: the requests under which server processes crashed.
     pub fn quarantined(&self) -> impl Iterator<Item = (&Fingerprint, &Entry)> {
         self.quarantine.entries()
@@ -343,6 +352,9 @@
             self.compare_digests(now, out);
         }
         self.quarantine.expire(now);
+        if self.refused_routes.take_report(now) {
+            self.report_refused_routes(now, out);
+        }
         if self.next_deferral().is_some_and(|due_at| now >= due_at) {
             let due_records = self.deferrals.due(now, !self.reader.is_failing());
             self.apply_and_broadcast(now, &due_records, out);
@@ -358,6 +370,14 @@
         self.refresh_view(now, out);
     }
 
+    fn report_refused_routes(&self, now: Instant, out: &mut Vec<Action>) {
+        if let Some(refusal) = self.store.refused_routes().cloned() {
+            let record = refusal.key.to_string();
+            let repeated_after = self.refused_routes.age(now);
+            out.push(Action::Refused { record, refusal, repeated_after });
+        }
+    }
+
     fn refresh_view(&mut self, now: Instant, out: &mut Vec<Action>) {
         let ready = self.projection.view().ready || self.can_become_ready(now);
         let became_ready = ready != self.projection.view().ready;
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -322,15 +322,13 @@
                 }
                 Outcome::Refused(refusal) => {
                     out.push(count_drop(Reason::BadRecord));
-                    out.push(Action::Refused {
-                        record: refusal.key.to_string(),
-                        revision: refusal.revision,
-                        detail: refusal.detail,
-                    });
+                    let record = refusal.key.to_string();
+                    out.push(Action::Refused { record, refusal, repeated_after: None });
                 }
             }
         }
         self.log_dropped(&dropped, from, out);
+        self.refused_routes.update(now, self.store.refused_routes().is_some());
         if !changes.records.is_empty() {
             self.store_changed = true;
             self.store_changed_at = now;
--- a/crates/core/src/control/store.rs
+++ b/crates/core/src/control/store.rs
@@ -60,6 +60,10 @@
     pub era: u64,
     /// Revision of the refused record.
     pub revision: u64,
+    /// Version of the refused routes; 0 for other records.
+    pub version: u64,
+    /// Kind of the error, as in metrics.
+    pub reason: &'static str,
     /// Name of the invalid field, its value, and the values allowed.
     pub detail: String,
 }
@@ -138,7 +142,7 @@
             Relation::Older => return Outcome::Stale,
         }
         if let Err(error) = check::record(record) {
-            return self.refuse(key, record, error.to_string());
+            return self.refuse(key, record, &error);
         }
         if relation == Relation::OlderVersion {
             return Outcome::Stale;
@@ -189,13 +193,19 @@
         }
     }
 
-    fn refuse(&mut self, key: Key, record: &Record, detail: String) -> Outcome {
+    fn refuse(&mut self, key: Key, record: &Record, error: &check::Error) -> Outcome {
         let recorded = self.refused.get(&key).map(|refusal| self.refused_position(refusal));
         if recorded.is_some_and(|recorded| recorded >= self.position(record)) {
             return Outcome::Known;
         }
-        let (era, revision) = (record.era, record.revision);
-        let refusal = Refusal { key: key.clone(), era, revision, detail };
+        let refusal = Refusal {
+            key: key.clone(),
+            era: record.era,
+            revision: record.revision,
+            version: position::route_version(record).unwrap_or(0),
+            reason: error.reason(),
+            detail: error.to_string(),
+        };
         self.refused.insert(key, refusal.clone());
         if self.refused.len() > MAX_REFUSALS {
             self.evict_refusal();
@@ -378,6 +388,11 @@
         self.refused.values()
     }
 
+    /// The version of the routes that was refused, if none in force is newer.
+    pub fn refused_routes(&self) -> Option<&Refusal> {
+        self.refused.get(&Key::new(Kind::Routing, ""))
+    }
+
     /// Catalogue entries in force.
     pub fn entries(&self) -> impl Iterator<Item = &catalogue::Entry> {
         let single_entries = self.bodies_of_kind(Kind::Entry).filter_map(|body| match body {
--- a/crates/core/src/control/store/position.rs
+++ b/crates/core/src/control/store/position.rs
@@ -58,7 +58,8 @@
     }
 }
 
-fn route_version(record: &Record) -> Option<u64> {
+/// Version of the routes that a record contains; `None` if it contains none.
+pub(super) fn route_version(record: &Record) -> Option<u64> {
     match &record.body {
         Some(Body::Routing(routing)) => Some(routing.version),
         _ => None,
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod random_failures;
 mod reader;
+mod refused_routes;
 mod repair;
 mod replacement;
 mod session;
--- a/crates/core/tests/fleet/startup/world.rs
+++ b/crates/core/tests/fleet/startup/world.rs
@@ -405,7 +405,9 @@
             control::Action::Log(StateChange::CountTrusted { age, members }) => {
                 self.trusted.insert(life.0, (age, members));
             }
-            control::Action::Refused { record, detail, .. } => panic!("{record}: {detail}"),
+            control::Action::Refused { record, refusal, .. } => {
+                panic!("{record}: {}", refusal.detail)
+            }
             _ => {}
         }
     }
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -52,11 +52,20 @@
 
 /// Formats one refused record as a line.
 fn refused(refused: &Refused) -> String {
+    let version = match refused.version {
+        0 => String::new(),
+        version => format!(" version {version}"),
+    };
+    let since = match refused.since_ms {
+        0 => String::new(),
+        since_ms => format!(", for {} s", since_ms / 1000),
+    };
     format!(
-        "  refused {} {} at revision {}: {}",
+        "  refused {} {}{version} at revision {} ({}{since}): {}",
         refused.kind().as_str_name(),
         refused.name,
         refused.revision,
+        refused.reason,
         refused.detail
     )
 }
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -1,9 +1,12 @@
 //! The operators' HTTP interface: metrics, status, explanation of one request, release from
 //! quarantine, drain, and cut links for failure tests.
 
+use std::time::Duration;
+
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use ladder_core::control::Event;
+use ladder_core::control::store::Refusal;
 use ladder_schema::bounds;
 use ladder_schema::status::Cut;
 
@@ -48,12 +51,15 @@
         }
     }
 
-    /// Returns all metrics, with the age of the records as of now.
+    /// Returns all metrics, with the state of the records as of now.
     async fn metrics(&self) -> String {
         let now = self.shared.clock.now();
-        let age = self.shared.control.inspect(move |machine| machine.platform_age(now)).await;
-        if let Some(age) = age.flatten() {
-            self.shared.metrics.records_age(age);
+        let inspected = self.shared.control.inspect(move |machine| {
+            (machine.platform_age(now), machine.refused_routes(now).map_or(0, refused_version))
+        });
+        if let Some((age, refused_version)) = inspected.await {
+            age.inspect(|age| self.shared.metrics.records_age(*age));
+            self.shared.metrics.refused_routes_version(refused_version);
         }
         self.shared.metrics.text()
     }
@@ -100,3 +106,9 @@
         }
     }
 }
+
+/// Version of refused routes in metrics: at least 1, as 0 means that none are refused. A version
+/// that cannot be read counts as 1.
+fn refused_version((refusal, _): (&Refusal, Duration)) -> u64 {
+    refusal.version.max(1)
+}
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -7,6 +7,7 @@
 
 use ladder_core::control::settings::{Listing, Placement, Settings, Timing};
 use ladder_core::control::state_change::{PlatformChange, StateChange};
+use ladder_core::control::store::Refusal;
 use ladder_core::control::{Action, Event, Machine};
 use ladder_core::time::Instant;
 use ladder_core::view::View;
@@ -59,6 +60,17 @@
         self.shared.gather.send(gather::Event::View(Arc::clone(&view)));
         self.shared.leaf.send(leaf::Event::View(view));
     }
+
+    /// Logs a refused record, and counts it unless it has been reported before.
+    fn report_refusal(&self, record: &str, refusal: &Refusal, repeated_after: Option<Duration>) {
+        if repeated_after.is_none() {
+            self.shared.metrics.record_refused(refusal.key.kind, refusal.reason);
+        }
+        warn!(self.shared.log, "published record refused"; "record" => record,
+            "revision" => refusal.revision, "version" => refusal.version,
+            "reason" => refusal.reason, "detail" => &refusal.detail,
+            "refused_for_ms" => repeated_after.map(log::whole_millis));
+    }
 }
 
 impl ActionExecutor<Machine> for ControlExecutor {
@@ -76,9 +88,8 @@
                         "revision" => view.revision, "ready" => view.ready);
                     self.publish(view);
                 }
-                Action::Refused { record, revision, detail } => {
-                    warn!(self.shared.log, "published record refused"; "record" => record,
-                        "revision" => revision, "detail" => detail);
+                Action::Refused { record, refusal, repeated_after } => {
+                    self.report_refusal(&record, &refusal, repeated_after);
                 }
                 Action::Log(state_change) => {
                     if let StateChange::Platform(PlatformChange::EraChanged { .. }) = state_change {
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -80,7 +80,7 @@
         reader: machine.is_reader(),
         members: machine.members().map(member).collect(),
         services: services(machine, view),
-        refused: machine.refused().map(refused).collect(),
+        refused: machine.refused().map(|refusal| refused(machine, refusal, now)).collect(),
         quarantines: quarantines(machine, now),
         evacuations: machine.evacuations().map(evacuation).collect(),
         ..status::Instance::default()
@@ -147,9 +147,14 @@
     }
 }
 
-/// Converts a refused record to its status message.
-fn refused(refusal: &Refusal) -> status::Refused {
+/// Converts a refused record to its status message, with the time for which routes were refused.
+fn refused(machine: &control::Machine, refusal: &Refusal, now: Instant) -> status::Refused {
+    let routes_age = machine.refused_routes(now).map(|(_, age)| micros(age) / 1000);
+    let is_routing = refusal.key.kind == Kind::Routing;
     status::Refused {
+        version: refusal.version,
+        reason: refusal.reason.to_owned(),
+        since_ms: routes_age.filter(|_| is_routing).unwrap_or(0),
         kind: refusal.key.kind.into(),
         name: refusal.key.name.to_string(),
         revision: refusal.revision,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,6 +8,7 @@
 use ladder_core::gather::ShareChange;
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
+use ladder_schema::publication::Kind;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
@@ -67,12 +68,58 @@
     answers: Counter<u64>,
     latency: Histogram<f64>,
     peers: PeerMetrics,
-    platform_calls: Counter<u64>,
-    platform_reads: Counter<u64>,
-    platform_read_starts: Counter<u64>,
-    platform_eras: Counter<u64>,
+    publication: PublicationMetrics,
     admissible_share: Gauge<f64>,
+}
+
+/// Metrics of what the platform publishes.
+#[derive(Clone)]
+struct PublicationMetrics {
+    calls: Counter<u64>,
+    reads: Counter<u64>,
+    read_starts: Counter<u64>,
+    eras: Counter<u64>,
     records_age: Gauge<f64>,
+    refused_records: Counter<u64>,
+    refused_routes_version: Gauge<f64>,
+}
+
+impl PublicationMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            calls: counter(meter, "ladder_platform_calls", "Calls made to the platform"),
+            reads: counter(
+                meter,
+                "ladder_platform_reads",
+                "Reads of the platform that ended, by outcome",
+            ),
+            read_starts: counter(
+                meter,
+                "ladder_platform_read_starts",
+                "Reads of the platform that were started, by cause",
+            ),
+            eras: counter(
+                meter,
+                "ladder_platform_eras",
+                "Changes of the era of the platform's store",
+            ),
+            records_age: gauge(
+                meter,
+                "ladder_records_age_seconds",
+                "Time since the platform's latest answer that the records in force include",
+            ),
+            refused_records: counter(
+                meter,
+                "ladder_refused_records",
+                "Published records refused, by kind and reason",
+            ),
+            refused_routes_version: gauge(
+                meter,
+                "ladder_refused_routes_version",
+                "Version of the routes that is refused; 0 if the newest one is in force",
+            ),
+        }
+    }
 }
 
 /// Metrics of the links to peers.
@@ -141,29 +188,12 @@
                 .with_description("Time from a caller's request to its answer")
                 .build(),
             peers: PeerMetrics::new(&meter),
-            platform_calls: counter("ladder_platform_calls", "Calls made to the platform"),
-            platform_reads: counter(
-                "ladder_platform_reads",
-                "Reads of the platform that ended, by outcome",
-            ),
-            platform_read_starts: counter(
-                "ladder_platform_read_starts",
-                "Reads of the platform that were started, by cause",
-            ),
-            platform_eras: counter(
-                "ladder_platform_eras",
-                "Changes of the era of the platform's store",
-            ),
+            publication: PublicationMetrics::new(&meter),
             admissible_share: gauge(
                 &meter,
                 "ladder_admissible_share",
                 "Share of the sweeps that are admitted, by route",
             ),
-            records_age: gauge(
-                &meter,
-                "ladder_records_age_seconds",
-                "Time since the platform's latest answer that the records in force include",
-            ),
             registry,
             _provider: provider,
         })
@@ -248,23 +278,23 @@
 
     /// Counts the start of a platform read.
     pub fn platform_read_started(&self, cause: Cause) {
-        self.platform_read_starts.add(1, &[KeyValue::new("cause", cause.name())]);
+        self.publication.read_starts.add(1, &[KeyValue::new("cause", cause.name())]);
     }
 
     /// Counts a call to the platform.
     pub fn platform_call(&self) {
-        self.platform_calls.add(1, &[]);
+        self.publication.calls.add(1, &[]);
     }
 
     /// Counts a finished platform read by its result: `answered`, `expired`, `cut` or
     /// `failed`.
     pub fn platform_read(&self, outcome: &'static str) {
-        self.platform_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.publication.reads.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Counts a change of the era of the platform's store.
     pub fn era_changed(&self) {
-        self.platform_eras.add(1, &[]);
+        self.publication.eras.add(1, &[]);
     }
 
     /// Sets the share of a route's sweeps that are admitted.
@@ -275,7 +305,18 @@
 
     /// Sets the time since the platform's latest answer that the records in force include.
     pub fn records_age(&self, age: Duration) {
-        self.records_age.record(age.as_secs_f64(), &[]);
+        self.publication.records_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Counts a published record that was refused.
+    pub fn record_refused(&self, kind: Kind, reason: &'static str) {
+        let kind = KeyValue::new("kind", kind.as_str_name());
+        self.publication.refused_records.add(1, &[kind, KeyValue::new("reason", reason)]);
+    }
+
+    /// Sets the version of the routes that is refused; 0 if none is.
+    pub fn refused_routes_version(&self, version: u64) {
+        self.publication.refused_routes_version.record(version as f64, &[]);
     }
 
     /// Returns all metrics in the Prometheus text format.
