Pause exchanges of records over a difference that stays

What operators saw: nothing; between builds with different limits, every digest makes both sides send each other the routes, for as long as one of them refuses the version that the other one has in force.

Cause: a digest that differs is answered with the records of the differing buckets, whatever came of the exchange before. A refused record never changes the digest.

Change: the fifth exchange over the same pair of total hashes, and each later one, waits for a pause that doubles from 1 s to 60 s. A change of either side's records makes it a new difference; while the own records are spreading nothing is counted, so that changes and lost frames are repaired as before. The limit holds at either end and needs no other build at the peer.

Ruled out: counting the refused record as known in the digest. A peer that lacks it would ask an instance that cannot give it, and builds before this one would go on.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -11,6 +11,7 @@
 mod broadcast;
 mod deferral;
 pub mod event;
+mod exchanges;
 pub mod hash;
 mod machine;
 pub mod membership;
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -10,6 +10,7 @@
 use ladder_schema::wire::{Frame, Liveness};
 
 use super::deferral::Deferrals;
+use super::exchanges::Exchanges;
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Standings, ViewInputs};
@@ -84,6 +85,7 @@
     deferrals: Deferrals,
     quarantine: Quarantine,
     refused_routes: RefusedRoutes,
+    exchanges: Exchanges,
     startup: Startup,
     random: Random,
     started_at: Instant,
@@ -139,6 +141,7 @@
             deferrals: Deferrals::default(),
             quarantine: Quarantine::default(),
             refused_routes: RefusedRoutes::default(),
+            exchanges: Exchanges::default(),
             startup: match settings.starts_gradually() {
                 true => Startup::gradual(now, settings.timing.probe, settings.timing.grace),
                 false => Startup::immediate(now),
--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -14,6 +14,7 @@
 use crate::collections::Set;
 use crate::control::Action;
 use crate::control::broadcast::{self, PendingChanges};
+use crate::control::exchanges::Difference;
 use crate::control::membership::{FrameEffect, Member};
 use crate::control::state_change::StateChange;
 use crate::control::store;
@@ -72,8 +73,10 @@
         self.broadcast(now, &changes, &frame.address, out);
         self.compare_records(now, &frame);
         if let Some(digest) = &frame.digest {
+            let may_exchange = self.may_exchange_records(now, digest);
             let over_contents = store::hashes_contents(digest);
-            reply.digest = self.store.lacks_buckets(digest).then(|| self.digest(over_contents));
+            let lacks_buckets = may_exchange && self.store.lacks_buckets(digest);
+            reply.digest = lacks_buckets.then(|| self.digest(over_contents));
             if digest.quarantine != self.quarantine.digest() {
                 // From this digest the peer learns whether its quarantine has more entries. A peer
                 // that has already sent its whole quarantine gets no digest: two full quarantines
@@ -83,7 +86,9 @@
                 }
                 self.quarantine.write_to_frame(now, &mut reply);
             }
-            self.answer_digest(now, &frame.address, digest, &mut reply, out);
+            if may_exchange {
+                self.answer_digest(now, &frame.address, digest, &mut reply, out);
+            }
         }
         self.send_buckets(&frame.address, &frame.wanted, out);
         if !frame.details.is_empty() {
@@ -151,6 +156,20 @@
         }
     }
 
+    /// Whether records that differ from those of a peer's digest may be exchanged now. While a change
+    /// spreads, most differences go away by themselves and do not count.
+    fn may_exchange_records(&mut self, now: Instant, digest: &Digest) -> bool {
+        let is_spreading = now.since(self.store_changed_at) < PROPAGATION_TIME;
+        if is_spreading || self.store.equals(digest) {
+            return true;
+        }
+        let peer = match store::hashes_contents(digest) {
+            true => digest.whole_contents,
+            false => digest.whole,
+        };
+        self.exchanges.begin(now, Difference { peer, own: self.store.contents_hash() })
+    }
+
     /// Sends a peer the records of the buckets in which its digest differs, and requests the peer's
     /// records of those buckets, except of buckets that are empty at the peer.
     ///
--- a/crates/core/tests/fleet/fixtures.rs
+++ b/crates/core/tests/fleet/fixtures.rs
@@ -35,6 +35,15 @@
     })
 }
 
+/// Routes of one version with a record of at least this size.
+pub(crate) fn long_routes(version: u64, bytes: usize) -> Body {
+    let Body::Routing(mut routing) = routes(version) else {
+        unreachable!("the fixture is a routing record");
+    };
+    routing.entries[0].owner = "o".repeat(bytes);
+    Body::Routing(routing)
+}
+
 pub(crate) fn operation(name: &str, deadline_ms: u32) -> Operation {
     Operation { name: name.to_owned(), deadline_ms, ..Operation::default() }
 }
--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -82,6 +82,8 @@
     pub without_peer_records: BTreeSet<String>,
     /// Names of the instances whose watches never get new records from the platform.
     pub stalled_watches: BTreeSet<String>,
+    /// Names of the instances whose build refuses versions of the routes from 8 on.
+    pub narrow_builds: BTreeSet<String>,
     /// Connections over which frames are sent; without them, frames are never lost on the way.
     pub wiring: Option<Wiring>,
     pub seeds: Vec<String>,
@@ -350,7 +352,10 @@
         }
     }
 
-    fn deliver(&mut self, name: &str, event: Event) {
+    fn deliver(&mut self, name: &str, mut event: Event) {
+        if self.narrow_builds.contains(name) {
+            refuse_routes(&mut event);
+        }
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
@@ -446,3 +451,20 @@
         }
     }
 }
+
+/// Makes the routes of an event fail validation from version 8 on.
+fn refuse_routes(event: &mut Event) {
+    let records = match event {
+        Event::Page(page) => &mut page.records,
+        Event::Frame(frame) => &mut frame.records,
+        _ => return,
+    };
+    for record in records {
+        match &mut record.body {
+            Some(Body::Routing(routing)) if routing.version >= 8 => {
+                routing.defect = "beyond the limits of this build".to_owned();
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/core/tests/fleet/refused_routes.rs
+++ b/crates/core/tests/fleet/refused_routes.rs
@@ -9,6 +9,9 @@
 use crate::harness::{Fleet, SimulatedInstance};
 use crate::simulation::{TIMEOUT, all_ready, name, observed_fleet, zone};
 
+/// Number of bytes that an instance may send in a minute for control, at 7 KB a second.
+const CONTROL_BYTES_PER_MINUTE: usize = 7_000 * 60;
+
 /// Routes of one version that cannot be read.
 fn unreadable_routes(version: u64) -> Body {
     Body::Routing(Routing { version, defect: "no list".to_owned(), ..Routing::default() })
@@ -54,3 +57,45 @@
     assert_eq!(refused_routes(&fleet, &fleet.nodes[&name(0)]), None);
     assert_eq!(reports(&fleet), 4, "none after a valid version");
 }
+
+/// Fleet in which every second instance refuses versions of the routes from 8 on, as a build with
+/// narrower limits does.
+fn fleet_of_two_builds(size: usize) -> Fleet {
+    let mut fleet = ready_fleet(size);
+    fleet.narrow_builds = (0..size).step_by(2).map(name).collect();
+    fleet
+}
+
+/// Number of instances with routes of this version in force.
+fn instances_with_routes(fleet: &Fleet, version: u64) -> usize {
+    let routing = |node: &SimulatedInstance| node.machine.view().routing.clone();
+    let versions = fleet.nodes.values().filter_map(|node| Some(routing(node)?.version));
+    versions.filter(|found| *found == version).count()
+}
+
+/// Number of bytes that the fleet sends in a minute.
+fn bytes_in_a_minute(fleet: &mut Fleet) -> usize {
+    let before = fleet.bytes;
+    fleet.run(Duration::from_secs(60));
+    fleet.bytes - before
+}
+
+/// Guards against instances that exchange a version without end because one of their builds refuses
+/// it, and against versions after it that do not come into force.
+#[test]
+fn version_that_one_build_refuses_is_not_exchanged_without_end() {
+    for size in [2, 9, 24] {
+        let mut fleet = fleet_of_two_builds(size);
+        let before = bytes_in_a_minute(&mut fleet);
+        fleet.publish_next([fixtures::long_routes(8, 200_000)]);
+        fleet.run(Duration::from_secs(60));
+        assert_eq!(instances_with_routes(&fleet, 8), size / 2, "{size} instances");
+        let refused = bytes_in_a_minute(&mut fleet);
+        let most = before + size * CONTROL_BYTES_PER_MINUTE;
+        assert!(refused < most, "{size} instances: {refused} after {before}");
+        fleet.narrow_builds.clear();
+        fleet.publish_next([fixtures::routes(9)]);
+        fleet.run(Duration::from_secs(3));
+        assert_eq!(instances_with_routes(&fleet, 9), size, "{size} instances");
+    }
+}
