Test attempts of parts with links, restarts, silence and draining together

The property of attempts passes messages from machine to machine. Here the frames of four instances pass through their links: connections are silenced or break, aggregating instances restart with their old frames still on the way, drain, and learn at different times of servers; calls end in any way. No part may run on more servers than its route allows.

No fault was found so far: the report of three servers of two stays without a reproduction.

--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -33,7 +33,7 @@
 /// Services of each sweep; each service gets one part.
 pub(crate) const PARTS: [&str; 3] = ["docks-a", "docks-b", "docks-c"];
 /// Maximum number of servers on which one part may run.
-const ATTEMPTS: usize = 2;
+pub(crate) const ATTEMPTS: usize = 2;
 const INCARNATION: u64 = 9;
 
 /// State of a server according to the view of one instance.
@@ -375,20 +375,20 @@
     (index < from.len()).then(|| from.remove(index))
 }
 
-fn index_of(name: &str) -> usize {
+pub(crate) fn index_of(name: &str) -> usize {
     INSTANCES.iter().position(|(other, _)| *other == name).expect("an instance")
 }
 
-fn service_name(address: &str) -> &str {
+pub(crate) fn service_name(address: &str) -> &str {
     address.split_once('/').expect("service and number").0
 }
 
-fn server_number(address: &str) -> usize {
+pub(crate) fn server_number(address: &str) -> usize {
     let number = address.split_once('/').expect("service and number").1;
     number.parse().expect("a number")
 }
 
-fn view(
+pub(crate) fn view(
     instance: usize,
     states: &[ServerState],
     has_few_connections: bool,
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod hedge;
 mod idempotency;
+mod linked_attempts;
 mod open_calls;
 mod overload;
 mod property;
