Try a server whose connection broke with one call at a time

Cause: a terminated server's connections end one by one over up to 250 ms. The pause of 5 ms after the first end is over long before, and each connection that is left loses one more call, where two retries are reserved.

Change: a circuit breaker for each server. After a lost call one call at a time is tried on the connections that were open then, after a pause that doubles from 5 to 80 ms with each trial that is lost, until any call there is answered or a connection opened since is in use. After a refused connection, or while no retry is in reserve and another server of the service works, the pause is a second. The only server of a service is tried all the same.

Evidence: reuse::terminated_server_costs_few_calls_while_the_ends_of_its_connections_come_in (4 calls lost before, bound 3: two open ones and one trial) and reuse::refused_connection_keeps_calls_off_older_ones were red before; reuse::calls_wait_for_another_server_without_a_retry_in_reserve is red without the last rule. The 172 tests of the leaf machine pass, among them the two that want a server used 10 ms after a single broken connection.

--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod aggregate;
 mod attempt;
+mod breaker;
 mod budget;
 mod completion;
 mod connection;
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -294,6 +294,8 @@
         if let Some(connection) = self.connections.get(key) {
             let server = connection.server;
             self.server_terminated(server, self.servers[server].incarnation, out);
+            let next_call_at = self.servers[server].breaker.refuse(self.now);
+            self.schedule_dispatch(self.servers[server].service, next_call_at);
         }
         self.closed(key, out);
     }
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -428,6 +428,7 @@
         self.call_began(&call, out);
         self.record_warmup_request(to);
         let attempt = self.attempts.insert(call);
+        self.servers[to].breaker.call_sent(attempt, self.connections[connection].since);
         let call_trace = self.call_trace(key, to, attempt);
         let portion = &mut self.portions[key];
         portion.call_traces.push(call_trace);
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -78,9 +78,13 @@
         let was_suspect = self.servers[attempt.server].health.suspect();
         self.clear_if_proved(&attempt, completion, out);
         self.call_ended(&attempt, &outcome, complete, out);
-        self.release_connection(&attempt, complete || is_complete(&outcome), mismatched, out);
+        let is_complete = complete || is_complete(&outcome);
+        if is_complete {
+            self.servers[attempt.server].breaker.close();
+        }
+        self.release_connection(&attempt, is_complete, mismatched, out);
         if attempt.lost_connection(self.now, &outcome) {
-            self.connection_broke(attempt.server);
+            self.connection_broke(key, &attempt);
         }
         self.record_outcome(&attempt, &outcome, out);
         self.log_suspicion_change(attempt.server, was_suspect, out);
--- a/crates/core/src/leaf/reuse.rs
+++ b/crates/core/src/leaf/reuse.rs
@@ -6,35 +6,25 @@
 //! connection awaits its own. If that next call were one of the same portion, the copy of a refusal
 //! would pass for proof that the call has not run.
 
-use std::time::Duration;
-
+use super::attempt::Attempt;
 use super::connection;
-use super::event::{Action, ConnectionKey};
+use super::event::{Action, AttemptKey, ConnectionKey};
 use super::machine::Machine;
 use super::portion::PortionKey;
 use super::server::ServerKey;
 use super::service::ServiceId;
 
-/// Time within which the ends of a server's connections are reported after one of several open calls
-/// has lost its connection.
-///
-/// If the server's process has terminated, all of its connections have ended, but the ends are
-/// reported one after the other. Calls sent on the remaining connections would be lost as well, and
-/// the retries of all these calls would exceed the budget of the service.
-const SETTLING_TIME: Duration = Duration::from_millis(5);
-
 impl Machine {
-    /// Records that a call has lost its connection to a server, beside other open calls.
-    pub(super) fn connection_broke(&mut self, key: ServerKey) {
-        let server = &mut self.servers[key];
-        let is_settling =
-            server.connection_broke_at.is_some_and(|at| self.now.since(at) < SETTLING_TIME);
-        if server.in_flight == 0 && !is_settling {
+    /// Records that a call has lost its connection to a server. The loss of a lone call tells nothing
+    /// of the server's other connections.
+    pub(super) fn connection_broke(&mut self, key: AttemptKey, attempt: &Attempt) {
+        let server = &mut self.servers[attempt.server];
+        if server.in_flight == 0 && !server.breaker.is_open() {
             return;
         }
-        server.connection_broke_at = Some(self.now);
-        let service = server.service;
-        self.schedule_dispatch(service, self.now + SETTLING_TIME);
+        for next_call_at in server.breaker.trip(self.now, key) {
+            self.schedule_dispatch(attempt.service, next_call_at);
+        }
     }
 
     /// Returns an idle connection to a server on which a call of the portion can be sent.
@@ -44,7 +34,7 @@
         server: ServerKey,
     ) -> Option<ConnectionKey> {
         let mut unused = self.unused_connections(key, server);
-        unused.find(|connection| self.is_settled(key, *connection))
+        unused.find(|connection| self.admits_call(key, *connection))
     }
 
     /// Idle connections to a server that have not carried a call of the portion.
@@ -64,14 +54,23 @@
         connections.filter(move |connection| is_idle(*connection))
     }
 
-    /// Whether a connection is not likely to have ended together with another one of its server. A
-    /// single message that has lost a call is sent at once: it has waited for other servers already.
-    fn is_settled(&self, key: PortionKey, connection: ConnectionKey) -> bool {
+    /// Whether the server's breaker admits a call on a connection. A single message that has lost a
+    /// call is sent at once: it has waited for other servers already.
+    fn admits_call(&self, key: PortionKey, connection: ConnectionKey) -> bool {
         let connection = &self.connections[connection];
-        let broke_at = self.servers[connection.server].connection_broke_at;
-        let settles =
-            broke_at.is_some_and(|at| self.now.since(at) < SETTLING_TIME && connection.since <= at);
-        !settles || self.portions[key].is_single() && self.portions[key].may_have_run
+        let server = &self.servers[connection.server];
+        let may_lose = self.services[server.service].budget.affords_retry()
+            || !self.has_server_with_closed_breaker(server.service);
+        let is_open = |attempt| self.attempts.contains_key(attempt);
+        server.breaker.admits(self.now, connection.since, may_lose, is_open)
+            || self.portions[key].is_single() && self.portions[key].may_have_run
+    }
+
+    /// Whether a service has a server that works as far as is known, so that calls can wait for it.
+    fn has_server_with_closed_breaker(&self, id: ServiceId) -> bool {
+        let servers = self.services[id].servers.iter().map(|key| &self.servers[*key]);
+        let mut working = servers.filter(|server| !server.breaker.is_open());
+        working.any(|server| server.accepts_work() && !server.connections.is_empty())
     }
 
     /// Replaces idle connections that keep queued portions of a service waiting because they have
--- a/crates/core/src/leaf/server.rs
+++ b/crates/core/src/leaf/server.rs
@@ -8,6 +8,7 @@
 use ladder_schema::target;
 use slotmap::new_key_type;
 
+use super::breaker::Breaker;
 use super::crash::{LostCall, ReportedTermination};
 use super::event::{AttemptKey, ConnectionKey};
 use super::exclusion::{Exclusion, Facts};
@@ -81,8 +82,8 @@
     pub(super) probe_connection: Option<ConnectionKey>,
     /// Calls to cancel as soon as a connection is idle.
     pub(super) queued_cancels: VecDeque<AttemptKey>,
-    /// When a call last lost its connection to the server; `None` if none did.
-    pub(super) connection_broke_at: Option<Instant>,
+    /// Which connections calls may use after one has broken.
+    pub(super) breaker: Breaker,
     /// Requests whose calls broke off recently, each request once, oldest first.
     pub(super) lost_calls: Vec<LostCall>,
     /// Reported termination of a process of this server; `None` if none was reported.
@@ -122,7 +123,7 @@
             probe_at: Instant::default(),
             probe_connection: None,
             queued_cancels: VecDeque::new(),
-            connection_broke_at: None,
+            breaker: Breaker::default(),
             lost_calls: Vec::new(),
             reported_termination: None,
         };
