Count an allowance of extra calls above 4,294,967 as what it is

What callers saw: fewer retries the more extra calls are allowed: an allowance of 4,294,968 calls or more counted as none set, so that ten are saved up and none come back with time.

Change: tokens are counted up to the largest number that fits.

Evidence: extra_calls::largest_allowance_pays_for_every_retry was red (no retry for the third query) and passes.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -50,15 +50,14 @@
         let sharer_count = sharer_count.max(1);
         let window = Duration::from_millis(limits.extra_window_ms.into());
         let earned_per_call = limits.extra_percent * (TOKENS_PER_CALL / 100);
-        let Some(burst) =
-            limits.extra_burst.checked_mul(TOKENS_PER_CALL).filter(|&burst| burst > 0)
-        else {
+        let burst = limits.extra_burst.saturating_mul(TOKENS_PER_CALL);
+        if burst == 0 {
             return Self {
                 earned_per_call,
                 max_tokens: DEFAULT_BURST_CALLS * TOKENS_PER_CALL,
                 ..Self::default()
             };
-        };
+        }
         let has_refill = !window.is_zero() && earned_per_call > 0;
         let refill_per_window = if has_refill { burst / 6 / sharer_count } else { 0 };
         let max_tokens =
@@ -83,7 +82,7 @@
 fn round_to_calls(tokens: u32, names: [&str; 2]) -> u32 {
     let threshold = hash::of(&names.map(str::as_bytes)) % u64::from(TOKENS_PER_CALL);
     let round_up = u64::from(tokens % TOKENS_PER_CALL) > threshold;
-    (tokens / TOKENS_PER_CALL + u32::from(round_up)) * TOKENS_PER_CALL
+    (tokens / TOKENS_PER_CALL + u32::from(round_up)).saturating_mul(TOKENS_PER_CALL)
 }
 
 /// Tokens of one service: earned by first calls and refilled with time, spent by extra calls.
--- a/crates/core/tests/leaf/extra_calls.rs
+++ b/crates/core/tests/leaf/extra_calls.rs
@@ -3,10 +3,12 @@
 
 use std::collections::BTreeSet;
 
+use ladder_core::leaf::event::Outcome;
 use ladder_core::schema::catalogue::Limits;
 use ladder_core::schema::outcome::{Reason, Verdict};
 
 use crate::attempts::{End, INSTANCES, PARTS, Property, ServerState, Simulation, Step, ZONES};
+use crate::harness::{Harness, limited, server, settings};
 
 /// Extra calls with which each instance starts, for each service.
 const INITIAL_EXTRA_CALLS: u32 = 2;
@@ -158,3 +160,24 @@
     check_arrivals(&simulation, 20);
     assert!(simulation.arrivals.values().filter(|arrivals| **arrivals > 1).count() > 20);
 }
+
+/// Guards against counting a large allowance of extra calls as none: 30 queries whose first call
+/// fails need a retry each.
+#[test]
+fn largest_allowance_pays_for_every_retry() {
+    for extra_burst in [1_000_000, 4_294_968, u32::MAX] {
+        let limits = Limits { extra_burst, extra_window_ms: 1000, ..limits(1) };
+        let servers = vec![server(1), server(2)];
+        let mut harness = Harness::connected(settings(), limited(limits, servers));
+        harness.learn_call_times(40, 4);
+        harness.advance(10_000);
+        for query in 0..30 {
+            let failed = harness.deliver_and_take_call(query, "sweep");
+            harness.end_call(failed.attempt, Outcome::Error);
+            harness.connect();
+            let calls = harness.sent();
+            assert_eq!(calls.len(), 2, "{extra_burst}: calls of query {query}");
+            harness.answer(&calls[1]);
+        }
+    }
+}
