--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -73,22 +73,7 @@
         self.broadcast(now, &changes, &frame.address, out);
         self.compare_records(now, &frame);
         if let Some(digest) = &frame.digest {
-            let may_exchange = self.may_exchange_records(now, digest);
-            let over_contents = store::hashes_contents(digest);
-            let lacks_buckets = may_exchange && self.store.lacks_buckets(digest);
-            reply.digest = lacks_buckets.then(|| self.digest(over_contents));
-            if digest.quarantine != self.quarantine.digest() {
-                // From this digest the peer learns whether its quarantine has more entries. A peer
-                // that has already sent its whole quarantine gets no digest: two full quarantines
-                // would answer each other endlessly.
-                if !reports_quarantine {
-                    reply.digest.get_or_insert_with(|| self.total_digest());
-                }
-                self.quarantine.write_to_frame(now, &mut reply);
-            }
-            if may_exchange {
-                self.answer_digest(now, &frame.address, digest, &mut reply, out);
-            }
+            self.handle_digest(now, &frame.address, digest, reports_quarantine, &mut reply, out);
         }
         self.send_buckets(&frame.address, &frame.wanted, out);
         if !frame.details.is_empty() {
@@ -101,6 +86,35 @@
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
 
+    /// Answers a digest with what differs here. `reports_quarantine` tells whether its frame contains the
+    /// peer's whole quarantine.
+    fn handle_digest(
+        &mut self,
+        now: Instant,
+        address: &str,
+        digest: &Digest,
+        reports_quarantine: bool,
+        reply: &mut Frame,
+        out: &mut Vec<Action>,
+    ) {
+        let may_exchange = self.may_exchange_records(now, digest);
+        let over_contents = store::hashes_contents(digest);
+        let lacks_buckets = may_exchange && self.store.lacks_buckets(digest);
+        reply.digest = lacks_buckets.then(|| self.digest(over_contents));
+        if digest.quarantine != self.quarantine.digest() {
+            // From this digest the peer learns whether its quarantine has more entries. A peer that
+            // has already sent its whole quarantine gets no digest: two full quarantines would answer
+            // each other endlessly.
+            if !reports_quarantine {
+                reply.digest.get_or_insert_with(|| self.total_digest());
+            }
+            self.quarantine.write_to_frame(now, reply);
+        }
+        if may_exchange {
+            self.answer_digest(now, address, digest, reply, out);
+        }
+    }
+
     /// Takes the members that a peer introduces, and returns those to introduce to it, if it asks.
     fn exchange_members(&mut self, now: Instant, frame: &Frame) -> Vec<Rumour> {
         self.membership.introduce(now, &frame.members);
