--- a/crates/core/src/leaf/breaker.rs
+++ b/crates/core/src/leaf/breaker.rs
@@ -36,7 +36,8 @@
 }
 
 impl Breaker {
-    /// Whether a connection has broken or was refused, and nothing has shown since that the server still runs.
+    /// Whether a connection has broken or was refused, and nothing has shown since that the server
+    /// still runs.
     pub(super) const fn is_open(&self) -> bool {
         self.0.is_some()
     }
