List a part that runs on three servers of two as known red

Cause, by the trace of one red input of the property with links: the link repeats a work frame, which the process that received it first has run, to the successor of that process. The successor refuses it as not run, with no calls, and the entry instance takes that for proof that no server received the part, and names other servers. It happens only if the entry instance has never received a frame from the peer: otherwise the link knows the process and discards the frame.

--- a/crates/core/tests/leaf/linked_attempts.rs
+++ b/crates/core/tests/leaf/linked_attempts.rs
@@ -552,3 +552,11 @@
     let on_two = simulation.executions.values().filter(|servers| servers.len() == 2).count();
     assert!(on_two > 50, "{on_two} parts on two servers");
 }
+
+/// Guards against taking a refusal for proof that a part was not run although it answers a repeated
+/// frame: the process that received the frame first has ended, and its successor knows nothing of its
+/// calls. The entry instance had heard of neither process when it sent the frame.
+#[test]
+fn refusal_of_a_successor_proves_nothing_of_the_process_before() {
+    check_linked_attempts(ladder_property::replay(336240192547183125936410629479973159487));
+}
