--- a/crates/core/examples/scale/bench.rs
+++ b/crates/core/examples/scale/bench.rs
@@ -142,8 +142,8 @@
                 self.view = Some(view);
             }
             Action::Log(_) | Action::Generation(_) => {}
-            Action::Refused { record, refusal, .. } => {
-                panic!("{record} was refused: {}", refusal.detail)
+            Action::Refused { refusal, .. } => {
+                panic!("{} was refused: {}", refusal.key, refusal.detail)
             }
             Action::Count(_) => {}
         }
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -87,8 +87,6 @@
     /// A record was refused, or routes are still refused. Operators see it until a newer record of
     /// the same key is in force.
     Refused {
-        /// Kind and name of the refused record.
-        record: String,
         /// The record and why it failed validation.
         refusal: Refusal,
         /// Time since the first refusal of routes; `None` if the record has not been reported
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -375,9 +375,8 @@
 
     fn report_refused_routes(&self, now: Instant, out: &mut Vec<Action>) {
         if let Some(refusal) = self.store.refused_routes().cloned() {
-            let record = refusal.key.to_string();
             let repeated_after = self.refused_routes.age(now);
-            out.push(Action::Refused { record, refusal, repeated_after });
+            out.push(Action::Refused { refusal, repeated_after });
         }
     }
 
--- a/crates/core/src/control/machine/records.rs
+++ b/crates/core/src/control/machine/records.rs
@@ -322,8 +322,7 @@
                 }
                 Outcome::Refused(refusal) => {
                     out.push(count_drop(Reason::BadRecord));
-                    let record = refusal.key.to_string();
-                    out.push(Action::Refused { record, refusal, repeated_after: None });
+                    out.push(Action::Refused { refusal, repeated_after: None });
                 }
             }
         }
--- a/crates/core/src/leaf/breaker.rs
+++ b/crates/core/src/leaf/breaker.rs
@@ -48,7 +48,7 @@
         let pause = match self.0 {
             None => MIN_PAUSE,
             Some(open) if open.trial == Some(lost) => {
-                (open.pause * 2).min(MAX_PAUSE.max(open.pause))
+                (open.pause * 2).min(MAX_PAUSE).max(open.pause)
             }
             Some(open) => open.pause,
         };
--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -52,7 +52,6 @@
             self.record_use(key);
             out.push(Action::Connection(count::Connection::Opened));
             self.servers[server].open_failures = 0;
-            self.servers[server].breaker.close();
             self.server_accepted_connection(server);
         }
         self.idle(key, out);
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -236,8 +236,9 @@
         self.crashes.has_suspects() && request.is_some_and(suppressed)
     }
 
-    /// Clears the suspicion of a termination when a connection to a server opens.
+    /// Clears the signs of a termination when a connection to a server opens.
     pub(super) fn server_accepted_connection(&mut self, key: ServerKey) {
+        self.servers[key].breaker.close();
         if self.crashes.has_suspects() {
             self.crashes.clear_suspect(key);
             self.mark_waiting_services();
--- a/crates/core/src/leaf/reuse.rs
+++ b/crates/core/src/leaf/reuse.rs
@@ -15,8 +15,8 @@
 use super::service::ServiceId;
 
 impl Machine {
-    /// Records that a call has lost its connection to a server. The loss of a lone call tells nothing
-    /// of the server's other connections.
+    /// Records that a call has lost its connection to a server. If no other call is open there, the
+    /// server's other connections are assumed to work.
     pub(super) fn connection_broke(&mut self, key: AttemptKey, attempt: &Attempt) {
         let server = &mut self.servers[attempt.server];
         if server.in_flight == 0 && !server.breaker.is_open() {
--- a/crates/core/tests/fleet/session.rs
+++ b/crates/core/tests/fleet/session.rs
@@ -21,8 +21,8 @@
         Action::Watch(read) => Some(format!("watch after {} for {:?}", read.after, read.wait)),
         Action::View(view) => Some(view_line(view)),
         Action::Log(state_change) => Some(format!("log {state_change:?}")),
-        Action::Refused { record, refusal, .. } => {
-            Some(format!("refused {record}: {}", refusal.detail))
+        Action::Refused { refusal, .. } => {
+            Some(format!("refused {}: {}", refusal.key, refusal.detail))
         }
         Action::Generation(generation) => Some(format!("generation {generation}")),
         Action::Count(_) => None,
--- a/crates/core/tests/fleet/startup/world.rs
+++ b/crates/core/tests/fleet/startup/world.rs
@@ -405,8 +405,8 @@
             control::Action::Log(StateChange::CountTrusted { age, members }) => {
                 self.trusted.insert(life.0, (age, members));
             }
-            control::Action::Refused { record, refusal, .. } => {
-                panic!("{record}: {}", refusal.detail)
+            control::Action::Refused { refusal, .. } => {
+                panic!("{}: {}", refusal.key, refusal.detail)
             }
             _ => {}
         }
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -55,6 +55,24 @@
     Unsent,
 }
 
+impl End {
+    /// Outcome of a call that ends in this way.
+    pub(crate) fn outcome(self, request: &target::Request) -> Outcome {
+        match self {
+            Self::Answer => Outcome::Answer(harness::answer(request, |_| String::new())),
+            Self::Shed => harness::refusal(request, Reason::TargetShed, 3),
+            Self::Error => Outcome::Error,
+            Self::Lost => Outcome::Lost,
+            Self::Unsent => Outcome::Unsent,
+        }
+    }
+
+    /// Whether a call that ends in this way ran or may have run.
+    pub(crate) const fn may_have_run(self) -> bool {
+        !matches!(self, Self::Shed | Self::Unsent)
+    }
+}
+
 /// One step of the simulation. Each number selects among the existing items, modulo their count.
 #[derive(Clone, Copy, Debug)]
 #[derive(TypeGenerator)]
@@ -280,20 +298,7 @@
 
     fn sweep(&mut self) {
         self.sweeps += 1;
-        let message = Message {
-            method: "GET".to_owned(),
-            host: "porto.example".to_owned(),
-            target: format!("/docks/{}", self.sweeps),
-            ..Message::default()
-        };
-        let request = Request {
-            key: format!("key-{}", self.sweeps),
-            deadline_ms: 600,
-            payload: format!("key-{} sweep", self.sweeps),
-            message: Some(Box::new(message)),
-            ..Request::default()
-        };
-        self.gather(gather::Event::Call { caller: CallerId(self.sweeps), request });
+        self.gather(sweep(self.sweeps));
     }
 
     fn connect(&mut self, instance: usize) {
@@ -320,18 +325,12 @@
     }
 
     fn end_call(&mut self, call: Call, end: End) {
-        let outcome = match end {
-            End::Answer => Outcome::Answer(harness::answer(&call.request, |_| String::new())),
-            End::Shed => harness::refusal(&call.request, Reason::TargetShed, 3),
-            End::Error => Outcome::Error,
-            End::Lost => Outcome::Lost,
-            End::Unsent => Outcome::Unsent,
-        };
+        let outcome = end.outcome(&call.request);
         if matches!(end, End::Unsent) {
             let part = (call.execution.0.clone(), call.execution.1.clone());
             *self.arrivals.entry(part).or_default() -= 1;
         }
-        if !matches!(end, End::Shed | End::Unsent) {
+        if end.may_have_run() {
             self.record_execution(call.execution);
         }
         self.leaf(call.instance, leaf::Event::Ended { attempt: call.attempt, outcome });
@@ -370,6 +369,24 @@
     }
 }
 
+/// The call of a sweep with this number.
+pub(crate) fn sweep(number: u64) -> gather::Event {
+    let message = Message {
+        method: "GET".to_owned(),
+        host: "porto.example".to_owned(),
+        target: format!("/docks/{number}"),
+        ..Message::default()
+    };
+    let request = Request {
+        key: format!("key-{number}"),
+        deadline_ms: 600,
+        payload: format!("key-{number} sweep"),
+        message: Some(Box::new(message)),
+        ..Request::default()
+    };
+    gather::Event::Call { caller: CallerId(number), request }
+}
+
 fn take_one<T>(from: &mut Vec<T>, which: u8) -> Option<T> {
     let index = usize::from(which) % from.len().max(1);
     (index < from.len()).then(|| from.remove(index))
--- a/crates/core/tests/leaf/linked_attempts.rs
+++ b/crates/core/tests/leaf/linked_attempts.rs
@@ -10,12 +10,9 @@
 use std::time::Duration;
 
 use bolero::TypeGenerator;
-use ladder_core::gather::event::CallerId;
-use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
+use ladder_core::leaf::event::{AttemptKey, ConnectionKey};
 use ladder_core::link::{self, Links};
-use ladder_core::schema::call::{Message, Request};
 use ladder_core::schema::catalogue::Limits;
-use ladder_core::schema::outcome::Reason;
 use ladder_core::schema::target;
 use ladder_core::schema::wire::Frame;
 use ladder_core::time::Instant;
@@ -25,23 +22,10 @@
 
 use crate::attempts::{
     ATTEMPTS, End, INSTANCES, Property, ServerState, ZONES, index_of, server_number, service_name,
-    view,
+    sweep, view,
 };
 use crate::harness;
 
-const LIMITS: Limits = Limits {
-    queue: 100,
-    extra_percent: 100,
-    in_flight: 0,
-    connections: 0,
-    extra_burst: 0,
-    extra_window_ms: 0,
-    count_refused: false,
-    warmup_rate: 0,
-    warmup_most: 0,
-    warmup_ms: 0,
-};
-
 /// One step of the simulation. Each number selects among the existing items, modulo their count.
 #[derive(Clone, Copy, Debug)]
 #[derive(TypeGenerator)]
@@ -169,7 +153,8 @@
     }
 
     fn publish(&mut self, instance: usize) {
-        let view = view(instance, &self.states[instance], self.has_few_connections, LIMITS);
+        let limits = Limits { queue: 100, extra_percent: 100, ..Limits::default() };
+        let view = view(instance, &self.states[instance], self.has_few_connections, limits);
         let view = Arc::new(view);
         if instance == 0 {
             self.gather(gather::Event::View(Arc::clone(&view)));
@@ -432,33 +417,14 @@
 
     fn sweep(&mut self) {
         self.sweeps += 1;
-        let message = Message {
-            method: "GET".to_owned(),
-            host: "porto.example".to_owned(),
-            target: format!("/docks/{}", self.sweeps),
-            ..Message::default()
-        };
-        let request = Request {
-            key: format!("key-{}", self.sweeps),
-            deadline_ms: 600,
-            payload: format!("key-{} sweep", self.sweeps),
-            message: Some(Box::new(message)),
-            ..Request::default()
-        };
-        self.gather(gather::Event::Call { caller: CallerId(self.sweeps), request });
+        self.gather(sweep(self.sweeps));
     }
 
     fn end_call(&mut self, call: &Call, end: End) {
-        let outcome = match end {
-            End::Answer => Outcome::Answer(harness::answer(&call.request, |_| String::new())),
-            End::Shed => harness::refusal(&call.request, Reason::TargetShed, 3),
-            End::Error => Outcome::Error,
-            End::Lost => Outcome::Lost,
-            End::Unsent => Outcome::Unsent,
-        };
-        if !matches!(end, End::Shed | End::Unsent) {
+        if end.may_have_run() {
             self.record_execution(call);
         }
+        let outcome = end.outcome(&call.request);
         self.leaf(call.instance, leaf::Event::Ended { attempt: call.attempt, outcome });
     }
 
@@ -522,7 +488,7 @@
 }
 
 /// Guards against an entry instance that takes a part for not run, and names other servers for it,
-/// after a process that ran it has restarted, drained, or can no longer be heard.
+/// after a process that ran it has restarted or drained, or its connections are silent.
 #[test]
 fn linked_instances_run_a_part_on_no_more_servers_than_the_route_allows() {
     check_linked_attempts(ladder_property::check_short(1000, 4096));
@@ -555,7 +521,7 @@
 
 /// Guards against taking a refusal for proof that a part was not run although it answers a repeated
 /// frame: the process that received the frame first has ended, and its successor knows nothing of its
-/// calls. The entry instance had heard of neither process when it sent the frame.
+/// calls. The entry instance had received no frame from either process when it sent this one.
 #[test]
 fn refusal_of_a_successor_proves_nothing_of_the_process_before() {
     check_linked_attempts(ladder_property::replay(336240192547183125936410629479973159487));
--- a/crates/core/tests/leaf/reuse.rs
+++ b/crates/core/tests/leaf/reuse.rs
@@ -122,24 +122,15 @@
 }
 
 /// Limits of a service that never has a retry in reserve.
-const WITHOUT_RETRIES: Limits = Limits {
-    queue: 100,
-    in_flight: 0,
-    connections: 0,
-    extra_percent: 0,
-    extra_burst: 0,
-    extra_window_ms: 0,
-    count_refused: false,
-    warmup_rate: 0,
-    warmup_most: 0,
-    warmup_ms: 0,
-};
+fn without_retries() -> Limits {
+    Limits { queue: 100, ..Limits::default() }
+}
 
 /// Guards against leaving the only server of a service unused because no retry is in reserve for a
 /// call that may be lost.
 #[test]
 fn remaining_connections_of_the_only_server_are_used_without_a_retry_in_reserve() {
-    let mut harness = Harness::connected(settings(), limited(WITHOUT_RETRIES, vec![server(1)]));
+    let mut harness = Harness::connected(settings(), limited(without_retries(), vec![server(1)]));
     harness.deliver_sweeps(1..=2);
     harness.end_call(harness.sent()[0].attempt, Outcome::Lost);
     harness.deliver_sweeps(3..=3);
@@ -153,7 +144,7 @@
 #[test]
 fn calls_wait_for_another_server_without_a_retry_in_reserve() {
     let servers = vec![server(1), server(2)];
-    let mut harness = Harness::connected(settings(), limited(WITHOUT_RETRIES, servers));
+    let mut harness = Harness::connected(settings(), limited(without_retries(), servers));
     harness.learn_call_times(40, 4);
     harness.deliver_sweeps(1..=4);
     let is_at_first = |call: &SentCall| &*call.address == "10.0.0.1:80";
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -62,11 +62,11 @@
     }
 
     /// Logs a refused record, and counts it unless it has been reported before.
-    fn report_refusal(&self, record: &str, refusal: &Refusal, repeated_after: Option<Duration>) {
+    fn report_refusal(&self, refusal: &Refusal, repeated_after: Option<Duration>) {
         if repeated_after.is_none() {
             self.shared.metrics.record_refused(refusal.key.kind, refusal.reason);
         }
-        warn!(self.shared.log, "published record refused"; "record" => record,
+        warn!(self.shared.log, "published record refused"; "record" => %refusal.key,
             "revision" => refusal.revision, "version" => refusal.version,
             "reason" => refusal.reason, "detail" => &refusal.detail,
             "refused_for_ms" => repeated_after.map(log::whole_millis));
@@ -88,8 +88,8 @@
                         "revision" => view.revision, "ready" => view.ready);
                     self.publish(view);
                 }
-                Action::Refused { record, refusal, repeated_after } => {
-                    self.report_refusal(&record, &refusal, repeated_after);
+                Action::Refused { refusal, repeated_after } => {
+                    self.report_refusal(&refusal, repeated_after);
                 }
                 Action::Log(state_change) => {
                     if let StateChange::Platform(PlatformChange::EraChanged { .. }) = state_change {
