Repeat no frame to a process that started after it was sent

Cause: frames that a peer has not confirmed are sent again after a silence. They were kept back from a successor only if a frame of the process before had been received, and an entry instance sends parts to peers that it knows from rumours alone. The successor refuses the part as not run, which is true of itself, and the entry instance names another server. A non-idempotent message of an owner placement would be sent to another owner for the same reason.

Change: a frame that answers a verification contains the age of its sender, and frames that were sent before that process started are discarded. Without an age the process counts as running since its first frame.

Ruled out: to discard all frames sent before the first one received, which loses requests after repeated silences.

--- a/crates/core/src/link/peer.rs
+++ b/crates/core/src/link/peer.rs
@@ -37,6 +37,8 @@
     pub(super) build: Build,
     /// Incarnation of the peer's process; 0 until a frame has been received.
     incarnation: u64,
+    /// Earliest time at which that process is known to have been running.
+    running_since: Instant,
     pub(super) current: Option<Connection>,
     /// Verification of the current connection that is waiting for its answer.
     pub(super) verification: Option<Verification>,
@@ -67,6 +69,7 @@
             is_listed: false,
             build: Build::Unknown,
             incarnation: 0,
+            running_since: Instant::default(),
             current: None,
             verification: None,
             next_verification_at: Instant::default(),
@@ -156,7 +159,8 @@
 
     /// Processes a frame of the peer. Returns whether it was received for the first time.
     pub(super) fn receive(&mut self, turn: &mut Turn<'_>, frame: &Frame) -> bool {
-        self.note_incarnation(frame.incarnation);
+        self.note_incarnation(turn.now, frame.incarnation);
+        self.note_age(turn.now, frame);
         let confirms = frame.sequence > 0 || frame.received_until > 0;
         if !confirms && frame.verification == 0 && frame.verified == 0 {
             self.receive_from_older_build(turn, frame);
@@ -171,7 +175,7 @@
 
     /// Forgets what concerns the peer's previous process. Another process must not receive what was
     /// sent to that one, which may have carried it out.
-    fn note_incarnation(&mut self, incarnation: u64) {
+    fn note_incarnation(&mut self, now: Instant, incarnation: u64) {
         if self.incarnation == incarnation {
             return;
         }
@@ -179,12 +183,26 @@
             self.unconfirmed.clear();
         }
         self.incarnation = incarnation;
+        self.running_since = now;
         self.build = Build::Unknown;
         self.received = None;
         self.confirm_at = None;
         self.request = None;
     }
 
+    /// Notes for how long the peer's process has been running, if the frame tells.
+    fn note_age(&mut self, now: Instant, frame: &Frame) {
+        if frame.age_ms > 0 {
+            let started_at = now - Duration::from_millis(frame.age_ms.into());
+            self.running_since = self.running_since.min(started_at);
+        }
+    }
+
+    /// Discards the kept frames that may have been sent to a process before the current one.
+    pub(super) fn discard_frames_for_earlier_process(&mut self) {
+        self.unconfirmed.discard_sent_before(self.running_since);
+    }
+
     /// Notes that the peer has received all frames up to a number.
     fn note_confirmed(&mut self, now: Instant, until: u64) {
         let Some(confirmed) = self.unconfirmed.confirm(until) else {
--- a/crates/core/src/link/shared.rs
+++ b/crates/core/src/link/shared.rs
@@ -1,5 +1,7 @@
 //! What the links to all peers have in common.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ladder_schema::wire::Frame;
 use prost::Message;
@@ -12,6 +14,8 @@
 pub(super) struct Shared {
     /// Frame that contains only the sender.
     identity: Frame,
+    /// When this process started, or later.
+    started_at: Instant,
     last_connection: u64,
     last_verification: u64,
     /// Latest known time at which connections went silent; `None` if none ever did.
@@ -27,6 +31,7 @@
     pub(super) const fn new(now: Instant, identity: Frame) -> Self {
         Self {
             identity,
+            started_at: now,
             last_connection: 0,
             last_verification: 0,
             silent_since: None,
@@ -48,10 +53,18 @@
         frame.address.clone_from(&identity.address);
         frame.zone.clone_from(&identity.zone);
         frame.sent_us = now.as_micros();
+        if frame.verified > 0 {
+            frame.age_ms = whole_millis(now.since(self.started_at));
+        }
         frame.encode_to_vec().into()
     }
 }
 
+/// Whole milliseconds of `span`, capped at `u32::MAX`.
+fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// A moment at which the state of links changes, and the actions that result.
 pub(super) struct Turn<'a> {
     pub(super) now: Instant,
--- a/crates/core/src/link/unconfirmed.rs
+++ b/crates/core/src/link/unconfirmed.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Discards the frames that were sent before a time.
+    pub(super) fn discard_sent_before(&mut self, time: Instant) {
+        while self.frames.front().is_some_and(|frame| frame.sent_at < time) {
+            self.discard_first();
+        }
+    }
+
     /// Discards all frames.
     pub(super) fn clear(&mut self) {
         self.frames.clear();
--- a/crates/core/src/link/verification.rs
+++ b/crates/core/src/link/verification.rs
@@ -155,6 +155,7 @@
         }
         let connection = verification.connection.promoted(turn.now);
         self.current = Some(connection);
+        self.discard_frames_for_earlier_process();
         turn.out.push(Action::Replaced {
             address: Arc::clone(&self.address),
             cause: verification.cause,
--- a/crates/core/tests/link/delivery.rs
+++ b/crates/core/tests/link/delivery.rs
@@ -9,24 +9,37 @@
 
 use super::network::Network;
 
-/// Guards against running a request twice: a process received it and ended, and its successor at the
-/// same address received it again from a sender that had got no confirmation.
-#[test]
-fn frame_for_an_ended_process_does_not_reach_its_successor() {
+/// Sends a request from instance 0 to a process that ends before it confirms it, and checks that its
+/// successor gets only what is sent later.
+fn check_that_successor_gets_later_frames_only(receiver: usize) {
     let mut network = Network::start(9);
     network.run(Duration::from_secs(3));
-    let number = network.request(Duration::ZERO, 0, 1);
+    let number = network.request(Duration::ZERO, 0, receiver);
     network.run(Duration::from_millis(5));
     assert_eq!(network.requests[&number].received, 1, "the process has received the request");
-    network.restart_without_notice(1);
+    network.restart_without_notice(receiver);
     network.run(Duration::from_secs(6));
     assert_eq!(network.requests[&number].received, 1, "its successor has not");
-    let later = network.request(Duration::ZERO, 0, 1);
+    let later = network.request(Duration::ZERO, 0, receiver);
     network.run(Duration::from_secs(1));
     assert_eq!(network.requests[&later].received, 1, "the successor gets what is sent to it");
     assert!(network.requests[&later].answered_at.is_some(), "and answers");
 }
 
+/// Guards against running a request twice: a process received it and ended, and its successor at the
+/// same address received it again from a sender that had got no confirmation.
+#[test]
+fn frame_for_an_ended_process_does_not_reach_its_successor() {
+    check_that_successor_gets_later_frames_only(1);
+}
+
+/// Guards against the same if the sender has received no frame of the ended process, so that it
+/// cannot tell it from its successor by their incarnations.
+#[test]
+fn frame_for_an_unknown_process_does_not_reach_its_successor() {
+    check_that_successor_gets_later_frames_only(5);
+}
+
 /// Guards against running a request twice: its connection was held up and taken for silent, the
 /// request was sent again on another one, and then both arrived.
 #[test]
