Count the open calls of a doubtful server against the retries in reserve

A reserve of one counted as enough. - A call was sent with no retry in reserve 100 ms after the last outcome at the server. Nothing but a connection that opened since closes the breaker without one; that it had been accepted before the server terminated, and was reported late, is inferred.

Change: each lost call trips the breaker. A trial needs a retry in reserve for itself and for each awaited call at doubtful servers of the service; otherwise calls wait for a server that the part may use, for a second at most. A connection opened since needs no pause, but does not close the breaker; only a response does.

--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -140,9 +140,9 @@
         self.tokens = self.tokens.saturating_add(tokens).min(self.allowance.max_tokens);
     }
 
-    /// Whether the tokens suffice for a retry.
-    pub(super) fn affords_retry(&self) -> bool {
-        self.tokens >= TOKENS_PER_CALL
+    /// Whether the tokens suffice for so many retries.
+    pub(super) fn affords_retries(&self, count: usize) -> bool {
+        self.calls() as usize >= count
     }
 
     /// Whether the tokens suffice for a hedge without spending those reserved for retries.
@@ -152,7 +152,7 @@
 
     /// Spends the tokens of one extra call; returns `false` if there are too few.
     pub(super) fn spend(&mut self) -> bool {
-        let affordable = self.affords_retry();
+        let affordable = self.affords_retries(1);
         if affordable {
             self.tokens -= TOKENS_PER_CALL;
         }
--- a/crates/core/src/leaf/connection.rs
+++ b/crates/core/src/leaf/connection.rs
@@ -24,6 +24,8 @@
     pub(super) state: State,
     /// Whether the server closes the connection after the current call.
     pub(super) closing: bool,
+    /// Whether the connection was open when another one to the server broke or was refused.
+    pub(super) in_doubt: bool,
     /// Time at which the connection was opened; until then, time at which it was requested.
     pub(super) since: Instant,
     /// When a call last ended on the connection; until then, when it was requested or opened.
--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -275,6 +275,7 @@
             server: key,
             state: State::Opening,
             closing: false,
+            in_doubt: false,
             since: self.now,
             used_at: self.now,
         });
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -238,7 +238,9 @@
 
     /// Clears the signs of a termination when a connection to a server opens.
     pub(super) fn server_accepted_connection(&mut self, key: ServerKey) {
-        self.servers[key].breaker.close();
+        if let Some(works_at) = self.servers[key].breaker.connection_opened(self.now) {
+            self.schedule_dispatch(self.servers[key].service, works_at);
+        }
         if self.crashes.has_suspects() {
             self.crashes.clear_suspect(key);
             self.mark_waiting_services();
@@ -295,8 +297,7 @@
         if let Some(connection) = self.connections.get(key) {
             let server = connection.server;
             self.server_terminated(server, self.servers[server].incarnation, out);
-            let next_call_at = self.servers[server].breaker.refuse(self.now);
-            self.schedule_dispatch(self.servers[server].service, next_call_at);
+            self.connection_was_refused(server);
         }
         self.closed(key, out);
     }
--- a/crates/core/src/leaf/dispatch.rs
+++ b/crates/core/src/leaf/dispatch.rs
@@ -350,16 +350,19 @@
     /// A server that stalls for a moment gives no other sign of it, and all calls sent to it
     /// meanwhile wait until it continues.
     pub(super) fn oldest_call_age(&self, server: &Server) -> Duration {
-        let busy = server.connections.iter().filter_map(|connection| {
-            match self.connections[*connection].state {
-                connection::State::Busy(attempt) => self.attempts.get(attempt),
-                _ => None,
-            }
-        });
-        let oldest = busy.map(|attempt| attempt.sent).min();
+        let oldest = self.open_calls(server).map(|call| call.sent).min();
         oldest.map_or(Duration::ZERO, |sent| self.now.since(sent))
     }
 
+    /// Unanswered calls at a server.
+    pub(super) fn open_calls(&self, server: &Server) -> impl Iterator<Item = &Attempt> {
+        let connections = server.connections.iter().map(|key| &self.connections[*key]);
+        connections.filter_map(|connection| match connection.state {
+            connection::State::Busy(attempt) => self.attempts.get(attempt),
+            _ => None,
+        })
+    }
+
     /// Returns the servers that are suspected because of their call outcomes: at most the worst
     /// half.
     ///
@@ -428,7 +431,7 @@
         self.call_began(&call, out);
         self.record_warmup_request(to);
         let attempt = self.attempts.insert(call);
-        self.servers[to].breaker.call_sent(attempt, self.connections[connection].since);
+        self.record_trial(to, attempt);
         let call_trace = self.call_trace(key, to, attempt);
         let portion = &mut self.portions[key];
         portion.call_traces.push(call_trace);
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -127,7 +127,7 @@
     fn affords_hedge(&self, id: ServiceId, key: PortionKey, sent: Instant) -> bool {
         let budget = &self.services[id].budget;
         let is_overdue = overdue_at(&self.portions[key], sent).is_some_and(|at| at <= self.now);
-        budget.affords_hedge() || (is_overdue && budget.affords_retry())
+        budget.affords_hedge() || (is_overdue && budget.affords_retries(1))
     }
 
     /// Whether a hedge can still be answered in time and the query has extra calls left.
--- a/crates/core/tests/leaf/reuse.rs
+++ b/crates/core/tests/leaf/reuse.rs
@@ -138,21 +138,44 @@
     assert_eq!(harness.sent().len(), 3);
 }
 
-/// Guards against a lost call that cannot be repeated: without a retry in reserve, calls must wait
-/// for the other server of their service while the ends of the connections come in, but not for
-/// longer.
-#[test]
-fn calls_wait_for_another_server_without_a_retry_in_reserve() {
-    let servers = vec![server(1), server(2)];
-    let mut harness = Harness::connected(settings(), limited(without_retries(), servers));
-    harness.learn_call_times(40, 4);
-    harness.deliver_sweeps(1..=4);
-    let is_at_first = |call: &SentCall| &*call.address == "10.0.0.1:80";
-    let lost: Vec<SentCall> = harness.sent().into_iter().filter(is_at_first).collect();
-    for call in lost {
-        harness.end_call(call.attempt, Outcome::Lost);
+/// A service of two servers with four open calls.
+struct BusyService {
+    harness: Harness,
+    /// Calls at the first server.
+    first: Vec<SentCall>,
+}
+
+impl BusyService {
+    fn new(limits: Limits) -> Self {
+        let servers = vec![server(1), server(2)];
+        let mut harness = Harness::connected(settings(), limited(limits, servers));
+        harness.learn_call_times(40, 4);
+        harness.deliver_sweeps(1..=4);
+        let is_at_first = |call: &SentCall| &*call.address == "10.0.0.1:80";
+        let first: Vec<SentCall> = harness.sent().into_iter().filter(is_at_first).collect();
+        assert_eq!(first.len(), 2);
+        harness.log.clear();
+        Self { harness, first }
+    }
+
+    /// Ends the oldest call at the first server as lost.
+    fn lose_call(&mut self) {
+        let call = self.first.remove(0);
+        self.harness.end_call(call.attempt, Outcome::Lost);
+    }
+}
+
+/// Checks that calls wait for the other server without a retry in reserve, but not for longer than a
+/// second.
+fn check_waiting_without_retries(has_opened_connection: bool) {
+    let mut service = BusyService::new(without_retries());
+    service.lose_call();
+    service.lose_call();
+    let harness = &mut service.harness;
+    if has_opened_connection {
+        harness.advance(1);
+        harness.connect();
     }
-    harness.log.clear();
     harness.deliver_sweeps(5..=6);
     harness.advance(400);
     assert_eq!(harness.sent().len(), 0);
@@ -161,6 +184,53 @@
     assert_eq!(harness.sent().len(), 1, "one call on trial");
 }
 
+/// Guards against a lost call that cannot be repeated while the ends of the connections come in.
+#[test]
+fn calls_wait_for_another_server_without_a_retry_in_reserve() {
+    check_waiting_without_retries(false);
+}
+
+/// Guards against taking a connection that has opened for a sign that the server's process runs: it may
+/// have been accepted before the process terminated, and reported later.
+#[test]
+fn calls_wait_for_another_server_although_a_connection_has_opened() {
+    check_waiting_without_retries(true);
+}
+
+/// Guards against spending the last retry on a trial while another call is open at the server: if
+/// both are lost, one of them cannot be repeated.
+#[test]
+fn trial_leaves_a_retry_for_each_open_call() {
+    let limits = Limits { queue: 100, extra_percent: 5, extra_burst: 2, ..Limits::default() };
+    let mut service = BusyService::new(limits);
+    service.lose_call();
+    let harness = &mut service.harness;
+    harness.deliver_sweeps(5..=5);
+    harness.advance(100);
+    assert_eq!(harness.sent().len(), 0, "one retry is in reserve, for the open call");
+    let open = service.first.remove(0);
+    harness.answer(&open);
+    assert!(!harness.sent().is_empty(), "the server has answered");
+}
+
+/// Guards against several calls on the connections of a server that has terminated with a single
+/// open call: the ends of the others come in later.
+#[test]
+fn server_is_tried_with_one_call_after_its_only_open_call_was_lost() {
+    let mut harness = Harness::connected(settings(), service(vec![server(1)]));
+    harness.learn_call_times(40, 4);
+    let lone = harness.deliver_and_take_call(1, "sweep");
+    harness.log.clear();
+    harness.end_call(lone.attempt, Outcome::Lost);
+    harness.deliver_sweeps(2..=3);
+    harness.advance(10);
+    assert_eq!(harness.sent().len(), 1);
+    harness.connect();
+    assert_eq!(harness.sent().len(), 1, "the connection that replaces the lost one proves nothing");
+    harness.answer_first();
+    assert!(harness.sent().len() > 1, "calls after an answer");
+}
+
 /// Guards against sending calls on older connections to a server at whose address no process listens
 /// any more: their ends have not been reported yet.
 #[test]
