Tell a new member at once which requests are refused

Cause: the first frame of a starting instance has no digest, as it has read nothing yet, and only a digest was answered with the refused requests. Its later digests go to a few random peers, and after 0.2 s it is ready without them.

Change: a frame of a new member is answered with the refused requests, as it is with the members that are not alive.

Evidence: quarantine::starting_instance_learns_refused_requests_whenever_it_starts (20 start times, one survivor of nine) fails without the change.

--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -40,7 +40,11 @@
         match self.membership.receive_frame(now, &frame) {
             FrameEffect::Ignored if frame.from == *self.settings.name => return,
             FrameEffect::Ignored | FrameEffect::NoChange => {}
-            FrameEffect::NewMember => reply.rumours = self.membership.not_alive_updates(),
+            FrameEffect::NewMember => {
+                reply.rumours = self.membership.not_alive_updates();
+                // A starting instance sends its first digest only after a read of the platform.
+                self.quarantine.write_to_frame(now, &mut reply);
+            }
             FrameEffect::MustRefute(u) | FrameEffect::StaleGeneration(u) => reply.rumours.push(u),
         }
         let generation = self.membership.own().generation;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -213,28 +213,43 @@
     crash(&mut fleet, 3);
 }
 
+/// Replaces all instances but the first `survivors` at a time after they have learned of a refused
+/// request, and checks that none is ready before it refuses the request too.
+fn check_that_starting_instances_learn_refused_requests(survivors: usize, after: Duration) {
+    let mut fleet = observed_fleet(9);
+    crash_three_servers(&mut fleet, [0, 1, 2]);
+    fleet.run(CONTACT + after);
+    for at in survivors..9 {
+        fleet.kill(&name(at), true);
+    }
+    fleet.incarnation = 2;
+    for at in survivors..9 {
+        fleet.start(&name(at), "trindade");
+    }
+    let is_ready = |fleet: &Fleet, at| fleet.nodes[&name(at)].machine.view().ready;
+    for _ in 0..CONTACT.as_millis() {
+        fleet.run(ms(1));
+        for at in (survivors..9).filter(|at| is_ready(&fleet, *at)) {
+            assert!(refuses(&fleet, &name(at), POISON), "{survivors} survivors, {after:?}: {at}");
+        }
+    }
+    assert!((survivors..9).all(|at| is_ready(&fleet, at)), "{survivors} survivors, {after:?}");
+}
+
 /// Guards against an instance that has just started and serves a request that its peers refuse.
 #[test]
 fn starting_instance_is_not_ready_before_it_knows_the_refused_requests() {
     for survivors in [1, 4] {
-        let mut fleet = observed_fleet(9);
-        crash_three_servers(&mut fleet, [0, 1, 2]);
-        fleet.run(CONTACT);
-        for at in survivors..9 {
-            fleet.kill(&name(at), true);
-        }
-        fleet.incarnation = 2;
-        for at in survivors..9 {
-            fleet.start(&name(at), "trindade");
-        }
-        let is_ready = |fleet: &Fleet, at| fleet.nodes[&name(at)].machine.view().ready;
-        for _ in 0..CONTACT.as_millis() {
-            fleet.run(ms(1));
-            for at in (survivors..9).filter(|at| is_ready(&fleet, *at)) {
-                assert!(refuses(&fleet, &name(at), POISON), "{survivors} survivors: {at}");
-            }
-        }
-        assert!((survivors..9).all(|at| is_ready(&fleet, at)), "{survivors} survivors");
+        check_that_starting_instances_learn_refused_requests(survivors, Duration::ZERO);
+    }
+}
+
+/// Guards against the same where the survivor is asked only before a first read of the platform, and
+/// so without a digest.
+#[test]
+fn starting_instance_learns_refused_requests_whenever_it_starts() {
+    for step in 1..=20 {
+        check_that_starting_instances_learn_refused_requests(1, ms(37 * step));
     }
 }
 
