Convert durations to whole milliseconds in one place

The link's age of a process brought the fourth copy of this conversion, after the quarantine, the reader and the reservations. It stands beside `micros` in `time` now; the one that rounds up is called so. No value changes.

--- a/crates/core/src/admission/reservation.rs
+++ b/crates/core/src/admission/reservation.rs
@@ -11,7 +11,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::fingerprint::Fingerprint;
-use crate::time::Instant;
+use crate::time::{Instant, whole_millis};
 
 /// Maximum number of reservations that one instance keeps.
 pub const CAPACITY: usize = 4096;
@@ -63,9 +63,9 @@
         wire::ReservationRequest {
             query,
             fingerprint: self.fingerprint.bytes().into(),
-            max_wait_ms: u32::try_from(self.max_wait.as_millis()).unwrap_or(u32::MAX),
+            max_wait_ms: whole_millis(self.max_wait),
             share_permille: self.share_permille,
-            target_ms: millis(self.target),
+            target_ms: rounded_up_millis(self.target),
         }
     }
 
@@ -120,7 +120,7 @@
             query,
             incarnation,
             granted: self == Self::Granted,
-            retry_after_ms: millis(self.retry_after()),
+            retry_after_ms: rounded_up_millis(self.retry_after()),
             reserved: matches!(self, Self::Reserved { .. }),
         }
     }
@@ -318,6 +318,6 @@
 
 /// Converts a duration to whole milliseconds, rounded up: a caller that returns after the rounded
 /// time returns within the validity of its reservation.
-fn millis(duration: Duration) -> u32 {
+fn rounded_up_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -32,7 +32,7 @@
 use super::hash;
 use crate::collections::{Map, Set};
 use crate::fingerprint::Fingerprint;
-use crate::time::Instant;
+use crate::time::{Instant, whole_millis};
 use crate::view;
 
 /// Number of servers that a request must crash to be refused.
@@ -576,16 +576,16 @@
             incarnation: incarnation.number,
             requests: crash.requests.iter().map(|request| request.bytes().into()).collect(),
             refuted: crash.refuted,
-            age_ms: millis(now.since(crash.at)),
+            age_ms: whole_millis(now.since(crash.at)),
         });
         let entries =
             self.entries.iter().filter(|(request, _)| part.contains(&Item::Entry(**request)));
         let entries = entries.map(|(request, entry)| wire::Quarantine {
             request: request.bytes().into(),
             standing: wire::Standing::from(entry.standing).into(),
-            idle_ms: millis(now.since(entry.seen)),
+            idle_ms: whole_millis(now.since(entry.seen)),
             term: entry.term,
-            immunity_ms: millis(entry.immunity),
+            immunity_ms: whole_millis(entry.immunity),
             incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
         });
         frame.crashes = crashes.collect();
@@ -603,7 +603,3 @@
     list.dedup();
     list.truncate(limit);
 }
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/control/reader.rs
+++ b/crates/core/src/control/reader.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::hash::{self, Random};
-use crate::time::{Instant, micros};
+use crate::time::{Instant, micros, whole_millis};
 
 /// Number of live instances per zone that watch the platform.
 pub const READERS_PER_ZONE: usize = 2;
@@ -259,8 +259,7 @@
 
     /// [`Reader::platform_age`] in milliseconds plus one; 0 if unknown.
     pub fn age_ms(&self, now: Instant) -> u32 {
-        let whole_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        self.platform_age(now).map_or(0, |age| whole_ms(age).saturating_add(1))
+        self.platform_age(now).map_or(0, |age| whole_millis(age).saturating_add(1))
     }
 
     /// Processes the value of [`Reader::age_ms`] of a peer that has the same records as this
--- a/crates/core/src/link/shared.rs
+++ b/crates/core/src/link/shared.rs
@@ -1,13 +1,11 @@
 //! What the links to all peers have in common.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use ladder_schema::wire::Frame;
 use prost::Message;
 
 use super::{Action, ConnectionKey};
-use crate::time::Instant;
+use crate::time::{Instant, whole_millis};
 
 /// What the links to all peers have in common.
 #[derive(Debug)]
@@ -60,11 +58,6 @@
     }
 }
 
-/// Whole milliseconds of `span`, capped at `u32::MAX`.
-fn whole_millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// A moment at which the state of links changes, and the actions that result.
 pub(super) struct Turn<'a> {
     pub(super) now: Instant,
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// Whole milliseconds of `span`, capped at `u32::MAX`.
+pub(crate) fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Whole microseconds of `span`, capped at `u64::MAX`.
 pub fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
