Keep the breaker and its tests in modules of their own

`leaf/reuse.rs` had two reasons to exclude a connection, and its name says one: what concerns the breaker stands in `leaf/breaker.rs` now, also what `server_accepted_connection` in `leaf/crash.rs` did for it. The tests follow, under the same names.

--- a/crates/core/src/leaf/connections.rs
+++ b/crates/core/src/leaf/connections.rs
@@ -52,6 +52,7 @@
             self.record_use(key);
             out.push(Action::Connection(count::Connection::Opened));
             self.servers[server].open_failures = 0;
+            self.breaker_connection_opened(server);
             self.server_accepted_connection(server);
         }
         self.idle(key, out);
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -236,11 +236,8 @@
         self.crashes.has_suspects() && request.is_some_and(suppressed)
     }
 
-    /// Clears the signs of a termination when a connection to a server opens.
+    /// Clears the suspicion of a termination when a connection to a server opens.
     pub(super) fn server_accepted_connection(&mut self, key: ServerKey) {
-        if let Some(works_at) = self.servers[key].breaker.connection_opened(self.now) {
-            self.schedule_dispatch(self.servers[key].service, works_at);
-        }
         if self.crashes.has_suspects() {
             self.crashes.clear_suspect(key);
             self.mark_waiting_services();
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -2,6 +2,7 @@
 
 mod aggregate;
 mod attempts;
+mod breaker;
 mod connections;
 mod crash;
 mod dispatch;
