Let a dropped crash in again where there is room for it

What was seen: none by callers; by a core test, an instance with room for one more crash never took it from a peer, as it had dropped that crash before.

Cause: kept dropped crashes out altogether, where they must only not replace others. Room comes back when a request is forgotten with its crashes.

Change: `has_room` asks for dropped crashes only if one has to be replaced. Beside it: a new member's frame with a digest is answered once, and frames are written without hashing what is written.

Evidence: quarantine::dropped_crash_is_accepted_again_if_there_is_room fails without the change. The 15 tests of the quarantine pass, among them that of the exchanges without end.

--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -43,7 +43,9 @@
             FrameEffect::NewMember => {
                 reply.rumours = self.membership.not_alive_updates();
                 // A starting instance sends its first digest only after a read of the platform.
-                self.quarantine.write_to_frame(now, &mut reply);
+                if frame.digest.is_none() {
+                    self.quarantine.write_to_frame(now, &mut reply);
+                }
             }
             FrameEffect::MustRefute(u) | FrameEffect::StaleGeneration(u) => reply.rumours.push(u),
         }
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -328,8 +328,7 @@
         }
         let incarnation =
             Incarnation { server: received.server.as_str().into(), number: received.incarnation };
-        let is_new = !self.crashes.contains_key(&incarnation);
-        if is_new && (self.dropped.contains(&incarnation) || !self.has_room(now - age)) {
+        if !self.crashes.contains_key(&incarnation) && !self.has_room(&incarnation, now - age) {
             return;
         }
         let requests: Vec<Fingerprint> =
@@ -367,10 +366,17 @@
         (before != Some(version)).then_some(Change { request, standing, cause, incarnations })
     }
 
-    /// Whether there is room to keep a crash that happened at this time.
-    fn has_room(&self, at: Instant) -> bool {
+    /// Whether there is room to keep a peer's crash, or it may replace an older one. A crash that was
+    /// dropped replaces none.
+    fn has_room(&self, incarnation: &Incarnation, at: Instant) -> bool {
         let oldest = self.crashes.values().map(|crash| crash.at).min().unwrap_or_default();
-        self.crashes.len() < MAX_CRASHES || at.since(oldest) > MIN_REPLACEMENT_AGE_GAP
+        let is_newer = at.since(oldest) > MIN_REPLACEMENT_AGE_GAP;
+        !self.is_full() || is_newer && !self.dropped.contains(incarnation)
+    }
+
+    /// Whether no further crash can be kept without dropping another one.
+    fn is_full(&self) -> bool {
+        self.crashes.len() >= MAX_CRASHES
     }
 
     fn count(&self, standing: Standing) -> usize {
@@ -554,23 +560,26 @@
         contents
     }
 
-    /// Digest for comparison between instances; 0 if there is nothing to compare. It leaves the
-    /// crashes out if there is no room for others.
+    /// Digest for comparison between instances; 0 if there is nothing to compare. Without room for
+    /// further crashes it leaves them out, as other instances may have kept different ones.
     pub(super) fn digest(&self) -> u64 {
-        let is_full = self.crashes.len() >= MAX_CRASHES;
-        self.contents().hash(|item| !(is_full && matches!(item, Item::Crash(_))))
+        self.contents().hash(|item| !(self.is_full() && matches!(item, Item::Crash(_))))
     }
 
     /// Writes all crashes and quarantine entries into a frame.
     pub(super) fn write_to_frame(&self, now: Instant, frame: &mut Frame) {
-        self.write_part_to_frame(now, &self.contents(), frame);
+        self.write_items(now, |_| true, frame);
     }
 
     /// Writes the crashes and quarantine entries that are among `part` into a frame.
     pub(super) fn write_part_to_frame(&self, now: Instant, part: &Contents, frame: &mut Frame) {
-        let is_in_part =
-            |incarnation: &Incarnation| part.contains(&Item::Crash(incarnation.clone()));
-        let crashes = self.crashes.iter().filter(|(incarnation, _)| is_in_part(incarnation));
+        self.write_items(now, |item| part.contains(item), frame);
+    }
+
+    fn write_items(&self, now: Instant, is_included: impl Fn(&Item) -> bool, frame: &mut Frame) {
+        let crashes = self.crashes.iter();
+        let crashes =
+            crashes.filter(|(incarnation, _)| is_included(&Item::Crash((*incarnation).clone())));
         let crashes = crashes.map(|(incarnation, crash)| wire::Crash {
             server: incarnation.server.to_string(),
             incarnation: incarnation.number,
@@ -578,8 +587,8 @@
             refuted: crash.refuted,
             age_ms: whole_millis(now.since(crash.at)),
         });
-        let entries =
-            self.entries.iter().filter(|(request, _)| part.contains(&Item::Entry(**request)));
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(request, _)| is_included(&Item::Entry(**request)));
         let entries = entries.map(|(request, entry)| wire::Quarantine {
             request: request.bytes().into(),
             standing: wire::Standing::from(entry.standing).into(),
--- a/crates/core/src/control/quarantine/dropped.rs
+++ b/crates/core/src/control/quarantine/dropped.rs
@@ -8,7 +8,7 @@
 /// Maximum number of crashes remembered as dropped.
 const MAX_DROPPED: usize = 1024;
 
-/// Incarnations whose crashes were dropped for lack of room, and are not accepted again.
+/// Incarnations whose crashes were dropped for lack of room, and replace no others.
 ///
 /// An instance dates a crash by the age that a peer reports, which does not include the time on the
 /// way. A crash that came back would be dated later each time, and so replace another one.
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -443,6 +443,39 @@
     }
 }
 
+/// Guards against an instance that has room for a crash and does not take it from a peer because it
+/// dropped the crash before: their digests would differ for good.
+#[test]
+fn dropped_crash_is_accepted_again_if_there_is_room() {
+    let mut fleet = settled_fleet(2);
+    let request = |number: u64| Fingerprint(u128::from(number) + 10);
+    let knows = |fleet: &Fleet, number: u64| {
+        let view = fleet.nodes[&name(0)].machine.view();
+        view.quarantine.crashes.contains_key(&incarnation(number).server)
+    };
+    let crash = |fleet: &Fleet, number: u64| Event::Crashed {
+        incarnation: incarnation(number),
+        at: fleet.now,
+        requests: vec![request(number)],
+    };
+    let first = crash(&fleet, 0);
+    fleet.handle_event(&name(0), first);
+    fleet.run(ms(1500));
+    fleet.partition_side = [name(1)].into();
+    for number in 1..=64 {
+        let next = crash(&fleet, number);
+        fleet.handle_event(&name(0), next);
+    }
+    assert!(!knows(&fleet, 0), "dropped for the last one");
+    // Of more than 64 cleared requests the first is forgotten with its crash.
+    for number in 1..=65 {
+        fleet.handle_event(&name(0), Event::Cleared(request(number)));
+    }
+    fleet.partition_side.clear();
+    fleet.run(ms(10_000));
+    assert!(knows(&fleet, 0), "there is room for one");
+}
+
 /// A step of the test: an observation of an instance, a network cut or a wait in milliseconds. The
 /// numbers select among the servers and requests of the test.
 #[derive(Clone, Copy, Debug)]
