Give the entries of the quarantine a module of their own

The standing of a request, its entry and the changes of entries move as they are to quarantine/entry.rs; only `clears` takes a time in place of a report.

--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -19,8 +19,8 @@
 
 mod contents;
 mod dropped;
+mod entry;
 
-use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +28,8 @@
 
 use contents::{Contents, Item};
 use dropped::Dropped;
+pub(super) use entry::Change;
+pub use entry::{Cause, Entry, Standing};
 
 use super::hash;
 use crate::collections::{Map, Set};
@@ -90,119 +92,6 @@
     at: Instant,
 }
 
-/// Whether a request is quarantined or cleared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
-    /// The request is quarantined: every instance refuses it.
-    Quarantined,
-    /// The request was answered by a server or released by an operator, and is no longer refused.
-    Cleared,
-}
-
-impl From<Standing> for wire::Standing {
-    fn from(standing: Standing) -> Self {
-        match standing {
-            Standing::Quarantined => Self::Quarantined,
-            Standing::Cleared => Self::Cleared,
-        }
-    }
-}
-
-/// Reason for a change of a quarantine entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// Enough servers crashed under the request.
-    Ends,
-    /// A server answered the request.
-    Answer,
-    /// Servers returned more errors for the request than connections were lost.
-    Errors,
-    /// A server that the request was reported to have crashed is still running.
-    Refutation,
-    /// An operator released the request.
-    Operator,
-    /// A peer reported the standing of the request.
-    Peer,
-}
-
-impl Cause {
-    /// Time for which crashes do not count against a request that was cleared for this cause.
-    const fn immunity(self) -> Duration {
-        match self {
-            Self::Answer => ANSWER_IMMUNITY,
-            Self::Operator => RETENTION,
-            Self::Ends | Self::Errors | Self::Refutation | Self::Peer => Duration::ZERO,
-        }
-    }
-}
-
-/// The standing of a request, and the crashes that it is based on.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// Whether the request is quarantined or cleared.
-    pub standing: Standing,
-    /// Number of times that the request was quarantined, or 1 if it never was. The entry with the
-    /// higher term is newer, and of two with the same term the cleared one.
-    pub term: u32,
-    /// Time after `seen` for which crashes do not count against the request, once it is cleared.
-    pub immunity: Duration,
-    /// Incarnations that the request crashed.
-    ///
-    /// Invariant: sorted, without duplicates, and the crash of no incarnation in it is refuted.
-    pub incarnations: Vec<Incarnation>,
-    /// When the request was last sent by a caller or cleared.
-    pub seen: Instant,
-}
-
-impl Entry {
-    const fn cleared(now: Instant, term: u32, immunity: Duration) -> Self {
-        let standing = Standing::Cleared;
-        Self { standing, term, immunity, incarnations: Vec::new(), seen: now }
-    }
-
-    /// Orders the entries of one request from the oldest to the newest.
-    const fn version(&self) -> (u32, Standing) {
-        (self.term, self.standing)
-    }
-
-    /// Whether a crash does not count against the request, because it was cleared since.
-    fn clears(&self, crash: &CrashReport) -> bool {
-        self.standing == Standing::Cleared && crash.at <= self.seen + self.immunity
-    }
-
-    /// Time from now on for which crashes do not count against the request.
-    fn remaining_immunity(&self, now: Instant) -> Duration {
-        match self.standing {
-            Standing::Quarantined => Duration::ZERO,
-            Standing::Cleared => (self.seen + self.immunity).since(now),
-        }
-    }
-
-    /// Merges what a peer knows of the same request.
-    fn merge(&mut self, received: Self) {
-        let seen = self.seen.max(received.seen);
-        match received.version().cmp(&self.version()) {
-            Ordering::Greater => *self = received,
-            Ordering::Equal => {
-                self.immunity = self.immunity.max(received.immunity);
-                self.incarnations.extend(received.incarnations);
-                sort_dedup_truncate(&mut self.incarnations, MAX_INCARNATIONS_PER_ENTRY);
-            }
-            Ordering::Less => {}
-        }
-        self.seen = seen;
-    }
-}
-
-/// A quarantine entry that has changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Change {
-    pub(super) request: Fingerprint,
-    pub(super) standing: Standing,
-    pub(super) cause: Cause,
-    pub(super) incarnations: Vec<Incarnation>,
-}
-
 /// The crashes of servers and the requests quarantined or cleared because of them, as this
 /// instance knows them.
 #[derive(Debug, Default)]
@@ -242,7 +131,7 @@
     /// The requests that were open at a server when it crashed and are not cleared.
     fn suspects<'a>(&self, crash: &'a CrashReport) -> impl Iterator<Item = &'a Fingerprint> {
         let is_cleared = |request: &Fingerprint| {
-            self.entries.get(request).is_some_and(|entry| entry.clears(crash))
+            self.entries.get(request).is_some_and(|entry| entry.clears(crash.at))
         };
         crash.requests.iter().filter(move |request| !is_cleared(request))
     }
--- /dev/null
+++ b/crates/core/src/control/quarantine/entry.rs
@@ -0,0 +1,125 @@
+//! What an instance knows of a request that may crash servers.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use ladder_schema::wire;
+
+use super::{
+    ANSWER_IMMUNITY, Incarnation, MAX_INCARNATIONS_PER_ENTRY, RETENTION, sort_dedup_truncate,
+};
+use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
+
+/// Whether a request is quarantined or cleared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// The request is quarantined: every instance refuses it.
+    Quarantined,
+    /// The request was answered by a server or released by an operator, and is no longer refused.
+    Cleared,
+}
+
+impl From<Standing> for wire::Standing {
+    fn from(standing: Standing) -> Self {
+        match standing {
+            Standing::Quarantined => Self::Quarantined,
+            Standing::Cleared => Self::Cleared,
+        }
+    }
+}
+
+/// Reason for a change of a quarantine entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Enough servers crashed under the request.
+    Ends,
+    /// A server answered the request.
+    Answer,
+    /// Servers returned more errors for the request than connections were lost.
+    Errors,
+    /// A server that the request was reported to have crashed is still running.
+    Refutation,
+    /// An operator released the request.
+    Operator,
+    /// A peer reported the standing of the request.
+    Peer,
+}
+
+impl Cause {
+    /// Time for which crashes do not count against a request that was cleared for this cause.
+    pub(super) const fn immunity(self) -> Duration {
+        match self {
+            Self::Answer => ANSWER_IMMUNITY,
+            Self::Operator => RETENTION,
+            Self::Ends | Self::Errors | Self::Refutation | Self::Peer => Duration::ZERO,
+        }
+    }
+}
+
+/// The standing of a request, and the crashes that it is based on.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Whether the request is quarantined or cleared.
+    pub standing: Standing,
+    /// Number of times that the request was quarantined, or 1 if it never was. The entry with the
+    /// higher term is newer, and of two with the same term the cleared one.
+    pub term: u32,
+    /// Time after `seen` for which crashes do not count against the request, once it is cleared.
+    pub immunity: Duration,
+    /// Incarnations that the request crashed.
+    ///
+    /// Invariant: sorted, without duplicates, and the crash of no incarnation in it is refuted.
+    pub incarnations: Vec<Incarnation>,
+    /// When the request was last sent by a caller or cleared.
+    pub seen: Instant,
+}
+
+impl Entry {
+    pub(super) const fn cleared(now: Instant, term: u32, immunity: Duration) -> Self {
+        let standing = Standing::Cleared;
+        Self { standing, term, immunity, incarnations: Vec::new(), seen: now }
+    }
+
+    /// Orders the entries of one request from the oldest to the newest.
+    pub(super) const fn version(&self) -> (u32, Standing) {
+        (self.term, self.standing)
+    }
+
+    /// Whether a crash at this time does not count against the request, because it was cleared since.
+    pub(super) fn clears(&self, crashed_at: Instant) -> bool {
+        self.standing == Standing::Cleared && crashed_at <= self.seen + self.immunity
+    }
+
+    /// Time from now on for which crashes do not count against the request.
+    pub(super) fn remaining_immunity(&self, now: Instant) -> Duration {
+        match self.standing {
+            Standing::Quarantined => Duration::ZERO,
+            Standing::Cleared => (self.seen + self.immunity).since(now),
+        }
+    }
+
+    /// Merges what a peer knows of the same request.
+    pub(super) fn merge(&mut self, received: Self) {
+        let seen = self.seen.max(received.seen);
+        match received.version().cmp(&self.version()) {
+            Ordering::Greater => *self = received,
+            Ordering::Equal => {
+                self.immunity = self.immunity.max(received.immunity);
+                self.incarnations.extend(received.incarnations);
+                sort_dedup_truncate(&mut self.incarnations, MAX_INCARNATIONS_PER_ENTRY);
+            }
+            Ordering::Less => {}
+        }
+        self.seen = seen;
+    }
+}
+
+/// A quarantine entry that has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::control) struct Change {
+    pub(in crate::control) request: Fingerprint,
+    pub(in crate::control) standing: Standing,
+    pub(in crate::control) cause: Cause,
+    pub(in crate::control) incarnations: Vec<Incarnation>,
+}
