--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -20,6 +20,7 @@
 use ladder_property::Engine;
 
 use crate::harness::{self, peer};
+use crate::pool::Pool;
 
 /// Names and zones of the instances. All sweeps arrive at the first instance.
 pub(crate) const INSTANCES: [(&str, &str); 4] = [
@@ -115,8 +116,7 @@
     states: [ServerState; ZONES.len()],
     /// Whether connections to each server can be opened.
     reachable: [bool; ZONES.len()],
-    opening: Vec<ConnectionKey>,
-    addresses: BTreeMap<ConnectionKey, Arc<str>>,
+    pool: Pool,
 }
 
 pub(crate) struct Simulation {
@@ -161,8 +161,7 @@
             ),
             states: [ServerState::Live; ZONES.len()],
             reachable: [true; ZONES.len()],
-            opening: Vec::new(),
-            addresses: BTreeMap::new(),
+            pool: Pool::default(),
         };
         let mut simulation = Self {
             now: Instant::from_millis(1000),
@@ -221,15 +220,14 @@
         let sender = &mut self.senders[instance];
         match action {
             leaf::Action::Open { connection, address, .. } => {
-                sender.opening.push(connection);
-                sender.addresses.insert(connection, address);
+                sender.pool.open(connection, address);
             }
             leaf::Action::Close(connection) => {
-                sender.opening.retain(|other| *other != connection);
+                sender.pool.close(connection);
                 self.close_connection(instance, connection);
             }
             leaf::Action::Send { connection, attempt, request, .. } => {
-                let address = Arc::clone(&sender.addresses[&connection]);
+                let address = sender.pool.address(connection);
                 let (key, service) = request.payload.split_once(' ').expect("key and service");
                 let execution = (key.to_owned(), service_name(&address).to_owned(), address);
                 assert_eq!(service, "sweep");
@@ -302,13 +300,10 @@
     }
 
     fn connect(&mut self, instance: usize) {
-        while let Some(connection) = self.senders[instance].opening.pop() {
-            let sender = &self.senders[instance];
-            let opens = sender.reachable[server_number(&sender.addresses[&connection])];
-            let event = if opens {
-                leaf::Event::Opened(connection)
-            } else {
-                leaf::Event::Closed(connection)
+        loop {
+            let Sender { pool, reachable, .. } = &mut self.senders[instance];
+            let Some(event) = pool.next_event(|address| reachable[server_number(address)]) else {
+                break;
             };
             self.leaf(instance, event);
         }
@@ -319,7 +314,7 @@
         assert!(self.calls.is_empty(), "no call is on a connection");
         let sender = &mut self.senders[instance];
         sender.reachable = [false; ZONES.len()];
-        for connection in std::mem::take(&mut sender.addresses).into_keys() {
+        for connection in sender.pool.take_all() {
             self.leaf(instance, leaf::Event::Closed(connection));
         }
     }
--- a/crates/core/tests/leaf/linked_attempts.rs
+++ b/crates/core/tests/leaf/linked_attempts.rs
@@ -5,7 +5,9 @@
 //! frames arrive late, also from a process that has ended; connections go silent or break; calls end
 //! in any way.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod wires;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +27,9 @@
     sweep, view,
 };
 use crate::harness;
+use crate::pool::Pool;
+
+use wires::{Wire, WireKey, Wires};
 
 /// One step of the simulation. Each number selects among the existing items, modulo their count.
 #[derive(Clone, Copy, Debug)]
@@ -74,8 +79,7 @@
     incarnation: u64,
     links: Links,
     leaf: leaf::Machine,
-    opening: Vec<ConnectionKey>,
-    addresses: BTreeMap<ConnectionKey, Arc<str>>,
+    pool: Pool,
 }
 
 impl Process {
@@ -92,24 +96,11 @@
             incarnation,
             links: Links::new(now, identity),
             leaf: leaf::Machine::new(settings.seed(3).build()),
-            opening: Vec::new(),
-            addresses: BTreeMap::new(),
+            pool: Pool::default(),
         }
     }
 }
 
-/// A connection between two instances, in one direction.
-struct Wire {
-    to: usize,
-    is_silent: bool,
-    /// Whether the process that opened the connection has closed it or has ended.
-    is_closed: bool,
-    frames: VecDeque<Vec<u8>>,
-}
-
-/// Identifies a connection: the instance, the incarnation of its process, and the process's key.
-type WireKey = (usize, u64, link::ConnectionKey);
-
 struct Simulation {
     now: Instant,
     has_few_connections: bool,
@@ -118,7 +109,7 @@
     processes: Vec<Process>,
     states: [[ServerState; ZONES.len()]; INSTANCES.len()],
     reachable: [[bool; ZONES.len()]; INSTANCES.len()],
-    wires: BTreeMap<WireKey, Wire>,
+    wires: Wires,
     calls: Vec<Call>,
     /// Servers on which each part ran or may have run, by request key and service.
     executions: BTreeMap<(String, String), BTreeSet<Arc<str>>>,
@@ -142,7 +133,7 @@
                 .collect(),
             states: [[ServerState::Live; ZONES.len()]; INSTANCES.len()],
             reachable: [[true; ZONES.len()]; INSTANCES.len()],
-            wires: BTreeMap::new(),
+            wires: Wires::default(),
             calls: Vec::new(),
             executions: BTreeMap::new(),
             sweeps: 0,
@@ -191,11 +182,10 @@
         let process = &mut self.processes[instance];
         match action {
             leaf::Action::Open { connection, address, .. } => {
-                process.opening.push(connection);
-                process.addresses.insert(connection, address);
+                process.pool.open(connection, address);
             }
             leaf::Action::Close(connection) => {
-                process.opening.retain(|other| *other != connection);
+                process.pool.close(connection);
                 let calls = self.calls.extract_if(.., |call| {
                     (call.instance, call.connection) == (instance, connection)
                 });
@@ -204,7 +194,7 @@
                 }
             }
             leaf::Action::Send { connection, attempt, request, .. } => {
-                let address = Arc::clone(&process.addresses[&connection]);
+                let address = process.pool.address(connection);
                 self.calls_of_peers += usize::from(instance > 0);
                 self.calls.push(Call { instance, connection, attempt, request, address });
             }
@@ -219,11 +209,11 @@
     }
 
     fn connect(&mut self, instance: usize) {
-        while let Some(connection) = self.processes[instance].opening.pop() {
-            let server = server_number(&self.processes[instance].addresses[&connection]);
-            let event = match self.reachable[instance][server] {
-                true => leaf::Event::Opened(connection),
-                false => leaf::Event::Closed(connection),
+        loop {
+            let reachable = &self.reachable[instance];
+            let pool = &mut self.processes[instance].pool;
+            let Some(event) = pool.next_event(|address| reachable[server_number(address)]) else {
+                break;
             };
             self.leaf(instance, event);
         }
@@ -248,34 +238,22 @@
     }
 
     fn carry_out(&mut self, instance: usize, actions: Vec<link::Action>) {
+        let key = |process: &Process, connection| (instance, process.incarnation, connection);
         for action in actions {
-            let incarnation = self.processes[instance].incarnation;
+            let process = &mut self.processes[instance];
             match action {
                 link::Action::Open { connection, address } => {
-                    let wire = Wire {
-                        to: index_of(&address),
-                        is_silent: false,
-                        is_closed: false,
-                        frames: VecDeque::new(),
-                    };
-                    self.wires.insert((instance, incarnation, connection), wire);
-                    self.processes[instance].links.opened(connection);
-                }
-                link::Action::Close(connection) => {
-                    if let Some(wire) = self.wires.get_mut(&(instance, incarnation, connection)) {
-                        wire.is_closed = true;
-                    }
+                    self.wires.open(key(process, connection), index_of(&address));
+                    process.links.opened(connection);
                 }
+                link::Action::Close(connection) => self.wires.close(key(process, connection)),
                 link::Action::Send { connection, bytes, .. } => {
-                    let wire = self.wires.get_mut(&(instance, incarnation, connection));
-                    if let Some(wire) = wire.filter(|wire| !wire.is_silent) {
-                        wire.frames.push_back(bytes.to_vec());
-                    }
+                    self.wires.send(key(process, connection), bytes.to_vec());
                 }
                 _ => {}
             }
         }
-        self.wires.retain(|_, wire| !wire.is_closed || !wire.frames.is_empty());
+        self.wires.remove_finished();
     }
 
     fn receive(&mut self, instance: usize, bytes: &[u8]) {
@@ -314,26 +292,22 @@
         match step {
             Step::Sweep => self.sweep(),
             Step::Deliver(which, count) => {
-                if let Some(key) = self.wire(which, |wire| !wire.frames.is_empty()) {
+                if let Some(key) = self.wires.select(which, Wire::has_frames) {
                     (0..=count % 4).for_each(|_| self.deliver(key));
                 }
             }
             Step::DeliverAll => {
-                let keys: Vec<WireKey> = self.wires.keys().copied().collect();
-                for key in keys {
-                    let count = self.wires.get(&key).map_or(0, |wire| wire.frames.len());
-                    (0..count).for_each(|_| self.deliver(key));
+                for key in self.wires.keys() {
+                    (0..self.wires.frame_count(key)).for_each(|_| self.deliver(key));
                 }
             }
             Step::Silence(which) => {
-                let key = self.wire(which, |wire| !wire.is_closed && !wire.is_silent);
-                if let Some(wire) = key.and_then(|key| self.wires.get_mut(&key)) {
-                    wire.is_silent = true;
-                    wire.frames.clear();
+                if let Some(key) = self.wires.select(which, Wire::is_working) {
+                    self.wires.silence(key);
                 }
             }
             Step::Break(which) => {
-                if let Some(key) = self.wire(which, |wire| !wire.is_closed) {
+                if let Some(key) = self.wires.select(which, Wire::is_open) {
                     self.break_wire(key);
                 }
             }
@@ -363,24 +337,14 @@
         }
     }
 
-    /// Selects one of the connections between instances that meet a condition.
-    fn wire(&self, which: u8, condition: impl Fn(&Wire) -> bool) -> Option<WireKey> {
-        let matching = self.wires.iter().filter(|(_, wire)| condition(wire));
-        let keys: Vec<WireKey> = matching.map(|(key, _)| *key).collect();
-        keys.get(usize::from(which) % keys.len().max(1)).copied()
-    }
-
     fn deliver(&mut self, key: WireKey) {
-        let Some(wire) = self.wires.get_mut(&key) else {
-            return;
-        };
-        if let (to, Some(bytes)) = (wire.to, wire.frames.pop_front()) {
+        if let Some((to, bytes)) = self.wires.take_frame(key) {
             self.receive(to, &bytes);
         }
     }
 
     fn break_wire(&mut self, key @ (instance, incarnation, connection): WireKey) {
-        let Some(wire) = self.wires.remove(&key) else {
+        let Some(to) = self.wires.remove(key) else {
             return;
         };
         if self.processes[instance].incarnation != incarnation {
@@ -388,7 +352,7 @@
         }
         self.processes[instance].links.broken(self.now, connection);
         if instance == 0 {
-            self.gather(gather::Event::LinkDown(INSTANCES[wire.to].0.into()));
+            self.gather(gather::Event::LinkDown(INSTANCES[to].0.into()));
         }
     }
 
@@ -398,18 +362,11 @@
         calls.iter().for_each(|call| self.record_execution(call));
         let incarnation = self.processes[instance].incarnation + 1;
         self.processes[instance] = Process::new(self.now, instance, incarnation, self.is_zonal);
-        for (_, wire) in self.wires.iter_mut().filter(|((from, ..), _)| *from == instance) {
-            wire.is_closed = true;
-        }
-        let to_it = self.wires.iter().filter(|(_, wire)| wire.to == instance);
-        let to_it: Vec<WireKey> = to_it.map(|(key, _)| *key).collect();
-        for key in to_it {
-            match self.wires.get_mut(&key).filter(|_| !is_noticed) {
-                Some(wire) => {
-                    wire.is_silent = true;
-                    wire.frames.clear();
-                }
-                None => self.break_wire(key),
+        self.wires.close_all_of(instance);
+        for key in self.wires.keys_to(instance) {
+            match is_noticed {
+                true => self.break_wire(key),
+                false => self.wires.silence(key),
             }
         }
         self.publish(instance);
--- a/crates/core/tests/leaf/main.rs
+++ b/crates/core/tests/leaf/main.rs
@@ -15,6 +15,7 @@
 mod linked_attempts;
 mod open_calls;
 mod overload;
+mod pool;
 mod property;
 mod queue;
 mod reuse;
