--- a/crates/core/src/control/machine/exchange.rs
+++ b/crates/core/src/control/machine/exchange.rs
@@ -92,8 +92,8 @@
         self.send_reply(&frame.address, in_other_zone, reply, out);
     }
 
-    /// Answers a digest with the records and quarantine entries that differ. `reports_quarantine` tells
-    /// whether its frame contains the peer's whole quarantine.
+    /// Answers a digest with the records and quarantine entries that differ. `reports_quarantine`: the
+    /// frame of the digest contains the peer's whole quarantine.
     fn handle_digest(
         &mut self,
         now: Instant,
--- a/crates/core/src/link/peer.rs
+++ b/crates/core/src/link/peer.rs
@@ -190,7 +190,7 @@
         self.request = None;
     }
 
-    /// Notes for how long the peer's process has been running, if the frame tells.
+    /// Notes for how long the peer's process has been running, if the frame contains it.
     fn note_age(&mut self, now: Instant, frame: &Frame) {
         if frame.age_ms > 0 {
             let started_at = now - Duration::from_millis(frame.age_ms.into());
--- a/crates/core/tests/link/delivery.rs
+++ b/crates/core/tests/link/delivery.rs
@@ -33,8 +33,8 @@
     check_that_successor_gets_later_frames_only(1);
 }
 
-/// Guards against the same if the sender has received no frame of the ended process, so that it
-/// cannot tell it from its successor by their incarnations.
+/// Guards against the same if the sender has received no frame of the ended process, and so knows no
+/// incarnation by which to distinguish it from its successor.
 #[test]
 fn frame_for_an_unknown_process_does_not_reach_its_successor() {
     check_that_successor_gets_later_frames_only(5);
