Count the calls and the extra calls of each service in metrics

Repeats beyond the allowance of a service could not be read from the metrics: retries and hedges were counted over all services, first calls not at all, and nothing showed what an instance may save up. The leaf machine keeps totals by service; /metrics exports them with the share of the instance. No decision changes.

--- a/crates/core/src/leaf.rs
+++ b/crates/core/src/leaf.rs
@@ -5,7 +5,7 @@
 mod aggregate;
 mod attempt;
 mod breaker;
-mod budget;
+pub mod budget;
 mod completion;
 mod connection;
 mod connections;
--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -85,6 +85,17 @@
     (tokens / TOKENS_PER_CALL + u32::from(round_up)).saturating_mul(TOKENS_PER_CALL)
 }
 
+/// What a budget has recorded since its service became known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Number of first calls, which earn tokens.
+    pub first_calls: u64,
+    /// Number of extra calls that were paid for.
+    pub extra_calls: u64,
+    /// Number of extra calls that were refused for lack of tokens.
+    pub refused: u64,
+}
+
 /// Tokens of one service: earned by first calls and refilled with time, spent by extra calls.
 ///
 /// In overload every call is slow and would be hedged or retried, and the extra calls would make
@@ -98,6 +109,7 @@
     allowance: Allowance,
     /// Time up to which the refill has been added.
     refilled_until: Instant,
+    usage: Usage,
 }
 
 impl Budget {
@@ -110,7 +122,7 @@
         } else {
             RETRY_RESERVE.min(allowance.max_tokens)
         };
-        Self { tokens, allowance, refilled_until: now }
+        Self { tokens, allowance, refilled_until: now, usage: Usage::default() }
     }
 
     /// Replaces the share of this instance in the extra calls of the fleet.
@@ -132,6 +144,7 @@
 
     /// Adds the tokens that one first call earns.
     pub(super) fn earn_for_call(&mut self) {
+        self.usage.first_calls += 1;
         self.add_tokens(self.allowance.earned_per_call);
     }
 
@@ -155,10 +168,23 @@
         let affordable = self.affords_retries(1);
         if affordable {
             self.tokens -= TOKENS_PER_CALL;
+            self.usage.extra_calls += 1;
+        } else {
+            self.usage.refused += 1;
         }
         affordable
     }
 
+    /// What was recorded so far.
+    pub(super) const fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    /// Number of whole extra calls that the saved-up tokens pay for at most.
+    pub(super) const fn max_calls(&self) -> u32 {
+        self.allowance.max_tokens / TOKENS_PER_CALL
+    }
+
     /// Number of whole extra calls that the saved-up tokens pay for.
     pub(super) fn calls(&self) -> u32 {
         self.tokens / TOKENS_PER_CALL
--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::budget::Usage;
 use super::exclusion::Exclusion;
 use super::machine::Machine;
 use super::server;
@@ -28,6 +29,10 @@
     pub hedge_delay: Option<Duration>,
     /// Number of whole extra calls left in the service's budget.
     pub budget: u32,
+    /// Number of whole extra calls that can be saved up: this instance's share of the fleet's.
+    pub max_budget: u32,
+    /// Calls that the budget has recorded.
+    pub usage: Usage,
     /// Servers of the service.
     pub servers: Vec<Server>,
 }
@@ -105,6 +110,8 @@
             p99: times.quantile(0.99),
             hedge_delay: service.call_times.all().slow(),
             budget: service.budget.calls(),
+            max_budget: service.budget.max_calls(),
+            usage: service.budget.usage(),
             servers: servers.collect(),
         }
     }
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Returns all metrics, with the state of the records as of now.
+    /// Returns all metrics, with the state of the records and of the budgets as of now.
     async fn metrics(&self) -> String {
         let now = self.shared.clock.now();
         let inspected = self.shared.control.inspect(move |machine| {
@@ -61,6 +61,8 @@
             age.inspect(|age| self.shared.metrics.records_age(*age));
             self.shared.metrics.refused_routes_version(refused_version);
         }
+        let services = self.shared.leaf.inspect(move |machine| machine.status(now)).await;
+        services.inspect(|services| self.shared.metrics.budgets(services));
         self.shared.metrics.text()
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and histograms of one instance, in Prometheus format.
 
+mod budgets;
+
 use std::time::Duration;
 
 use ladder_core::admission::reservation;
 use ladder_core::control::reader::Cause;
 use ladder_core::count::{Connection, Count, Crossing, Event};
 use ladder_core::gather::ShareChange;
+use ladder_core::leaf;
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::publication::Kind;
@@ -15,6 +18,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use budgets::BudgetMetrics;
+
 /// Event of a connection to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerConnection {
@@ -70,6 +75,7 @@
     peers: PeerMetrics,
     publication: PublicationMetrics,
     admissible_share: Gauge<f64>,
+    budgets: BudgetMetrics,
 }
 
 /// Metrics of what the platform publishes.
@@ -194,6 +200,7 @@
                 "ladder_admissible_share",
                 "Share of the sweeps that are admitted, by route",
             ),
+            budgets: BudgetMetrics::new(&meter),
             registry,
             _provider: provider,
         })
@@ -319,6 +326,11 @@
         self.publication.refused_routes_version.record(version as f64, &[]);
     }
 
+    /// Sets the calls and the budgets for extra calls of all services.
+    pub fn budgets(&self, services: &[leaf::status::Service]) {
+        self.budgets.update(services);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
