--- a/crates/core/tests/fleet/harness.rs
+++ b/crates/core/tests/fleet/harness.rs
@@ -80,6 +80,8 @@
     pub cross_zone_bytes: usize,
     /// Names of the instances on one side of a network partition.
     pub partition_side: BTreeSet<String>,
+    /// Names of the instances that are cut off from all other ones.
+    pub isolated: BTreeSet<String>,
     /// Names of the instances that lose every frame that carries records or a digest.
     pub without_peer_records: BTreeSet<String>,
     /// Names of the instances whose watches never get new records from the platform.
@@ -347,7 +349,9 @@
             self.cross_zone_bytes += frame.encoded_len();
         }
         let carries_records = !frame.records.is_empty() || frame.digest.is_some();
+        let is_isolated = |name: &str| self.isolated.contains(name);
         let is_lost = self.partition_side.contains(from) != self.partition_side.contains(&target)
+            || ((is_isolated(from) || is_isolated(&target)) && from != target)
             || (carries_records && self.without_peer_records.contains(&target));
         if !is_lost {
             self.schedule(&target, Event::Frame(frame));
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod cross_zone_traffic;
 mod cut_watches;
 mod evacuation;
+mod extra_arrivals;
 mod fixtures;
 mod harness;
 mod late_changes;
