Divide the extra calls of the fleet so that they hold for all processes of a window

What callers saw: nothing; servers got more repeats than the allowance, in a fleet whose instances restart or are cut off.

Cause: the allowance was divided among members that each know only themselves and a list, and the division held for a fixed list only. A start granted two extra calls for each service again; an instance that heard of fewer peers took the larger share at once; shares were rounded up by chance.

Change: a process starts with nothing where the catalogue sets a burst for the fleet, so that what is spent in a window was saved up at its start by a process that ran then, refilled with time, or earned within the window. An instance counts for ten minutes after it was last known. Where instances are counted from gossip, a limit is divided among eight at least, and three quarters of the burst are shared, as an instance that starts behind a cut knows only itself. Shares are rounded within a group of instances by position, so that they sum to no more than the whole. A quarter of what is shared is refilled with time.

--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::LimitPart;
 use ladder_core::gather::event::CallerId;
 use ladder_core::gather::{Action, Event, Machine, Settings};
 use ladder_core::schema::outcome::Verdict;
@@ -188,6 +189,7 @@
         servers: (0..3).map(|place| server(number, place)).collect(),
         candidates: (0..CANDIDATES).map(candidate).collect(),
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections: false,
         keeps_idle_connection: true,
     }
--- a/crates/core/examples/scale/leaf.rs
+++ b/crates/core/examples/scale/leaf.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::LimitPart;
 use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
 use ladder_core::leaf::{Action, Event, Machine, Settings};
 use ladder_core::schema::publication::record::Body;
@@ -239,6 +240,7 @@
         servers: (0..replicas).map(|place| server(number, place)).collect(),
         candidates: vec![Candidate { peer: peer("instance-00000"), live: true, local: true }],
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections: false,
         keeps_idle_connection: true,
     }
--- a/crates/core/examples/sweep_trial/messages.rs
+++ b/crates/core/examples/sweep_trial/messages.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ladder_core::control::placement::LimitPart;
 use ladder_core::leaf::event::Outcome;
 use ladder_core::schema::catalogue::{Entry, Limits, Operation, Urgency};
 use ladder_core::schema::outcome::Reason;
@@ -90,6 +91,7 @@
         servers: (0..SERVERS_PER_SERVICE).map(server).collect(),
         candidates: vec![Candidate { peer: peer("trial"), live: true, local: true }],
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections: false,
         keeps_idle_connection: true,
     }
--- a/crates/core/src/control/placement.rs
+++ b/crates/core/src/control/placement.rs
@@ -21,8 +21,10 @@
 //! the list has been known for a grace period.
 
 mod fleet;
+mod limit_part;
 
 pub use fleet::Fleet;
+pub use limit_part::{Group, LimitPart};
 
 use super::hash;
 use crate::collections::Set;
@@ -131,24 +133,18 @@
     }
 }
 
-/// Weight of an instance in an availability zone with servers of a service, when the service's
-/// limits are divided and such instances aggregate the answers of a sweep's portions for the other
-/// instances. An instance in another zone has weight 1.
-///
-/// The other instances send to the servers only while no peer aggregates for them. With equal
-/// weights on a deployment of four zones, half of a service's retry budget was never used, and
-/// while answers were lost twice as many portions were refused for lack of retries.
-const NEAR_WEIGHT: usize = 4;
-
-/// Divisor of a service's limit that gives the part of one instance, such that all instances
-/// together take no more than the whole limit. `near` instances are in a zone with servers of the
+/// Divisor of a service's connections that gives the part of one instance, such that all instances
+/// together take no more than all of them. `near` instances are in a zone with servers of the
 /// service, `far` ones are not; `is_near` tells to which group the instance belongs.
 pub fn limit_divisor(near: usize, far: usize, is_near: bool) -> usize {
     if near == 0 || far == 0 {
         return near + far;
     }
-    let weighted_total = NEAR_WEIGHT * near + far;
-    if is_near { weighted_total.div_ceil(NEAR_WEIGHT) } else { weighted_total }
+    let weighted_total = limit_part::NEAR_WEIGHT as usize * near + far;
+    match is_near {
+        true => weighted_total.div_ceil(limit_part::NEAR_WEIGHT as usize),
+        false => weighted_total,
+    }
 }
 
 /// Number of connections that each of `instances` may hold to a server with this limit when
--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 mod grants;
+mod known_fleet;
 mod neighbours;
 mod rankings;
 
@@ -12,7 +13,7 @@
 use ladder_schema::publication;
 
 use super::membership::{Membership, Standing};
-use super::placement;
+use super::placement::{self, LimitPart};
 use super::settings::{Listing, Placement, Settings};
 use super::startup::Startup;
 use super::store::{Changes, Store};
@@ -39,6 +40,8 @@
     /// Number of instances in each zone when the last view was built; only kept if instances are
     /// counted from gossip instead of published.
     instances_per_zone: Map<Arc<str>, usize>,
+    /// Instances among which limits are divided; only kept together with `instances_per_zone`.
+    known_fleet: known_fleet::KnownFleet,
     /// Whether the count of instances was trusted when the last view was built.
     count_trusted: bool,
     /// Services that the routes in force list as parts of sweeps.
@@ -161,7 +164,12 @@
     pub(super) fn build_whole(&self, inputs: &ViewInputs<'_>, ready: bool) -> View {
         let mut rankings = self.rankings.clone();
         rankings.invalidate();
-        let mut new = Self { rankings, grants: self.grants.clone(), ..Self::default() };
+        let mut new = Self {
+            rankings,
+            grants: self.grants.clone(),
+            known_fleet: self.known_fleet.clone(),
+            ..Self::default()
+        };
         let mut changes =
             Changes { indexes: true, instances: true, routing: true, ..Changes::default() };
         let names = inputs.store.entries().map(|entry| entry.service.as_str());
@@ -219,8 +227,8 @@
         changed
     }
 
-    /// Counts the instances of each zone. Returns whether the counts differ from those of the last
-    /// view.
+    /// Counts the instances of each zone. Returns whether the counts, or the instances among which
+    /// limits are divided, differ from those of the last view.
     fn refresh_zone_counts(&mut self, inputs: &ViewInputs<'_>) -> bool {
         let mut instances_per_zone: Map<Arc<str>, usize> = Map::default();
         for member in inputs.membership.members().chain([inputs.membership.own()]) {
@@ -228,7 +236,7 @@
         }
         let differs = instances_per_zone != self.instances_per_zone;
         self.instances_per_zone = instances_per_zone;
-        differs
+        self.known_fleet.observe(inputs) || differs
     }
 
     /// Takes over the new standings. Returns the instances whose standing differs from the last
@@ -301,6 +309,7 @@
         Some(Service {
             candidates: self.candidates(inputs, &rankings, widest_limit),
             sharer_count: u32::try_from(sharer_count).unwrap_or(u32::MAX),
+            limit_part: self.limit_part(inputs, name, &targets),
             has_few_connections,
             keeps_idle_connection: !has_few_connections
                 && (!observed_listing || targets.iter().all(allows_idle_connections)),
@@ -383,6 +392,26 @@
         )
     }
 
+    /// This instance's part of the fleet-wide limits of a catalogue entry.
+    ///
+    /// Several candidates may consider themselves the owner of a service for a moment, so each of
+    /// them has only its part of what the published list allows.
+    fn limit_part(
+        &self,
+        inputs: &ViewInputs<'_>,
+        service: &Arc<str>,
+        targets: &[&publication::Server],
+    ) -> LimitPart {
+        let settings = inputs.settings;
+        if settings.listing == Listing::Published {
+            return LimitPart::default();
+        }
+        let is_divided_by_zone = settings.near && self.sweep_services.contains(&**service);
+        let near_zones: Option<Set<&str>> =
+            is_divided_by_zone.then(|| targets.iter().map(|target| target.zone.as_str()).collect());
+        self.known_fleet.limit_part(&settings.name, &settings.zone, near_zones.as_ref())
+    }
+
     fn build_server(
         &mut self,
         inputs: &ViewInputs<'_>,
--- a/crates/core/src/leaf/budget.rs
+++ b/crates/core/src/leaf/budget.rs
@@ -4,7 +4,7 @@
 
 use ladder_schema::catalogue::Limits;
 
-use crate::control::hash;
+use crate::control::placement::LimitPart;
 use crate::time::Instant;
 
 /// Number of budget tokens that one extra call costs; a token is a thousandth of an extra call.
@@ -22,16 +22,28 @@
 /// two at the services of the sweeps.
 const RETRY_RESERVE: u32 = 2 * TOKENS_PER_CALL;
 
+/// Fraction of the fleet's burst that is shared among the instances. The rest allows for instances
+/// that know fewer instances than there are, as they started behind a network partition.
+const SHARED_FRACTION: f64 = 0.75;
+/// Fraction of what is shared that is refilled in one window instead of saved up.
+const REFILLED_FRACTION: f64 = 0.25;
+
 /// Share of one instance in the extra calls of the whole fleet.
 ///
-/// The saved-up extra calls and those refilled with time in one window, summed over all sharing
-/// instances, are at most the burst of the fleet.
+/// Invariant: where the catalogue sets a burst for the fleet, the extra calls saved up by all
+/// processes and those refilled with time in one window are at most that burst.
+///
+/// The allowance holds for the sum over all processes that run in a window, however often they
+/// start: what is spent in a window was saved up at its start by a process that ran then, refilled
+/// with time, or earned by first calls within the window. A process therefore starts with nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Allowance {
     /// Tokens that one first call earns.
     earned_per_call: u32,
     /// Maximum number of saved-up tokens.
     max_tokens: u32,
+    /// Tokens at the start of the process, or of the service.
+    initial_tokens: u32,
     /// Tokens refilled in one window, independent of first calls.
     refill_per_window: u32,
     /// Length of the refill window; zero if no tokens are refilled with time.
@@ -39,30 +51,34 @@
 }
 
 impl Allowance {
-    /// Returns the share of one of `sharer_count` instances. `names` holds the name of the service
-    /// and the name of the instance.
+    /// Returns the share of an instance with this part of the limits of the service `name`.
     ///
-    /// Where the catalogue sets a refill window, a sixth of the burst of the fleet is refilled per
+    /// Where the catalogue sets a refill window, a quarter of what is shared is refilled per
     /// window. An instance that only hands its portions to the owner, which sends for all
     /// instances, makes no first calls and earns no tokens. Without the refill, it would refuse
     /// every portion that it has to send again after the first two losses of an owner.
-    pub(super) fn of(limits: &Limits, sharer_count: u32, names: [&str; 2]) -> Self {
-        let sharer_count = sharer_count.max(1);
+    pub(super) fn of(limits: &Limits, part: LimitPart, name: &str) -> Self {
         let window = Duration::from_millis(limits.extra_window_ms.into());
         let earned_per_call = limits.extra_percent * (TOKENS_PER_CALL / 100);
-        let burst = limits.extra_burst.saturating_mul(TOKENS_PER_CALL);
-        if burst == 0 {
+        if limits.extra_burst == 0 {
             return Self {
                 earned_per_call,
                 max_tokens: DEFAULT_BURST_CALLS * TOKENS_PER_CALL,
+                initial_tokens: if earned_per_call == 0 { 0 } else { RETRY_RESERVE },
                 ..Self::default()
             };
         }
+        let shared_calls = f64::from(limits.extra_burst) * SHARED_FRACTION;
         let has_refill = !window.is_zero() && earned_per_call > 0;
-        let refill_per_window = if has_refill { burst / 6 / sharer_count } else { 0 };
-        let max_tokens =
-            round_to_calls((burst / sharer_count).saturating_sub(refill_per_window), names);
-        Self { earned_per_call, max_tokens, refill_per_window, window }
+        let refilled_calls = if has_refill { shared_calls * REFILLED_FRACTION } else { 0.0 };
+        let saved_calls = part.of_whole(shared_calls - refilled_calls, name);
+        Self {
+            earned_per_call,
+            max_tokens: saved_calls.saturating_mul(TOKENS_PER_CALL),
+            initial_tokens: 0,
+            refill_per_window: (part.of(refilled_calls) * f64::from(TOKENS_PER_CALL)) as u32,
+            window,
+        }
     }
 
     /// Tokens refilled in a span of time.
@@ -75,16 +91,6 @@
     }
 }
 
-/// Rounds a number of tokens to whole extra calls. The fraction determines the share of instances
-/// that round up.
-///
-/// Without this, in a fleet with more instances than burst calls no instance could pay for a call.
-fn round_to_calls(tokens: u32, names: [&str; 2]) -> u32 {
-    let threshold = hash::of(&names.map(str::as_bytes)) % u64::from(TOKENS_PER_CALL);
-    let round_up = u64::from(tokens % TOKENS_PER_CALL) > threshold;
-    (tokens / TOKENS_PER_CALL + u32::from(round_up)).saturating_mul(TOKENS_PER_CALL)
-}
-
 /// What a budget has recorded since its service became known.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
@@ -113,16 +119,17 @@
 }
 
 impl Budget {
-    /// Creates the initial budget of a service: the tokens reserved for retries, so that the
-    /// service can retry after the loss of a server before its calls have earned any tokens. The
-    /// budget starts empty if the catalogue allows no extra calls.
+    /// Creates the initial budget of a service.
+    ///
+    /// Where the catalogue sets no burst for the fleet, it has the tokens reserved for retries, so
+    /// that the service can retry after the loss of a server before its calls have earned any.
     pub(super) fn new(allowance: Allowance, now: Instant) -> Self {
-        let tokens = if allowance.earned_per_call == 0 {
-            0
-        } else {
-            RETRY_RESERVE.min(allowance.max_tokens)
-        };
-        Self { tokens, allowance, refilled_until: now, usage: Usage::default() }
+        Self {
+            tokens: allowance.initial_tokens,
+            allowance,
+            refilled_until: now,
+            usage: Usage::default(),
+        }
     }
 
     /// Replaces the share of this instance in the extra calls of the fleet.
--- a/crates/core/src/leaf/service.rs
+++ b/crates/core/src/leaf/service.rs
@@ -17,7 +17,7 @@
 use super::settings::Settings;
 use crate::admission::Capacity;
 use crate::average::MovingAverage;
-use crate::control::placement;
+use crate::control::placement::{self, LimitPart};
 use crate::time::Instant;
 use crate::view;
 
@@ -248,12 +248,13 @@
     /// for each zone with zonal aggregation, and each of them may spend one part of their half.
     fn of(listed: &view::Service, settings: &Settings) -> Self {
         let limits = listed.entry.limits.unwrap_or_default();
-        let names = [&*listed.name, &*settings.name];
-        let share_of = |sharer_count: u32| Allowance::of(&limits, sharer_count, names);
+        let share_of = |part: LimitPart| Allowance::of(&limits, part, &listed.name);
         let zones = listed.servers.iter().map(|server| &*server.zone);
         let senders = placement::sender_count(settings.is_zonal, zones);
-        let usual_sharers =
-            listed.sharer_count.saturating_mul(if listed.has_few_connections { 2 } else { 1 });
-        Self { one_of_all: share_of(usual_sharers), sends_for_all: share_of(2 * senders) }
+        let halves = if listed.has_few_connections { 2 } else { 1 };
+        Self {
+            one_of_all: share_of(listed.limit_part.divided(halves)),
+            sends_for_all: share_of(LimitPart::default().divided(2 * senders)),
+        }
     }
 }
--- a/crates/core/src/leaf/warmup.rs
+++ b/crates/core/src/leaf/warmup.rs
@@ -16,6 +16,7 @@
 use super::server::{Server, ServerKey};
 use super::service::Sender;
 use crate::control::hash;
+use crate::remembered;
 use crate::time::Instant;
 
 /// Window in which the requests to a server that warms up are counted. The window is slightly
@@ -28,9 +29,6 @@
 /// Time after its start during which an instance does not know yet how many other instances there
 /// are.
 const FLEET_DISCOVERY_TIME: Duration = Duration::from_secs(3);
-/// Time for which a larger list of instances is kept after the known fleet has shrunk, because the
-/// missing instances may be behind a network partition.
-const FLEET_MEMORY: Duration = Duration::from_secs(600);
 
 /// Limit of the requests that a server may get from the whole fleet while it warms up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,10 +75,8 @@
 /// The instances among which a warm-up limit is divided.
 #[derive(Clone, Debug, Default)]
 pub(super) struct KnownInstances {
-    /// Names in the largest list of instances known recently, including this instance.
-    names: Vec<Arc<str>>,
-    /// Time at which this list of instances was last current.
-    seen: Instant,
+    /// All instances, including this one.
+    instances: remembered::Instances,
     /// Time at which the first list of instances arrived.
     started: Option<Instant>,
 }
@@ -94,14 +90,7 @@
         names: impl Iterator<Item = &'a Arc<str>>,
     ) -> bool {
         self.started.get_or_insert(now);
-        let names: Vec<Arc<str>> = names.cloned().collect();
-        if names.len() < self.names.len() && now.since(self.seen) < FLEET_MEMORY {
-            return false;
-        }
-        self.seen = now;
-        let differs = names != self.names;
-        self.names = names;
-        differs
+        self.instances.observe(now, names.cloned().collect())
     }
 
     /// Whether this instance has run long enough to know the other instances.
@@ -111,7 +100,7 @@
 
     /// Names of the instances among which limits are divided.
     fn names(&self) -> impl Iterator<Item = &str> {
-        self.names.iter().map(|name| &**name)
+        self.instances.names()
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod leaf;
 pub mod link;
 mod records;
+mod remembered;
 pub mod route;
 pub mod sample;
 pub mod time;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -12,6 +12,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::collections::{Map, Set};
+use crate::control::placement::LimitPart;
 use crate::fingerprint::Fingerprint;
 use crate::route;
 use crate::time::Instant;
@@ -103,6 +104,8 @@
     /// Number of instances among which the entry's limits for the whole fleet are divided; at least
     /// 1.
     pub sharer_count: u32,
+    /// Part of this instance in what the entry grants the whole fleet in each window.
+    pub limit_part: LimitPart,
     /// Whether the servers accept too few connections for every instance to have one per slot: one
     /// instance then sends the work of all.
     pub has_few_connections: bool,
--- a/crates/core/tests/admission/fleet.rs
+++ b/crates/core/tests/admission/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::{Group, LimitPart};
 use ladder_core::route::Table;
 use ladder_core::schema::catalogue::{Entry, Limits, Urgency};
 use ladder_core::schema::publication::{Route, Routing};
@@ -111,6 +112,7 @@
             servers: (0..SERVERS).map(server).collect(),
             candidates: vec![Candidate { peer: peer(own), live: true, local: true }],
             sharer_count: live.len() as u32,
+            limit_part: LimitPart::equal(Group { size: live.len() as u32, position: 0 }),
             has_few_connections: layout == Layout::OneSender,
             keeps_idle_connection: true,
         });
--- a/crates/core/tests/fleet/zonal_fleet.rs
+++ b/crates/core/tests/fleet/zonal_fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::{Group, LimitPart};
 use ladder_core::gather::event::CallerId;
 use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
 use ladder_core::route::Table;
@@ -266,6 +267,7 @@
             servers: self.server_zones.iter().map(server).collect(),
             candidates: vec![Candidate { peer: peer(own), live: true, local: true }],
             sharer_count: self.instances.len() as u32,
+            limit_part: LimitPart::equal(Group { size: self.instances.len() as u32, position: 0 }),
             has_few_connections: true,
             keeps_idle_connection: false,
         }
--- a/crates/core/tests/gather/fleet.rs
+++ b/crates/core/tests/gather/fleet.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::LimitPart;
 use ladder_core::schema::catalogue::{Entry, Operation, Preference};
 use ladder_core::schema::publication::{Holding, Index, Shard};
 use ladder_core::view::{Candidate, Peer, Server, Service, View};
@@ -127,6 +128,7 @@
     let servers = spec.held_versions.iter().zip(&spec.leaving).enumerate();
     Service {
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections: false,
         keeps_idle_connection: true,
         name: spec.name.into(),
--- a/crates/core/tests/gather/partial_aggregation.rs
+++ b/crates/core/tests/gather/partial_aggregation.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ladder_core::collections::Map;
+use ladder_core::control::placement::LimitPart;
 use ladder_core::count::{self, Count};
 use ladder_core::eligible::ServerHash;
 use ladder_core::gather::{Action, Event, Settings};
@@ -88,6 +89,7 @@
         servers: zones.iter().enumerate().map(server).collect(),
         candidates: vec![Candidate { peer: peer(SELF), live: true, local: true }],
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections,
         keeps_idle_connection: !has_few_connections,
     }
--- a/crates/core/tests/leaf/harness.rs
+++ b/crates/core/tests/leaf/harness.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::placement::{Group, LimitPart};
 use ladder_core::count::{self, Count};
 use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
 use ladder_core::leaf::{Action, Event, Machine, Settings};
@@ -123,6 +124,7 @@
         servers,
         candidates: vec![candidate("porto-1", true), candidate("porto-2", false)],
         sharer_count: 1,
+        limit_part: LimitPart::default(),
         has_few_connections: false,
         keeps_idle_connection: true,
     }
@@ -383,3 +385,8 @@
         accepted
     }
 }
+
+/// The part of one of so many instances with equal parts in the limits of the fleet.
+pub(crate) fn one_of(size: u32) -> LimitPart {
+    LimitPart::equal(Group { size, position: 0 })
+}
