Run real processes under random faults and count at the servers what they repeat

No test of real processes counted arrivals by request, so none judged the allowance of extra calls, and the users saw it broken where nothing of the project looked. ladder-load soak starts instances of the deployed program with servers behind proxies, a store and callers that keep their connections, and applies faults that are drawn from a seed or read from a file: kills, stops, pauses, cuts between instances, instances that join and leave, failing, rejecting, hanging and closing servers, delayed, reset, silent and one-way links, a silent store. Checked are the allowance, by the meter, non-idempotent requests, promises that a request did not run, the attempts of a route, the owner of each response, and that the fleet serves again.

Under an owner for each service, each candidate now has its part of the fleet's extra calls as well, since several may consider themselves the owner.

--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -295,6 +295,8 @@
         let zones = targets.iter().map(|target| target.zone.as_str());
         let senders = placement::sender_count(inputs.settings.is_zonal, zones);
         let observed_listing = inputs.settings.listing == Listing::Observed;
+        let candidate_count = newest.map_or(1, |ranked| ranked.instances.len().max(1));
+        let candidate_count = u32::try_from(candidate_count).unwrap_or(u32::MAX);
         let mut servers = Vec::with_capacity(targets.len());
         for target in &targets {
             let limit = connection_limit(target, &limits);
@@ -309,7 +311,7 @@
         Some(Service {
             candidates: self.candidates(inputs, &rankings, widest_limit),
             sharer_count: u32::try_from(sharer_count).unwrap_or(u32::MAX),
-            limit_part: self.limit_part(inputs, name, &targets),
+            limit_part: self.limit_part(inputs, name, &targets, candidate_count),
             has_few_connections,
             keeps_idle_connection: !has_few_connections
                 && (!observed_listing || targets.iter().all(allows_idle_connections)),
@@ -394,17 +396,18 @@
 
     /// This instance's part of the fleet-wide limits of a catalogue entry.
     ///
-    /// Several candidates may consider themselves the owner of a service for a moment, so each of
-    /// them has only its part of what the published list allows.
+    /// Where instances are published, each candidate of the service has the same part: several of
+    /// them may consider themselves its owner while their views of the members differ.
     fn limit_part(
         &self,
         inputs: &ViewInputs<'_>,
         service: &Arc<str>,
         targets: &[&publication::Server],
+        candidate_count: u32,
     ) -> LimitPart {
         let settings = inputs.settings;
         if settings.listing == Listing::Published {
-            return LimitPart::default();
+            return LimitPart::default().divided(candidate_count);
         }
         let is_divided_by_zone = settings.near && self.sweep_services.contains(&**service);
         let near_zones: Option<Set<&str>> =
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -17,6 +17,7 @@
 use crate::report;
 use crate::result::Run;
 use crate::run::{self, Amount};
+use crate::soak;
 use crate::table::Table;
 use crate::upkeep;
 
@@ -38,6 +39,8 @@
     Overhead(PathBuf),
     /// Waits until every process of a layout is ready.
     Ready(Readiness),
+    /// Runs real processes under random faults and checks what is promised.
+    Soak(soak::Options),
 }
 
 /// Arguments of `ready`.
@@ -106,7 +109,12 @@
         .to_options()
         .descr("Measures what the tier adds to a single query's latency at low load")
         .command("overhead");
-    bpaf::construct!([run, compare, demo, ready, upkeep, overhead])
+    let soak = soak_arguments()
+        .map(Command::Soak)
+        .to_options()
+        .descr("Runs real processes under random faults and checks what callers and servers see")
+        .command("soak");
+    bpaf::construct!([run, compare, demo, ready, upkeep, overhead, soak])
         .to_options()
         .descr("Open-loop load and experiments against a fleet and its stand-ins")
         .version(env!("CARGO_PKG_VERSION"))
@@ -188,6 +196,35 @@
     bpaf::construct!(Readiness { run, timeout })
 }
 
+fn soak_arguments() -> impl Parser<soak::Options> {
+    let program = bpaf::long("program")
+        .help("Program of an instance on the users' platform")
+        .argument("FILE")
+        .fallback(PathBuf::from("target/release/ladder-platform"))
+        .debug_fallback();
+    let seed = bpaf::long("seed")
+        .help("Seed of the faults and of the callers")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let length = seconds_flag("seconds", "Length of the traffic, with 12 s of recovery", 60.0)
+        .map(Duration::from_secs_f64);
+    let instances = bpaf::long("instances")
+        .help("Number of instances")
+        .argument("I")
+        .fallback(7)
+        .display_fallback()
+        .guard(|instances| (3..=100).contains(instances), "must be 3 to 100");
+    let plan = bpaf::long("plan")
+        .help("JSON file with the faults; default: drawn from the seed")
+        .argument("FILE")
+        .optional();
+    let folder = bpaf::long("folder")
+        .help("Folder for the settings and logs of the instances")
+        .argument("FOLDER");
+    bpaf::construct!(soak::Options { program, seed, length, instances, plan, folder })
+}
+
 fn run_file_flag() -> impl Parser<PathBuf> {
     bpaf::long("run").help("run.json of the layout").argument("FILE")
 }
@@ -258,6 +295,7 @@
         Command::Upkeep(options) => to_json_line(&upkeep::execute(&options)?),
         Command::Overhead(run) => to_json_line(&overhead::execute(&run)?),
         Command::Demo(options) => run_demo(&options),
+        Command::Soak(options) => run_soak(&options),
     }
 }
 
@@ -277,6 +315,14 @@
     }
 }
 
+fn run_soak(options: &soak::Options) -> Result<String, Error> {
+    let report = soak::execute(options)?;
+    match report.broken.is_empty() {
+        true => Ok(report.to_string()),
+        false => Err(Error::Broken(report.to_string())),
+    }
+}
+
 fn run(arguments: Arguments) -> Result<String, Error> {
     let out = arguments.out.clone();
     let result = run::execute(run_options(arguments)?)?;
--- /dev/null
+++ b/crates/load/src/soak/record.rs
@@ -0,0 +1,145 @@
+//! What callers sent and got, and what reached the servers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use ladder_meter::{Allowance, Meter};
+
+/// Extra arrivals that the fleet is allowed, for each request and in each window.
+pub(super) const ALLOWANCE: Allowance =
+    Allowance { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
+/// Number of servers of one service that a request may be sent to.
+pub(super) const MAX_ATTEMPTS: usize = 2;
+/// Number of requests that may be sent to more servers than that.
+const TOLERATED: usize = 3;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum End {
+    /// A success with a response of its own.
+    Success,
+    /// A status that promises that the request did not run: 408, 421, 429 or 503.
+    NotRun,
+    /// Another status.
+    Failure,
+    /// The connection ended or fell silent without a response.
+    Lost,
+    /// A response that belongs to another request.
+    Wrong,
+}
+
+#[derive(Debug)]
+struct Log {
+    meter: Meter,
+    /// Runs of each non-idempotent request.
+    runs: BTreeMap<String, u32>,
+    /// Servers that each request was sent to, by service.
+    servers: BTreeMap<(String, &'static str), BTreeSet<String>>,
+    /// Non-idempotent requests with a promise that they did not run.
+    refused: BTreeSet<String>,
+    ends: BTreeMap<End, usize>,
+    /// Times of the successes, and of all ends.
+    times: Vec<(Duration, bool)>,
+}
+
+/// Shared record of a soak.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    started: Instant,
+    log: Arc<Mutex<Log>>,
+}
+
+impl Record {
+    pub(super) fn new() -> Self {
+        let log = Log {
+            meter: Meter::new(ALLOWANCE),
+            runs: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            ends: BTreeMap::new(),
+            times: Vec::new(),
+        };
+        Self { started: Instant::now(), log: Arc::new(Mutex::new(log)) }
+    }
+
+    /// Time since the start of the record.
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Log> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A caller sends a request that is for these services.
+    pub(super) fn sent(&self, services: &[&str]) {
+        let now = self.now();
+        let mut log = self.lock();
+        services.iter().for_each(|service| log.meter.record_request(service, now));
+    }
+
+    /// A caller's request ended.
+    pub(super) fn ended(&self, id: &str, is_idempotent: bool, end: End) {
+        let now = self.now();
+        let mut log = self.lock();
+        *log.ends.entry(end).or_default() += 1;
+        log.times.push((now, end == End::Success));
+        if end == End::NotRun && !is_idempotent {
+            log.refused.insert(id.to_owned());
+        }
+    }
+
+    /// A request reached a server, which runs it or not.
+    pub(super) fn arrived(&self, service: &'static str, server: &str, id: &str, runs: bool) {
+        let now = self.now();
+        let mut log = self.lock();
+        log.meter.record_arrival(service, id, now);
+        log.servers.entry((id.to_owned(), service)).or_default().insert(server.to_owned());
+        if runs && id.starts_with("book") {
+            *log.runs.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Number of requests by their end, and of extra arrivals.
+    pub(super) fn totals(&self) -> (BTreeMap<End, usize>, usize) {
+        let log = self.lock();
+        (log.ends.clone(), log.meter.extra_arrivals())
+    }
+
+    /// Share of the requests that ended since `from` with success; 0 without any.
+    pub(super) fn success_share(&self, from: Duration) -> f64 {
+        let log = self.lock();
+        let recent: Vec<bool> =
+            log.times.iter().filter(|(at, _)| *at >= from).map(|(_, success)| *success).collect();
+        let successes = recent.iter().filter(|success| **success).count();
+        successes as f64 / recent.len().max(1) as f64
+    }
+
+    /// The promises that were broken, one line each.
+    pub(super) fn broken_promises(&self) -> Vec<String> {
+        let log = self.lock();
+        let mut broken: Vec<String> =
+            log.meter.excesses().iter().map(ToString::to_string).collect();
+        let twice = log.runs.iter().filter(|(_, runs)| **runs > 1);
+        broken.extend(
+            twice.map(|(id, runs)| format!("non-idempotent request {id} ran {runs} times")),
+        );
+        let ran = log.refused.iter().filter(|id| log.runs.contains_key(*id));
+        broken.extend(ran.map(|id| format!("request {id} was refused as not run, and ran")));
+        let spread: Vec<_> =
+            log.servers.iter().filter(|(_, servers)| servers.len() > MAX_ATTEMPTS).collect();
+        if spread.len() > TOLERATED {
+            let ((id, service), servers) = spread[0];
+            broken.push(format!(
+                "{} requests were sent to more servers of a service than their routes allow, such as {id} to {} of {service}",
+                spread.len(), servers.len()
+            ));
+        }
+        let wrong = log.ends.get(&End::Wrong).copied().unwrap_or(0);
+        if wrong > 0 {
+            broken.push(format!("{wrong} callers got the response to another request"));
+        }
+        broken
+    }
+}
