Count the servers that ran a request against its route's attempts in the soak

The check counts runs now, as the rule does; arrivals stay counted by the meter.

The position of an instance among its zone's is computed when the list changes, not for each service.

--- a/crates/core/src/control/project.rs
+++ b/crates/core/src/control/project.rs
@@ -412,7 +412,7 @@
         let is_divided_by_zone = settings.near && self.sweep_services.contains(&**service);
         let near_zones: Option<Set<&str>> =
             is_divided_by_zone.then(|| targets.iter().map(|target| target.zone.as_str()).collect());
-        self.known_fleet.limit_part(&settings.name, &settings.zone, near_zones.as_ref())
+        self.known_fleet.limit_part(&settings.zone, near_zones.as_ref())
     }
 
     fn build_server(
--- a/crates/core/src/control/project/known_fleet.rs
+++ b/crates/core/src/control/project/known_fleet.rs
@@ -10,7 +10,15 @@
 /// Instances that are known or were known recently, by zone.
 #[derive(Clone, Debug, Default)]
 pub(super) struct KnownFleet {
-    zones: Map<Arc<str>, Instances>,
+    zones: Map<Arc<str>, Zone>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    /// The instances in order of name.
+    instances: Instances,
+    /// Number of instances whose names are before that of this instance.
+    before_own: usize,
 }
 
 impl KnownFleet {
@@ -26,28 +34,28 @@
         let mut has_changed = false;
         for (zone, mut names) in known {
             names.sort_unstable();
-            has_changed |= self.zones.entry(zone).or_default().observe(inputs.now, names);
+            let zone = self.zones.entry(zone).or_default();
+            if zone.instances.observe(inputs.now, names) {
+                let own = &*inputs.settings.name;
+                zone.before_own = zone.instances.names().filter(|name| *name < own).count();
+                has_changed = true;
+            }
         }
         has_changed
     }
 
-    /// The part of the instance `own` in the limits of a service whose servers are in `near_zones`;
+    /// The part of this instance in the limits of a service whose servers are in `near_zones`;
     /// `None` if all instances have the same part.
-    pub(super) fn limit_part(
-        &self,
-        own: &str,
-        own_zone: &str,
-        near_zones: Option<&Set<&str>>,
-    ) -> LimitPart {
+    pub(super) fn limit_part(&self, own_zone: &str, near_zones: Option<&Set<&str>>) -> LimitPart {
         let is_near = |zone: &str| near_zones.is_some_and(|zones| zones.contains(zone));
         let own_is_near = is_near(own_zone);
         let (mut size, mut position, mut others) = (0, 0, 0);
-        for (zone, instances) in &self.zones {
-            if is_near(zone) == own_is_near {
-                size += instances.len();
-                position += instances.names().filter(|name| *name < own).count();
+        for (name, zone) in &self.zones {
+            if is_near(name) == own_is_near {
+                size += zone.instances.len();
+                position += zone.before_own;
             } else {
-                others += instances.len();
+                others += zone.instances.len();
             }
         }
         let count = |instances: usize| u32::try_from(instances).unwrap_or(u32::MAX);
--- a/crates/load/src/soak/record.rs
+++ b/crates/load/src/soak/record.rs
@@ -9,9 +9,9 @@
 /// Extra arrivals that the fleet is allowed, for each request and in each window.
 pub(super) const ALLOWANCE: Allowance =
     Allowance { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
-/// Number of servers of one service that a request may be sent to.
+/// Number of servers of one service that may run a request.
 pub(super) const MAX_ATTEMPTS: usize = 2;
-/// Number of requests that may be sent to more servers than that.
+/// Number of requests that may run on more servers than that.
 const TOLERATED: usize = 3;
 
 /// How a request ended for its caller.
@@ -34,7 +34,7 @@
     meter: Meter,
     /// Runs of each non-idempotent request.
     runs: BTreeMap<String, u32>,
-    /// Servers that each request was sent to, by service.
+    /// Servers that ran each request, by service.
     servers: BTreeMap<(String, &'static str), BTreeSet<String>>,
     /// Non-idempotent requests with a promise that they did not run.
     refused: BTreeSet<String>,
@@ -95,8 +95,11 @@
         let now = self.now();
         let mut log = self.lock();
         log.meter.record_arrival(service, id, now);
+        if !runs {
+            return;
+        }
         log.servers.entry((id.to_owned(), service)).or_default().insert(server.to_owned());
-        if runs && id.starts_with("book") {
+        if id.starts_with("book") {
             *log.runs.entry(id.to_owned()).or_default() += 1;
         }
     }
@@ -132,7 +135,7 @@
         if spread.len() > TOLERATED {
             let ((id, service), servers) = spread[0];
             broken.push(format!(
-                "{} requests were sent to more servers of a service than their routes allow, such as {id} to {} of {service}",
+                "{} requests ran on more servers of a service than their routes allow, such as {id} on {} of {service}",
                 spread.len(), servers.len()
             ));
         }
