Crash the server of a held booking before its silence ends

The test ended the silence of all servers before it crashed the one that runs the booking, and a server decides at the end of its service time whether it is silent. The executing server now stays silent while it is crashed; what is asserted is the same.

--- a/tests/integration/twofold.rs
+++ b/tests/integration/twofold.rs
@@ -60,9 +60,12 @@
     });
     let mut servers = fleet.servers_of(&service);
     let executing_server = servers.find(|server| !fleet.ledger(&server.name).executions.is_empty());
-    let executing_server = executing_server.expect("one of the servers runs the booking");
-    fleet.set_silent(&service, false);
-    fleet.set_fault(&executing_server.name, &Fault { dead: true, ..Fault::default() });
+    let executing_server = &executing_server.expect("one of the servers runs the booking").name;
+    fleet.set_fault(executing_server, &Fault { dead: true, silent: true, ..Fault::default() });
+    // The server that runs the booking stays silent: it may not have come to its answer yet.
+    for replica in fleet.servers_of(&service).filter(|server| server.name != *executing_server) {
+        fleet.set_fault(&replica.name, &Fault::default());
+    }
     let exchange = caller.join().expect("the caller is answered");
     fleet.wait_until_idle();
     assert_eq!(fleet.read_executions().count_for_key("held"), 1, "the booking ran more than once");
