--- a/crates/core/src/control/placement/limit_part.rs
+++ b/crates/core/src/control/placement/limit_part.rs
@@ -49,13 +49,15 @@
         Self { weight: 1, total_weight: group.size, group }
     }
 
-    /// The part of an instance that is counted from gossip, with those of the same zone kind in its
-    /// group. `others` are the instances of the other kind; `is_near` tells whether the group's
-    /// zones have servers of the service.
+    /// The part of an instance where instances are counted from gossip. Its group are the instances
+    /// in zones with servers of the service if `is_near`, else those in zones without; `others` is
+    /// the number of the rest.
     pub fn observed(group: Group, others: u32, is_near: bool) -> Self {
         let weight = if is_near && others > 0 { NEAR_WEIGHT } else { 1 };
         let weight_of_others = if is_near { 1 } else { NEAR_WEIGHT };
-        let known = weight.saturating_mul(group.size).saturating_add(weight_of_others * others);
+        let known = weight
+            .saturating_mul(group.size)
+            .saturating_add(others.saturating_mul(weight_of_others));
         Self { weight, total_weight: known.max(MIN_SHARERS * weight), group }
     }
 
--- a/crates/core/src/control/project/known_fleet.rs
+++ b/crates/core/src/control/project/known_fleet.rs
@@ -44,8 +44,8 @@
         has_changed
     }
 
-    /// The part of this instance in the limits of a service whose servers are in `near_zones`;
-    /// `None` if all instances have the same part.
+    /// The part of this instance in the limits of a service. With `near_zones`, the zones of the
+    /// service's servers, instances in these zones have larger parts.
     pub(super) fn limit_part(&self, own_zone: &str, near_zones: Option<&Set<&str>>) -> LimitPart {
         let is_near = |zone: &str| near_zones.is_some_and(|zones| zones.contains(zone));
         let own_is_near = is_near(own_zone);
