Keep the soak with what speaks to the users' platform

The soak speaks the names and calls of the users' platform, which belong into platform/. It is a crate of its own there; ladder-load soak calls it.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -17,7 +17,6 @@
 use crate::report;
 use crate::result::Run;
 use crate::run::{self, Amount};
-use crate::soak;
 use crate::table::Table;
 use crate::upkeep;
 
@@ -40,7 +39,7 @@
     /// Waits until every process of a layout is ready.
     Ready(Readiness),
     /// Runs real processes under random faults and checks what is promised.
-    Soak(soak::Options),
+    Soak(ladder_soak::Options),
 }
 
 /// Arguments of `ready`.
@@ -196,7 +195,7 @@
     bpaf::construct!(Readiness { run, timeout })
 }
 
-fn soak_arguments() -> impl Parser<soak::Options> {
+fn soak_arguments() -> impl Parser<ladder_soak::Options> {
     let program = bpaf::long("program")
         .help("Program of an instance on the users' platform")
         .argument("FILE")
@@ -222,7 +221,7 @@
     let folder = bpaf::long("folder")
         .help("Folder for the settings and logs of the instances")
         .argument("FOLDER");
-    bpaf::construct!(soak::Options { program, seed, length, instances, plan, folder })
+    bpaf::construct!(ladder_soak::Options { program, seed, length, instances, plan, folder })
 }
 
 fn run_file_flag() -> impl Parser<PathBuf> {
@@ -315,12 +314,9 @@
     }
 }
 
-fn run_soak(options: &soak::Options) -> Result<String, Error> {
-    let report = soak::execute(options)?;
-    match report.broken.is_empty() {
-        true => Ok(report.to_string()),
-        false => Err(Error::Broken(report.to_string())),
-    }
+fn run_soak(options: &ladder_soak::Options) -> Result<String, Error> {
+    let report = ladder_soak::execute(options).map_err(Error::Soak)?;
+    if report.broken.is_empty() { Ok(report.to_string()) } else { Err(Error::Broken(report)) }
 }
 
 fn run(arguments: Arguments) -> Result<String, Error> {
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -32,10 +32,10 @@
     Unsound,
     /// a sending thread failed
     Thread,
-    /// the soak cannot run: {0}
-    Soak(String),
     /// {0}
-    Broken(String),
+    Soak(ladder_soak::error::Error),
+    /// {0}
+    Broken(ladder_soak::Report),
     /// no result of label "{0}" among the files
     Label(String),
     /// cannot create a plot or histogram: {0}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,8 +8,7 @@
 //!   compares each answer with its request, and [`audit`] compares the answers with the executions
 //!   that the targets recorded;
 //! - [`tally`] aggregates query records into a [`result::Run`]; [`compare`] and [`report`] turn
-//!   runs into a report;
-//! - [`soak`] runs real processes under random faults and checks what is promised.
+//!   runs into a report.
 
 pub mod admin;
 pub mod audit;
@@ -32,7 +31,6 @@
 pub mod rotation;
 pub mod run;
 pub mod schedule;
-pub mod soak;
 pub mod table;
 pub mod tally;
 pub mod upkeep;
