--- a/crates/core/src/remembered.rs
+++ b/crates/core/src/remembered.rs
@@ -1,6 +1,6 @@
 //! Lists of instances that shrink only some time after the instances were last known.
 //!
-//! An instance that is not heard of may have ended, or it may be behind a network partition and
+//! An instance that sends nothing may have ended, or it may be behind a network partition and
 //! still use its part of what the fleet shares. If the others divided that part among themselves at
 //! once, both sides of the partition would use it.
 
--- a/crates/core/tests/fleet/extra_arrivals.rs
+++ b/crates/core/tests/fleet/extra_arrivals.rs
@@ -329,7 +329,7 @@
     Case { name: "half of the instances restarted each second", steps }.check();
 }
 
-/// Guards against a share that follows the members heard of now: instances that were cut off from
+/// Guards against a share that follows the members known at the moment: instances that were cut off from
 /// each other for longer than dead members are remembered each saved up the extra calls of a whole
 /// fleet.
 #[test]
