Hold the property on extra calls against the limits of the fleet

Its bound granted each instance two calls for its start, as the code did, so that it followed the code and not what is published. The instances have equal parts of a burst of eight now, and all of them together make eight extra calls at most beyond what first calls earn: as strict in number as before, whoever starts.

--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bolero::{BorrowedInput, ByteSliceGenerator, TestTarget, TypeGenerator};
+use ladder_core::control::placement::{Group, LimitPart};
 use ladder_core::gather::event::CallerId;
 use ladder_core::leaf::event::{AttemptKey, ConnectionKey, Outcome};
 use ladder_core::route::Table;
@@ -418,8 +419,10 @@
         };
         let known = |(number, _): &(usize, &&str)| states[*number] != ServerState::Unknown;
         let candidate = Candidate { peer: peer(INSTANCES[instance].0), live: true, local: true };
+        let size = INSTANCES.len() as u32;
         view.insert(Service {
             name: service.into(),
+            limit_part: LimitPart::equal(Group { size, position: instance as u32 }),
             servers: ZONES.iter().enumerate().filter(known).map(server).collect(),
             candidates: vec![candidate],
             has_few_connections,
--- a/crates/core/tests/leaf/extra_calls.rs
+++ b/crates/core/tests/leaf/extra_calls.rs
@@ -10,28 +10,26 @@
 use crate::attempts::{End, INSTANCES, PARTS, Property, ServerState, Simulation, Step, ZONES};
 use crate::harness::{Harness, limited, server, settings};
 
-/// Extra calls with which each instance starts, for each service.
-const INITIAL_EXTRA_CALLS: u32 = 2;
+/// Extra calls that the whole fleet may make beyond those that first calls earn, for each service.
+const FLEET_EXTRA_CALLS: u32 = 8;
 
 /// Limits that count every arrival at a server, as the fleet's operators do.
 fn limits(extra_percent: u32) -> Limits {
-    Limits { queue: 100, extra_percent, count_refused: true, ..Limits::default() }
+    let extra_burst = FLEET_EXTRA_CALLS;
+    Limits { queue: 100, extra_percent, extra_burst, count_refused: true, ..Limits::default() }
 }
 
 /// Checks the number of arrivals at the servers of each service.
 ///
 /// With a share of 0% no instance has an extra call, so each part arrives at most once. Otherwise
-/// all instances together pay for what they start with and what the first calls earn.
+/// all instances together make no more extra calls than the limits of the fleet allow.
 fn check_arrivals(simulation: &Simulation, extra_percent: u32) {
     for service in PARTS {
         let parts = simulation.arrivals.iter().filter(|((_, name), _)| name == service);
         let arrivals: Vec<u32> = parts.map(|(_, arrivals)| *arrivals).collect();
         let extra: u32 = arrivals.iter().map(|arrivals| arrivals.saturating_sub(1)).sum();
-        let saved = match extra_percent {
-            0 => 0,
-            _ => INITIAL_EXTRA_CALLS * INSTANCES.len() as u32,
-        };
-        let paid = saved + arrivals.len() as u32 * extra_percent / 100;
+        let allowed = if extra_percent == 0 { 0 } else { FLEET_EXTRA_CALLS };
+        let paid = allowed + arrivals.len() as u32 * extra_percent / 100;
         assert!(extra <= paid, "{service}: {extra} extra arrivals, {paid} paid for");
     }
 }
