--- a/crates/core/src/leaf/status.rs
+++ b/crates/core/src/leaf/status.rs
@@ -109,7 +109,7 @@
             median: times.quantile(0.5),
             p99: times.quantile(0.99),
             hedge_delay: service.call_times.all().slow(),
-            budget: service.budget.calls(),
+            budget: service.budget.clone().refill(now).calls(),
             max_budget: service.budget.max_calls(),
             usage: service.budget.usage(),
             servers: servers.collect(),
