--- a/crates/core/examples/scale/gather.rs
+++ b/crates/core/examples/scale/gather.rs
@@ -95,6 +95,7 @@
                 operation: "sweep".to_owned(),
                 ..call::Request::default()
             },
+            round_trip: None,
         };
         let (out, mut time) = self.handle(call);
         self.now = self.now + Duration::from_millis(10);
--- a/crates/core/src/gather/event.rs
+++ b/crates/core/src/gather/event.rs
@@ -6,10 +6,12 @@
 use ladder_schema::{call, wire};
 
 use super::history::Explanation;
+use super::response_time::ResponseTime;
 use super::sweep_admission::ShareChange;
 use crate::admission::reservation;
 use crate::count::Count;
 use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
 use crate::view::{Peer, View};
 
 /// Number of a caller's open HTTP request, assigned by the code that runs the machine.
@@ -25,6 +27,15 @@
         caller: CallerId,
         /// The caller's decoded request.
         request: call::Request,
+        /// Round-trip time to the caller; `None` if it is not known.
+        round_trip: Option<Duration>,
+    },
+    /// The whole response to a caller was passed to the operating system.
+    Written {
+        /// The caller of the [`Action::Answer`].
+        caller: CallerId,
+        /// When the last byte was passed on.
+        at: Instant,
     },
     /// The caller closed its connection.
     CallerLeft(CallerId),
@@ -121,6 +132,8 @@
     Log(Box<Explanation>),
     /// The share of a route's sweeps that are admitted has changed.
     Share(Box<ShareChange>),
+    /// Record how long the response to a sweep took after it was due.
+    Written(Box<ResponseTime>),
     /// Increment a counter of the metrics.
     Count(Count),
 }
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -70,9 +70,10 @@
     }
 
     fn query_timer_due(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) {
-        let Some(query) = self.queries.get(key) else {
+        let Some(query) = self.queries.get_mut(key) else {
             return;
         };
+        query.served_timer = Some(query.timer);
         if query.withdrawn {
             self.finish(now, key, Reason::Cancelled, out);
             return;
@@ -82,7 +83,9 @@
             return;
         }
         let next = self.check_aggregators(now, key, out);
-        self.queries[key].timer = next;
+        let query = &mut self.queries[key];
+        query.timer = next;
+        query.served_timer = None;
         self.timers.add(next, Timer::Query(key));
     }
 
@@ -128,6 +131,7 @@
             let verdict = answer::query_verdict(&query);
             self.request_keys.end(&query.request.key, verdict);
         }
+        self.measure_response(now, &query);
         let mut answer = answer::build_answer(&mut query, reason);
         if let Some(route) = &query.route {
             merge::fill_response(route, &mut answer);
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -18,6 +18,7 @@
 use super::plan::{Plan, Planner};
 use super::query::{Query, QueryIds, QueryKey};
 use super::reservations::Reservations;
+use super::response_time::ResponseTimes;
 use super::sweep_admission::{Arrival, ReportedShare};
 use super::timers::{Timer, Timers};
 use super::{answer, settings::Settings};
@@ -73,6 +74,7 @@
     pub(crate) reservations: Reservations,
     pub(crate) timers: Timers,
     pub(crate) history: History,
+    pub(crate) response_times: ResponseTimes,
 }
 
 impl Machine {
@@ -98,12 +100,14 @@
             last_number: 0,
             request_keys: RequestKeys::default(),
             timers: Timers::default(),
+            response_times: ResponseTimes::default(),
         }
     }
 
     /// Handles an event and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         if let Event::CallerLeft(caller) = event {
+            self.response_times.discard(caller);
             self.handle_caller_left(now, caller, out);
         }
         self.expire_reservations(now, out);
@@ -115,7 +119,10 @@
         };
         self.finish_expired(now, reason, out);
         match event {
-            Event::Call { caller, request } => self.handle_call(now, caller, request, out),
+            Event::Call { caller, request, round_trip } => {
+                self.handle_call(now, caller, request, round_trip, out);
+            }
+            Event::Written { caller, at } => self.handle_written(caller, at, out),
             Event::Replies { from, replies } => self.handle_replies(now, &from, replies, out),
             Event::Pending { from, pending } => self.handle_pending(now, &from, &pending),
             Event::ReservationRequests { from, incarnation, requests } => {
@@ -178,6 +185,7 @@
         now: Instant,
         caller: CallerId,
         request: call::Request,
+        round_trip: Option<Duration>,
         out: &mut Vec<Action>,
     ) {
         let number = self.next_query_number();
@@ -188,7 +196,7 @@
         let ids = QueryIds { number, history_id, fingerprint };
         match self.admit(&request, fingerprint) {
             Ok(plan) => {
-                let arrival = Arrival { caller, request, ids, plan, at: now };
+                let arrival = Arrival { caller, request, ids, plan, at: now, round_trip };
                 self.start_if_admitted(now, arrival, out);
             }
             Err(refused) => self.refuse(now, caller, &request, ids, refused, out),
@@ -281,7 +289,7 @@
         admitted_permille: u32,
         out: &mut Vec<Action>,
     ) {
-        let Arrival { caller, request, ids, plan, at } = arrival;
+        let Arrival { caller, request, ids, plan, at, round_trip } = arrival;
         if plan.terms.unrepeatable {
             self.request_keys.start(&request.key);
         }
@@ -297,6 +305,7 @@
         }
         let mut query = Query::new(at, caller, request, ids, plan);
         query.admitted_permille = admitted_permille;
+        query.caller_round_trip = round_trip;
         let timer = query.timer;
         let key = self.queries.insert(query);
         self.query_by_number.insert(ids.number, key);
--- a/crates/core/src/gather/query.rs
+++ b/crates/core/src/gather/query.rs
@@ -186,6 +186,10 @@
 pub(crate) struct Query {
     /// The caller that has to be answered.
     pub(crate) caller: CallerId,
+    /// When the request arrived.
+    pub(crate) arrived_at: Instant,
+    /// Round-trip time to the caller, if it is known.
+    pub(crate) caller_round_trip: Option<Duration>,
     /// The caller's request.
     pub(crate) request: call::Request,
     /// Number of the query in messages to owners; a restart on another index version assigns a new
@@ -217,6 +221,8 @@
     pub(crate) deadline: Instant,
     /// Due time of the query's timer in the machine's timer set.
     pub(crate) timer: Instant,
+    /// Due time of the timer that is being served; `None` outside of timer events.
+    pub(crate) served_timer: Option<Instant>,
     /// Number of work messages sent under the query's current number.
     pub(crate) rounds: u32,
     /// How often portions were sent again or hedged, over all index versions; portions that are
@@ -299,6 +305,8 @@
             .map_or(default_timely_at, |route| sweep_timely_at(now, route, answer_at));
         let mut query = Self {
             caller,
+            arrived_at: now,
+            caller_round_trip: None,
             request,
             number: ids.number,
             history_id: ids.history_id,
@@ -312,6 +320,7 @@
             answer_at,
             deadline,
             timer: answer_at,
+            served_timer: None,
             rounds: 0,
             extra_calls: 0,
             open_portions: 0,
@@ -347,6 +356,11 @@
         now >= self.timely_at && few_missing && self.covered_shards > 0
     }
 
+    /// Returns since when the query that is answered now had to be answered.
+    pub(crate) fn due_at(&self, now: Instant) -> Instant {
+        self.served_timer.unwrap_or(self.timer).min(now)
+    }
+
     /// Returns whether the covered and open shards together cannot reach the floor of the route.
     ///
     /// Such a query is refused early, so that its caller can retry immediately instead of waiting.
--- a/crates/core/src/gather/sweep_admission.rs
+++ b/crates/core/src/gather/sweep_admission.rs
@@ -29,6 +29,8 @@
     pub(crate) plan: Plan,
     /// When the request arrived.
     pub(crate) at: Instant,
+    /// Round-trip time to the caller, if it is known.
+    pub(crate) round_trip: Option<Duration>,
 }
 
 impl Machine {
--- a/crates/core/tests/admission/simulation.rs
+++ b/crates/core/tests/admission/simulation.rs
@@ -295,7 +295,7 @@
         self.open.insert(number, (sweep, self.now));
         let at = (self.unit() * self.live.len() as f64) as usize;
         let caller = CallerId(number);
-        self.gather(self.live[at], gather::Event::Call { caller, request });
+        self.gather(self.live[at], gather::Event::Call { caller, request, round_trip: None });
     }
 
     /// Counts a sweep among all sweeps of its kind and, if it is one, among the retries.
--- a/crates/core/tests/fleet/startup/world.rs
+++ b/crates/core/tests/fleet/startup/world.rs
@@ -290,7 +290,10 @@
             ..Request::default()
         };
         let caller = CallerId(number);
-        self.handle(Happening::Gather(life, gather::Event::Call { caller, request }));
+        self.handle(Happening::Gather(
+            life,
+            gather::Event::Call { caller, request, round_trip: None },
+        ));
         number
     }
 
--- a/crates/core/tests/fleet/zonal_fleet.rs
+++ b/crates/core/tests/fleet/zonal_fleet.rs
@@ -331,7 +331,7 @@
         };
         self.totals.sweeps += 1;
         self.open.insert(number, self.now);
-        let event = gather::Event::Call { caller: CallerId(number), request };
+        let event = gather::Event::Call { caller: CallerId(number), request, round_trip: None };
         self.handle(entry, Delivery::Gather(event));
     }
 
--- a/crates/core/tests/gather/event_order.rs
+++ b/crates/core/tests/gather/event_order.rs
@@ -91,7 +91,7 @@
             ..request(&format!("k{}", a >> 5), operation, &asked)
         };
         self.oracle.record_call(self.now, caller, &request);
-        self.deliver(Event::Call { caller, request });
+        self.deliver(Event::Call { caller, request, round_trip: None });
     }
 
     fn disconnect(&mut self, a: u8) {
--- a/crates/core/tests/gather/harness.rs
+++ b/crates/core/tests/gather/harness.rs
@@ -72,7 +72,7 @@
     pub(crate) fn call(&mut self, request: Request) -> Vec<Action> {
         self.callers += 1;
         let caller = CallerId(self.callers);
-        self.deliver(Event::Call { caller, request })
+        self.deliver(Event::Call { caller, request, round_trip: None })
     }
 
     /// Delivers a reply from a peer.
@@ -189,11 +189,12 @@
 
 fn event_line(event: &Event) -> String {
     match event {
-        Event::Call { caller: CallerId(caller), request } => {
+        Event::Call { caller: CallerId(caller), request, .. } => {
             let Request { key, attempt, index, operation, shards, deadline_ms, .. } = request;
             let asked = format!("{index}/{operation} shards={shards:?} deadline={deadline_ms}");
             format!("call #{caller} {key} attempt={attempt} {asked}")
         }
+        Event::Written { caller, .. } => format!("written #{}", caller.0),
         Event::CallerLeft(caller) => format!("gone #{}", caller.0),
         Event::Replies { from, replies } => {
             let replies = replies.iter().map(reply_text);
@@ -248,6 +249,7 @@
         Action::Share(change) => {
             format!("share {} {}", change.route, change.share.permille())
         }
+        Action::Written(response) => format!("written {:?}", response.total()),
         Action::Count(count) => format!("count {:?} {}", count.event, short(count.reason)),
     }
 }
--- a/crates/core/tests/gather/oracle.rs
+++ b/crates/core/tests/gather/oracle.rs
@@ -94,6 +94,7 @@
                 | Action::ReplyReservation { .. }
                 | Action::Reservation(_)
                 | Action::Share(_)
+                | Action::Written(_)
                 | Action::Count(_) => {}
             }
         }
--- a/crates/core/tests/leaf/attempts.rs
+++ b/crates/core/tests/leaf/attempts.rs
@@ -380,7 +380,7 @@
         message: Some(Box::new(message)),
         ..Request::default()
     };
-    gather::Event::Call { caller: CallerId(number), request }
+    gather::Event::Call { caller: CallerId(number), request, round_trip: None }
 }
 
 fn take_one<T>(from: &mut Vec<T>, which: u8) -> Option<T> {
--- a/src/entry/gateway.rs
+++ b/src/entry/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ladder_core::collections::Map;
 use ladder_core::gather::Event;
@@ -12,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::Shared;
-use crate::http::responses::Unwritten;
+use crate::http::responses::{OnWritten, Unwritten};
 
 /// Callers that wait for their answers.
 #[derive(Debug, Default)]
@@ -56,6 +57,38 @@
     }
 }
 
+/// An answer, and what to call when the response with it is written.
+pub struct Answered {
+    /// The answer to the caller.
+    pub answer: call::Answer,
+    /// Must be called once the whole response is written.
+    pub on_written: OnWritten,
+}
+
+/// Reports [`Event::Written`] for a response that was written, and [`Event::CallerLeft`] if it is
+/// dropped before.
+struct WriteGuard {
+    gateway: Gateway,
+    caller: CallerId,
+    is_written: bool,
+}
+
+impl WriteGuard {
+    fn written(mut self) {
+        self.is_written = true;
+        let at = self.gateway.shared.clock.now();
+        self.gateway.shared.gather.send(Event::Written { caller: self.caller, at });
+    }
+}
+
+impl Drop for WriteGuard {
+    fn drop(&mut self) {
+        if !self.is_written {
+            self.gateway.shared.gather.send(Event::CallerLeft(self.caller));
+        }
+    }
+}
+
 /// Accepts callers' requests; all clones pass them to the same gathering machine.
 #[derive(Clone)]
 pub struct Gateway {
@@ -94,19 +127,21 @@
 
     /// Passes a request to the gathering machine and waits for the answer. If the returned future
     /// is dropped before the answer, the machine is informed that the caller has disconnected.
-    pub async fn answer(&self, request: call::Request) -> call::Answer {
+    /// `round_trip` is the round-trip time to the caller, if it is known.
+    pub async fn answer(&self, request: call::Request, round_trip: Option<Duration>) -> Answered {
         let key = request.key.clone();
         let arrived_at = self.shared.clock.now();
         let (caller, receiver) = self.waiting.borrow_mut().register();
         let guard = CallerGuard { gateway: self.clone(), caller };
-        self.shared.gather.send(Event::Call { caller, request });
+        self.shared.gather.send(Event::Call { caller, request, round_trip });
         let answer = match receiver.await {
             Ok(answer) => answer,
             Err(_) => refusal(key, Reason::Draining, Verdict::MayHaveRun, "the instance ended"),
         };
         drop(guard);
         self.shared.metrics.answered(&answer, self.shared.clock.now().since(arrived_at));
-        answer
+        let guard = WriteGuard { gateway: self.clone(), caller, is_written: false };
+        Answered { answer, on_written: Box::new(move || guard.written()) }
     }
 }
 
--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -107,6 +107,10 @@
                     log::share_change(&self.shared.log, &change);
                 }
                 Action::Log(account) => self.shared.request_log.request(&account),
+                Action::Written(response) => {
+                    self.shared.metrics.response(&response);
+                    self.shared.request_log.response(&response);
+                }
                 Action::Count(count) => self.shared.metrics.count(count),
             }
         }
--- a/src/entry/native/callers.rs
+++ b/src/entry/native/callers.rs
@@ -1,5 +1,7 @@
 //! The callers' HTTP interface: `POST /query` and `GET /ready`.
 
+use std::time::Duration;
+
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
 use bytes::Bytes;
@@ -10,7 +12,8 @@
 use tokio::net::TcpListener;
 
 use crate::entry::dialect::Listeners;
-use crate::entry::gateway::{Gateway, refusal};
+use crate::entry::gateway::{Answered, Gateway, refusal};
+use crate::http::responses::{Connection, Reply};
 use crate::http::{self, BodyError};
 
 /// Serves callers and the load balancer; the load balancer at a separate address if the settings
@@ -36,11 +39,12 @@
 
 impl CallerApi {
     /// Answers one HTTP request.
-    async fn handle(self, mut request: Request) -> Response<BoxBody> {
+    async fn handle(self, mut request: Request) -> Reply {
+        let round_trip = Connection::of(&request).and_then(|connection| connection.round_trip());
         match (request.method(), request.path()) {
             (&Method::POST, "/query") => {
                 let body = http::read_body(&mut request, bounds::REQUEST_BYTES).await;
-                self.query(body).await
+                return self.query(body, round_trip).await;
             }
             (&Method::GET, "/ready") if self.gateway.is_ready() => {
                 http::text(StatusCode::OK, "ready\n")
@@ -51,16 +55,17 @@
             }
             _ => http::text(StatusCode::NOT_FOUND, "POST /query or GET /ready\n"),
         }
+        .into()
     }
 
     /// Answers one query.
-    async fn query(self, body: Result<Bytes, BodyError>) -> Response<BoxBody> {
+    async fn query(self, body: Result<Bytes, BodyError>, round_trip: Option<Duration>) -> Reply {
         let request = match decode(body) {
             Ok(request) => request,
-            Err(answer) => return self.respond(&answer),
+            Err(answer) => return self.respond(&answer).into(),
         };
-        let answer = self.gateway.answer(request).await;
-        self.respond(&answer)
+        let Answered { answer, on_written } = self.gateway.answer(request, round_trip).await;
+        Reply::new(self.respond(&answer), on_written)
     }
 
     /// Converts an answer to an HTTP response.
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! A small HTTP server that runs on the calling thread, and helpers for bodies and responses.
 
 pub mod responses;
+pub mod round_trip;
 
 use std::future::Future;
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 use futures_util::StreamExt;
 use tokio::net::TcpListener;
 
-use responses::{Connection, Stream, Unwritten};
+use responses::{Connection, Reply, Stream, Unwritten};
 
 /// How long an idle connection stays open; longer than the 60 s idle timeout of most load
 /// balancers.
@@ -41,17 +42,20 @@
 pub async fn serve<H, F>(listener: TcpListener, unwritten: Unwritten, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
-    F: Future<Output = Response<BoxBody>> + 'static,
+    F: Future<Output: Into<Reply>> + 'static,
 {
-    let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .on_connect_ext(Connection::attach)
-        .finish(fn_service(move |request: Request| {
-            let connection = Connection::of(&request);
-            let answer = handler(request);
-            async move { Ok::<_, actix_http::Error>(Connection::track(connection, answer.await)) }
-        }));
+    let factory =
+        HttpService::build()
+            .keep_alive(KEEP_ALIVE_TIMEOUT)
+            .h1_allow_half_closed(false)
+            .on_connect_ext(Connection::attach)
+            .finish(fn_service(move |request: Request| {
+                let connection = Connection::of(&request);
+                let answer = handler(request);
+                async move {
+                    Ok::<_, actix_http::Error>(Connection::track(connection, answer.await.into()))
+                }
+            }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
--- a/src/http/responses.rs
+++ b/src/http/responses.rs
@@ -3,7 +3,7 @@
 //! The HTTP library keeps a response until the caller has read enough of it for the rest to fit into
 //! the buffers of the operating system. A process that ends earlier breaks the response off.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
 use std::pin::Pin;
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Extensions, Request, Response};
@@ -18,6 +19,31 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::round_trip;
+
+/// Is called when a response has been passed to the operating system as a whole; dropped if its
+/// connection ends before.
+pub type OnWritten = Box<dyn FnOnce()>;
+
+/// A response, and what to call when it is written.
+pub struct Reply {
+    response: Response<BoxBody>,
+    on_written: Option<OnWritten>,
+}
+
+impl Reply {
+    /// Creates a reply that calls `on_written` when the response is written.
+    pub fn new(response: Response<BoxBody>, on_written: OnWritten) -> Self {
+        Self { response, on_written: Some(on_written) }
+    }
+}
+
+impl From<Response<BoxBody>> for Reply {
+    fn from(response: Response<BoxBody>) -> Self {
+        Self { response, on_written: None }
+    }
+}
+
 /// Number of responses that are not written yet, over all connections of a process.
 #[derive(Clone, Debug, Default)]
 pub struct Unwritten(Arc<AtomicUsize>);
@@ -30,13 +56,15 @@
 }
 
 /// The responses of one caller's connection that are not written yet.
-#[derive(Debug)]
 pub struct Connection {
     unwritten: Unwritten,
+    /// Round-trip time to the other end when the connection was accepted, if the operating system
+    /// tells it.
+    round_trip: Option<Duration>,
     /// Responses whose body the HTTP library has not taken over as a whole.
     incomplete: Cell<usize>,
     /// Responses that the HTTP library holds as a whole in its write buffer.
-    buffered: Cell<usize>,
+    buffered: RefCell<Vec<Option<OnWritten>>>,
 }
 
 impl Connection {
@@ -50,30 +78,38 @@
         request.conn_data::<Rc<Self>>().cloned()
     }
 
+    /// Round-trip time to the other end when the connection was accepted, if it is known.
+    pub fn round_trip(&self) -> Option<Duration> {
+        self.round_trip
+    }
+
     /// Counts a response to a caller as unwritten until it is written or its connection has ended.
     /// One without a connection is not counted.
-    pub fn track(connection: Option<Rc<Self>>, response: Response<BoxBody>) -> Response<BoxBody> {
+    pub fn track(connection: Option<Rc<Self>>, reply: Reply) -> Response<BoxBody> {
+        let Reply { response, on_written } = reply;
         let Some(connection) = connection else {
             return response;
         };
         connection.incomplete.set(connection.incomplete.get() + 1);
         connection.unwritten.0.fetch_add(1, Ordering::Relaxed);
-        response.map_body(|_, body| BoxBody::new(Body { body, connection }))
+        response.map_body(|_, body| BoxBody::new(Body { body, connection, on_written }))
     }
 
-    fn body_taken(&self) {
+    fn body_taken(&self, on_written: Option<OnWritten>) {
         self.incomplete.set(self.incomplete.get() - 1);
-        self.buffered.set(self.buffered.get() + 1);
+        self.buffered.borrow_mut().push(on_written);
     }
 
     fn written(&self) {
-        self.unwritten.0.fetch_sub(self.buffered.take(), Ordering::Relaxed);
+        let buffered = self.buffered.take();
+        self.unwritten.0.fetch_sub(buffered.len(), Ordering::Relaxed);
+        buffered.into_iter().flatten().for_each(|on_written| on_written());
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let left = self.incomplete.get() + self.buffered.get();
+        let left = self.incomplete.get() + self.buffered.get_mut().len();
         self.unwritten.0.fetch_sub(left, Ordering::Relaxed);
     }
 }
@@ -82,6 +118,7 @@
 struct Body {
     body: BoxBody,
     connection: Rc<Connection>,
+    on_written: Option<OnWritten>,
 }
 
 impl MessageBody for Body {
@@ -101,12 +138,12 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
-        self.connection.body_taken();
+        let on_written = self.on_written.take();
+        self.connection.body_taken(on_written);
     }
 }
 
 /// Stream of a caller's connection. The HTTP library flushes it when its write buffer is empty.
-#[derive(Debug)]
 pub struct Stream {
     stream: TcpStream,
     connection: Rc<Connection>,
@@ -115,9 +152,13 @@
 impl Stream {
     /// Wraps the stream of a new connection; its responses are counted in `unwritten`.
     pub fn new(stream: TcpStream, unwritten: &Unwritten) -> Self {
-        let (incomplete, buffered) = (Cell::default(), Cell::default());
-        let unwritten = unwritten.clone();
-        Self { stream, connection: Rc::new(Connection { unwritten, incomplete, buffered }) }
+        let connection = Connection {
+            unwritten: unwritten.clone(),
+            round_trip: round_trip::of(&stream),
+            incomplete: Cell::default(),
+            buffered: RefCell::default(),
+        };
+        Self { stream, connection: Rc::new(connection) }
     }
 }
 
--- a/src/log/request_log.rs
+++ b/src/log/request_log.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ladder_core::fingerprint::Fingerprint;
-use ladder_core::gather::{Explanation, Step};
+use ladder_core::gather::{Explanation, ResponseTime, Step};
 use ladder_core::leaf::{CallTrace, Trace};
 use ladder_core::time::Instant;
 use slog::{Logger, info, warn};
@@ -132,6 +132,15 @@
             "retry_after_us" => micros(trace.retry_after), "calls" => trace.calls.len());
     }
 
+    /// Logs a response that reaches its caller after the target time.
+    pub fn response(&self, response: &ResponseTime) {
+        if response.late > Duration::ZERO && self.take(1) {
+            info!(self.log, "response late"; "id" => &response.key, "route" => &*response.route,
+                "wake_us" => micros(response.wake), "write_us" => micros(response.write),
+                "late_us" => micros(response.late));
+        }
+    }
+
     /// Logs that a server process crashed while requests were in progress there.
     pub fn crashed(&self, server: &str, incarnation: u64, requests: &[Fingerprint]) {
         if self.take(1) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,13 +1,14 @@
 //! Counters and histograms of one instance, in Prometheus format.
 
 mod budgets;
+mod responses;
 
 use std::time::Duration;
 
 use ladder_core::admission::reservation;
 use ladder_core::control::reader::Cause;
 use ladder_core::count::{Connection, Count, Crossing, Event};
-use ladder_core::gather::ShareChange;
+use ladder_core::gather::{ResponseTime, ShareChange};
 use ladder_core::leaf;
 use ladder_schema::call::Answer;
 use ladder_schema::outcome::{Reason, Verdict};
@@ -19,6 +20,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use budgets::BudgetMetrics;
+use responses::ResponseMetrics;
 
 /// Event of a connection to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +78,7 @@
     publication: PublicationMetrics,
     admissible_share: Gauge<f64>,
     budgets: BudgetMetrics,
+    responses: ResponseMetrics,
 }
 
 /// Metrics of what the platform publishes.
@@ -201,6 +204,7 @@
                 "Share of the sweeps that are admitted, by route",
             ),
             budgets: BudgetMetrics::new(&meter),
+            responses: ResponseMetrics::new(&meter),
             registry,
             _provider: provider,
         })
@@ -266,6 +270,11 @@
         self.latency.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Records the times of the response to a sweep.
+    pub fn response(&self, response: &ResponseTime) {
+        self.responses.record(response);
+    }
+
     /// Counts a frame that is sent to a peer; `part` is its kind of content.
     pub fn sent(&self, part: &'static str, bytes: usize) {
         let part = [KeyValue::new("part", part)];
