--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -14,6 +14,7 @@
 mod replies;
 mod resend;
 mod reservations;
+mod response_time;
 mod shutdown;
 mod sweep;
 mod sweep_admission;
