Refuse one unreadable record of a page, not the page

What callers saw: one record that cannot be decoded (deeply nested, a number beyond its type, another type) among those of the servers kept every later change of the platform out: the page was refused as a whole and asked for again for ever.

Cause: the product's own reader decoded a page as one value. Each record is decoded by itself now; one that cannot be is passed on without a body, is refused alone and shows in status and metrics. The new test was red on the reader before ('deeply nested: invalid type: sequence').

--- a/src/entry/native.rs
+++ b/src/entry/native.rs
@@ -13,6 +13,7 @@
 
 pub use callers::decode;
 pub use connections::{broken, outcome};
+pub use records::decode_page;
 
 /// The built-in dialect.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/entry/native/records.rs
+++ b/src/entry/native/records.rs
@@ -1,10 +1,14 @@
 //! Reads records from the platform over HTTP.
 
+use std::collections::BTreeMap;
+
 use awc::Client;
 use awc::http::StatusCode;
 use ladder_core::control::Event;
 use ladder_core::control::reader::Read;
-use ladder_schema::publication::Page;
+use ladder_schema::publication::{Page, Record};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::entry::Shared;
 use crate::entry::dialect::Publication;
@@ -53,6 +57,45 @@
         status if !status.is_success() => return Event::WatchFailed,
         _ => {}
     }
-    let page = response.json::<Page>().limit(MAX_PAGE_BYTES).await;
-    page.map_or(Event::WatchFailed, Event::Page)
+    let Ok(body) = response.body().limit(MAX_PAGE_BYTES).await else {
+        return Event::WatchFailed;
+    };
+    decode_page(&body).map_or(Event::WatchFailed, Event::Page)
+}
+
+/// Decodes a page of records.
+///
+/// A record that cannot be decoded becomes one without a body, which is refused and reported. If it
+/// made the whole page unreadable, no later change would be read either.
+///
+/// # Errors
+///
+/// The error of the decoder if the page itself is not valid.
+pub fn decode_page(body: &[u8]) -> Result<Page, serde_json::Error> {
+    let mut fields: BTreeMap<String, &RawValue> = serde_json::from_slice(body)?;
+    let records: Vec<&RawValue> = match fields.remove("records") {
+        Some(records) => serde_json::from_str(records.get())?,
+        None => Vec::new(),
+    };
+    let page: Page = serde_json::from_str(&serde_json::to_string(&fields)?)?;
+    let records = records.into_iter().map(|record| decode_record(record.get())).collect();
+    Ok(Page { records, ..page })
+}
+
+fn decode_record(text: &str) -> Record {
+    serde_json::from_str(text).unwrap_or_else(|_| Record {
+        revision: decode_revision(text).unwrap_or_default(),
+        ..Record::default()
+    })
+}
+
+/// Returns the revision of a record of which other fields cannot be decoded.
+fn decode_revision(text: &str) -> Option<u64> {
+    #[derive(Deserialize)]
+    struct Revision<'a> {
+        #[serde(borrow)]
+        revision: &'a RawValue,
+    }
+    let Revision { revision } = serde_json::from_str(text).ok()?;
+    revision.get().trim_matches('"').parse().ok()
 }
--- a/tests/integration/decoders.rs
+++ b/tests/integration/decoders.rs
@@ -66,6 +66,43 @@
     });
 }
 
+/// JSON of a page with a record of an odd server between two valid ones.
+fn page_with(odd: &str) -> String {
+    let server = |name: &str, revision: u32| {
+        format!(
+            r#"{{"revision":"{revision}","server":{{"name":"{name}","service":"s","zone":"z",
+            "address":"10.0.0.1:80","incarnation":"1","state":"STATE_LIVE","slots":2,
+            "connections":4}}}}"#
+        )
+    };
+    let (first, last) = (server("i-1", 7), server("i-3", 9));
+    format!(r#"{{"head":"9","current":true,"records":[{first},{odd},{last}]}}"#)
+}
+
+/// Guards against one unreadable record that keeps all later changes of the platform out: its page
+/// was refused as a whole, and read again for ever.
+#[test]
+fn unreadable_record_leaves_the_others_of_its_page() {
+    let nested = |depth: usize| format!("{}1{}", "[".repeat(depth), "]".repeat(depth));
+    let cases = [
+        ("deeply nested", format!(r#"{{"revision":"8","server":{}}}"#, nested(100_000))),
+        ("deep unknown field", format!(r#"{{"revision":"8","odd":{}}}"#, nested(100_000))),
+        ("too large", r#"{"revision":"8","server":{"name":"i-2","slots":1e400}}"#.to_owned()),
+        ("beyond its type", r#"{"revision":8,"server":{"slots":99999999999999}}"#.to_owned()),
+        ("port", r#"{"revision":"8","server":{"name":"i-2","address":"10.0.0.2:70000"}}"#.into()),
+        ("another type", r#"{"revision":"8","server":"i-2"}"#.to_owned()),
+        ("no object", "17".to_owned()),
+        ("revision", r#"{"revision":"1e99","server":{"name":"i-2"}}"#.to_owned()),
+    ];
+    for (name, odd) in cases {
+        let page = native::decode_page(page_with(&odd).as_bytes());
+        let page = page.unwrap_or_else(|error| panic!("{name}: {error}"));
+        assert_eq!((page.head, page.current, page.records.len()), (9, true, 3), "{name}");
+        let valid = page.records.iter().map(|record| check::record(record).is_ok());
+        assert_eq!(valid.collect::<Vec<_>>(), [true, false, true], "{name}");
+    }
+}
+
 /// Valid frame of this fleet that uses the message kinds a peer can send.
 fn sample_frame() -> Frame {
     use ladder_schema::call::Part;
