Write the lines of a request after its response

What callers saw: answers that lack a part came late oftener than whole ones. Such an answer is logged with about 95 lines, which were made before the task that writes the response could run; replies to peers and their traces likewise.

The lines are the same; a task of its own makes them after the responses and frames of the batch.

--- a/src/entry/gather.rs
+++ b/src/entry/gather.rs
@@ -85,6 +85,7 @@
 
 impl ActionExecutor<Machine> for GatherExecutor {
     fn execute(&mut self, _now: Instant, actions: &mut Vec<Action>) {
+        let mut explanations = Vec::new();
         for action in actions.drain(..) {
             match action {
                 Action::Answer { caller, answer } => {
@@ -106,7 +107,7 @@
                     self.shared.metrics.admissible_share(&change);
                     log::share_change(&self.shared.log, &change);
                 }
-                Action::Log(account) => self.shared.request_log.request(&account),
+                Action::Log(explanation) => explanations.push(explanation),
                 Action::Written(response) => {
                     self.shared.metrics.response(&response);
                     self.shared.request_log.response(&response);
@@ -117,6 +118,14 @@
         for (address, frame) in self.frames.drain() {
             self.shared.outbound.send(&address, frame);
         }
+        if !explanations.is_empty() {
+            let log = self.shared.request_log.clone();
+            // A separate task runs after the tasks that write the answers of this batch: the lines
+            // of a wide sweep take milliseconds of a small processor.
+            actix_rt::spawn(async move {
+                explanations.iter().for_each(|explanation| log.request(explanation));
+            });
+        }
     }
 }
 
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -75,6 +75,7 @@
 
 impl ActionExecutor<Machine> for LeafExecutor {
     fn execute(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut traces = Vec::new();
         for action in actions.drain(..) {
             match action {
                 Action::Open { connection, address, server } => {
@@ -90,7 +91,7 @@
                 Action::Pending { to, pending } => {
                     self.frames.entry(to.address).or_default().pending.push(pending);
                 }
-                Action::Log(trace) => self.shared.request_log.trace(&trace),
+                Action::Log(trace) => traces.push(trace),
                 Action::Server { name, suspect, failure_rate } => {
                     log::server_standing(&self.shared.log, &name, suspect, failure_rate);
                 }
@@ -115,6 +116,7 @@
             }
         }
         self.flush();
+        traces.iter().for_each(|trace| self.shared.request_log.trace(trace));
     }
 }
 
