Reserve the measured delay before the deadline of requests that name their shards

The same cause elsewhere: the product's own queries were answered 2 ms before their deadline, whatever the response took.

--- a/crates/core/src/gather/response_time.rs
+++ b/crates/core/src/gather/response_time.rs
@@ -14,7 +14,6 @@
 use super::machine::Machine;
 use super::query::Query;
 use crate::average::Delay;
-use crate::route::Route;
 use crate::time::Instant;
 
 /// Time reserved before a delay has been measured, and the percentage of the available time that is
@@ -35,7 +34,7 @@
 pub struct ResponseTime {
     /// Key of the request.
     pub key: String,
-    /// Name of the sweep's route.
+    /// Name of the sweep's route, or of the index of a request that names its shards itself.
     pub route: Arc<str>,
     /// Time from the moment at which the answer was due until the machine answered.
     pub wake: Duration,
@@ -44,8 +43,8 @@
     /// Time for which the response was on the way to the caller, beyond the way of a single packet;
     /// zero if it is not known.
     pub transfer: Duration,
-    /// How much later than at the target time the response reaches the caller, by the caller's
-    /// round-trip time; zero if it is in time.
+    /// How much later than at the target time, or without one the deadline, the response reaches
+    /// the caller, by the caller's round-trip time; zero if it is in time.
     pub late: Duration,
 }
 
@@ -170,21 +169,23 @@
 }
 
 impl Machine {
-    /// Starts the measurement of the response to a sweep with a target time, which is being
-    /// answered.
+    /// Starts the measurement of the response to a query that is being answered: a forwarded sweep
+    /// with a target time, or a request that names its shards itself.
     pub(super) fn measure_response(&mut self, now: Instant, query: &Query) {
-        let is_measured = |route: &&Arc<Route>| route.is_sweep() && route.spec.target_ms > 0;
-        let Some(route) = query.route.as_ref().filter(is_measured) else {
-            return;
+        let (route, available) = match &query.route {
+            None => (&query.index.name, query.terms.deadline),
+            Some(route) if route.is_sweep() && route.spec.target_ms > 0 => {
+                (&route.spec.name, Duration::from_millis(route.spec.target_ms.into()))
+            }
+            Some(_) => return,
         };
-        let target = Duration::from_millis(route.spec.target_ms.into());
         self.response_times.add(Unwritten {
             caller: query.caller,
             key: query.request.key.clone(),
-            route: route.spec.name.as_str().into(),
+            route: route.as_str().into(),
             due_at: query.due_at(now),
             answered_at: now,
-            write_by: query.arrived_at + target - query.caller_round_trip.unwrap_or_default(),
+            write_by: query.arrived_at + available - query.caller_round_trip.unwrap_or_default(),
         });
     }
 
--- a/crates/core/tests/gather/response_time.rs
+++ b/crates/core/tests/gather/response_time.rs
@@ -4,11 +4,13 @@
 
 use ladder_core::gather::event::{CallerId, Reception};
 use ladder_core::gather::{Action, Event, ResponseTime};
+use ladder_core::schema::call::Request;
 use ladder_core::time::Instant;
 use ladder_property::check;
 
+use crate::fleet::Fleet;
 use crate::forward::{HOST, harness_with, message, reply, routing};
-use crate::harness::{Harness, sent_work};
+use crate::harness::{Harness, request, sent_work};
 
 /// Target time of the route of all sweeps here.
 const TARGET: Duration = ms(100);
@@ -133,6 +135,35 @@
     }
 }
 
+/// Guards against answers to requests that name their shards, which a slow instance writes after
+/// the deadline.
+#[test]
+fn answers_of_slow_instances_are_written_by_the_deadline() {
+    const DEADLINE_MS: u32 = 200;
+    let mut harness = Harness::new(&Fleet::default());
+    let mut caller = 0;
+    let mut play = |write: Duration| {
+        caller += 1;
+        let arrived = harness.now;
+        let request =
+            Request { deadline_ms: DEADLINE_MS, ..request(&caller.to_string(), "sweep", &[]) };
+        let (caller, reception) = (CallerId(caller), Reception::default());
+        harness.deliver(Event::Call { caller, request, reception });
+        while harness.machine.open() > 0 {
+            harness.advance(1);
+        }
+        let at = harness.now + write;
+        harness.deliver(Event::Written { caller, at, transfer: Duration::ZERO });
+        harness.now = arrived + Duration::from_secs(2);
+        at.since(arrived)
+    };
+    play(ms(20));
+    for _ in 0..10 {
+        let written = play(ms(20));
+        assert!(written <= ms(DEADLINE_MS.into()), "written after {written:?}");
+    }
+}
+
 /// Guards against leaving out parts for which there is time: an instance with short delays waits at
 /// least as long as one that has measured nothing.
 #[test]
