--- a/crates/core/src/gather/response_time.rs
+++ b/crates/core/src/gather/response_time.rs
@@ -19,7 +19,7 @@
 /// Time reserved before a delay has been measured, and the percentage of the available time that is
 /// reserved in addition. It includes the way to a caller some milliseconds away and back.
 const UNMEASURED_RESERVE: (Duration, u32) = (Duration::from_millis(9), 8);
-/// Round-trip time to a caller that is assumed if the operating system does not tell it.
+/// Round-trip time to a caller that is assumed if the operating system does not report it.
 const ASSUMED_ROUND_TRIP: Duration = Duration::from_millis(6);
 /// A delay enters the estimate as at most this or twice the present bound, whichever is more, so
 /// that one caller who reads slowly does not shorten the wait of many sweeps.
@@ -130,8 +130,8 @@
         ResponseReserve { round_trip, delay: self.delay.bound() }
     }
 
-    /// Takes note that the process was paused until `now`. Responses that were due before say
-    /// nothing about the delays of others.
+    /// Takes note that the process was paused until `now`. Responses that were due before
+    /// are not samples of the usual delay.
     pub(crate) fn pause_ended(&mut self, now: Instant) {
         self.resumed_at = now;
     }
--- a/src/http/responses.rs
+++ b/src/http/responses.rs
@@ -67,7 +67,7 @@
 pub struct Connection {
     unwritten: Unwritten,
     /// Round-trip time to the other end when the connection was accepted, if the operating system
-    /// tells it.
+    /// reports it.
     round_trip: Option<Duration>,
     /// When bytes were last read.
     read_at: Cell<Instant>,
--- a/src/http/tcp.rs
+++ b/src/http/tcp.rs
@@ -1,4 +1,4 @@
-//! What the operating system tells of the packets of a TCP connection.
+//! State of a TCP connection that the operating system reports: round trip and acknowledgements.
 
 use std::os::fd::{AsFd, OwnedFd};
 use std::time::{Duration, Instant};
