Log and count crashes of servers that are attributed to no request

Callers saw a request that crashes servers reach them for many seconds. The lines named the requests of each crash, but not that a request is at many crashes and why it is not refused.

'crashes undecided' names a request at three crashes or more with its rivals; two gauges tell the number and age of undecided crashes. No decision changes.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -14,7 +14,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Standings, ViewInputs};
-use super::quarantine::{Cause, Change, Entry, Quarantine};
+use super::quarantine::{Cause, Change, Entry, Quarantine, UndecidedCrashes};
 use super::reader::{self, Reader, ReaderRank};
 use super::refused_routes::RefusedRoutes;
 use super::settings::{Listing, Settings};
@@ -269,6 +269,11 @@
         self.quarantine.entries()
     }
 
+    /// The crashes of servers that are attributed to no request.
+    pub fn undecided_crashes(&self, now: Instant) -> UndecidedCrashes {
+        self.quarantine.undecided_crashes(now)
+    }
+
     /// The last published view, with owner and candidates of each service.
     pub const fn view(&self) -> &Arc<View> {
         self.projection.view()
@@ -532,6 +537,15 @@
         out.extend(new_crashes.map(|(incarnation, suspects)| {
             Action::Log(StateChange::ServerCrash { incarnation, suspects, from: from.into() })
         }));
+        let undecided = self.quarantine.take_undecided().into_iter();
+        out.extend(undecided.map(|undecided| {
+            Action::Log(StateChange::Undecided {
+                request: undecided.request,
+                incarnations: undecided.incarnations,
+                rivals: undecided.rivals,
+                from: from.into(),
+            })
+        }));
         let news = self.quarantine.contents().since(&before);
         if news.is_empty() {
             return;
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -20,6 +20,7 @@
 mod contents;
 mod dropped;
 mod entry;
+mod undecided;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 use dropped::Dropped;
 pub(super) use entry::Change;
 pub use entry::{Cause, Entry, Standing};
+pub use undecided::UndecidedCrashes;
 
 use super::hash;
 use crate::collections::{Map, Set};
@@ -102,6 +104,8 @@
     /// Incarnations whose crash was first reported since [`Quarantine::take_new_crashes`] was last
     /// called.
     new_crashes: Vec<Incarnation>,
+    /// Requests that were undecided when [`Quarantine::take_undecided`] was last called.
+    undecided: Set<Fingerprint>,
     /// The part of the quarantine that traffic needs.
     view: Arc<view::Quarantine>,
 }
--- /dev/null
+++ b/crates/core/src/control/quarantine/undecided.rs
@@ -0,0 +1,93 @@
+//! Crashes that are attributed to no request, because several requests may have caused them.
+
+use std::time::Duration;
+
+use super::{Incarnation, MIN_CRASHES, Quarantine, Standing};
+use crate::collections::{Map, Set};
+use crate::fingerprint::Fingerprint;
+use crate::time::Instant;
+
+/// Maximum number of rivals listed for one request.
+const MAX_RIVALS: usize = 4;
+
+/// A request that may have crashed at least [`MIN_CRASHES`] servers and is not quarantined.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::control) struct Undecided {
+    pub(in crate::control) request: Fingerprint,
+    /// Servers that crashed while the request was open there.
+    ///
+    /// Invariant: sorted, without duplicates.
+    pub(in crate::control) incarnations: Vec<Incarnation>,
+    /// Other uncleared requests at these crashes, each with the number of these crashes at which it
+    /// was, the most frequent first; at most [`MAX_RIVALS`].
+    pub(in crate::control) rivals: Vec<(Fingerprint, usize)>,
+}
+
+/// Number and age of the crashes that are attributed to no request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UndecidedCrashes {
+    /// Number of the crashes.
+    pub count: usize,
+    /// Time since the oldest of them; zero without any.
+    pub max_age: Duration,
+}
+
+impl Quarantine {
+    /// The crashes at which some request is not cleared and none is quarantined.
+    pub(in crate::control) fn undecided_crashes(&self, now: Instant) -> UndecidedCrashes {
+        let is_quarantined = |request: &Fingerprint| self.view.refused.contains(request);
+        let unrefuted = self.crashes.values().filter(|crash| !crash.refuted);
+        let ages = unrefuted.filter_map(|crash| {
+            let mut suspects = self.suspects(crash).peekable();
+            suspects.peek()?;
+            (!suspects.any(is_quarantined)).then_some(now.since(crash.at))
+        });
+        ages.fold(UndecidedCrashes::default(), |all, age| UndecidedCrashes {
+            count: all.count + 1,
+            max_age: all.max_age.max(age),
+        })
+    }
+
+    /// Removes and returns the requests that have become undecided since the last call.
+    pub(in crate::control) fn take_undecided(&mut self) -> Vec<Undecided> {
+        let crashes = self.crashes_by_suspect();
+        let is_undecided = |request: &Fingerprint, incarnations: &[Incarnation]| {
+            let standing = self.entries.get(request).map(|entry| entry.standing);
+            incarnations.len() >= MIN_CRASHES && standing != Some(Standing::Quarantined)
+        };
+        let undecided = crashes.iter().filter(|(request, at)| is_undecided(request, at));
+        let known = std::mem::take(&mut self.undecided);
+        let new = undecided.clone().filter(|(request, _)| !known.contains(*request));
+        let mut new: Vec<Undecided> =
+            new.map(|(request, at)| self.undecided_request(*request, at)).collect();
+        self.undecided = undecided.map(|(request, _)| *request).collect();
+        new.sort_unstable_by_key(|undecided| undecided.request);
+        new
+    }
+
+    /// The servers that crashed while each uncleared request was open there.
+    pub(super) fn crashes_by_suspect(&self) -> Map<Fingerprint, Vec<Incarnation>> {
+        let mut by_suspect: Map<Fingerprint, Vec<Incarnation>> = Map::default();
+        for (incarnation, crash) in self.crashes.iter().filter(|(_, crash)| !crash.refuted) {
+            for request in self.suspects(crash) {
+                by_suspect.entry(*request).or_default().push(incarnation.clone());
+            }
+        }
+        by_suspect.values_mut().for_each(|incarnations| incarnations.sort_unstable());
+        by_suspect
+    }
+
+    fn undecided_request(&self, request: Fingerprint, incarnations: &[Incarnation]) -> Undecided {
+        let mut counts: Map<Fingerprint, usize> = Map::default();
+        let crashes = incarnations.iter().filter_map(|incarnation| self.crashes.get(incarnation));
+        let at_crashes: Vec<Set<&Fingerprint>> =
+            crashes.map(|crash| self.suspects(crash).collect()).collect();
+        for other in at_crashes.iter().flatten().filter(|other| ***other != request) {
+            *counts.entry(**other).or_default() += 1;
+        }
+        let mut rivals: Vec<(Fingerprint, usize)> = counts.into_iter().collect();
+        rivals.sort_unstable_by_key(|&(other, count)| (std::cmp::Reverse(count), other));
+        rivals.truncate(MAX_RIVALS);
+        Undecided { request, incarnations: incarnations.to_vec(), rivals }
+    }
+}
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -88,6 +88,20 @@
         /// Name of the peer that reported the crash; empty if this instance detected it.
         from: Arc<str>,
     },
+    /// Enough servers crashed under a request to quarantine it, but other requests may have caused
+    /// these crashes.
+    Undecided {
+        /// Fingerprint of the request.
+        request: Fingerprint,
+        /// Server incarnations that crashed while the request was open there.
+        incarnations: Vec<Incarnation>,
+        /// Other requests that may have caused these crashes, each with the number of these crashes
+        /// at which it was, the most frequent first.
+        rivals: Vec<(Fingerprint, usize)>,
+        /// Name of the peer whose report made the request undecided; empty if this instance saw the
+        /// crash.
+        from: Arc<str>,
+    },
     /// The quarantine of a request under which server processes crashed was imposed or lifted.
     Quarantine {
         /// Fingerprint of the quarantined or released request.
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -353,6 +353,30 @@
     }
 }
 
+/// Guards against a request that crashes servers and is not refused while no line says why: it was at
+/// enough crashes, but never alone.
+#[test]
+fn log_names_the_rivals_of_an_undecided_request_once() {
+    let mut fleet = settled_fleet(3);
+    for number in 0..6 {
+        let rival = Fingerprint(10 + u128::from(number));
+        fleet.handle_event(&name(0), crash_event(number, &[POISON, rival]));
+        fleet.run(ms(500));
+    }
+    assert_eq!(fleet.nodes[&name(1)].machine.undecided_crashes(fleet.now).count, 6);
+    for node in fleet.nodes.values() {
+        let undecided = node.state_changes.iter().filter_map(|change| match change {
+            StateChange::Undecided { request, incarnations, rivals, .. } => {
+                Some((*request, incarnations.clone(), rivals.clone()))
+            }
+            _ => None,
+        });
+        let rivals = (10..13).map(|rival| (Fingerprint(rival), 1)).collect();
+        let expected = (POISON, (0..3).map(incarnation).collect(), rivals);
+        assert_eq!(undecided.collect::<Vec<_>>(), [expected]);
+    }
+}
+
 /// Guards against refusals that never expire, and against refusals that expire while the request
 /// is still sent.
 #[test]
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -55,11 +55,13 @@
     async fn metrics(&self) -> String {
         let now = self.shared.clock.now();
         let inspected = self.shared.control.inspect(move |machine| {
-            (machine.platform_age(now), machine.refused_routes(now).map_or(0, refused_version))
+            let refused_version = machine.refused_routes(now).map_or(0, refused_version);
+            (machine.platform_age(now), refused_version, machine.undecided_crashes(now))
         });
-        if let Some((age, refused_version)) = inspected.await {
+        if let Some((age, refused_version, undecided)) = inspected.await {
             age.inspect(|age| self.shared.metrics.records_age(*age));
             self.shared.metrics.refused_routes_version(refused_version);
+            self.shared.metrics.undecided_crashes(undecided);
         }
         let services = self.shared.leaf.inspect(move |machine| machine.status(now)).await;
         services.inspect(|services| self.shared.metrics.budgets(services));
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ladder_core::control::quarantine::Cause;
+use ladder_core::control::quarantine::{Cause, Incarnation};
 use ladder_core::control::state_change::{PlatformChange, StateChange};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::ShareChange;
@@ -97,14 +97,17 @@
                 "incarnation" => incarnation.number, "suspects" => suspects.join(" "),
                 "from" => from);
         }
+        StateChange::Undecided { request, incarnations, rivals, from } => {
+            let from = if from.is_empty() { "here" } else { from };
+            let rivals = rivals.iter().map(|(request, crashes)| format!("{request}:{crashes}"));
+            warn!(log, "crashes undecided"; "fingerprint" => %request,
+                "servers" => servers(incarnations),
+                "rivals" => rivals.collect::<Vec<_>>().join(" "), "from" => from);
+        }
         StateChange::Quarantine { request, standing, cause, incarnations, from } => {
             let from = if from.is_empty() { "here" } else { from };
-            let incarnations = incarnations
-                .iter()
-                .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
             warn!(log, "quarantine changed"; "fingerprint" => %request, "standing" => ?standing,
-                "cause" => ?cause,
-                "servers" => incarnations.collect::<Vec<_>>().join(" "), "from" => from);
+                "cause" => ?cause, "servers" => servers(incarnations), "from" => from);
         }
         StateChange::Evacuation { zone, evacuated, revision, servers } => {
             warn!(log, "evacuation changed"; "zone" => &**zone, "evacuated" => evacuated,
@@ -121,6 +124,14 @@
     }
 }
 
+/// Formats incarnations of servers as a list.
+fn servers(incarnations: &[Incarnation]) -> String {
+    let names = incarnations
+        .iter()
+        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
+    names.collect::<Vec<_>>().join(" ")
+}
+
 /// Logs a change of what the platform answers.
 fn platform_change(log: &Logger, change: &PlatformChange) {
     match change {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ladder_core::admission::reservation;
+use ladder_core::control::quarantine::UndecidedCrashes;
 use ladder_core::control::reader::Cause;
 use ladder_core::count::{Connection, Count, Crossing, Event};
 use ladder_core::gather::{ResponseTime, ShareChange};
@@ -77,6 +78,8 @@
     peers: PeerMetrics,
     publication: PublicationMetrics,
     admissible_share: Gauge<f64>,
+    undecided_crashes: Gauge<f64>,
+    undecided_crash_age: Gauge<f64>,
     budgets: BudgetMetrics,
     responses: ResponseMetrics,
 }
@@ -198,6 +201,16 @@
                 .build(),
             peers: PeerMetrics::new(&meter),
             publication: PublicationMetrics::new(&meter),
+            undecided_crashes: gauge(
+                &meter,
+                "ladder_undecided_crashes",
+                "Crashes of servers that are attributed to no request",
+            ),
+            undecided_crash_age: gauge(
+                &meter,
+                "ladder_undecided_crash_age_seconds",
+                "Time since the oldest crash that is attributed to no request; 0 without any",
+            ),
             admissible_share: gauge(
                 &meter,
                 "ladder_admissible_share",
@@ -335,6 +348,12 @@
         self.publication.refused_routes_version.record(version as f64, &[]);
     }
 
+    /// Sets the number and the greatest age of the crashes that are attributed to no request.
+    pub fn undecided_crashes(&self, undecided: UndecidedCrashes) {
+        self.undecided_crashes.record(undecided.count as f64, &[]);
+        self.undecided_crash_age.record(undecided.max_age.as_secs_f64(), &[]);
+    }
+
     /// Sets the calls and the budgets for extra calls of all services.
     pub fn budgets(&self, services: &[leaf::status::Service]) {
         self.budgets.update(services);
