Try requests that may crash servers by single calls

What callers saw: requests to a single service failed each time its servers were back, as one request crashed all three of them again and again. It was never refused, or after ten seconds and more.

Cause: a crash counts against a request only if all others that were at the server are cleared, and these are cleared only by an answer, which a service whose servers are all down never gives. Class: a decision by elimination that needs the very service that it protects.

A request at three crashes to a single service is refused now, and the instances try it in turn by a single call. An answer clears it. The next crash is conclusive because all other calls of the suspects are refused meanwhile; a harmless request is cleared by its own trial. Refusals of single requests by the earlier rule end by trials too, so that a harmless one is no longer refused for good. Crashes are reported within a second even if some call of their requests is open.

--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -46,6 +46,8 @@
         at: Instant,
         /// Fingerprints of the unanswered requests at the server.
         requests: Vec<Fingerprint>,
+        /// Those of the requests that were on trial.
+        trials: Vec<Fingerprint>,
     },
     /// This incarnation of a server has answered although it had been reported as crashed.
     Refuted(Incarnation),
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -14,7 +14,7 @@
 use super::hash::{self, Random};
 use super::membership::{Member, Membership, Standing};
 use super::project::{Projection, Standings, ViewInputs};
-use super::quarantine::{Cause, Change, Entry, Quarantine, UndecidedCrashes};
+use super::quarantine::{Cause, Change, Entry, Quarantine, Undecided, UndecidedCrashes};
 use super::reader::{self, Reader, ReaderRank};
 use super::refused_routes::RefusedRoutes;
 use super::settings::{Listing, Settings};
@@ -193,9 +193,9 @@
             Event::ServerLeaving { server, incarnation } => {
                 self.server_leaving(now, &server, incarnation, out);
             }
-            Event::Crashed { incarnation, at, requests } => {
+            Event::Crashed { incarnation, at, requests, trials } => {
                 self.update_quarantine(now, "", out, |quarantine| {
-                    quarantine.record_crash(now, incarnation, at, &requests)
+                    quarantine.record_crash(now, incarnation, at, &requests, &trials)
                 });
             }
             Event::Refuted(incarnation) => {
@@ -269,6 +269,11 @@
         self.quarantine.entries()
     }
 
+    /// Requests that may have crashed enough servers to be quarantined, and are not.
+    pub fn undecided(&self) -> Vec<Undecided> {
+        self.quarantine.undecided()
+    }
+
     /// The crashes of servers that are attributed to no request.
     pub fn undecided_crashes(&self, now: Instant) -> UndecidedCrashes {
         self.quarantine.undecided_crashes(now)
@@ -390,6 +395,10 @@
         let became_ready = ready != self.projection.view().ready;
         let view_due = self.next_view_at.is_some_and(|at| now >= at);
         let members_changed = self.membership.take_changed();
+        if members_changed {
+            let others = self.membership.reachable().map(|member| Arc::clone(&member.name));
+            self.quarantine.set_members(&self.membership.own().name, others.collect());
+        }
         let store_changed = std::mem::take(&mut self.store_changed);
         let quarantine_changed = *self.quarantine.view() != self.projection.view().quarantine;
         let count_trusted = self.update_startup(now, out);
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -20,6 +20,7 @@
 mod contents;
 mod dropped;
 mod entry;
+mod trials;
 mod undecided;
 
 use std::sync::Arc;
@@ -31,7 +32,7 @@
 use dropped::Dropped;
 pub(super) use entry::Change;
 pub use entry::{Cause, Entry, Standing};
-pub use undecided::UndecidedCrashes;
+pub use undecided::{Undecided, UndecidedCrashes};
 
 use super::hash;
 use crate::collections::{Map, Set};
@@ -50,7 +51,7 @@
 /// Maximum number of crashes kept at once.
 const MAX_CRASHES: usize = 64;
 /// Maximum number of requests kept of one crash.
-const MAX_REQUESTS_PER_CRASH: usize = 16;
+const MAX_REQUESTS_PER_CRASH: usize = 32;
 /// Maximum number of requests refused at once, and also of cleared requests remembered.
 pub const MAX_REQUESTS: usize = 64;
 /// A quarantined request may be evicted for another one if no caller has sent it for this long.
@@ -90,6 +91,10 @@
     requests: Vec<Fingerprint>,
     /// Whether the incarnation has answered since its reported crash, which refutes the report.
     refuted: bool,
+    /// Those of the requests that were on trial.
+    ///
+    /// Invariant: sorted, without duplicates.
+    trials: Vec<Fingerprint>,
     /// When the first of the calls to the crashed incarnation was cut off.
     at: Instant,
 }
@@ -105,7 +110,11 @@
     /// called.
     new_crashes: Vec<Incarnation>,
     /// Requests that were undecided when [`Quarantine::take_undecided`] was last called.
-    undecided: Set<Fingerprint>,
+    known_undecided: Set<Fingerprint>,
+    /// Name of this instance.
+    own_name: Arc<str>,
+    /// Names of the other instances that may try requests.
+    peers: Vec<Arc<str>>,
     /// The part of the quarantine that traffic needs.
     view: Arc<view::Quarantine>,
 }
@@ -147,8 +156,9 @@
         incarnation: Incarnation,
         at: Instant,
         requests: &[Fingerprint],
+        trials: &[Fingerprint],
     ) -> Vec<Change> {
-        self.add_crash(incarnation, requests, at);
+        self.add_crash(incarnation, requests, trials, at);
         self.evaluate(now)
     }
 
@@ -224,9 +234,11 @@
         if !self.crashes.contains_key(&incarnation) && !self.has_room(&incarnation, now - age) {
             return;
         }
-        let requests: Vec<Fingerprint> =
-            received.requests.iter().filter_map(|bytes| Fingerprint::read(bytes)).collect();
-        self.add_crash(incarnation.clone(), &requests, now - age);
+        let [requests, trials] = [&received.requests, &received.trials].map(|list| {
+            let read = list.iter().filter_map(|bytes| Fingerprint::read(bytes));
+            read.collect::<Vec<_>>()
+        });
+        self.add_crash(incarnation.clone(), &requests, &trials, now - age);
         if let Some(known) = self.crashes.get_mut(&incarnation) {
             known.refuted |= received.refuted;
         }
@@ -250,6 +262,8 @@
             immunity: Duration::from_millis(entry.immunity_ms.into()),
             incarnations: entry.incarnations.iter().map(Incarnation::read).collect(),
             seen: now - idle,
+            crashed_at: now - Duration::from_millis(entry.age_ms.into()),
+            failed_trials: entry.failed_trials,
         };
         let merged = self.entries.entry(request).or_insert_with(|| received.clone());
         merged.merge(received);
@@ -276,15 +290,23 @@
         self.entries.values().filter(|entry| entry.standing == standing).count()
     }
 
-    fn add_crash(&mut self, incarnation: Incarnation, requests: &[Fingerprint], at: Instant) {
+    fn add_crash(
+        &mut self,
+        incarnation: Incarnation,
+        requests: &[Fingerprint],
+        trials: &[Fingerprint],
+        at: Instant,
+    ) {
         if !self.crashes.contains_key(&incarnation) {
             self.new_crashes.push(incarnation.clone());
         }
-        let new = || CrashReport { requests: Vec::new(), refuted: false, at };
+        let new = || CrashReport { requests: Vec::new(), refuted: false, trials: Vec::new(), at };
         let crash = self.crashes.entry(incarnation).or_insert_with(new);
         crash.at = crash.at.min(at);
         crash.requests.extend(requests);
         sort_dedup_truncate(&mut crash.requests, MAX_REQUESTS_PER_CRASH);
+        crash.trials.extend(trials);
+        sort_dedup_truncate(&mut crash.trials, MAX_REQUESTS_PER_CRASH);
     }
 
     /// Derives the quarantined and cleared requests from all crashes. Returns the entries that
@@ -292,27 +314,53 @@
     fn evaluate(&mut self, now: Instant) -> Vec<Change> {
         self.drop_expired_and_excess(now);
         let mut changes = self.clear_refuted(now);
-        for (request, mut incarnations) in self.crashes_by_sole_suspect() {
-            let term = match self.entries.get(&request) {
-                Some(entry) if entry.standing == Standing::Quarantined => continue,
-                Some(entry) => entry.term + 1,
-                None => 1,
-            };
-            if incarnations.len() < MIN_CRASHES || !self.make_room(now) {
-                continue;
+        for (request, incarnations) in self.crashes_by_sole_suspect() {
+            let standing = self.entries.get(&request).map(|entry| entry.standing);
+            if incarnations.len() >= MIN_CRASHES && standing != Some(Standing::Quarantined) {
+                let crashes = incarnations.iter().filter_map(|one| self.crashes.get(one));
+                let last = crashes.map(|crash| crash.at).max().unwrap_or(now);
+                changes.extend(self.quarantine(now, request, Cause::Ends, incarnations, last));
             }
-            sort_dedup_truncate(&mut incarnations, MAX_INCARNATIONS_PER_ENTRY);
-            let standing = Standing::Quarantined;
-            let cause = Cause::Ends;
-            changes.push(Change { request, standing, cause, incarnations: incarnations.clone() });
-            let immunity = Duration::ZERO;
-            let entry = Entry { standing, term, immunity, incarnations, seen: now };
-            self.entries.insert(request, entry);
+        }
+        for (request, crashed_at) in self.failed_trials() {
+            let incarnations = self.crashes_by_suspect().remove(&request).unwrap_or_default();
+            changes.extend(self.quarantine(now, request, Cause::Trial, incarnations, crashed_at));
         }
         self.rebuild_view();
         changes
     }
 
+    /// Quarantines a request in a new term, if there is room for it.
+    fn quarantine(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        cause: Cause,
+        mut incarnations: Vec<Incarnation>,
+        crashed_at: Instant,
+    ) -> Option<Change> {
+        let before = self.entries.get(&request);
+        let is_quarantined = before.is_some_and(|entry| entry.standing == Standing::Quarantined);
+        let term = before.map_or(1, |entry| entry.term + 1);
+        let earlier = before.filter(|_| is_quarantined).map_or(0, |entry| entry.failed_trials);
+        if !is_quarantined && !self.make_room(now) {
+            return None;
+        }
+        sort_dedup_truncate(&mut incarnations, MAX_INCARNATIONS_PER_ENTRY);
+        let standing = Standing::Quarantined;
+        let entry = Entry {
+            standing,
+            term,
+            immunity: Duration::ZERO,
+            incarnations: incarnations.clone(),
+            seen: now,
+            crashed_at,
+            failed_trials: earlier + u32::from(cause == Cause::Trial),
+        };
+        self.entries.insert(request, entry);
+        Some(Change { request, standing, cause, incarnations })
+    }
+
     /// Evicts the least recently used quarantined request if the quarantine is full. Returns
     /// whether there is room for another.
     fn make_room(&mut self, now: Instant) -> bool {
@@ -423,6 +471,7 @@
         let view = view::Quarantine {
             suspected: suspects.filter(|request| !refused.contains(request)).collect(),
             refused,
+            trials: self.trials(),
             crashes: unrefuted()
                 .map(|(incarnation, crash)| {
                     (Arc::clone(&incarnation.server), crash_view(incarnation, crash))
@@ -441,8 +490,10 @@
             let requests: Vec<u8> =
                 crash.requests.iter().flat_map(|request| request.bytes()).collect();
             let number = incarnation.number.to_be_bytes();
+            let trials: Vec<u8> = crash.trials.iter().flat_map(|request| request.bytes()).collect();
             let refuted = [crash.refuted.into()];
-            let hash = hash::of(&[incarnation.server.as_bytes(), &number, &requests, &refuted]);
+            let hash =
+                hash::of(&[incarnation.server.as_bytes(), &number, &requests, &trials, &refuted]);
             contents.insert(Item::Crash(incarnation.clone()), hash);
         }
         for (request, entry) in &self.entries {
@@ -479,6 +530,7 @@
             requests: crash.requests.iter().map(|request| request.bytes().into()).collect(),
             refuted: crash.refuted,
             age_ms: whole_millis(now.since(crash.at)),
+            trials: crash.trials.iter().map(|request| request.bytes().into()).collect(),
         });
         let entries = self.entries.iter();
         let entries = entries.filter(|(request, _)| is_included(&Item::Entry(**request)));
@@ -489,6 +541,8 @@
             term: entry.term,
             immunity_ms: whole_millis(entry.immunity),
             incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
+            age_ms: whole_millis(now.since(entry.crashed_at)),
+            failed_trials: entry.failed_trials,
         });
         frame.crashes = crashes.collect();
         frame.quarantines = entries.collect();
--- a/crates/core/src/control/quarantine/entry.rs
+++ b/crates/core/src/control/quarantine/entry.rs
@@ -34,6 +34,8 @@
 pub enum Cause {
     /// Enough servers crashed under the request.
     Ends,
+    /// A server crashed under a trial of the request.
+    Trial,
     /// A server answered the request.
     Answer,
     /// Servers returned more errors for the request than connections were lost.
@@ -52,7 +54,9 @@
         match self {
             Self::Answer => ANSWER_IMMUNITY,
             Self::Operator => RETENTION,
-            Self::Ends | Self::Errors | Self::Refutation | Self::Peer => Duration::ZERO,
+            Self::Ends | Self::Trial | Self::Errors | Self::Refutation | Self::Peer => {
+                Duration::ZERO
+            }
         }
     }
 }
@@ -73,12 +77,24 @@
     pub incarnations: Vec<Incarnation>,
     /// When the request was last sent by a caller or cleared.
     pub seen: Instant,
+    /// Time of the last crash that the quarantine is based on.
+    pub crashed_at: Instant,
+    /// Number of trials in a row under which a server crashed.
+    pub failed_trials: u32,
 }
 
 impl Entry {
     pub(super) const fn cleared(now: Instant, term: u32, immunity: Duration) -> Self {
         let standing = Standing::Cleared;
-        Self { standing, term, immunity, incarnations: Vec::new(), seen: now }
+        Self {
+            standing,
+            term,
+            immunity,
+            incarnations: Vec::new(),
+            seen: now,
+            crashed_at: now,
+            failed_trials: 0,
+        }
     }
 
     /// Orders the entries of one request from the oldest to the newest.
@@ -106,6 +122,7 @@
             Ordering::Greater => *self = received,
             Ordering::Equal => {
                 self.immunity = self.immunity.max(received.immunity);
+                self.failed_trials = self.failed_trials.max(received.failed_trials);
                 self.incarnations.extend(received.incarnations);
                 sort_dedup_truncate(&mut self.incarnations, MAX_INCARNATIONS_PER_ENTRY);
             }
--- a/crates/core/src/control/quarantine/undecided.rs
+++ b/crates/core/src/control/quarantine/undecided.rs
@@ -12,15 +12,16 @@
 
 /// A request that may have crashed at least [`MIN_CRASHES`] servers and is not quarantined.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(in crate::control) struct Undecided {
-    pub(in crate::control) request: Fingerprint,
+pub struct Undecided {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
     /// Servers that crashed while the request was open there.
     ///
     /// Invariant: sorted, without duplicates.
-    pub(in crate::control) incarnations: Vec<Incarnation>,
+    pub incarnations: Vec<Incarnation>,
     /// Other uncleared requests at these crashes, each with the number of these crashes at which it
     /// was, the most frequent first; at most [`MAX_RIVALS`].
-    pub(in crate::control) rivals: Vec<(Fingerprint, usize)>,
+    pub rivals: Vec<(Fingerprint, usize)>,
 }
 
 /// Number and age of the crashes that are attributed to no request.
@@ -48,21 +49,27 @@
         })
     }
 
-    /// Removes and returns the requests that have become undecided since the last call.
-    pub(in crate::control) fn take_undecided(&mut self) -> Vec<Undecided> {
-        let crashes = self.crashes_by_suspect();
-        let is_undecided = |request: &Fingerprint, incarnations: &[Incarnation]| {
+    /// The undecided requests, ordered by fingerprint.
+    pub(in crate::control) fn undecided(&self) -> Vec<Undecided> {
+        let is_undecided = |(request, incarnations): &(Fingerprint, Vec<Incarnation>)| {
             let standing = self.entries.get(request).map(|entry| entry.standing);
             incarnations.len() >= MIN_CRASHES && standing != Some(Standing::Quarantined)
         };
-        let undecided = crashes.iter().filter(|(request, at)| is_undecided(request, at));
-        let known = std::mem::take(&mut self.undecided);
-        let new = undecided.clone().filter(|(request, _)| !known.contains(*request));
-        let mut new: Vec<Undecided> =
-            new.map(|(request, at)| self.undecided_request(*request, at)).collect();
-        self.undecided = undecided.map(|(request, _)| *request).collect();
-        new.sort_unstable_by_key(|undecided| undecided.request);
-        new
+        let crashes = self.crashes_by_suspect().into_iter().filter(is_undecided);
+        let undecided =
+            crashes.map(|(request, incarnations)| self.undecided_request(request, incarnations));
+        let mut undecided: Vec<Undecided> = undecided.collect();
+        undecided.sort_unstable_by_key(|undecided| undecided.request);
+        undecided
+    }
+
+    /// Removes and returns the requests that have become undecided since the last call.
+    pub(in crate::control) fn take_undecided(&mut self) -> Vec<Undecided> {
+        let mut undecided = self.undecided();
+        let all = undecided.iter().map(|undecided| undecided.request).collect();
+        let known = std::mem::replace(&mut self.known_undecided, all);
+        undecided.retain(|undecided| !known.contains(&undecided.request));
+        undecided
     }
 
     /// The servers that crashed while each uncleared request was open there.
@@ -77,7 +84,7 @@
         by_suspect
     }
 
-    fn undecided_request(&self, request: Fingerprint, incarnations: &[Incarnation]) -> Undecided {
+    fn undecided_request(&self, request: Fingerprint, incarnations: Vec<Incarnation>) -> Undecided {
         let mut counts: Map<Fingerprint, usize> = Map::default();
         let crashes = incarnations.iter().filter_map(|incarnation| self.crashes.get(incarnation));
         let at_crashes: Vec<Set<&Fingerprint>> =
@@ -88,6 +95,6 @@
         let mut rivals: Vec<(Fingerprint, usize)> = counts.into_iter().collect();
         rivals.sort_unstable_by_key(|&(other, count)| (std::cmp::Reverse(count), other));
         rivals.truncate(MAX_RIVALS);
-        Undecided { request, incarnations: incarnations.to_vec(), rivals }
+        Undecided { request, incarnations, rivals }
     }
 }
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather.rs
@@ -45,6 +45,7 @@
 mod snapshot;
 mod sweep_admission;
 mod timers;
+mod trial;
 mod withdraw;
 
 pub mod event;
--- a/crates/core/src/gather/answer.rs
+++ b/crates/core/src/gather/answer.rs
@@ -19,6 +19,9 @@
 /// Retry delay advised if the instance has too many open requests or a service has no usable
 /// server.
 const RETRY_LATER_MS: u32 = 500;
+/// Retry delay advised for a request that may crash servers: by then another instance may have found
+/// out that it does not.
+const RETRY_SUSPECTED_MS: u32 = 1000;
 
 /// Returns the HTTP status of an answer.
 ///
@@ -75,6 +78,7 @@
         Reason::Draining => RETRY_DRAINING_MS,
         Reason::NotReady | Reason::NotOwner => RETRY_NOT_READY_MS,
         Reason::ConnectFailed => RETRY_UNCONNECTED_MS,
+        Reason::Suspected => RETRY_SUSPECTED_MS,
         Reason::QueueFull | Reason::NoServer | Reason::Evacuated | Reason::NoHome => RETRY_LATER_MS,
         _ => 0,
     }
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -49,7 +49,9 @@
     /// Answers the open queries whose fingerprint is quarantined in the present view.
     pub(crate) fn finish_quarantined(&mut self, now: Instant, out: &mut Vec<Action>) {
         let quarantine = Arc::clone(&self.view.quarantine);
-        let is_quarantined = |query: &Query| quarantine.refused.contains(&query.fingerprint);
+        let is_quarantined = |query: &Query| {
+            quarantine.refused.contains(&query.fingerprint) && !query.terms.on_trial
+        };
         let open = self.queries.iter().filter(|(_, query)| is_quarantined(query));
         let open: Vec<QueryKey> = open.map(|(key, _)| key).collect();
         for key in open {
@@ -127,6 +129,7 @@
             let reason = answer::open_portion_reason(portion, reason);
             count(out, count::Event::Refusal, reason);
         }
+        self.trial_ended(&query);
         if query.terms.unrepeatable {
             let verdict = answer::query_verdict(&query);
             self.request_keys.end(&query.request.key, verdict);
--- a/crates/core/src/gather/forward.rs
+++ b/crates/core/src/gather/forward.rs
@@ -163,6 +163,7 @@
         deadline => Duration::from_millis(deadline.into()),
     };
     Terms {
+        on_trial: false,
         unrepeatable: route.spec.unrepeatable,
         complete: !route.is_sweep(),
         deadline: timeout.min(requested),
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -21,6 +21,7 @@
 use super::response_time::ResponseTimes;
 use super::sweep_admission::{Arrival, ReportedShare};
 use super::timers::{Timer, Timers};
+use super::trial::Trials;
 use super::{answer, settings::Settings};
 use crate::admission::Decision;
 use crate::collections::Map;
@@ -75,6 +76,7 @@
     pub(crate) timers: Timers,
     pub(crate) history: History,
     pub(crate) response_times: ResponseTimes,
+    pub(super) trials: Trials,
 }
 
 impl Machine {
@@ -101,6 +103,7 @@
             request_keys: RequestKeys::default(),
             timers: Timers::default(),
             response_times: ResponseTimes::default(),
+            trials: Trials::default(),
         }
     }
 
@@ -199,7 +202,7 @@
         let fingerprint = Fingerprint::of(&request);
         self.history.add(history_id, now, Step::Arrived { attempt, fingerprint });
         let ids = QueryIds { number, history_id, fingerprint };
-        match self.admit(&request, fingerprint) {
+        match self.admit(now, &request, fingerprint) {
             Ok(plan) => {
                 let at = reception.received_at.map_or(now, |received_at| received_at.min(now));
                 let round_trip = reception.round_trip;
@@ -235,6 +238,7 @@
     /// the same key.
     fn admit(
         &mut self,
+        now: Instant,
         request: &call::Request,
         fingerprint: Fingerprint,
     ) -> Result<Plan, (Refusal, Verdict)> {
@@ -249,7 +253,7 @@
             let detail = format!("{MAX_OPEN_QUERIES} requests are open here");
             return Err(refuse(Refusal::new(Reason::QueueFull, detail)));
         }
-        self.plan(request, fingerprint)
+        self.plan(now, request, fingerprint)
     }
 
     fn check_ready(&self) -> Result<(), (Refusal, Verdict)> {
@@ -264,26 +268,24 @@
     /// earlier request with the same key.
     pub(crate) fn plan(
         &mut self,
+        now: Instant,
         request: &call::Request,
         fingerprint: Fingerprint,
     ) -> Result<Plan, (Refusal, Verdict)> {
         let refuse = |refusal| (refusal, Verdict::NotRun);
         self.check_ready()?;
-        if self.view.quarantine.refused.contains(&fingerprint) {
-            let detail = format!("fingerprint: {fingerprint}; servers ended under such requests");
-            return Err(refuse(Refusal::new(Reason::Quarantined, detail)));
-        }
         let plan = match &request.message {
             Some(message) => self.route_planner.plan(&self.view, request, message),
             None => self.planner.first_plan(&self.view, request),
         };
-        let plan = plan.map_err(refuse)?;
+        let mut plan = plan.map_err(refuse)?;
         if plan.terms.unrepeatable
             && let Some(verdict) = self.request_keys.get(&request.key)
         {
             let detail = format!("key: {}; a request with it was taken here", request.key);
             return Err((Refusal::new(Reason::RepeatedKey, detail), verdict));
         }
+        self.check_quarantine(now, fingerprint, &mut plan).map_err(refuse)?;
         Ok(plan)
     }
 
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Terms {
     /// Whether the query is non-idempotent and must be executed at most once.
     pub(crate) unrepeatable: bool,
+    /// Whether the query is the trial of a request that may crash servers.
+    pub(crate) on_trial: bool,
     /// Whether the query may use its whole deadline in order to be complete.
     pub(crate) complete: bool,
     /// Time from the arrival of the request for which the caller waits.
@@ -61,6 +63,14 @@
     pub(crate) route: Option<Arc<Route>>,
 }
 
+impl Plan {
+    /// Whether the request goes to one service only and is not part of a sweep.
+    pub(crate) fn is_for_single_service(&self) -> bool {
+        let is_sweep = self.route.as_ref().is_some_and(|route| route.is_sweep());
+        self.service_shards.len() == 1 && !is_sweep
+    }
+}
+
 /// Plans requests, and caches the plans of requests for a whole index until the view changes.
 #[derive(Debug, Default)]
 pub(crate) struct Planner {
@@ -164,7 +174,8 @@
     request: &call::Request,
     service_shards: &[Arc<ServiceShards>],
 ) -> Result<Terms, Refusal> {
-    let mut terms = Terms { unrepeatable: false, complete: false, deadline: Duration::ZERO };
+    let mut terms =
+        Terms { unrepeatable: false, on_trial: false, complete: false, deadline: Duration::ZERO };
     let mut default_ms = ladder_schema::bounds::DEADLINE_MS;
     for service in service_shards.iter().filter_map(|entry| view.service(&entry.service)) {
         let Some(operation) = service.operation(&request.operation) else {
--- a/crates/core/src/gather/reservations.rs
+++ b/crates/core/src/gather/reservations.rs
@@ -316,7 +316,7 @@
     /// Starts a sweep that has waited for its holder. It is planned again, since the view may have
     /// changed in the meantime.
     fn start_granted(&mut self, now: Instant, mut arrival: Arrival, out: &mut Vec<Action>) {
-        match self.plan(&arrival.request, arrival.ids.fingerprint) {
+        match self.plan(now, &arrival.request, arrival.ids.fingerprint) {
             Ok(plan) => {
                 arrival.plan = plan;
                 self.start(now, arrival, Share::ALL.permille(), out);
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -330,6 +330,7 @@
         collect,
         fingerprint: query.fingerprint.bytes().into(),
         admitted_permille: query.admitted_permille,
+        on_trial: query.terms.on_trial,
     }
 }
 
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -20,7 +20,8 @@
 use super::reply::Refused;
 use super::server::ServerKey;
 use super::service::ServiceId;
-use crate::collections::Set;
+use super::timer::Timer;
+use crate::collections::{Map, Set};
 use crate::control::quarantine::{Cause, Incarnation};
 use crate::count;
 use crate::fingerprint::Fingerprint;
@@ -28,7 +29,7 @@
 use crate::view;
 
 pub(super) use table::{Crashes, LostCall};
-use table::{EVIDENCE_MAX_AGE, HOLD_TIME, MAX_LOST_CALLS_PER_SERVER};
+use table::{EVIDENCE_MAX_AGE, HOLD_TIME, MAX_LOST_CALLS_PER_SERVER, MAX_REPORT_DELAY};
 
 /// Maximum error of the reported time of a termination: reports forwarded by peers may date it this
 /// much too late.
@@ -67,7 +68,9 @@
         };
         self.crashes.begin(request, |open| open.calls += 1);
         let quarantine = &self.view.quarantine;
-        if quarantine.refused.contains(&request) {
+        if attempt.job.work.on_trial {
+            Self::count(count::Event::SuspectCall, Reason::Suspected, out);
+        } else if quarantine.refused.contains(&request) {
             Self::count(count::Event::SuspectCall, Reason::Quarantined, out);
         } else if quarantine.suspected.contains(&request) {
             Self::count(count::Event::SuspectCall, Reason::TargetLost, out);
@@ -91,7 +94,8 @@
             self.refute_termination(attempt, out);
         }
         if attempt.lost_connection(self.now, outcome) {
-            self.connection_lost(attempt.server, request);
+            let on_trial = attempt.job.work.on_trial;
+            self.connection_lost(attempt.server, LostCall { request, on_trial, at: self.now });
         }
         self.report_crashes(out);
     }
@@ -181,13 +185,52 @@
         if !quarantine.refused.is_empty() {
             self.stop_quarantined(&quarantine.refused, out);
         }
+        if !quarantine.trials.is_empty() {
+            self.refuse_queued_suspects(&quarantine.trials, out);
+        }
+    }
+
+    /// Why a portion of this work is refused because its request may crash servers; `None` if it is
+    /// not.
+    pub(super) fn refused_as_suspect(&self, job: &Job) -> Option<Reason> {
+        let request = job.fingerprint.filter(|_| !job.work.on_trial)?;
+        let quarantine = &self.view.quarantine;
+        if quarantine.refused.contains(&request) {
+            return Some(Reason::Quarantined);
+        }
+        let is_suspect = is_single_message(job) && quarantine.trials.contains_key(&request);
+        is_suspect.then_some(Reason::Suspected)
+    }
+
+    /// Refuses the queued portions of requests that are to be tried: they would all be sent when a
+    /// server starts again. Open calls go on, since their answers clear the request.
+    fn refuse_queued_suspects(
+        &mut self,
+        trials: &Map<Fingerprint, view::Trial>,
+        out: &mut Vec<Action>,
+    ) {
+        let is_refused = |portion: &Portion| {
+            let job = &portion.job;
+            let is_suspect = job.fingerprint.is_some_and(|request| trials.contains_key(&request));
+            let is_queued = portion.queue_position.is_some();
+            is_suspect && is_queued && is_single_message(job) && !job.work.on_trial
+        };
+        let queued = self.portions.iter().filter(|(_, portion)| is_refused(portion));
+        let queued: Vec<PortionKey> = queued.map(|(key, _)| key).collect();
+        for key in queued {
+            let verdict = self.current_verdict(key);
+            self.refuse_portion(key, Refused::with_verdict(verdict, Reason::Suspected), out);
+        }
     }
 
     /// Refuses the open portions of quarantined requests and closes the connections of their calls,
     /// so that calls that still wait at a server are not started.
     fn stop_quarantined(&mut self, refused: &Set<Fingerprint>, out: &mut Vec<Action>) {
-        let is_refused =
-            |job: &Job| job.fingerprint.is_some_and(|fingerprint| refused.contains(&fingerprint));
+        let is_refused = |job: &Job| {
+            let is_quarantined =
+                job.fingerprint.is_some_and(|fingerprint| refused.contains(&fingerprint));
+            is_quarantined && !job.work.on_trial
+        };
         let open = self.portions.iter().filter(|(_, portion)| is_refused(&portion.job));
         let open: Vec<PortionKey> = open.map(|(key, _)| key).collect();
         for key in open {
@@ -223,7 +266,8 @@
     /// sweep is answered, a server accepts connections again, or the servers are known to have
     /// terminated. A harmless request is delayed by a few milliseconds.
     pub(super) fn is_held(&self, key: PortionKey) -> bool {
-        let request = self.portions[key].job.fingerprint;
+        let job = &self.portions[key].job;
+        let request = job.fingerprint.filter(|_| !job.work.on_trial);
         let held = |request| self.crashes.must_hold(self.now, request);
         self.crashes.has_suspects() && request.is_some_and(held)
     }
@@ -253,6 +297,7 @@
         let is_poison = |portion: &Portion| {
             let request = portion.job.fingerprint;
             portion.queue_position.is_some()
+                && !portion.job.work.on_trial
                 && request.is_some_and(|request| poison.contains(&request))
         };
         let waiting = self.portions.iter().filter(|(_, portion)| is_poison(portion));
@@ -277,13 +322,14 @@
 
     /// Records a lost call as evidence against its request and schedules a dispatch after
     /// [`HOLD_TIME`], until which the portions of the request may be kept queued.
-    fn connection_lost(&mut self, key: ServerKey, request: Fingerprint) {
+    fn connection_lost(&mut self, key: ServerKey, lost_call: LostCall) {
+        let request = lost_call.request;
         let lost_calls = &mut self.servers[key].lost_calls;
         lost_calls.retain(|call| call.request != request);
         if lost_calls.len() >= MAX_LOST_CALLS_PER_SERVER {
             lost_calls.remove(0);
         }
-        lost_calls.push(LostCall { request, at: self.now });
+        lost_calls.push(lost_call);
         self.crashes.add_suspect(self.now, request, key);
         self.schedule_dispatch(self.servers[key].service, self.now + HOLD_TIME);
     }
@@ -315,12 +361,13 @@
         }
         let incarnation = Incarnation { server: Arc::clone(&server.name), number: incarnation };
         self.crashes.server_terminated(self.now, key, incarnation, &lost_calls);
+        self.timers.push(self.now + MAX_REPORT_DELAY, Timer::CrashReport);
         self.report_crashes(out);
     }
 
-    /// Reports crashed servers whose requests have no open call or portion any more, and schedules
-    /// a dispatch of the portions that were kept queued.
-    fn report_crashes(&mut self, out: &mut Vec<Action>) {
+    /// Reports crashed servers whose requests have no open call or portion any more, or whose report
+    /// is due, and schedules a dispatch of the portions that were kept queued.
+    pub(super) fn report_crashes(&mut self, out: &mut Vec<Action>) {
         if self.crashes.has_suspects() {
             self.mark_waiting_services();
         }
@@ -330,10 +377,16 @@
             incarnation: crash.incarnation.number,
             at: crash.lost_at,
             requests: crash.requests,
+            trials: crash.trials,
         }));
     }
 }
 
+/// Whether the work is a message to a single service, not a part of a sweep.
+fn is_single_message(job: &Job) -> bool {
+    job.work.forward.as_ref().is_some_and(|forward| !forward.part)
+}
+
 /// Whether the outcome of a call comes from the server to which the call was sent. Another server
 /// may have taken over its address and refuse requests that are not addressed to itself.
 fn is_from_server(outcome: &Outcome) -> bool {
--- a/crates/core/src/leaf/crash/table.rs
+++ b/crates/core/src/leaf/crash/table.rs
@@ -17,6 +17,8 @@
 /// Number of servers suspected to have crashed under a request from which all portions of the
 /// request are kept queued, and minimum number of errors that outweigh suspected servers.
 const MIN_SUSPECTS: usize = 3;
+/// Longest time from the detection of a crash to its report while its requests may still be answered.
+pub(super) const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a portion with a lost connection is kept queued while another portion of its
 /// request may still be answered.
 pub(super) const HOLD_TIME: Duration = Duration::from_millis(50);
@@ -25,6 +27,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(in crate::leaf) struct LostCall {
     pub(super) request: Fingerprint,
+    /// Whether the call was a trial of the request.
+    pub(super) on_trial: bool,
     pub(super) at: Instant,
 }
 
@@ -45,6 +49,8 @@
     pub(super) lost_at: Instant,
     /// Requests that were at the server when it terminated, each listed once.
     pub(super) requests: Vec<Fingerprint>,
+    /// Those of the requests that were on trial.
+    pub(super) trials: Vec<Fingerprint>,
     at: Instant,
 }
 
@@ -152,7 +158,9 @@
             .for_each(|suspect| suspect.terminated = true);
         let lost_at = lost_calls.iter().map(|call| call.at).min().unwrap_or(now);
         let requests = lost_calls.iter().map(|call| call.request).collect();
-        self.pending.push(Crash { incarnation, lost_at, requests, at: now });
+        let on_trial = lost_calls.iter().filter(|call| call.on_trial);
+        let trials = on_trial.map(|call| call.request).collect();
+        self.pending.push(Crash { incarnation, lost_at, requests, trials, at: now });
     }
 
     /// Records that a server answered a request. Returns whether servers were suspected to have
@@ -225,8 +233,13 @@
         poison.map(|(request, _)| *request).collect()
     }
 
-    /// Removes and returns the crashes whose requests have no open call or portion. Answered
-    /// requests are dropped from the crashes first.
+    /// Whether any crash is to be reported.
+    pub(in crate::leaf) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Removes and returns the crashes whose requests have no open call or portion, or that were
+    /// detected [`MAX_REPORT_DELAY`] ago. Answered requests are dropped from the crashes first.
     pub(super) fn take_settled(&mut self, now: Instant) -> Vec<Crash> {
         if self.pending.is_empty() {
             return Vec::new();
@@ -237,8 +250,10 @@
         self.pending
             .retain(|crash| !crash.requests.is_empty() && now.since(crash.at) < EVIDENCE_MAX_AGE);
         let open = &self.open;
-        let settled =
-            |crash: &mut Crash| !crash.requests.iter().any(|request| open.contains_key(request));
+        let settled = |crash: &mut Crash| {
+            now.since(crash.at) >= MAX_REPORT_DELAY
+                || !crash.requests.iter().any(|request| open.contains_key(request))
+        };
         self.pending.extract_if(.., settled).collect()
     }
 }
--- a/crates/core/src/leaf/event.rs
+++ b/crates/core/src/leaf/event.rs
@@ -180,6 +180,8 @@
         at: Instant,
         /// Fingerprints of the requests, without duplicates.
         requests: Vec<Fingerprint>,
+        /// Those of the requests that were on trial.
+        trials: Vec<Fingerprint>,
     },
     /// A server answered although this incarnation of its process had been reported as terminated.
     Refuted {
--- a/crates/core/src/leaf/intake.rs
+++ b/crates/core/src/leaf/intake.rs
@@ -95,11 +95,8 @@
         if self.draining {
             return Err(Refused::not_run(Reason::Draining));
         }
-        if job
-            .fingerprint
-            .is_some_and(|fingerprint| self.view.quarantine.refused.contains(&fingerprint))
-        {
-            return Err(Refused::not_run(Reason::Quarantined));
+        if let Some(reason) = self.refused_as_suspect(job) {
+            return Err(Refused::not_run(reason));
         }
         let id = id.filter(|id| self.services[*id].role != Role::None);
         let id = id.ok_or_else(|| Refused::not_run(self.unowned_reason()))?;
--- a/crates/core/src/leaf/machine.rs
+++ b/crates/core/src/leaf/machine.rs
@@ -195,6 +195,7 @@
                 Timer::Dispatch(service) => self.resume_service(service, out),
                 Timer::Maintenance(service) => self.maintain_service(service, out),
                 Timer::Abandon(attempt) => self.abandon_call(attempt, out),
+                Timer::CrashReport => self.report_crashes(out),
                 Timer::Aggregation(key) => self.aggregation_due(key, out),
             }
         }
@@ -210,6 +211,7 @@
                 Timer::Hedge(portion) => !self.portions.contains_key(portion),
                 Timer::Abandon(attempt) => !self.attempts.contains_key(attempt),
                 Timer::Aggregation(key) => !self.aggregations.contains_key(key),
+                Timer::CrashReport => !self.crashes.has_pending(),
                 Timer::Dispatch(service) | Timer::Maintenance(service) => {
                     !self.services.contains_key(service)
                 }
--- a/crates/core/src/leaf/timer.rs
+++ b/crates/core/src/leaf/timer.rs
@@ -24,6 +24,8 @@
     Maintenance(ServiceId),
     /// The connection of an abandoned call is to be closed.
     Abandon(AttemptKey),
+    /// A crash must be reported now.
+    CrashReport,
     /// The replies gathered by a partial aggregation must be sent to the entry.
     Aggregation(AggregationKey),
 }
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -25,6 +25,7 @@
 mod startup;
 mod store;
 mod store_drill;
+mod trials;
 mod wiring;
 mod zonal_aggregation;
 mod zonal_fleet;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -23,20 +23,20 @@
 use crate::harness::Fleet;
 
 /// Maximum time after the third crash until every instance must refuse the request.
-const CONTACT: Duration = Duration::from_secs(4);
+pub(crate) const CONTACT: Duration = Duration::from_secs(4);
 
-const POISON: Fingerprint = Fingerprint(1);
+pub(crate) const POISON: Fingerprint = Fingerprint(1);
 const BYSTANDER: Fingerprint = Fingerprint(2);
 
-fn ms(millis: u64) -> Duration {
+pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn name(number: usize) -> String {
+pub(crate) fn name(number: usize) -> String {
     format!("entry-{number}")
 }
 
-fn incarnation(number: u64) -> Incarnation {
+pub(crate) fn incarnation(number: u64) -> Incarnation {
     Incarnation { server: format!("docks-{number}").into(), number: 1 }
 }
 
@@ -45,6 +45,7 @@
         incarnation: incarnation(number),
         at: Instant::default(),
         requests: requests.to_vec(),
+        trials: Vec::new(),
     }
 }
 
@@ -52,16 +53,16 @@
     fleet.nodes[name].machine.view().quarantine.refused.contains(&request)
 }
 
-fn refused_everywhere(fleet: &Fleet, request: Fingerprint) -> bool {
+pub(crate) fn refused_everywhere(fleet: &Fleet, request: Fingerprint) -> bool {
     fleet.nodes.keys().all(|name| refuses(fleet, name, request))
 }
 
-fn refused_nowhere(fleet: &Fleet, request: Fingerprint) -> bool {
+pub(crate) fn refused_nowhere(fleet: &Fleet, request: Fingerprint) -> bool {
     !fleet.nodes.keys().any(|name| refuses(fleet, name, request))
 }
 
 /// A fleet whose instances are all ready and agree.
-fn settled_fleet(instances: usize) -> Fleet {
+pub(crate) fn settled_fleet(instances: usize) -> Fleet {
     let mut fleet =
         ready_fleet_with(instances, 4, Timing { contact: CONTACT, ..Timing::default() });
     fleet.run(ms(2000));
@@ -149,7 +150,8 @@
         fleet.run(ms(30_000));
         for number in 0..3 {
             let (incarnation, at) = (incarnation(10 * round + number), fleet.now);
-            let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+            let crash =
+                Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
             fleet.handle_event(&name(number as usize), crash);
         }
         fleet.run_until("it is refused again", CONTACT, |fleet| refused_everywhere(fleet, POISON));
@@ -164,7 +166,7 @@
     fleet.run(ANSWER_IMMUNITY - ms(1000));
     for number in 0..9 {
         let (incarnation, at) = (incarnation(number), fleet.now);
-        let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+        let crash = Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
         fleet.handle_event(&name(number as usize), crash);
     }
     for _ in 0..CONTACT.as_millis() / 10 {
@@ -185,7 +187,8 @@
         fleet.run(RETENTION - ms(10_000));
         for number in 0..3 {
             let (incarnation, at) = (incarnation(number), fleet.now);
-            let crash = Event::Crashed { incarnation, at, requests: vec![POISON] };
+            let crash =
+                Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
             fleet.handle_event(&name(0), crash);
         }
         fleet.run(ms(500));
@@ -200,7 +203,7 @@
     let mut fleet = settled_fleet(9);
     let crash = |fleet: &mut Fleet, number| {
         let (incarnation, at) = (incarnation(number), fleet.now);
-        let event = Event::Crashed { incarnation, at, requests: vec![POISON] };
+        let event = Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
         fleet.handle_event(&name(1), event);
         fleet.run(ms(500));
         assert!(refused_nowhere(fleet, POISON), "after crash {number}");
@@ -446,7 +449,12 @@
         let at = fleet.now;
         for observer in 0..3 {
             let requests = vec![POISON, Fingerprint(u128::from(number) + 10)];
-            let event = Event::Crashed { incarnation: incarnation(number), at, requests };
+            let event = Event::Crashed {
+                incarnation: incarnation(number),
+                at,
+                requests,
+                trials: Vec::new(),
+            };
             fleet.handle_event(&name((number as usize + observer * 4) % 12), event);
         }
         fleet.run(ms(12));
@@ -455,12 +463,6 @@
     let bytes_before = fleet.bytes;
     fleet.run(ms(10_000));
     let bytes = fleet.bytes - bytes_before;
-    eprintln!(
-        "DBG {bytes} {idle_bytes} max {:?} total {} bytes {}",
-        logged_crashes(&fleet).values().max(),
-        logged_crashes(&fleet).values().sum::<usize>(),
-        fleet.bytes
-    );
     assert!(bytes < 2 * idle_bytes, "{bytes} bytes in 10 s, {idle_bytes} before the crashes");
     for ((name, incarnation), count) in logged_crashes(&fleet) {
         assert_eq!(count, 1, "{name} takes the crash of {incarnation:?} for new");
@@ -481,6 +483,7 @@
         incarnation: incarnation(number),
         at: fleet.now,
         requests: vec![request(number)],
+        trials: Vec::new(),
     };
     let first = crash(&fleet, 0);
     fleet.handle_event(&name(0), first);
@@ -543,7 +546,12 @@
                     Step::Crashed { server, first, second } => {
                         let requests = [request(first), request(second)];
                         let incarnation = incarnation(u64::from(server % 8));
-                        Event::Crashed { incarnation, at: fleet.now, requests: requests.to_vec() }
+                        Event::Crashed {
+                            incarnation,
+                            at: fleet.now,
+                            requests: requests.to_vec(),
+                            trials: Vec::new(),
+                        }
                     }
                     Step::Refuted { server } => Event::Refuted(incarnation(u64::from(server % 8))),
                     Step::Cleared { request: number } => {
@@ -570,6 +578,10 @@
                 // Each instance dates a crash by the age that was reported to it, so the times
                 // differ.
                 quarantine.crashes.values_mut().for_each(|crash| crash.at = Instant::default());
+                // Each instance has a turn of its own.
+                for trial in quarantine.trials.values_mut() {
+                    (trial.start, trial.turn) = (Instant::default(), 0);
+                }
                 quarantine
             };
             for at in 0..3 {
--- a/crates/core/tests/gather/main.rs
+++ b/crates/core/tests/gather/main.rs
@@ -18,5 +18,6 @@
 mod shutdown;
 mod sweep;
 mod sweep_admission;
+mod trial;
 mod versions;
 mod zonal;
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -15,7 +15,7 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::{target, wire};
 use ladder_core::time::Instant;
-use ladder_core::view::{Quarantine, ServerCrash, Service, View};
+use ladder_core::view::{Quarantine, ServerCrash, Service, Trial, View};
 
 use crate::forward::response;
 use crate::harness::{Harness, SentCall, limited, server, work};
@@ -568,3 +568,76 @@
     let id = sent.request.id.clone();
     target::Refusal { id, reason: Reason::TargetLeaving.into(), retry_after_ms: 0 }
 }
+
+/// A single message with this target for the first service, on trial or not.
+fn single(harness: &mut Harness, query: u64, target: &str, on_trial: bool) -> Vec<SentCall> {
+    let forward = wire::Forward {
+        message: Some(Message { target: target.to_owned(), ..Message::default() }),
+        attempts: 2,
+        ..wire::Forward::default()
+    };
+    let portion =
+        wire::Portion { service: name(0), shards: vec![name(0)], ..wire::Portion::default() };
+    let before = harness.sent().len();
+    harness.deliver_work(wire::Work {
+        forward: Some(Box::new(forward)),
+        portions: vec![portion],
+        fingerprint: fingerprint(target).bytes().into(),
+        on_trial,
+        unrepeatable: on_trial,
+        ..work(query, "fetch")
+    });
+    harness.sent().split_off(before)
+}
+
+fn on_trial(target: &str) -> Quarantine {
+    let trial = Trial { start: Instant::default(), turn: 0, turns: 1 };
+    let trials = [(fingerprint(target), trial)].into_iter().collect();
+    Quarantine { trials, ..Quarantine::default() }
+}
+
+/// Guards against a second crash by one trial, and against a crash under a trial that is reported
+/// like any other.
+#[test]
+fn trial_crashes_one_server_and_is_reported_as_a_trial() {
+    let mut harness = harness();
+    let calls = single(&mut harness, 1, "/docks/1", true);
+    lose_call(&mut harness, &calls[0]);
+    refuse_connections(&mut harness, &calls[0].address);
+    harness.advance(2000);
+    assert_eq!(harness.sent().len(), 1, "not sent to the other server");
+    let trials = harness.log.iter().find_map(|action| match action {
+        Action::Crashed { trials, .. } => Some(trials.clone()),
+        _ => None,
+    });
+    assert_eq!(trials, Some(vec![fingerprint("/docks/1")]));
+}
+
+/// Guards against sending all that waited for a server when it starts again, and against refusing
+/// the trial of the request, or a sweep.
+#[test]
+fn only_the_trial_of_a_suspected_request_is_sent() {
+    let mut harness = harness();
+    harness.handle(view_with(1, on_trial("/docks/1")));
+    assert!(single(&mut harness, 1, "/docks/1", false).is_empty());
+    assert_eq!(harness.replies(), vec![(Verdict::NotRun, Reason::Suspected)]);
+    assert_eq!(single(&mut harness, 2, "/docks/1", true).len(), 1);
+    assert_eq!(single(&mut harness, 3, "/docks/2", false).len(), 1);
+    assert_eq!(sweep(&mut harness, 4, "/docks/1").len(), PARTS);
+}
+
+/// Guards against a crash that is not reported because its request is sent all the time, so that
+/// some call of it is always open.
+#[test]
+fn crash_is_reported_within_a_second_while_its_request_is_open() {
+    let mut harness = harness();
+    let calls = single(&mut harness, 1, "/docks/1", false);
+    lose_call(&mut harness, &calls[0]);
+    refuse_connections(&mut harness, &calls[0].address);
+    for query in 2..12 {
+        assert!(query < 4 || !crash_reports(&harness).is_empty(), "before query {query}");
+        sweep(&mut harness, query, "/docks/1");
+        harness.advance(500);
+    }
+    assert_eq!(crash_reports(&harness), [vec![fingerprint("/docks/1")]]);
+}
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -3,7 +3,9 @@
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::status::{
     Aggregator, Evacuation, Explanation, Instance, Member, Quarantine, Refused, Service, Step,
+    Suspect,
 };
+use ladder_schema::wire::Incarnation;
 
 /// Formats the status of one instance.
 pub fn status(address: &str, status: &Instance) -> String {
@@ -98,24 +100,42 @@
 pub fn quarantine(address: &str, status: &Instance) -> String {
     let mut lines = vec![format!("{} ({address}):", status.name)];
     lines.extend(status.quarantines.iter().map(quarantined));
+    lines.extend(status.suspects.iter().map(suspect));
     lines.join("\n")
 }
 
 /// Formats the quarantine state of one request as a line.
 fn quarantined(entry: &Quarantine) -> String {
-    let incarnations = entry
-        .incarnations
-        .iter()
-        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
     format!(
-        "  {} {}, idle for {} s; crashed servers: {}",
+        "  {} {}, idle for {} s, failed trials: {}; crashed servers: {}",
         entry.fingerprint,
         entry.standing().as_str_name(),
         entry.idle_ms / 1000,
-        incarnations.collect::<Vec<_>>().join(" ")
+        entry.failed_trials,
+        servers(&entry.incarnations)
+    )
+}
+
+/// Formats a request that may have crashed servers as a line.
+fn suspect(suspect: &Suspect) -> String {
+    let rivals = suspect.rivals.iter();
+    let rivals = rivals.map(|rival| format!("{} at {}", rival.fingerprint, rival.crashes));
+    format!(
+        "  {} undecided; crashed servers: {}; other requests there: {}",
+        suspect.fingerprint,
+        servers(&suspect.incarnations),
+        rivals.collect::<Vec<_>>().join(", ")
     )
 }
 
+/// Formats incarnations of servers as a list.
+fn servers(incarnations: &[Incarnation]) -> String {
+    let names = incarnations
+        .iter()
+        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
+    names.collect::<Vec<_>>().join(" ")
+}
+
 /// Formats the owner and the fallback owners of one service as a line.
 fn service(service: &Service) -> String {
     let owner = if service.owner.is_empty() { "nobody" } else { &service.owner };
--- a/src/entry/leaf.rs
+++ b/src/entry/leaf.rs
@@ -95,10 +95,15 @@
                 Action::Server { name, suspect, failure_rate } => {
                     log::server_standing(&self.shared.log, &name, suspect, failure_rate);
                 }
-                Action::Crashed { server, incarnation, at, requests } => {
+                Action::Crashed { server, incarnation, at, requests, trials } => {
                     self.shared.request_log.crashed(&server, incarnation, &requests);
                     let incarnation = Incarnation { server, number: incarnation };
-                    self.shared.control.send(control::Event::Crashed { incarnation, at, requests });
+                    self.shared.control.send(control::Event::Crashed {
+                        incarnation,
+                        at,
+                        requests,
+                        trials,
+                    });
                 }
                 Action::Refuted { server, incarnation } => {
                     let incarnation = Incarnation { server, number: incarnation };
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -2,7 +2,7 @@
 
 use ladder_core::admission::reservation::Response;
 use ladder_core::control::membership::Member;
-use ladder_core::control::quarantine::{Entry, Incarnation};
+use ladder_core::control::quarantine::{Entry, Incarnation, Undecided};
 use ladder_core::control::store::{Key, Refusal};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::time::{Instant, micros};
@@ -82,6 +82,7 @@
         services: services(machine, view),
         refused: machine.refused().map(|refusal| refused(machine, refusal, now)).collect(),
         quarantines: quarantines(machine, now),
+        suspects: machine.undecided().iter().map(suspect).collect(),
         evacuations: machine.evacuations().map(evacuation).collect(),
         ..status::Instance::default()
     }
@@ -144,6 +145,20 @@
         standing: wire::Standing::from(entry.standing).into(),
         idle_ms: micros(now.since(entry.seen)) / 1000,
         incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
+        failed_trials: entry.failed_trials,
+    }
+}
+
+/// Converts a request that may have crashed servers to its status message.
+fn suspect(undecided: &Undecided) -> status::Suspect {
+    let rivals = undecided.rivals.iter().map(|&(request, crashes)| status::Rival {
+        fingerprint: request.to_string(),
+        crashes: crashes as u32,
+    });
+    status::Suspect {
+        fingerprint: undecided.request.to_string(),
+        incarnations: undecided.incarnations.iter().map(Incarnation::written).collect(),
+        rivals: rivals.collect(),
     }
 }
 
