Keep trials apart from non-idempotent requests

A trial was marked non-idempotent, so that no second server gets it. An idempotent request that its caller sends again under the same key would then have been refused as a repetition, with 409. Found by reading.

Trials have a term of their own; what both have in common is that they run once. Tests of the trial as before.

--- a/crates/core/src/gather/failover.rs
+++ b/crates/core/src/gather/failover.rs
@@ -161,8 +161,8 @@
         loss: OwnerLoss,
     ) -> Vec<usize> {
         let query = &self.queries[key];
-        if query.terms.unrepeatable && loss != OwnerLoss::LinkBroken {
-            // Non-idempotent work must not be sent elsewhere, and an owner that is leaving
+        if query.terms.runs_once() && loss != OwnerLoss::LinkBroken {
+            // Work that runs once must not be sent elsewhere, and an owner that is leaving
             // finishes its open work.
             return Vec::new();
         }
@@ -226,7 +226,7 @@
         let query = &self.queries[key];
         let portion = &query.portions[position];
         let is_ended = query.withdrawn || now >= query.answer_at;
-        if is_ended || !may_send_again(query.terms.unrepeatable, portion) {
+        if is_ended || !may_send_again(query.terms, portion) {
             return None;
         }
         self.next_peer(now, key, position)
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -28,6 +28,11 @@
 }
 
 impl Terms {
+    /// Whether no second server may get the query if a first one may have run it.
+    pub(crate) const fn runs_once(self) -> bool {
+        self.unrepeatable || self.on_trial
+    }
+
     /// Combines the terms with those of the request. The request can only make them stricter,
     /// except that it sets its own deadline.
     fn tightened_by(mut self, request: &call::Request) -> Self {
--- a/crates/core/src/gather/reply_handling.rs
+++ b/crates/core/src/gather/reply_handling.rs
@@ -9,7 +9,7 @@
 use super::history::Step;
 use super::machine::{Machine, count};
 use super::peers::PeerKey;
-use super::plan;
+use super::plan::{self, Terms};
 use super::query::{Portion, PortionState, Progress, QueryKey, Refused};
 use super::reply::{self, SendingLocation};
 use super::send::MAX_SENDINGS;
@@ -224,7 +224,7 @@
     pub(crate) fn restart(&mut self, now: Instant, key: QueryKey, out: &mut Vec<Action>) -> bool {
         let query = &self.queries[key];
         let is_not_run = query.is_proved_not_run();
-        if query.terms.unrepeatable && !is_not_run {
+        if query.terms.runs_once() && !is_not_run {
             return false;
         }
         let min_time_left = query.terms.deadline / 3;
@@ -273,10 +273,10 @@
 }
 
 /// Returns whether a portion may be sent again. Every repeated sending is subject to this rule: a
-/// portion of a non-idempotent query is sent again only after proof that no earlier sending ran.
-pub(crate) fn may_send_again(unrepeatable: bool, portion: &Portion) -> bool {
+/// portion of a query that runs once is sent again only after proof that no earlier sending ran.
+pub(crate) fn may_send_again(terms: Terms, portion: &Portion) -> bool {
     if portion.sendings.len() >= MAX_SENDINGS {
         return false;
     }
-    !unrepeatable || portion.verdict() == Verdict::NotRun
+    !terms.runs_once() || portion.verdict() == Verdict::NotRun
 }
--- a/crates/core/src/gather/resend.rs
+++ b/crates/core/src/gather/resend.rs
@@ -168,7 +168,7 @@
         let query = &self.queries[key];
         let portion = &query.portions[position];
         let is_ended = query.withdrawn || now >= query.answer_at;
-        if is_ended || !may_send_again(query.terms.unrepeatable, portion) {
+        if is_ended || !may_send_again(query.terms, portion) {
             return (Resend::Refuse, None);
         }
         let next = self.next_peer(now, key, position);
--- a/crates/core/src/gather/send.rs
+++ b/crates/core/src/gather/send.rs
@@ -110,7 +110,7 @@
         owners: &[Option<Peer>],
     ) -> Vec<(usize, Peer)> {
         let query = &self.queries[key];
-        if query.terms.unrepeatable || !self.peers.any_silent(now) {
+        if query.terms.runs_once() || !self.peers.any_silent(now) {
             return Vec::new();
         }
         for (position, owner) in owners.iter().enumerate() {
--- a/crates/core/src/leaf/ending.rs
+++ b/crates/core/src/leaf/ending.rs
@@ -288,7 +288,7 @@
     ///
     /// A call that did not run costs the server nothing, and the pauses of the server limit its
     /// repetition. Repeating a call that may have run spends the extra-call budget of the service,
-    /// and never happens when the portion is non-idempotent.
+    /// and never happens when the portion is non-idempotent or a trial.
     fn authorize_retry(
         &mut self,
         key: PortionKey,
@@ -298,7 +298,7 @@
         let portion = &self.portions[key];
         let portion_verdict = portion.verdict();
         let work = &portion.job.work;
-        if portion.unrepeatable && portion.may_have_run {
+        if portion.runs_once() && portion.may_have_run {
             return Err(Refused::with_verdict(portion_verdict, reason));
         }
         if portion.failures >= MAX_FAILED_CALLS || self.now >= portion.deadline {
--- a/crates/core/src/leaf/hedge.rs
+++ b/crates/core/src/leaf/hedge.rs
@@ -1,5 +1,5 @@
 //! Hedging: sends a second call for a portion of a query whose first call is slow. Non-idempotent
-//! portions are never hedged.
+//! portions and trials are never hedged.
 
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
     /// Schedules the time at which a portion's call counts as slow and may be hedged.
     pub(super) fn schedule_hedge(&mut self, key: PortionKey) {
         let portion = &self.portions[key];
-        if !self.settings.hedging || portion.unrepeatable || portion.hedged {
+        if !self.settings.hedging || portion.runs_once() || portion.hedged {
             return;
         }
         let overdue_at = overdue_at(portion, self.now);
--- a/crates/core/src/leaf/portion.rs
+++ b/crates/core/src/leaf/portion.rs
@@ -112,6 +112,11 @@
 }
 
 impl Portion {
+    /// Whether no second server may get the portion if a first one may have run it.
+    pub(super) fn runs_once(&self) -> bool {
+        self.unrepeatable || self.job.work.on_trial
+    }
+
     /// Verdict on the portion while none of its calls is open.
     pub(super) fn verdict(&self) -> Verdict {
         match self.may_have_run {
