Forget after five seconds that an instance lost calls of a request

An instance refuses the queued portions of a request if three servers crashed under it there. It never forgot that: the evidence was dropped only when another call lost its connection. A harmless request whose servers crashed for another reason was refused at that instance until then, and could not be answered to show that it is harmless.

The evidence counts for five seconds, as everywhere else. The test was red before: none of five portions was sent after six seconds.

--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -293,7 +293,7 @@
         if !self.crashes.has_suspects() {
             return;
         }
-        let poison = self.crashes.poison_requests();
+        let poison = self.crashes.poison_requests(self.now);
         let is_poison = |portion: &Portion| {
             let request = portion.job.fingerprint;
             portion.queue_position.is_some()
--- a/crates/core/src/leaf/crash/table.rs
+++ b/crates/core/src/leaf/crash/table.rs
@@ -222,11 +222,12 @@
     }
 
     /// Requests without an open call under which at least [`MIN_SUSPECTS`] servers are known to
-    /// have crashed.
-    pub(super) fn poison_requests(&self) -> Vec<Fingerprint> {
-        let confirmed = |suspects: &[Suspect]| {
-            suspects.iter().filter(|suspect| suspect.terminated).count() >= MIN_SUSPECTS
-        };
+    /// have crashed recently.
+    pub(super) fn poison_requests(&self, now: Instant) -> Vec<Fingerprint> {
+        let counts =
+            |suspect: &&Suspect| suspect.terminated && now.since(suspect.at) < EVIDENCE_MAX_AGE;
+        let confirmed =
+            |suspects: &[Suspect]| suspects.iter().filter(counts).count() >= MIN_SUSPECTS;
         let suspects = self.suspects.iter();
         let poison = suspects
             .filter(|(request, suspects)| confirmed(suspects) && self.calls(**request) == 0);
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -640,3 +640,18 @@
     }
     assert_eq!(crash_reports(&harness), [vec![fingerprint("/docks/1")]]);
 }
+
+/// Guards against refusing a harmless request for good at one instance, because it was at servers
+/// that crashed for another reason and is never sent again to show so.
+#[test]
+fn request_is_sent_again_once_the_evidence_against_it_is_old() {
+    let mut harness = harness();
+    let calls = sweep(&mut harness, 1, "/docks/1");
+    calls.iter().for_each(|sent| lose_call(&mut harness, sent));
+    refuse_all_connections(&mut harness, &calls);
+    assert!(sweep(&mut harness, 2, "/docks/1").is_empty(), "refused while the evidence is new");
+    harness.advance(6000);
+    harness.handle(view(2));
+    harness.connect();
+    assert_eq!(sweep(&mut harness, 3, "/docks/1").len(), PARTS);
+}
