--- a/crates/core/tests/fleet/trials.rs
+++ b/crates/core/tests/fleet/trials.rs
@@ -122,6 +122,24 @@
     }
 }
 
+/// Guards against a request that is refused because it was alone at three crashes, and is tried in every
+/// turn from then on, since its first trial follows too soon after the crashes to be counted.
+#[test]
+fn first_trial_counts_also_soon_after_the_crashes() {
+    let mut fleet = settled_fleet(9);
+    for number in 0..3 {
+        crash(&mut fleet, 0, number, &[POISON], &[]);
+    }
+    fleet.run(ms(3000));
+    assert!(refused_everywhere(&fleet, POISON));
+    crash(&mut fleet, 4, 10, &[POISON], &[POISON]);
+    fleet.run(ms(500));
+    for seconds in 1..55 {
+        let now = fleet.now + Duration::from_secs(seconds);
+        assert!(due(&fleet, POISON, now).is_empty(), "tried again after {seconds} s");
+    }
+}
+
 /// Guards against refusing a popular request because it is beside a poison request at each crash.
 #[test]
 fn popular_request_beside_a_poison_request_is_served_once_its_trial_is_answered() {
@@ -174,8 +192,9 @@
     fleet.run(ms(500));
     fleet.partition_side = [name(8)].into();
     crash(&mut fleet, 3, 10, &[POISON], &[POISON]);
-    crash(&mut fleet, 8, 11, &[POISON], &[POISON]);
     let crashed_at = fleet.now;
+    fleet.run(ms(800));
+    crash(&mut fleet, 8, 11, &[POISON], &[POISON]);
     fleet.run(ms(3000));
     fleet.partition_side.clear();
     fleet.run_until("all refuse it", CONTACT * 2, |fleet| refused_everywhere(fleet, POISON));
