Count the crashes of suspects without lists, and rank instances by hashes

Counts and hashes of the names are kept instead. The digest of a crash without trials is that of older builds again, so that a fleet of both does not exchange its crashes without end. Found by reading.

The order of turns differs from before; tests as before.

--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -396,8 +396,8 @@
         let view_due = self.next_view_at.is_some_and(|at| now >= at);
         let members_changed = self.membership.take_changed();
         if members_changed {
-            let others = self.membership.reachable().map(|member| Arc::clone(&member.name));
-            self.quarantine.set_members(&self.membership.own().name, others.collect());
+            let others = self.membership.reachable().map(|member| &*member.name);
+            self.quarantine.set_members(&self.membership.own().name, others);
         }
         let store_changed = std::mem::take(&mut self.store_changed);
         let quarantine_changed = *self.quarantine.view() != self.projection.view().quarantine;
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -2,10 +2,13 @@
 //!
 //! Instances send each other which requests were open at a server when it crashed. A request is
 //! considered the cause of a crash if it is the only one of them that no server has answered. It
-//! is refused by every instance once it has crashed [`MIN_CRASHES`] servers. The state merges in
-//! any order: a crash only gains requests, a refuted crash stays refuted, and of two entries of a
-//! request the one with the higher term replaces the other. A cleared request is quarantined again,
-//! in the next term, once it has crashed as many servers after its immunity.
+//! is refused by every instance once it has crashed [`MIN_CRASHES`] servers. A request to a single
+//! service that was open at as many crashes beside others is tried by single calls, and refused if
+//! a server crashes under one of them.
+//!
+//! The state merges in any order: a crash only gains requests, a refuted crash stays refuted, and
+//! of two entries of a request the one with the higher term replaces the other. A cleared request
+//! is quarantined again, in the next term, once it has crashed as many servers after its immunity.
 //!
 //! # Bounds
 //!
@@ -111,10 +114,10 @@
     new_crashes: Vec<Incarnation>,
     /// Requests that were undecided when [`Quarantine::take_undecided`] was last called.
     known_undecided: Set<Fingerprint>,
-    /// Name of this instance.
-    own_name: Arc<str>,
-    /// Names of the other instances that may try requests.
-    peers: Vec<Arc<str>>,
+    /// Hash of the name of this instance.
+    own_hash: u64,
+    /// Hashes of the names of the other instances that may try requests.
+    peer_hashes: Vec<u64>,
     /// The part of the quarantine that traffic needs.
     view: Arc<view::Quarantine>,
 }
@@ -323,7 +326,7 @@
             }
         }
         for (request, crashed_at) in self.failed_trials() {
-            let incarnations = self.crashes_by_suspect().remove(&request).unwrap_or_default();
+            let incarnations = self.crashes_of(request);
             changes.extend(self.quarantine(now, request, Cause::Trial, incarnations, crashed_at));
         }
         self.rebuild_view();
@@ -487,13 +490,12 @@
     pub(super) fn contents(&self) -> Contents {
         let mut contents = Contents::default();
         for (incarnation, crash) in &self.crashes {
-            let requests: Vec<u8> =
-                crash.requests.iter().flat_map(|request| request.bytes()).collect();
+            // Without trials the hash is that of builds that do not know them.
+            let requests = crash.requests.iter().chain(&crash.trials);
+            let requests: Vec<u8> = requests.flat_map(|request| request.bytes()).collect();
             let number = incarnation.number.to_be_bytes();
-            let trials: Vec<u8> = crash.trials.iter().flat_map(|request| request.bytes()).collect();
             let refuted = [crash.refuted.into()];
-            let hash =
-                hash::of(&[incarnation.server.as_bytes(), &number, &requests, &trials, &refuted]);
+            let hash = hash::of(&[incarnation.server.as_bytes(), &number, &requests, &refuted]);
             contents.insert(Item::Crash(incarnation.clone()), hash);
         }
         for (request, entry) in &self.entries {
--- a/crates/core/src/control/quarantine/trials.rs
+++ b/crates/core/src/control/quarantine/trials.rs
@@ -1,6 +1,5 @@
 //! Trials: single calls of requests that may crash servers, which show whether they do.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Entry, MIN_CRASHES, Quarantine, Standing};
@@ -36,10 +35,16 @@
 
 impl Quarantine {
     /// Sets the names of the instances that may try requests: this one and those it can reach.
-    pub(in crate::control) fn set_members(&mut self, own: &Arc<str>, others: Vec<Arc<str>>) {
-        if *self.own_name != **own || self.peers != others {
-            self.own_name = Arc::clone(own);
-            self.peers = others;
+    pub(in crate::control) fn set_members<'a>(
+        &mut self,
+        own: &str,
+        others: impl Iterator<Item = &'a str>,
+    ) {
+        let hash = |name: &str| hash::of(&[name.as_bytes()]);
+        let peer_hashes: Vec<u64> = others.map(hash).collect();
+        if self.own_hash != hash(own) || self.peer_hashes != peer_hashes {
+            self.own_hash = hash(own);
+            self.peer_hashes = peer_hashes;
             self.rebuild_view();
         }
     }
@@ -64,14 +69,10 @@
     /// When this instance may try each request that is quarantined, or that may have crashed enough
     /// servers to be.
     pub(super) fn trials(&self) -> Map<Fingerprint, Trial> {
-        let mut starts: Map<Fingerprint, Instant> = Map::default();
-        for (request, incarnations) in self.crashes_by_suspect() {
-            if incarnations.len() >= MIN_CRASHES {
-                let crashes = incarnations.iter().filter_map(|one| self.crashes.get(one));
-                let last = crashes.map(|crash| crash.at).max().unwrap_or_default();
-                starts.insert(request, last);
-            }
-        }
+        let crashes = self.crashes_by_suspect().into_iter();
+        let enough = crashes.filter(|(_, crashes)| crashes.count >= MIN_CRASHES);
+        let mut starts: Map<Fingerprint, Instant> =
+            enough.map(|(request, crashes)| (request, crashes.last)).collect();
         let entries = self.entries.iter();
         for (request, entry) in entries.filter(|(_, entry)| entry.standing == Standing::Quarantined)
         {
@@ -89,10 +90,9 @@
     /// Rank of this instance in the order in which the instances may try a request, and their
     /// number.
     fn turn(&self, request: Fingerprint) -> (u32, u32) {
-        let bytes = request.bytes();
-        let rank = |name: &str| hash::of(&[&bytes, name.as_bytes()]);
-        let own = rank(&self.own_name);
-        let before = self.peers.iter().filter(|name| rank(name) < own).count();
-        (before as u32, self.peers.len() as u32 + 1)
+        let rank = |hash: u64| hash::mix(hash ^ request.0 as u64);
+        let own = rank(self.own_hash);
+        let before = self.peer_hashes.iter().filter(|hash| rank(**hash) < own).count();
+        (before as u32, self.peer_hashes.len() as u32 + 1)
     }
 }
--- a/crates/core/src/control/quarantine/undecided.rs
+++ b/crates/core/src/control/quarantine/undecided.rs
@@ -24,6 +24,14 @@
     pub rivals: Vec<(Fingerprint, usize)>,
 }
 
+/// The crashes at which a request was, uncleared.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SuspectCrashes {
+    pub(super) count: usize,
+    /// Time of the last of them.
+    pub(super) last: Instant,
+}
+
 /// Number and age of the crashes that are attributed to no request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UndecidedCrashes {
@@ -51,40 +59,57 @@
 
     /// The undecided requests, ordered by fingerprint.
     pub(in crate::control) fn undecided(&self) -> Vec<Undecided> {
-        let is_undecided = |(request, incarnations): &(Fingerprint, Vec<Incarnation>)| {
-            let standing = self.entries.get(request).map(|entry| entry.standing);
-            incarnations.len() >= MIN_CRASHES && standing != Some(Standing::Quarantined)
-        };
-        let crashes = self.crashes_by_suspect().into_iter().filter(is_undecided);
-        let undecided =
-            crashes.map(|(request, incarnations)| self.undecided_request(request, incarnations));
-        let mut undecided: Vec<Undecided> = undecided.collect();
+        let requests = self.undecided_requests().into_iter();
+        let mut undecided: Vec<Undecided> =
+            requests.map(|request| self.undecided_request(request)).collect();
         undecided.sort_unstable_by_key(|undecided| undecided.request);
         undecided
     }
 
     /// Removes and returns the requests that have become undecided since the last call.
     pub(in crate::control) fn take_undecided(&mut self) -> Vec<Undecided> {
-        let mut undecided = self.undecided();
-        let all = undecided.iter().map(|undecided| undecided.request).collect();
+        let all = self.undecided_requests();
         let known = std::mem::replace(&mut self.known_undecided, all);
-        undecided.retain(|undecided| !known.contains(&undecided.request));
-        undecided
+        let mut new: Vec<Fingerprint> = self.known_undecided.difference(&known).copied().collect();
+        new.sort_unstable();
+        new.into_iter().map(|request| self.undecided_request(request)).collect()
     }
 
-    /// The servers that crashed while each uncleared request was open there.
-    pub(super) fn crashes_by_suspect(&self) -> Map<Fingerprint, Vec<Incarnation>> {
-        let mut by_suspect: Map<Fingerprint, Vec<Incarnation>> = Map::default();
-        for (incarnation, crash) in self.crashes.iter().filter(|(_, crash)| !crash.refuted) {
+    fn undecided_requests(&self) -> Set<Fingerprint> {
+        let is_undecided = |(request, crashes): &(Fingerprint, SuspectCrashes)| {
+            let standing = self.entries.get(request).map(|entry| entry.standing);
+            crashes.count >= MIN_CRASHES && standing != Some(Standing::Quarantined)
+        };
+        let crashes = self.crashes_by_suspect().into_iter();
+        crashes.filter(is_undecided).map(|(request, _)| request).collect()
+    }
+
+    /// The crashes at which each uncleared request was.
+    pub(super) fn crashes_by_suspect(&self) -> Map<Fingerprint, SuspectCrashes> {
+        let mut by_suspect: Map<Fingerprint, SuspectCrashes> = Map::default();
+        for crash in self.crashes.values().filter(|crash| !crash.refuted) {
             for request in self.suspects(crash) {
-                by_suspect.entry(*request).or_default().push(incarnation.clone());
+                let none = SuspectCrashes { count: 0, last: crash.at };
+                let crashes = by_suspect.entry(*request).or_insert(none);
+                crashes.count += 1;
+                crashes.last = crashes.last.max(crash.at);
             }
         }
-        by_suspect.values_mut().for_each(|incarnations| incarnations.sort_unstable());
         by_suspect
     }
 
-    fn undecided_request(&self, request: Fingerprint, incarnations: Vec<Incarnation>) -> Undecided {
+    /// The servers that crashed while an uncleared request was open there, sorted.
+    pub(super) fn crashes_of(&self, request: Fingerprint) -> Vec<Incarnation> {
+        let unrefuted = self.crashes.iter().filter(|(_, crash)| !crash.refuted);
+        let own =
+            unrefuted.filter(|(_, crash)| self.suspects(crash).any(|other| *other == request));
+        let mut incarnations: Vec<_> = own.map(|(incarnation, _)| incarnation.clone()).collect();
+        incarnations.sort_unstable();
+        incarnations
+    }
+
+    fn undecided_request(&self, request: Fingerprint) -> Undecided {
+        let incarnations = self.crashes_of(request);
         let mut counts: Map<Fingerprint, usize> = Map::default();
         let crashes = incarnations.iter().filter_map(|incarnation| self.crashes.get(incarnation));
         let at_crashes: Vec<Set<&Fingerprint>> =
