Say each rule of the trials once, and refuse before planning again

- A trial whose caller left before any server got it frees its place too: done where every query ends, not only where it is answered.
- Why a portion is refused as a suspect stood three times in leaf/crash.rs.
- Undecided requests were counted a second time for each report; they are those on trial that are not refused.
Type and timing of a trial stand together (control/quarantine/trial.rs), not in the view.
- Ranks hash fingerprint and member as the holders of reservations do.
- The log's event holds the undecided request itself; lists of incarnations are formatted in one place.
Tests build crashes with one function.

--- a/crates/core/src/control/hash.rs
+++ b/crates/core/src/control/hash.rs
@@ -4,7 +4,7 @@
 //! or one of the standard library that may change between builds, can therefore not be used.
 
 /// Bijective mix of 64 bits; each input bit changes about half of the output bits.
-pub(super) const fn mix(mut value: u64) -> u64 {
+const fn mix(mut value: u64) -> u64 {
     value ^= value >> 33;
     value = value.wrapping_mul(0xff51_afd7_ed55_8ccd);
     value ^= value >> 33;
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -547,14 +547,11 @@
             Action::Log(StateChange::ServerCrash { incarnation, suspects, from: from.into() })
         }));
         let undecided = self.quarantine.take_undecided().into_iter();
-        out.extend(undecided.map(|undecided| {
-            Action::Log(StateChange::Undecided {
-                request: undecided.request,
-                incarnations: undecided.incarnations,
-                rivals: undecided.rivals,
-                from: from.into(),
-            })
-        }));
+        out.extend(
+            undecided.map(|undecided| {
+                Action::Log(StateChange::Undecided { undecided, from: from.into() })
+            }),
+        );
         let news = self.quarantine.contents().since(&before);
         if news.is_empty() {
             return;
--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -23,9 +23,10 @@
 mod contents;
 mod dropped;
 mod entry;
-mod trials;
+mod trial;
 mod undecided;
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
 use dropped::Dropped;
 pub(super) use entry::Change;
 pub use entry::{Cause, Entry, Standing};
+pub use trial::Trial;
 pub use undecided::{Undecided, UndecidedCrashes};
 
 use super::hash;
@@ -75,7 +77,8 @@
 }
 
 impl Incarnation {
-    fn read(incarnation: &wire::Incarnation) -> Self {
+    /// The incarnation in a message of a peer or to an operator.
+    pub fn read(incarnation: &wire::Incarnation) -> Self {
         Self { server: incarnation.server.as_str().into(), number: incarnation.number }
     }
 
@@ -85,6 +88,12 @@
     }
 }
 
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.server, self.number)
+    }
+}
+
 /// The reported crash of an incarnation.
 #[derive(Clone, Debug)]
 struct CrashReport {
--- a/crates/core/src/control/quarantine/trials.rs
+++ b/crates/core/src/control/quarantine/trial.rs
@@ -7,13 +7,45 @@
 use crate::control::hash;
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
-use crate::view::Trial;
 
 /// Time from a crash under a trial to the next trial, after the first failed trial.
 const FIRST_RETRIAL_DELAY: Duration = Duration::from_secs(60);
 /// The same after each further one.
 const RETRIAL_DELAY: Duration = Duration::from_secs(5 * 60);
 
+/// Length of the turn of one instance, of which it may begin a trial in the first half. The second
+/// half is for the outcome to reach the other instances.
+const TURN: Duration = Duration::from_secs(2);
+/// Time after which any instance may begin a trial at any moment. A request that is not sent often
+/// may never reach an instance in its turn.
+const TURNS_END: Duration = Duration::from_secs(60);
+
+/// When an instance may send a request that may crash servers, to find out whether it does. The
+/// instances of the fleet take turns, so that few servers crash under the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// Start of the first turn.
+    pub start: Instant,
+    /// Number of instances whose turn is before that of this instance.
+    pub turn: u32,
+    /// Number of instances.
+    pub turns: u32,
+}
+
+impl Trial {
+    /// Whether this instance may begin a trial.
+    pub fn is_due(&self, now: Instant) -> bool {
+        if now < self.start {
+            return false;
+        }
+        let elapsed = now.since(self.start);
+        let turn = elapsed.as_millis() / TURN.as_millis();
+        let is_first_half = elapsed.as_millis() % TURN.as_millis() < TURN.as_millis() / 2;
+        elapsed >= TURNS_END
+            || (is_first_half && turn % u128::from(self.turns.max(1)) == u128::from(self.turn))
+    }
+}
+
 impl Entry {
     /// Time from the last crash to the next trial of a quarantined request.
     pub(super) const fn trial_delay(&self) -> Duration {
@@ -90,7 +122,8 @@
     /// Rank of this instance in the order in which the instances may try a request, and their
     /// number.
     fn turn(&self, request: Fingerprint) -> (u32, u32) {
-        let rank = |hash: u64| hash::mix(hash ^ request.0 as u64);
+        let bytes = request.bytes();
+        let rank = |hash: u64| hash::of(&[&bytes, &hash.to_be_bytes()]);
         let own = rank(self.own_hash);
         let before = self.peer_hashes.iter().filter(|hash| rank(**hash) < own).count();
         (before as u32, self.peer_hashes.len() as u32 + 1)
--- a/crates/core/src/control/quarantine/undecided.rs
+++ b/crates/core/src/control/quarantine/undecided.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Incarnation, MIN_CRASHES, Quarantine, Standing};
+use super::{Incarnation, Quarantine};
 use crate::collections::{Map, Set};
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
@@ -10,7 +10,7 @@
 /// Maximum number of rivals listed for one request.
 const MAX_RIVALS: usize = 4;
 
-/// A request that may have crashed at least [`MIN_CRASHES`] servers and is not quarantined.
+/// A request that may have crashed enough servers to be quarantined, and is not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Undecided {
     /// Fingerprint of the request.
@@ -75,13 +75,10 @@
         new.into_iter().map(|request| self.undecided_request(request)).collect()
     }
 
+    /// The requests at enough crashes that are not quarantined: those on trial that are not refused.
     fn undecided_requests(&self) -> Set<Fingerprint> {
-        let is_undecided = |(request, crashes): &(Fingerprint, SuspectCrashes)| {
-            let standing = self.entries.get(request).map(|entry| entry.standing);
-            crashes.count >= MIN_CRASHES && standing != Some(Standing::Quarantined)
-        };
-        let crashes = self.crashes_by_suspect().into_iter();
-        crashes.filter(is_undecided).map(|(request, _)| request).collect()
+        let on_trial = self.view.trials.keys();
+        on_trial.filter(|request| !self.view.refused.contains(request)).copied().collect()
     }
 
     /// The crashes at which each uncleared request was.
--- a/crates/core/src/control/state_change.rs
+++ b/crates/core/src/control/state_change.rs
@@ -91,13 +91,8 @@
     /// Enough servers crashed under a request to quarantine it, but other requests may have caused
     /// these crashes.
     Undecided {
-        /// Fingerprint of the request.
-        request: Fingerprint,
-        /// Server incarnations that crashed while the request was open there.
-        incarnations: Vec<Incarnation>,
-        /// Other requests that may have caused these crashes, each with the number of these crashes
-        /// at which it was, the most frequent first.
-        rivals: Vec<(Fingerprint, usize)>,
+        /// The request with its crashes and the other requests there.
+        undecided: quarantine::Undecided,
         /// Name of the peer whose report made the request undecided; empty if this instance saw the
         /// crash.
         from: Arc<str>,
--- a/crates/core/src/gather/finish.rs
+++ b/crates/core/src/gather/finish.rs
@@ -129,7 +129,6 @@
             let reason = answer::open_portion_reason(portion, reason);
             count(out, count::Event::Refusal, reason);
         }
-        self.trial_ended(&query);
         if query.terms.unrepeatable {
             let verdict = answer::query_verdict(&query);
             self.request_keys.end(&query.request.key, verdict);
@@ -173,6 +172,7 @@
             self.query_by_caller.remove(&query.caller);
         }
         self.timers.remove(query.timer, Timer::Query(key));
+        self.trial_ended(&query);
         Some(query)
     }
 }
--- a/crates/core/src/gather/machine.rs
+++ b/crates/core/src/gather/machine.rs
@@ -274,6 +274,7 @@
     ) -> Result<Plan, (Refusal, Verdict)> {
         let refuse = |refusal| (refusal, Verdict::NotRun);
         self.check_ready()?;
+        self.check_quarantined(now, fingerprint).map_err(refuse)?;
         let plan = match &request.message {
             Some(message) => self.route_planner.plan(&self.view, request, message),
             None => self.planner.first_plan(&self.view, request),
@@ -285,7 +286,7 @@
             let detail = format!("key: {}; a request with it was taken here", request.key);
             return Err((Refusal::new(Reason::RepeatedKey, detail), verdict));
         }
-        self.check_quarantine(now, fingerprint, &mut plan).map_err(refuse)?;
+        self.check_suspected(now, fingerprint, &mut plan).map_err(refuse)?;
         Ok(plan)
     }
 
--- a/crates/core/src/gather/trial.rs
+++ b/crates/core/src/gather/trial.rs
@@ -33,31 +33,49 @@
 }
 
 impl Machine {
-    /// Refuses a planned request that may crash servers, or puts it on trial.
+    /// Refuses a quarantined request that is not tried now. Planning it first would take a turn of a
+    /// traffic split.
+    pub(super) fn check_quarantined(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+    ) -> Result<(), Refusal> {
+        let is_refused = self.view.quarantine.refused.contains(&fingerprint);
+        if is_refused && !self.may_try(now, fingerprint) {
+            return Err(refusal(Reason::Quarantined, fingerprint));
+        }
+        Ok(())
+    }
+
+    /// Puts a planned request that may crash servers on trial, or refuses it.
     ///
     /// A trial is a single call, so only a request for a single service can be tried. A sweep is
     /// refused once it is quarantined, and not before: its bystanders are answered by other shards
     /// and servers, so that crashes are soon attributed.
-    pub(super) fn check_quarantine(
+    pub(super) fn check_suspected(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
         plan: &mut Plan,
     ) -> Result<(), Refusal> {
-        let quarantine = &self.view.quarantine;
-        let is_refused = quarantine.refused.contains(&fingerprint);
-        let reason = if is_refused { Reason::Quarantined } else { Reason::Suspected };
-        let detail = || format!("fingerprint: {fingerprint}; servers ended under such requests");
-        let trial = quarantine.trials.get(&fingerprint);
-        let Some(trial) = trial.filter(|_| plan.is_for_single_service()) else {
-            return if is_refused { Err(Refusal::new(reason, detail())) } else { Ok(()) };
-        };
-        if !trial.is_due(now) || self.trials.is_open(now, fingerprint) {
-            return Err(Refusal::new(reason, detail()));
+        let is_refused = self.view.quarantine.refused.contains(&fingerprint);
+        let is_suspected = self.view.quarantine.trials.contains_key(&fingerprint);
+        match plan.is_for_single_service() {
+            true if is_suspected && self.may_try(now, fingerprint) => {
+                self.trials.begin(now, fingerprint);
+                plan.terms.on_trial = true;
+                Ok(())
+            }
+            _ if is_refused => Err(refusal(Reason::Quarantined, fingerprint)),
+            true if is_suspected => Err(refusal(Reason::Suspected, fingerprint)),
+            _ => Ok(()),
         }
-        self.trials.begin(now, fingerprint);
-        plan.terms.on_trial = true;
-        Ok(())
+    }
+
+    /// Whether this instance may begin a trial of a request now.
+    fn may_try(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        let trial = self.view.quarantine.trials.get(&fingerprint);
+        trial.is_some_and(|trial| trial.is_due(now)) && !self.trials.is_open(now, fingerprint)
     }
 
     /// Allows the next trial at once if this one has reached no server.
@@ -67,3 +85,8 @@
         }
     }
 }
+
+fn refusal(reason: Reason, fingerprint: Fingerprint) -> Refusal {
+    let detail = format!("fingerprint: {fingerprint}; servers ended under such requests");
+    Refusal::new(reason, detail)
+}
--- a/crates/core/src/leaf/crash.rs
+++ b/crates/core/src/leaf/crash.rs
@@ -21,7 +21,6 @@
 use super::server::ServerKey;
 use super::service::ServiceId;
 use super::timer::Timer;
-use crate::collections::{Map, Set};
 use crate::control::quarantine::{Cause, Incarnation};
 use crate::count;
 use crate::fingerprint::Fingerprint;
@@ -182,18 +181,15 @@
             cause: Cause::Answer,
             response: None,
         }));
-        if !quarantine.refused.is_empty() {
-            self.stop_quarantined(&quarantine.refused, out);
-        }
-        if !quarantine.trials.is_empty() {
-            self.refuse_queued_suspects(&quarantine.trials, out);
+        if !(quarantine.refused.is_empty() && quarantine.trials.is_empty()) {
+            self.stop_suspects(out);
         }
     }
 
     /// Why a portion of this work is refused because its request may crash servers; `None` if it is
-    /// not.
+    /// not. A trial is never refused.
     pub(super) fn refused_as_suspect(&self, job: &Job) -> Option<Reason> {
-        let request = job.fingerprint.filter(|_| !job.work.on_trial)?;
+        let request = untried_request(job)?;
         let quarantine = &self.view.quarantine;
         if quarantine.refused.contains(&request) {
             return Some(Reason::Quarantined);
@@ -202,45 +198,24 @@
         is_suspect.then_some(Reason::Suspected)
     }
 
-    /// Refuses the queued portions of requests that are to be tried: they would all be sent when a
-    /// server starts again. Open calls go on, since their answers clear the request.
-    fn refuse_queued_suspects(
-        &mut self,
-        trials: &Map<Fingerprint, view::Trial>,
-        out: &mut Vec<Action>,
-    ) {
-        let is_refused = |portion: &Portion| {
-            let job = &portion.job;
-            let is_suspect = job.fingerprint.is_some_and(|request| trials.contains_key(&request));
+    /// Refuses the open portions of quarantined requests and closes the connections of their calls,
+    /// so that calls that still wait at a server are not started. Of requests that are to be tried
+    /// only the queued portions are refused, which would all be sent when a server starts again:
+    /// answers to open calls clear the request.
+    fn stop_suspects(&mut self, out: &mut Vec<Action>) {
+        let refused = |(key, portion): (PortionKey, &Portion)| {
+            let reason = self.refused_as_suspect(&portion.job)?;
             let is_queued = portion.queue_position.is_some();
-            is_suspect && is_queued && is_single_message(job) && !job.work.on_trial
+            (reason == Reason::Quarantined || is_queued).then_some((key, reason))
         };
-        let queued = self.portions.iter().filter(|(_, portion)| is_refused(portion));
-        let queued: Vec<PortionKey> = queued.map(|(key, _)| key).collect();
-        for key in queued {
+        let portions: Vec<(PortionKey, Reason)> =
+            self.portions.iter().filter_map(refused).collect();
+        for (key, reason) in portions {
             let verdict = self.current_verdict(key);
-            self.refuse_portion(key, Refused::with_verdict(verdict, Reason::Suspected), out);
-        }
-    }
-
-    /// Refuses the open portions of quarantined requests and closes the connections of their calls,
-    /// so that calls that still wait at a server are not started.
-    fn stop_quarantined(&mut self, refused: &Set<Fingerprint>, out: &mut Vec<Action>) {
-        let is_refused = |job: &Job| {
-            let is_quarantined =
-                job.fingerprint.is_some_and(|fingerprint| refused.contains(&fingerprint));
-            is_quarantined && !job.work.on_trial
-        };
-        let open = self.portions.iter().filter(|(_, portion)| is_refused(&portion.job));
-        let open: Vec<PortionKey> = open.map(|(key, _)| key).collect();
-        for key in open {
-            self.refuse_portion(
-                key,
-                Refused::with_verdict(self.current_verdict(key), Reason::Quarantined),
-                out,
-            );
+            self.refuse_portion(key, Refused::with_verdict(verdict, reason), out);
         }
-        let calls = self.attempts.iter().filter(|(_, attempt)| is_refused(&attempt.job));
+        let is_quarantined = |job: &Job| self.refused_as_suspect(job) == Some(Reason::Quarantined);
+        let calls = self.attempts.iter().filter(|(_, attempt)| is_quarantined(&attempt.job));
         let calls: Vec<AttemptKey> = calls.map(|(key, _)| key).collect();
         for key in calls {
             self.abandon_call(key, out);
@@ -266,8 +241,7 @@
     /// sweep is answered, a server accepts connections again, or the servers are known to have
     /// terminated. A harmless request is delayed by a few milliseconds.
     pub(super) fn is_held(&self, key: PortionKey) -> bool {
-        let job = &self.portions[key].job;
-        let request = job.fingerprint.filter(|_| !job.work.on_trial);
+        let request = untried_request(&self.portions[key].job);
         let held = |request| self.crashes.must_hold(self.now, request);
         self.crashes.has_suspects() && request.is_some_and(held)
     }
@@ -295,9 +269,8 @@
         }
         let poison = self.crashes.poison_requests(self.now);
         let is_poison = |portion: &Portion| {
-            let request = portion.job.fingerprint;
+            let request = untried_request(&portion.job);
             portion.queue_position.is_some()
-                && !portion.job.work.on_trial
                 && request.is_some_and(|request| poison.contains(&request))
         };
         let waiting = self.portions.iter().filter(|(_, portion)| is_poison(portion));
@@ -382,6 +355,11 @@
     }
 }
 
+/// Fingerprint of the request of some work, unless the work is its trial.
+fn untried_request(job: &Job) -> Option<Fingerprint> {
+    job.fingerprint.filter(|_| !job.work.on_trial)
+}
+
 /// Whether the work is a message to a single service, not a part of a sweep.
 fn is_single_message(job: &Job) -> bool {
     job.work.forward.as_ref().is_some_and(|forward| !forward.part)
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -13,6 +13,7 @@
 
 use crate::collections::{Map, Set};
 use crate::control::placement::LimitPart;
+use crate::control::quarantine::Trial;
 use crate::fingerprint::Fingerprint;
 use crate::route;
 use crate::time::Instant;
@@ -139,39 +140,6 @@
     pub at: Instant,
 }
 
-/// Length of the turn of one instance, of which it may begin a trial in the first half. The second
-/// half is for the outcome to reach the other instances.
-const TURN: Duration = Duration::from_secs(2);
-/// Time after which any instance may begin a trial at any moment. A request that is not sent often
-/// may never reach an instance in its turn.
-const TURNS_END: Duration = Duration::from_secs(60);
-
-/// When an instance may send a request that may crash servers, to find out whether it does. The
-/// instances of the fleet take turns, so that few servers crash under the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Trial {
-    /// Start of the first turn.
-    pub start: Instant,
-    /// Number of instances whose turn is before that of this instance.
-    pub turn: u32,
-    /// Number of instances.
-    pub turns: u32,
-}
-
-impl Trial {
-    /// Whether this instance may begin a trial.
-    pub fn is_due(&self, now: Instant) -> bool {
-        if now < self.start {
-            return false;
-        }
-        let elapsed = now.since(self.start);
-        let turn = elapsed.as_millis() / TURN.as_millis();
-        let is_first_half = elapsed.as_millis() % TURN.as_millis() < TURN.as_millis() / 2;
-        elapsed >= TURNS_END
-            || (is_first_half && turn % u128::from(self.turns.max(1)) == u128::from(self.turn))
-    }
-}
-
 /// Requests that were running on server processes that terminated, and these servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Quarantine {
--- a/crates/core/tests/fleet/extra_arrivals.rs
+++ b/crates/core/tests/fleet/extra_arrivals.rs
@@ -23,7 +23,8 @@
 use crate::harness::Fleet;
 use crate::simulation::{self, name, zone};
 
-type Property = bolero::TestTarget<bolero::ByteSliceGenerator, Engine, bolero::BorrowedInput>;
+pub(crate) type Property =
+    bolero::TestTarget<bolero::ByteSliceGenerator, Engine, bolero::BorrowedInput>;
 
 /// Number of instances at the start, and with all that may join.
 const INSTANCES: usize = 7;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -10,7 +10,7 @@
 use ladder_core::collections::Set;
 use ladder_core::control::Event;
 use ladder_core::control::quarantine::{
-    ANSWER_IMMUNITY, Incarnation, MAX_REQUESTS, RETENTION, Standing,
+    ANSWER_IMMUNITY, Incarnation, MAX_REQUESTS, RETENTION, Standing, Undecided,
 };
 use ladder_core::control::settings::{Listing, Timing};
 use ladder_core::control::state_change::StateChange;
@@ -20,6 +20,7 @@
 use crate::simulation::{platform_with, ready_fleet_with};
 use ladder_core::time::Instant;
 
+use crate::extra_arrivals::Property;
 use crate::harness::Fleet;
 
 /// Maximum time after the third crash until every instance must refuse the request.
@@ -40,15 +41,25 @@
     Incarnation { server: format!("docks-{number}").into(), number: 1 }
 }
 
-fn crash_event(number: u64, requests: &[Fingerprint]) -> Event {
+/// A crash of the numbered server at this time, with these requests, some of which were on trial.
+pub(crate) fn crash_at(
+    at: Instant,
+    number: u64,
+    requests: &[Fingerprint],
+    trials: &[Fingerprint],
+) -> Event {
     Event::Crashed {
         incarnation: incarnation(number),
-        at: Instant::default(),
+        at,
         requests: requests.to_vec(),
-        trials: Vec::new(),
+        trials: trials.to_vec(),
     }
 }
 
+fn crash_event(number: u64, requests: &[Fingerprint]) -> Event {
+    crash_at(Instant::default(), number, requests, &[])
+}
+
 fn refuses(fleet: &Fleet, name: &str, request: Fingerprint) -> bool {
     fleet.nodes[name].machine.view().quarantine.refused.contains(&request)
 }
@@ -149,9 +160,7 @@
         });
         fleet.run(ms(30_000));
         for number in 0..3 {
-            let (incarnation, at) = (incarnation(10 * round + number), fleet.now);
-            let crash =
-                Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
+            let crash = crash_at(fleet.now, 10 * round + number, &[POISON], &[]);
             fleet.handle_event(&name(number as usize), crash);
         }
         fleet.run_until("it is refused again", CONTACT, |fleet| refused_everywhere(fleet, POISON));
@@ -165,8 +174,7 @@
     fleet.handle_event(&name(0), Event::Cleared(POISON));
     fleet.run(ANSWER_IMMUNITY - ms(1000));
     for number in 0..9 {
-        let (incarnation, at) = (incarnation(number), fleet.now);
-        let crash = Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
+        let crash = crash_at(fleet.now, number, &[POISON], &[]);
         fleet.handle_event(&name(number as usize), crash);
     }
     for _ in 0..CONTACT.as_millis() / 10 {
@@ -186,9 +194,7 @@
         fleet.handle_event(&name(0), weaker);
         fleet.run(RETENTION - ms(10_000));
         for number in 0..3 {
-            let (incarnation, at) = (incarnation(number), fleet.now);
-            let crash =
-                Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
+            let crash = crash_at(fleet.now, number, &[POISON], &[]);
             fleet.handle_event(&name(0), crash);
         }
         fleet.run(ms(500));
@@ -202,8 +208,7 @@
 fn renewed_clearing_reaches_all_instances() {
     let mut fleet = settled_fleet(9);
     let crash = |fleet: &mut Fleet, number| {
-        let (incarnation, at) = (incarnation(number), fleet.now);
-        let event = Event::Crashed { incarnation, at, requests: vec![POISON], trials: Vec::new() };
+        let event = crash_at(fleet.now, number, &[POISON], &[]);
         fleet.handle_event(&name(1), event);
         fleet.run(ms(500));
         assert!(refused_nowhere(fleet, POISON), "after crash {number}");
@@ -356,8 +361,8 @@
     }
 }
 
-/// Guards against a request that crashes servers and is not refused while no line says why: it was at
-/// enough crashes, but never alone.
+/// Guards against a request that crashes servers and is neither refused nor logged, because it was
+/// never alone at a crash.
 #[test]
 fn log_names_the_rivals_of_an_undecided_request_once() {
     let mut fleet = settled_fleet(3);
@@ -369,13 +374,12 @@
     assert_eq!(fleet.nodes[&name(1)].machine.undecided_crashes(fleet.now).count, 6);
     for node in fleet.nodes.values() {
         let undecided = node.state_changes.iter().filter_map(|change| match change {
-            StateChange::Undecided { request, incarnations, rivals, .. } => {
-                Some((*request, incarnations.clone(), rivals.clone()))
-            }
+            StateChange::Undecided { undecided, .. } => Some(undecided.clone()),
             _ => None,
         });
         let rivals = (10..13).map(|rival| (Fingerprint(rival), 1)).collect();
-        let expected = (POISON, (0..3).map(incarnation).collect(), rivals);
+        let incarnations = (0..3).map(incarnation).collect();
+        let expected = Undecided { request: POISON, incarnations, rivals };
         assert_eq!(undecided.collect::<Vec<_>>(), [expected]);
     }
 }
@@ -448,13 +452,8 @@
     for number in 0..200 {
         let at = fleet.now;
         for observer in 0..3 {
-            let requests = vec![POISON, Fingerprint(u128::from(number) + 10)];
-            let event = Event::Crashed {
-                incarnation: incarnation(number),
-                at,
-                requests,
-                trials: Vec::new(),
-            };
+            let requests = [POISON, Fingerprint(u128::from(number) + 10)];
+            let event = crash_at(at, number, &requests, &[]);
             fleet.handle_event(&name((number as usize + observer * 4) % 12), event);
         }
         fleet.run(ms(12));
@@ -479,12 +478,7 @@
         let view = fleet.nodes[&name(0)].machine.view();
         view.quarantine.crashes.contains_key(&incarnation(number).server)
     };
-    let crash = |fleet: &Fleet, number: u64| Event::Crashed {
-        incarnation: incarnation(number),
-        at: fleet.now,
-        requests: vec![request(number)],
-        trials: Vec::new(),
-    };
+    let crash = |fleet: &Fleet, number| crash_at(fleet.now, number, &[request(number)], &[]);
     let first = crash(&fleet, 0);
     fleet.handle_event(&name(0), first);
     fleet.run(ms(1500));
@@ -535,7 +529,11 @@
 /// answered requests.
 #[test]
 fn any_order_of_events_leads_to_the_same_quarantine() {
-    ladder_property::check(60)
+    check_quarantine(ladder_property::check(60));
+}
+
+fn check_quarantine(property: Property) {
+    property
         .with_generator(bolero::produce::<Vec<(u8, Step)>>().with().len(0_usize..=40))
         .for_each(|steps| {
             let mut fleet = settled_fleet(3);
@@ -545,13 +543,7 @@
                 let event = match *step {
                     Step::Crashed { server, first, second } => {
                         let requests = [request(first), request(second)];
-                        let incarnation = incarnation(u64::from(server % 8));
-                        Event::Crashed {
-                            incarnation,
-                            at: fleet.now,
-                            requests: requests.to_vec(),
-                            trials: Vec::new(),
-                        }
+                        crash_at(fleet.now, u64::from(server % 8), &requests, &[])
                     }
                     Step::Refuted { server } => Event::Refuted(incarnation(u64::from(server % 8))),
                     Step::Cleared { request: number } => {
--- a/crates/core/tests/fleet/trials.rs
+++ b/crates/core/tests/fleet/trials.rs
@@ -11,7 +11,7 @@
 
 use crate::harness::Fleet;
 use crate::quarantine::{
-    CONTACT, POISON, incarnation, ms, name, refused_everywhere, refused_nowhere, settled_fleet,
+    CONTACT, POISON, crash_at, ms, name, refused_everywhere, refused_nowhere, settled_fleet,
 };
 
 /// A request that is sent all the time, beside the poison request at each crash.
@@ -30,12 +30,7 @@
     requests: &[Fingerprint],
     trials: &[Fingerprint],
 ) {
-    let event = Event::Crashed {
-        incarnation: incarnation(number),
-        at: fleet.now,
-        requests: requests.to_vec(),
-        trials: trials.to_vec(),
-    };
+    let event = crash_at(fleet.now, number, requests, trials);
     fleet.handle_event(&name(at), event);
 }
 
--- a/crates/core/tests/gather/trial.rs
+++ b/crates/core/tests/gather/trial.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::quarantine::Trial;
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::{Action, Event, status};
 use ladder_core::schema::call::Request;
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::wire::Reply;
 use ladder_core::time::Instant;
-use ladder_core::view::{Quarantine, Trial, View};
+use ladder_core::view::{Quarantine, View};
 
 use crate::forward::{HOST, harness_with, message, reply, routing, view_with};
 use crate::harness::{Harness, only_answer, sent_work};
--- a/crates/core/tests/leaf/crash.rs
+++ b/crates/core/tests/leaf/crash.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladder_core::control::quarantine::Trial;
 use ladder_core::count::{self, Count};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::leaf::event::Outcome;
@@ -15,7 +16,7 @@
 use ladder_core::schema::outcome::{Reason, Verdict};
 use ladder_core::schema::{target, wire};
 use ladder_core::time::Instant;
-use ladder_core::view::{Quarantine, ServerCrash, Service, Trial, View};
+use ladder_core::view::{Quarantine, ServerCrash, Service, View};
 
 use crate::forward::response;
 use crate::harness::{Harness, SentCall, limited, server, work};
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -1,11 +1,14 @@
 //! Formats the answers of instances as human-readable text.
 
+use ladder_core::control::quarantine::Incarnation;
 use ladder_schema::outcome::{Reason, Verdict};
 use ladder_schema::status::{
     Aggregator, Evacuation, Explanation, Instance, Member, Quarantine, Refused, Service, Step,
     Suspect,
 };
-use ladder_schema::wire::Incarnation;
+use ladder_schema::wire;
+
+use crate::log::list;
 
 /// Formats the status of one instance.
 pub fn status(address: &str, status: &Instance) -> String {
@@ -129,11 +132,8 @@
 }
 
 /// Formats incarnations of servers as a list.
-fn servers(incarnations: &[Incarnation]) -> String {
-    let names = incarnations
-        .iter()
-        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
-    names.collect::<Vec<_>>().join(" ")
+fn servers(incarnations: &[wire::Incarnation]) -> String {
+    list(incarnations.iter().map(Incarnation::read))
 }
 
 /// Formats the owner and the fallback owners of one service as a line.
--- a/src/log.rs
+++ b/src/log.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ladder_core::control::quarantine::{Cause, Incarnation};
+use ladder_core::control::quarantine::{Cause, Undecided};
 use ladder_core::control::state_change::{PlatformChange, StateChange};
 use ladder_core::fingerprint::Fingerprint;
 use ladder_core::gather::ShareChange;
@@ -92,22 +92,20 @@
         }
         StateChange::ServerCrash { incarnation, suspects, from } => {
             let from = if from.is_empty() { "here" } else { from };
-            let suspects: Vec<String> = suspects.iter().map(Fingerprint::to_string).collect();
             info!(log, "server crash reported"; "server" => &*incarnation.server,
-                "incarnation" => incarnation.number, "suspects" => suspects.join(" "),
+                "incarnation" => incarnation.number, "suspects" => list(suspects),
                 "from" => from);
         }
-        StateChange::Undecided { request, incarnations, rivals, from } => {
+        StateChange::Undecided { undecided: Undecided { request, incarnations, rivals }, from } => {
             let from = if from.is_empty() { "here" } else { from };
             let rivals = rivals.iter().map(|(request, crashes)| format!("{request}:{crashes}"));
             warn!(log, "crashes undecided"; "fingerprint" => %request,
-                "servers" => servers(incarnations),
-                "rivals" => rivals.collect::<Vec<_>>().join(" "), "from" => from);
+                "servers" => list(incarnations), "rivals" => list(rivals), "from" => from);
         }
         StateChange::Quarantine { request, standing, cause, incarnations, from } => {
             let from = if from.is_empty() { "here" } else { from };
             warn!(log, "quarantine changed"; "fingerprint" => %request, "standing" => ?standing,
-                "cause" => ?cause, "servers" => servers(incarnations), "from" => from);
+                "cause" => ?cause, "servers" => list(incarnations), "from" => from);
         }
         StateChange::Evacuation { zone, evacuated, revision, servers } => {
             warn!(log, "evacuation changed"; "zone" => &**zone, "evacuated" => evacuated,
@@ -124,12 +122,10 @@
     }
 }
 
-/// Formats incarnations of servers as a list.
-fn servers(incarnations: &[Incarnation]) -> String {
-    let names = incarnations
-        .iter()
-        .map(|incarnation| format!("{}/{}", incarnation.server, incarnation.number));
-    names.collect::<Vec<_>>().join(" ")
+/// Formats items as a list, separated by spaces.
+pub fn list(items: impl IntoIterator<Item = impl ToString>) -> String {
+    let items: Vec<String> = items.into_iter().map(|item| item.to_string()).collect();
+    items.join(" ")
 }
 
 /// Logs a change of what the platform answers.
