Keep the immunity of an answer through later terms of a quarantine

What callers would see: a request that servers answer is refused, because an instance that was cut off had a crash under its trial.

Cause: an entry of a later term replaced the one with the answer, whose immunity went with it; and two entries that were cleared for different reasons counted as equal, so that one instance never learned of the immunity.

The immunity is a time of its own that only grows, a quarantine for a crash before it does not stand, and digests tell whether there is one.

--- a/crates/core/src/control/quarantine.rs
+++ b/crates/core/src/control/quarantine.rs
@@ -201,8 +201,10 @@
             Some((term, Standing::Quarantined)) => (true, term),
             Some((term, Standing::Cleared)) => (is_renewed, term + u32::from(is_renewed)),
         };
-        let remaining = before.map_or(Duration::ZERO, |entry| entry.remaining_immunity(now));
-        let cleared = Entry::cleared(now, term, cause.immunity().max(remaining));
+        let immunity = Some(cause.immunity()).filter(|immunity| !immunity.is_zero());
+        let immune_until = immunity.map(|immunity| now + immunity);
+        let earlier = before.and_then(|entry| entry.immune_until);
+        let cleared = Entry::cleared(now, term, immune_until.max(earlier));
         self.entries.insert(request, cleared);
         let mut changes = self.evaluate(now);
         if has_changed {
@@ -268,10 +270,12 @@
         if before.is_none() && self.count(standing) >= MAX_REQUESTS {
             return None;
         }
+        let immunity = Some(entry.immunity_ms).filter(|immunity| *immunity > 0);
+        let immunity = immunity.map(|immunity| Duration::from_millis(immunity.into()));
         let received = Entry {
             standing,
             term: entry.term.max(1),
-            immunity: Duration::from_millis(entry.immunity_ms.into()),
+            immune_until: immunity.map(|immunity| now - idle + immunity),
             incarnations: entry.incarnations.iter().map(Incarnation::read).collect(),
             seen: now - idle,
             crashed_at: now - Duration::from_millis(entry.age_ms.into()),
@@ -355,6 +359,7 @@
         let is_quarantined = before.is_some_and(|entry| entry.standing == Standing::Quarantined);
         let term = before.map_or(1, |entry| entry.term + 1);
         let earlier = before.filter(|_| is_quarantined).map_or(0, |entry| entry.failed_trials);
+        let immune_until = before.and_then(|entry| entry.immune_until);
         if !is_quarantined && !self.make_room(now) {
             return None;
         }
@@ -363,7 +368,7 @@
         let entry = Entry {
             standing,
             term,
-            immunity: Duration::ZERO,
+            immune_until,
             incarnations: incarnations.clone(),
             seen: now,
             crashed_at,
@@ -413,7 +418,7 @@
             let is_below_minimum =
                 entry.incarnations.len() < count_before && entry.incarnations.len() < MIN_CRASHES;
             if is_below_minimum && entry.standing == Standing::Quarantined {
-                *entry = Entry::cleared(now, entry.term, Cause::Refutation.immunity());
+                *entry = Entry::cleared(now, entry.term, entry.immune_until);
                 changes.push(Change {
                     request: *request,
                     standing: Standing::Cleared,
@@ -508,7 +513,8 @@
             contents.insert(Item::Crash(incarnation.clone()), hash);
         }
         for (request, entry) in &self.entries {
-            let standing = [u8::from(entry.standing == Standing::Cleared)];
+            let is_cleared = u8::from(entry.standing == Standing::Cleared);
+            let standing = [is_cleared, entry.immune_until.is_some().into()];
             let hash = hash::of(&[&request.bytes(), &standing, &entry.term.to_be_bytes()]);
             contents.insert(Item::Entry(*request), hash);
         }
@@ -550,7 +556,9 @@
             standing: wire::Standing::from(entry.standing).into(),
             idle_ms: whole_millis(now.since(entry.seen)),
             term: entry.term,
-            immunity_ms: whole_millis(entry.immunity),
+            immunity_ms: entry
+                .immune_until
+                .map_or(0, |until| whole_millis(until.since(entry.seen))),
             incarnations: entry.incarnations.iter().map(Incarnation::written).collect(),
             age_ms: whole_millis(now.since(entry.crashed_at)),
             failed_trials: entry.failed_trials,
--- a/crates/core/src/control/quarantine/entry.rs
+++ b/crates/core/src/control/quarantine/entry.rs
@@ -69,8 +69,11 @@
     /// Number of times that the request was quarantined, or 1 if it never was. The entry with the
     /// higher term is newer, and of two with the same term the cleared one.
     pub term: u32,
-    /// Time after `seen` for which crashes do not count against the request, once it is cleared.
-    pub immunity: Duration,
+    /// Until when crashes do not count against the request, because it was answered or released;
+    /// `None` if it never was.
+    ///
+    /// Invariant: if the request is quarantined, for a crash after this time.
+    pub immune_until: Option<Instant>,
     /// Incarnations that the request crashed.
     ///
     /// Invariant: sorted, without duplicates, and the crash of no incarnation in it is refuted.
@@ -84,12 +87,11 @@
 }
 
 impl Entry {
-    pub(super) const fn cleared(now: Instant, term: u32, immunity: Duration) -> Self {
-        let standing = Standing::Cleared;
+    pub(super) const fn cleared(now: Instant, term: u32, immune_until: Option<Instant>) -> Self {
         Self {
-            standing,
+            standing: Standing::Cleared,
             term,
-            immunity,
+            immune_until,
             incarnations: Vec::new(),
             seen: now,
             crashed_at: now,
@@ -104,31 +106,34 @@
 
     /// Whether a crash at this time does not count against the request, because it was cleared since.
     pub(super) fn clears(&self, crashed_at: Instant) -> bool {
-        self.standing == Standing::Cleared && crashed_at <= self.seen + self.immunity
+        self.standing == Standing::Cleared
+            && (crashed_at <= self.seen || self.is_immune_to(crashed_at))
     }
 
-    /// Time from now on for which crashes do not count against the request.
-    pub(super) fn remaining_immunity(&self, now: Instant) -> Duration {
-        match self.standing {
-            Standing::Quarantined => Duration::ZERO,
-            Standing::Cleared => (self.seen + self.immunity).since(now),
-        }
+    fn is_immune_to(&self, crashed_at: Instant) -> bool {
+        self.immune_until.is_some_and(|until| crashed_at <= until)
     }
 
     /// Merges what a peer knows of the same request.
+    ///
+    /// An immunity stands in every later term: an instance may have imposed the quarantine because it
+    /// did not know of the answer.
     pub(super) fn merge(&mut self, received: Self) {
         let seen = self.seen.max(received.seen);
+        let immune_until = self.immune_until.max(received.immune_until);
         match received.version().cmp(&self.version()) {
             Ordering::Greater => *self = received,
             Ordering::Equal => {
-                self.immunity = self.immunity.max(received.immunity);
                 self.failed_trials = self.failed_trials.max(received.failed_trials);
                 self.incarnations.extend(received.incarnations);
                 sort_dedup_truncate(&mut self.incarnations, MAX_INCARNATIONS_PER_ENTRY);
             }
             Ordering::Less => {}
         }
-        self.seen = seen;
+        (self.seen, self.immune_until) = (seen, immune_until);
+        if self.standing == Standing::Quarantined && self.is_immune_to(self.crashed_at) {
+            *self = Self::cleared(seen, self.term, immune_until);
+        }
     }
 }
 
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -183,6 +183,25 @@
     }
 }
 
+/// Guards against refusing an answered request because of a crash under its trial that an instance saw
+/// while it was cut off, in a later term than the answer.
+#[test]
+fn answer_overrules_an_earlier_crash_that_another_instance_reports_in_a_later_term() {
+    let mut fleet = settled_fleet(3);
+    fleet.partition_side = [name(2)].into();
+    for number in 0..2 {
+        fleet.handle_event(&name(2), crash_at(fleet.now, number, &[POISON], &[POISON]));
+        fleet.handle_event(&name(2), Event::Refuted(incarnation(number)));
+        fleet.run(ms(100));
+    }
+    fleet.handle_event(&name(2), crash_at(fleet.now, 2, &[POISON], &[POISON]));
+    assert!(refuses(&fleet, &name(2), POISON));
+    fleet.handle_event(&name(0), Event::Cleared(POISON));
+    fleet.partition_side.clear();
+    fleet.run(CONTACT);
+    assert!(refused_nowhere(&fleet, POISON));
+}
+
 /// Guards against refusing a request soon after an operator released it, because it was answered or
 /// its servers returned errors since.
 #[test]
@@ -532,6 +551,20 @@
     check_quarantine(ladder_property::check(60));
 }
 
+/// The first input that failed with trials: an instance that is cut off reports a crash under a trial
+/// of a request that the others had answered, in a later term.
+#[test]
+fn quarantine_is_the_same_in_the_first_failed_input_with_trials() {
+    check_quarantine(ladder_property::replay(88_395_381_608_221_066_747_968_823_639_013_919_999));
+}
+
+/// The second one: instances that cleared a request for different reasons took each other's entries
+/// for equal, so that one of them never learned that it was answered.
+#[test]
+fn quarantine_is_the_same_in_the_second_failed_input_with_trials() {
+    check_quarantine(ladder_property::replay(175_090_708_159_091_526_197_480_453_896_882_292_898));
+}
+
 fn check_quarantine(property: Property) {
     property
         .with_generator(bolero::produce::<Vec<(u8, Step)>>().with().len(0_usize..=40))
@@ -543,7 +576,9 @@
                 let event = match *step {
                     Step::Crashed { server, first, second } => {
                         let requests = [request(first), request(second)];
-                        crash_at(fleet.now, u64::from(server % 8), &requests, &[])
+                        // A request is on trial at every fourth server.
+                        let trials = &requests[..usize::from(server % 4 == 0)];
+                        crash_at(fleet.now, u64::from(server % 8), &requests, trials)
                     }
                     Step::Refuted { server } => Event::Refuted(incarnation(u64::from(server % 8))),
                     Step::Cleared { request: number } => {
