Review: a server that restarts with its clock set back is used through its drain (DRAIN)

The sender compares the published incarnation with the highest one it ever saw, and never takes the server for leaving.

--- a/review/lab-2/cold.rs
+++ b/review/lab-2/cold.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::lab::{Fleet, Record, Server, ServerPlan, Store, call, has_trouble, sleep_ms};
+use crate::lab::{Fleet, Record, Server, ServerPlan, Store, call, has_trouble, say, sleep_ms};
 
 /// How long a server is cold, in seconds; `warmup_s` of the site.
 const WARMUP_S: f64 = 3.0;
@@ -44,6 +44,7 @@
         address: "127.0.0.1:0".to_owned(),
         slots: 6,
         warmup_ms,
+        clock_ahead_ms: 0,
         work: Arc::new(work),
     }
 }
@@ -139,7 +140,7 @@
     let starts = lives.lock().unwrap().len();
     let served = served.load(Ordering::SeqCst);
     record.note(format!("{starts} starts, most {most} in a second, {served} requests served"));
-    println!("{starts} starts, most {most} in a second, allowed {LIMIT}, {served} served");
+    say(&format!("{starts} starts, most {most} in a second, allowed {LIMIT}, {served} served"));
     // Without traffic the case shows nothing.
     (served > 200).then_some(most > LIMIT)
 }
--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -19,6 +19,11 @@
     env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+/// Prints a line; nobody has to read it.
+pub fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 pub fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -257,6 +262,8 @@
     pub slots: u32,
     /// How long the server is cold after its start.
     pub warmup_ms: u64,
+    /// Whether the server has reported that it leaves.
+    draining: Arc<AtomicBool>,
     pub record: Arc<Record>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     sequence: Arc<AtomicU64>,
@@ -276,6 +283,8 @@
     pub address: String,
     pub slots: u32,
     pub warmup_ms: u64,
+    /// How far the clock of the server's machine is ahead at the start.
+    pub clock_ahead_ms: u64,
     pub work: Work,
 }
 
@@ -292,10 +301,11 @@
             service: plan.service.clone(),
             zone: plan.zone.clone(),
             address,
-            born: unix_ms(),
+            born: unix_ms() + plan.clock_ahead_ms,
             started: record.at(),
             slots: plan.slots,
             warmup_ms: plan.warmup_ms,
+            draining: Arc::default(),
             record: Arc::clone(record),
             arrivals: Arc::default(),
             sequence: Arc::default(),
@@ -329,10 +339,18 @@
         if age_ms < 20 { self.warmup_ms } else { self.warmup_ms.saturating_sub(age_ms) }
     }
 
+    /// Reports that the server leaves; returns when the store has acknowledged that.
+    pub fn drain(&self) -> f64 {
+        self.draining.store(true, Ordering::SeqCst);
+        self.beat();
+        self.record.at()
+    }
+
     fn beat(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","warmup_left_ms":{},"sequence":{sequence},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","warmup_left_ms":{},"sequence":{sequence},"born":{}}}"#,
             self.service,
             self.address,
             self.zone,
@@ -551,10 +569,6 @@
         Some(fleet)
     }
 
-    /// The end of an instance's log.
-    pub fn log(&self, position: usize) -> String {
-        fs::read_to_string(&self.instances[position].log).unwrap_or_default()
-    }
 }
 
 impl Drop for Fleet {
@@ -594,6 +608,7 @@
     }
 
     /// Sends a signal by its name to the process.
+    #[allow(dead_code)]
     pub fn signal(&self, name: &str, record: &Record) {
         if let Some(child) = &self.child {
             record.note(format!("instance {} gets {name}", self.name));
@@ -609,10 +624,6 @@
         }
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
 }
 
 /// Sends one request on a new connection. The status is 0 if there is no complete answer.
--- /dev/null
+++ b/review/lab-2/leaving.rs
@@ -0,0 +1,121 @@
+//! A server whose machine's clock is set back starts again under its id, and leaves later.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use crate::lab::{Fleet, Message, Record, Server, ServerPlan, Store, call, has_trouble, say, sleep_ms};
+
+/// How far the clock of the server's machine is ahead, until it is set back.
+const AHEAD_MS: u64 = 2000;
+/// Time from the first start of the server to its crash.
+const CRASH_AFTER_MS: u64 = 800;
+/// Time from the crash to the second start.
+const DOWN_MS: u64 = 600;
+/// Time from the second start to the report that the server leaves.
+const CALM_MS: u64 = 8000;
+/// `drain_ms` of the site.
+const DRAIN_MS: u64 = 5000;
+/// How much longer than `drain_ms` the server goes on.
+const LONGER_MS: u64 = 4000;
+const CALLERS: u64 = 12;
+
+fn plan(id: &str, zone: &str, clock_ahead_ms: u64) -> ServerPlan {
+    let work = |server: &Server, request: &Message| {
+        sleep_ms(40);
+        Some(server.response(request, b"booked"))
+    };
+    ServerPlan {
+        id: id.to_owned(),
+        service: "booking".to_owned(),
+        zone: zone.to_owned(),
+        address: "127.0.0.1:0".to_owned(),
+        slots: 6,
+        warmup_ms: 0,
+        clock_ahead_ms,
+        work: Arc::new(work),
+    }
+}
+
+pub fn run(record: &Arc<Record>) -> Option<bool> {
+    let store = Store::start(record);
+    let others = [plan("i-other-1", "ansan-a", 0), plan("i-other-2", "hwaseong-b", 0)];
+    let others: Vec<Server> =
+        others.iter().map(|plan| Server::start(plan, &store, record)).collect();
+    store.put("op/config", r#"{"version":1,"routes":[{"name":"book","host":"shop.example","prefix":"/book/","route_type":"non_idempotent","timeout_ms":2000,"target_latency_ms":400,"priority":2,"service":"booking","max_attempts":2}],"services":[{"name":"booking","health_check_path":"/health","max_connections":100,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#);
+    let zones = [("ansan-a", "gyeonggi"), ("hwaseong-b", "gyeonggi"), ("siheung-c", "gyeonggi")];
+    let placed =
+        ["ansan-a", "hwaseong-b", "siheung-c", "ansan-a", "hwaseong-b", "siheung-c", "ansan-a"];
+    let bounds = [
+        ("retry_budget_ratio", "0.2"),
+        ("retry_budget_slack", "54"),
+        ("budget_window_s", "10"),
+        ("grace_s", "6"),
+        ("contact_ms", "5000"),
+    ];
+    let fleet = Fleet::start(&zones, &placed, &bounds, &store, record)?;
+    let fronts: Vec<String> = fleet.instances.iter().map(|one| one.front.clone()).collect();
+    let ends = Arc::new(AtomicBool::new(false));
+    let answers: Arc<Mutex<HashMap<String, u16>>> = Arc::default();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let front = fronts[caller as usize % fronts.len()].clone();
+            let (ends, answers) = (Arc::clone(&ends), Arc::clone(&answers));
+            let record = Arc::clone(record);
+            thread::spawn(move || {
+                for number in 0.. {
+                    if ends.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("{caller:04x}{number:012x}");
+                    record.note(format!("send {id}"));
+                    let target = format!("/book/{number}");
+                    let answer = call(&front, "POST", &target, &id, 2000, b"dock=7");
+                    let status = answer.map_or(0, |answer| answer.status());
+                    record.note(format!("answer {id} {status}"));
+                    answers.lock().unwrap().insert(id, status);
+                    sleep_ms(30);
+                }
+            })
+        })
+        .collect();
+    sleep_ms(3000);
+    let ahead_ms = if has_trouble() { AHEAD_MS } else { 0 };
+    let mut leaving = plan("i-leaving", "siheung-c", ahead_ms);
+    let mut server = Server::start(&leaving, &store, record);
+    if has_trouble() {
+        sleep_ms(CRASH_AFTER_MS);
+        server.crash();
+        record.note("the clock of the server's machine is set back");
+        sleep_ms(DOWN_MS);
+        leaving.address = server.address.clone();
+        leaving.clock_ahead_ms = 0;
+        server = Server::start(&leaving, &store, record);
+    }
+    sleep_ms(CALM_MS);
+    let used = server.arrivals.lock().unwrap().len();
+    // Planned work: the server leaves.
+    let acknowledged = server.drain();
+    record.note("the store has acknowledged that i-leaving is draining");
+    sleep_ms(DRAIN_MS + LONGER_MS);
+    server.crash();
+    record.note("i-leaving has ended after its drain");
+    store.remove("servers/i-leaving");
+    sleep_ms(2500);
+    ends.store(true, Ordering::SeqCst);
+    callers.into_iter().for_each(|caller| drop(caller.join()));
+    let due = acknowledged + DRAIN_MS as f64 / 1000.0;
+    let arrivals = server.arrivals.lock().unwrap();
+    let late: Vec<_> = arrivals.iter().filter(|arrival| arrival.at > due).collect();
+    let answers = answers.lock().unwrap();
+    let cut = late.iter().filter(|one| answers.get(&one.request) != Some(&200)).count();
+    others.iter().for_each(Server::crash);
+    let text = format!(
+        "{used} requests before the drain, {} later than drain_ms after its acknowledgement, {cut} of them accepted and cut off by the server's end; allowed 0",
+        late.len()
+    );
+    record.note(text.clone());
+    say(&text);
+    (used > 50).then_some(!late.is_empty())
+}
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -2,6 +2,7 @@
 //! it held and 2 if the case could not run.
 
 mod cold;
+mod leaving;
 mod lab;
 
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
     let record = lab::Record::new();
     let broken = match case.as_str() {
         "cold" => cold::run(&record),
+        "leaving" => leaving::run(&record),
         _ => None,
     };
     let verdict = match broken {
@@ -23,7 +25,7 @@
     };
     record.note(format!("the rule: {verdict}"));
     record.write(&folder.join("record.txt"));
-    println!("{case}: {verdict}");
+    lab::say(&format!("{case}: {verdict}"));
     match broken {
         Some(broken) => ExitCode::from(u8::from(broken)),
         None => ExitCode::from(2),
