Review: instances that cannot reach their seeds each use the whole warm-up allowance (FAILBACK)

After a loss of all machines, those that return before the seeds know no other instance, and the allowance of a cold server is divided by one.

--- a/review/lab-2/cold.rs
+++ b/review/lab-2/cold.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::lab::{Fleet, Record, Server, ServerPlan, Store, call, has_trouble, say, sleep_ms};
+use crate::lab::{Fleet, Record, Server, ServerPlan, Store, call, free_address, has_trouble, say, sleep_ms};
 
 /// How long a server is cold, in seconds; `warmup_s` of the site.
 const WARMUP_S: f64 = 3.0;
@@ -41,7 +41,7 @@
         id: id.to_owned(),
         service: "permits".to_owned(),
         zone: zone.to_owned(),
-        address: "127.0.0.1:0".to_owned(),
+        address: free_address(),
         slots: 6,
         warmup_ms,
         clock_ahead_ms: 0,
--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -151,8 +151,8 @@
 
 impl Store {
     pub fn start(record: &Arc<Record>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address").to_string();
+        let address = free_address();
+        let listener = TcpListener::bind(&address).expect("a port");
         let items = Items { revision: 10, ..Items::default() };
         let items = Arc::new((Mutex::new(items), Condvar::new()));
         let store = Self { address, items, record: Arc::clone(record) };
@@ -279,7 +279,7 @@
     pub id: String,
     pub service: String,
     pub zone: String,
-    /// Address, or one with port 0.
+    /// Where the server listens.
     pub address: String,
     pub slots: u32,
     pub warmup_ms: u64,
@@ -492,9 +492,18 @@
     child: Option<Child>,
 }
 
-fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").to_string()
+/// A free loopback address. Its port is outside of the range from which the operating system takes
+/// the ports of outgoing connections, so that it stays free while nothing listens there.
+pub fn free_address() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..10_000 {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst) + u64::from(std::process::id()) * 97;
+        let address = format!("127.0.0.1:{}", 12_000 + number % 18_000);
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
 }
 
 /// A small deployment: instances of the deployed program in zones.
--- a/review/lab-2/leaving.rs
+++ b/review/lab-2/leaving.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::lab::{Fleet, Message, Record, Server, ServerPlan, Store, call, has_trouble, say, sleep_ms};
+use crate::lab::{Fleet, Message, Record, Server, ServerPlan, Store, call, free_address, has_trouble, say, sleep_ms};
 
 /// How far the clock of the server's machine is ahead, until it is set back.
 const AHEAD_MS: u64 = 2000;
@@ -30,7 +30,7 @@
         id: id.to_owned(),
         service: "booking".to_owned(),
         zone: zone.to_owned(),
-        address: "127.0.0.1:0".to_owned(),
+        address: free_address(),
         slots: 6,
         warmup_ms: 0,
         clock_ahead_ms,
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the second review: `lab CASE FOLDER`. Exits with 1 if the rule was broken, 0 if
 //! it held and 2 if the case could not run.
 
+mod alone;
 mod cold;
 mod leaving;
 mod lab;
@@ -14,6 +15,7 @@
     let folder = PathBuf::from(arguments.next().unwrap_or_default());
     let record = lab::Record::new();
     let broken = match case.as_str() {
+        "alone" => alone::run(&record),
         "cold" => cold::run(&record),
         "leaving" => leaving::run(&record),
         _ => None,
