--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -264,6 +264,8 @@
     pub warmup_ms: u64,
     /// Whether the server has reported that it leaves.
     draining: Arc<AtomicBool>,
+    /// Whether the server writes no more, as its entry is removed.
+    has_left: Arc<AtomicBool>,
     pub record: Arc<Record>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     sequence: Arc<AtomicU64>,
@@ -306,6 +308,7 @@
             slots: plan.slots,
             warmup_ms: plan.warmup_ms,
             draining: Arc::default(),
+            has_left: Arc::default(),
             record: Arc::clone(record),
             arrivals: Arc::default(),
             sequence: Arc::default(),
@@ -320,7 +323,7 @@
         thread::spawn(move || accepting.accept(&listener));
         let beating = server.clone();
         thread::spawn(move || {
-            while beating.runs() {
+            while beating.runs() && !beating.has_left.load(Ordering::SeqCst) {
                 beating.beat();
                 sleep_ms(HEARTBEAT_MS);
             }
@@ -346,6 +349,12 @@
         self.record.at()
     }
 
+    /// The server's entry is removed; the server goes on.
+    pub fn leave_store(&self) {
+        self.has_left.store(true, Ordering::SeqCst);
+        self.store.remove(&format!("servers/{}", self.id));
+    }
+
     fn beat(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -4,6 +4,7 @@
 mod alone;
 mod cold;
 mod leaving;
+mod forged;
 mod lab;
 
 use std::path::PathBuf;
@@ -17,6 +18,7 @@
     let broken = match case.as_str() {
         "alone" => alone::run(&record),
         "cold" => cold::run(&record),
+        "forged" => forged::run(&record),
         "leaving" => leaving::run(&record),
         _ => None,
     };
