--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -356,9 +356,14 @@
     }
 
     fn beat(&self) {
+        self.store.put(&format!("servers/{}", self.id), &self.entry());
+    }
+
+    /// What the server writes about itself now.
+    pub fn entry(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
-        let entry = format!(
+        format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","warmup_left_ms":{},"sequence":{sequence},"born":{}}}"#,
             self.service,
             self.address,
@@ -366,8 +371,7 @@
             self.slots,
             self.warmup_left_ms(),
             self.born
-        );
-        self.store.put(&format!("servers/{}", self.id), &entry);
+        )
     }
 
     fn accept(&self, listener: &TcpListener) {
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -3,6 +3,7 @@
 
 mod alone;
 mod cold;
+mod late;
 mod leaving;
 mod forged;
 mod lab;
@@ -19,6 +20,7 @@
         "alone" => alone::run(&record),
         "cold" => cold::run(&record),
         "forged" => forged::run(&record),
+        "late" => late::run(&record),
         "leaving" => leaving::run(&record),
         _ => None,
     };
