--- a/review/lab-2/alone.rs
+++ b/review/lab-2/alone.rs
@@ -20,7 +20,7 @@
 /// Time for which the machines that are no seeds are down.
 const DOWN_MS: u64 = 500;
 /// Time for which the seeds are down, in all.
-const SEEDS_DOWN_MS: u64 = 5500;
+const SEEDS_DOWN_MS: u64 = 5000;
 /// Time from the return of the first machines to the start of the new server.
 const RETURNED_MS: u64 = 3800;
 const CALLERS: u64 = 72;
