--- a/review/lab-2/cold.rs
+++ b/review/lab-2/cold.rs
@@ -21,7 +21,7 @@
 const CRASH_AFTER_MS: u64 = 900;
 /// Time from a crash to the next start.
 const DOWN_MS: u64 = 2000;
-const CALLERS: u64 = 16;
+const CALLERS: u64 = 24;
 
 fn plan(id: &str, zone: &str, warmup_ms: u64) -> ServerPlan {
     let work = |server: &Server, request: &crate::lab::Message| {
